Lay out the workspace, the wire types and the shared types

Cause: an empty repository; every crate needs the same names and messages. Change: a Cargo workspace of small crates with thin binaries, the protobuf definitions of log records and link messages with their generated code and generator, and the types crate (names, keys, amounts, refusals). Not run: no tests exist yet; the workspace builds.

--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Grant accounting, grant sizing, priority queue and retry-after estimates.
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Drivers that measure the decisions and the real processes.
--- /dev/null
+++ b/crates/budget/src/lib.rs
@@ -0,0 +1,1 @@
+//! Deterministic fold of a budget stream: top-ups, grants, charges, intents.
--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line: apply, get, watch, delete, status, dump.
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! The ledger daemon: group commit to the log, fold, witness.
--- /dev/null
+++ b/crates/link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Authenticated request/reply connections between swiftlink processes.
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator daemon: the resource interface over HTTP.
--- /dev/null
+++ b/crates/resource/src/lib.rs
@@ -0,0 +1,1 @@
+//! Declared resources, their validation and their deterministic fold.
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router daemon: admission, routing, streaming and charging of requests.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of a backend server, load tracking, retry budget.
--- /dev/null
+++ b/crates/shell/src/lib.rs
@@ -0,0 +1,1 @@
+//! Command-line entry, signal handling and admin endpoint of the daemons.
--- /dev/null
+++ b/crates/stream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Ordered assembly of answer chunks and resume tokens.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Key=value logs and StatsD metrics.
--- /dev/null
+++ b/src/bin/standin-engine/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `standin-engine`.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/swiftlink-bench/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `swiftlink-bench`.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/swiftlink-ledger/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `swiftlink-ledger`.
+
+fn main() {}
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,1 @@
+//! The test suite: whole processes on loopback, one module per topic.
--- /dev/null
+++ b/tools/codegen/src/main.rs
@@ -0,0 +1,51 @@
+//! Writes the Rust types of `crates/wire/proto` into `crates/wire/src/generated`.
+//!
+//! Run from the repository's root: `cargo run --manifest-path tools/codegen/Cargo.toml`.
+//! With `--check` nothing is written and the exit code is 1 when the committed
+//! files are not current.
+
+use std::fs;
+use std::path::Path;
+
+use anyhow::{Context, Result, bail};
+
+const PROTO_DIR: &str = "crates/wire/proto";
+const OUT_DIR: &str = "crates/wire/src/generated";
+const PROTOS: [&str; 2] = ["log.proto", "link.proto"];
+const OUTPUTS: [&str; 2] = ["swiftlink.log.rs", "swiftlink.link.rs"];
+
+fn main() -> Result<()> {
+    let check = std::env::args().any(|arg| arg == "--check");
+    let fresh = std::env::temp_dir().join(format!("swiftlink-codegen-{}", std::process::id()));
+    fs::create_dir_all(&fresh)?;
+    generate(&fresh)?;
+    let verdict = if check { compare(&fresh) } else { install(&fresh) };
+    fs::remove_dir_all(&fresh)?;
+    verdict
+}
+
+fn generate(out: &Path) -> Result<()> {
+    let files = protox::compile(PROTOS, [PROTO_DIR]).context("compiling the proto files")?;
+    prost_build::Config::new()
+        .out_dir(out)
+        .compile_fds(files)
+        .context("generating the Rust types")
+}
+
+fn compare(fresh: &Path) -> Result<()> {
+    for name in OUTPUTS {
+        let committed = fs::read(Path::new(OUT_DIR).join(name))?;
+        if committed != fs::read(fresh.join(name))? {
+            bail!("{OUT_DIR}/{name} is not current: run the generator");
+        }
+    }
+    println!("generated code is current");
+    Ok(())
+}
+
+fn install(fresh: &Path) -> Result<()> {
+    for name in OUTPUTS {
+        fs::copy(fresh.join(name), Path::new(OUT_DIR).join(name))?;
+    }
+    Ok(())
+}
