--- /dev/null
+++ b/crates/settings/src/hidden.rs
@@ -0,0 +1,43 @@
+//! Text that is never printed.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize, Serializer};
+
+const MASK: &str = "***";
+
+/// A secret from the settings; printing or serializing it gives `***`.
+#[derive(Clone, PartialEq, Eq, Deserialize)]
+#[serde(transparent)]
+pub struct HiddenText(String);
+
+impl HiddenText {
+    /// Wraps `text`.
+    pub fn new(text: impl Into<String>) -> Self {
+        Self(text.into())
+    }
+
+    /// The secret itself.
+    #[must_use]
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+
+    /// Whether the secret has no characters.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl fmt::Debug for HiddenText {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(MASK)
+    }
+}
+
+impl Serialize for HiddenText {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(MASK)
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,84 @@
 //! Typed TOML settings with errors that name file, key and line.
+//!
+//! [`load`] reads a file into any deserializable type; [`open`] also runs the
+//! checks of a [`Settings`] type. A settings struct carries
+//! `#[serde(deny_unknown_fields)]` and may flatten [`Common`].
+
+mod common;
+mod culprit;
+mod error;
+mod hidden;
+mod locate;
+
+use std::fs;
+use std::path::Path;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+pub use common::{Common, LinkPeer, check_peers};
+pub use error::{CheckError, SettingsError};
+pub use hidden::HiddenText;
+
+/// Settings of a daemon.
+pub trait Settings: DeserializeOwned + Serialize {
+    /// The settings that every daemon has.
+    fn common(&self) -> &Common;
+
+    /// Checks what the types can't: ranges, and values that must fit together.
+    ///
+    /// # Errors
+    /// The first key whose value can't be used.
+    fn check(&self) -> Result<(), CheckError> {
+        Ok(())
+    }
+}
+
+/// Reads the TOML file at `path` into a `T`.
+///
+/// # Errors
+/// When the file can't be read, is not TOML, or doesn't fit `T`.
+pub fn load<T: DeserializeOwned>(path: &Path) -> Result<T, SettingsError> {
+    parse(path, &read(path)?)
+}
+
+/// Reads the TOML file at `path` into a `T` and checks it.
+///
+/// # Errors
+/// Those of [`load`], and a failing check of the common or the daemon's own settings.
+pub fn open<T: Settings>(path: &Path) -> Result<T, SettingsError> {
+    let text = read(path)?;
+    let settings: T = parse(path, &text)?;
+    let checked = settings.common().check().and_then(|()| settings.check());
+    if let Err(error) = checked {
+        let line = locate::line_of_key(&text, &error.key);
+        return Err(SettingsError::invalid(path, line, error.key, error.detail));
+    }
+    Ok(settings)
+}
+
+/// Reads TOML `text` into a `T`; `path` is only named in errors.
+///
+/// # Errors
+/// When the text is not TOML or doesn't fit `T`.
+pub fn parse<T: DeserializeOwned>(path: &Path, text: &str) -> Result<T, SettingsError> {
+    let document = toml::Deserializer::parse(text)
+        .map_err(|error| SettingsError::syntax(path, text, &error))?;
+    serde_path_to_error::deserialize(document)
+        .map_err(|error| culprit::explain::<T>(path, text, &error))
+}
+
+/// The effective settings as TOML; secrets print as `***`.
+///
+/// # Errors
+/// When a value has no TOML form.
+pub fn render<T: Serialize>(settings: &T) -> Result<String, toml::ser::Error> {
+    toml::to_string_pretty(settings)
+}
+
+fn read(path: &Path) -> Result<String, SettingsError> {
+    fs::read_to_string(path).map_err(|source| SettingsError::Read {
+        file: path.into(),
+        source,
+    })
+}
