--- /dev/null
+++ b/crates/admission/src/service.rs
@@ -0,0 +1,81 @@
+//! Measured service rate, and the estimates made from it.
+
+use std::time::Duration;
+
+use swiftlink_types::Micros;
+
+use crate::rate::{MICROS_PER_SEC, Mean};
+
+/// Weight of a new service time in the mean.
+const SERVICE_GAIN: f64 = 1.0 / 32.0;
+/// Weight of a new comparison of actual and predicted wait.
+const BIAS_GAIN: f64 = 1.0 / 16.0;
+/// Limits of the correction, so that a few odd waits don't stop admission.
+const BIAS_RANGE: (f64, f64) = (0.5, 4.0);
+
+/// Service rate of a number of slots, from the service times seen.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceRate {
+    first: Micros,
+    time: Mean,
+}
+
+impl ServiceRate {
+    /// A rate that takes `first` for the service time until one is seen.
+    #[must_use]
+    pub fn new(first: Duration) -> Self {
+        Self {
+            first: first.as_micros().max(1) as Micros,
+            time: Mean::new(SERVICE_GAIN),
+        }
+    }
+
+    /// Takes the service time of one request.
+    pub fn add(&mut self, time: Micros) {
+        self.time.add(time.max(1) as f64);
+    }
+
+    /// Mean service time.
+    #[must_use]
+    pub fn time(&self) -> Micros {
+        self.time.get().map_or(self.first, |time| time as Micros)
+    }
+
+    /// Requests per second that `slots` serve.
+    #[must_use]
+    pub fn per_sec(&self, slots: usize) -> f64 {
+        slots.max(1) as f64 * MICROS_PER_SEC / self.time().max(1) as f64
+    }
+}
+
+/// Corrects one class's predicted waits by those that were seen.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryAfter {
+    bias: Mean,
+}
+
+impl Default for RetryAfter {
+    fn default() -> Self {
+        Self {
+            bias: Mean::new(BIAS_GAIN),
+        }
+    }
+}
+
+impl RetryAfter {
+    /// Takes a wait that was predicted and the one that came.
+    pub fn learn(&mut self, predicted: Micros, actual: Micros) {
+        if predicted == 0 {
+            return;
+        }
+        let ratio = actual as f64 / predicted as f64;
+        self.bias.add(ratio.clamp(BIAS_RANGE.0, BIAS_RANGE.1));
+    }
+
+    /// The wait until `places` have been served at `rate` per second.
+    #[must_use]
+    pub fn wait(&self, places: f64, rate: f64) -> Micros {
+        let bias = self.bias.get().unwrap_or(1.0);
+        (places / rate.max(1e-3) * bias * MICROS_PER_SEC) as Micros
+    }
+}
