--- /dev/null
+++ b/crates/link/src/handshake.rs
@@ -0,0 +1,207 @@
+//! Mutual proof of the shared secret at the start of a connection.
+//!
+//! The accepting side sends a fresh nonce, the connecting side answers with its
+//! own nonce and a proof over both, and the accepting side proves itself in turn.
+//! The labels differ, so neither proof serves as the other.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use swiftlink_wire::link::{Challenge, Frame, Hello, Welcome, frame};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_util::bytes::BytesMut;
+use tokio_util::codec::{Decoder, Encoder};
+
+use crate::Secret;
+use crate::codec::{FrameCodec, FrameError, MAX_FRAME};
+
+/// A connection that is not made and proved in this time is dropped.
+pub(crate) const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Most bytes of a frame from a peer that has proved nothing yet.
+const MAX_STRANGER_FRAME: usize = 1024;
+
+const MAX_NAME: usize = 256;
+const NONCE_LEN: usize = 32;
+const HELLO_LABEL: &[u8] = b"swiftlink link hello 1";
+const WELCOME_LABEL: &[u8] = b"swiftlink link welcome 1";
+
+/// A proved connection and the bytes read beyond the handshake.
+pub(crate) struct Proved {
+    pub(crate) socket: TcpStream,
+    pub(crate) peer: Arc<str>,
+    pub(crate) input: Input,
+}
+
+/// Bytes read and not yet decoded.
+pub(crate) struct Input {
+    pub(crate) codec: FrameCodec,
+    pub(crate) bytes: BytesMut,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum HandshakeError {
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+    #[error("connection closed in the handshake")]
+    Eof,
+    #[error("unexpected frame in the handshake")]
+    Unexpected,
+    #[error("peer does not know the secret")]
+    Refused,
+    #[error("handshake took too long")]
+    Timeout,
+}
+
+/// Proves this side, which accepted the connection, and checks the other.
+pub(crate) async fn accept(
+    socket: TcpStream,
+    name: &str,
+    secret: &Secret,
+) -> Result<Proved, HandshakeError> {
+    let done = tokio::time::timeout(HANDSHAKE_TIMEOUT, accept_inner(socket, name, secret));
+    done.await.unwrap_or(Err(HandshakeError::Timeout))
+}
+
+/// Proves this side, which made the connection, and checks the other.
+pub(crate) async fn connect(
+    socket: TcpStream,
+    name: &str,
+    secret: &Secret,
+) -> Result<Proved, HandshakeError> {
+    let done = tokio::time::timeout(HANDSHAKE_TIMEOUT, connect_inner(socket, name, secret));
+    done.await.unwrap_or(Err(HandshakeError::Timeout))
+}
+
+async fn accept_inner(
+    socket: TcpStream,
+    name: &str,
+    secret: &Secret,
+) -> Result<Proved, HandshakeError> {
+    let mut channel = Channel::new(socket);
+    let nonce = nonce();
+    let challenge = Challenge {
+        nonce: nonce.to_vec(),
+    };
+    channel.send(frame::Body::Challenge(challenge)).await?;
+
+    let frame::Body::Hello(hello) = channel.receive().await? else {
+        return Err(HandshakeError::Unexpected);
+    };
+    check_sizes(&hello.name, &hello.nonce)?;
+    let proved = secret.verify(
+        &[HELLO_LABEL, &nonce, &hello.nonce, hello.name.as_bytes()],
+        &hello.proof,
+    );
+    if !proved {
+        return Err(HandshakeError::Refused);
+    }
+
+    let proof = secret.sign(&[WELCOME_LABEL, &nonce, &hello.nonce, name.as_bytes()]);
+    let welcome = Welcome {
+        name: name.to_owned(),
+        proof,
+    };
+    channel.send(frame::Body::Welcome(welcome)).await?;
+    Ok(channel.proved(&hello.name))
+}
+
+async fn connect_inner(
+    socket: TcpStream,
+    name: &str,
+    secret: &Secret,
+) -> Result<Proved, HandshakeError> {
+    let mut channel = Channel::new(socket);
+    let frame::Body::Challenge(challenge) = channel.receive().await? else {
+        return Err(HandshakeError::Unexpected);
+    };
+    let theirs = challenge.nonce;
+    if theirs.len() != NONCE_LEN {
+        return Err(HandshakeError::Unexpected);
+    }
+
+    let nonce = nonce();
+    let proof = secret.sign(&[HELLO_LABEL, &theirs, &nonce, name.as_bytes()]);
+    let hello = Hello {
+        name: name.to_owned(),
+        nonce: nonce.to_vec(),
+        proof,
+    };
+    channel.send(frame::Body::Hello(hello)).await?;
+
+    let frame::Body::Welcome(welcome) = channel.receive().await? else {
+        return Err(HandshakeError::Unexpected);
+    };
+    check_sizes(&welcome.name, &theirs)?;
+    let proved = secret.verify(
+        &[WELCOME_LABEL, &theirs, &nonce, welcome.name.as_bytes()],
+        &welcome.proof,
+    );
+    if !proved {
+        return Err(HandshakeError::Refused);
+    }
+    Ok(channel.proved(&welcome.name))
+}
+
+fn check_sizes(name: &str, nonce: &[u8]) -> Result<(), HandshakeError> {
+    if name.is_empty() || name.len() > MAX_NAME || nonce.len() != NONCE_LEN {
+        return Err(HandshakeError::Unexpected);
+    }
+    Ok(())
+}
+
+fn nonce() -> [u8; NONCE_LEN] {
+    rand::random()
+}
+
+/// A connection that carries one frame at a time.
+struct Channel {
+    socket: TcpStream,
+    input: Input,
+}
+
+impl Channel {
+    fn new(socket: TcpStream) -> Self {
+        let input = Input {
+            codec: FrameCodec::new(MAX_STRANGER_FRAME),
+            bytes: BytesMut::new(),
+        };
+        Self { socket, input }
+    }
+
+    async fn send(&mut self, body: frame::Body) -> Result<(), HandshakeError> {
+        let frame = Frame {
+            id: 0,
+            body: Some(body),
+        };
+        let mut bytes = BytesMut::new();
+        self.input.codec.encode(&frame, &mut bytes)?;
+        self.socket
+            .write_all(&bytes)
+            .await
+            .map_err(FrameError::from)?;
+        Ok(())
+    }
+
+    async fn receive(&mut self) -> Result<frame::Body, HandshakeError> {
+        loop {
+            if let Some(frame) = self.input.codec.decode(&mut self.input.bytes)? {
+                return frame.body.ok_or(HandshakeError::Unexpected);
+            }
+            let read = self.socket.read_buf(&mut self.input.bytes).await;
+            if read.map_err(FrameError::from)? == 0 {
+                return Err(HandshakeError::Eof);
+            }
+        }
+    }
+
+    fn proved(mut self, peer: &str) -> Proved {
+        self.input.codec.set_limit(MAX_FRAME);
+        Proved {
+            socket: self.socket,
+            peer: Arc::from(peer),
+            input: self.input,
+        }
+    }
+}
--- /dev/null
+++ b/crates/link/src/secret.rs
@@ -0,0 +1,46 @@
+//! The secret shared by all processes of one system.
+
+use std::fmt;
+use std::sync::Arc;
+
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::Sha256;
+
+/// A shared secret; its text is shown nowhere.
+#[derive(Clone)]
+pub struct Secret(Arc<str>);
+
+impl Secret {
+    /// Wraps the secret's text.
+    #[must_use]
+    pub fn new(text: impl AsRef<str>) -> Self {
+        Self(Arc::from(text.as_ref()))
+    }
+
+    /// HMAC-SHA-256 of the parts, each with its length before it so that no two
+    /// lists of parts read alike.
+    pub(crate) fn sign(&self, parts: &[&[u8]]) -> Vec<u8> {
+        self.mac(parts).finalize().into_bytes().to_vec()
+    }
+
+    /// Whether `proof` is the parts' HMAC; takes the same time for any wrong one.
+    pub(crate) fn verify(&self, parts: &[&[u8]], proof: &[u8]) -> bool {
+        self.mac(parts).verify_slice(proof).is_ok()
+    }
+
+    fn mac(&self, parts: &[&[u8]]) -> Hmac<Sha256> {
+        let key = self.0.as_bytes();
+        let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("HMAC takes keys of any length");
+        for part in parts {
+            mac.update(&(part.len() as u64).to_be_bytes());
+            mac.update(part);
+        }
+        mac
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(***)")
+    }
+}
