Add the shell: entry, signals, admin endpoint and HTTP server

First working form; the server is xitca's HTTP/1 stack with a watch on each connection, because its own server type can neither notice a client that leaves while a response is awaited nor close idle connections at a stop.

--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -1,1 +1,20 @@
-//! Command-line entry, signal handling and admin endpoint of the daemons.
+//! Command-line entry, signal handling and admin endpoint of the daemons, and the
+//! HTTP server that they share.
+//!
+//! A daemon's `main` is one call of [`run`]: it parses the command line, reads and
+//! checks the settings, opens log and metrics, starts the runtime, and hands the
+//! daemon its settings and a [`Shell`].
+
+mod admin;
+mod cli;
+mod report;
+mod run;
+mod shell;
+pub mod web;
+
+pub use admin::{Admin, Dump};
+pub use cli::{About, Command, UsageError};
+pub use report::chain;
+pub use run::{run, run_args};
+pub use shell::Shell;
+pub use swiftlink_settings::{CheckError, Common, Settings};
--- /dev/null
+++ b/crates/shell/src/shell.rs
@@ -0,0 +1,71 @@
+//! What a running daemon gets from its surroundings.
+
+use swiftlink_telemetry::{Metrics, event};
+use tokio::runtime::Handle;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+/// Exit code after a second signal, which doesn't wait for requests in flight.
+const FORCED: i32 = 130;
+
+/// Metrics, runtime and stop signal of a daemon; a clone stands for the same process.
+#[derive(Clone, Debug)]
+pub struct Shell {
+    /// The process's metrics.
+    pub metrics: Metrics,
+    stop: CancellationToken,
+    handle: Handle,
+}
+
+impl Shell {
+    /// A shell on the current runtime, stopped only by [`Shell::stop`].
+    ///
+    /// # Panics
+    /// Outside a tokio runtime.
+    #[must_use]
+    pub fn new(metrics: Metrics) -> Self {
+        Self {
+            metrics,
+            stop: CancellationToken::new(),
+            handle: Handle::current(),
+        }
+    }
+
+    /// Resolves once the process was told to stop by SIGTERM, SIGINT or [`Shell::stop`].
+    pub fn stopped(&self) -> impl Future<Output = ()> + Send + 'static {
+        self.stop.clone().cancelled_owned()
+    }
+
+    /// Tells the process to stop.
+    pub fn stop(&self) {
+        self.stop.cancel();
+    }
+
+    /// The multi-threaded runtime, for tasks that must outlive an HTTP request.
+    #[must_use]
+    pub fn handle(&self) -> &Handle {
+        &self.handle
+    }
+
+    /// Follows SIGTERM and SIGINT: the first one asks for a stop, the second forces it.
+    pub(crate) fn follow_signals(&self) -> std::io::Result<()> {
+        let mut term = signal(SignalKind::terminate())?;
+        let mut int = signal(SignalKind::interrupt())?;
+        let stop = self.stop.clone();
+        tokio::spawn(async move {
+            loop {
+                let name = tokio::select! {
+                    _ = term.recv() => "SIGTERM",
+                    _ = int.recv() => "SIGINT",
+                };
+                if stop.is_cancelled() {
+                    event!(warn, "process.forced", signal = name);
+                    std::process::exit(FORCED);
+                }
+                event!(info, "process.stopping", signal = name);
+                stop.cancel();
+            }
+        });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/shell/src/web/connection.rs
@@ -0,0 +1,199 @@
+//! One connection: its limits, its end by the client and its end by a stop.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::pending;
+use std::io::{self, Write};
+use std::mem::MaybeUninit;
+use std::net::{Shutdown, TcpStream as StdStream};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use socket2::{SockRef, TcpKeepalive};
+use tokio::io::Interest;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+use xitca_io::net::Stream;
+use xitca_web::service::Service;
+use xitca_web::service::ready::ReadyService;
+
+const FULL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
+    connection: close\r\ncontent-length: 0\r\n\r\n";
+/// How long a refused connection is kept, so that its client can read why.
+const LINGER: Duration = Duration::from_millis(500);
+const PROBES: u32 = 3;
+
+tokio::task_local! {
+    /// The connection that the current future serves.
+    pub(super) static CURRENT: Rc<Connection>;
+}
+
+/// State that all connections of a server share.
+pub(super) struct Shared {
+    /// One permit for each connection that may be open.
+    pub(super) permits: Arc<Semaphore>,
+    /// Cancelled when the server stops: no new requests.
+    pub(super) stop: CancellationToken,
+    /// Cancelled when the grace of a stop is over.
+    pub(super) abort: CancellationToken,
+    /// See [`Limits::stall`](super::Limits::stall).
+    pub(super) stall: Duration,
+}
+
+/// A second handle on a connection's socket, by which the connection is watched and
+/// ended while xitca's dispatcher reads and writes it.
+pub(super) struct Connection {
+    socket: TcpStream,
+    busy: Cell<bool>,
+    closing: Cell<bool>,
+    shut: Cell<bool>,
+}
+
+impl Connection {
+    fn open(socket: &StdStream, stall: Duration) -> io::Result<Self> {
+        let watched = socket.try_clone()?;
+        let options = SockRef::from(&watched);
+        options.set_tcp_nodelay(true)?;
+        let keepalive = TcpKeepalive::new()
+            .with_time(stall)
+            .with_interval(stall / PROBES)
+            .with_retries(PROBES);
+        options.set_tcp_keepalive(&keepalive)?;
+        options.set_tcp_user_timeout(Some(stall))?;
+        Ok(Self {
+            socket: TcpStream::from_std(watched)?,
+            busy: Cell::new(false),
+            closing: Cell::new(false),
+            shut: Cell::new(false),
+        })
+    }
+
+    /// Notes that a request is in flight.
+    pub(super) fn begin(&self) {
+        self.busy.set(true);
+    }
+
+    /// Notes that the response was handed to the dispatcher in full, or was dropped.
+    pub(super) fn end(&self) {
+        self.busy.set(false);
+        if self.closing.get() {
+            self.shut_read();
+        }
+    }
+
+    /// Whether the connection ends after the request in flight.
+    pub(super) fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
+    /// Whether the client has closed its sending half and all it sent was read.
+    pub(super) fn peer_closed(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        matches!(SockRef::from(&self.socket).peek(&mut byte), Ok(0))
+    }
+
+    fn close_when_idle(&self) {
+        self.closing.set(true);
+        if !self.busy.get() {
+            self.shut_read();
+        }
+    }
+
+    /// Makes the dispatcher's next read find the end, upon which it writes out what is
+    /// left of the response and closes.
+    fn shut_read(&self) {
+        self.shut.set(true);
+        // Fails only when the connection is gone already.
+        let _result = SockRef::from(&self.socket).shutdown(Shutdown::Read);
+    }
+
+    /// Resolves when the client closes the connection or its sending half.
+    async fn hangup(&self) {
+        loop {
+            let Ok(ready) = self.socket.ready(Interest::READABLE).await else {
+                return;
+            };
+            if ready.is_read_closed() {
+                break;
+            }
+            // Forgets this readiness without reading, so that the next event wakes us.
+            let blocked = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
+            let _result = self.socket.try_io(Interest::READABLE, blocked);
+        }
+        if self.shut.get() {
+            pending::<()>().await;
+        }
+    }
+
+    async fn stopped(&self, shared: &Shared) {
+        shared.stop.cancelled().await;
+        self.close_when_idle();
+        shared.abort.cancelled().await;
+    }
+}
+
+/// Middleware that puts [`Connections`] in front of the HTTP service.
+pub(super) struct Layer(pub(super) Arc<Shared>);
+
+impl<S, E> Service<Result<S, E>> for Layer {
+    type Response = Connections<S>;
+    type Error = E;
+
+    async fn call(&self, http: Result<S, E>) -> Result<Self::Response, E> {
+        Ok(Connections {
+            http: http?,
+            shared: Arc::clone(&self.0),
+        })
+    }
+}
+
+/// Serves connections.
+pub(super) struct Connections<S> {
+    http: S,
+    shared: Arc<Shared>,
+}
+
+impl<S: Service<Stream>> Service<Stream> for Connections<S> {
+    type Response = ();
+    type Error = Infallible;
+
+    async fn call(&self, stream: Stream) -> Result<(), Infallible> {
+        let Stream::Tcp(socket, peer) = stream else {
+            return Ok(());
+        };
+        let Ok(_permit) = Arc::clone(&self.shared.permits).try_acquire_owned() else {
+            refuse(socket).await;
+            return Ok(());
+        };
+        let Ok(connection) = Connection::open(&socket, self.shared.stall) else {
+            return Ok(());
+        };
+        let connection = Rc::new(connection);
+        let work = self.http.call(Stream::Tcp(socket, peer));
+        tokio::select! {
+            biased;
+            _result = CURRENT.scope(Rc::clone(&connection), work) => {}
+            () = connection.hangup() => {}
+            () = connection.stopped(&self.shared) => {}
+        }
+        Ok(())
+    }
+}
+
+impl<S> ReadyService for Connections<S> {
+    type Ready = ();
+
+    async fn ready(&self) {}
+}
+
+/// Tells a client that there are too many connections.
+async fn refuse(mut socket: StdStream) {
+    // The socket's buffer is empty, so this can't block; if it fails, the client is gone.
+    if socket.write_all(FULL).is_err() || socket.shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    // Closing with unread data would reset the connection before the client has read.
+    tokio::time::sleep(LINGER).await;
+}
--- /dev/null
+++ b/crates/shell/src/web/incoming.rs
@@ -0,0 +1,222 @@
+//! Requests as a service sees them.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{CONTENT_LENGTH, EXPECT};
+use http::{HeaderMap, Method, StatusCode, Uri, request};
+use xitca_web::body::{Body as _, Frame, RequestBody};
+
+use super::connection::Connection;
+
+/// Most of an unwanted body that is read and thrown away, so that the client
+/// gets to see the response instead of a reset connection.
+const DISCARD_BYTES: usize = 4 * 1024 * 1024;
+
+/// A request: its head, and a body that is read on demand.
+pub struct Incoming {
+    head: request::Parts,
+    peer: SocketAddr,
+    limit: Duration,
+    body: Source,
+}
+
+/// Why a body could not be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum BodyError {
+    /// Longer than the limit.
+    #[error("the request body is too large")]
+    TooLarge,
+    /// Took longer than the server's limit.
+    #[error("the request body took too long")]
+    Timeout,
+    /// Ended early or was malformed.
+    #[error("the request body is broken")]
+    Broken,
+}
+
+impl BodyError {
+    /// Status of the response to such a request.
+    #[must_use]
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Timeout => StatusCode::REQUEST_TIMEOUT,
+            Self::Broken => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+impl Incoming {
+    pub(super) fn new(
+        head: request::Parts,
+        peer: SocketAddr,
+        limit: Duration,
+        body: Source,
+    ) -> Self {
+        Self {
+            head,
+            peer,
+            limit,
+            body,
+        }
+    }
+
+    /// Method of the request.
+    #[must_use]
+    pub fn method(&self) -> &Method {
+        &self.head.method
+    }
+
+    /// Target of the request: path and query.
+    #[must_use]
+    pub fn uri(&self) -> &Uri {
+        &self.head.uri
+    }
+
+    /// Headers of the request.
+    #[must_use]
+    pub fn headers(&self) -> &HeaderMap {
+        &self.head.headers
+    }
+
+    /// Value of a header, when it is there once or more and is visible ASCII.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.headers.get(name)?.to_str().ok()
+    }
+
+    /// Address that the request came from.
+    #[must_use]
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Reads the whole body; a second call gives no more bytes.
+    ///
+    /// # Errors
+    /// When the body is longer than `limit` bytes, takes too long, or ends early.
+    pub async fn body(&mut self, limit: usize) -> Result<Bytes, BodyError> {
+        let time = self.limit;
+        match tokio::time::timeout(time, self.read(limit)).await {
+            Ok(result) => result,
+            Err(_elapsed) => Err(BodyError::Timeout),
+        }
+    }
+
+    async fn read(&mut self, limit: usize) -> Result<Bytes, BodyError> {
+        let declared = self.declared();
+        if declared.is_some_and(|length| length > limit as u64) {
+            self.refuse_declared(limit).await;
+            return Err(BodyError::TooLarge);
+        }
+        let mut whole = BytesMut::new();
+        while let Some(piece) = self.body.next().await {
+            let piece = piece?;
+            if whole.len() + piece.len() > limit {
+                self.body.discard(DISCARD_BYTES).await;
+                return Err(BodyError::TooLarge);
+            }
+            whole.extend_from_slice(&piece);
+        }
+        if declared.is_some_and(|length| length != whole.len() as u64) && !whole.is_empty() {
+            return Err(BodyError::Broken);
+        }
+        Ok(whole.freeze())
+    }
+
+    /// Throws away a body that is too long by its declared length, unless the client
+    /// waits for leave to send it or it is far too long.
+    async fn refuse_declared(&mut self, limit: usize) {
+        let waits = self.head.headers.contains_key(EXPECT);
+        let far = self.declared() > Some((limit + DISCARD_BYTES) as u64);
+        if !waits && !far {
+            self.body.discard(limit + DISCARD_BYTES).await;
+        }
+    }
+
+    fn declared(&self) -> Option<u64> {
+        self.header(CONTENT_LENGTH.as_str())?.parse().ok()
+    }
+}
+
+impl fmt::Debug for Incoming {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // Headers hold credentials, so they are left out.
+        f.debug_struct("Incoming")
+            .field("method", &self.head.method)
+            .field("path", &self.head.uri.path())
+            .field("peer", &self.peer)
+            .finish_non_exhaustive()
+    }
+}
+
+/// The rest of a request's body, shared by the request and by its response, which
+/// reads to the end what the service left.
+#[derive(Clone)]
+pub(super) struct Source {
+    body: Rc<RefCell<Option<RequestBody>>>,
+    connection: Rc<Connection>,
+}
+
+impl Source {
+    pub(super) fn new(body: Option<RequestBody>, connection: Rc<Connection>) -> Self {
+        Self {
+            body: Rc::new(RefCell::new(body)),
+            connection,
+        }
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        self.body.borrow().is_none()
+    }
+
+    async fn next(&self) -> Option<Result<Bytes, BodyError>> {
+        poll_fn(|cx| self.poll_next(cx)).await
+    }
+
+    /// Reads and throws away up to `most` bytes.
+    async fn discard(&self, most: usize) {
+        let mut left = most;
+        while let Some(Ok(piece)) = self.next().await {
+            let Some(rest) = left.checked_sub(piece.len()) else {
+                return;
+            };
+            left = rest;
+        }
+    }
+
+    pub(super) fn poll_next(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+        let mut body = self.body.borrow_mut();
+        loop {
+            let Some(inner) = body.as_mut() else {
+                return Poll::Ready(None);
+            };
+            match ready!(Pin::new(inner).poll_frame(cx)) {
+                Some(Ok(Frame::Data(piece))) => return Poll::Ready(Some(Ok(piece))),
+                Some(Ok(Frame::Trailers(_))) => {}
+                Some(Err(_error)) => {
+                    *body = None;
+                    return Poll::Ready(Some(Err(BodyError::Broken)));
+                }
+                None => {
+                    *body = None;
+                    return Poll::Ready(self.cut().then_some(Err(BodyError::Broken)));
+                }
+            }
+        }
+    }
+
+    /// Whether the body may have ended only because the client closed the connection:
+    /// the decoder reports both ends alike.
+    fn cut(&self) -> bool {
+        self.connection.peer_closed()
+    }
+}
--- /dev/null
+++ b/crates/shell/src/web/limits.rs
@@ -0,0 +1,39 @@
+//! Limits of a server.
+
+use std::time::Duration;
+
+/// Largest head of a request (request line and headers), in bytes; more gets 431.
+pub const HEADER_BYTES: usize = 32 * 1024;
+/// Most header fields of a request; more gets 400.
+pub const HEADER_FIELDS: usize = 64;
+
+/// Limits of a server that its owner chooses.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Worker threads; each serves its share of the connections.
+    pub workers: usize,
+    /// Most open connections; more get 503 and are closed.
+    pub connections: usize,
+    /// How long a connection may be idle between requests.
+    pub idle: Duration,
+    /// How long the head of a request may take from its first byte.
+    pub head: Duration,
+    /// How long the body of a request may take once the service asks for it.
+    pub body: Duration,
+    /// How long a client may take no data, or be gone without a word, before its
+    /// connection is closed.
+    pub stall: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            workers: 2,
+            connections: 4_096,
+            idle: Duration::from_secs(60),
+            head: Duration::from_secs(5),
+            body: Duration::from_secs(30),
+            stall: Duration::from_secs(30),
+        }
+    }
+}
