--- /dev/null
+++ b/crates/routing/src/fleet.rs
@@ -0,0 +1,473 @@
+//! The servers of one pool, as one router knows them.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use rand::Rng;
+use swiftlink_types::{DomainName, Micros, ServerName, VmName};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::health::{ErrorKind, Health, HealthPolicy};
+use crate::load::{Load, LoadReport};
+use crate::policy::{Pick, Policy, PoolTimes, View, draw};
+use crate::server::{Sent, Server, ServerIdx, ServerView};
+
+/// Seed of the servers' own hashes, the same at every router.
+const NAME_SEED: u64 = 0;
+/// Thousandths that a load is kept in.
+const MILLI: f64 = 1_000.0;
+
+/// Settings of a [`Fleet`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetPolicy {
+    /// The router's own failure domain.
+    pub home: DomainName,
+    /// Servers that this router uses and polls; 0: all. Chosen by hash, so that the
+    /// routers' subsets cover the pool evenly.
+    pub subset: usize,
+    /// Sets this router's subset apart from the others'.
+    pub seed: u64,
+    /// Ejection of failing servers.
+    pub health: HealthPolicy,
+}
+
+impl FleetPolicy {
+    /// Settings with defaults for a router in `home`.
+    #[must_use]
+    pub fn new(home: DomainName) -> Self {
+        Self {
+            home,
+            subset: 0,
+            seed: 0,
+            health: HealthPolicy::default(),
+        }
+    }
+}
+
+/// A backend server as configured.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerSpec {
+    /// Its name.
+    pub name: ServerName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Its VM, if the VM list knows it.
+    pub vm: Option<VmName>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether the operators want it to leave.
+    pub drain: bool,
+}
+
+/// An entry of the platform's VM list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedVm {
+    /// The VM.
+    pub name: VmName,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// Tracks a pool's servers and picks one for each request.
+#[derive(Debug)]
+pub struct Fleet {
+    settings: FleetPolicy,
+    policy: Box<dyn Policy>,
+    servers: Vec<Server>,
+    by_name: HashMap<ServerName, u32>,
+    /// Members that are not leaving.
+    open: Vec<u32>,
+    /// Ejected servers among the open ones, if any.
+    ejected: Vec<u32>,
+    pool: PoolTimes,
+}
+
+impl Fleet {
+    /// A fleet without servers.
+    #[must_use]
+    pub fn new(settings: FleetPolicy, policy: Box<dyn Policy>) -> Self {
+        Self {
+            settings,
+            policy,
+            servers: Vec::new(),
+            by_name: HashMap::new(),
+            open: Vec::new(),
+            ejected: Vec::new(),
+            pool: PoolTimes::new(),
+        }
+    }
+
+    /// Takes the pool's servers from the configuration in force. What is known of a
+    /// server that stays is kept.
+    pub fn set_config(&mut self, specs: &[ServerSpec]) {
+        let kept: HashSet<&ServerName> = specs.iter().map(|spec| &spec.name).collect();
+        self.by_name.retain(|name, _| kept.contains(name));
+        for spec in specs {
+            let slot = match self.by_name.get(&spec.name) {
+                Some(slot) => *slot,
+                None => self.add(spec),
+            };
+            self.update(slot, spec);
+        }
+        self.choose_members();
+        self.refresh();
+    }
+
+    /// Takes the whole VM list. A server whose VM is leaving, or was listed and is
+    /// not any more, gets no new work; one whose VM was never listed does, since the
+    /// list lags.
+    pub fn set_listed(&mut self, list: &[ListedVm]) {
+        let leaving: HashMap<&VmName, bool> =
+            list.iter().map(|vm| (&vm.name, vm.leaving)).collect();
+        for server in &mut self.servers {
+            let Some(vm) = &server.vm else {
+                continue;
+            };
+            match leaving.get(vm) {
+                Some(leaving) => {
+                    server.was_listed = true;
+                    server.is_listed_out = *leaving;
+                }
+                None => server.is_listed_out = server.was_listed,
+            }
+        }
+        self.refresh();
+    }
+
+    /// Chooses a server. `None` when none can take the request now.
+    pub fn pick(&mut self, pick: &Pick<'_>, rng: &mut impl Rng) -> Option<ServerIdx> {
+        let view = View {
+            servers: &self.servers,
+            open: &self.open,
+            pick,
+            pool: &self.pool,
+        };
+        if let Some(slot) = probe(&view, &self.ejected, rng) {
+            return Some(self.idx(slot));
+        }
+        let slot = self.policy.pick(&view, rng)?;
+        debug_assert!(view.can_take(slot), "policies choose among the able");
+        Some(self.idx(slot))
+    }
+
+    /// Chooses a server and counts the request as sent to it.
+    pub fn send(&mut self, pick: &Pick<'_>, rng: &mut impl Rng) -> Option<Sent> {
+        let idx = self.pick(pick, rng)?;
+        self.on_sent(idx, pick.now)
+    }
+
+    /// A request is sent to the server. `None` when the server is gone.
+    pub fn on_sent(&mut self, idx: ServerIdx, now: Micros) -> Option<Sent> {
+        let server = self.get_mut(idx)?;
+        let load = server.load.estimate(now) / f64::from(server.slots());
+        server.on_sent(now);
+        Some(Sent {
+            idx,
+            at: now,
+            has_first: false,
+            load: (load * MILLI) as u32,
+        })
+    }
+
+    /// The first token (or byte) of the answer came.
+    pub fn on_first_token(&mut self, sent: &mut Sent, now: Micros) {
+        if sent.has_first {
+            return;
+        }
+        let time = now.saturating_sub(sent.at).max(1) as f64;
+        let load = f64::from(sent.load) / MILLI;
+        let expected = self.pool.expected(load);
+        let Some(server) = self.get_mut(sent.idx) else {
+            return;
+        };
+        server.answered(sent);
+        sent.has_first = true;
+        server.learn_slowness(now, time / expected);
+        let slowness = server.slowness(now);
+        self.pool.learn_first(load, time, slowness.max(1.0));
+    }
+
+    /// The answer came to its end.
+    pub fn on_end(&mut self, sent: Sent, now: Micros) {
+        let time = now.saturating_sub(sent.at) as f64;
+        self.pool.learn_service(time);
+        let Some(server) = self.get_mut(sent.idx) else {
+            return;
+        };
+        server.answered(&sent);
+        server.load.on_done(now);
+        let was_open = server.health.is_open();
+        server.health.on_success();
+        if !was_open {
+            self.refresh_ejected();
+        }
+    }
+
+    /// The dispatch failed.
+    pub fn on_error(&mut self, sent: Sent, now: Micros, kind: ErrorKind) {
+        let policy = self.settings.health;
+        let may_eject = kind == ErrorKind::Connect || self.may_eject();
+        let Some(server) = self.get_mut(sent.idx) else {
+            return;
+        };
+        server.answered(&sent);
+        server.load.on_done(now);
+        server.health.on_error(now, kind, &policy, may_eject);
+        if !server.health.is_open() {
+            self.refresh_ejected();
+        }
+    }
+
+    /// The dispatch ended without saying anything of the server: the caller left, or
+    /// the server refused because it is leaving.
+    pub fn on_unused(&mut self, sent: Sent, now: Micros) {
+        let Some(server) = self.get_mut(sent.idx) else {
+            return;
+        };
+        server.answered(&sent);
+        server.load.on_done(now);
+        server.health.on_unused();
+    }
+
+    /// A report of the server's load arrived.
+    pub fn on_report(&mut self, idx: ServerIdx, now: Micros, report: LoadReport) {
+        let Some(server) = self.get_mut(idx) else {
+            return;
+        };
+        if !server.load.on_report(now, report) {
+            return;
+        }
+        if report.slots > 0 {
+            server.slots = report.slots;
+        }
+        let made_at = server.load.made_at();
+        let was_leaving = server.is_leaving();
+        if report.draining {
+            server.draining_at.get_or_insert(made_at);
+        } else if server.draining_at.is_some_and(|since| made_at > since) {
+            server.draining_at = None;
+        }
+        if server.is_leaving() != was_leaving {
+            self.refresh();
+        }
+    }
+
+    /// The server's own answer says that it is leaving. Only a younger report takes
+    /// that back.
+    pub fn on_draining(&mut self, idx: ServerIdx, now: Micros) {
+        let Some(server) = self.get_mut(idx) else {
+            return;
+        };
+        server.draining_at = Some(now);
+        self.refresh();
+    }
+
+    /// The index of a server by name.
+    #[must_use]
+    pub fn find(&self, name: &ServerName) -> Option<ServerIdx> {
+        let slot = self.by_name.get(name)?;
+        Some(self.idx(*slot))
+    }
+
+    /// A server, while it is configured.
+    #[must_use]
+    pub fn get(&self, idx: ServerIdx) -> Option<&Server> {
+        let server = self.servers.get(idx.slot())?;
+        let is_current = server.generation == idx.generation;
+        is_current.then_some(server)
+    }
+
+    /// Servers that this router uses and should poll for load reports. Leaving ones
+    /// are among them: a report may show that one stays after all.
+    #[must_use]
+    pub fn members(&self) -> Vec<(ServerIdx, ServerName)> {
+        let slots = self.by_name.values().copied();
+        let mut members: Vec<_> = slots
+            .filter(|slot| self.servers[*slot as usize].is_member)
+            .map(|slot| (self.idx(slot), self.servers[slot as usize].name.clone()))
+            .collect();
+        members.sort_by_key(|(idx, _)| *idx);
+        members
+    }
+
+    /// Slots of all open servers together.
+    #[must_use]
+    pub fn slots(&self) -> usize {
+        let servers = self.open.iter().map(|slot| &self.servers[*slot as usize]);
+        servers.map(|server| server.slots() as usize).sum()
+    }
+
+    /// Number of servers that may get work: members that are not leaving.
+    #[must_use]
+    pub fn open_len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Time until an ejected server may be probed, when all open ones are ejected.
+    #[must_use]
+    pub fn probe_in(&self, now: Micros) -> Option<Duration> {
+        if self.ejected.len() < self.open.len() {
+            return None;
+        }
+        let servers = self
+            .ejected
+            .iter()
+            .map(|slot| &self.servers[*slot as usize]);
+        let until = servers
+            .filter_map(|server| server.health.ejected_until())
+            .min()?;
+        Some(Duration::from_micros(until.saturating_sub(now)))
+    }
+
+    /// Name of the policy.
+    #[must_use]
+    pub fn policy(&self) -> &'static str {
+        self.policy.name()
+    }
+
+    /// What is known of each configured server, by name.
+    #[must_use]
+    pub fn views(&self, now: Micros) -> Vec<ServerView> {
+        let mut views: Vec<ServerView> = self
+            .by_name
+            .values()
+            .map(|slot| self.view(*slot, now))
+            .collect();
+        views.sort_by(|one, two| one.name.cmp(&two.name));
+        views
+    }
+
+    fn view(&self, slot: u32, now: Micros) -> ServerView {
+        let server = &self.servers[slot as usize];
+        ServerView {
+            idx: self.idx(slot),
+            name: server.name.clone(),
+            domain: server.domain.clone(),
+            leaving: server.is_leaving(),
+            member: server.is_member,
+            in_flight: server.load.in_flight(),
+            reported: server.load.reported(),
+            load: server.load.estimate(now),
+            slowness: server.slowness(now),
+            error_share: server.health.error_share(),
+            ejected_until: server.health.ejected_until(),
+        }
+    }
+
+    fn idx(&self, slot: u32) -> ServerIdx {
+        let generation = self.servers[slot as usize].generation;
+        ServerIdx { slot, generation }
+    }
+
+    fn get_mut(&mut self, idx: ServerIdx) -> Option<&mut Server> {
+        let server = self.servers.get_mut(idx.slot())?;
+        let is_current = server.generation == idx.generation;
+        is_current.then_some(server)
+    }
+
+    /// Puts a new server in a slot that no configured server uses, or in a new one.
+    fn add(&mut self, spec: &ServerSpec) -> u32 {
+        let used: HashSet<u32> = self.by_name.values().copied().collect();
+        let free = (0..self.servers.len() as u32).find(|slot| !used.contains(slot));
+        let generation = free.map_or(0, |slot| self.servers[slot as usize].generation + 1);
+        let server = new_server(spec, generation);
+        let slot = free.unwrap_or(self.servers.len() as u32);
+        match self.servers.get_mut(slot as usize) {
+            Some(place) => *place = server,
+            None => self.servers.push(server),
+        }
+        self.by_name.insert(spec.name.clone(), slot);
+        slot
+    }
+
+    fn update(&mut self, slot: u32, spec: &ServerSpec) {
+        let is_home = spec.domain == self.settings.home;
+        let server = &mut self.servers[slot as usize];
+        if server.vm != spec.vm {
+            server.was_listed = false;
+            server.is_listed_out = false;
+        }
+        server.domain = spec.domain.clone();
+        server.vm = spec.vm.clone();
+        server.slots = spec.slots;
+        server.is_drained = spec.drain;
+        server.is_home = is_home;
+    }
+
+    /// Chooses the subset: the servers with the highest hashes under this router's
+    /// seed. A change of the pool moves few of them.
+    fn choose_members(&mut self) {
+        let seed = self.settings.seed;
+        let mut ranked: Vec<(u64, u32)> = self
+            .by_name
+            .iter()
+            .map(|(name, slot)| (xxh3_64_with_seed(name.as_str().as_bytes(), !seed), *slot))
+            .collect();
+        ranked.sort_unstable_by(|one, two| two.cmp(one));
+        let all = ranked.len();
+        let count = match self.settings.subset {
+            0 => all,
+            subset => subset.min(all),
+        };
+        for (rank, (_, slot)) in ranked.into_iter().enumerate() {
+            self.servers[slot as usize].is_member = rank < count;
+        }
+    }
+
+    /// Whether one more server may be ejected for errors that overload also causes.
+    fn may_eject(&self) -> bool {
+        let ejected = self.ejected.len() as f64 + 1.0;
+        ejected <= self.open.len() as f64 * self.settings.health.max_share
+    }
+
+    fn refresh(&mut self) {
+        let mut open: Vec<u32> = self.by_name.values().copied().collect();
+        open.retain(|slot| {
+            let server = &self.servers[*slot as usize];
+            server.is_member && !server.is_leaving()
+        });
+        open.sort_unstable();
+        self.open = open;
+        self.refresh_ejected();
+    }
+
+    fn refresh_ejected(&mut self) {
+        let open = self.open.iter().copied();
+        let ejected = open.filter(|slot| !self.servers[*slot as usize].health.is_open());
+        self.ejected = ejected.collect();
+    }
+}
+
+fn new_server(spec: &ServerSpec, generation: u32) -> Server {
+    Server {
+        name: spec.name.clone(),
+        domain: spec.domain.clone(),
+        vm: spec.vm.clone(),
+        hash: xxh3_64_with_seed(spec.name.as_str().as_bytes(), NAME_SEED),
+        generation,
+        slots: spec.slots,
+        is_home: false,
+        is_member: false,
+        is_drained: spec.drain,
+        is_listed_out: false,
+        was_listed: false,
+        draining_at: None,
+        load: Load::default(),
+        health: Health::default(),
+        slowness: 0.0,
+        slow_at: 0,
+        unanswered: 0,
+        sent_sum: 0,
+    }
+}
+
+/// An ejected server that is due for its probe and may get this request as such.
+fn probe(view: &View<'_>, ejected: &[u32], rng: &mut dyn Rng) -> Option<u32> {
+    if ejected.is_empty() {
+        return None;
+    }
+    let start = draw(rng, ejected.len());
+    let (before, after) = ejected.split_at(start);
+    let mut slots = after.iter().chain(before).copied();
+    slots.find(|slot| view.can_probe(*slot))
+}
--- /dev/null
+++ b/crates/routing/src/policy.rs
@@ -0,0 +1,156 @@
+//! What a routing policy sees and decides.
+
+use std::fmt;
+
+use rand::Rng;
+use swiftlink_types::Micros;
+
+use crate::server::{Server, ServerIdx};
+
+/// A request that needs a server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pick<'a> {
+    /// The time now.
+    pub now: Micros,
+    /// Hash of the prompt's prefix; 0 when there is none.
+    pub prefix: u64,
+    /// Servers that were tried for this request.
+    pub exclude: &'a [ServerIdx],
+    /// Whether the request may be the probe of an ejected server; not for one that
+    /// may run at most once.
+    pub may_probe: bool,
+}
+
+/// The servers of a pool, for one pick.
+#[derive(Debug)]
+pub struct View<'a> {
+    pub(crate) servers: &'a [Server],
+    pub(crate) open: &'a [u32],
+    pub(crate) pick: &'a Pick<'a>,
+    pub(crate) pool: &'a PoolTimes,
+}
+
+impl<'a> View<'a> {
+    /// The request.
+    #[must_use]
+    pub fn pick(&self) -> &Pick<'a> {
+        self.pick
+    }
+
+    /// The time now.
+    #[must_use]
+    pub fn now(&self) -> Micros {
+        self.pick.now
+    }
+
+    /// Slots of the servers that are members of the subset and not leaving. They may
+    /// be ejected or excluded: see [`Self::can_take`].
+    #[must_use]
+    pub fn open(&self) -> &'a [u32] {
+        self.open
+    }
+
+    /// The server in a slot.
+    #[must_use]
+    pub fn server(&self, slot: u32) -> &'a Server {
+        &self.servers[slot as usize]
+    }
+
+    /// Whether the server may be given this request as ordinary work.
+    #[must_use]
+    pub fn can_take(&self, slot: u32) -> bool {
+        self.server(slot).health.is_open() && !self.is_excluded(slot)
+    }
+
+    /// Whether the server may be given this request as its probe.
+    #[must_use]
+    pub fn can_probe(&self, slot: u32) -> bool {
+        let health = &self.server(slot).health;
+        self.pick.may_probe && health.wants_probe(self.now()) && !self.is_excluded(slot)
+    }
+
+    /// Expected time to the first token (µs) of a server of ordinary speed at `load`
+    /// requests for each slot.
+    #[must_use]
+    pub fn expected_first(&self, load: f64) -> f64 {
+        self.pool.expected(load)
+    }
+
+    fn is_excluded(&self, slot: u32) -> bool {
+        let mut exclude = self.pick.exclude.iter();
+        exclude.any(|idx| idx.slot == slot)
+    }
+}
+
+/// Chooses a server for a request.
+pub trait Policy: fmt::Debug + Send {
+    /// Name of the policy.
+    fn name(&self) -> &'static str;
+
+    /// The slot of the server to use, one that [`View::can_take`].
+    fn pick(&mut self, view: &View<'_>, rng: &mut dyn Rng) -> Option<u32>;
+}
+
+/// An index below `len`, drawn evenly; `len` must not be 0.
+pub(crate) fn draw(rng: &mut dyn Rng, len: usize) -> usize {
+    let wide = u64::from(rng.next_u32()) * len as u64;
+    (wide >> 32) as usize
+}
+
+/// Times of the whole pool, learned from what was seen.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PoolTimes {
+    /// Logarithm of the time to the first token of an idle server (µs).
+    base: Option<f64>,
+    /// Logarithm of the time of a whole request (µs).
+    service: Option<f64>,
+}
+
+/// Weight of a new sample; in logarithms, so that outliers weigh little.
+const GAIN: f64 = 0.02;
+/// Growth of the time to the first token from an idle to a full server.
+const SLOPE: f64 = 1.0;
+/// Base time before any sample (µs).
+const FIRST_BASE: f64 = 50_000.0;
+/// Service time before any sample, in base times.
+const FIRST_SERVICE: f64 = 10.0;
+
+impl PoolTimes {
+    pub(crate) fn new() -> Self {
+        Self {
+            base: None,
+            service: None,
+        }
+    }
+
+    /// Expected time to the first token at `load` requests for each slot.
+    pub(crate) fn expected(&self, load: f64) -> f64 {
+        let base = self.base.map_or(FIRST_BASE, f64::exp);
+        base * (1.0 + SLOPE * load.min(1.0)) + self.queueing(load)
+    }
+
+    /// Takes a time to the first token seen at `load`, of a server `slowness` times
+    /// slower than the pool.
+    pub(crate) fn learn_first(&mut self, load: f64, time: f64, slowness: f64) {
+        let free = (time / slowness - self.queueing(load)).max(time * 0.1);
+        let base = (free / (1.0 + SLOPE * load.min(1.0))).max(1.0).ln();
+        let old = self.base.unwrap_or(base);
+        self.base = Some(old + GAIN * (base - old));
+    }
+
+    pub(crate) fn learn_service(&mut self, time: f64) {
+        let seen = time.max(1.0).ln();
+        let old = self.service.unwrap_or(seen);
+        self.service = Some(old + GAIN * (seen - old));
+    }
+
+    /// Wait at a server that has more requests than slots.
+    fn queueing(&self, load: f64) -> f64 {
+        let over = (load - 1.0).max(0.0);
+        if over == 0.0 {
+            return 0.0;
+        }
+        let base = self.base.map_or(FIRST_BASE, f64::exp);
+        over * self.service.map_or(base * FIRST_SERVICE, f64::exp)
+    }
+}
