Fold budget streams: top-ups, grants, charges and intents

Every record is decided by the records before it. Totals are kept so that topped up = charged + held by active and retired routers + free at every offset; keys live in one ordered map, since a UUIDv7 begins with its time of creation.

--- /dev/null
+++ b/crates/budget/src/routers.rs
@@ -0,0 +1,135 @@
+//! All router incarnations that the stream names.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use swiftlink_types::WallMs;
+
+use crate::router::{Phase, Router};
+
+/// Most forgotten incarnations of which the epoch is remembered, one per VM and
+/// address. When there are more, the oldest epoch goes.
+pub const FORMER_MAX: usize = 4_096;
+
+/// Number of an incarnation in this process.
+pub(crate) type RouterId = u32;
+
+/// Where a router listens: VM and address.
+type Place = (Arc<str>, Arc<str>);
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Routers {
+    by_id: BTreeMap<RouterId, Router>,
+    /// Numbers by VM and epoch.
+    by_vm: HashMap<Arc<str>, BTreeMap<u64, RouterId>>,
+    next: RouterId,
+    /// Newest epoch forgotten, by VM and address.
+    former: BTreeMap<Place, u64>,
+}
+
+impl Routers {
+    pub(crate) fn find(&self, vm: &str, epoch: u64) -> Option<RouterId> {
+        self.by_vm.get(vm)?.get(&epoch).copied()
+    }
+
+    pub(crate) fn contains(&self, id: RouterId) -> bool {
+        self.by_id.contains_key(&id)
+    }
+
+    pub(crate) fn get(&self, id: RouterId) -> &Router {
+        self.by_id
+            .get(&id)
+            .expect("an incarnation is kept while a key or grant names it")
+    }
+
+    pub(crate) fn get_mut(&mut self, id: RouterId) -> &mut Router {
+        self.by_id
+            .get_mut(&id)
+            .expect("an incarnation is kept while a key or grant names it")
+    }
+
+    pub(crate) fn add(&mut self, router: Router) -> RouterId {
+        let id = self.next;
+        self.next = id
+            .checked_add(1)
+            .expect("fewer than 2^32 starts in one process's life");
+        let epochs = self.by_vm.entry(Arc::clone(&router.vm)).or_default();
+        epochs.insert(router.epoch, id);
+        self.by_id.insert(id, router);
+        id
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (RouterId, &Router)> {
+        self.by_id.iter().map(|(id, router)| (*id, router))
+    }
+
+    /// Incarnations of one VM and address, by epoch.
+    pub(crate) fn at(&self, vm: &str, address: &str) -> impl Iterator<Item = (RouterId, &Router)> {
+        let ids = self.by_vm.get(vm).into_iter().flat_map(BTreeMap::values);
+        let known = ids.map(|id| (*id, self.get(*id)));
+        known.filter(move |(_, router)| router.is_at(address))
+    }
+
+    /// Largest epoch ever joined at a VM and address.
+    pub(crate) fn newest(&self, vm: &str, address: &str) -> Option<u64> {
+        let known = self.at(vm, address).map(|(_, router)| router.epoch).max();
+        // The map is small; a lookup by borrowed pair would need an own key type.
+        let place = (Arc::from(vm), Arc::from(address));
+        known.max(self.former.get(&place).copied())
+    }
+
+    /// Whether this incarnation was released and forgotten.
+    pub(crate) fn is_former(&self, vm: &str, epoch: u64) -> bool {
+        let first = (Arc::from(vm), Arc::from(""));
+        let of_vm = self
+            .former
+            .range(first..)
+            .take_while(|(place, _)| &*place.0 == vm);
+        of_vm.into_iter().any(|(_, newest)| *newest == epoch)
+    }
+
+    pub(crate) fn former(&self) -> impl Iterator<Item = (&Arc<str>, &Arc<str>, u64)> {
+        self.former
+            .iter()
+            .map(|((vm, address), epoch)| (vm, address, *epoch))
+    }
+
+    /// Forgets a released incarnation that no key names, but for its epoch.
+    pub(crate) fn tidy(&mut self, id: RouterId) {
+        let router = self.get(id);
+        if router.phase != Phase::Released || router.keys > 0 {
+            return;
+        }
+        let Some(router) = self.by_id.remove(&id) else {
+            return;
+        };
+        if let Some(epochs) = self.by_vm.get_mut(&router.vm) {
+            epochs.remove(&router.epoch);
+            if epochs.is_empty() {
+                self.by_vm.remove(&router.vm);
+            }
+        }
+        self.remember(router.vm, router.address, router.epoch);
+    }
+
+    fn remember(&mut self, vm: Arc<str>, address: Arc<str>, epoch: u64) {
+        let newest = self.former.entry((vm, address)).or_insert(epoch);
+        *newest = epoch.max(*newest);
+        if self.former.len() <= FORMER_MAX {
+            return;
+        }
+        let oldest = self
+            .former
+            .iter()
+            .min_by_key(|(place, epoch)| (**epoch, *place));
+        if let Some(place) = oldest.map(|(place, _)| place.clone()) {
+            self.former.remove(&place);
+        }
+    }
+
+    /// Lowest floor of the incarnations that may still charge.
+    pub(crate) fn lowest_floor(&self) -> Option<WallMs> {
+        let holders = self.by_id.values().filter(|router| router.is_holder());
+        holders.map(|router| router.floor).min()
+    }
+}
--- /dev/null
+++ b/crates/budget/src/view.rs
@@ -0,0 +1,130 @@
+//! What the fold tells of budgets and routers.
+
+use std::sync::Arc;
+
+use swiftlink_types::{DomainName, Incarnation, Tokens, WallMs};
+use swiftlink_wire::link::BudgetView;
+
+use crate::Fold;
+use crate::budgets::Account;
+use crate::router::{Phase, Router};
+
+/// A retired incarnation whose unspent rights are in quarantine.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct RetiredRouter {
+    /// Which start of which process.
+    pub incarnation: Incarnation,
+    /// Where it listened.
+    pub address: Arc<str>,
+    /// Rights unspent over all budgets of the stream (tokens).
+    pub unspent: Tokens,
+}
+
+/// An incarnation that may claim and charge.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct ActiveRouter {
+    /// Which start of which process.
+    pub incarnation: Incarnation,
+    /// Where it listens.
+    pub address: Arc<str>,
+    /// Its failure domain.
+    pub domain: DomainName,
+}
+
+impl Fold {
+    /// Totals of a budget; offset and age are for the caller to fill in.
+    ///
+    /// `topped_up = charged + granted + quarantined + free`, where `granted` is what
+    /// active incarnations hold unspent and `quarantined` what retired ones do.
+    #[must_use]
+    pub fn view(&self, budget: &str) -> Option<BudgetView> {
+        let id = self.budgets.find(budget)?;
+        Some(self.view_of(id))
+    }
+
+    /// Totals of every budget, by name.
+    #[must_use]
+    pub fn views(&self) -> Vec<BudgetView> {
+        let ids = self.budgets.sorted();
+        ids.into_iter().map(|id| self.view_of(id)).collect()
+    }
+
+    fn view_of(&self, id: u32) -> BudgetView {
+        let account = self.budgets.get(id);
+        let quarantined = self.quarantined(account, id);
+        BudgetView {
+            name: self.budgets.name(id).to_string(),
+            topped_up: account.topped_up,
+            granted: account.held - quarantined,
+            charged: account.charged,
+            free: account.free(),
+            quarantined,
+            offset: 0,
+            age_ms: 0,
+            top_ups: account.top_ups.iter().map(|id| id.to_string()).collect(),
+        }
+    }
+
+    fn quarantined(&self, account: &Account, budget: u32) -> Tokens {
+        let mut sum = 0;
+        for id in &account.claimants {
+            let router = self.routers.get(*id);
+            if router.phase != Phase::Retired {
+                continue;
+            }
+            sum += router.grants.get(&budget).map_or(0, |grant| grant.held());
+        }
+        sum
+    }
+
+    /// Retired incarnations that wait for their release, by VM and epoch.
+    #[must_use]
+    pub fn retired(&self) -> Vec<RetiredRouter> {
+        let routers = self.in_phase(Phase::Retired).into_iter();
+        routers.map(retired_router).collect()
+    }
+
+    /// Active incarnations, by VM and epoch.
+    #[must_use]
+    pub fn active(&self) -> Vec<ActiveRouter> {
+        let routers = self.in_phase(Phase::Active).into_iter();
+        routers.map(active_router).collect()
+    }
+
+    fn in_phase(&self, phase: Phase) -> Vec<&Router> {
+        let all = self.routers.iter().map(|(_, router)| router);
+        let mut routers: Vec<&Router> = all.filter(|router| router.phase == phase).collect();
+        routers.sort_unstable_by_key(|router| router.rank());
+        routers
+    }
+
+    /// Whether the top-up `id` was counted.
+    #[must_use]
+    pub fn has_top_up(&self, budget: &str, id: &str) -> bool {
+        let budget = self.budgets.find(budget);
+        budget.is_some_and(|budget| self.budgets.get(budget).top_ups.contains(id))
+    }
+
+    /// Keys created before this are forgotten (ms since 1970).
+    #[must_use]
+    pub fn evicted_ms(&self) -> WallMs {
+        self.evicted
+    }
+}
+
+fn retired_router(router: &Router) -> RetiredRouter {
+    let held = router.grants.values().map(|grant| grant.held());
+    RetiredRouter {
+        incarnation: router.identity(),
+        address: Arc::clone(&router.address),
+        unspent: held.fold(0, Tokens::saturating_add),
+    }
+}
+
+fn active_router(router: &Router) -> ActiveRouter {
+    ActiveRouter {
+        incarnation: router.identity(),
+        address: Arc::clone(&router.address),
+        domain: DomainName::from(&*router.domain),
+    }
+}
