--- /dev/null
+++ b/crates/client/src/error.rs
@@ -0,0 +1,129 @@
+//! Why a command failed, with its exit code and what to do next.
+
+use std::net::SocketAddr;
+
+use crate::api::{Certainty, Problem};
+use crate::http::HttpError;
+
+/// Exit codes of the `swiftlink` command.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[repr(u8)]
+pub enum Exit {
+    /// Done.
+    Ok = 0,
+    /// Refused or failed.
+    Failed = 1,
+    /// Wrong arguments, settings or input file.
+    Usage = 2,
+    /// A change was made from an old version.
+    Conflict = 3,
+    /// No operator daemon could be reached.
+    Unreachable = 4,
+}
+
+/// Why a call of the operator interface failed.
+#[derive(Debug, thiserror::Error)]
+pub enum ClientError {
+    /// No operator of the list could be reached; nothing was done.
+    #[error("no operator can be reached: {}", list(.0))]
+    Unreachable(Vec<(SocketAddr, HttpError)>),
+    /// The operator refused or failed the request.
+    #[error("{} ({}): {}", .0.title, .0.status, .0.detail)]
+    Refused(Box<Problem>),
+    /// It is not known whether the change was applied.
+    #[error("it is not known whether change {id} was applied")]
+    Unknown {
+        /// The change set's id.
+        id: String,
+        /// The last failure.
+        #[source]
+        cause: Box<ClientError>,
+    },
+    /// The connection failed during the call.
+    #[error("the call to {address} failed")]
+    Lost {
+        /// Operator that was called.
+        address: SocketAddr,
+        /// How it failed.
+        #[source]
+        cause: HttpError,
+    },
+    /// The answer is not what the interface promises.
+    #[error("unexpected answer from {address}: {detail}")]
+    Protocol {
+        /// Operator that was called.
+        address: SocketAddr,
+        /// What is wrong with it.
+        detail: String,
+    },
+    /// The operator can't continue a watch.
+    #[error("the watch ended: {0}")]
+    WatchEnded(String),
+}
+
+impl ClientError {
+    /// Exit code of a command that fails so.
+    #[must_use]
+    pub fn exit(&self) -> Exit {
+        match self {
+            Self::Unreachable(_) => Exit::Unreachable,
+            Self::Refused(problem) if problem.is_conflict() => Exit::Conflict,
+            Self::Lost { .. } => Exit::Unreachable,
+            _ => Exit::Failed,
+        }
+    }
+
+    /// What the user can do about it.
+    #[must_use]
+    pub fn next_step(&self) -> Option<String> {
+        let step = match self {
+            Self::Unreachable(_) | Self::Lost { .. } => {
+                "check that swiftlink-operator runs and that --operator names its address"
+                    .to_owned()
+            }
+            Self::Unknown { id, .. } => format!(
+                "repeat the command with --change-id {id}: it is applied at most once, \
+                 and the answer says whether it was"
+            ),
+            Self::Refused(problem) => return refused_step(problem),
+            Self::WatchEnded(_) => "list the resources with `swiftlink get`, then watch from \
+                 the version it shows"
+                .to_owned(),
+            Self::Protocol { .. } => {
+                "check that --operator names the listen address of a swiftlink-operator, \
+                 not its admin address"
+                    .to_owned()
+            }
+        };
+        Some(step)
+    }
+}
+
+fn refused_step(problem: &Problem) -> Option<String> {
+    if problem.is_conflict() {
+        return Some(
+            "someone changed it meanwhile: look at it with `swiftlink get`, then apply the \
+             change to the current version"
+                .to_owned(),
+        );
+    }
+    if problem.applied == Some(Certainty::No) {
+        return Some("nothing was applied: run the command again later".to_owned());
+    }
+    match problem.status {
+        401 => Some("check the token: --token-file or SWIFTLINK_TOKEN".to_owned()),
+        404 => Some("`swiftlink get KIND` and `swiftlink status` show what exists".to_owned()),
+        _ => None,
+    }
+}
+
+fn list(tries: &[(SocketAddr, HttpError)]) -> String {
+    let mut text = String::new();
+    for (address, error) in tries {
+        if !text.is_empty() {
+            text.push_str("; ");
+        }
+        text.push_str(&format!("{address}: {error}"));
+    }
+    text
+}
--- /dev/null
+++ b/crates/client/src/table.rs
@@ -0,0 +1,181 @@
+//! Tables for people.
+
+use comfy_table::Table;
+use serde_json::Value;
+
+use crate::api::{Applied, Budget, ProcessStatus, Resource, Status, WatchEvent};
+
+/// Longest cell of a specification before it is cut (characters).
+const SPEC_WIDTH: usize = 100;
+
+/// What became of each change of an accepted set.
+#[must_use]
+pub fn applied(answer: &Applied) -> String {
+    let mut table = plain(&["KIND", "NAME", "VERSION", "NOTE"]);
+    for result in &answer.results {
+        let note = match result.effective {
+            Some(true) => "in the budget",
+            Some(false) => "accepted, not yet seen in the budget",
+            None => "",
+        };
+        let version = result.version.to_string();
+        table.add_row([&result.kind, &result.name, &version, note]);
+    }
+    text(&table)
+}
+
+/// Resources, one a line.
+#[must_use]
+pub fn resources(items: &[Resource]) -> String {
+    let mut table = plain(&["KIND", "NAME", "VERSION", "SPEC"]);
+    for item in items {
+        let version = item.version.to_string();
+        table.add_row([&item.kind, &item.name, &version, &spec(&item.spec)]);
+    }
+    text(&table)
+}
+
+/// One event of a watch, on one line.
+#[must_use]
+pub fn event(event: &WatchEvent) -> String {
+    let what = if event.deleted { "deleted" } else { "changed" };
+    let mut line = format!(
+        "{:>8}  {what}  {:<9}  {}",
+        event.version, event.kind, event.name
+    );
+    if !event.deleted {
+        line.push_str("  ");
+        line.push_str(&spec(&event.spec));
+    }
+    line
+}
+
+/// The processes of the fleet.
+#[must_use]
+pub fn status(answer: &Status) -> String {
+    let columns = [
+        "PROCESS",
+        "ROLE",
+        "ADMIN",
+        "VERSION",
+        "CURRENT",
+        "LOG OFFSET",
+        "LOG AGE",
+        "GRANTS",
+        "QUEUE",
+        "NOTE",
+    ];
+    let mut table = plain(&columns);
+    for process in &answer.processes {
+        table.add_row(process_row(process));
+    }
+    let age = match answer.age_ms {
+        Some(age) => format!("{age} ms old"),
+        None => "never read to its end".to_owned(),
+    };
+    format!(
+        "newest version {}, at this operator {} ({age})\n{}",
+        answer.newest,
+        answer.version,
+        text(&table)
+    )
+}
+
+fn process_row(process: &ProcessStatus) -> [String; 10] {
+    let current = match process.current {
+        Some(true) => "yes",
+        Some(false) => "no",
+        None => "?",
+    };
+    let field = |name: &str| cell(process.status.get(name));
+    let age = match process.status.get("log_age_ms").and_then(Value::as_u64) {
+        Some(age) => format!("{age} ms"),
+        None => "-".to_owned(),
+    };
+    [
+        process.name.clone(),
+        process.role.clone(),
+        process.admin.clone(),
+        process
+            .version
+            .map_or_else(|| "?".to_owned(), |version| version.to_string()),
+        current.to_owned(),
+        field("log_offset"),
+        age,
+        field("grants"),
+        field("queue"),
+        note(process),
+    ]
+}
+
+fn note(process: &ProcessStatus) -> String {
+    if process.reachable {
+        return String::new();
+    }
+    let error = process.error.as_deref().unwrap_or("no answer");
+    format!("unreachable: {error}")
+}
+
+/// One budget, a line per amount.
+#[must_use]
+pub fn budget(answer: &Budget) -> String {
+    let mut table = plain(&["BUDGET", &answer.name]);
+    let amounts = [
+        ("topped up", answer.topped_up),
+        ("granted", answer.granted),
+        ("charged", answer.charged),
+        ("free", answer.free),
+        ("quarantined", answer.quarantined),
+    ];
+    for (label, amount) in amounts {
+        table.add_row([label.to_owned(), amount.to_string()]);
+    }
+    table.add_row(["top-ups".to_owned(), answer.top_ups.join(", ")]);
+    let known = format!(
+        "{}, offset {}, {} ms old",
+        answer.ledger, answer.offset, answer.age_ms
+    );
+    table.add_row(["as known by".to_owned(), known]);
+    text(&table)
+}
+
+/// Indented JSON.
+#[must_use]
+pub fn json(value: &Value) -> String {
+    format!("{value:#}\n")
+}
+
+fn plain(header: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_style(comfy_table::presets::NOTHING);
+    table.force_no_tty();
+    table.set_header(header);
+    table
+}
+
+fn text(table: &Table) -> String {
+    let mut out = String::new();
+    for line in table.lines() {
+        out.push_str(line.trim_end());
+        out.push('\n');
+    }
+    out
+}
+
+fn spec(value: &Value) -> String {
+    let text = value.to_string();
+    let mut cut: String = text.chars().take(SPEC_WIDTH).collect();
+    if cut.len() < text.len() {
+        cut.push_str("...");
+    }
+    cut
+}
+
+fn cell(value: Option<&Value>) -> String {
+    match value {
+        None | Some(Value::Null) => "-".to_owned(),
+        Some(Value::String(text)) => text.clone(),
+        Some(Value::Array(items)) => items.len().to_string(),
+        Some(other) => other.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/operator/src/fleet.rs
@@ -0,0 +1,129 @@
+//! The other processes, asked at their admin addresses.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http::Method;
+use serde_json::Value;
+use swiftlink_client::api::ProcessStatus;
+use swiftlink_client::http::{Answer, Call, Http};
+
+use crate::settings::Process;
+
+/// Names under which a status may give the configuration version in force.
+const VERSION_FIELDS: [&str; 2] = ["config_version", "version"];
+
+/// Every process of the settings.
+pub(crate) struct Fleet {
+    http: Http,
+    processes: Vec<Process>,
+    limit: Duration,
+}
+
+/// Why a process gave no answer.
+#[derive(Clone, Debug, thiserror::Error)]
+pub(crate) enum FleetError {
+    /// It is not in the settings.
+    #[error("no process {0:?} in the operator's settings")]
+    Unknown(String),
+    /// It did not answer in time.
+    #[error("{0} does not answer: {1}")]
+    Unreachable(String, String),
+    /// It refused.
+    #[error("{0} answered with status {1}: {2}")]
+    Refused(String, u16, String),
+}
+
+impl Fleet {
+    pub(crate) fn new(processes: Vec<Process>, limit: Duration) -> Self {
+        Self {
+            http: Http::open("swiftlink-operator"),
+            processes,
+            limit,
+        }
+    }
+
+    /// The status of every process; all are asked at once.
+    pub(crate) async fn status(&self) -> Vec<ProcessStatus> {
+        join_all(self.processes.iter().map(|process| self.status_of(process))).await
+    }
+
+    /// The state dump of a process.
+    pub(crate) async fn dump(&self, name: &str) -> Result<Value, FleetError> {
+        let process = self.find(name)?;
+        let answer = self
+            .ask(process, &Call::get(process.admin, "/dump"))
+            .await?;
+        Ok(json(&answer.body))
+    }
+
+    /// Sets the log level of a process.
+    pub(crate) async fn log_level(&self, name: &str, level: Bytes) -> Result<Value, FleetError> {
+        let process = self.find(name)?;
+        let call = Call {
+            method: Method::PUT,
+            body: level,
+            ..Call::get(process.admin, "/log-level")
+        };
+        let answer = self.ask(process, &call).await?;
+        Ok(json(&answer.body))
+    }
+
+    async fn status_of(&self, process: &Process) -> ProcessStatus {
+        let mut status = ProcessStatus {
+            name: process.name.clone(),
+            role: process.role.clone(),
+            admin: process.admin.to_string(),
+            reachable: false,
+            error: None,
+            version: None,
+            current: None,
+            status: Value::Null,
+        };
+        match self
+            .ask(process, &Call::get(process.admin, "/status"))
+            .await
+        {
+            Ok(answer) => {
+                status.reachable = true;
+                status.status = json(&answer.body);
+                status.version = version(&status.status);
+            }
+            Err(FleetError::Unreachable(_name, detail)) => status.error = Some(detail),
+            Err(error) => status.error = Some(error.to_string()),
+        }
+        status
+    }
+
+    fn find(&self, name: &str) -> Result<&Process, FleetError> {
+        let found = self.processes.iter().find(|process| process.name == name);
+        found.ok_or_else(|| FleetError::Unknown(name.to_owned()))
+    }
+
+    async fn ask(&self, process: &Process, call: &Call<'_>) -> Result<Answer, FleetError> {
+        let answer = self.http.fetch(call, self.limit).await;
+        let answer = answer
+            .map_err(|error| FleetError::Unreachable(process.name.clone(), error.to_string()))?;
+        if answer.status.is_success() {
+            return Ok(answer);
+        }
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        Err(FleetError::Refused(
+            process.name.clone(),
+            answer.status.as_u16(),
+            text,
+        ))
+    }
+}
+
+fn version(status: &Value) -> Option<u64> {
+    VERSION_FIELDS
+        .iter()
+        .find_map(|field| status.get(field)?.as_u64())
+}
+
+fn json(body: &[u8]) -> Value {
+    let text = || Value::String(String::from_utf8_lossy(body).into_owned());
+    serde_json::from_slice(body).unwrap_or_else(|_error| text())
+}
--- /dev/null
+++ b/crates/operator/src/web/auth.rs
@@ -0,0 +1,36 @@
+//! The operators' credential.
+
+use std::fmt;
+
+use subtle::ConstantTimeEq;
+use swiftlink_shell::web::Incoming;
+
+use super::problem::Fault;
+
+/// The credential that every request must carry.
+pub(crate) struct Token(Vec<u8>);
+
+impl Token {
+    pub(super) fn new(text: &str) -> Self {
+        Self(text.as_bytes().to_vec())
+    }
+
+    /// Compares in a time that depends on the lengths only.
+    pub(super) fn check(&self, request: &Incoming) -> Result<(), Fault> {
+        let value = request.header("authorization").unwrap_or_default();
+        let given = match value.split_once(' ') {
+            Some((scheme, given)) if scheme.eq_ignore_ascii_case("bearer") => given.trim(),
+            _ => "",
+        };
+        if bool::from(given.as_bytes().ct_eq(&self.0)) {
+            return Ok(());
+        }
+        Err(Fault::unauthenticated())
+    }
+}
+
+impl fmt::Debug for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Token(***)")
+    }
+}
