Add the stand-ins: log, VM list, engine, service, relay

Tests and the quickstart need the platform's services on loopback with faults that can be turned while they run. Each stand-in is one thin binary over a module; decisions (offsets and retention, lag, batching, order of delivery) are free of I/O and clocks. A fault switch is patched one by one, and an unknown switch is refused, so that a test can't turn nothing by a typo.

Lost answers break the connection after the work was done; a cut caller waits in vain, as in a partition. Appends and service calls that have begun run on when the caller gives up. The engine's answer is a function of the prompt, so that bytes can be compared.

--- a/src/bin/standin-engine/main.rs
+++ b/src/bin/standin-engine/main.rs
@@ -1,3 +1,7 @@
-//! Entry point of `standin-engine`.
+//! Stand-in for a streaming model engine.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    swiftlink_standins::engine::main()
+}
--- a/src/bin/standin-log/main.rs
+++ b/src/bin/standin-log/main.rs
@@ -1,3 +1,7 @@
-//! Entry point of `standin-log`.
+//! Stand-in for the platform's log.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    swiftlink_standins::log::main()
+}
--- a/src/bin/standin-relay/main.rs
+++ b/src/bin/standin-relay/main.rs
@@ -1,3 +1,7 @@
-//! Entry point of `standin-relay`.
+//! TCP relay that tests cut and freeze.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    swiftlink_standins::relay::main()
+}
--- a/src/bin/standin-service/main.rs
+++ b/src/bin/standin-service/main.rs
@@ -1,3 +1,7 @@
-//! Entry point of `standin-service`.
+//! Stand-in for a plain service.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    swiftlink_standins::service::main()
+}
--- a/src/bin/standin-vms/main.rs
+++ b/src/bin/standin-vms/main.rs
@@ -1,3 +1,7 @@
-//! Entry point of `standin-vms`.
+//! Stand-in for the platform's VM list.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    swiftlink_standins::vms::main()
+}
--- /dev/null
+++ b/standins/src/service/server.rs
@@ -0,0 +1,181 @@
+//! The service's HTTP interface and its switches.
+
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use http::{HeaderValue, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use swiftlink_shell::web::{Body, Incoming};
+
+use crate::cli::{self, About, Args};
+use crate::engine::Run;
+use crate::fault::{BaseFault, Switches};
+use crate::host::{self, BODY_LIMIT, Host, Standin, json_answer, refuse};
+
+/// Calls that a service reports as its size.
+const SLOTS: u64 = 64;
+
+/// Switches of the service.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ServiceFault {
+    /// Switches that every stand-in has.
+    #[serde(flatten)]
+    pub base: BaseFault,
+    /// Time that each call runs (ms).
+    pub run_ms: u64,
+    /// New work is answered 503 with `x-draining: true`.
+    pub draining: bool,
+    /// New work is answered 500 at once and does not run.
+    pub fail_fast: bool,
+}
+
+struct ServiceServer(Arc<Shared>);
+
+struct Shared {
+    runs: Mutex<BTreeMap<String, Run>>,
+    running: AtomicU64,
+    switches: Switches<ServiceFault>,
+}
+
+/// Runs `standin-service`.
+#[must_use]
+pub fn main() -> ExitCode {
+    let about = About {
+        name: "standin-service",
+        about: "stands in for a plain service",
+        options: |options| {
+            options.optopt("", "run-ms", "time that each call runs", "MS");
+            options.optopt("", "seed", "seed of the faults' draws", "N");
+        },
+    };
+    cli::run(about, start)
+}
+
+async fn start(args: Args) -> anyhow::Result<Host> {
+    let fault = ServiceFault {
+        run_ms: args.get("run-ms", 0)?,
+        ..ServiceFault::default()
+    };
+    let shared = Shared {
+        runs: Mutex::default(),
+        running: AtomicU64::new(0),
+        switches: Switches::new(fault),
+    };
+    let seed = args.get("seed", 1)?;
+    Host::bind(
+        args.listen()?,
+        seed,
+        Arc::new(ServiceServer(Arc::new(shared))),
+        Vec::new(),
+    )
+}
+
+/// The answer to a call: what it was, and its body.
+#[must_use]
+pub fn echo(method: &str, path: &str, body: &str) -> Value {
+    json!({ "method": method, "path": path, "body": body })
+}
+
+#[async_trait(?Send)]
+impl Standin for ServiceServer {
+    fn base(&self) -> BaseFault {
+        self.0.switches.get().base
+    }
+
+    fn fault(&self) -> Value {
+        json!(self.0.switches.get())
+    }
+
+    fn patch(&self, patch: &[u8]) -> Result<(), String> {
+        self.0.switches.patch(patch).map(drop)
+    }
+
+    async fn control(&self, path: &str, _request: Incoming) -> Response<Body> {
+        match path {
+            "runs" => {
+                let runs: Vec<Run> = self.0.runs().values().cloned().collect();
+                json_answer(StatusCode::OK, &runs)
+            }
+            "load" => self.0.load(),
+            _ => refuse(StatusCode::NOT_FOUND, "no such control"),
+        }
+    }
+
+    async fn serve(&self, mut request: Incoming) -> Response<Body> {
+        let key = host::header(&request, "x-request-key");
+        let method = request.method().to_string();
+        let path = request.uri().path().to_owned();
+        let Ok(body) = request.body(BODY_LIMIT).await else {
+            return refuse(StatusCode::BAD_REQUEST, "the body can't be read");
+        };
+        let fault = self.0.switches.get();
+        if fault.draining {
+            let mut answer = refuse(StatusCode::SERVICE_UNAVAILABLE, "draining");
+            let value = HeaderValue::from_static("true");
+            answer.headers_mut().insert("x-draining", value);
+            return answer;
+        }
+        if fault.fail_fast {
+            return refuse(StatusCode::INTERNAL_SERVER_ERROR, "failed by the switch");
+        }
+        let shared = Arc::clone(&self.0);
+        let time = Duration::from_millis(fault.run_ms);
+        // What has begun runs to its end also when the caller gives up.
+        let run = tokio::spawn(async move { shared.run(&key, time).await });
+        if run.await.is_err() {
+            return refuse(StatusCode::INTERNAL_SERVER_ERROR, "the run broke off");
+        }
+        let text = String::from_utf8_lossy(&body);
+        json_answer(StatusCode::OK, &echo(&method, &path, &text))
+    }
+}
+
+impl Shared {
+    fn runs(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, Run>> {
+        self.runs.lock().expect("no holder panics")
+    }
+
+    async fn run(&self, key: &str, time: Duration) {
+        self.begin(key);
+        self.running.fetch_add(1, Ordering::Relaxed);
+        tokio::time::sleep(time).await;
+        self.running.fetch_sub(1, Ordering::Relaxed);
+        self.end(key);
+    }
+
+    fn begin(&self, key: &str) {
+        let mut runs = self.runs();
+        let run = runs.entry(key.to_owned()).or_insert_with(|| Run {
+            key: key.to_owned(),
+            kind: "service".to_owned(),
+            ..Run::default()
+        });
+        run.seen += 1;
+        run.executions += 1;
+    }
+
+    fn end(&self, key: &str) {
+        if let Some(run) = self.runs().get_mut(key) {
+            run.finished = true;
+        }
+    }
+
+    fn load(&self) -> Response<Body> {
+        let running = self.running.load(Ordering::Relaxed);
+        let report = json!({
+            "running": running,
+            "waiting": 0,
+            "slots": SLOTS,
+            "kv_used": 0.0,
+            "draining": self.switches.get().draining,
+            "age_ms": 0,
+        });
+        json_answer(StatusCode::OK, &report)
+    }
+}
