--- a/crates/admission/src/lane.rs
+++ b/crates/admission/src/lane.rs
@@ -102,10 +102,8 @@
     }
 
     pub(crate) fn push(&mut self, waiter: Waiter<T>, place: Place, pass: f64) {
-        if self.len() == 0 {
-            // An idle class saves up nothing.
-            self.pass = self.pass.max(pass);
-        }
+        // An idle class saves up nothing.
+        self.pass = self.next_pass(pass);
         match place {
             Place::Returned => self.returned.push_back(waiter),
             Place::New => self.new.push_back(waiter),
@@ -123,6 +121,24 @@
         served
     }
 
+    /// Pass at which the lane's `place`th entry from now is served, when the
+    /// scheduler stands at `pass`.
+    pub(crate) fn pass_of(&self, place: f64, pass: f64) -> f64 {
+        self.next_pass(pass) + (place - 1.0) / self.weight()
+    }
+
+    /// Services that the lane can have before one at the pass `until`.
+    pub(crate) fn turns_before(&self, until: f64, pass: f64) -> f64 {
+        ((until - self.next_pass(pass)) * self.weight()).max(0.0)
+    }
+
+    fn next_pass(&self, pass: f64) -> f64 {
+        if self.len() == 0 {
+            return self.pass.max(pass);
+        }
+        self.pass
+    }
+
     pub(crate) fn goes_before(&self, other: &Self) -> bool {
         if self.pass == other.pass {
             return self.spec.weight > other.spec.weight;
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -322,6 +322,7 @@
     /// that the scheduler puts before them.
     fn wait_for(&self, index: usize, own: f64, rate: f64, now: Micros) -> Micros {
         let lane = &self.lanes[index];
+        let pass = lane.pass_of(own, self.pass);
         let mut places = own;
         // The others' arrivals depend on the wait and the wait on them: two rounds.
         for _ in 0..2 {
@@ -331,8 +332,8 @@
                 if other == index {
                     continue;
                 }
-                let arriving = rival.len() as f64 + rival.arrivals(now) * time;
-                others += arriving.min(own * rival.weight() / lane.weight());
+                let present = rival.len() as f64 + rival.arrivals(now) * time;
+                others += present.min(rival.turns_before(pass, self.pass));
             }
             places = own + others;
         }
