Add the test kit: fleets of real processes and the history checker

The promises are proved on histories of concurrent runs against real processes, so tests need to start a fleet, to cut, freeze and kill parts of it, and to compare what callers were told with what ran and what was charged.

Links go through relays inside the test process, not one process per link: a fleet of eight VMs has over a hundred links.

--- /dev/null
+++ b/crates/testkit/src/fleet/mod.rs
@@ -0,0 +1,190 @@
+//! A whole fleet of real processes on loopback.
+
+mod daemon;
+mod net;
+mod operator;
+mod plan;
+mod sample;
+mod settings;
+mod standin;
+
+use std::net::SocketAddr;
+
+use serde_json::Value;
+use tempfile::TempDir;
+
+pub use daemon::{Addresses, Daemon, Role, version_of};
+pub use net::Net;
+pub use operator::{Operator, change};
+pub use plan::Plan;
+pub use sample::{CALL_TOKENS, MODEL, SERVICE, Tenant, URGENT_PRICE, pools, server};
+pub use settings::{Place, TOKEN};
+pub use standin::{Dirs, Standin, dir_of};
+
+use crate::caller::{Answer, Caller};
+use crate::checker::{Call, History};
+use crate::http::Http;
+use crate::records;
+use crate::until::{PATIENCE, until_within};
+use swiftlink_standins::engine::Run;
+
+/// Where one VM's daemons listen.
+#[derive(Clone, Debug)]
+struct Vm {
+    place: Place,
+    router: Addresses,
+    ledger: Addresses,
+}
+
+/// A running fleet; all its processes are killed when it is dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform's log.
+    pub log: Standin,
+    /// The platform's VM list.
+    pub vms: Standin,
+    /// Engines of the model pool.
+    pub engines: Vec<Standin>,
+    /// Servers of the service pool.
+    pub services: Vec<Standin>,
+    /// One ledger per VM.
+    pub ledgers: Vec<Daemon>,
+    /// One router per VM.
+    pub routers: Vec<Daemon>,
+    /// The operator daemon.
+    pub operator: Daemon,
+    /// A client of the operator daemon.
+    pub api: Operator,
+    /// The links between the processes.
+    pub net: Net,
+    tenants: Vec<Tenant>,
+    shards: u32,
+    // The directory goes last, after the processes that write to it.
+    _work: TempDir,
+}
+
+impl Fleet {
+    /// Callers' address of router number `at`.
+    #[must_use]
+    pub fn router(&self, at: usize) -> SocketAddr {
+        self.routers[at].address()
+    }
+
+    /// A caller with the key of the tenant number `at`.
+    #[must_use]
+    pub fn caller(&self, at: usize) -> Caller {
+        Caller::new(&self.tenants[at].secret)
+    }
+
+    /// The tenant number `at`.
+    #[must_use]
+    pub fn tenant(&self, at: usize) -> &Tenant {
+        &self.tenants[at]
+    }
+
+    /// Number of budget streams.
+    #[must_use]
+    pub fn shards(&self) -> u32 {
+        self.shards
+    }
+
+    /// What all engines and services ran.
+    ///
+    /// # Errors
+    /// When one does not answer.
+    pub async fn runs(&self) -> anyhow::Result<Vec<Run>> {
+        let mut runs = Vec::new();
+        for standin in self.engines.iter().chain(&self.services) {
+            runs.extend(standin.runs().await?);
+        }
+        Ok(runs)
+    }
+
+    /// The history of `calls` as it stands now.
+    ///
+    /// # Errors
+    /// When a stand-in does not answer.
+    pub async fn history(&self, calls: Vec<Call>) -> anyhow::Result<History> {
+        Ok(History {
+            calls,
+            runs: self.runs().await?,
+            streams: records::read_all(self.log.address(), self.shards).await?,
+        })
+    }
+
+    /// Waits until every router has the configuration `version` in force.
+    ///
+    /// # Errors
+    /// When one has not in time.
+    pub async fn in_force(&self, version: u64) -> anyhow::Result<()> {
+        for router in &self.routers {
+            router
+                .status_until(PATIENCE, "version", |status| version_of(status) >= version)
+                .await?;
+        }
+        Ok(())
+    }
+
+    /// Applies the first configuration and waits until all is ready to serve.
+    async fn prepare(&mut self, servers: Vec<Value>) -> anyhow::Result<()> {
+        for ledger in &mut self.ledgers {
+            ledger.ready().await?;
+        }
+        self.operator.ready().await?;
+        let mut changes = pools();
+        changes.extend(servers);
+        for tenant in &self.tenants {
+            changes.extend(tenant.changes());
+        }
+        let version = self.api.apply(changes).await?;
+        for router in &mut self.routers {
+            router.ready().await?;
+        }
+        self.in_force(version).await?;
+        self.paid().await
+    }
+
+    /// Waits until the first top-ups stand in the ledgers' folds.
+    async fn paid(&self) -> anyhow::Result<()> {
+        for tenant in &self.tenants {
+            let prepaid = tenant.prepaid;
+            let paid = |budget: &Value| budget["topped_up"].as_u64() >= Some(prepaid);
+            if prepaid > 0 {
+                self.api.budget_until(&tenant.name, paid).await?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Waits until all running keys have ended at the log's stand-in `log`: no new
+/// record for a while is no proof, so a test gives the condition itself.
+///
+/// # Errors
+/// When `settled` does not hold in time.
+pub async fn settle(
+    fleet: &Fleet,
+    calls: Vec<Call>,
+    settled: impl Fn(&History) -> bool,
+) -> anyhow::Result<History> {
+    until_within(PATIENCE, "the charges to settle", async || {
+        let history = fleet.history(calls.clone()).await.ok()?;
+        settled(&history).then_some(history)
+    })
+    .await
+}
+
+/// An answer to a request without an API key, for tests of refusals.
+///
+/// # Errors
+/// When the connection fails.
+pub async fn bare(router: SocketAddr, path: &str) -> anyhow::Result<Answer> {
+    let reply = Http::new().get(router, path).await?;
+    Ok(Answer {
+        status: reply.status.as_u16(),
+        headers: reply.headers,
+        body: reply.body,
+        whole: true,
+        ..Answer::default()
+    })
+}
--- /dev/null
+++ b/crates/testkit/src/fleet/plan.rs
@@ -0,0 +1,328 @@
+//! What a fleet is made of, and its start.
+
+use std::path::PathBuf;
+
+use anyhow::Context as _;
+use serde_json::{Map, Value, json};
+
+use super::daemon::{Addresses, Daemon, Role};
+use super::net::Net;
+use super::operator::Operator;
+use super::sample::{self, Tenant};
+use super::settings::{self, Place, TOKEN};
+use super::standin::{Dirs, Standin};
+use super::{Fleet, Vm};
+
+/// Starts are tried anew with other ports so often.
+const TRIES: usize = 3;
+
+/// What a fleet is made of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    binaries: PathBuf,
+    vms: usize,
+    domains: usize,
+    engines: usize,
+    services: usize,
+    shards: u32,
+    relayed: bool,
+    router: Value,
+    ledger: Value,
+    operator: Value,
+    tenants: Vec<Tenant>,
+}
+
+impl Plan {
+    /// Three VMs in three failure domains, two engines, one service, one tenant
+    /// `lannec` with a million tokens; binaries from the directory `binaries`.
+    #[must_use]
+    pub fn new(binaries: PathBuf) -> Self {
+        Self {
+            binaries,
+            vms: 3,
+            domains: 3,
+            engines: 2,
+            services: 1,
+            shards: 2,
+            relayed: false,
+            router: json!({}),
+            ledger: json!({}),
+            operator: json!({}),
+            tenants: vec![Tenant::new("lannec", 1_000_000)],
+        }
+    }
+
+    /// Number of VMs, spread over the failure domains.
+    #[must_use]
+    pub fn vms(mut self, vms: usize, domains: usize) -> Self {
+        self.vms = vms;
+        self.domains = domains;
+        self
+    }
+
+    /// Number of engines.
+    #[must_use]
+    pub fn engines(mut self, engines: usize) -> Self {
+        self.engines = engines;
+        self
+    }
+
+    /// Number of plain services.
+    #[must_use]
+    pub fn services(mut self, services: usize) -> Self {
+        self.services = services;
+        self
+    }
+
+    /// Puts every link between processes through a relay of its own, and each
+    /// backend server behind one.
+    #[must_use]
+    pub fn relayed(mut self) -> Self {
+        self.relayed = true;
+        self
+    }
+
+    /// Tenants in place of the usual one.
+    #[must_use]
+    pub fn tenants(mut self, tenants: Vec<Tenant>) -> Self {
+        self.tenants = tenants;
+        self
+    }
+
+    /// Further settings of the routers.
+    #[must_use]
+    pub fn router(mut self, more: Value) -> Self {
+        self.router = more;
+        self
+    }
+
+    /// Further settings of the ledgers.
+    #[must_use]
+    pub fn ledger(mut self, more: Value) -> Self {
+        self.ledger = more;
+        self
+    }
+
+    /// Further settings of the operator.
+    #[must_use]
+    pub fn operator(mut self, more: Value) -> Self {
+        self.operator = more;
+        self
+    }
+
+    /// Starts everything, applies the configuration, and waits until it is in
+    /// force on every router. A start that fails is tried anew with other ports.
+    ///
+    /// # Errors
+    /// When the last start failed.
+    pub async fn start(&self) -> anyhow::Result<Fleet> {
+        let mut tried = 1;
+        loop {
+            match self.try_start().await {
+                Ok(fleet) => return Ok(fleet),
+                Err(error) if tried < TRIES && is_bind(&error) => tried += 1,
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    async fn try_start(&self) -> anyhow::Result<Fleet> {
+        let work = tempfile::tempdir().context("no directory for the run")?;
+        let dirs = Dirs {
+            binaries: self.binaries.clone(),
+            work: work.path().to_owned(),
+        };
+        let mut start = Start {
+            plan: self,
+            net: Net::new(self.relayed),
+            vms: self.layout(),
+            dirs,
+        };
+        let log = Standin::start(&start.dirs, "log", "log", &[]).await?;
+        let mut args = Vec::new();
+        for vm in &start.vms {
+            args.push("--vm".to_owned());
+            args.push(format!("{}:{}", vm.place.vm, vm.place.domain));
+        }
+        let vms = Standin::start(&start.dirs, "vms", "vms", &args).await?;
+        let engines = start.standins("engine", self.engines).await?;
+        let services = start.standins("service", self.services).await?;
+        let mut ledgers = Vec::new();
+        let mut routers = Vec::new();
+        for at in 0..self.vms {
+            ledgers.push(start.ledger(at, &log, &vms).await?);
+        }
+        for at in 0..self.vms {
+            routers.push(start.router(at, &vms).await?);
+        }
+        let operator = start.operator(&log).await?;
+        let api = Operator::new(operator.address(), TOKEN);
+        let servers = start.servers(&engines, &services).await?;
+        let mut fleet = Fleet {
+            log,
+            vms,
+            engines,
+            services,
+            ledgers,
+            routers,
+            operator,
+            api,
+            net: start.net,
+            tenants: self.tenants.clone(),
+            shards: self.shards,
+            _work: work,
+        };
+        fleet.prepare(servers).await?;
+        Ok(fleet)
+    }
+
+    fn layout(&self) -> Vec<Vm> {
+        let mut vms = Vec::new();
+        for at in 0..self.vms {
+            let place = Place {
+                vm: format!("vm-{at}"),
+                domain: domain(at, self.domains),
+            };
+            vms.push(Vm {
+                place,
+                router: Addresses::reserve(),
+                ledger: Addresses::reserve(),
+            });
+        }
+        vms
+    }
+}
+
+struct Start<'a> {
+    plan: &'a Plan,
+    net: Net,
+    vms: Vec<Vm>,
+    dirs: Dirs,
+}
+
+impl Start<'_> {
+    async fn standins(&self, kind: &str, count: usize) -> anyhow::Result<Vec<Standin>> {
+        let mut standins = Vec::new();
+        for at in 0..count {
+            let name = format!("{kind}-{at}");
+            standins.push(Standin::start(&self.dirs, kind, &name, &[]).await?);
+        }
+        Ok(standins)
+    }
+
+    async fn ledger(&mut self, at: usize, log: &Standin, vms: &Standin) -> anyhow::Result<Daemon> {
+        let name = format!("ledger-{at}");
+        let vm = self.vms[at].clone();
+        let mut peers = Vec::new();
+        for other in self.others(at) {
+            let to = format!("ledger-{other}");
+            let peer = self.vms[other].clone();
+            let address = self.net.link(&name, &to, peer.ledger.listen).await?;
+            peers.push(settings::peer(&peer.place.vm, address, &peer.place.domain));
+        }
+        let mut map = settings::common(&vm.place, vm.ledger);
+        let log = self.net.link(&name, "log", log.address()).await?;
+        let list = self.net.link(&name, "vms", vms.address()).await?;
+        let more = json!({
+            "log": log, "vms": list, "peers": peers, "shards": self.plan.shards,
+        });
+        settings::merge(&mut map, &more);
+        settings::merge(&mut map, &self.plan.ledger);
+        self.daemon(Role::Ledger, &name, vm.ledger, map)
+    }
+
+    async fn router(&mut self, at: usize, vms: &Standin) -> anyhow::Result<Daemon> {
+        let name = format!("router-{at}");
+        let vm = self.vms[at].clone();
+        let ledgers = self.ledgers(&name).await?;
+        let mut peers = Vec::new();
+        for other in self.others(at) {
+            let to = format!("router-{other}");
+            let peer = self.vms[other].clone();
+            let address = self.net.link(&name, &to, peer.router.listen).await?;
+            peers.push(settings::peer(&peer.place.vm, address, &peer.place.domain));
+        }
+        let list = self.net.link(&name, "vms", vms.address()).await?;
+        let mut map = settings::common(&vm.place, vm.router);
+        let more = json!({
+            "ledgers": ledgers, "peers": peers, "vms": list, "shards": self.plan.shards,
+            "service_load": "/_standin/load",
+        });
+        settings::merge(&mut map, &more);
+        settings::merge(&mut map, &self.plan.router);
+        self.daemon(Role::Router, &name, vm.router, map)
+    }
+
+    async fn operator(&mut self, log: &Standin) -> anyhow::Result<Daemon> {
+        let name = "operator";
+        let place = self.vms[0].place.clone();
+        let addresses = Addresses::reserve();
+        let ledgers = self.ledgers(name).await?;
+        let log = self.net.link(name, "log", log.address()).await?;
+        let mut processes = Vec::new();
+        for (at, vm) in self.vms.iter().enumerate() {
+            for (role, admin) in [("router", vm.router.admin), ("ledger", vm.ledger.admin)] {
+                let name = format!("{role}-{at}");
+                processes.push(json!({ "name": name, "role": role, "admin": admin }));
+            }
+        }
+        let mut map = settings::common(&place, addresses);
+        let more = json!({
+            "token": TOKEN, "log": log, "ledgers": ledgers, "processes": processes,
+        });
+        settings::merge(&mut map, &more);
+        settings::merge(&mut map, &self.plan.operator);
+        self.daemon(Role::Operator, name, addresses, map)
+    }
+
+    async fn ledgers(&mut self, from: &str) -> anyhow::Result<Vec<Value>> {
+        let mut ledgers = Vec::new();
+        for (at, vm) in self.vms.clone().iter().enumerate() {
+            let to = format!("ledger-{at}");
+            let address = self.net.link(from, &to, vm.ledger.listen).await?;
+            ledgers.push(settings::peer(&vm.place.vm, address, &vm.place.domain));
+        }
+        Ok(ledgers)
+    }
+
+    async fn servers(
+        &mut self,
+        engines: &[Standin],
+        services: &[Standin],
+    ) -> anyhow::Result<Vec<Value>> {
+        let mut changes = Vec::new();
+        for (pool, standins) in [(sample::MODEL, engines), (sample::SERVICE, services)] {
+            for (at, standin) in standins.iter().enumerate() {
+                let name = standin.process.name();
+                let address = self.net.link("routers", name, standin.address()).await?;
+                let domain = domain(at, self.plan.domains);
+                changes.push(sample::server(pool, name, address, &domain));
+            }
+        }
+        Ok(changes)
+    }
+
+    fn others(&self, at: usize) -> Vec<usize> {
+        (0..self.vms.len()).filter(|other| *other != at).collect()
+    }
+
+    fn daemon(
+        &self,
+        role: Role,
+        name: &str,
+        addresses: Addresses,
+        map: Map<String, Value>,
+    ) -> anyhow::Result<Daemon> {
+        let table = settings::to_toml(map)?;
+        Daemon::start(&self.dirs, role, name, addresses, &table)
+    }
+}
+
+fn domain(at: usize, domains: usize) -> String {
+    format!("domain-{}", at % domains.max(1))
+}
+
+fn is_bind(error: &anyhow::Error) -> bool {
+    let text = format!("{error:#}");
+    text.contains("in use") || text.contains("EADDRINUSE")
+}
--- /dev/null
+++ b/crates/testkit/src/http.rs
@@ -0,0 +1,137 @@
+//! The HTTP client of the tests.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use serde_json::Value;
+
+/// No call of a test may take longer.
+pub const CALL_LIMIT: Duration = Duration::from_secs(60);
+
+/// A client that opens a new connection for each call.
+#[derive(Clone, Debug)]
+pub struct Http {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// The body as JSON; null when it is none.
+    #[must_use]
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+    }
+
+    /// A header's text.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+impl Default for Http {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Http {
+    /// A client without open connections.
+    #[must_use]
+    pub fn new() -> Self {
+        // Idle connections would hold up planned stops and hide dead peers.
+        let client = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .build_http();
+        Self { client }
+    }
+
+    /// Sends a request and returns the answer's head with its body to come.
+    ///
+    /// # Errors
+    /// When no answer's head comes.
+    pub async fn open(&self, request: Request<Full<Bytes>>) -> anyhow::Result<Response<Incoming>> {
+        let answer = tokio::time::timeout(CALL_LIMIT, self.client.request(request));
+        let answer = answer.await.context("no answer in time")?;
+        answer.context("no answer")
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    /// When the connection fails before the answer's end.
+    pub async fn call(&self, request: Request<Full<Bytes>>) -> anyhow::Result<Reply> {
+        let answer = self.open(request).await?;
+        let (head, body) = answer.into_parts();
+        let body = tokio::time::timeout(CALL_LIMIT, body.collect());
+        let body = body.await.context("no whole body in time")?;
+        Ok(Reply {
+            status: head.status,
+            headers: head.headers,
+            body: body.context("the body broke off")?.to_bytes(),
+        })
+    }
+
+    /// `GET` of a path.
+    ///
+    /// # Errors
+    /// Those of [`Http::call`].
+    pub async fn get(&self, address: SocketAddr, path: &str) -> anyhow::Result<Reply> {
+        self.call(request(Method::GET, address, path, Bytes::new()))
+            .await
+    }
+
+    /// Sends a JSON body.
+    ///
+    /// # Errors
+    /// Those of [`Http::call`].
+    pub async fn send<T: Serialize>(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: &T,
+    ) -> anyhow::Result<Reply> {
+        let body = serde_json::to_vec(body).context("the body has no JSON form")?;
+        self.call(request(method, address, path, Bytes::from(body)))
+            .await
+    }
+}
+
+/// A request without further headers.
+///
+/// # Panics
+/// When the path is no path.
+#[must_use]
+pub fn request(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    body: Bytes,
+) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(body))
+        .expect("the paths of tests are well-formed")
+}
