--- /dev/null
+++ b/crates/router/src/account.rs
@@ -0,0 +1,290 @@
+//! The rights that one incarnation of this router holds on one budget.
+//!
+//! A request that finds rights takes them without a lock or a message. One that
+//! finds none becomes a waiter; the account's claimer (see [`crate::claim`]) is
+//! woken and tells all waiters what became of its claim.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use swiftlink_admission::{Grant, Holding, Reservation, Shortfall, Step, Waiting, shortfall};
+use swiftlink_types::{BudgetName, Micros, Refusal, RefusalKind, Tokens};
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, timeout_at};
+
+/// Expected time of a claim before one has been timed.
+const FIRST_CLAIM_TIME: Duration = Duration::from_millis(20);
+/// Time that a relay to another router is expected to add.
+const DETOUR: Duration = Duration::from_millis(5);
+
+/// Another router that held rights when the log last told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holder {
+    /// Callers' address of the router.
+    pub address: SocketAddr,
+    /// Rights held, unspent as the log knew.
+    pub held: Tokens,
+}
+
+/// What the last claim has told.
+#[derive(Debug, Clone, Default)]
+pub struct News {
+    /// Grows with every claim answered or failed.
+    pub number: u64,
+    /// When it was told; `None` before the first claim.
+    pub at: Option<Instant>,
+    /// The last try got no answer.
+    pub is_out: bool,
+    /// Free in the budget (tokens).
+    pub free: Tokens,
+    /// Held by other incarnations (tokens).
+    pub elsewhere: Tokens,
+    /// The largest other holders.
+    pub holders: Arc<[Holder]>,
+}
+
+/// Why a request got no rights here.
+#[derive(Debug, Clone)]
+pub struct Shortage {
+    /// The refusal, unless another router serves the request.
+    pub refusal: Refusal,
+    /// Routers that may hold rights, best first.
+    pub holders: Vec<SocketAddr>,
+}
+
+/// How a request may wait for rights.
+#[derive(Debug, Clone, Copy)]
+pub struct WaitPolicy {
+    /// Latest useful moment.
+    pub deadline: Instant,
+    /// Longest wait for a claim.
+    pub claim_wait: Duration,
+    /// Time for which the answer to a claim stands.
+    pub pause: Duration,
+}
+
+/// Rights on one budget.
+#[derive(Debug)]
+pub struct Account {
+    /// Name of the budget.
+    pub budget: BudgetName,
+    /// The rights.
+    pub grant: Arc<Grant>,
+    /// Wakes the claimer.
+    pub wake: Notify,
+    /// Available rights under which the claimer is woken.
+    low: AtomicU64,
+    /// Expected time of a claim (µs).
+    claim_time: AtomicU64,
+    waiters: Mutex<Waiters>,
+    news: watch::Sender<News>,
+}
+
+#[derive(Debug, Default)]
+struct Waiters {
+    next: u64,
+    costs: BTreeMap<u64, Tokens>,
+}
+
+impl Account {
+    /// An account without rights.
+    #[must_use]
+    pub fn new(budget: BudgetName) -> Self {
+        Self {
+            budget,
+            grant: Arc::new(Grant::new()),
+            wake: Notify::new(),
+            low: AtomicU64::new(0),
+            claim_time: AtomicU64::new(FIRST_CLAIM_TIME.as_micros() as u64),
+            waiters: Mutex::default(),
+            news: watch::Sender::new(News::default()),
+        }
+    }
+
+    /// Takes `cost` tokens from the rights at hand.
+    #[must_use]
+    pub fn take(&self, cost: Tokens) -> Option<Reservation> {
+        let held = self.grant.hold(cost)?;
+        if self.grant.available() < self.low.load(Ordering::Relaxed) {
+            self.wake.notify_one();
+        }
+        Some(held)
+    }
+
+    /// Takes `cost` tokens, waiting for a claim where that is the way to get them.
+    ///
+    /// # Errors
+    /// When no rights can be had here in time.
+    pub async fn obtain(
+        &self,
+        cost: Tokens,
+        policy: WaitPolicy,
+        may_relay: bool,
+    ) -> Result<Reservation, Shortage> {
+        if let Some(held) = self.take(cost) {
+            return Ok(held);
+        }
+        let start = Instant::now();
+        let until = policy.deadline.min(start + policy.claim_wait);
+        let mut news = self.news.subscribe();
+        let _waiter = self.enter(cost);
+        self.wake.notify_one();
+        loop {
+            let told = news.borrow_and_update().clone();
+            if let Some(held) = self.take(cost) {
+                return Ok(held);
+            }
+            self.decide(cost, &told, start, until, policy, may_relay)?;
+            if timeout_at(until, news.changed()).await.is_err() {
+                let told = news.borrow().clone();
+                return Err(self.late(&told, may_relay));
+            }
+        }
+    }
+
+    /// Whether to wait on; the error ends the request here.
+    fn decide(
+        &self,
+        cost: Tokens,
+        told: &News,
+        start: Instant,
+        until: Instant,
+        policy: WaitPolicy,
+        may_relay: bool,
+    ) -> Result<(), Shortage> {
+        let now = Instant::now();
+        let is_fresh = told
+            .at
+            .is_some_and(|at| now - at <= policy.pause || at >= start);
+        let own = self.grant.counters();
+        let listed: &[Holder] = if may_relay { &told.holders } else { &[] };
+        let holdings: Vec<_> = listed.iter().map(holding).collect();
+        let case = Shortfall {
+            cost,
+            now: micros_since(start, now),
+            deadline: micros_since(start, until),
+            has_log: !told.is_out,
+            claim_time: self.claim_time(),
+            free: is_fresh.then_some(told.free),
+            elsewhere: told.elsewhere + own.available + own.reserved,
+            holders: &holdings,
+        };
+        match shortfall(&case) {
+            Step::Wait => Ok(()),
+            Step::Relay(index) => {
+                let mut holders: Vec<_> = listed.iter().map(|holder| holder.address).collect();
+                holders.swap(0, index);
+                Err(Shortage {
+                    refusal: busy(self.claim_time()),
+                    holders,
+                })
+            }
+            Step::Refuse(refusal) => Err(Shortage {
+                refusal,
+                holders: Vec::new(),
+            }),
+        }
+    }
+
+    /// No claim was decided within the wait.
+    fn late(&self, told: &News, may_relay: bool) -> Shortage {
+        let detail = "the log did not decide a claim of rights in time";
+        let refusal = Refusal::not_run(RefusalKind::LogOut, detail);
+        let listed: &[Holder] = if may_relay { &told.holders } else { &[] };
+        Shortage {
+            refusal: refusal.with_retry(Duration::from_secs(1)),
+            holders: listed.iter().map(|holder| holder.address).collect(),
+        }
+    }
+
+    /// Requests that wait for rights now.
+    #[must_use]
+    pub fn waiting(&self) -> Waiting {
+        let waiters = self.lock();
+        let least = waiters.costs.values().min().copied();
+        Waiting {
+            least: least.unwrap_or(0),
+            total: waiters.costs.values().sum(),
+        }
+    }
+
+    /// The last news.
+    #[must_use]
+    pub fn news(&self) -> News {
+        self.news.borrow().clone()
+    }
+
+    /// Tells all waiters.
+    pub fn tell(&self, change: impl FnOnce(&mut News)) {
+        self.news.send_modify(|news| {
+            change(news);
+            news.number += 1;
+        });
+    }
+
+    /// Sets the available rights under which the claimer is woken.
+    pub fn set_low(&self, low: Tokens) {
+        self.low.store(low, Ordering::Relaxed);
+    }
+
+    /// Notes how long a claim took.
+    pub fn note_claim(&self, took: Duration) {
+        let old = self.claim_time.load(Ordering::Relaxed);
+        let new = took.as_micros() as u64;
+        // An average over about eight claims.
+        self.claim_time
+            .store(old - old / 8 + new / 8, Ordering::Relaxed);
+    }
+
+    fn claim_time(&self) -> Duration {
+        Duration::from_micros(self.claim_time.load(Ordering::Relaxed))
+    }
+
+    fn enter(&self, cost: Tokens) -> Waiter<'_> {
+        let mut waiters = self.lock();
+        let number = waiters.next;
+        waiters.next += 1;
+        waiters.costs.insert(number, cost);
+        Waiter {
+            account: self,
+            number,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Waiters> {
+        self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A waiting request; dropped, it waits no more.
+struct Waiter<'a> {
+    account: &'a Account,
+    number: u64,
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        self.account.lock().costs.remove(&self.number);
+    }
+}
+
+fn holding(holder: &Holder) -> Holding {
+    Holding {
+        held: holder.held,
+        detour: DETOUR,
+        is_up: true,
+    }
+}
+
+fn busy(retry: Duration) -> Refusal {
+    let detail = "the budget's tokens are held by another router";
+    let retry = retry.max(Duration::from_secs(1));
+    Refusal::not_run(RefusalKind::BudgetBusy, detail).with_retry(retry)
+}
+
+fn micros_since(start: Instant, at: Instant) -> Micros {
+    at.saturating_duration_since(start).as_micros() as Micros
+}
--- /dev/null
+++ b/crates/router/src/answer.rs
@@ -0,0 +1,120 @@
+//! The form of answers to callers: events of a stream, and whole bodies.
+
+use bytes::Bytes;
+use serde_json::{Map, Value, json};
+use swiftlink_stream::{DONE, Ended, Usage, event_id};
+use swiftlink_types::{Outcome, Refusal, RequestKey, Tokens, WallMs};
+
+/// What a completed answer says of its charge.
+#[derive(Debug, Clone, Copy)]
+pub struct Receipt {
+    /// Key of the request.
+    pub key: RequestKey,
+    /// Budget tokens charged.
+    pub charged: Tokens,
+}
+
+impl Receipt {
+    fn json(self) -> Value {
+        json!({
+            "key": self.key.to_string(),
+            "charged": self.charged,
+            "outcome": Outcome::Ran.as_str(),
+        })
+    }
+}
+
+/// One event of a streamed answer.
+#[must_use]
+pub fn event(token: &str, number: u64, data: &str) -> Bytes {
+    let mut text = format!("id: {}\n", event_id(token, number));
+    for line in data.split('\n') {
+        text.push_str("data: ");
+        text.push_str(line);
+        text.push('\n');
+    }
+    text.push('\n');
+    text.into()
+}
+
+/// The end mark of a streamed answer.
+#[must_use]
+pub fn end(token: &str, number: u64) -> Bytes {
+    event(token, number, DONE)
+}
+
+/// The event that tells a caller that its answer was cut.
+#[must_use]
+pub fn error(refusal: &Refusal) -> Bytes {
+    let problem = serde_json::to_string(&refusal.problem()).unwrap_or_default();
+    format!("event: error\ndata: {problem}\n\n").into()
+}
+
+/// The data of the last chunk, with the receipt added.
+#[must_use]
+pub fn with_receipt(data: &str, receipt: Receipt) -> String {
+    let parsed: Result<Map<String, Value>, _> = serde_json::from_str(data);
+    let Ok(mut fields) = parsed else {
+        return data.to_owned();
+    };
+    fields.insert("swiftlink".to_owned(), receipt.json());
+    Value::Object(fields).to_string()
+}
+
+/// The last chunk of an answer whose engine told no usage in its own.
+#[must_use]
+pub fn last_chunk(usage: Usage, receipt: Receipt) -> String {
+    json!({
+        "object": "chat.completion.chunk",
+        "choices": [],
+        "usage": usage,
+        "swiftlink": receipt.json(),
+    })
+    .to_string()
+}
+
+/// What a whole answer is made of.
+#[derive(Debug, Clone)]
+pub struct Whole {
+    /// The engine's id of the answer.
+    pub id: String,
+    /// The model's name.
+    pub model: String,
+    /// When it was made.
+    pub created: WallMs,
+    /// A chat completion rather than a plain one.
+    pub chat: bool,
+    /// Text, end and usage.
+    pub ended: Ended,
+}
+
+/// The body of a whole answer.
+#[must_use]
+pub fn whole(whole: &Whole, receipt: Receipt) -> Bytes {
+    let ended = &whole.ended;
+    let (object, choice) = if whole.chat {
+        let message = json!({"role": "assistant", "content": ended.text});
+        let choice = json!({"index": 0, "message": message, "finish_reason": ended.finish});
+        ("chat.completion", choice)
+    } else {
+        let choice = json!({"index": 0, "text": ended.text, "finish_reason": ended.finish});
+        ("text_completion", choice)
+    };
+    let body = json!({
+        "id": whole.id,
+        "object": object,
+        "created": whole.created / 1_000,
+        "model": whole.model,
+        "choices": [choice],
+        "usage": ended.usage,
+        "swiftlink": receipt.json(),
+    });
+    body.to_string().into()
+}
+
+/// Tokens run, as told by the engine.
+#[must_use]
+pub fn tokens_run(usage: Usage) -> Tokens {
+    let sum = usage.prompt_tokens.saturating_add(usage.completion_tokens);
+    usage.total_tokens.max(sum)
+}
--- /dev/null
+++ b/crates/router/src/charge.rs
@@ -0,0 +1,304 @@
+//! Where a completed request is charged.
+//!
+//! A charge is stored by a ledger in another failure domain before the last chunk
+//! of the answer is released. The router keeps it until the fold has decided it,
+//! and hands it to another ledger when one is silent; copies are harmless.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use swiftlink_budget::stream_of;
+use swiftlink_link::Client;
+use swiftlink_telemetry::{Metrics, event};
+use swiftlink_types::{BudgetName, RequestKey, Tokens, WorkspaceName};
+use swiftlink_wire::link::{Settle, Submitted, reply, request};
+use swiftlink_wire::log::{self as wire, ChargeFate, fate};
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout};
+
+use crate::keys::KeyHold;
+use crate::ledgers::{Ledgers, order};
+use crate::members::Seat;
+
+/// Pause after all ledgers failed to take a charge.
+const ROUND_PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for a stored charge to be decided before it goes to another ledger.
+const RETRY_CAP: Duration = Duration::from_secs(30);
+
+/// What is to be charged.
+#[derive(Debug, Clone)]
+pub struct Cost {
+    /// Key of the request.
+    pub key: RequestKey,
+    /// Workspace that sent it.
+    pub workspace: WorkspaceName,
+    /// Budget that is drawn on.
+    pub budget: BudgetName,
+    /// Tokens that the backend server ran.
+    pub tokens: Tokens,
+    /// Budget tokens drawn.
+    pub cost: Tokens,
+}
+
+/// Counts of charges.
+#[derive(Debug, Default)]
+pub struct ChargeCounts {
+    /// Not yet decided by the log.
+    pub pending: AtomicUsize,
+    /// Not stored by any ledger within the wait.
+    pub stuck: AtomicUsize,
+    /// Counted by the log.
+    pub charged: AtomicU64,
+    /// Void, since the key was charged by another run.
+    pub void_key: AtomicU64,
+    /// Void, since the rights of the incarnation were released.
+    pub void_released: AtomicU64,
+    /// Void, since the incarnation held too little.
+    pub overdrawn: AtomicU64,
+}
+
+/// Hands charges to ledgers.
+#[derive(Debug)]
+pub struct Settler {
+    ledgers: Arc<Ledgers>,
+    runtime: Handle,
+    metrics: Metrics,
+    counts: ChargeCounts,
+    /// Longest wait for one ledger to store a charge.
+    try_time: Duration,
+    /// Longest wait of an answer's end.
+    wait: Duration,
+    retry: Duration,
+}
+
+impl Settler {
+    /// A settler whose work runs on `runtime`, so that it outlives the connection
+    /// that the answer goes to.
+    #[must_use]
+    pub fn new(
+        ledgers: Arc<Ledgers>,
+        runtime: Handle,
+        metrics: Metrics,
+        settings: &crate::settings::Settings,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            ledgers,
+            runtime,
+            metrics,
+            counts: ChargeCounts::default(),
+            try_time: settings.ledger_try(),
+            wait: Duration::from_millis(settings.settle_wait_ms),
+            retry: Duration::from_millis(settings.settle_retry_ms),
+        })
+    }
+
+    /// Counts so far.
+    #[must_use]
+    pub fn counts(&self) -> &ChargeCounts {
+        &self.counts
+    }
+
+    /// Whether a charge waits for a ledger beyond the time that an answer waits for
+    /// it; no new work is admitted meanwhile.
+    #[must_use]
+    pub fn is_stuck(&self) -> bool {
+        self.counts.stuck.load(Ordering::Relaxed) > 0
+    }
+
+    /// Charges `cost` on the incarnation of `seat`; returns once a ledger has stored
+    /// the charge, or after the wait that an answer's end is given.
+    pub async fn settle(self: &Arc<Self>, seat: &Arc<Seat>, cost: Cost, hold: KeyHold) {
+        let (sender, stored) = oneshot::channel();
+        let job = Job {
+            settler: Arc::clone(self),
+            seat: Arc::clone(seat),
+            serial: seat.next_serial(),
+            cost,
+            _hold: hold,
+            stored: Some(sender),
+            stuck: false,
+        };
+        self.counts.pending.fetch_add(1, Ordering::Relaxed);
+        self.runtime.spawn(job.run());
+        // An error means that the charge was decided without being stored first.
+        let _stored = timeout(self.wait, stored).await;
+    }
+
+    /// Waits until no charge is pending; false when `limit` comes first.
+    pub async fn drain(&self, limit: Instant) -> bool {
+        while self.counts.pending.load(Ordering::Relaxed) > 0 {
+            if Instant::now() >= limit {
+                return false;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        true
+    }
+}
+
+/// One charge on its way.
+struct Job {
+    settler: Arc<Settler>,
+    seat: Arc<Seat>,
+    serial: u64,
+    cost: Cost,
+    _hold: KeyHold,
+    stored: Option<oneshot::Sender<()>>,
+    stuck: bool,
+}
+
+impl Job {
+    async fn run(mut self) {
+        let start = Instant::now();
+        let ledgers = Arc::clone(&self.settler.ledgers);
+        let mut retry = self.settler.retry;
+        loop {
+            for ledger in order(ledgers.far()) {
+                if let Some(fate) = self.hand_over(&ledger.client, start, retry).await {
+                    return self.finish(fate);
+                }
+                ledger.shun();
+                self.note_stuck(start);
+            }
+            if self.stored.is_none() {
+                retry = (retry * 2).min(RETRY_CAP);
+            }
+            tokio::time::sleep(ROUND_PAUSE).await;
+            self.note_stuck(start);
+        }
+    }
+
+    /// Hands the charge to one ledger and waits for its fate.
+    async fn hand_over(
+        &mut self,
+        client: &Arc<Client>,
+        start: Instant,
+        retry: Duration,
+    ) -> Option<ChargeFate> {
+        let settle = request::Kind::Settle(self.message());
+        let opened = timeout(self.settler.try_time, client.stream(settle)).await;
+        let mut replies = opened.ok()?.ok()?;
+        let mut limit = self.settler.try_time;
+        loop {
+            let reply = timeout(limit, replies.next()).await.ok()??.ok()?;
+            match reply {
+                reply::Kind::Stored(_) => {
+                    self.note_stored(start);
+                    limit = retry;
+                }
+                reply::Kind::Submitted(submitted) => {
+                    self.note_stored(start);
+                    return Some(first_fate(&submitted));
+                }
+                _ => return None,
+            }
+        }
+    }
+
+    fn message(&self) -> Settle {
+        let charge = wire::Charge {
+            key: self.cost.key.as_bytes().to_vec(),
+            workspace: self.cost.workspace.to_string(),
+            budget: self.cost.budget.to_string(),
+            tokens: self.cost.tokens,
+            cost: self.cost.cost,
+            serial: self.serial,
+        };
+        Settle {
+            stream: stream_of(self.seat.shard).to_string(),
+            charges: Some(wire::Charges {
+                incarnation: Some((&self.seat.incarnation).into()),
+                items: vec![charge],
+            }),
+        }
+    }
+
+    fn note_stored(&mut self, start: Instant) {
+        let Some(stored) = self.stored.take() else {
+            return;
+        };
+        // The answer's end may have stopped waiting.
+        let _sent = stored.send(());
+        let us = u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX);
+        self.settler.metrics.time_us("charge.stored", us);
+        if self.stuck {
+            self.stuck = false;
+            self.settler.counts.stuck.fetch_sub(1, Ordering::Relaxed);
+            event!(info, "charge.unstuck", key = self.cost.key);
+        }
+    }
+
+    fn note_stuck(&mut self, start: Instant) {
+        if self.stuck || self.stored.is_none() || start.elapsed() < self.settler.wait {
+            return;
+        }
+        self.stuck = true;
+        self.settler.counts.stuck.fetch_add(1, Ordering::Relaxed);
+        event!(
+            error,
+            "charge.stuck",
+            key = self.cost.key,
+            cost = self.cost.cost
+        );
+    }
+
+    fn finish(self, fate: ChargeFate) {
+        let counts = &self.settler.counts;
+        let metrics = &self.settler.metrics;
+        match fate {
+            ChargeFate::Charged | ChargeFate::Duplicate => {
+                counts.charged.fetch_add(1, Ordering::Relaxed);
+                metrics.count("charge.charged", 1);
+            }
+            ChargeFate::VoidKey => {
+                counts.void_key.fetch_add(1, Ordering::Relaxed);
+                metrics.count("charge.void-key", 1);
+                event!(
+                    info,
+                    "charge.void",
+                    key = self.cost.key,
+                    reason = "key charged before"
+                );
+                // The log drew nothing, so the rights are still held here.
+                if let Some(account) = self.seat.find(&self.cost.budget) {
+                    account.grant.credit(self.cost.cost);
+                }
+            }
+            ChargeFate::VoidReleased => {
+                counts.void_released.fetch_add(1, Ordering::Relaxed);
+                metrics.count("charge.void-released", 1);
+                event!(
+                    error,
+                    "charge.void",
+                    key = self.cost.key,
+                    reason = "released"
+                );
+                self.seat.retire();
+            }
+            ChargeFate::Overdrawn | ChargeFate::Unspecified => {
+                counts.overdrawn.fetch_add(1, Ordering::Relaxed);
+                metrics.count("charge.overdrawn", 1);
+                event!(
+                    error,
+                    "charge.void",
+                    key = self.cost.key,
+                    reason = "overdrawn"
+                );
+            }
+        }
+        counts.pending.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn first_fate(submitted: &Submitted) -> ChargeFate {
+    let kind = submitted.fates.first().and_then(|fate| fate.kind.as_ref());
+    match kind {
+        Some(fate::Kind::Charges(charges)) => {
+            let first = charges.items.first().copied().unwrap_or_default();
+            ChargeFate::try_from(first).unwrap_or(ChargeFate::Unspecified)
+        }
+        _ => ChargeFate::Unspecified,
+    }
+}
--- /dev/null
+++ b/crates/router/src/claim.rs
@@ -0,0 +1,328 @@
+//! Claims rights for one account, one claim at a time, and returns what is surplus.
+//!
+//! A claim that got no answer is submitted again, the same record, until the log
+//! has decided it: its rights may have been granted.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use swiftlink_admission::{ClaimOutcome, ClaimSize, DemandSizer, SizerPolicy, Sizing};
+use swiftlink_log::Backoff;
+use swiftlink_telemetry::{Metrics, event};
+use swiftlink_types::{Micros, Tokens};
+use swiftlink_wire::log::{Claim, ClaimFate, Return, fate, record};
+use tokio::runtime::Handle;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::account::{Account, Holder};
+use crate::config::ConfigView;
+use crate::ledgers::Ledgers;
+use crate::members::Seat;
+
+/// Time between looks at the demand of an account in use.
+const TICK: Duration = Duration::from_millis(500);
+/// Pause of a claimer whose waiters must be answered from the last news.
+const TOLD_PAUSE: Duration = Duration::from_millis(5);
+/// First and largest pause between submissions of one record.
+const RETRY_BASE: Duration = Duration::from_millis(100);
+const RETRY_CAP: Duration = Duration::from_secs(2);
+
+/// What claimers share.
+#[derive(Debug)]
+pub struct ClaimContext {
+    /// Where records are submitted.
+    pub ledgers: Arc<Ledgers>,
+    /// The configuration in force.
+    pub config: Arc<ConfigView>,
+    /// Counts of claims.
+    pub metrics: Metrics,
+    /// Longest wait for one submission.
+    pub wait: Duration,
+    /// Longest time for which a refused claim's answer stands.
+    pub pause: Duration,
+    /// Ends all claimers.
+    pub stop: CancellationToken,
+}
+
+/// Starts claimers, on a runtime that outlives the connections of callers.
+#[derive(Debug, Clone)]
+pub struct Claimers {
+    /// What the claimers share.
+    pub context: Arc<ClaimContext>,
+    /// Where they run.
+    pub runtime: Handle,
+    /// Who waits for them at a stop.
+    pub tasks: TaskTracker,
+}
+
+impl Claimers {
+    /// Starts the claimer of `account`.
+    pub fn spawn(&self, seat: &Arc<Seat>, account: &Arc<Account>) {
+        let context = Arc::clone(&self.context);
+        let claimer = Claimer::new(context, Arc::clone(seat), Arc::clone(account));
+        self.tasks.spawn_on(claimer.run(), &self.runtime);
+    }
+}
+
+/// The claimer of one account.
+struct Claimer {
+    context: Arc<ClaimContext>,
+    seat: Arc<Seat>,
+    account: Arc<Account>,
+    sizer: DemandSizer,
+    policy: SizerPolicy,
+    start: Instant,
+    seq: u64,
+    topped_up: Tokens,
+    sharers: u32,
+}
+
+impl Claimer {
+    /// A claimer for `account` on `seat`.
+    #[must_use]
+    pub fn new(context: Arc<ClaimContext>, seat: Arc<Seat>, account: Arc<Account>) -> Self {
+        let policy = SizerPolicy {
+            retry_max: context.pause,
+            ..SizerPolicy::default()
+        };
+        Self {
+            context,
+            seat,
+            account,
+            sizer: DemandSizer::new(policy),
+            policy,
+            start: Instant::now(),
+            seq: 0,
+            topped_up: 0,
+            sharers: 1,
+        }
+    }
+
+    /// Claims and returns until stopped or until the incarnation is retired.
+    pub async fn run(mut self) {
+        let stop = self.context.stop.clone();
+        while !stop.is_cancelled() && !self.seat.is_retired() {
+            self.refresh();
+            let now = self.now();
+            let available = self.account.grant.available();
+            self.sizer.observe(now, self.account.grant.demand());
+            self.account.set_low(self.sizer.target(now) / 2);
+            let waiting = self.account.waiting();
+            if let Some(size) = self.sizer.claim(now, available, waiting) {
+                self.claim(size).await;
+                continue;
+            }
+            let is_short = waiting.least > available;
+            if is_short {
+                // In a pause between claims the last answer stands.
+                self.account.tell(|news| news.at = Some(Instant::now()));
+            } else if let Some(extra) = self.sizer.surplus(now, available) {
+                self.give_back(extra).await;
+                continue;
+            }
+            self.sleep(is_short).await;
+        }
+        // Those who still wait are told that nothing more comes.
+        self.account.tell(|news| {
+            news.is_out = true;
+            news.at = Some(Instant::now());
+        });
+    }
+
+    async fn sleep(&self, is_short: bool) {
+        let is_idle = self.account.grant.available() == 0 && !is_short;
+        let tick = if is_short { TOLD_PAUSE } else { TICK };
+        tokio::select! {
+            () = self.context.stop.cancelled() => {}
+            () = self.account.wake.notified() => {}
+            () = tokio::time::sleep(tick), if !is_idle => {}
+        }
+    }
+
+    /// Takes the budget's settings and news of top-ups from the configuration.
+    fn refresh(&mut self) {
+        let config = self.context.config.load();
+        let Some(spec) = config.budgets.get(self.account.budget.as_str()) else {
+            return;
+        };
+        let policy = SizerPolicy {
+            ahead: Duration::from_secs(u64::from(spec.ahead_secs)),
+            min_grant: spec.min_grant,
+            ..self.policy
+        };
+        if policy != self.policy {
+            self.policy = policy;
+            self.sizer.set_policy(policy);
+        }
+        let budget = &self.account.budget;
+        let topups = config
+            .topups
+            .values()
+            .filter(|topup| topup.budget == *budget);
+        let topped_up: Tokens = topups.map(|topup| topup.amount).sum();
+        if topped_up > self.topped_up {
+            let free = self.account.news().free + (topped_up - self.topped_up);
+            self.topped_up = topped_up;
+            let now = self.now();
+            self.sizer.on_budget(now, topped_up, free, self.sharers);
+        }
+    }
+
+    async fn claim(&mut self, size: ClaimSize) {
+        self.seq += 1;
+        let claim = Claim {
+            incarnation: Some((&self.seat.incarnation).into()),
+            budget: self.account.budget.to_string(),
+            seq: self.seq,
+            need: size.need,
+            want: size.want,
+        };
+        let start = Instant::now();
+        let Some(fate) = self.decide(record::Kind::Claim(claim)).await else {
+            return;
+        };
+        match fate {
+            fate::Kind::Claim(fate) => {
+                self.account.note_claim(start.elapsed());
+                self.apply(size, &fate);
+            }
+            fate::Kind::Rejected(rejected) => {
+                let reason = rejected.reason();
+                let budget = &self.account.budget;
+                event!(
+                    warn,
+                    "claim.rejected",
+                    budget = budget,
+                    reason = reason.as_str_name()
+                );
+                self.seat.note_rejection(reason);
+                let now = self.now();
+                self.sizer.on_failed(now);
+                self.fail();
+            }
+            other => {
+                event!(error, "claim.fate", fate = format!("{other:?}"));
+                let now = self.now();
+                self.sizer.on_failed(now);
+                self.fail();
+            }
+        }
+    }
+
+    fn apply(&mut self, size: ClaimSize, fate: &ClaimFate) {
+        if fate.seq != self.seq {
+            event!(error, "claim.seq", expected = self.seq, found = fate.seq);
+            return;
+        }
+        self.sharers = fate.sharers;
+        let outcome = ClaimOutcome {
+            granted: fate.granted,
+            free: fate.free,
+            elsewhere: fate.elsewhere,
+            sharers: fate.sharers,
+        };
+        let now = self.now();
+        self.sizer.on_claimed(now, &outcome);
+        self.account.grant.credit(fate.granted);
+        self.context.metrics.count("claim.granted", fate.granted);
+        event!(
+            debug,
+            "claim.decided",
+            budget = self.account.budget,
+            want = size.want,
+            granted = fate.granted,
+            free = fate.free,
+            elsewhere = fate.elsewhere,
+        );
+        let holders: Arc<[Holder]> = fate.holders.iter().filter_map(read_holder).collect();
+        self.account.tell(|news| {
+            news.at = Some(Instant::now());
+            news.is_out = false;
+            news.free = fate.free;
+            news.elsewhere = fate.elsewhere;
+            news.holders = holders;
+        });
+    }
+
+    /// Gives back up to `amount` available rights.
+    async fn give_back(&mut self, amount: Tokens) {
+        let taken = self.account.grant.shrink(amount);
+        if taken == 0 {
+            return;
+        }
+        let kind = record::Kind::GiveBack(self.account.give_back(&self.seat));
+        let _fate = self.decide(kind).await;
+        event!(
+            debug,
+            "grant.returned",
+            budget = self.account.budget,
+            amount = taken
+        );
+    }
+
+    /// Submits the record until the log has decided it; `None` when stopped before.
+    async fn decide(&mut self, kind: record::Kind) -> Option<fate::Kind> {
+        let mut backoff = Backoff::new(RETRY_BASE, RETRY_CAP);
+        let mut said = false;
+        loop {
+            let context = &self.context;
+            let submitted = tokio::select! {
+                () = context.stop.cancelled() => return None,
+                submitted = context.ledgers.submit(self.seat.shard, kind.clone(), context.wait)
+                    => submitted,
+            };
+            match submitted {
+                Ok(fate) => return Some(fate),
+                Err(error) if !said => {
+                    event!(
+                        warn,
+                        "claim.waits",
+                        budget = self.account.budget,
+                        why = error
+                    );
+                    said = true;
+                }
+                Err(_) => {}
+            }
+            let now = self.now();
+            self.sizer.on_failed(now);
+            self.fail();
+            tokio::select! {
+                () = self.context.stop.cancelled() => return None,
+                () = tokio::time::sleep(backoff.next(rand::random())) => {}
+            }
+        }
+    }
+
+    fn fail(&self) {
+        self.account.tell(|news| {
+            news.at = Some(Instant::now());
+            news.is_out = true;
+        });
+    }
+
+    fn now(&self) -> Micros {
+        self.start.elapsed().as_micros() as Micros
+    }
+}
+
+impl Account {
+    /// The record that returns all rights taken out of use so far.
+    #[must_use]
+    pub fn give_back(&self, seat: &Seat) -> Return {
+        Return {
+            incarnation: Some((&seat.incarnation).into()),
+            budget: self.budget.to_string(),
+            total: self.grant.counters().returned,
+        }
+    }
+}
+
+fn read_holder(holder: &swiftlink_wire::log::Holder) -> Option<Holder> {
+    Some(Holder {
+        address: holder.address.parse().ok()?,
+        held: holder.held,
+    })
+}
--- /dev/null
+++ b/crates/router/src/config.rs
@@ -0,0 +1,195 @@
+//! The configuration in force: followed from any ledger, published to requests.
+//!
+//! It is as old as the last moment at which some ledger knew the log's end and this
+//! router had folded up to it. It never goes back.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use swiftlink_budget::CONFIG_STREAM;
+use swiftlink_link::{Client, LinkError};
+use swiftlink_log::{Backoff, Replica};
+use swiftlink_resource::{Config, Fold};
+use swiftlink_telemetry::event;
+use swiftlink_wire::link::{Follow, Page, reply, request};
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::ledgers::{Ledgers, describe};
+
+/// A ledger that sends no page for so long is left for another.
+const SILENCE: Duration = Duration::from_millis(2_500);
+/// First and largest pause between tries.
+const RETRY_BASE: Duration = Duration::from_millis(50);
+const RETRY_CAP: Duration = Duration::from_millis(1_000);
+
+/// The published configuration; reading it takes no lock.
+#[derive(Debug)]
+pub struct ConfigView {
+    current: ArcSwap<Config>,
+    start: Instant,
+    /// Microseconds from `start` to the moment of which the configuration is known
+    /// to be the newest, plus one; 0 before the first.
+    known: AtomicU64,
+    changed: watch::Sender<u64>,
+}
+
+impl ConfigView {
+    /// An empty configuration of unlimited age.
+    #[must_use]
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self {
+            current: ArcSwap::from_pointee(Config::default()),
+            start: Instant::now(),
+            known: AtomicU64::new(0),
+            changed: watch::Sender::new(0),
+        })
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn load(&self) -> Arc<Config> {
+        self.current.load_full()
+    }
+
+    /// Time since the configuration was known to be the newest; `None` before the first.
+    #[must_use]
+    pub fn age(&self) -> Option<Duration> {
+        let known = self.known.load(Ordering::Relaxed).checked_sub(1)?;
+        let now = self.start.elapsed();
+        Some(now.saturating_sub(Duration::from_micros(known)))
+    }
+
+    /// Tells of each new version.
+    #[must_use]
+    pub fn watch(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    fn publish(&self, config: Arc<Config>) {
+        if config.version <= self.current.load().version {
+            return;
+        }
+        let version = config.version;
+        self.current.store(config);
+        self.changed.send_replace(version);
+        event!(info, "config.applied", version = version);
+    }
+
+    /// Notes that the configuration was the newest `age` ago.
+    fn confirm(&self, age: Duration) {
+        let at = self.start.elapsed().saturating_sub(age);
+        let micros = u64::try_from(at.as_micros()).unwrap_or(u64::MAX - 1);
+        self.known.fetch_max(micros + 1, Ordering::Relaxed);
+    }
+}
+
+/// Follows the configuration until `stop`, from one ledger after another.
+pub async fn follow(
+    view: Arc<ConfigView>,
+    ledgers: Arc<Ledgers>,
+    stale: Duration,
+    stop: CancellationToken,
+) {
+    let mut follower = Follower {
+        view,
+        replica: Replica::new(),
+        stale,
+    };
+    let mut backoff = Backoff::new(RETRY_BASE, RETRY_CAP);
+    let mut index = 0;
+    let mut said = false;
+    while !stop.is_cancelled() {
+        let ledger = &ledgers.near()[index % ledgers.near().len()];
+        index += 1;
+        let outcome = tokio::select! {
+            () = stop.cancelled() => return,
+            outcome = follower.run(&ledger.client) => outcome,
+        };
+        match outcome {
+            Ok(()) => {
+                backoff.reset();
+                said = false;
+            }
+            Err(why) if !said => {
+                event!(warn, "config.source-lost", why = why);
+                said = true;
+            }
+            Err(_) => {}
+        }
+        // Own ledger first again after a full round.
+        if index >= ledgers.near().len() {
+            index = 0;
+            let pause = backoff.next(rand::random());
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = tokio::time::sleep(pause) => {}
+            }
+        }
+    }
+}
+
+struct Follower {
+    view: Arc<ConfigView>,
+    replica: Replica<Fold>,
+    stale: Duration,
+}
+
+impl Follower {
+    /// Follows one ledger; returns `Ok` when it served pages before it was left.
+    async fn run(&mut self, client: &Arc<Client>) -> Result<(), String> {
+        let follow = Follow {
+            stream: CONFIG_STREAM.to_owned(),
+            from: self.replica.next(),
+        };
+        let opened = client.stream(request::Kind::Follow(follow)).await;
+        let mut replies = opened.map_err(|error| describe(&error))?;
+        let mut served = false;
+        loop {
+            let reply = match timeout(SILENCE, replies.next()).await {
+                Ok(Some(reply)) => reply,
+                Ok(None) => return left(served, "ledger ended the stream".to_owned()),
+                Err(_elapsed) => return left(served, "ledger silent".to_owned()),
+            };
+            let page = match reply {
+                Ok(reply::Kind::Page(page)) => page,
+                Ok(_) => return left(served, "unexpected reply to a follow".to_owned()),
+                Err(error) => return left(served, describe_stream(&error)),
+            };
+            self.take(&page)?;
+            served = true;
+            if Duration::from_millis(page.age_ms) > self.stale / 2 {
+                return Err("ledger has lost the log".to_owned());
+            }
+        }
+    }
+
+    fn take(&mut self, page: &Page) -> Result<(), String> {
+        self.replica
+            .feed(page.first, &page.records)
+            .map_err(|error| error.to_string())?;
+        let Some(state) = self.replica.state() else {
+            return Ok(());
+        };
+        self.view.publish(state.config());
+        if self.replica.is_ready() && self.replica.next() >= page.next {
+            self.view.confirm(Duration::from_millis(page.age_ms));
+        }
+        Ok(())
+    }
+}
+
+fn left(served: bool, why: String) -> Result<(), String> {
+    if served {
+        event!(info, "config.source-left", why = why);
+        return Ok(());
+    }
+    Err(why)
+}
+
+fn describe_stream(error: &LinkError) -> String {
+    format!("follow: {}", describe(error))
+}
--- /dev/null
+++ b/crates/router/src/forward.rs
@@ -0,0 +1,92 @@
+//! Headers and bodies that are passed on between a caller and another HTTP server.
+
+use std::io;
+
+use http::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+use http::{HeaderMap, HeaderName};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::mpsc;
+
+use crate::reply::Piece;
+use crate::upstream::Lease;
+
+/// Headers that concern one connection only.
+const HOP: [HeaderName; 9] = [
+    CONNECTION,
+    CONTENT_LENGTH,
+    HOST,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+/// Prefix of this system's own headers.
+const OWN: &str = "swiftlink-";
+
+/// The headers without those of one connection.
+#[must_use]
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    for name in HOP {
+        kept.remove(name);
+    }
+    kept.remove("keep-alive");
+    for name in headers.get_all(CONNECTION) {
+        let Ok(names) = name.to_str() else {
+            continue;
+        };
+        for name in names.split(',') {
+            kept.remove(name.trim());
+        }
+    }
+    kept
+}
+
+/// The headers of a caller's request that a backend server gets: no credentials, and
+/// nothing that is meant for the router.
+#[must_use]
+pub fn for_server(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = end_to_end(headers);
+    kept.remove(AUTHORIZATION);
+    let own: Vec<_> = kept
+        .keys()
+        .filter(|name| name.as_str().starts_with(OWN))
+        .cloned()
+        .collect();
+    for name in own {
+        kept.remove(name);
+    }
+    kept
+}
+
+/// Passes a body on piece by piece; an early end cuts the caller's connection too.
+/// Whether it came to its end.
+pub async fn pass_body(
+    mut body: Incoming,
+    lease: &mut Lease,
+    sender: &mpsc::Sender<Piece>,
+) -> bool {
+    while let Some(frame) = body.frame().await {
+        let frame = match frame {
+            Ok(frame) => frame,
+            Err(error) => {
+                let _gone = sender.send(Err(io::Error::other(error))).await;
+                return false;
+            }
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if sender.send(Ok(data)).await.is_err() {
+            return false;
+        }
+    }
+    lease.recycle();
+    true
+}
--- /dev/null
+++ b/crates/router/src/intent.rs
@@ -0,0 +1,226 @@
+//! Intents of non-idempotent requests: won on the log before the dispatch.
+//!
+//! The first intent of a key wins for good and only its owner may dispatch, once. An
+//! owner that has decided not to dispatch abandons the intent, which frees the key
+//! for other routers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use papaya::HashMap;
+use swiftlink_log::Backoff;
+use swiftlink_telemetry::event;
+use swiftlink_types::{BudgetName, Refusal, RefusalKind, RequestKey, WallMs, WorkspaceName};
+use swiftlink_wire::log::{self as wire, RejectReason, fate, record};
+use tokio::runtime::Handle;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::keys::KeyUse;
+use crate::ledgers::Ledgers;
+use crate::members::Seat;
+
+/// First and largest pause between submissions of an abandonment.
+const RETRY_BASE: Duration = Duration::from_millis(200);
+const RETRY_CAP: Duration = Duration::from_secs(5);
+/// Longest wait for one of them.
+const ABANDON_WAIT: Duration = Duration::from_secs(2);
+/// When to come back while the log is out.
+const LOG_RETRY: Duration = Duration::from_secs(2);
+/// When to come back to a key that is in use elsewhere.
+const KEY_RETRY: Duration = Duration::from_secs(5);
+
+/// What this process has done with the run of a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Spent {
+    /// Dispatched: no copy may run, here or elsewhere.
+    Dispatched,
+    /// Abandoned: no copy may run here, another router may.
+    Abandoned,
+}
+
+/// Wins and abandons intents.
+#[derive(Debug)]
+pub struct Intents {
+    ledgers: Arc<Ledgers>,
+    runtime: Handle,
+    tasks: TaskTracker,
+    wait: Duration,
+    stop: CancellationToken,
+    /// The log lets an owner's copy win again, so the owner itself must remember.
+    spent: HashMap<(WorkspaceName, RequestKey), Spent>,
+}
+
+impl Intents {
+    /// Intents that wait up to `wait` for the log; abandonments run on `runtime`
+    /// until `stop` and are joined by `tasks`.
+    #[must_use]
+    pub fn new(
+        ledgers: Arc<Ledgers>,
+        runtime: Handle,
+        tasks: TaskTracker,
+        wait: Duration,
+        stop: CancellationToken,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            ledgers,
+            runtime,
+            tasks,
+            wait,
+            stop,
+            spent: HashMap::new(),
+        })
+    }
+
+    /// What this process has done with the run of the key, if anything.
+    #[must_use]
+    pub fn spent(&self, key_use: &KeyUse) -> Option<Spent> {
+        let id = (key_use.workspace().clone(), key_use.key());
+        self.spent.pin().get(&id).copied()
+    }
+
+    /// Forgets the keys created before `floor`, which no router accepts any more.
+    pub fn forget(&self, floor: WallMs) {
+        self.spent.pin().retain(|id, _| id.1.created_ms() >= floor);
+    }
+
+    /// Wins the run of a key on the incarnation of `seat`, within `left`.
+    ///
+    /// # Errors
+    /// When another run owns the key, or the log doesn't decide in time; then this
+    /// router will never dispatch the request.
+    pub async fn win(
+        self: &Arc<Self>,
+        seat: &Arc<Seat>,
+        key_use: &KeyUse,
+        budget: &BudgetName,
+        left: Duration,
+    ) -> Result<Intent, Refusal> {
+        let record = wire::Intent {
+            incarnation: Some((&seat.incarnation).into()),
+            key: key_use.key().as_bytes().to_vec(),
+            workspace: key_use.workspace().to_string(),
+            budget: budget.to_string(),
+        };
+        let intent = Intent {
+            intents: Arc::clone(self),
+            seat: Arc::clone(seat),
+            record: record.clone(),
+            id: (key_use.workspace().clone(), key_use.key()),
+            is_open: true,
+        };
+        let wait = self.wait.min(left);
+        let kind = record::Kind::Intent(record);
+        let decided = self.ledgers.submit(seat.shard, kind, wait).await;
+        match decided {
+            Ok(fate::Kind::Intent(fate)) if fate.won => Ok(intent),
+            Ok(fate::Kind::Intent(fate)) => {
+                intent.close();
+                Err(lost(fate.charged))
+            }
+            Ok(fate::Kind::Rejected(rejected)) => {
+                intent.close();
+                seat.note_rejection(rejected.reason());
+                Err(rejected_refusal(rejected.reason()))
+            }
+            Ok(other) => {
+                intent.close();
+                event!(error, "intent.fate", fate = format!("{other:?}"));
+                let detail = "the log did not decide the request's intent";
+                Err(Refusal::not_run(RefusalKind::Unavailable, detail).with_retry(LOG_RETRY))
+            }
+            Err(error) => {
+                // The drop of `intent` abandons it: from here on it is never dispatched.
+                event!(warn, "intent.undecided", key = key_use.key(), why = error);
+                let detail = "the log did not decide the request's intent in time";
+                Err(Refusal::not_run(RefusalKind::LogOut, detail).with_retry(LOG_RETRY))
+            }
+        }
+    }
+
+    /// Submits the abandonment until the log has decided it.
+    async fn abandon(self: Arc<Self>, shard: u32, record: wire::Intent) {
+        let abandon = wire::Abandon {
+            incarnation: record.incarnation,
+            key: record.key,
+            workspace: record.workspace,
+            budget: record.budget,
+        };
+        let kind = record::Kind::Abandon(abandon);
+        let mut backoff = Backoff::new(RETRY_BASE, RETRY_CAP);
+        loop {
+            let decided = self.ledgers.submit(shard, kind.clone(), ABANDON_WAIT).await;
+            if decided.is_ok() {
+                return;
+            }
+            tokio::select! {
+                () = self.stop.cancelled() => return,
+                () = tokio::time::sleep(backoff.next(rand::random())) => {}
+            }
+        }
+    }
+}
+
+/// A won intent. Dropped before [`Intent::dispatch`], it is abandoned.
+#[derive(Debug)]
+pub struct Intent {
+    intents: Arc<Intents>,
+    seat: Arc<Seat>,
+    record: wire::Intent,
+    id: (WorkspaceName, RequestKey),
+    is_open: bool,
+}
+
+impl Intent {
+    /// The one dispatch begins: from now on the intent can't be abandoned.
+    pub fn dispatch(&mut self) {
+        self.is_open = false;
+        self.remember(Spent::Dispatched);
+    }
+
+    /// The dispatch certainly did not reach a backend server.
+    pub fn recall(&mut self) {
+        self.is_open = true;
+    }
+
+    fn remember(&self, spent: Spent) {
+        self.intents.spent.pin().insert(self.id.clone(), spent);
+    }
+
+    /// The log has decided against it; there is nothing to abandon.
+    fn close(mut self) {
+        self.is_open = false;
+    }
+}
+
+impl Drop for Intent {
+    fn drop(&mut self) {
+        if !self.is_open {
+            return;
+        }
+        self.remember(Spent::Abandoned);
+        let intents = Arc::clone(&self.intents);
+        let work = intents.abandon(self.seat.shard, self.record.clone());
+        self.intents.tasks.spawn_on(work, &self.intents.runtime);
+    }
+}
+
+/// The refusal of a key whose run belongs to another.
+#[must_use]
+pub fn lost(is_charged: bool) -> Refusal {
+    let detail = if is_charged {
+        "a run of this key has ended and was charged"
+    } else {
+        "a run of this key exists or may exist at another router"
+    };
+    Refusal::unknown(RefusalKind::KeyInUse, detail).with_retry(KEY_RETRY)
+}
+
+fn rejected_refusal(reason: RejectReason) -> Refusal {
+    if reason == RejectReason::KeyTooOld {
+        let detail = "the key is older than the time for which keys are remembered";
+        return Refusal::unknown(RefusalKind::KeyTooOld, detail);
+    }
+    let detail = "this router must join its budget stream anew";
+    Refusal::not_run(RefusalKind::Unavailable, detail).with_retry(Duration::from_secs(1))
+}
--- /dev/null
+++ b/crates/router/src/keys.rs
@@ -0,0 +1,214 @@
+//! Request keys in use on this router, and the floor below which it accepts none.
+//!
+//! A key is in use while its request is in flight, so that a second copy of the
+//! request is refused; it is held until the log has decided its charge, so that no
+//! mark promises it settled before. The floor only rises: once a mark has promised
+//! a floor, no older key is accepted.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+
+use papaya::HashMap;
+use swiftlink_types::{RequestKey, WallMs, WorkspaceName};
+
+/// How far in the future a caller's clock may be.
+const FUTURE_MS: WallMs = 60_000;
+/// How far the marked floor stays behind the oldest acceptable key.
+const MARGIN_MS: WallMs = 60_000;
+
+/// Why a key can't be taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeyRefusal {
+    /// Its creation time is too far ahead of this router's clock.
+    Future,
+    /// It is older than the time for which keys are remembered.
+    TooOld,
+    /// It is in use on this router.
+    InUse,
+}
+
+type Id = (WorkspaceName, RequestKey);
+
+/// The keys in use.
+#[derive(Debug)]
+pub struct Keys {
+    used: HashMap<Id, ()>,
+    /// Creation times of held keys, by the number of the hold.
+    held: HashMap<u64, WallMs>,
+    holds: AtomicU64,
+    /// Requests in flight that share their key with another.
+    shared: AtomicUsize,
+    floor: AtomicU64,
+    window: WallMs,
+}
+
+impl Keys {
+    /// No keys in use; keys older than `window` ms are refused, and so is every
+    /// key created before `floor`.
+    #[must_use]
+    pub fn new(window: WallMs, floor: WallMs) -> Arc<Self> {
+        Arc::new(Self {
+            used: HashMap::new(),
+            held: HashMap::new(),
+            holds: AtomicU64::new(0),
+            shared: AtomicUsize::new(0),
+            floor: AtomicU64::new(floor),
+            window,
+        })
+    }
+
+    /// Takes `key` for `workspace` at wall time `now`; `evicted` is the log's floor.
+    ///
+    /// # Errors
+    /// See [`KeyRefusal`].
+    pub fn take(
+        self: &Arc<Self>,
+        workspace: &WorkspaceName,
+        key: RequestKey,
+        now: WallMs,
+        evicted: WallMs,
+    ) -> Result<KeyUse, KeyRefusal> {
+        self.check_age(key, now, evicted)?;
+        let id = (workspace.clone(), key);
+        if self.used.pin().try_insert(id.clone(), ()).is_err() {
+            return Err(KeyRefusal::InUse);
+        }
+        let key_use = KeyUse {
+            keys: Arc::clone(self),
+            id,
+            shared: None,
+        };
+        self.check_floor(key)?;
+        Ok(key_use)
+    }
+
+    /// Takes `key` beside another request of the same key: a resumption reads a run
+    /// that may still be in flight here.
+    ///
+    /// # Errors
+    /// See [`KeyRefusal`]; never [`KeyRefusal::InUse`].
+    pub fn share(
+        self: &Arc<Self>,
+        workspace: &WorkspaceName,
+        key: RequestKey,
+        now: WallMs,
+        evicted: WallMs,
+    ) -> Result<KeyUse, KeyRefusal> {
+        self.check_age(key, now, evicted)?;
+        self.shared.fetch_add(1, Ordering::SeqCst);
+        let key_use = KeyUse {
+            keys: Arc::clone(self),
+            id: (workspace.clone(), key),
+            shared: Some(self.hold(key)),
+        };
+        self.check_floor(key)?;
+        Ok(key_use)
+    }
+
+    fn check_age(&self, key: RequestKey, now: WallMs, evicted: WallMs) -> Result<(), KeyRefusal> {
+        let created = key.created_ms();
+        if created > now.saturating_add(FUTURE_MS) {
+            return Err(KeyRefusal::Future);
+        }
+        if created < now.saturating_sub(self.window) || created < evicted {
+            return Err(KeyRefusal::TooOld);
+        }
+        Ok(())
+    }
+
+    /// Called once the key is in use: a floor that rises from now on sees it.
+    fn check_floor(&self, key: RequestKey) -> Result<(), KeyRefusal> {
+        if key.created_ms() < self.floor.load(Ordering::SeqCst) {
+            return Err(KeyRefusal::TooOld);
+        }
+        Ok(())
+    }
+
+    fn hold(self: &Arc<Self>, key: RequestKey) -> KeyHold {
+        let number = self.holds.fetch_add(1, Ordering::Relaxed);
+        self.held.pin().insert(number, key.created_ms());
+        KeyHold {
+            keys: Arc::clone(self),
+            number,
+        }
+    }
+
+    /// Raises the floor at wall time `now` and returns what a mark may promise:
+    /// every key created before it is settled, and none of them is accepted any more.
+    pub fn raise(&self, now: WallMs) -> WallMs {
+        let target = now.saturating_sub(self.window + MARGIN_MS);
+        let before = self.floor.fetch_max(target, Ordering::SeqCst);
+        let mut floor = before.max(target);
+        for (id, ()) in &self.used.pin() {
+            floor = floor.min(id.1.created_ms());
+        }
+        for (_, created) in &self.held.pin() {
+            floor = floor.min(*created);
+        }
+        floor
+    }
+
+    /// Number of requests in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.used.len() + self.shared.load(Ordering::SeqCst)
+    }
+
+    /// Number of keys whose charge is not yet decided.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+}
+
+/// A key in use; it is free again when this is dropped.
+#[derive(Debug)]
+pub struct KeyUse {
+    keys: Arc<Keys>,
+    id: Id,
+    /// Set when another request may use the same key.
+    shared: Option<KeyHold>,
+}
+
+impl KeyUse {
+    /// Workspace that sent the request.
+    #[must_use]
+    pub fn workspace(&self) -> &WorkspaceName {
+        &self.id.0
+    }
+
+    /// The key itself.
+    #[must_use]
+    pub fn key(&self) -> RequestKey {
+        self.id.1
+    }
+
+    /// Holds the key beyond its use, until its charge is decided.
+    #[must_use]
+    pub fn hold(&self) -> KeyHold {
+        self.keys.hold(self.id.1)
+    }
+}
+
+/// Keeps a key's creation time from being promised as settled.
+#[derive(Debug)]
+pub struct KeyHold {
+    keys: Arc<Keys>,
+    number: u64,
+}
+
+impl Drop for KeyHold {
+    fn drop(&mut self) {
+        self.keys.held.pin().remove(&self.number);
+    }
+}
+
+impl Drop for KeyUse {
+    fn drop(&mut self) {
+        if self.shared.is_some() {
+            self.keys.shared.fetch_sub(1, Ordering::SeqCst);
+            return;
+        }
+        self.keys.used.pin().remove(&self.id);
+    }
+}
--- /dev/null
+++ b/crates/router/src/ledgers.rs
@@ -0,0 +1,219 @@
+//! Links to the fleet's ledgers: records submitted, charges stored, pages followed.
+//!
+//! Every record is idempotent, so a record whose fate did not come back is simply
+//! submitted again, through any ledger.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use swiftlink_budget::stream_of;
+use swiftlink_link::{Client, LinkError, Secret};
+use swiftlink_types::DomainName;
+use swiftlink_wire::link::{FailureKind, Submit, reply, request};
+use swiftlink_wire::log::{Fate, Record, fate, record};
+use tokio::time::Instant;
+
+use crate::settings::Settings;
+
+/// Pause before all ledgers are asked again when none took a record.
+const ROUND_PAUSE: Duration = Duration::from_millis(50);
+/// Time for which a ledger that failed is asked only after the others.
+const SHUN_TIME: Duration = Duration::from_secs(1);
+
+/// One ledger as this router sees it.
+#[derive(Debug)]
+pub struct Ledger {
+    /// Link to it.
+    pub client: Arc<Client>,
+    /// Failure domain that it runs in.
+    pub domain: DomainName,
+    start: Instant,
+    /// Microseconds from `start` until which it is asked after the others.
+    shunned: AtomicU64,
+}
+
+impl Ledger {
+    fn new(client: Arc<Client>, domain: &str) -> Arc<Self> {
+        Arc::new(Self {
+            client,
+            domain: DomainName::from(domain),
+            start: Instant::now(),
+            shunned: AtomicU64::new(0),
+        })
+    }
+
+    /// Asks it only after the others for a while.
+    pub fn shun(&self) {
+        let until = self.start.elapsed() + SHUN_TIME;
+        self.shunned
+            .store(until.as_micros() as u64, Ordering::Relaxed);
+    }
+
+    fn is_shunned(&self) -> bool {
+        let now = self.start.elapsed().as_micros() as u64;
+        now < self.shunned.load(Ordering::Relaxed)
+    }
+}
+
+/// The connected ledgers of `list` in order, those that failed lately last.
+#[must_use]
+pub fn order(list: &[Arc<Ledger>]) -> Vec<&Arc<Ledger>> {
+    let mut order: Vec<_> = list.iter().filter(|ledger| ledger.client.is_up()).collect();
+    order.sort_by_key(|ledger| ledger.is_shunned());
+    order
+}
+
+/// No ledger could have the record decided in time; it may still be.
+#[derive(Debug, Clone, thiserror::Error)]
+#[error("no ledger decided the record: {0}")]
+pub struct Undecided(pub String);
+
+/// All ledgers, in this router's order of preference.
+#[derive(Debug)]
+pub struct Ledgers {
+    /// Own failure domain first.
+    near: Vec<Arc<Ledger>>,
+    /// Other failure domains first.
+    far: Vec<Arc<Ledger>>,
+    try_time: Duration,
+}
+
+impl Ledgers {
+    /// Starts the links.
+    #[must_use]
+    pub fn spawn(settings: &Settings) -> Self {
+        let common = &settings.common;
+        let mut own = Vec::new();
+        let mut others = Vec::new();
+        for peer in &settings.ledgers {
+            let secret = Secret::new(common.secret.expose());
+            let name = format!("router-{}", common.vm);
+            let client = Client::spawn(peer.address, &name, secret);
+            let ledger = Ledger::new(client, &peer.domain);
+            if peer.domain == common.domain {
+                own.push(ledger);
+            } else {
+                others.push(ledger);
+            }
+        }
+        // Routers of one domain start at different ledgers of the others, so that
+        // the loss of a ledger doesn't move all of them to the same one.
+        if !others.is_empty() {
+            let start = spread(&common.vm, others.len());
+            others.rotate_left(start);
+        }
+        let near = own.iter().chain(&others).map(Arc::clone).collect();
+        let far = others.iter().chain(&own).map(Arc::clone).collect();
+        Self {
+            near,
+            far,
+            try_time: settings.ledger_try(),
+        }
+    }
+
+    /// The ledgers, own failure domain first.
+    #[must_use]
+    pub fn near(&self) -> &[Arc<Ledger>] {
+        &self.near
+    }
+
+    /// The ledgers, other failure domains first.
+    #[must_use]
+    pub fn far(&self) -> &[Arc<Ledger>] {
+        &self.far
+    }
+
+    /// Submits `kind` on the stream of `shard` through one ledger after another,
+    /// until the fold has decided it or `wait` is over.
+    ///
+    /// # Errors
+    /// When no fate came back in time. The record may be appended, now or later.
+    pub async fn submit(
+        &self,
+        shard: u32,
+        kind: record::Kind,
+        wait: Duration,
+    ) -> Result<fate::Kind, Undecided> {
+        let until = Instant::now() + wait;
+        let mut why = String::from("no ledger is connected");
+        loop {
+            for ledger in order(&self.near) {
+                let left = until.saturating_duration_since(Instant::now());
+                if left.is_zero() {
+                    return Err(Undecided(why));
+                }
+                match self.try_one(&ledger.client, shard, &kind, left).await {
+                    Ok(fate) => return Ok(fate),
+                    Err(error) => {
+                        ledger.shun();
+                        why = error;
+                    }
+                }
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left <= ROUND_PAUSE {
+                return Err(Undecided(why));
+            }
+            tokio::time::sleep(ROUND_PAUSE).await;
+        }
+    }
+
+    async fn try_one(
+        &self,
+        client: &Client,
+        shard: u32,
+        kind: &record::Kind,
+        left: Duration,
+    ) -> Result<fate::Kind, String> {
+        let wait = left.min(self.try_time);
+        let record = Record {
+            kind: Some(kind.clone()),
+        };
+        let submit = Submit {
+            stream: stream_of(shard).to_string(),
+            records: vec![record],
+            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        };
+        let reply = client
+            .call(request::Kind::Submit(submit), wait)
+            .await
+            .map_err(|error| describe(&error))?;
+        match reply {
+            reply::Kind::Submitted(submitted) => first_fate(submitted.fates),
+            _ => Err("unexpected reply to a submit".to_owned()),
+        }
+    }
+
+    /// Closes all links.
+    pub async fn stop(&self) {
+        for ledger in &self.near {
+            ledger.client.stop().await;
+        }
+    }
+}
+
+fn first_fate(fates: Vec<Fate>) -> Result<fate::Kind, String> {
+    let first = fates.into_iter().next().and_then(|fate| fate.kind);
+    first.ok_or_else(|| "a submit without a fate".to_owned())
+}
+
+/// One line about a failed call, for logs and refusals.
+#[must_use]
+pub fn describe(error: &LinkError) -> String {
+    match error {
+        LinkError::Down => "ledger not connected".to_owned(),
+        LinkError::Lost => "connection to the ledger lost".to_owned(),
+        LinkError::Timeout => "ledger silent".to_owned(),
+        LinkError::Failed(failure) => match failure.kind() {
+            FailureKind::LogOut => "the log is out".to_owned(),
+            _ => failure.detail.clone(),
+        },
+    }
+}
+
+/// A start index that differs between VMs.
+fn spread(vm: &str, count: usize) -> usize {
+    let sum: usize = vm.bytes().map(usize::from).sum();
+    sum % count
+}
--- /dev/null
+++ b/crates/router/src/relay.rs
@@ -0,0 +1,159 @@
+//! Relays a request that finds no rights here to a peer router, one hop.
+
+use std::net::SocketAddr;
+
+use http::header::HOST;
+use http::{HeaderValue, Request};
+use http_body_util::{BodyExt, Full, Limited};
+use swiftlink_telemetry::event;
+use swiftlink_types::{OUTCOME_HEADER, Outcome, Refusal, RefusalKind};
+
+use crate::call::Call;
+use crate::forward::{end_to_end, pass_body};
+use crate::node::Node;
+use crate::reply::{Reply, ReplySender, pieces};
+use crate::serve::send;
+use crate::surface::{KEY, RELAY};
+use crate::upstream::{Answer, SendError, send as send_http};
+
+/// Peers that are asked for one request.
+const PEERS_MAX: usize = 2;
+/// Longest refusal of a peer that is read (bytes).
+const REFUSAL_MAX: usize = 16 << 10;
+
+/// A request that this router can't serve.
+#[derive(Debug, Clone, Copy)]
+pub struct Origin<'a> {
+    /// What the router's parts share.
+    pub node: &'a Node,
+    /// The request.
+    pub call: &'a Call,
+}
+
+impl Origin<'_> {
+    /// Passes the request to one of `holders` or another peer, or refuses it.
+    pub async fn relay_or_refuse(
+        self,
+        holders: Vec<SocketAddr>,
+        refusal: Refusal,
+        reply: ReplySender,
+    ) {
+        let mut refusal = refusal;
+        if may_relay(self.call, &refusal) {
+            for address in self.candidates(holders) {
+                match self.try_peer(address).await {
+                    Tried::Answered(answer) => {
+                        self.node.metrics.count("request.relayed", 1);
+                        return pass(answer, reply).await;
+                    }
+                    Tried::NotRun => {}
+                    Tried::Lost(why) => {
+                        let detail = format!("the peer router's answer was lost: {why}");
+                        refusal = Refusal::unknown(RefusalKind::ServerFailed, detail);
+                        if self.call.once {
+                            break;
+                        }
+                    }
+                }
+            }
+        }
+        send(reply, Reply::Refused(refusal));
+    }
+
+    fn candidates(self, holders: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        let mut list = holders;
+        let peers = &self.node.settings.peers;
+        if !peers.is_empty() {
+            let start = self.call.identity as usize % peers.len();
+            for step in 0..peers.len() {
+                list.push(peers[(start + step) % peers.len()].address);
+            }
+        }
+        let mut candidates: Vec<SocketAddr> = Vec::with_capacity(PEERS_MAX);
+        for address in list {
+            if address != self.node.address && !candidates.contains(&address) {
+                candidates.push(address);
+            }
+        }
+        candidates.truncate(PEERS_MAX);
+        candidates
+    }
+
+    async fn try_peer(self, address: SocketAddr) -> Tried {
+        let left = self.call.left();
+        if left.is_zero() {
+            return Tried::NotRun;
+        }
+        let options = self.node.send_options(left, self.call.once);
+        let sent = send_http(address, self.request(address), options).await;
+        let answer = match sent {
+            Ok(answer) => answer,
+            Err(SendError::NotSent(why)) => {
+                event!(debug, "relay.not-sent", peer = address, why = why);
+                return Tried::NotRun;
+            }
+            Err(SendError::Lost(why)) => {
+                event!(info, "relay.lost", peer = address, why = why);
+                return Tried::Lost(why);
+            }
+        };
+        let outcome = answer.response.headers().get(OUTCOME_HEADER);
+        if outcome.is_none_or(|outcome| outcome != Outcome::NotRun.as_str()) {
+            return Tried::Answered(Box::new(answer));
+        }
+        let (response, mut lease) = answer.split();
+        let body = Limited::new(response.into_body(), REFUSAL_MAX);
+        if body.collect().await.is_ok() {
+            lease.recycle();
+        }
+        Tried::NotRun
+    }
+
+    fn request(self, address: SocketAddr) -> Request<Full<bytes::Bytes>> {
+        let original = &self.call.original;
+        let body = original.body.clone();
+        let method = original.method.clone();
+        let mut request = crate::engine::plain(address, method, &original.target, body);
+        let host = request.headers_mut().remove(HOST);
+        let headers = request.headers_mut();
+        *headers = end_to_end(&original.headers);
+        if let Some(host) = host {
+            headers.insert(HOST, host);
+        }
+        if let Ok(key) = HeaderValue::from_str(&self.call.key().to_string()) {
+            headers.insert(KEY, key);
+        }
+        headers.insert(RELAY, HeaderValue::from_static("1"));
+        request
+    }
+}
+
+/// What became of a try.
+enum Tried {
+    /// The peer answered, and the request may have run there.
+    Answered(Box<Answer>),
+    /// The peer was not reached or did not run the request.
+    NotRun,
+    /// The peer was reached and its answer was lost.
+    Lost(String),
+}
+
+/// Whether another router may be able to serve what this one can't.
+fn may_relay(call: &Call, refusal: &Refusal) -> bool {
+    let kind = refusal.kind;
+    let elsewhere = matches!(
+        kind,
+        RefusalKind::BudgetBusy | RefusalKind::LogOut | RefusalKind::KeyInUse
+    );
+    elsewhere && !call.relayed
+}
+
+/// Passes the peer's answer on as it comes.
+async fn pass(answer: Box<Answer>, reply: ReplySender) {
+    let (response, mut lease) = answer.split();
+    let (parts, body) = response.into_parts();
+    let headers = end_to_end(&parts.headers);
+    let (sender, receiver) = pieces();
+    send(reply, Reply::Pieces(parts.status, headers, receiver));
+    pass_body(body, &mut lease, &sender).await;
+}
--- /dev/null
+++ b/crates/router/src/router.rs
@@ -0,0 +1,249 @@
+//! A running router process: what it starts, in which order, and the whole of it.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use anyhow::Context;
+use swiftlink_shell::web::{Limits, WebServer};
+use swiftlink_shell::{Admin, Shell};
+use swiftlink_stream::TokenSecret;
+use swiftlink_telemetry::event;
+use swiftlink_types::{DomainName, VmName, wall_ms};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::charge::Settler;
+use crate::claim::{ClaimContext, Claimers};
+use crate::config::{self, ConfigView};
+use crate::dump::NodeDump;
+use crate::fleet::Pools;
+use crate::intent::Intents;
+use crate::keys::Keys;
+use crate::ledgers::Ledgers;
+use crate::members::{Keeper, Members};
+use crate::node::Node;
+use crate::serve::Surface;
+use crate::settings::Settings;
+use crate::{stop, vms};
+
+/// Least worker threads of the callers' listener.
+const WORKERS_MIN: usize = 2;
+/// Most of them; a VM is small.
+const WORKERS_MAX: usize = 8;
+/// Time between looks at what may be forgotten.
+const FORGET_PERIOD: Duration = Duration::from_secs(10);
+
+/// A router while it runs.
+#[derive(Debug)]
+pub struct Router {
+    /// What its parts share.
+    pub(crate) node: Arc<Node>,
+    pub(crate) web: WebServer,
+    pub(crate) admin: Admin,
+    /// Ends the work that keeps the router up to date.
+    pub(crate) upkeep: CancellationToken,
+    /// Ends the claimers, before rights are returned.
+    pub(crate) claims: CancellationToken,
+}
+
+/// Runs a router until its shell is told to stop.
+///
+/// # Errors
+/// When an address can't be bound.
+pub async fn run(settings: Settings, shell: Shell) -> anyhow::Result<()> {
+    let stopped = shell.stopped();
+    let router = Router::open(settings, &shell)?;
+    event!(info, "router.serving", listen = router.address());
+    stopped.await;
+    stop::stop(router).await;
+    Ok(())
+}
+
+impl Router {
+    /// Binds the callers' address and starts everything. The address comes first:
+    /// holding it proves that no earlier incarnation is left at it.
+    ///
+    /// # Errors
+    /// When an address can't be bound.
+    pub fn open(settings: Settings, shell: &Shell) -> anyhow::Result<Self> {
+        let listener = TcpListener::bind(settings.listen)
+            .with_context(|| format!("binding the callers' address {}", settings.listen))?;
+        let address = listener.local_addr().context("callers' address")?;
+        let upkeep = CancellationToken::new();
+        let claims = CancellationToken::new();
+        let node = build(settings, address, shell, &upkeep, &claims);
+        let node = Arc::new(node);
+        start_upkeep(&node, &upkeep);
+        let dump = Arc::new(NodeDump::new(Arc::clone(&node)));
+        let admin = Admin::bind(node.settings.common.admin, dump)?;
+        let surface = Surface {
+            node: Arc::clone(&node),
+        };
+        let web = WebServer::bind(listener, limits(), Arc::new(surface))
+            .context("starting the callers' listener")?;
+        Ok(Self {
+            node,
+            web,
+            admin,
+            upkeep,
+            claims,
+        })
+    }
+
+    /// Callers' address, as bound.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.node.address
+    }
+}
+
+fn limits() -> Limits {
+    let cores = std::thread::available_parallelism().map_or(WORKERS_MIN, usize::from);
+    Limits {
+        workers: cores.clamp(WORKERS_MIN, WORKERS_MAX),
+        ..Limits::default()
+    }
+}
+
+fn build(
+    settings: Settings,
+    address: SocketAddr,
+    shell: &Shell,
+    upkeep: &CancellationToken,
+    claims: &CancellationToken,
+) -> Node {
+    let ms = Duration::from_millis;
+    let tasks = TaskTracker::new();
+    let runtime = shell.handle().clone();
+    let ledgers = Arc::new(Ledgers::spawn(&settings));
+    let config = ConfigView::new();
+    let context = ClaimContext {
+        ledgers: Arc::clone(&ledgers),
+        config: Arc::clone(&config),
+        metrics: shell.metrics.clone(),
+        wait: ms(settings.claim_wait_ms),
+        pause: ms(settings.claim_pause_ms),
+        stop: claims.clone(),
+    };
+    let claimers = Claimers {
+        context: Arc::new(context),
+        runtime: runtime.clone(),
+        tasks: tasks.clone(),
+    };
+    let intents = Intents::new(
+        Arc::clone(&ledgers),
+        runtime.clone(),
+        tasks.clone(),
+        ms(settings.intent_wait_ms),
+        upkeep.clone(),
+    );
+    let settler = Settler::new(
+        Arc::clone(&ledgers),
+        runtime.clone(),
+        shell.metrics.clone(),
+        &settings,
+    );
+    let home = DomainName::from(settings.common.domain.as_str());
+    let seed = seed_of(&settings.common.vm);
+    Node {
+        address,
+        metrics: shell.metrics.clone(),
+        config,
+        ledgers,
+        members: Members::new(settings.shards),
+        claimers,
+        keys: Keys::new(settings.key_window_ms, 0),
+        settler,
+        intents,
+        pools: Pools::new(home, settings.subset, seed),
+        secret: TokenSecret::new(settings.common.secret.expose().as_bytes()),
+        runtime,
+        tasks,
+        closing: CancellationToken::new(),
+        stopping: AtomicBool::new(false),
+        settings,
+    }
+}
+
+fn start_upkeep(node: &Arc<Node>, stop: &CancellationToken) {
+    let settings = &node.settings;
+    let ms = Duration::from_millis;
+    let spawn_on = &node.runtime;
+    let follow = config::follow(
+        Arc::clone(&node.config),
+        Arc::clone(&node.ledgers),
+        settings.stale(),
+        stop.clone(),
+    );
+    node.tasks.spawn_on(follow, spawn_on);
+    let keeper = Keeper {
+        vm: VmName::from(settings.common.vm.as_str()),
+        domain: Arc::from(settings.common.domain.as_str()),
+        address: node.address,
+        mark: ms(settings.mark_ms),
+        ledgers: Arc::clone(&node.ledgers),
+        keys: Arc::clone(&node.keys),
+        members: Arc::clone(&node.members),
+        stop: stop.clone(),
+    };
+    for shard in 0..settings.shards {
+        node.tasks.spawn_on(keeper.clone().keep(shard), spawn_on);
+    }
+    let configure = configure_pools(Arc::clone(node), stop.clone());
+    node.tasks.spawn_on(configure, spawn_on);
+    let load = vms::follow_load(
+        ms(settings.report_ms),
+        Arc::from(settings.service_load.as_str()),
+        Arc::clone(&node.config),
+        Arc::clone(&node.pools),
+        stop.clone(),
+    );
+    node.tasks.spawn_on(load, spawn_on);
+    if let Some(address) = settings.vms {
+        let pools = Arc::clone(&node.pools);
+        let list = vms::follow_list(address, ms(settings.vms_ms), pools, stop.clone());
+        node.tasks.spawn_on(list, spawn_on);
+    }
+    let forget = forget_old(Arc::clone(node), stop.clone());
+    node.tasks.spawn_on(forget, spawn_on);
+}
+
+/// Gives each new configuration to the pools and wakes the claimers of budgets in use.
+async fn configure_pools(node: Arc<Node>, stop: CancellationToken) {
+    let mut versions = node.config.watch();
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            changed = versions.changed() => if changed.is_err() { return },
+        }
+        node.pools.configure(&node.config.load());
+        for seat in node.members.seats() {
+            for account in seat.accounts() {
+                account.wake.notify_one();
+            }
+        }
+    }
+}
+
+async fn forget_old(node: Arc<Node>, stop: CancellationToken) {
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = sleep(FORGET_PERIOD) => {}
+        }
+        // Twice the window: no router takes a key of that age.
+        let window = node.settings.key_window_ms.saturating_mul(2);
+        node.intents.forget(wall_ms().saturating_sub(window));
+    }
+}
+
+/// Sets the subsets of routers on different VMs apart.
+fn seed_of(vm: &str) -> u64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    vm.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/router/src/serve.rs
@@ -0,0 +1,213 @@
+//! The way of one admitted request: rights, intent, run, answer.
+//!
+//! A request runs in a task of its own, on the thread of its caller's connection, so
+//! that it goes on to its charge when the caller disconnects.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use swiftlink_admission::Reservation;
+use swiftlink_shell::web::{Incoming, Response, Service};
+use swiftlink_types::{Refusal, RefusalKind, Tokens};
+use tokio::sync::oneshot;
+
+use crate::account::{Shortage, WaitPolicy};
+use crate::admit::admit;
+use crate::call::{Call, Work};
+use crate::charge::Cost;
+use crate::dispatch::Attempt;
+use crate::intent::{Spent, lost};
+use crate::members::Seat;
+use crate::node::Node;
+use crate::reply::{Reply, ReplySender};
+use crate::{model, problem, relay, resume, service};
+
+/// When to come back to a router that has not joined the budget's stream yet.
+const JOIN_RETRY: Duration = Duration::from_secs(1);
+
+/// Answers the callers' requests.
+#[derive(Debug)]
+pub struct Surface {
+    /// What the router's parts share.
+    pub node: Arc<Node>,
+}
+
+#[async_trait(?Send)]
+impl Service for Surface {
+    async fn call(&self, mut request: Incoming) -> Response {
+        let call = match admit(&self.node, &mut request).await {
+            Ok(call) => call,
+            Err(refusal) => {
+                count_refusal(&self.node, &refusal);
+                return problem::respond(&refusal, None);
+            }
+        };
+        let key = call.key();
+        let (sender, receiver) = oneshot::channel();
+        tokio::spawn(serve(Arc::clone(&self.node), call, sender));
+        let reply = receiver.await.unwrap_or_else(|_closed| {
+            let detail = "the request's task ended without an answer";
+            Reply::Refused(Refusal::unknown(RefusalKind::ServerFailed, detail))
+        });
+        if let Reply::Refused(refusal) = &reply {
+            count_refusal(&self.node, refusal);
+        }
+        reply.into_response(key)
+    }
+}
+
+fn count_refusal(node: &Node, refusal: &Refusal) {
+    let tags = [
+        ("kind", refusal.kind.slug()),
+        ("outcome", refusal.outcome.as_str()),
+    ];
+    node.metrics.count_with("request.refused", 1, &tags);
+}
+
+/// The rights of one request, and the incarnation that holds them.
+#[derive(Debug)]
+pub struct Holding {
+    /// The incarnation.
+    pub seat: Arc<Seat>,
+    /// The rights, until a dispatch takes them over.
+    pub reservation: Reservation,
+}
+
+async fn serve(node: Arc<Node>, call: Call, reply: ReplySender) {
+    if let Some(refusal) = refuse_copy(&node, &call) {
+        let reply_to = relay::Origin {
+            node: &node,
+            call: &call,
+        };
+        return reply_to.relay_or_refuse(Vec::new(), refusal, reply).await;
+    }
+    let holding = match hold(&node, &call).await {
+        Ok(holding) => holding,
+        Err(shortage) => {
+            let origin = relay::Origin {
+                node: &node,
+                call: &call,
+            };
+            let Shortage { refusal, holders } = shortage;
+            return origin.relay_or_refuse(holders, refusal, reply).await;
+        }
+    };
+    let seat = holding.as_ref().map(|holding| Arc::clone(&holding.seat));
+    let mut attempt = Attempt {
+        rights: holding.map(|holding| holding.reservation),
+        ..Attempt::default()
+    };
+    if call.once {
+        let Some(seat) = seat.as_ref() else {
+            return send(reply, Reply::Refused(not_joined()));
+        };
+        let won = node
+            .intents
+            .win(seat, &call.key_use, &call.budget, call.left())
+            .await;
+        match won {
+            Ok(intent) => attempt.intent = Some(intent),
+            Err(refusal) => return send(reply, Reply::Refused(refusal)),
+        }
+    }
+    let run = Run {
+        node,
+        call,
+        seat,
+        attempt,
+    };
+    match &run.call.work {
+        Work::Model(_) => model::run(run, reply).await,
+        Work::Service(_) => service::run(run, reply).await,
+        Work::Resume(_) => resume::run(run, reply).await,
+    }
+}
+
+/// Puts an answer; the caller may have gone.
+pub fn send(sender: ReplySender, reply: Reply) {
+    let _gone = sender.send(reply);
+}
+
+/// A copy of a request that this process has dispatched or given up before.
+fn refuse_copy(node: &Node, call: &Call) -> Option<Refusal> {
+    if !call.once {
+        return None;
+    }
+    match node.intents.spent(&call.key_use)? {
+        Spent::Dispatched => Some(lost(false)),
+        Spent::Abandoned => {
+            let detail = "this router has given the key up; another router may run it";
+            let refusal = Refusal::unknown(RefusalKind::KeyInUse, detail);
+            Some(refusal.with_retry(JOIN_RETRY))
+        }
+    }
+}
+
+fn not_joined() -> Refusal {
+    let detail = "this router has not joined the budget's stream on the log yet";
+    Refusal::not_run(RefusalKind::Unavailable, detail).with_retry(JOIN_RETRY)
+}
+
+/// Reserves the bound of the call's cost; `None` when it is free and needs no log.
+async fn hold(node: &Node, call: &Call) -> Result<Option<Holding>, Shortage> {
+    if call.bound == 0 && !call.once {
+        return Ok(None);
+    }
+    let Some(seat) = node.members.seat(&call.budget) else {
+        return Err(Shortage {
+            refusal: not_joined(),
+            holders: Vec::new(),
+        });
+    };
+    let account = seat.open(&call.budget, &node.claimers);
+    let policy = WaitPolicy {
+        deadline: call.deadline,
+        claim_wait: Duration::from_millis(node.settings.claim_wait_ms),
+        pause: Duration::from_millis(node.settings.claim_pause_ms),
+    };
+    let reservation = account.obtain(call.bound, policy, !call.relayed).await?;
+    Ok(Some(Holding { seat, reservation }))
+}
+
+/// A request that has its rights.
+#[derive(Debug)]
+pub struct Run {
+    /// What the router's parts share.
+    pub node: Arc<Node>,
+    /// The request.
+    pub call: Call,
+    /// Incarnation that holds its rights; `None` when it costs nothing.
+    pub seat: Option<Arc<Seat>>,
+    /// Rights, intent and the dispatches so far.
+    pub attempt: Attempt,
+}
+
+impl Run {
+    /// Charges `tokens` run, once; the answer is the cost drawn. Returns once the
+    /// charge is stored in another failure domain, or after the wait for it.
+    pub async fn charge(&mut self, tokens: Tokens) -> Tokens {
+        let (Some(seat), Some(rights)) = (&self.seat, self.attempt.rights.take()) else {
+            return 0;
+        };
+        let cost = self.call.cost(tokens);
+        if cost > 0 {
+            let charge = self.charge_of(tokens, cost);
+            let hold = self.call.key_use.hold();
+            self.node.settler.settle(seat, charge, hold).await;
+        }
+        rights.settle(cost)
+    }
+
+    /// What a charge for `tokens` run says.
+    #[must_use]
+    pub fn charge_of(&self, tokens: Tokens, cost: Tokens) -> Cost {
+        Cost {
+            key: self.call.key(),
+            workspace: self.call.workspace().clone(),
+            budget: self.call.budget.clone(),
+            tokens,
+            cost,
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/service.rs
@@ -0,0 +1,64 @@
+//! Calls of plain services: passed on, charged at the pool's price for a call.
+
+use http_body_util::Full;
+use swiftlink_routing::ErrorKind;
+
+use crate::call::Work;
+use crate::dispatch::{Opened, open, wait_slot};
+use crate::engine;
+use crate::fleet::Target;
+use crate::forward::{end_to_end, for_server, pass_body};
+use crate::reply::{Reply, ReplySender, pieces};
+use crate::serve::{Run, send};
+use crate::sink::set_charged;
+
+/// Calls the service and passes its answer on.
+///
+/// The charge is stored before the head is released: with an answer's head the call
+/// has run, and its price is fixed.
+pub async fn run(mut run: Run, reply: ReplySender) {
+    let Work::Service(work) = run.call.work.clone() else {
+        return;
+    };
+    let mut slot = match wait_slot(&run.call).await {
+        Ok(slot) => slot,
+        Err(refusal) => return send(reply, Reply::Refused(refusal)),
+    };
+    let Run {
+        node,
+        call,
+        attempt,
+        ..
+    } = &mut run;
+    let headers = for_server(&call.original.headers);
+    let make = |target: &Target| {
+        let method = call.original.method.clone();
+        let body = call.original.body.clone();
+        let mut request = engine::plain(target.address, method, &work.target, body);
+        for (name, value) in &headers {
+            request.headers_mut().append(name, value.clone());
+        }
+        engine::mark(request.headers_mut(), call.key(), call.class.weight);
+        request.map(|body: Full<_>| body)
+    };
+    let opened = match open(node, call, attempt, 0, false, make).await {
+        Ok(opened) => opened,
+        Err(refusal) => return send(reply, Reply::Refused(refusal)),
+    };
+    let Opened { answer, mut target } = opened;
+    target.first_token();
+    let tokens = run.call.pool_spec.call_tokens;
+    let charged = run.charge(tokens).await;
+    let (response, mut lease) = answer.split();
+    let (parts, body) = response.into_parts();
+    let mut headers = end_to_end(&parts.headers);
+    set_charged(&mut headers, charged);
+    let (sender, receiver) = pieces();
+    send(reply, Reply::Pieces(parts.status, headers, receiver));
+    if pass_body(body, &mut lease, &sender).await {
+        slot.served();
+        target.done();
+    } else if !sender.is_closed() {
+        target.failed(ErrorKind::Broken);
+    }
+}
--- /dev/null
+++ b/crates/router/src/sink.rs
@@ -0,0 +1,248 @@
+//! Where the chunks of a model's answer go: to the caller as events, or into a whole.
+
+use bytes::Bytes;
+use http::header::{CACHE_CONTROL, CONTENT_TYPE};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use swiftlink_stream::{Completion, Ended, StreamEvent, WholeAnswer, parse_event};
+use swiftlink_types::{OUTCOME_HEADER, Outcome, Refusal, RequestKey, Tokens, wall_ms};
+use tokio::sync::mpsc;
+
+use crate::answer::{self, Receipt, Whole};
+use crate::problem::CHARGED_HEADER;
+use crate::reply::{Piece, Reply, ReplySender, pieces};
+use crate::serve::send;
+
+/// Takes the chunks of one answer in order.
+#[derive(Debug)]
+pub enum Sink {
+    /// The caller gets each chunk as it comes.
+    Events(Events),
+    /// The caller gets a whole answer.
+    Collect(Collect),
+}
+
+/// A streamed answer.
+#[derive(Debug)]
+pub struct Events {
+    /// Kept until the first chunk, so that a failure before it has its own status.
+    reply: Option<ReplySender>,
+    sender: mpsc::Sender<Piece>,
+    receiver: Option<mpsc::Receiver<Piece>>,
+    token: String,
+    gone: bool,
+    sent: u64,
+}
+
+/// A whole answer in the making.
+#[derive(Debug)]
+pub struct Collect {
+    reply: Option<ReplySender>,
+    whole: WholeAnswer,
+    id: String,
+    model: String,
+    chat: bool,
+}
+
+impl Sink {
+    /// A sink that streams.
+    #[must_use]
+    pub fn events(reply: ReplySender) -> Self {
+        let (sender, receiver) = pieces();
+        Self::Events(Events {
+            reply: Some(reply),
+            sender,
+            receiver: Some(receiver),
+            token: String::new(),
+            gone: false,
+            sent: 0,
+        })
+    }
+
+    /// A sink that collects.
+    #[must_use]
+    pub fn collect(reply: ReplySender, model: &str, chat: bool) -> Self {
+        Self::Collect(Collect {
+            reply: Some(reply),
+            whole: WholeAnswer::default(),
+            id: String::new(),
+            model: model.to_owned(),
+            chat,
+        })
+    }
+
+    /// A new dispatch begins; `token` resumes its stream.
+    pub fn begin(&mut self, token: String) {
+        match self {
+            Self::Events(events) => events.token = token,
+            Self::Collect(collect) => collect.whole = WholeAnswer::default(),
+        }
+    }
+
+    /// Takes a chunk that is not the last one.
+    pub async fn push(&mut self, number: u64, data: &str) {
+        match self {
+            Self::Events(events) => {
+                let piece = answer::event(&events.token, number, data);
+                events.put(piece).await;
+            }
+            Self::Collect(collect) => collect.add(data),
+        }
+    }
+
+    /// Whether the caller has gone.
+    #[must_use]
+    pub fn is_gone(&self) -> bool {
+        match self {
+            Self::Events(events) => events.gone,
+            Self::Collect(collect) => {
+                let reply = collect.reply.as_ref();
+                reply.is_none_or(ReplySender::is_closed)
+            }
+        }
+    }
+
+    /// Whether the caller may have seen a part of the answer.
+    #[must_use]
+    pub fn has_sent(&self) -> bool {
+        match self {
+            Self::Events(events) => events.sent > 0,
+            Self::Collect(_) => false,
+        }
+    }
+
+    /// Ends the answer, which is charged: its last chunk, if it was kept back, and
+    /// the end mark `end`.
+    pub async fn finish(self, last: Option<LastChunk>, end: u64, receipt: Receipt) {
+        match self {
+            Self::Events(events) => events.finish(last, end, receipt).await,
+            Self::Collect(collect) => collect.finish(last, receipt),
+        }
+    }
+
+    /// Ends an answer that can't be completed.
+    pub async fn fail(self, refusal: Refusal) {
+        match self {
+            Self::Events(events) => events.fail(refusal).await,
+            Self::Collect(collect) => {
+                if let Some(reply) = collect.reply {
+                    send(reply, Reply::Refused(refusal));
+                }
+            }
+        }
+    }
+}
+
+/// The last chunk of an answer, kept back until the answer is charged.
+#[derive(Debug, Clone)]
+pub struct LastChunk {
+    /// Its number.
+    pub number: u64,
+    /// Its data.
+    pub data: String,
+    /// What it says.
+    pub part: Completion,
+}
+
+impl Events {
+    async fn put(&mut self, piece: Bytes) {
+        if let (Some(reply), Some(receiver)) = (self.reply.take(), self.receiver.take()) {
+            send(
+                reply,
+                Reply::Pieces(StatusCode::OK, stream_headers(), receiver),
+            );
+        }
+        if self.gone {
+            return;
+        }
+        self.sent += 1;
+        self.gone = self.sender.send(Ok(piece)).await.is_err();
+    }
+
+    async fn finish(mut self, last: Option<LastChunk>, end: u64, receipt: Receipt) {
+        let token = self.token.clone();
+        let mut text = Vec::new();
+        if let Some(last) = last {
+            let data = answer::with_receipt(&last.data, receipt);
+            text.extend_from_slice(&answer::event(&token, last.number, &data));
+        }
+        text.extend_from_slice(&answer::end(&token, end));
+        self.put(text.into()).await;
+    }
+
+    async fn fail(mut self, refusal: Refusal) {
+        if let Some(reply) = self.reply.take() {
+            return send(reply, Reply::Refused(refusal));
+        }
+        let piece = answer::error(&refusal);
+        self.put(piece).await;
+        // Cuts the connection: a caller must not take the part for the whole.
+        let cut = std::io::Error::other(refusal.detail);
+        let _gone = self.sender.send(Err(cut)).await;
+    }
+}
+
+impl Collect {
+    fn add(&mut self, data: &str) {
+        let Ok(StreamEvent::Part(part)) = parse_event(data.as_bytes()) else {
+            return;
+        };
+        self.add_part(&part);
+    }
+
+    fn add_part(&mut self, part: &Completion) {
+        if self.id.is_empty() {
+            self.id.clone_from(&part.id);
+        }
+        self.whole.add(part);
+    }
+
+    fn finish(mut self, last: Option<LastChunk>, receipt: Receipt) {
+        if let Some(last) = last {
+            self.add_part(&last.part);
+        }
+        let Some(reply) = self.reply.take() else {
+            return;
+        };
+        let ended = self.whole.finish().unwrap_or_else(|| Ended {
+            text: String::new(),
+            finish: None,
+            usage: swiftlink_stream::Usage::default(),
+        });
+        let whole = Whole {
+            id: self.id,
+            model: self.model,
+            created: wall_ms(),
+            chat: self.chat,
+            ended,
+        };
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        set_charged(&mut headers, receipt.charged);
+        let body = answer::whole(&whole, receipt);
+        send(reply, Reply::Whole(StatusCode::OK, headers, body));
+    }
+}
+
+/// Adds outcome and charge to the headers of a completed answer.
+pub fn set_charged(headers: &mut HeaderMap, charged: Tokens) {
+    let outcome = HeaderValue::from_static(Outcome::Ran.as_str());
+    headers.insert(OUTCOME_HEADER, outcome);
+    headers.insert(CHARGED_HEADER, HeaderValue::from(charged));
+}
+
+/// Headers of a streamed answer. Its end isn't known yet, and its outcome is
+/// `unknown` until the last event says otherwise.
+fn stream_headers() -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    let outcome = HeaderValue::from_static(Outcome::Unknown.as_str());
+    headers.insert(OUTCOME_HEADER, outcome);
+    headers
+}
+
+/// Key and charge of a completed answer.
+#[must_use]
+pub fn receipt(key: RequestKey, charged: Tokens) -> Receipt {
+    Receipt { key, charged }
+}
