--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,1 +1,40 @@
 //! The ledger daemon: group commit to the log, fold, witness.
+//!
+//! A ledger appends the records of routers to the platform's log in groups,
+//! folds the log, and answers with what the fold decided. It keeps charges in
+//! memory from the moment it has answered `Stored` until the log has them. It holds
+//! no rights and decides nothing alone: any ledger can do the work of any other.
+//!
+//! - [`follower`]: reads the streams, from the log or from peers;
+//! - [`batcher`], [`appender`], [`pacer`]: what is appended, and when;
+//! - [`service`]: answers to requests over links;
+//! - [`reconcile`]: brings declared top-ups into the budget streams;
+//! - [`quarantine`], [`release`], [`vms`]: retires routers and frees their rights;
+//! - [`snapshots`]: writes snapshots before the log drops old records;
+//! - [`daemon`]: puts it together.
+
+pub mod appender;
+pub mod batcher;
+pub mod clock;
+pub mod contact;
+pub mod daemon;
+pub mod duty;
+pub mod follower;
+mod handover;
+pub mod pacer;
+pub mod peers;
+pub mod quarantine;
+pub mod reconcile;
+pub mod release;
+pub mod service;
+pub mod settings;
+pub mod shards;
+pub mod snapshots;
+pub mod status;
+pub mod stream;
+pub mod tail;
+pub mod vm_list;
+pub mod vms;
+
+pub use daemon::{ABOUT, Ledger, run};
+pub use settings::LedgerSettings;
--- /dev/null
+++ b/crates/ledger/src/quarantine.rs
@@ -0,0 +1,247 @@
+//! Retires routers whose VM is gone, and frees the rights of those proved gone.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use swiftlink_budget::{Fold, RetiredRouter};
+use swiftlink_resource::{Config, ReleaseRule};
+use swiftlink_telemetry::{Metrics, event};
+use swiftlink_types::{Incarnation, Micros};
+use swiftlink_wire::log::{self as wire, Record, record};
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Clock;
+use crate::contact::Contact;
+use crate::duty::Duty;
+use crate::peers::{Peer, Peers};
+use crate::release::{Answer, Proof, Verdict, decide};
+use crate::shards::{Shard, Shards};
+use crate::stream::Stream;
+use crate::vm_list::Vms;
+
+/// Pause between looks at the folds.
+const TICK: Duration = Duration::from_millis(200);
+/// Largest wait before a retirement or release is appended.
+const SPREAD: Micros = 500_000;
+/// Wait before a release is looked at again, or a retirement appended again.
+const AGAIN: Micros = 2_000_000;
+/// Without an answer from the log for longer than this, others do the work.
+const CONTACT_MS: u64 = 3_000;
+
+/// The task that retires and releases.
+#[derive(Debug)]
+pub struct Quarantine {
+    /// Name of this ledger.
+    pub name: Arc<str>,
+    /// The configuration stream.
+    pub config: Arc<Stream<swiftlink_resource::Fold>>,
+    /// The budget streams.
+    pub shards: Arc<Shards>,
+    /// The other ledgers.
+    pub peers: Arc<Peers>,
+    /// The VM list.
+    pub vms: Arc<Vms>,
+    /// When the log was last heard from.
+    pub contact: Arc<Contact>,
+    /// Time source.
+    pub clock: Clock,
+    /// Metrics sender.
+    pub metrics: Metrics,
+}
+
+/// An incarnation as one budget stream knows it.
+type Case = (u32, Incarnation);
+
+impl Quarantine {
+    /// Works until `stop`.
+    pub async fn run(self, stop: CancellationToken) {
+        let _stopped = stop.run_until_cancelled(self.watch()).await;
+    }
+
+    async fn watch(&self) {
+        let mut retire = Duty::new(SPREAD, AGAIN);
+        let mut release = Duty::new(SPREAD, AGAIN);
+        let mut told = HashSet::new();
+        loop {
+            tokio::time::sleep(TICK).await;
+            if self.contact.age_ms() > CONTACT_MS {
+                continue;
+            }
+            for case in retire.step(self.clock.now(), self.gone(), rand::random) {
+                self.retire(&case);
+            }
+            let quarantined = self.quarantined();
+            told.retain(|(case, _)| quarantined.contains(case));
+            for case in release.step(self.clock.now(), quarantined, rand::random) {
+                let verdict = self.judge(&case).await;
+                self.act(case, verdict, &mut told);
+            }
+        }
+    }
+
+    /// Active incarnations whose VM left the VM list.
+    fn gone(&self) -> Vec<Case> {
+        let mut cases = Vec::new();
+        for (number, shard) in (0..).zip(self.shards.iter()) {
+            let state = shard.stream.state();
+            let active = state.current().map(Fold::active).unwrap_or_default();
+            for router in active {
+                if self.vms.is_gone(router.incarnation.vm.as_str()) {
+                    cases.push((number, router.incarnation));
+                }
+            }
+        }
+        cases
+    }
+
+    fn retire(&self, (number, incarnation): &Case) {
+        event!(
+            warn,
+            "router.retire",
+            router = incarnation,
+            shard = number,
+            reason = "vm left the list"
+        );
+        self.metrics.count("ledger.retires", 1);
+        let kind = record::Kind::Retire(wire::Retire {
+            incarnation: Some(incarnation.into()),
+        });
+        self.post(*number, kind);
+    }
+
+    /// Incarnations whose rights are in quarantine.
+    fn quarantined(&self) -> Vec<Case> {
+        let mut cases = Vec::new();
+        for (number, shard) in (0..).zip(self.shards.iter()) {
+            let state = shard.stream.state();
+            let retired = state.current().map(Fold::retired).unwrap_or_default();
+            cases.extend(
+                retired
+                    .into_iter()
+                    .map(|router| (number, router.incarnation)),
+            );
+        }
+        cases
+    }
+
+    /// Asks every ledger, unless the proof is missing anyway.
+    async fn judge(&self, case: &Case) -> Option<Verdict> {
+        let proof = self.proof(case)?;
+        if proof == Proof::None {
+            return Some(Verdict::Unproved);
+        }
+        let incarnation = &case.1;
+        let mut answers = vec![Answer {
+            ledger: Arc::clone(&self.name),
+            pending: Some(self.shards.pending(incarnation)),
+            gone: false,
+        }];
+        for peer in self.peers.iter() {
+            answers.push(self.ask(peer, incarnation).await);
+        }
+        Some(decide(proof, &answers))
+    }
+
+    async fn ask(&self, peer: &Peer, incarnation: &Incarnation) -> Answer {
+        let pending = peer.pending(incarnation).await.ok();
+        Answer {
+            ledger: Arc::clone(&peer.name),
+            pending,
+            gone: self.vms.is_gone(peer.vm()),
+        }
+    }
+
+    fn proof(&self, (number, incarnation): &Case) -> Option<Proof> {
+        let config = {
+            let state = self.config.state();
+            state.current()?.config()
+        };
+        let shard = self.shard(*number)?;
+        let state = shard.stream.state();
+        proof_of(incarnation, state.current()?, &config)
+    }
+
+    fn act(&self, case: Case, verdict: Option<Verdict>, told: &mut HashSet<(Case, Verdict)>) {
+        let Some(verdict) = verdict else {
+            return;
+        };
+        let (number, incarnation) = &case;
+        if verdict != Verdict::Release {
+            if told.insert((case.clone(), verdict.clone())) {
+                event!(
+                    warn,
+                    "router.quarantined",
+                    router = incarnation,
+                    shard = number,
+                    reason = verdict
+                );
+            }
+            return;
+        }
+        event!(info, "router.release", router = incarnation, shard = number);
+        self.metrics.count("ledger.releases", 1);
+        let kind = record::Kind::Release(wire::Release {
+            incarnation: Some(incarnation.into()),
+        });
+        self.post(*number, kind);
+    }
+
+    fn post(&self, number: u32, kind: record::Kind) {
+        let Some(shard) = self.shard(number) else {
+            return;
+        };
+        if let Err(full) = shard.outbox.post(vec![Record { kind: Some(kind) }]) {
+            event!(warn, "record.delayed", error = full);
+        }
+    }
+
+    fn shard(&self, number: u32) -> Option<&Shard> {
+        self.shards.iter().nth(number as usize)
+    }
+}
+
+/// What proves that the retired `incarnation` is gone; `None` if it isn't retired.
+fn proof_of(incarnation: &Incarnation, fold: &Fold, config: &Config) -> Option<Proof> {
+    let retired = fold.retired();
+    let router = retired
+        .iter()
+        .find(|router| router.incarnation == *incarnation)?;
+    if has_successor(router, fold) {
+        return Some(Proof::Bound);
+    }
+    if router.unspent == 0 || all_listed(fold, config) {
+        return Some(Proof::Listed);
+    }
+    Some(Proof::None)
+}
+
+/// Whether a later start on the same VM has bound the same address.
+#[must_use]
+pub fn has_successor(router: &RetiredRouter, fold: &Fold) -> bool {
+    let own = &router.incarnation;
+    let follows = |other: &Incarnation, address: &str| {
+        other.vm == own.vm && other.epoch > own.epoch && address == &*router.address
+    };
+    let active = fold.active();
+    let retired = fold.retired();
+    active
+        .iter()
+        .any(|other| follows(&other.incarnation, &other.address))
+        || retired
+            .iter()
+            .any(|other| follows(&other.incarnation, &other.address))
+}
+
+/// Whether each budget of the stream that has rights in quarantine takes the VM
+/// list for proof. A release frees all rights of an incarnation, and the fold's view
+/// doesn't tell whose rights are in quarantine; so one budget that wants proof
+/// holds back all. That errs towards keeping.
+fn all_listed(fold: &Fold, config: &Config) -> bool {
+    let views = fold.views();
+    let mut held = views.iter().filter(|view| view.quarantined > 0);
+    held.all(|view| {
+        let budget = config.budgets.get(view.name.as_str());
+        budget.is_some_and(|budget| budget.release == ReleaseRule::Listed)
+    })
+}
--- /dev/null
+++ b/crates/ledger/tests/append.rs
@@ -0,0 +1,184 @@
+//! Appends under lost answers and outages; charges that outlive their router.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use common::{LONG, charge, claim, declare, fleet, join, single, stream};
+use swiftlink_link::LinkError;
+use swiftlink_log::{Fault, MemLog};
+use swiftlink_wire::link::{FailureKind, reply};
+use swiftlink_wire::log::{ChargeFate, fate};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_claim_is_granted_and_a_charge_is_counted() {
+    let log = Arc::new(MemLog::new());
+    let node = single(&log);
+    node.up().await;
+    declare(&log, 1_000, "proof").await;
+    node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
+        .await;
+
+    assert!(matches!(node.one(join(1)).await, fate::Kind::Join(fate) if fate.active));
+    assert!(
+        matches!(node.one(claim(1, 1, 100)).await, fate::Kind::Claim(fate) if fate.granted == 100)
+    );
+    let mut replies = node.settle(charge(1, 1, 40)).await;
+    let decided = replies.next().await.unwrap().unwrap();
+    let reply::Kind::Submitted(submitted) = decided else {
+        panic!("{decided:?}");
+    };
+    let Some(fate::Kind::Charges(fate)) = &submitted.fates[0].kind else {
+        panic!("{submitted:?}");
+    };
+    assert_eq!(fate.items, [ChargeFate::Charged as i32]);
+    assert_eq!(node.charged(), 40);
+    node.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_answers_count_each_record_once() {
+    let log = Arc::new(MemLog::new());
+    let node = single(&log);
+    node.up().await;
+    declare(&log, 1_000, "proof").await;
+    node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
+        .await;
+
+    for (fault, base) in [(Fault::LoseAnswers, 0), (Fault::LoseRequests, 10)] {
+        log.fail_next(fault, 20);
+        node.one(join(1)).await;
+        for seq in 1..=5 {
+            let fate = node.one(claim(1, base + seq, 10)).await;
+            assert!(
+                matches!(fate, fate::Kind::Claim(fate) if fate.granted == 10),
+                "{fault:?}"
+            );
+            let mut replies = node.settle(charge(1, base / 2 + seq, 10)).await;
+            assert!(matches!(
+                replies.next().await,
+                Some(Ok(reply::Kind::Submitted(_)))
+            ));
+        }
+        log.set_fault(Fault::None);
+    }
+    let view = node.ledger.shards().views(&["b1".to_owned()]).remove(0);
+    assert_eq!((view.topped_up, view.charged, view.free), (1_000, 100, 900));
+    node.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_outage_is_said_and_recovery_needs_few_appends() {
+    let log = Arc::new(MemLog::new());
+    let nodes = fleet(3, &log);
+    declare(&log, 100_000, "proof").await;
+    for node in &nodes {
+        node.up().await;
+        node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
+            .await;
+    }
+    nodes[0].one(join(1)).await;
+    nodes[0].one(claim(1, 1, 50_000)).await;
+
+    log.set_fault(Fault::Outage);
+    let refused = nodes[0]
+        .submit(vec![claim(1, 2, 5)], Duration::from_millis(50))
+        .await;
+    let Err(LinkError::Failed(failure)) = refused else {
+        panic!("{refused:?}");
+    };
+    assert_eq!(failure.kind, FailureKind::LogOut as i32);
+    let mut kept = Vec::new();
+    for serial in 1..=300 {
+        let node = &nodes[serial as usize % nodes.len()];
+        kept.push(node.settle(charge(1, serial, 10)).await);
+    }
+
+    for node in &nodes {
+        node.log.appends.store(0, Ordering::SeqCst);
+    }
+    log.set_fault(Fault::None);
+    for mut replies in kept {
+        assert!(matches!(
+            replies.next().await,
+            Some(Ok(reply::Kind::Submitted(_)))
+        ));
+    }
+    assert_eq!(nodes[0].charged(), 3_000);
+    // The batch that probed, one with all that came meanwhile, and spare for the claim.
+    for node in &nodes {
+        let appends = node.log.appends.load(Ordering::SeqCst);
+        assert!(appends <= 6, "{appends} appends for 100 charges");
+    }
+    for node in nodes {
+        node.stop().await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stored_charge_outlives_its_router() {
+    let log = Arc::new(MemLog::new());
+    let node = single(&log);
+    node.up().await;
+    declare(&log, 1_000, "proof").await;
+    node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
+        .await;
+    node.one(join(1)).await;
+    node.one(claim(1, 1, 100)).await;
+
+    log.set_fault(Fault::Outage);
+    let replies = node.settle(charge(1, 1, 40)).await;
+    drop(replies);
+    node.client.stop().await;
+    log.set_fault(Fault::None);
+    node.until("charge", |fold| {
+        fold.view("b1").is_some_and(|view| view.charged == 40)
+    })
+    .await;
+    node.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn two_ledgers_on_one_log_agree() {
+    let log = Arc::new(MemLog::new());
+    let nodes = fleet(2, &log);
+    declare(&log, 1_000, "proof").await;
+    for node in &nodes {
+        node.up().await;
+        node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
+            .await;
+    }
+    let joined = [join(1), join(2)];
+    nodes[0]
+        .submit(vec![joined[0].clone()], LONG)
+        .await
+        .unwrap();
+    nodes[1]
+        .submit(vec![joined[1].clone()], LONG)
+        .await
+        .unwrap();
+    // The later start at the address has retired the earlier one, whoever was asked.
+    let (first, second) = tokio::join!(
+        nodes[1].one(claim(1, 1, 100)),
+        nodes[0].one(claim(2, 1, 100))
+    );
+    assert!(matches!(first, fate::Kind::Rejected(_)), "{first:?}");
+    assert!(matches!(second, fate::Kind::Claim(fate) if fate.granted == 100));
+
+    let end = log.end(&stream());
+    let mut states = Vec::new();
+    for node in &nodes {
+        let (_, shard) = node.ledger.shards().find(stream().as_str()).unwrap();
+        common::eventually("the log's end", || shard.stream.next() >= end).await;
+        states.push(shard.stream.encode().unwrap());
+    }
+    // A release may follow; compare at the same offset only.
+    if states[0].0 == states[1].0 {
+        assert_eq!(states[0].1, states[1].1);
+    }
+    for node in nodes {
+        node.stop().await;
+    }
+}
--- a/src/bin/swiftlink-ledger/main.rs
+++ b/src/bin/swiftlink-ledger/main.rs
@@ -1,3 +1,7 @@
 //! Entry point of `swiftlink-ledger`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    swiftlink_shell::run(swiftlink_ledger::ABOUT, swiftlink_ledger::run)
+}
