--- /dev/null
+++ b/crates/resource/tests/rules.rs
@@ -0,0 +1,405 @@
+//! Each rule of the fold by example.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::*;
+use swiftlink_log::{Fold as _, Step};
+use swiftlink_resource::{
+    Fold, Kind, PoolKind, RejectReason, ReleaseRule, SET_MEMORY, StaleRule, Verdict,
+};
+use swiftlink_wire::log as wire;
+
+#[test]
+fn defaults_are_spelled_out() {
+    let config = start().config();
+    let workspace = &config.workspaces["w"];
+    assert_eq!(workspace.stale, StaleRule::Refuse);
+    let budget = &config.budgets["b"];
+    assert_eq!(
+        (budget.release, budget.ahead_secs),
+        (ReleaseRule::Proof, 10)
+    );
+    assert_eq!(budget.min_grant, 0);
+    let class = &config.classes["c"];
+    assert_eq!((class.price, class.weight, class.queue), (1_000, 1, 256));
+    let pool = &config.pools["p"];
+    assert_eq!(
+        (pool.kind, pool.max_tokens, pool.token_bytes),
+        (PoolKind::Model, 1_024, 1)
+    );
+    assert_eq!(
+        (pool.call_tokens, pool.once.join(" ")),
+        (0, "POST PATCH".to_owned())
+    );
+    let server = &config.servers["s"];
+    assert_eq!(
+        (server.slots, server.drain, server.vm.is_none()),
+        (32, false, true)
+    );
+    let class = config.get(Kind::Class, "c").expect("declared");
+    assert_eq!(&*class.json, r#"{"price":1000,"weight":1,"queue":256}"#);
+    assert_eq!(
+        (
+            class.version,
+            config.version,
+            config.list(Kind::Key).count()
+        ),
+        (10, 10, 1)
+    );
+}
+
+#[test]
+fn invalid_specifications_name_the_field() {
+    let mut fold = start();
+    let server = |address: &str| format!(r#"{{"pool":"p","address":"{address}","domain":"d"}}"#);
+    let cases = [
+        ("shelf", "n", "{}".to_owned(), "kind"),
+        ("class", "", "{}".to_owned(), "name"),
+        ("class", "a b", "{}".to_owned(), "name"),
+        ("class", "a/b", "{}".to_owned(), "name"),
+        ("class", &"n".repeat(129), "{}".to_owned(), "name"),
+        ("class", "n", r#"{"weight":0}"#.to_owned(), "weight"),
+        ("class", "n", r#"{"weight":1001}"#.to_owned(), "weight"),
+        ("class", "n", r#"{"price":0}"#.to_owned(), "price"),
+        ("class", "n", r#"{"price":"x"}"#.to_owned(), "price"),
+        ("class", "n", r#"{"colour":1}"#.to_owned(), "colour"),
+        ("class", "n", "{} {}".to_owned(), "spec"),
+        ("class", "n", "".to_owned(), "spec"),
+        (
+            "budget",
+            "n",
+            r#"{"release":"maybe"}"#.to_owned(),
+            "release",
+        ),
+        (
+            "budget",
+            "n",
+            r#"{"ahead_secs":3601}"#.to_owned(),
+            "ahead_secs",
+        ),
+        ("topup", "n", r#"{"budget":"b"}"#.to_owned(), "amount"),
+        (
+            "topup",
+            "n",
+            r#"{"budget":"b","amount":0}"#.to_owned(),
+            "amount",
+        ),
+        (
+            "topup",
+            "n",
+            r#"{"budget":"b","amount":-1}"#.to_owned(),
+            "amount",
+        ),
+        ("workspace", "n", "{}".to_owned(), "budget"),
+        (
+            "workspace",
+            "n",
+            r#"{"budget":"b","classes":["c","c"]}"#.to_owned(),
+            "classes",
+        ),
+        ("pool", "n", r#"{"kind":"shop"}"#.to_owned(), "kind"),
+        (
+            "pool",
+            "n",
+            r#"{"kind":"model","max_tokens":0}"#.to_owned(),
+            "max_tokens",
+        ),
+        (
+            "pool",
+            "n",
+            r#"{"kind":"model","token_bytes":0}"#.to_owned(),
+            "token_bytes",
+        ),
+        (
+            "pool",
+            "n",
+            r#"{"kind":"service","once":["post"]}"#.to_owned(),
+            "once",
+        ),
+        ("pool", "a/b", r#"{"kind":"service"}"#.to_owned(), "name"),
+        ("server", "n", server("127.0.0.1"), "address"),
+        ("server", "n", server("127.0.0.1:0"), "address"),
+        ("server", "n", server("0.0.0.0:80"), "address"),
+        (
+            "key",
+            "n",
+            r#"{"workspace":"w","hash":"12"}"#.to_owned(),
+            "hash",
+        ),
+        (
+            "key",
+            "n",
+            format!(r#"{{"workspace":"w","hash":"{HASH}"}}"#),
+            "hash",
+        ),
+    ];
+    for (kind, name, spec, expected) in cases {
+        let reasons = refused(&mut fold, put(kind, name, 0, &spec));
+        let [RejectReason::Invalid { field, .. }] = &reasons[..] else {
+            panic!("{kind} {spec}: {reasons:?}");
+        };
+        assert_eq!(field, expected, "{kind} {name} {spec}");
+    }
+    let model = put("pool", "org/model:7b", 0, r#"{"kind":"model"}"#);
+    assert_eq!(
+        apply(&mut fold, 21, "m", vec![model]).verdict,
+        Verdict::Accepted
+    );
+}
+
+#[test]
+fn dangling_references_are_refused() {
+    let mut fold = start();
+    let cases = [
+        (
+            "topup",
+            r#"{"budget":"x","amount":1}"#.to_owned(),
+            Kind::Budget,
+        ),
+        ("workspace", r#"{"budget":"x"}"#.to_owned(), Kind::Budget),
+        (
+            "workspace",
+            r#"{"budget":"b","classes":["c","x"]}"#.to_owned(),
+            Kind::Class,
+        ),
+        (
+            "server",
+            r#"{"pool":"x","address":"[::1]:80","domain":"d"}"#.to_owned(),
+            Kind::Pool,
+        ),
+        (
+            "key",
+            format!(r#"{{"workspace":"x","hash":"{}"}}"#, "ab".repeat(32)),
+            Kind::Workspace,
+        ),
+    ];
+    for (by, spec, kind) in cases {
+        let missing = RejectReason::Missing {
+            kind,
+            name: "x".to_owned(),
+        };
+        assert_eq!(refused(&mut fold, put(by, "n", 0, &spec)), [missing]);
+    }
+    let cases = [
+        ("budget", "b", "topup/t"),
+        ("class", "c", "workspace/w"),
+        ("pool", "p", "server/s"),
+        ("workspace", "w", "key/k"),
+    ];
+    for (kind, name, by) in cases {
+        let by = by.to_owned();
+        assert_eq!(
+            refused(&mut fold, delete(kind, name, 10)),
+            [RejectReason::InUse { by }]
+        );
+    }
+}
+
+#[test]
+fn a_set_is_judged_by_what_it_leaves() {
+    let mut fold = start();
+    let pair = vec![delete("pool", "p", 10), delete("server", "s", 10)];
+    assert_eq!(
+        apply(&mut fold, 20, "pair", pair).verdict,
+        Verdict::Accepted
+    );
+    assert!(fold.config().servers_of("p").is_empty());
+    // A workspace that moves off a class frees it; one that moves on to it does not.
+    let moved = vec![
+        delete("class", "c", 10),
+        put("workspace", "w", 10, r#"{"budget":"b"}"#),
+    ];
+    assert_eq!(
+        apply(&mut fold, 21, "off", moved).verdict,
+        Verdict::Accepted
+    );
+    apply(&mut fold, 22, "c", vec![put("class", "c", 0, "{}")]);
+    let on = put("workspace", "w", 22, r#"{"budget":"b","classes":["c"]}"#);
+    let fate = apply(&mut fold, 23, "on", vec![delete("class", "c", 23), on]);
+    let Verdict::Rejected(rejects) = fate.verdict else {
+        panic!("a class was deleted under its user");
+    };
+    let missing = RejectReason::Missing {
+        kind: Kind::Class,
+        name: "c".to_owned(),
+    };
+    assert_eq!((rejects.len(), &rejects[0].reason), (1, &missing));
+}
+
+#[test]
+fn the_first_of_two_racing_changes_wins() {
+    let mut fold = start();
+    let change = |price| put("class", "c", 10, &format!(r#"{{"price":{price}}}"#));
+    assert_eq!(apply(&mut fold, 20, "one", vec![change(2)]).version, 21);
+    assert_eq!(
+        refused(&mut fold, change(3)),
+        [RejectReason::Conflict { current: 21 }]
+    );
+    assert_eq!(refused(&mut fold, delete("class", "c", 10)).len(), 1);
+    let anew = put("class", "c", 0, "{}");
+    assert_eq!(
+        refused(&mut fold, anew),
+        [RejectReason::Conflict { current: 21 }]
+    );
+    let gone = put("class", "gone", 7, "{}");
+    assert_eq!(
+        refused(&mut fold, gone),
+        [RejectReason::Conflict { current: 0 }]
+    );
+    assert_eq!(fold.config().classes["c"].price, 2);
+}
+
+#[test]
+fn all_changes_of_a_set_are_taken_or_none() {
+    let mut fold = start();
+    let set = vec![
+        put("class", "d", 0, "{}"),
+        put("class", "c", 3, "{}"),
+        delete("pool", "x", 0),
+    ];
+    let fate = apply(&mut fold, 20, "mixed", set);
+    assert!(matches!(fate.verdict, Verdict::Rejected(rejects) if rejects.len() == 2));
+    assert!(fold.config().get(Kind::Class, "d").is_none());
+    let twice = vec![put("class", "d", 0, "{}"), put("class", "d", 0, "{}")];
+    assert!(matches!(
+        apply(&mut fold, 21, "twice", twice).verdict,
+        Verdict::Rejected(_)
+    ));
+    assert!(matches!(
+        apply(&mut fold, 22, "none", vec![]).verdict,
+        Verdict::Rejected(_)
+    ));
+}
+
+#[test]
+fn top_ups_stay() {
+    let mut fold = start();
+    let change = put("topup", "t", 10, r#"{"budget":"b","amount":6}"#);
+    assert_eq!(refused(&mut fold, change), [RejectReason::Immutable]);
+    assert_eq!(
+        refused(&mut fold, delete("topup", "t", 10)),
+        [RejectReason::Immutable]
+    );
+}
+
+#[test]
+fn copies_of_a_set_fold_to_nothing() {
+    let mut fold = start();
+    let change = || vec![put("class", "d", 0, "{}")];
+    apply(&mut fold, 20, "id", change());
+    apply(&mut fold, 21, "gone", vec![delete("class", "d", 21)]);
+    let mut fold = Fold::decode(&fold.encode()).expect("a state");
+    let copy = apply(&mut fold, 22, "id", change());
+    assert_eq!(
+        (copy.verdict, copy.version, copy.events.len()),
+        (Verdict::Duplicate, 22, 0)
+    );
+    for n in 0..SET_MEMORY as u64 {
+        apply(&mut fold, 23 + n, &n.to_string(), vec![]);
+    }
+    assert_eq!(
+        apply(&mut fold, 9_000, "id", change()).verdict,
+        Verdict::Accepted
+    );
+    let state: wire::ResourceState = prost::Message::decode(&*fold.encode()).expect("a state");
+    assert_eq!(state.set_ids.len(), SET_MEMORY);
+}
+
+#[test]
+fn keys_are_found_by_hash_and_may_swap() {
+    let mut fold = start();
+    let hash: [u8; 32] = hex::decode(HASH)
+        .expect("hex")
+        .try_into()
+        .expect("32 bytes");
+    let config = fold.config();
+    assert_eq!(config.key_by_hash(&hash).expect("known").0.as_str(), "k");
+    assert!(config.key_by_hash(&[0; 32]).is_none());
+    let other = "cd".repeat(32);
+    let spec = |hash: &str| format!(r#"{{"workspace":"w","hash":"{hash}"}}"#);
+    apply(
+        &mut fold,
+        20,
+        "new",
+        vec![put("key", "l", 0, &spec(&other))],
+    );
+    let swap = vec![
+        put("key", "k", 10, &spec(&other)),
+        put("key", "l", 21, &spec(HASH)),
+    ];
+    assert_eq!(
+        apply(&mut fold, 21, "swap", swap).verdict,
+        Verdict::Accepted
+    );
+    assert_eq!(
+        fold.config().key_by_hash(&hash).expect("known").0.as_str(),
+        "l"
+    );
+    assert_eq!(
+        fold.config()
+            .key_by_hash(&[0xcd; 32])
+            .expect("known")
+            .0
+            .as_str(),
+        "k"
+    );
+    apply(&mut fold, 22, "end", vec![delete("key", "l", 22)]);
+    assert!(fold.config().key_by_hash(&hash).is_none());
+}
+
+#[test]
+fn a_configuration_in_use_never_changes() {
+    let mut fold = start();
+    let old = fold.config();
+    let server = put(
+        "server",
+        "a",
+        0,
+        r#"{"pool":"p","address":"10.0.0.1:80","domain":"d"}"#,
+    );
+    let fate = apply(&mut fold, 20, "more", vec![server, delete("key", "k", 10)]);
+    let events: Vec<_> = fate
+        .events
+        .iter()
+        .map(|e| (&*e.name, e.deleted, e.spec.is_some()))
+        .collect();
+    assert_eq!(events, [("a", false, true), ("k", true, false)]);
+    let names = |config: &swiftlink_resource::Config| -> Vec<String> {
+        config
+            .servers_of("p")
+            .iter()
+            .map(|server| server.name.to_string())
+            .collect()
+    };
+    assert_eq!(
+        (names(&old), names(&fold.config())),
+        (vec!["s".into()], vec!["a".into(), "s".into()])
+    );
+    assert_eq!((old.version, old.keys.len()), (10, 1));
+    assert!(Arc::ptr_eq(&fold.config(), &fold.config()));
+}
+
+#[test]
+fn snapshots_and_garbage_are_told_apart() {
+    let mut fold = start();
+    let chunk = wire::SnapshotChunk {
+        offset: 3,
+        ..Default::default()
+    };
+    let set = wire::ChangeSet {
+        snapshot: Some(chunk.clone()),
+        ..Default::default()
+    };
+    let data = prost::Message::encode_to_vec(&set);
+    assert_eq!(fold.apply(30, &data), Step::Snapshot(chunk.clone()));
+    assert_eq!(Fold::chunk(30, &data), Some(chunk));
+    assert_eq!(fold.apply(31, &[0xff; 5]), Step::Malformed);
+    assert_eq!(
+        fold.apply(32, &encode("", vec![put("class", "d", 0, "{}")])),
+        Step::Malformed
+    );
+    assert!(Fold::decode(&[0xff; 5]).is_err());
+    assert_eq!(fold.version(), 10);
+}
