ledger: faster after lost answers, two rounds before a release, tests

Cause: a lost answer whose record had landed grew the back-off, though the follower had already shown that the log was there. A ledger that stops hands its charges to a peer that may just have been asked whether it holds any.

--- a/crates/ledger/src/appender.rs
+++ b/crates/ledger/src/appender.rs
@@ -11,7 +11,7 @@
 use swiftlink_log::{Backoff, Log};
 use swiftlink_telemetry::{Metrics, event};
 use swiftlink_types::{Incarnation, Micros, wall_ms};
-use swiftlink_wire::log::{Charges, LogRecord, Record};
+use swiftlink_wire::log::{ChargeFate, Charges, LogRecord, Record, fate};
 use tokio::sync::{Notify, oneshot};
 use tokio_util::sync::CancellationToken;
 
@@ -38,6 +38,7 @@
 /// Records that wait for the log, and who waits for them.
 pub struct Outbox {
     writer: Writer,
+    metrics: Metrics,
     inner: Mutex<Inner>,
     work: Notify,
     folded: Notify,
@@ -75,7 +76,7 @@
 impl Outbox {
     /// An empty outbox with room for `limit` bytes of records.
     #[must_use]
-    pub fn new(writer: Writer, limit: usize) -> Arc<Self> {
+    pub fn new(writer: Writer, limit: usize, metrics: Metrics) -> Arc<Self> {
         let batcher = Batcher::new(&writer.name, writer.epoch, limit);
         let inner = Inner {
             batcher,
@@ -83,6 +84,7 @@
         };
         Arc::new(Self {
             writer,
+            metrics,
             inner: Mutex::new(inner),
             work: Notify::new(),
             folded: Notify::new(),
@@ -185,6 +187,7 @@
                 continue;
             }
             for (ticket, decided) in inner.batcher.folded(fate.seq, offset, fate.fates) {
+                count_charges(&self.metrics, &decided);
                 let Some(waiter) = inner.waiters.remove(&ticket) else {
                     continue;
                 };
@@ -205,6 +208,26 @@
     }
 }
 
+/// Counts charges by what became of them.
+fn count_charges(metrics: &Metrics, decided: &Decided) {
+    for fate in &decided.fates {
+        let Some(fate::Kind::Charges(charges)) = &fate.kind else {
+            continue;
+        };
+        for item in charges.items.iter().copied() {
+            let name = match ChargeFate::try_from(item) {
+                Ok(ChargeFate::Charged) => "charged",
+                Ok(ChargeFate::Duplicate) => "duplicate",
+                Ok(ChargeFate::VoidKey) => "void_key",
+                Ok(ChargeFate::VoidReleased) => "void_released",
+                Ok(ChargeFate::Overdrawn) => "overdrawn",
+                Ok(ChargeFate::Unspecified) | Err(_) => "unknown",
+            };
+            metrics.count_with("ledger.charges", 1, &[("fate", name)]);
+        }
+    }
+}
+
 /// Counts of a stream's appends since the start.
 #[derive(Debug, Default)]
 pub struct Appends {
@@ -260,7 +283,12 @@
                 continue;
             }
             self.pacer.drain(self.clock.now());
-            tokio::time::sleep(backoff.next(rand::random())).await;
+            let pause = tokio::time::sleep(backoff.next(rand::random()));
+            tokio::select! {
+                () = pause => {}
+                // Only the answer was lost, the log is there.
+                () = self.outbox.wait_for_fold(seq) => backoff.reset(),
+            }
         }
     }
 
@@ -268,6 +296,7 @@
     async fn append(&self, seq: u64, data: Bytes) -> bool {
         self.appends.sent.fetch_add(1, Ordering::Relaxed);
         self.metrics.count("ledger.appends", 1);
+        let sent = self.clock.now();
         let append = self.log.append(self.stream.name(), data.clone());
         let answer = tokio::select! {
             answer = append => answer,
@@ -279,7 +308,7 @@
                 self.contact.answered();
                 lock(&self.outbox.inner).batcher.answered(seq, Some(offset));
                 let data = data.to_vec();
-                self.stream.offer(LogRecord { offset, data });
+                self.stream.offer(LogRecord { offset, data }, sent);
                 // The fold may have passed the offset before the answer came.
                 let applied = self.stream.state().applied();
                 lock(&self.outbox.inner).batcher.advanced(applied);
--- a/crates/ledger/src/daemon.rs
+++ b/crates/ledger/src/daemon.rs
@@ -19,6 +19,7 @@
 use crate::clock::Clock;
 use crate::contact::Contact;
 use crate::follower::Follower;
+use crate::gauges::Gauges;
 use crate::handover::hand_over;
 use crate::pacer::Pacer;
 use crate::peers::{NAME_PREFIX, Peers};
@@ -170,7 +171,7 @@
         };
         let mut list = Vec::new();
         for shard in 0..settings.shards {
-            list.push(open_shard(shard, &settings, clock, &writer));
+            list.push(open_shard(shard, &settings, clock, &writer, &metrics));
         }
         let config = StreamName::from(CONFIG_STREAM);
         let config = Stream::new(config, clock, settings.tail_bytes, Arc::new(NoSink));
@@ -233,6 +234,7 @@
         }
         tasks.spawn(self.reconciler().run(stop.clone()));
         tasks.spawn(self.quarantine().run(stop.clone()));
+        tasks.spawn(self.gauges().run(stop.clone()));
         if let Some(address) = self.settings.vms {
             let poller = Poller::new(address, Arc::clone(&self.name), Arc::clone(&self.vms));
             tasks.spawn(poller.run(stop.clone()));
@@ -298,6 +300,15 @@
         }
     }
 
+    fn gauges(&self) -> Gauges {
+        Gauges {
+            config: Arc::clone(&self.config),
+            shards: Arc::clone(&self.shards),
+            contact: Arc::clone(&self.contact),
+            metrics: self.metrics.clone(),
+        }
+    }
+
     async fn flushed(&self) {
         for shard in self.shards.iter() {
             shard.outbox.flushed().await;
@@ -327,8 +338,14 @@
     Arc::from(format!("{NAME_PREFIX}{}", settings.common.vm))
 }
 
-fn open_shard(shard: u32, settings: &LedgerSettings, clock: Clock, writer: &Writer) -> Shard {
-    let outbox = Outbox::new(writer.clone(), settings.queue_bytes);
+fn open_shard(
+    shard: u32,
+    settings: &LedgerSettings,
+    clock: Clock,
+    writer: &Writer,
+    metrics: &Metrics,
+) -> Shard {
+    let outbox = Outbox::new(writer.clone(), settings.queue_bytes, metrics.clone());
     let sink = Arc::<Outbox>::clone(&outbox);
     let stream = Stream::new(stream_of(shard), clock, settings.tail_bytes, sink);
     Shard {
--- a/crates/ledger/src/follower.rs
+++ b/crates/ledger/src/follower.rs
@@ -7,9 +7,8 @@
 use swiftlink_link::ReplyStream;
 use swiftlink_log::{Backoff, Fold, Log, LogError};
 use swiftlink_telemetry::event;
-use swiftlink_types::{MICROS_PER_MS, Micros};
+use swiftlink_types::MICROS_PER_MS;
 use swiftlink_wire::link::{Follow, Page, reply, request};
-use swiftlink_wire::log::LogRecord;
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::{Clock, micros};
@@ -93,17 +92,9 @@
             .await;
         let page = match page {
             Ok(page) => page,
-            Err(LogError::Trimmed { first }) => {
+            Err(LogError::Trimmed { first }) if first > from => {
                 self.contact.answered();
-                event!(
-                    warn,
-                    "log.trimmed",
-                    stream = self.stream.name(),
-                    next = from,
-                    first = first
-                );
-                self.feed(first, &[], u64::MAX, 0);
-                return Ok(());
+                return self.skip(from, first);
             }
             Err(error) => return Err(error),
         };
@@ -116,19 +107,24 @@
             0
         };
         let known = (sent + waited).min(self.clock.now());
-        self.feed(page.first, &page.records, page.next, known);
-        Ok(())
+        let fed = self
+            .stream
+            .feed(page.first, &page.records, page.next, known);
+        fed.map_err(|error| LogError::Protocol(error.to_string()))
     }
 
-    fn feed(&self, first: u64, records: &[LogRecord], end: u64, known: Micros) {
-        if let Err(error) = self.stream.feed(first, records, end, known) {
-            event!(
-                warn,
-                "page.refused",
-                stream = self.stream.name(),
-                error = error
-            );
-        }
+    /// The log no longer has the records from `from` to `first`.
+    fn skip(&self, from: u64, first: u64) -> Result<(), LogError> {
+        let name = self.stream.name();
+        event!(
+            warn,
+            "log.trimmed",
+            stream = name,
+            next = from,
+            first = first
+        );
+        let fed = self.stream.feed(first, &[], u64::MAX, 0);
+        fed.map_err(|error| LogError::Protocol(error.to_string()))
     }
 
     /// Follows peers in turn, for as long as the caller wants.
@@ -156,14 +152,25 @@
             return;
         };
         event!(
-            info,
+            debug,
             "peer.followed",
             stream = self.stream.name(),
             peer = peer.name
         );
         while let Some(page) = next_page(&mut pages).await {
             let known = self.clock.now().saturating_sub(page.age_ms * MICROS_PER_MS);
-            self.feed(page.first, &page.records, page.next, known);
+            let fed = self
+                .stream
+                .feed(page.first, &page.records, page.next, known);
+            if let Err(error) = fed {
+                event!(
+                    warn,
+                    "page.refused",
+                    stream = self.stream.name(),
+                    error = error
+                );
+                return;
+            }
             if page.records.is_empty() && page.age_ms > PEER_STALE_MS {
                 return;
             }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod daemon;
 pub mod duty;
 pub mod follower;
+pub mod gauges;
 mod handover;
 pub mod pacer;
 pub mod peers;
--- a/crates/ledger/src/quarantine.rs
+++ b/crates/ledger/src/quarantine.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use swiftlink_budget::{Fold, RetiredRouter};
 use swiftlink_resource::{Config, ReleaseRule};
 use swiftlink_telemetry::{Metrics, event};
@@ -83,6 +84,9 @@
     /// Active incarnations whose VM left the VM list.
     fn gone(&self) -> Vec<Case> {
         let mut cases = Vec::new();
+        if !self.vms.any_gone() {
+            return cases;
+        }
         for (number, shard) in (0..).zip(self.shards.iter()) {
             let state = shard.stream.state();
             let active = state.current().map(Fold::active).unwrap_or_default();
@@ -126,21 +130,34 @@
     }
 
     /// Asks every ledger, unless the proof is missing anyway.
+    ///
+    /// Asks twice: a ledger that stops hands its charges to another, which may have
+    /// been asked just before, and may be up again before it is asked itself. The
+    /// second round finds what was handed over during the first.
     async fn judge(&self, case: &Case) -> Option<Verdict> {
         let proof = self.proof(case)?;
-        if proof == Proof::None {
-            return Some(Verdict::Unproved);
+        for _round in 0..2 {
+            let answers = match proof {
+                Proof::None => Vec::new(),
+                Proof::Bound | Proof::Listed => self.ask_all(&case.1).await,
+            };
+            let verdict = decide(proof, &answers);
+            if verdict != Verdict::Release {
+                return Some(verdict);
+            }
         }
-        let incarnation = &case.1;
-        let mut answers = vec![Answer {
+        Some(Verdict::Release)
+    }
+
+    async fn ask_all(&self, incarnation: &Incarnation) -> Vec<Answer> {
+        let asks = self.peers.iter().map(|peer| self.ask(peer, incarnation));
+        let mut answers = join_all(asks).await;
+        answers.push(Answer {
             ledger: Arc::clone(&self.name),
             pending: Some(self.shards.pending(incarnation)),
             gone: false,
-        }];
-        for peer in self.peers.iter() {
-            answers.push(self.ask(peer, incarnation).await);
-        }
-        Some(decide(proof, &answers))
+        });
+        answers
     }
 
     async fn ask(&self, peer: &Peer, incarnation: &Incarnation) -> Answer {
--- a/crates/ledger/src/release.rs
+++ b/crates/ledger/src/release.rs
@@ -38,8 +38,6 @@
     Pending {
         /// The ledger.
         ledger: Arc<str>,
-        /// Number of charges.
-        count: u64,
     },
     /// Keep them for now: a ledger that may hold charges can't be reached.
     Unreachable {
@@ -62,7 +60,7 @@
         let ledger = Arc::clone(&answer.ledger);
         match answer.pending {
             Some(0) => {}
-            Some(count) => return Verdict::Pending { ledger, count },
+            Some(_) => return Verdict::Pending { ledger },
             None if answer.gone => {}
             None => return Verdict::Unreachable { ledger },
         }
@@ -75,7 +73,7 @@
         match self {
             Self::Release => f.write_str("release"),
             Self::Unproved => f.write_str("not proved gone"),
-            Self::Pending { ledger, count } => write!(f, "{ledger} holds {count} charges"),
+            Self::Pending { ledger } => write!(f, "{ledger} holds charges"),
             Self::Unreachable { ledger } => write!(f, "{ledger} can't be reached"),
         }
     }
--- a/crates/ledger/src/stream.rs
+++ b/crates/ledger/src/stream.rs
@@ -136,14 +136,14 @@
     }
 
     /// Folds a record that this process appended itself, if it is the next one;
-    /// otherwise the follower brings it.
-    pub fn offer(&self, record: LogRecord) {
+    /// otherwise the follower brings it. The append was sent at `sent`.
+    pub fn offer(&self, record: LogRecord, sent: Micros) {
         if record.offset != self.next() {
             return;
         }
         let end = record.offset + 1;
         // A record that came by another way meanwhile is a copy and ignored.
-        let _result = self.feed(0, &[record], end, 0);
+        let _result = self.feed(0, &[record], end, sent);
     }
 
     /// The state in force, if there is one.
--- a/crates/ledger/src/vm_list.rs
+++ b/crates/ledger/src/vm_list.rs
@@ -47,6 +47,12 @@
         lock(&self.0).is_gone(vm)
     }
 
+    /// Whether any VM is gone.
+    #[must_use]
+    pub fn any_gone(&self) -> bool {
+        lock(&self.0).gone().next().is_some()
+    }
+
     /// Newest version of the list, and the VMs that are gone.
     #[must_use]
     pub fn summary(&self) -> (u64, Vec<String>) {
--- /dev/null
+++ b/crates/ledger/tests/follow.rs
@@ -0,0 +1,216 @@
+//! Following the log, peers instead of the log, and snapshots instead of old records.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{
+    LONG, claim, declare, eventually, fleet, join, listener, settings, single, spawn, stream,
+};
+use swiftlink_link::LinkError;
+use swiftlink_log::{Fault, MemLog};
+use swiftlink_wire::link::{FailureKind, Follow, Page, Ping, Submit, reply, request};
+use swiftlink_wire::log::{Record, fate, record};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_ledger_cut_from_the_log_follows_its_peers() {
+    let log = Arc::new(MemLog::new());
+    let nodes = fleet(2, &log);
+    let cut = &nodes[1];
+    cut.log.set_cut(true);
+    declare(&log, 1_000, "proof").await;
+    nodes[0].up().await;
+    nodes[0]
+        .until("top-up", |fold| fold.has_top_up("b1", "t1"))
+        .await;
+    nodes[0].one(join(1)).await;
+    nodes[0].one(claim(1, 1, 100)).await;
+
+    cut.until("grant", |fold| {
+        fold.view("b1").is_some_and(|view| view.granted == 100)
+    })
+    .await;
+    eventually("configuration", || cut.ledger.config().progress().next == 1).await;
+    let before = cut.ledger.config().progress().next;
+    cut.log.set_cut(false);
+    nodes[0].one(claim(1, 2, 50)).await;
+    cut.until("grant", |fold| {
+        fold.view("b1").is_some_and(|view| view.granted == 150)
+    })
+    .await;
+    assert!(cut.ledger.config().progress().next >= before);
+    for node in nodes {
+        node.stop().await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_ledger_that_hears_from_nobody_says_how_old_its_knowledge_is() {
+    let log = Arc::new(MemLog::new());
+    log.set_fault(Fault::Outage);
+    let node = single(&log);
+    node.up().await;
+    let pong = node
+        .client
+        .call(request::Kind::Ping(Ping {}), LONG)
+        .await
+        .unwrap();
+    assert!(matches!(pong, reply::Kind::Pong(pong) if pong.log_age_ms > 1_000_000));
+    assert!(first_page(&node, "config", 0).await.age_ms > 1_000_000);
+
+    log.set_fault(Fault::None);
+    eventually("an answer", || node.ledger.config().progress().ready).await;
+    assert!(first_page(&node, "config", 0).await.age_ms < 1_000_000);
+    node.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_new_ledger_starts_from_a_snapshot() {
+    let log = Arc::new(MemLog::new());
+    let (bound, _) = listener();
+    let mut often = settings("vm-1", &[]);
+    often.snapshot_every = 20;
+    let node = spawn(often, bound, &log);
+    node.up().await;
+    declare(&log, 1_000, "proof").await;
+    node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
+        .await;
+    node.one(join(1)).await;
+    for seq in 1..=25 {
+        node.one(claim(1, seq, 2)).await;
+    }
+    let (_, shard) = node.ledger.shards().find(stream().as_str()).unwrap();
+    eventually("a snapshot", || shard.stream.progress().snapshot.is_some()).await;
+    let kept = shard.stream.progress().snapshot.unwrap() + 1;
+    assert!(kept > 20);
+    log.trim(&stream(), kept);
+
+    let late = single(&log);
+    late.up().await;
+    late.until("grants", |fold| {
+        fold.view("b1").is_some_and(|view| view.granted == 50)
+    })
+    .await;
+    let page = first_page(&late, stream().as_str(), 0).await;
+    assert_eq!(page.first, kept);
+    assert!(
+        matches!(late.one(claim(1, 26, 2)).await, fate::Kind::Claim(fate) if fate.granted == 2)
+    );
+    late.stop().await;
+    node.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_follower_gets_every_record_in_order() {
+    let log = Arc::new(MemLog::new());
+    let node = single(&log);
+    node.up().await;
+    declare(&log, 1_000, "proof").await;
+    node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
+        .await;
+    let follow = Follow {
+        stream: stream().to_string(),
+        from: 0,
+    };
+    let mut pages = node
+        .client
+        .stream(request::Kind::Follow(follow))
+        .await
+        .unwrap();
+    node.one(join(1)).await;
+    for seq in 1..=10 {
+        node.one(claim(1, seq, 2)).await;
+    }
+    let mut next = 0;
+    while next < log.end(&stream()) {
+        let Some(Ok(reply::Kind::Page(page))) = pages.next().await else {
+            panic!("no page");
+        };
+        for record in page.records {
+            assert_eq!(record.offset, next);
+            next += 1;
+        }
+    }
+    node.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn records_that_are_not_for_submitting_are_refused() {
+    let log = Arc::new(MemLog::new());
+    let node = single(&log);
+    node.up().await;
+    let other = (0..).map(|n| format!("x{n}"));
+    let mut other = other.filter(|name| {
+        swiftlink_budget::stream_of(swiftlink_budget::shard_of(name, common::SHARDS)) != stream()
+    });
+    let mut elsewhere = claim(1, 1, 1);
+    if let record::Kind::Claim(claim) = &mut elsewhere {
+        claim.budget = other.next().unwrap();
+    }
+    let release = record::Kind::Release(swiftlink_wire::log::Release {
+        incarnation: Some(common::incarnation(1)),
+    });
+    let name = stream().to_string();
+    for (stream, records, kind) in [
+        (name.as_str(), vec![], FailureKind::BadRequest),
+        (
+            name.as_str(),
+            vec![Record { kind: None }],
+            FailureKind::BadRequest,
+        ),
+        (
+            name.as_str(),
+            vec![Record {
+                kind: Some(elsewhere),
+            }],
+            FailureKind::BadRequest,
+        ),
+        (
+            name.as_str(),
+            vec![Record {
+                kind: Some(release),
+            }],
+            FailureKind::BadRequest,
+        ),
+        (
+            "config",
+            vec![Record {
+                kind: Some(join(1)),
+            }],
+            FailureKind::NotServed,
+        ),
+    ] {
+        let submit = Submit {
+            stream: stream.to_owned(),
+            records,
+            wait_ms: 1_000,
+        };
+        let answer = node.client.call(request::Kind::Submit(submit), LONG).await;
+        let Err(LinkError::Failed(failure)) = answer else {
+            panic!("{answer:?}");
+        };
+        assert_eq!(failure.kind, kind as i32, "{failure:?}");
+    }
+    assert_eq!(log.end(&stream()), 0);
+    node.stop().await;
+}
+
+async fn first_page(node: &common::Node, stream: &str, from: u64) -> Page {
+    let follow = Follow {
+        stream: stream.to_owned(),
+        from,
+    };
+    let mut pages = node
+        .client
+        .stream(request::Kind::Follow(follow))
+        .await
+        .unwrap();
+    let page = tokio::time::timeout(Duration::from_secs(10), pages.next())
+        .await
+        .unwrap();
+    match page {
+        Some(Ok(reply::Kind::Page(page))) => page,
+        other => panic!("{other:?}"),
+    }
+}
