--- a/crates/budget/tests/rules.rs
+++ b/crates/budget/tests/rules.rs
@@ -9,6 +9,7 @@
 use wire::ChargeFate::{self, Charged, Duplicate, Overdrawn, VoidKey, VoidReleased};
 use wire::RejectReason::{self, KeyTooOld, Malformed, NotOwner, Retired, UnknownIncarnation};
 use wire::fate::Kind as FateKind;
+use wire::record::Kind;
 
 fn rejected(reason: RejectReason) -> FateKind {
     let reason = reason.into();
@@ -23,6 +24,10 @@
     FateKind::Duplicate(wire::Duplicate {})
 }
 
+fn expect(fold: &mut Fold, kind: Kind, fate: FateKind) {
+    assert_eq!(apply(fold, &kind), fate, "{kind:?}");
+}
+
 /// A budget `b` of 1000 and routers 1 on VMs `v` and `u`.
 fn start() -> Fold {
     let mut fold = Fold::empty();
@@ -64,12 +69,9 @@
 #[test]
 fn top_ups_count_once_and_never_overflow() {
     let mut fold = start();
-    assert_eq!(apply(&mut fold, &top_up("b", "t", 1_000)), copy());
-    assert_eq!(
-        apply(&mut fold, &top_up("b", "x", u64::MAX)),
-        rejected(Malformed)
-    );
-    assert_eq!(apply(&mut fold, &top_up("b", "x", 5)), applied());
+    expect(&mut fold, top_up("b", "t", 1_000), copy());
+    expect(&mut fold, top_up("b", "x", u64::MAX), rejected(Malformed));
+    expect(&mut fold, top_up("b", "x", 5), applied());
     assert_eq!(fold.view("b").expect("known").topped_up, 1_005);
     assert!(fold.has_top_up("b", "x") && !fold.has_top_up("b", "y"));
 }
@@ -100,7 +102,7 @@
     let mut fold = start();
     let first = apply(&mut fold, &claim("v", 1, "b", 3, 1, 100));
     apply(&mut fold, &claim("u", 1, "b", 1, 1, 100));
-    assert_eq!(apply(&mut fold, &claim("v", 1, "b", 3, 1, 100)), first);
+    expect(&mut fold, claim("v", 1, "b", 3, 1, 100), first);
     let stale = apply(&mut fold, &claim("v", 1, "b", 2, 1, 100));
     assert_eq!(stale, rejected(RejectReason::StaleSeq));
     assert_eq!(fold.view("b").expect("known").granted, 200);
@@ -109,25 +111,17 @@
 #[test]
 fn claims_out_of_form_or_place_are_rejected() {
     let mut fold = start();
-    assert_eq!(
-        apply(&mut fold, &claim("v", 1, "b", 1, 5, 4)),
-        rejected(Malformed)
-    );
-    assert_eq!(
-        apply(&mut fold, &claim("v", 1, "b", 0, 1, 4)),
-        rejected(Malformed)
-    );
-    assert_eq!(
-        apply(&mut fold, &claim("v", 9, "b", 1, 1, 4)),
-        rejected(UnknownIncarnation)
+    expect(&mut fold, claim("v", 1, "b", 1, 5, 4), rejected(Malformed));
+    expect(&mut fold, claim("v", 1, "b", 0, 1, 4), rejected(Malformed));
+    expect(
+        &mut fold,
+        claim("v", 9, "b", 1, 1, 4),
+        rejected(UnknownIncarnation),
     );
     let never = granted(apply(&mut fold, &claim("v", 1, "other", 1, 1, 4)));
     assert_eq!((never.granted, never.free), (0, 0));
     apply(&mut fold, &retire("v", 1));
-    assert_eq!(
-        apply(&mut fold, &claim("v", 1, "b", 1, 1, 4)),
-        rejected(Retired)
-    );
+    expect(&mut fold, claim("v", 1, "b", 1, 1, 4), rejected(Retired));
 }
 
 #[test]
@@ -140,7 +134,7 @@
     assert!(!active(apply(&mut fold, &join("v", 1, "a", 0))));
     assert!(!active(apply(&mut fold, &join("v", 4, "a", 0))));
     apply(&mut fold, &release("v", 1));
-    assert_eq!(apply(&mut fold, &release("v", 1)), copy());
+    expect(&mut fold, release("v", 1), copy());
     apply(&mut fold, &retire("v", 5));
     apply(&mut fold, &release("v", 5));
     let FateKind::Join(fate) = apply(&mut fold, &join("v", 5, "a", 0)) else {
@@ -181,7 +175,7 @@
 fn quarantine_pays_charges_until_its_release() {
     let mut fold = start();
     apply(&mut fold, &claim("v", 1, "b", 1, 1, 100));
-    assert_eq!(apply(&mut fold, &release("v", 1)), rejected(Malformed));
+    expect(&mut fold, release("v", 1), rejected(Malformed));
     apply(&mut fold, &retire("v", 1));
     assert_eq!(charge(&mut fold, "v", 1, 30, 1), Charged);
     assert_eq!(fold.retired()[0].unspent, 70);
@@ -198,13 +192,13 @@
     let mut fold = start();
     apply(&mut fold, &claim("v", 1, "b", 1, 1, 100));
     charge(&mut fold, "v", 1, 30, 1);
-    assert_eq!(apply(&mut fold, &give_back("v", 1, "b", 90)), applied());
+    expect(&mut fold, give_back("v", 1, "b", 90), applied());
     assert_eq!(fold.view("b").expect("known").free, 970);
     // Later grants are set off against the excess, so a copy frees nothing either.
     apply(&mut fold, &claim("v", 1, "b", 2, 1, 100));
     assert_eq!(fold.view("b").expect("known").granted, 80);
-    assert_eq!(apply(&mut fold, &give_back("v", 1, "b", 90)), copy());
-    assert_eq!(apply(&mut fold, &give_back("v", 1, "b", 80)), copy());
+    expect(&mut fold, give_back("v", 1, "b", 90), copy());
+    expect(&mut fold, give_back("v", 1, "b", 80), copy());
 }
 
 #[test]
@@ -213,21 +207,21 @@
     let k = key(50, 1);
     assert!(won(&mut fold, "v", k.clone()) && won(&mut fold, "v", k.clone()));
     assert!(!won(&mut fold, "u", k.clone()));
-    assert_eq!(apply(&mut fold, &abandon("v", 1, k.clone())), applied());
-    assert_eq!(apply(&mut fold, &abandon("v", 1, k.clone())), copy());
+    expect(&mut fold, abandon("v", 1, k.clone()), applied());
+    expect(&mut fold, abandon("v", 1, k.clone()), copy());
     assert!(!won(&mut fold, "v", k.clone()));
     assert!(won(&mut fold, "u", k.clone()));
     apply(&mut fold, &claim("u", 1, "b", 1, 1, 10));
     assert_eq!(charge(&mut fold, "u", 1, 5, 1), Charged);
     assert!(!won(&mut fold, "u", k.clone()));
-    assert_eq!(apply(&mut fold, &abandon("u", 1, k)), rejected(NotOwner));
+    expect(&mut fold, abandon("u", 1, k), rejected(NotOwner));
 }
 
 #[test]
 fn an_abandonment_overtakes_its_intent() {
     let mut fold = start();
     let k = key(50, 1);
-    assert_eq!(apply(&mut fold, &abandon("v", 1, k.clone())), applied());
+    expect(&mut fold, abandon("v", 1, k.clone()), applied());
     assert!(!won(&mut reload(&fold), "v", k.clone()));
     assert!(won(&mut fold, "u", k));
 }
@@ -238,10 +232,7 @@
     assert!(won(&mut fold, "v", key(50, 1)));
     apply(&mut fold, &retire("v", 1));
     assert!(won(&mut fold, "v", key(50, 1)));
-    assert_eq!(
-        apply(&mut fold, &intent("v", 1, key(50, 2))),
-        rejected(Retired)
-    );
+    expect(&mut fold, intent("v", 1, key(50, 2)), rejected(Retired));
 }
 
 #[test]
@@ -253,19 +244,46 @@
     assert_eq!((fold.evicted_ms(), state(&fold).keys.len()), (0, 1));
     apply(&mut fold, &mark("u", 1, 55));
     assert_eq!((fold.evicted_ms(), state(&fold).keys.len()), (55, 0));
-    assert_eq!(
-        apply(&mut fold, &intent("u", 1, key(54, 1))),
-        rejected(KeyTooOld)
-    );
+    expect(&mut fold, intent("u", 1, key(54, 1)), rejected(KeyTooOld));
     assert!(won(&mut fold, "u", key(55, 1)));
     // An old key with a fresh serial is a run that was never counted.
     assert_eq!(charge(&mut fold, "v", 2, 10, 2), Charged);
     apply(&mut fold, &join("t", 1, "a", 1));
     assert_eq!(fold.evicted_ms(), 55);
-    assert_eq!(
-        apply(&mut fold, &mark("u", 1, 1 << 48)),
-        rejected(Malformed)
-    );
+    expect(&mut fold, mark("u", 1, 1 << 48), rejected(Malformed));
+}
+
+#[test]
+fn quarantine_keeps_the_floor_of_its_router() {
+    let mut fold = start();
+    apply(&mut fold, &mark("u", 1, 60));
+    apply(&mut fold, &retire("v", 1));
+    apply(&mut fold, &mark("u", 1, 70));
+    assert_eq!(fold.evicted_ms(), 0);
+    apply(&mut fold, &release("v", 1));
+    assert_eq!(fold.evicted_ms(), 70);
+}
+
+#[test]
+fn equal_states_are_equal_bytes_whatever_led_to_them() {
+    let k = key(50, 1);
+    let kinds = [
+        top_up("c", "1", 5),
+        top_up("d", "1", 5),
+        join("s", 1, "a", 0),
+        join("r", 1, "a", 0),
+        claim("u", 1, "d", 1, 0, 0),
+        claim("u", 1, "c", 1, 0, 0),
+        abandon("v", 1, k.clone()),
+        abandon("u", 1, k),
+    ];
+    let (mut one, mut other) = (start(), start());
+    kinds.iter().for_each(|kind| drop(apply(&mut one, kind)));
+    kinds
+        .chunks(2)
+        .flat_map(|pair| pair.iter().rev())
+        .for_each(|kind| drop(apply(&mut other, kind)));
+    assert_eq!(one.encode(), other.encode());
 }
 
 #[test]
@@ -327,7 +345,7 @@
         abandon("v", 1, vec![]),
         join("", 1, "a", 0),
     ] {
-        assert_eq!(apply(&mut fold, &kind), rejected(Malformed));
+        expect(&mut fold, kind, rejected(Malformed));
     }
     assert_eq!(fold.apply(9, &[0xff; 7]), Step::Malformed);
     assert!(Fold::decode(&[0xff; 7]).is_err());
--- a/crates/resource/src/validate.rs
+++ b/crates/resource/src/validate.rs
@@ -48,7 +48,9 @@
     let spec = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
         let detail = error.inner().to_string();
         let path = error.path().to_string();
-        let field = if path == "." {
+        // The whole has the path "."; text that ends too early has none, or "?".
+        let whole = path == "." || path.contains('?');
+        let field = if whole {
             quoted(&detail).to_owned()
         } else {
             path
--- a/crates/resource/tests/rules.rs
+++ b/crates/resource/tests/rules.rs
@@ -50,150 +50,86 @@
     );
 }
 
+/// Kind, name, specification and the field at fault.
+const INVALID: &str = r#"
+shelf n {} kind
+class a+b {} name
+class a/b {} name
+class n {"weight":0} weight
+class n {"weight":1001} weight
+class n {"price":0} price
+class n {"price":"x"} price
+class n {"colour":1} colour
+class n {}{} spec
+class n { spec
+budget n {"release":"maybe"} release
+budget n {"ahead_secs":3601} ahead_secs
+topup n {"budget":"b"} amount
+topup n {"budget":"b","amount":0} amount
+topup n {"budget":"b","amount":-1} amount
+workspace n {} budget
+workspace n {"budget":"b","classes":["c","c"]} classes
+pool n {"kind":"shop"} kind
+pool n {"kind":"model","max_tokens":0} max_tokens
+pool n {"kind":"model","token_bytes":0} token_bytes
+pool n {"kind":"service","once":["post"]} once
+pool a/b {"kind":"service"} name
+server n {"pool":"p","address":"127.0.0.1","domain":"d"} address
+server n {"pool":"p","address":"127.0.0.1:0","domain":"d"} address
+server n {"pool":"p","address":"0.0.0.0:80","domain":"d"} address
+server n {"pool":"p","address":"127.0.0.1:80","domain":""} domain
+key n {"workspace":"w","hash":"12"} hash
+key n {"workspace":"w","hash":"00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"} hash
+"#;
+
 #[test]
 fn invalid_specifications_name_the_field() {
     let mut fold = start();
-    let server = |address: &str| format!(r#"{{"pool":"p","address":"{address}","domain":"d"}}"#);
-    let cases = [
-        ("shelf", "n", "{}".to_owned(), "kind"),
-        ("class", "", "{}".to_owned(), "name"),
-        ("class", "a b", "{}".to_owned(), "name"),
-        ("class", "a/b", "{}".to_owned(), "name"),
-        ("class", &"n".repeat(129), "{}".to_owned(), "name"),
-        ("class", "n", r#"{"weight":0}"#.to_owned(), "weight"),
-        ("class", "n", r#"{"weight":1001}"#.to_owned(), "weight"),
-        ("class", "n", r#"{"price":0}"#.to_owned(), "price"),
-        ("class", "n", r#"{"price":"x"}"#.to_owned(), "price"),
-        ("class", "n", r#"{"colour":1}"#.to_owned(), "colour"),
-        ("class", "n", "{} {}".to_owned(), "spec"),
-        ("class", "n", "".to_owned(), "spec"),
-        (
-            "budget",
-            "n",
-            r#"{"release":"maybe"}"#.to_owned(),
-            "release",
-        ),
-        (
-            "budget",
-            "n",
-            r#"{"ahead_secs":3601}"#.to_owned(),
-            "ahead_secs",
-        ),
-        ("topup", "n", r#"{"budget":"b"}"#.to_owned(), "amount"),
-        (
-            "topup",
-            "n",
-            r#"{"budget":"b","amount":0}"#.to_owned(),
-            "amount",
-        ),
-        (
-            "topup",
-            "n",
-            r#"{"budget":"b","amount":-1}"#.to_owned(),
-            "amount",
-        ),
-        ("workspace", "n", "{}".to_owned(), "budget"),
-        (
-            "workspace",
-            "n",
-            r#"{"budget":"b","classes":["c","c"]}"#.to_owned(),
-            "classes",
-        ),
-        ("pool", "n", r#"{"kind":"shop"}"#.to_owned(), "kind"),
-        (
-            "pool",
-            "n",
-            r#"{"kind":"model","max_tokens":0}"#.to_owned(),
-            "max_tokens",
-        ),
-        (
-            "pool",
-            "n",
-            r#"{"kind":"model","token_bytes":0}"#.to_owned(),
-            "token_bytes",
-        ),
-        (
-            "pool",
-            "n",
-            r#"{"kind":"service","once":["post"]}"#.to_owned(),
-            "once",
-        ),
-        ("pool", "a/b", r#"{"kind":"service"}"#.to_owned(), "name"),
-        ("server", "n", server("127.0.0.1"), "address"),
-        ("server", "n", server("127.0.0.1:0"), "address"),
-        ("server", "n", server("0.0.0.0:80"), "address"),
-        (
-            "key",
-            "n",
-            r#"{"workspace":"w","hash":"12"}"#.to_owned(),
-            "hash",
-        ),
-        (
-            "key",
-            "n",
-            format!(r#"{{"workspace":"w","hash":"{HASH}"}}"#),
-            "hash",
-        ),
+    let mut changes = vec![
+        (put("class", "", 0, "{}"), "name"),
+        (put("class", &"n".repeat(129), 0, "{}"), "name"),
     ];
-    for (kind, name, spec, expected) in cases {
-        let reasons = refused(&mut fold, put(kind, name, 0, &spec));
+    for line in INVALID.trim().lines() {
+        let words: Vec<&str> = line.split(' ').collect();
+        changes.push((put(words[0], words[1], 0, words[2]), words[3]));
+    }
+    for (change, expected) in changes {
+        let reasons = refused(&mut fold, change.clone());
         let [RejectReason::Invalid { field, .. }] = &reasons[..] else {
-            panic!("{kind} {spec}: {reasons:?}");
+            panic!("{change:?}: {reasons:?}");
         };
-        assert_eq!(field, expected, "{kind} {name} {spec}");
+        assert_eq!(field, expected, "{change:?}");
     }
     let model = put("pool", "org/model:7b", 0, r#"{"kind":"model"}"#);
-    assert_eq!(
-        apply(&mut fold, 21, "m", vec![model]).verdict,
-        Verdict::Accepted
-    );
+    let fate = apply(&mut fold, 21, "m", vec![model]);
+    assert_eq!(fate.verdict, Verdict::Accepted);
 }
 
+/// Kind, specification and what it lacks.
+const DANGLING: &str = r#"
+topup {"budget":"x","amount":1} budget
+workspace {"budget":"x"} budget
+workspace {"budget":"b","classes":["c","x"]} class
+server {"pool":"x","address":"[::1]:80","domain":"d"} pool
+key {"workspace":"x","hash":"abababababababababababababababababababababababababababababababab"} workspace
+"#;
+
 #[test]
 fn dangling_references_are_refused() {
     let mut fold = start();
-    let cases = [
-        (
-            "topup",
-            r#"{"budget":"x","amount":1}"#.to_owned(),
-            Kind::Budget,
-        ),
-        ("workspace", r#"{"budget":"x"}"#.to_owned(), Kind::Budget),
-        (
-            "workspace",
-            r#"{"budget":"b","classes":["c","x"]}"#.to_owned(),
-            Kind::Class,
-        ),
-        (
-            "server",
-            r#"{"pool":"x","address":"[::1]:80","domain":"d"}"#.to_owned(),
-            Kind::Pool,
-        ),
-        (
-            "key",
-            format!(r#"{{"workspace":"x","hash":"{}"}}"#, "ab".repeat(32)),
-            Kind::Workspace,
-        ),
-    ];
-    for (by, spec, kind) in cases {
-        let missing = RejectReason::Missing {
-            kind,
-            name: "x".to_owned(),
-        };
-        assert_eq!(refused(&mut fold, put(by, "n", 0, &spec)), [missing]);
+    for line in DANGLING.trim().lines() {
+        let words: Vec<&str> = line.split(' ').collect();
+        let kind = words[2].parse().expect("a kind");
+        let name = "x".to_owned();
+        let reasons = refused(&mut fold, put(words[0], "n", 0, words[1]));
+        assert_eq!(reasons, [RejectReason::Missing { kind, name }]);
     }
-    let cases = [
-        ("budget", "b", "topup/t"),
-        ("class", "c", "workspace/w"),
-        ("pool", "p", "server/s"),
-        ("workspace", "w", "key/k"),
-    ];
-    for (kind, name, by) in cases {
-        let by = by.to_owned();
-        assert_eq!(
-            refused(&mut fold, delete(kind, name, 10)),
-            [RejectReason::InUse { by }]
-        );
+    let used = "budget b topup/t\nclass c workspace/w\npool p server/s\nworkspace w key/k";
+    for line in used.lines() {
+        let words: Vec<&str> = line.split(' ').collect();
+        let by = words[2].to_owned();
+        let reasons = refused(&mut fold, delete(words[0], words[1], 10));
+        assert_eq!(reasons, [RejectReason::InUse { by }]);
     }
 }
 
