--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -3,6 +3,7 @@
 use std::panic;
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use anyhow::Context;
 use swiftlink_settings::Settings;
@@ -14,6 +15,8 @@
 
 /// Exit code for a bad command line or bad settings.
 const BAD_USAGE: u8 = 2;
+/// How long a metric may wait in the buffer.
+const FLUSH: Duration = Duration::from_secs(1);
 
 /// Runs a daemon as the process's command line says.
 ///
@@ -119,13 +122,24 @@
     let result = runtime.block_on(async {
         let shell = Shell::new(metrics.clone());
         shell.follow_signals().context("following signals")?;
-        start(settings, shell).await
+        let flushing = tokio::spawn(flush(metrics.clone()));
+        let result = start(settings, shell).await;
+        flushing.abort();
+        result
     });
     metrics.flush();
     event!(info, "process.stopped", ok = result.is_ok());
     result
 }
 
+/// Sends buffered metrics now and then, so that rare ones don't wait for a full packet.
+async fn flush(metrics: Metrics) {
+    loop {
+        tokio::time::sleep(FLUSH).await;
+        metrics.flush();
+    }
+}
+
 /// A panic is a broken invariant: the process logs it and stops, so that a state
 /// that can't be trusted doesn't go on deciding.
 fn stop_on_panic() {
--- a/crates/shell/src/web/server.rs
+++ b/crates/shell/src/web/server.rs
@@ -130,7 +130,7 @@
         .enclosed(Layer(Arc::clone(shared)));
     let bound = Bound {
         listener,
-        stop: shared.stop.clone(),
+        shared: Arc::clone(shared),
     };
     Builder::new()
         .worker_threads(limits.workers.max(1))
