routing: stop routers from swinging together; place only known prefixes

All routers followed each lagging report at once, waits in a runner's queue counted as slowness, and unique prompts were pinned to a hashed runner as if they were cached there.

Ruled out by leaving each out in turn: the failure-domain detour, the sample size, the jitter. None changed p99 by more than a tenth.

Change: others' load is averaged over 10 s and each router corrects its own share of a difference; slowness below 1.5 counts as none and rises slower than it falls; a prefix is placed only once it was seen before, and on a runner within 1.25 times the mean of own and of all requests.

--- a/crates/routing/src/expected.rs
+++ b/crates/routing/src/expected.rs
@@ -4,9 +4,14 @@
 
 use crate::baseline::draw_able;
 use crate::policy::{Policy, View, draw};
+use crate::seen::Seen;
 
 /// Servers, in rendezvous order, that a hot prefix may be spread over.
 const RANKS: usize = 4;
+/// Multiple of the expected time after which a server without an answer is stalled.
+const STALLED: f64 = 2.0;
+/// An odd number with evenly spread bits (the fraction of the golden ratio).
+const SPREAD: u128 = 0x9e37_79b9_7f4a_7c15;
 /// Most servers compared in one pick.
 const MAX_SAMPLE: usize = 32;
 
@@ -34,7 +39,7 @@
             warm: 0.5,
             bound: 1.25,
             detour: 1_000.0,
-            jitter: 0.1,
+            jitter: 0.01,
         }
     }
 }
@@ -45,23 +50,51 @@
 /// estimated load, times the server's slowness, at least the age of what it has not
 /// answered yet, and more by its share of errors. A server where the prefix is likely
 /// cached scores lower, unless its load is over the bound; then the next one in
-/// rendezvous order takes the prefix too.
+/// rendezvous order takes the prefix too. A prefix that this router has not seen before
+/// has no such server: its hash would only unbalance the load.
 #[derive(Debug)]
 pub struct ExpectedWait {
     policy: ScorePolicy,
+    seen: Seen,
+}
+
+/// Mean load of the drawn servers.
+struct Mean {
+    /// Own requests at a server.
+    own: f64,
+    /// All requests at a server.
+    all: f64,
+}
+
+impl Mean {
+    fn of(view: &View<'_>, drawn: &[u32]) -> Self {
+        let count = drawn.len() as f64;
+        let loads = drawn.iter().map(|slot| view.server(*slot).load());
+        let (own, all) = loads.fold((0.0, 0.0), |(own, all), load| {
+            let in_flight = f64::from(load.in_flight());
+            (own + in_flight, all + load.estimate(view.now()))
+        });
+        Self {
+            own: own / count,
+            all: all / count,
+        }
+    }
 }
 
 impl ExpectedWait {
     /// The policy with these settings.
     #[must_use]
     pub fn new(policy: ScorePolicy) -> Self {
-        Self { policy }
+        Self {
+            policy,
+            seen: Seen::new(),
+        }
     }
 
     fn score(&self, view: &View<'_>, slot: u32, warmth: f64) -> f64 {
         let server = view.server(slot);
         let now = view.now();
-        let expected = view.expected_first(load(view, slot) + 1.0 / f64::from(server.slots()));
+        let expected = view.expected_first(view.load(slot) + 1.0 / f64::from(server.slots()));
         let usual = expected * server.slowness(now) * warmth;
         let unanswered = server.unanswered_age(now).unwrap_or(0) as f64;
         let health = 1.0 - server.health().error_share().min(0.9);
@@ -70,22 +103,39 @@
         } else {
             self.policy.detour
         };
-        usual.max(unanswered) / (health * health) + detour
+        let stalled = if unanswered > STALLED * usual {
+            unanswered
+        } else {
+            0.0
+        };
+        usual.max(stalled) / (health * health) + detour
     }
 
     /// The first server in the prefix's rendezvous order whose load is in bounds.
-    fn home(&self, view: &View<'_>, mean: f64) -> Option<u32> {
+    fn home(&mut self, view: &View<'_>, mean: &Mean) -> Option<u32> {
         let prefix = view.pick().prefix;
-        if prefix == 0 {
+        if prefix == 0 || !self.seen.see(prefix, view.now()) {
             return None;
         }
-        for slot in ranked(view, prefix).into_iter().flatten() {
-            let spare = 1.0 / f64::from(view.server(slot).slots());
-            if load(view, slot) <= mean * self.policy.bound + spare {
-                return Some(slot);
-            }
+        let ranks = ranked(view, prefix);
+        let mut ranks = ranks.into_iter().flatten();
+        ranks.find(|slot| self.has_room(view, *slot, mean))
+    }
+
+    /// Whether a server is within the bound for prefixes, by this router's own
+    /// requests at once and by all requests as reported over time.
+    fn has_room(&self, view: &View<'_>, slot: u32, mean: &Mean) -> bool {
+        let server = view.server(slot);
+        let all = server.load().estimate(view.now());
+        if all > mean.all * self.policy.bound {
+            return false;
         }
-        None
+        // With less than one own request at a server on average, the bound is a
+        // fraction. Each router then rounds up at its own part of the servers.
+        let bound = mean.own * self.policy.bound;
+        let part = mix(server.hash() ^ view.seed()) as f64 / u64::MAX as f64;
+        let whole = bound.floor() + f64::from(part < bound.fract());
+        f64::from(server.load().in_flight()) < whole
     }
 }
 
@@ -107,8 +157,8 @@
         if drawn.is_empty() {
             return draw_able(view, rng);
         }
-        let mean = drawn.iter().map(|slot| load(view, *slot)).sum::<f64>() / count as f64;
-        let home = self.home(view, mean);
+        let mean = Mean::of(view, drawn);
+        let home = self.home(view, &mean);
         let mut best = None;
         for slot in drawn.iter().copied().chain(home) {
             let warmth = if home == Some(slot) {
@@ -126,12 +176,6 @@
     }
 }
 
-/// Requests at a server for each of its slots.
-fn load(view: &View<'_>, slot: u32) -> f64 {
-    let server = view.server(slot);
-    server.load().estimate(view.now()) / f64::from(server.slots())
-}
-
 /// Draws up to `want` servers that can take the request; without repetition when
 /// there are few.
 fn sample(view: &View<'_>, rng: &mut dyn Rng, want: usize, drawn: &mut [u32; MAX_SAMPLE]) -> usize {
@@ -167,8 +211,8 @@
 fn ranked(view: &View<'_>, prefix: u64) -> [Option<u32>; RANKS] {
     let mut ranks = [None; RANKS];
     let mut weights = [0; RANKS];
-    for slot in view.open().iter().copied() {
-        let weight = mix(view.server(slot).hash() ^ prefix);
+    for (slot, hash) in view.open().iter().copied().zip(view.hashes()) {
+        let weight = mix(hash ^ prefix);
         if weight <= weights[RANKS - 1] || !view.can_take(slot) {
             continue;
         }
@@ -184,9 +228,8 @@
     ranks
 }
 
-/// Spreads the bits of a hash (the finalizer of SplitMix64).
+/// Spreads the bits of a hash: both halves of a wide product.
 fn mix(hash: u64) -> u64 {
-    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    hash ^ (hash >> 31)
+    let wide = u128::from(hash) * SPREAD;
+    (wide >> 64) as u64 ^ wide as u64
 }
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -25,7 +25,8 @@
     /// Servers that this router uses and polls; 0: all. Chosen by hash, so that the
     /// routers' subsets cover the pool evenly.
     pub subset: usize,
-    /// Sets this router's subset apart from the others'.
+    /// Sets this router apart from the others; a hash of its name. Must differ between
+    /// routers.
     pub seed: u64,
     /// Ejection of failing servers.
     pub health: HealthPolicy,
@@ -77,6 +78,8 @@
     by_name: HashMap<ServerName, u32>,
     /// Members that are not leaving.
     open: Vec<u32>,
+    /// Hashes of the names of `open`.
+    hashes: Vec<u64>,
     /// Ejected servers among the open ones, if any.
     ejected: Vec<u32>,
     pool: PoolTimes,
@@ -92,6 +95,7 @@
             servers: Vec::new(),
             by_name: HashMap::new(),
             open: Vec::new(),
+            hashes: Vec::new(),
             ejected: Vec::new(),
             pool: PoolTimes::new(),
         }
@@ -139,8 +143,10 @@
         let view = View {
             servers: &self.servers,
             open: &self.open,
+            hashes: &self.hashes,
             pick,
             pool: &self.pool,
+            seed: self.settings.seed,
         };
         if let Some(slot) = probe(&view, &self.ejected, rng) {
             return Some(self.idx(slot));
@@ -234,9 +240,9 @@
         let Some(server) = self.get_mut(idx) else {
             return;
         };
-        if !server.load.on_report(now, report) {
+        let Some((own, others)) = server.load.on_report(now, report) else {
             return;
-        }
+        };
         if report.slots > 0 {
             server.slots = report.slots;
         }
@@ -247,7 +253,9 @@
         } else if server.draining_at.is_some_and(|since| made_at > since) {
             server.draining_at = None;
         }
-        if server.is_leaving() != was_leaving {
+        let changed = server.is_leaving() != was_leaving;
+        self.pool.learn_load(own, others);
+        if changed {
             self.refresh();
         }
     }
@@ -427,6 +435,8 @@
             server.is_member && !server.is_leaving()
         });
         open.sort_unstable();
+        let hashes = open.iter().map(|slot| self.servers[*slot as usize].hash);
+        self.hashes = hashes.collect();
         self.open = open;
         self.refresh_ejected();
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 mod load;
 mod policy;
 mod retry;
+mod seen;
 mod server;
 
 pub use baseline::{LeastReported, Random, RoundRobin, TwoChoices};
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -24,6 +24,10 @@
 const STEP: Micros = 200_000;
 /// Counts remembered: reports up to about six seconds old can be matched.
 const KEPT: usize = 32;
+/// Time over which the others' requests are averaged. Reports lag, and other routers
+/// act on the same ones: following each at once makes all of them swing together, so
+/// only what lasts counts.
+const AVERAGE: f64 = 10e6;
 /// From this age on a report fades.
 const FRESH: Micros = 10_000_000;
 
@@ -35,7 +39,7 @@
     history: VecDeque<(Micros, u32)>,
     report: Option<LoadReport>,
     made_at: Micros,
-    /// Requests of others at the time of the report.
+    /// Requests of others, averaged over the reports.
     others: f64,
 }
 
@@ -65,16 +69,22 @@
         self.made_at
     }
 
-    /// Estimated requests at the server: own now, and those of others as reported.
+    /// Others' requests at the server, averaged over the reports; fades without them.
     #[must_use]
-    pub fn estimate(&self, now: Micros) -> f64 {
+    pub fn others(&self, now: Micros) -> f64 {
         let age = now.saturating_sub(self.made_at);
         let fade = if age <= FRESH {
             1.0
         } else {
             FRESH as f64 / age as f64
         };
-        f64::from(self.in_flight) + self.others * fade
+        self.others * fade
+    }
+
+    /// Estimated requests at the server: own now, and those of others on average.
+    #[must_use]
+    pub fn estimate(&self, now: Micros) -> f64 {
+        f64::from(self.in_flight) + self.others(now)
     }
 
     pub(crate) fn on_sent(&mut self, now: Micros) {
@@ -88,17 +98,25 @@
     }
 
     /// Takes a report that arrived at `now`; one older than the last is dropped.
-    pub(crate) fn on_report(&mut self, now: Micros, report: LoadReport) -> bool {
+    ///
+    /// Answers the own and the others' requests that it shows.
+    pub(crate) fn on_report(&mut self, now: Micros, report: LoadReport) -> Option<(f64, f64)> {
         let age = report.age.as_micros() as Micros;
         let made_at = now.saturating_sub(age);
         if self.report.is_some() && made_at < self.made_at {
-            return false;
+            return None;
         }
+        let step = made_at.saturating_sub(self.made_at) as f64;
+        let gain = match self.report {
+            Some(_) => 1.0 - (-step / AVERAGE).exp(),
+            None => 1.0,
+        };
         self.made_at = made_at;
         self.report = Some(report);
         let own = f64::from(self.own_at(made_at));
-        self.others = (f64::from(self.reported()) - own).max(0.0);
-        true
+        let others = (f64::from(self.reported()) - own).max(0.0);
+        self.others += gain * (others - self.others);
+        Some((own, others))
     }
 
     /// Remembers the count in force until `now`.
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -26,8 +26,10 @@
 pub struct View<'a> {
     pub(crate) servers: &'a [Server],
     pub(crate) open: &'a [u32],
+    pub(crate) hashes: &'a [u64],
     pub(crate) pick: &'a Pick<'a>,
     pub(crate) pool: &'a PoolTimes,
+    pub(crate) seed: u64,
 }
 
 impl<'a> View<'a> {
@@ -43,6 +45,12 @@
         self.pick.now
     }
 
+    /// Sets this router apart from the others.
+    #[must_use]
+    pub fn seed(&self) -> u64 {
+        self.seed
+    }
+
     /// Slots of the servers that are members of the subset and not leaving. They may
     /// be ejected or excluded: see [`Self::can_take`].
     #[must_use]
@@ -50,6 +58,13 @@
         self.open
     }
 
+    /// Hashes of the names of [`Self::open`], in the same order and side by side: a
+    /// rendezvous over all servers reads little memory.
+    #[must_use]
+    pub fn hashes(&self) -> &'a [u64] {
+        self.hashes
+    }
+
     /// The server in a slot.
     #[must_use]
     pub fn server(&self, slot: u32) -> &'a Server {
@@ -69,6 +84,20 @@
         self.pick.may_probe && health.wants_probe(self.now()) && !self.is_excluded(slot)
     }
 
+    /// Estimated requests at a server for each of its slots.
+    ///
+    /// All routers see the same reports, so each corrects only its own share of a
+    /// difference between the servers; else together they would overshoot.
+    #[must_use]
+    pub fn load(&self, slot: u32) -> f64 {
+        let server = self.server(slot);
+        let load = server.load();
+        let mean = self.pool.others;
+        let excess = load.others(self.now()) - mean;
+        let all = f64::from(load.in_flight()) + mean + self.pool.own_share() * excess;
+        all.max(0.0) / f64::from(server.slots())
+    }
+
     /// Expected time to the first token (µs) of a server of ordinary speed at `load`
     /// requests for each slot.
     #[must_use]
@@ -100,16 +129,23 @@
 /// Times of the whole pool, learned from what was seen.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PoolTimes {
-    /// Logarithm of the time to the first token of an idle server (µs).
+    /// Time to the first token of an idle server (µs), a geometric mean.
     base: Option<f64>,
-    /// Logarithm of the time of a whole request (µs).
+    /// Time of a whole request (µs), a geometric mean.
     service: Option<f64>,
+    /// Own and others' requests at a server, on average.
+    own: f64,
+    others: f64,
 }
 
 /// Weight of a new sample; in logarithms, so that outliers weigh little.
 const GAIN: f64 = 0.02;
 /// Growth of the time to the first token from an idle to a full server.
 const SLOPE: f64 = 1.0;
+/// Part of the service time that a server with all slots in use is expected to add,
+/// and how steeply that falls off with its load.
+const RISK: f64 = 0.1;
+const RISK_POWER: i32 = 6;
 /// Base time before any sample (µs).
 const FIRST_BASE: f64 = 50_000.0;
 /// Service time before any sample, in base times.
@@ -120,12 +156,14 @@
         Self {
             base: None,
             service: None,
+            own: 0.0,
+            others: 0.0,
         }
     }
 
     /// Expected time to the first token at `load` requests for each slot.
     pub(crate) fn expected(&self, load: f64) -> f64 {
-        let base = self.base.map_or(FIRST_BASE, f64::exp);
+        let base = self.base.unwrap_or(FIRST_BASE);
         base * (1.0 + SLOPE * load.min(1.0)) + self.queueing(load)
     }
 
@@ -133,24 +171,38 @@
     /// slower than the pool.
     pub(crate) fn learn_first(&mut self, load: f64, time: f64, slowness: f64) {
         let free = (time / slowness - self.queueing(load)).max(time * 0.1);
-        let base = (free / (1.0 + SLOPE * load.min(1.0))).max(1.0).ln();
-        let old = self.base.unwrap_or(base);
-        self.base = Some(old + GAIN * (base - old));
+        let base = (free / (1.0 + SLOPE * load.min(1.0))).max(1.0);
+        self.base = Some(follow(self.base.unwrap_or(base), base));
+    }
+
+    /// Takes the own and the others' requests that a report shows.
+    pub(crate) fn learn_load(&mut self, own: f64, others: f64) {
+        self.own += GAIN * (own - self.own);
+        self.others += GAIN * (others - self.others);
+    }
+
+    /// Own part of all requests at the servers.
+    fn own_share(&self) -> f64 {
+        let all = self.own + self.others;
+        if all > 0.0 { self.own / all } else { 1.0 }
     }
 
     pub(crate) fn learn_service(&mut self, time: f64) {
-        let seen = time.max(1.0).ln();
-        let old = self.service.unwrap_or(seen);
-        self.service = Some(old + GAIN * (seen - old));
+        let time = time.max(1.0);
+        self.service = Some(follow(self.service.unwrap_or(time), time));
     }
 
-    /// Wait at a server that has more requests than slots.
+    /// Wait at a server that has more requests than slots, and the risk of one that
+    /// may soon: the load is an estimate.
     fn queueing(&self, load: f64) -> f64 {
-        let over = (load - 1.0).max(0.0);
-        if over == 0.0 {
-            return 0.0;
-        }
-        let base = self.base.map_or(FIRST_BASE, f64::exp);
-        over * self.service.map_or(base * FIRST_SERVICE, f64::exp)
+        let base = self.base.unwrap_or(FIRST_BASE);
+        let service = self.service.unwrap_or(base * FIRST_SERVICE);
+        let risk = RISK * load.min(1.0).powi(RISK_POWER);
+        service * (risk + (load - 1.0).max(0.0))
     }
 }
+
+/// The geometric mean after one more value.
+fn follow(mean: f64, value: f64) -> f64 {
+    mean * (value / mean).powf(GAIN)
+}
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -38,8 +38,13 @@
 const SLOW_HALF: f64 = 20e6;
 /// Limits of the slowness.
 const SLOW_RANGE: (f64, f64) = (0.3, 50.0);
-/// Weight of a new sample in the slowness.
-const SLOW_GAIN: f64 = 0.25;
+/// Weight of a sample that shows a server faster, and one that shows it slower. A wait
+/// in the server's own queue looks like slowness, so it takes a run of slow answers.
+const SLOW_GAIN: (f64, f64) = (0.4, 0.15);
+/// Slowness below which servers count as alike.
+const SLOW_LEAST: f64 = 1.5;
+/// Its logarithm, rounded down.
+const SLOW_LEAST_LN: f64 = 0.405;
 
 /// State of one server, as policies see it.
 #[derive(Clone, Debug)]
@@ -117,9 +122,19 @@
         self.is_drained || self.is_listed_out || self.draining_at.is_some()
     }
 
-    /// How many times slower it is than the pool at equal load; 1 when unknown.
+    /// How many times slower it is than the pool at equal load; 1 when unknown or
+    /// not much slower.
     #[must_use]
     pub fn slowness(&self, now: Micros) -> f64 {
+        // The decay only lowers it: most servers end here.
+        if self.slowness < SLOW_LEAST_LN {
+            return 1.0;
+        }
+        let slowness = self.raw_slowness(now);
+        if slowness < SLOW_LEAST { 1.0 } else { slowness }
+    }
+
+    pub(crate) fn raw_slowness(&self, now: Micros) -> f64 {
         let age = now.saturating_sub(self.slow_at) as f64;
         (self.slowness * (-age / SLOW_HALF).exp2()).exp()
     }
@@ -152,9 +167,10 @@
 
     /// Takes the ratio of a time seen to the one the pool would have shown.
     pub(crate) fn learn_slowness(&mut self, now: Micros, ratio: f64) {
-        let old = self.slowness(now).ln();
+        let old = self.raw_slowness(now).ln();
         let seen = ratio.clamp(SLOW_RANGE.0, SLOW_RANGE.1).ln();
-        self.slowness = old + SLOW_GAIN * (seen - old);
+        let gain = if seen < old { SLOW_GAIN.0 } else { SLOW_GAIN.1 };
+        self.slowness = old + gain * (seen - old);
         self.slow_at = now;
     }
 }
