--- a/crates/client/src/document/check.rs
+++ b/crates/client/src/document/check.rs
@@ -30,6 +30,11 @@
     };
     for reject in rejects {
         if let RejectReason::Invalid { field, detail } = reject.reason {
+            // A place in the JSON means nothing to who wrote TOML.
+            let detail = match detail.rsplit_once(" at line ") {
+                Some((head, _place)) => head.to_owned(),
+                None => detail,
+            };
             return Err(Fault { field, detail });
         }
     }
--- a/crates/client/src/table.rs
+++ b/crates/client/src/table/mod.rs
@@ -1,9 +1,13 @@
 //! Tables for people.
 
+mod status;
+
 use comfy_table::Table;
 use serde_json::Value;
 
-use crate::api::{Applied, Budget, ProcessStatus, Resource, Status, WatchEvent};
+use crate::api::{Applied, Budget, Resource, WatchEvent};
+
+pub use status::status;
 
 /// Longest cell of a specification before it is cut (characters).
 const SPEC_WIDTH: usize = 100;
@@ -50,72 +54,6 @@
     line
 }
 
-/// The processes of the fleet.
-#[must_use]
-pub fn status(answer: &Status) -> String {
-    let columns = [
-        "PROCESS",
-        "ROLE",
-        "ADMIN",
-        "VERSION",
-        "CURRENT",
-        "LOG OFFSET",
-        "LOG AGE",
-        "GRANTS",
-        "QUEUE",
-        "NOTE",
-    ];
-    let mut table = plain(&columns);
-    for process in &answer.processes {
-        table.add_row(process_row(process));
-    }
-    let age = match answer.age_ms {
-        Some(age) => format!("{age} ms old"),
-        None => "never read to its end".to_owned(),
-    };
-    format!(
-        "newest version {}, at this operator {} ({age})\n{}",
-        answer.newest,
-        answer.version,
-        text(&table)
-    )
-}
-
-fn process_row(process: &ProcessStatus) -> [String; 10] {
-    let current = match process.current {
-        Some(true) => "yes",
-        Some(false) => "no",
-        None => "?",
-    };
-    let field = |name: &str| cell(process.status.get(name));
-    let age = match process.status.get("log_age_ms").and_then(Value::as_u64) {
-        Some(age) => format!("{age} ms"),
-        None => "-".to_owned(),
-    };
-    [
-        process.name.clone(),
-        process.role.clone(),
-        process.admin.clone(),
-        process
-            .version
-            .map_or_else(|| "?".to_owned(), |version| version.to_string()),
-        current.to_owned(),
-        field("log_offset"),
-        age,
-        field("grants"),
-        field("queue"),
-        note(process),
-    ]
-}
-
-fn note(process: &ProcessStatus) -> String {
-    if process.reachable {
-        return String::new();
-    }
-    let error = process.error.as_deref().unwrap_or("no answer");
-    format!("unreachable: {error}")
-}
-
 /// One budget, a line per amount.
 #[must_use]
 pub fn budget(answer: &Budget) -> String {
@@ -170,12 +108,3 @@
     }
     cut
 }
-
-fn cell(value: Option<&Value>) -> String {
-    match value {
-        None | Some(Value::Null) => "-".to_owned(),
-        Some(Value::String(text)) => text.clone(),
-        Some(Value::Array(items)) => items.len().to_string(),
-        Some(other) => other.to_string(),
-    }
-}
--- a/crates/operator/src/follower.rs
+++ b/crates/operator/src/follower.rs
@@ -65,10 +65,12 @@
 
     async fn step(&mut self) {
         let from = self.replica.next();
-        let read = self
-            .log
-            .read(&self.stream, from, PAGE_RECORDS, READ_WAIT)
-            .await;
+        // Until the end was reached once, an empty page is news too.
+        let wait = match self.board.config() {
+            Some(_) => READ_WAIT,
+            None => Duration::ZERO,
+        };
+        let read = self.log.read(&self.stream, from, PAGE_RECORDS, wait).await;
         match read {
             Ok(page) => {
                 self.end_outage();
--- a/crates/operator/src/journal.rs
+++ b/crates/operator/src/journal.rs
@@ -5,6 +5,9 @@
 
 use swiftlink_resource::{Event, SetFate, Verdict};
 
+#[cfg(test)]
+mod tests;
+
 /// Decisions that are kept, oldest forgotten first.
 const FATE_MEMORY: usize = 8_192;
 
--- a/crates/operator/src/web/apply.rs
+++ b/crates/operator/src/web/apply.rs
@@ -16,6 +16,8 @@
 const MAX_BODY: usize = 4 << 20;
 /// Longest change id (bytes).
 const MAX_ID: usize = 128;
+/// Field at fault when the body is no JSON.
+const BODY: &str = "body";
 
 impl Interface {
     pub(super) async fn apply(&self, request: &mut Incoming) -> Result<Response, Fault> {
@@ -55,12 +57,12 @@
     let mut reader = serde_json::Deserializer::from_slice(body);
     let request: Result<ApplyRequest, _> = serde_path_to_error::deserialize(&mut reader);
     let request = request.map_err(|error| {
-        let field = error.path().to_string();
-        Fault::malformed(&field, &error.inner().to_string())
+        let detail = error.inner().to_string();
+        Fault::malformed(&field(&error.path().to_string(), &detail), &detail)
     })?;
     reader
         .end()
-        .map_err(|error| Fault::malformed(".", &error.to_string()))?;
+        .map_err(|error| Fault::malformed(BODY, &error.to_string()))?;
     if request.changes.is_empty() {
         return Err(Fault::malformed("changes", "must not be empty"));
     }
@@ -79,6 +81,18 @@
     Ok(request)
 }
 
+/// The field at fault: a missing one is named in the message only.
+fn field(path: &str, detail: &str) -> String {
+    let missing = detail.strip_prefix("missing field `");
+    let missing = missing.and_then(|rest| rest.split('`').next());
+    match (path, missing) {
+        (".", None) => BODY.to_owned(),
+        (".", Some(name)) => name.to_owned(),
+        (path, None) => path.to_owned(),
+        (path, Some(name)) => format!("{path}.{name}"),
+    }
+}
+
 fn answer(id: &str, outcome: Outcome) -> Result<Response, Fault> {
     match outcome {
         Outcome::Accepted(applied) => Ok(web::json(StatusCode::OK, &applied)),
--- /dev/null
+++ b/crates/operator/tests/testsuite/apply.rs
@@ -0,0 +1,247 @@
+//! Applies that race, and applies over a log that fails.
+
+use std::sync::Arc;
+
+use serde_json::json;
+use swiftlink_client::api::Certainty;
+use swiftlink_client::{ClientError, Exit, change_id};
+use swiftlink_log::{Fault, MemLog};
+
+use crate::rig::{Rig, caller, class, config, delete, put, request};
+
+fn problem(error: ClientError) -> swiftlink_client::api::Problem {
+    match error {
+        ClientError::Refused(problem) => *problem,
+        other => panic!("not a refusal: {other}"),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_of_two_racing_changes_wins() {
+    let log = Arc::new(MemLog::new());
+    let rennes = Rig::start(&log, &json!({})).await;
+    let brest = Rig::start(&log, &json!({})).await;
+    let mut base = 0;
+    for round in 1..20 {
+        let (left, right) = tokio::join!(
+            rennes.apply(vec![class("urgent", Some(base), round)]),
+            brest.apply(vec![class("urgent", Some(base), round + 100)]),
+        );
+        let (won, lost, weight) = match (left, right) {
+            (Ok(won), Err(lost)) => (won, lost, round),
+            (Err(lost), Ok(won)) => (won, lost, round + 100),
+            other => panic!("round {round}: not exactly one winner: {other:?}"),
+        };
+        assert_eq!(lost.exit(), Exit::Conflict);
+        let lost = problem(lost);
+        assert_eq!(lost.status, 409);
+        assert_eq!(lost.rejects[0].current, Some(won.version));
+        base = won.version;
+        for rig in [&rennes, &brest] {
+            let mut shown = rig.caller.get("class", "urgent").await.expect("exists");
+            while shown.version < base {
+                // The other operator reads the log a moment later.
+                tokio::task::yield_now().await;
+                shown = rig.caller.get("class", "urgent").await.expect("exists");
+            }
+            assert_eq!(shown.version, base);
+            assert_eq!(shown.spec["weight"], weight);
+        }
+    }
+    rennes.operator.stop().await;
+    brest.operator.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_whose_answer_is_lost_is_applied_once() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({})).await;
+    log.fail_next(Fault::LoseAnswers, 1);
+    let applied = rig
+        .apply(vec![class("urgent", None, 4)])
+        .await
+        .expect("accepted");
+    assert_eq!(applied.version, 1);
+    assert_eq!(
+        log.end(&config()),
+        1,
+        "found by reading, not appended again"
+    );
+    rig.operator.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_lost_on_the_way_is_sent_again() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({})).await;
+    log.fail_next(Fault::LoseRequests, 3);
+    let applied = rig
+        .apply(vec![class("urgent", None, 4)])
+        .await
+        .expect("accepted");
+    assert_eq!(applied.version, 1);
+    assert_eq!(log.end(&config()), 1);
+    rig.operator.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_applies_nothing_and_says_so() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({})).await;
+    log.set_fault(Fault::Outage);
+    let refused = rig
+        .apply(vec![class("urgent", None, 4)])
+        .await
+        .expect_err("refused");
+    assert_eq!(refused.exit(), Exit::Failed);
+    let refused = problem(refused);
+    assert_eq!(refused.status, 503);
+    assert_eq!(refused.applied, Some(Certainty::No));
+    assert!(refused.retry_ms.is_some());
+
+    // Reads go on, and nothing is applied when the log is back.
+    assert!(
+        rig.caller
+            .list("class")
+            .await
+            .expect("reads go on")
+            .items
+            .is_empty()
+    );
+    log.set_fault(Fault::None);
+    let applied = rig
+        .apply(vec![class("spare", None, 4)])
+        .await
+        .expect("accepted");
+    assert_eq!(applied.version, 1);
+    assert_eq!(log.end(&config()), 1);
+    rig.operator.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_id_is_in_doubt_during_an_outage() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({ "apply_ms": 200 })).await;
+    log.set_fault(Fault::Outage);
+    let request = request(vec![class("urgent", None, 4)]);
+    let refused = rig
+        .caller
+        .apply(&request, "earlier", true)
+        .await
+        .expect_err("refused");
+    assert!(matches!(refused, ClientError::Unknown { .. }), "{refused}");
+    assert_eq!(log.end(&config()), 0);
+    rig.operator.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_in_doubt_can_be_repeated_under_its_id() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({ "apply_ms": 200 })).await;
+    let request = request(vec![class("urgent", None, 4)]);
+    let id = change_id();
+    log.set_fault(Fault::LoseRequests);
+    let refused = rig
+        .caller
+        .apply(&request, &id, false)
+        .await
+        .expect_err("undecided");
+    assert!(matches!(refused, ClientError::Unknown { .. }), "{refused}");
+
+    log.set_fault(Fault::None);
+    let first = rig
+        .caller
+        .apply(&request, &id, true)
+        .await
+        .expect("accepted");
+    let again = rig
+        .caller
+        .apply(&request, &id, true)
+        .await
+        .expect("accepted before");
+    assert_eq!(first, again);
+    assert_eq!(log.end(&config()), 1, "the repeated call appended nothing");
+    rig.operator.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_call_at_another_operator_gets_the_same_answer() {
+    let log = Arc::new(MemLog::new());
+    let first = Rig::start(&log, &json!({})).await;
+    let request = request(vec![class("urgent", None, 4)]);
+    let id = change_id();
+    let here = first
+        .caller
+        .apply(&request, &id, false)
+        .await
+        .expect("accepted");
+    first.operator.stop().await;
+
+    let second = Rig::start(&log, &json!({})).await;
+    let there = second
+        .caller
+        .apply(&request, &id, true)
+        .await
+        .expect("accepted");
+    assert_eq!(here, there);
+    second.operator.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unreachable_operator_is_passed_over() {
+    let log = Arc::new(MemLog::new());
+    let gone = Rig::start(&log, &json!({})).await;
+    let gone_address = gone.operator.address();
+    gone.operator.stop().await;
+    let rig = Rig::start(&log, &json!({})).await;
+    let both = caller(&[gone_address, rig.operator.address()]);
+    let request = request(vec![class("urgent", None, 4)]);
+    both.apply(&request, &change_id(), false)
+        .await
+        .expect("accepted at the second");
+    both.get("class", "urgent")
+        .await
+        .expect("shown by the second");
+    rig.operator.stop().await;
+
+    let error = both.status().await.expect_err("both are gone");
+    assert_eq!(error.exit(), Exit::Unreachable);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_set_is_rejected_as_a_whole() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({})).await;
+    let changes = vec![
+        class("urgent", None, 4),
+        put(
+            "workspace",
+            "notaries",
+            None,
+            json!({ "budget": "nowhere" }),
+        ),
+    ];
+    let refused = rig.apply(changes).await.expect_err("dangling reference");
+    assert_eq!(refused.exit(), Exit::Failed);
+    let refused = problem(refused);
+    assert_eq!(refused.rejects.len(), 1);
+    assert_eq!(refused.rejects[0].reason, "missing");
+    assert!(
+        rig.caller
+            .list("class")
+            .await
+            .expect("listed")
+            .items
+            .is_empty()
+    );
+
+    rig.apply(vec![class("urgent", None, 4)])
+        .await
+        .expect("accepted");
+    rig.apply(vec![delete("class", "urgent")])
+        .await
+        .expect("deleted");
+    let gone = problem(rig.caller.get("class", "urgent").await.expect_err("gone"));
+    assert_eq!(gone.status, 404);
+    rig.operator.stop().await;
+}
--- /dev/null
+++ b/crates/operator/tests/testsuite/interface.rs
@@ -0,0 +1,171 @@
+//! Credentials, malformed requests, status and dumps.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+use swiftlink_client::http::{Answer, Call, Http};
+use swiftlink_log::{Fault, MemLog};
+
+use crate::rig::{Rig, TOKEN, class, config};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+async fn call(rig: &Rig, method: Method, path: &str, token: Option<&str>, body: &str) -> Answer {
+    let call = Call {
+        method,
+        token,
+        body: Bytes::from(body.to_owned()),
+        ..Call::get(rig.operator.address(), path)
+    };
+    Http::open("test")
+        .fetch(&call, LIMIT)
+        .await
+        .expect("answered")
+}
+
+fn body(answer: &Answer) -> Value {
+    serde_json::from_slice(&answer.body).expect("JSON")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn strangers_get_nothing() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({})).await;
+    let apply = r#"{"changes":[{"kind":"class","name":"a","spec":{}}]}"#;
+    for token in [
+        None,
+        Some(""),
+        Some("wrong"),
+        Some("token-of-the-operatorS"),
+    ] {
+        for (method, path) in [
+            (Method::GET, "/v1/resources/class"),
+            (Method::GET, "/v1/status"),
+            (Method::GET, "/v1/watch"),
+            (Method::POST, "/v1/apply"),
+            (Method::GET, "/nowhere"),
+        ] {
+            let answer = call(&rig, method, path, token, apply).await;
+            assert_eq!(answer.status, StatusCode::UNAUTHORIZED, "{path} {token:?}");
+        }
+    }
+    assert_eq!(log.end(&config()), 0);
+    rig.operator.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_requests_name_the_field() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({})).await;
+    let cases = [
+        ("", "body"),
+        ("[", "body"),
+        ("{}", "changes"),
+        (r#"{"changes":[]}"#, "changes"),
+        (r#"{"changes":[{"kind":"class"}]}"#, "changes[0].name"),
+        (
+            r#"{"changes":[{"kind":"glass","name":"a","spec":{}}]}"#,
+            "changes[0].kind",
+        ),
+        (
+            r#"{"changes":[{"kind":"class","name":"a"}]}"#,
+            "changes[0].spec",
+        ),
+        (
+            r#"{"changes":[{"kind":"class","name":"a","base":-1}]}"#,
+            "changes[0].base",
+        ),
+        (r#"{"changes":[],"more":1}"#, "more"),
+        (
+            r#"{"changes":[{"kind":"class","name":"a","spec":{}}]} x"#,
+            "body",
+        ),
+    ];
+    for (text, field) in cases {
+        let answer = call(&rig, Method::POST, "/v1/apply", Some(TOKEN), text).await;
+        assert_eq!(answer.status, StatusCode::BAD_REQUEST, "{text}");
+        assert_eq!(body(&answer)["field"], field, "{text}");
+    }
+    let long = format!(r#"{{"author":"{}"}}"#, "a".repeat(5 << 20));
+    let answer = call(&rig, Method::POST, "/v1/apply", Some(TOKEN), &long).await;
+    assert_eq!(answer.status, StatusCode::PAYLOAD_TOO_LARGE);
+    for (method, path, status) in [
+        (Method::GET, "/v1/resources/glass", StatusCode::NOT_FOUND),
+        (Method::GET, "/v1/watch?from=x", StatusCode::BAD_REQUEST),
+        (Method::GET, "/v1/watch?kind=glass", StatusCode::BAD_REQUEST),
+        (Method::GET, "/v1/nowhere", StatusCode::NOT_FOUND),
+        (Method::DELETE, "/v1/status", StatusCode::METHOD_NOT_ALLOWED),
+        (
+            Method::GET,
+            "/v1/processes/none/dump",
+            StatusCode::NOT_FOUND,
+        ),
+        (Method::GET, "/v1/budgets/any", StatusCode::BAD_GATEWAY),
+    ] {
+        let answer = call(&rig, method, path, Some(TOKEN), "").await;
+        assert_eq!(answer.status, status, "{path}");
+    }
+    assert_eq!(log.end(&config()), 0);
+    rig.operator.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn before_the_configuration_is_known_nothing_is_shown_or_applied() {
+    let log = Arc::new(MemLog::new());
+    log.set_fault(Fault::Outage);
+    let rig = Rig::spawn(&log, &json!({}));
+    let answer = call(&rig, Method::GET, "/v1/resources/class", Some(TOKEN), "").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    let apply = r#"{"changes":[{"kind":"class","name":"a","spec":{}}]}"#;
+    let answer = call(&rig, Method::POST, "/v1/apply", Some(TOKEN), apply).await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(body(&answer)["applied"], "no");
+    log.set_fault(Fault::None);
+    rig.ready().await;
+    rig.operator.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn status_shows_who_answers_and_who_does_not() {
+    let log = Arc::new(MemLog::new());
+    let seen = Rig::start(&log, &json!({})).await;
+    let gone = Rig::start(&log, &json!({})).await;
+    let processes = json!([
+        { "name": "seen", "role": "operator", "admin": seen.operator.admin() },
+        { "name": "gone", "role": "operator", "admin": gone.operator.admin() },
+    ]);
+    gone.operator.stop().await;
+    let rig = Rig::start(&log, &json!({ "processes": processes })).await;
+    let applied = rig
+        .apply(vec![class("urgent", None, 4)])
+        .await
+        .expect("accepted");
+    let status = loop {
+        let status = rig.caller.status().await.expect("answered");
+        if status.processes[0].current == Some(true) {
+            break status;
+        }
+    };
+    assert_eq!(status.newest, applied.version);
+    assert_eq!(status.processes[0].version, Some(applied.version));
+    assert!(status.processes[0].reachable);
+    assert!(!status.processes[1].reachable);
+    assert!(status.processes[1].error.is_some());
+
+    let dump = rig.caller.dump("seen").await.expect("dumped");
+    assert_eq!(dump["resources"], 1);
+    let text = dump.to_string();
+    for secret in [TOKEN, crate::rig::SECRET] {
+        assert!(!text.contains(secret), "a secret stands in the dump");
+    }
+    rig.caller
+        .log_level("seen", "debug")
+        .await
+        .expect("changed");
+    assert!(rig.caller.log_level("seen", "loud").await.is_err());
+    rig.operator.stop().await;
+    seen.operator.stop().await;
+}
--- /dev/null
+++ b/crates/operator/tests/testsuite/watch.rs
@@ -0,0 +1,195 @@
+//! Watches: every event once and in order, from any version, across restarts.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use prost::Message;
+use serde_json::json;
+use swiftlink_client::api::WatchEvent;
+use swiftlink_client::{ClientError, Watcher};
+use swiftlink_log::{Fold as _, Log, MemLog, Replica, snapshot};
+use swiftlink_resource::Fold;
+use swiftlink_wire::log::ChangeSet;
+
+use crate::rig::{Rig, caller, class, config, delete};
+
+/// Applies some sets; some change two resources, one deletes, one is rejected.
+async fn history(rig: &Rig) {
+    for round in 1..=5 {
+        let changes = vec![
+            class("urgent", None, round),
+            class(&format!("class-{round}"), None, 1),
+        ];
+        rig.apply(changes).await.expect("accepted");
+        rig.apply(vec![class("urgent", Some(0), 9)])
+            .await
+            .expect_err("conflict");
+    }
+    rig.apply(vec![delete("class", "class-3")])
+        .await
+        .expect("deleted");
+}
+
+async fn take(rig: &Rig, from: u64, count: usize) -> Vec<WatchEvent> {
+    let mut stream = rig
+        .caller
+        .watch(Some("class"), Some(from))
+        .await
+        .expect("watched");
+    let mut events = Vec::new();
+    while events.len() < count {
+        events.push(stream.next().await.expect("goes on").expect("no end"));
+    }
+    events
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_watch_from_any_version_gives_every_later_event_once() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({})).await;
+    history(&rig).await;
+    let all = take(&rig, 0, 11).await;
+    assert!(all.is_sorted_by_key(|event| event.version));
+    assert!(all[10].deleted && all[10].spec.is_null());
+    let end = all[10].version;
+
+    for from in 0..=end {
+        let after: Vec<_> = all
+            .iter()
+            .filter(|event| event.version > from)
+            .cloned()
+            .collect();
+        let mut expected = after.clone();
+        // One more set, so that events that must not come would be seen.
+        let applied = rig
+            .apply(vec![class("last", None, 1)])
+            .await
+            .expect("accepted");
+        let mut seen = take(&rig, from, after.len() + 1).await;
+        // Sets of earlier rounds stand between; this round's is the last of them.
+        while seen.last().expect("not empty").version < applied.version {
+            seen = take(&rig, from, seen.len() + 1).await;
+        }
+        seen.retain(|event| event.name != "last");
+        expected.retain(|event| event.name != "last");
+        assert_eq!(seen, expected, "from {from}");
+    }
+    rig.operator.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn watchers_of_a_busy_configuration_see_the_same_events() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({})).await;
+    const SETS: usize = 60;
+    let watch = async |from: u64| take(&rig, from, SETS).await;
+    let apply = async {
+        for round in 0..SETS {
+            let name = format!("class-{}", round % 7);
+            rig.apply(vec![class(&name, None, 1 + round as u32)])
+                .await
+                .expect("accepted");
+        }
+    };
+    let (left, right, ()) = tokio::join!(watch(0), watch(0), apply);
+    assert_eq!(left, right);
+    let weights: Vec<_> = left
+        .iter()
+        .map(|event| event.spec["weight"].as_u64())
+        .collect();
+    let expected: Vec<_> = (1..=SETS as u64).map(Some).collect();
+    assert_eq!(weights, expected);
+    rig.operator.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_watcher_goes_on_at_another_operator() {
+    let log = Arc::new(MemLog::new());
+    let first = Rig::start(&log, &json!({})).await;
+    let second = Rig::start(&log, &json!({})).await;
+    let both = caller(&[first.operator.address(), second.operator.address()]);
+    let mut watcher = Watcher::open(&both, None, Some(0)).await.expect("watched");
+    let mut weights = Vec::new();
+    for weight in 1..=3 {
+        second
+            .apply(vec![class("urgent", None, weight)])
+            .await
+            .expect("accepted");
+        weights.push(watcher.next().await.expect("goes on").spec["weight"].as_u64());
+    }
+    first.operator.stop().await;
+    for weight in 4..=6 {
+        second
+            .apply(vec![class("urgent", None, weight)])
+            .await
+            .expect("accepted");
+        weights.push(watcher.next().await.expect("goes on").spec["weight"].as_u64());
+    }
+    assert_eq!(weights, (1..=6).map(Some).collect::<Vec<_>>());
+    second.operator.stop().await;
+}
+
+/// Appends a snapshot of all that the log holds, as a ledger does; gives its offset.
+async fn snapshot_all(log: &MemLog) -> u64 {
+    let mut replica = Replica::<Fold>::new();
+    let page = log
+        .read(&config(), 0, 1_000, std::time::Duration::ZERO)
+        .await
+        .expect("read");
+    replica.feed(page.first, &page.records).expect("no hole");
+    let state = replica.state().expect("ready").encode();
+    let offset = replica.applied() - 1;
+    for chunk in snapshot::split(offset, &state) {
+        let set = ChangeSet {
+            snapshot: Some(chunk),
+            ..ChangeSet::default()
+        };
+        let data = Bytes::from(set.encode_to_vec());
+        log.append(&config(), data).await.expect("appended");
+    }
+    offset
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_that_starts_from_a_snapshot_refuses_older_watches() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({})).await;
+    history(&rig).await;
+    let all = take(&rig, 0, 11).await;
+    rig.operator.stop().await;
+    let offset = snapshot_all(&log).await;
+    log.trim(&config(), offset);
+
+    let rig = Rig::start(&log, &json!({})).await;
+    let list = rig.caller.list("class").await.expect("listed");
+    assert_eq!(list.items.len(), 5);
+    let version = list.version;
+    assert_eq!(version, all[10].version);
+
+    // From the beginning: what is in force, then what changes.
+    let applied = rig
+        .apply(vec![class("late", None, 1)])
+        .await
+        .expect("accepted");
+    let seen = take(&rig, 0, 6).await;
+    let mut latest = HashMap::new();
+    for event in all.iter().filter(|event| event.name != "class-3") {
+        latest.insert(event.name.clone(), event.clone());
+    }
+    for event in &seen[..5] {
+        assert_eq!(latest.get(&event.name), Some(event));
+    }
+    assert_eq!(
+        (seen[5].name.as_str(), seen[5].version),
+        ("late", applied.version)
+    );
+
+    // From the listed version on nothing is missing; before it something may be.
+    assert_eq!(take(&rig, version, 1).await, seen[5..]);
+    match rig.caller.watch(None, Some(1)).await {
+        Err(ClientError::Refused(problem)) => assert_eq!(problem.status, 410),
+        other => panic!("not refused: {other:?}"),
+    }
+    rig.operator.stop().await;
+}
