--- a/crates/testkit/src/caller.rs
+++ b/crates/testkit/src/caller.rs
@@ -91,6 +91,8 @@
 pub struct Event {
     /// Token to resume after this event.
     pub id: String,
+    /// Type of the event; `error` when the answer was cut.
+    pub name: String,
     /// Data as sent.
     pub data: String,
 }
@@ -162,6 +164,9 @@
     fn take_event(&mut self, event: Event) {
         if event.data == DONE {
             self.whole = true;
+        } else if event.name == "error" {
+            self.body = Bytes::from(event.data.clone());
+            self.outcome = self.json()["outcome"].as_str().map(str::to_owned);
         } else if let Ok(data) = serde_json::from_str::<Value>(&event.data) {
             self.take_chunk(&data);
         }
@@ -378,6 +383,7 @@
             let event = event.ok()?;
             Some(Event {
                 id: event.id,
+                name: event.event,
                 data: event.data,
             })
         });
--- a/crates/testkit/src/fleet/daemon.rs
+++ b/crates/testkit/src/fleet/daemon.rs
@@ -109,7 +109,7 @@
         self.admin_json("/dump").await
     }
 
-    /// Waits until it gives a status, and one that does not say `"ready": false`.
+    /// Waits until it gives a status and, as a router, has joined all budget streams.
     ///
     /// # Errors
     /// When it ends before, or is not ready in time.
@@ -124,7 +124,7 @@
                 );
             }
             if let Some(status) = self.status().await
-                && status["ready"].as_bool() != Some(false)
+                && status["joined"] == status["shards"]
             {
                 return Ok(());
             }
--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod standin;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde_json::Value;
 use tempfile::TempDir;
@@ -60,7 +61,7 @@
     tenants: Vec<Tenant>,
     shards: u32,
     // The directory goes last, after the processes that write to it.
-    _work: TempDir,
+    _work: Arc<TempDir>,
 }
 
 impl Fleet {
--- a/crates/testkit/src/fleet/operator.rs
+++ b/crates/testkit/src/fleet/operator.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Method;
+use http::{Method, StatusCode};
 use serde_json::{Value, json};
 
 use crate::caller::set;
@@ -17,6 +17,11 @@
     json!({ "kind": kind, "name": name, "base": null, "delete": false, "spec": spec })
 }
 
+/// The operator has decided that nothing was applied, and invites to come back.
+fn is_not_applied(reply: &Reply) -> bool {
+    reply.status == StatusCode::SERVICE_UNAVAILABLE && reply.json()["applied"] == "no"
+}
+
 /// A client of the operator daemon.
 #[derive(Clone, Debug)]
 pub struct Operator {
@@ -51,12 +56,18 @@
         self.http.call(request).await
     }
 
-    /// Applies the changes as one set; gives the version.
+    /// Applies the changes as one set; gives the version. Comes back as long as
+    /// the answer says that nothing was applied yet.
     ///
     /// # Errors
     /// When the set is not accepted.
     pub async fn apply(&self, changes: Vec<Value>) -> anyhow::Result<u64> {
-        let reply = self.try_apply(changes).await?;
+        let reply = until("an operator that takes changes", async || {
+            let reply = self.try_apply(changes.clone()).await;
+            let again = reply.as_ref().is_ok_and(is_not_applied);
+            (!again).then_some(reply)
+        });
+        let reply = reply.await??;
         let answer = reply.json();
         anyhow::ensure!(
             reply.status.is_success(),
--- a/crates/testkit/src/fleet/plan.rs
+++ b/crates/testkit/src/fleet/plan.rs
@@ -1,9 +1,11 @@
 //! What a fleet is made of, and its start.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 use anyhow::Context as _;
 use serde_json::{Map, Value, json};
+use tempfile::TempDir;
 
 use super::daemon::{Addresses, Daemon, Role};
 use super::net::Net;
@@ -118,16 +120,20 @@
     pub async fn start(&self) -> anyhow::Result<Fleet> {
         let mut tried = 1;
         loop {
-            match self.try_start().await {
+            let work = tempfile::tempdir().context("no directory for the run")?;
+            let work = Arc::new(work);
+            match self.try_start(Arc::clone(&work)).await {
                 Ok(fleet) => return Ok(fleet),
                 Err(error) if tried < TRIES && is_bind(&error) => tried += 1,
-                Err(error) => return Err(error),
+                Err(error) => {
+                    print_outputs(work.path());
+                    return Err(error);
+                }
             }
         }
     }
 
-    async fn try_start(&self) -> anyhow::Result<Fleet> {
-        let work = tempfile::tempdir().context("no directory for the run")?;
+    async fn try_start(&self, work: Arc<TempDir>) -> anyhow::Result<Fleet> {
         let dirs = Dirs {
             binaries: self.binaries.clone(),
             work: work.path().to_owned(),
@@ -322,6 +328,21 @@
     format!("domain-{}", at % domains.max(1))
 }
 
+/// Shows what the processes of a failed start printed.
+fn print_outputs(work: &Path) {
+    let Ok(entries) = std::fs::read_dir(work) else {
+        return;
+    };
+    for entry in entries.flatten() {
+        let path = entry.path();
+        if path.extension().is_none_or(|kind| kind != "out") {
+            continue;
+        }
+        let text = std::fs::read_to_string(&path).unwrap_or_default();
+        eprintln!("---- {} printed:\n{text}", path.display());
+    }
+}
+
 fn is_bind(error: &anyhow::Error) -> bool {
     let text = format!("{error:#}");
     text.contains("in use") || text.contains("EADDRINUSE")
--- a/crates/testkit/src/fleet/standin.rs
+++ b/crates/testkit/src/fleet/standin.rs
@@ -58,9 +58,23 @@
         kind: &str,
         name: &str,
         args: &[String],
+    ) -> anyhow::Result<Self> {
+        Self::start_at(dirs, kind, name, port::any(), args).await
+    }
+
+    /// As [`Standin::start`], at a given address.
+    ///
+    /// # Errors
+    /// When it does not start.
+    pub async fn start_at(
+        dirs: &Dirs,
+        kind: &str,
+        name: &str,
+        address: SocketAddr,
+        args: &[String],
     ) -> anyhow::Result<Self> {
         let binary = dirs.binary(&format!("standin-{kind}"));
-        let mut words = vec!["--listen".to_owned(), port::any().to_string()];
+        let mut words = vec!["--listen".to_owned(), address.to_string()];
         words.extend_from_slice(args);
         let output = dirs.file(&format!("{name}.out"));
         let mut process = Process::spawn(name, &binary, &words, &output)?;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,4 @@
 //! The test suite: whole processes on loopback, one module per topic.
+
+mod path;
+mod support;
--- /dev/null
+++ b/tests/testsuite/path.rs
@@ -0,0 +1,368 @@
+//! The whole path, thin: a request from the caller to a backend server and back, its
+//! charge on the log, and every refusal of bad input.
+
+use http::Method;
+use serde_json::{Value, json};
+use swiftlink_standins::{engine, service};
+use swiftlink_testkit::caller::{Answer, Ask, Caller, set};
+use swiftlink_testkit::checker::Accounts;
+use swiftlink_testkit::fleet::{CALL_TOKENS, Fleet, MODEL, SERVICE, Tenant};
+use swiftlink_testkit::recorder::{Recorder, Sent};
+
+use crate::support::{check_all, expected, new_key, plan, send, tokens};
+
+const CHAT: &str = "/v1/chat/completions";
+
+fn ask(prompt: &str) -> Ask {
+    Ask::new(MODEL, prompt).with_key(&new_key())
+}
+
+async fn fleet() -> Fleet {
+    plan().start().await.expect("the fleet starts")
+}
+
+/// Sum of all charges of the first tenant's budget on the log.
+fn charged(history: &swiftlink_testkit::checker::History) -> u64 {
+    let accounts = Accounts::fold(&history.streams);
+    accounts.budgets["lannec"].charged
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_answer_is_charged_once() {
+    let fleet = fleet().await;
+    let recorder = Recorder::default();
+    let ask = ask("who owned parcel 1204 before 1950? tokens=12");
+    let answer = send(&fleet, &recorder, 0, 0, &ask).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.text, expected(&ask));
+    assert_eq!(answer.outcome.as_deref(), Some("ran"));
+    assert_eq!(answer.key, ask.key);
+    assert_eq!(answer.charged, Some(tokens(&ask)));
+    let body = answer.json();
+    assert_eq!(body["usage"]["completion_tokens"], 12);
+    assert_eq!(body["swiftlink"]["charged"], tokens(&ask));
+    assert_eq!(body["choices"][0]["finish_reason"], "stop");
+    let history = check_all(&fleet, recorder.calls()).await;
+    assert_eq!(charged(&history), tokens(&ask));
+    assert_eq!(history.runs.len(), 1);
+    assert_eq!(history.runs[0].executions, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_streamed_answer_is_charged_once() {
+    let fleet = fleet().await;
+    let recorder = Recorder::default();
+    let ask = ask("the history of the mill tokens=40").streamed();
+    let answer = send(&fleet, &recorder, 0, 1, &ask).await;
+    assert!(answer.is_served(), "{answer:?}");
+    assert_eq!(answer.text, expected(&ask));
+    assert_eq!(answer.charged, Some(tokens(&ask)));
+    assert_eq!(answer.outcome.as_deref(), Some("ran"));
+    assert_eq!(answer.key, ask.key);
+    let (done, events) = answer.events.split_last().expect("events came");
+    assert_eq!(done.data, "[DONE]");
+    let last: Value = serde_json::from_str(&events[events.len() - 1].data).expect("JSON");
+    assert_eq!(last["usage"]["completion_tokens"], 40);
+    assert_numbered(&answer);
+    let history = check_all(&fleet, recorder.calls()).await;
+    assert_eq!(charged(&history), tokens(&ask));
+}
+
+/// The ids of all events end in 0, 1, 2, and share one resume token.
+fn assert_numbered(answer: &Answer) {
+    let mut tokens = Vec::new();
+    for (place, event) in answer.events.iter().enumerate() {
+        let (token, no) = event.id.rsplit_once('.').expect("a token and a number");
+        assert_eq!(no, place.to_string());
+        tokens.push(token);
+    }
+    tokens.dedup();
+    assert_eq!(tokens.len(), 1, "one token for the stream");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_completions_are_served() {
+    let fleet = fleet().await;
+    let prompt = "a clue for ESTUARY tokens=5";
+    let body = json!({ "model": MODEL, "prompt": prompt, "max_tokens": 3 });
+    let caller = fleet.caller(0);
+    let request = caller.request(
+        Method::POST,
+        fleet.router(2),
+        "/v1/completions",
+        body.to_string().into(),
+    );
+    let answer = caller.whole(request).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.text, engine::answer(prompt, 3));
+    assert_eq!(answer.json()["choices"][0]["finish_reason"], "length");
+    let key = answer.key.clone().expect("the router made a key");
+    assert_eq!(answer.header("swiftlink-charged"), Some("8"));
+    let history = check_all(&fleet, Vec::new()).await;
+    assert_eq!(history.runs[0].key, key);
+    assert_eq!(charged(&history), 8);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn service_calls_are_passed_on_and_charged() {
+    let fleet = fleet().await;
+    let recorder = Recorder::default();
+    let caller = fleet.caller(0);
+    let path = format!("/services/{SERVICE}/tiles/12/7");
+    for (router, method) in [Method::GET, Method::POST].into_iter().enumerate() {
+        let key = new_key();
+        let sent = Sent {
+            key: key.clone(),
+            workspace: "lannec".to_owned(),
+            budget: "lannec".to_owned(),
+            price: swiftlink_types::PRICE_UNIT,
+            once: method == Method::POST,
+            expected: Some(service::echo(method.as_str(), "/tiles/12/7", "{}").to_string()),
+        };
+        let call = caller.service(fleet.router(router), method, &path, "{}", Some(&key));
+        let answer = recorder.record(sent, call).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!(answer.outcome.as_deref(), Some("ran"));
+        assert_eq!(answer.charged, Some(CALL_TOKENS));
+        assert_eq!(answer.key, Some(key));
+    }
+    let history = check_all(&fleet, recorder.calls()).await;
+    assert_eq!(charged(&history), 2 * CALL_TOKENS);
+    assert_eq!(history.runs.len(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_class_has_its_price() {
+    let fleet = fleet().await;
+    let recorder = Recorder::default();
+    let mut ask = ask("a deed at signing tokens=9");
+    ask.class = Some("urgent".to_owned());
+    let answer = send(&fleet, &recorder, 0, 0, &ask).await;
+    assert_eq!(answer.charged, Some(2 * tokens(&ask)), "{answer:?}");
+    let history = check_all(&fleet, recorder.calls()).await;
+    assert_eq!(charged(&history), 2 * tokens(&ask));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_same_key_is_billed_once_by_all_routers() {
+    let fleet = fleet().await;
+    let recorder = Recorder::default();
+    let ask = ask("the same request everywhere tokens=8");
+    for router in 0..3 {
+        let answer = send(&fleet, &recorder, 0, router, &ask).await;
+        assert_ne!(answer.outcome.as_deref(), Some("not-run"), "{answer:?}");
+    }
+    let history = check_all(&fleet, recorder.calls()).await;
+    assert_eq!(charged(&history), tokens(&ask));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_once_request_runs_once_under_its_key() {
+    let fleet = fleet().await;
+    let recorder = Recorder::default();
+    let ask = ask("check the grid tokens=8").once();
+    for router in 0..3 {
+        send(&fleet, &recorder, 0, router, &ask).await;
+    }
+    let calls = recorder.calls();
+    let history = check_all(&fleet, calls).await;
+    assert_eq!(history.runs.len(), 1);
+    assert_eq!(history.runs[0].executions, 1);
+    assert_eq!(charged(&history), tokens(&ask));
+}
+
+/// What a refusal must be.
+struct Want {
+    status: u16,
+    slug: &'static str,
+    field: Option<&'static str>,
+}
+
+fn assert_refused(name: &str, answer: &Answer, want: &Want) {
+    assert_eq!(answer.status, want.status, "{name}: {answer:?}");
+    assert_eq!(answer.slug().as_deref(), Some(want.slug), "{name}");
+    assert_eq!(answer.outcome.as_deref(), Some("not-run"), "{name}");
+    let kind = answer.header("content-type");
+    assert_eq!(kind, Some("application/problem+json"), "{name}");
+    let problem = answer.json();
+    assert_eq!(problem["status"], want.status, "{name}");
+    assert_eq!(problem["outcome"], "not-run", "{name}");
+    if let Some(field) = want.field {
+        assert_eq!(problem["field"], field, "{name}: {problem}");
+    }
+    let detail = problem["detail"].as_str().unwrap_or_default();
+    assert!(!detail.is_empty(), "{name}: a sentence for people");
+}
+
+async fn post(fleet: &Fleet, caller: &Caller, body: &str) -> Answer {
+    let body = body.to_owned().into();
+    let request = caller.request(Method::POST, fleet.router(0), CHAT, body);
+    caller.whole(request).await
+}
+
+async fn assert_nothing_ran(fleet: &Fleet) {
+    let history = fleet
+        .history(Vec::new())
+        .await
+        .expect("the stand-ins answer");
+    assert_eq!(history.runs, [], "nothing ran");
+    let accounts = Accounts::fold(&history.streams);
+    assert!(accounts.charges.is_empty(), "nothing was charged");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_callers_are_refused() {
+    let fleet = fleet().await;
+    let want = Want {
+        status: 401,
+        slug: "unauthenticated",
+        field: None,
+    };
+    let stranger = Caller::new("sk-of-nobody");
+    let answer = stranger.ask(fleet.router(0), &ask("hello")).await;
+    assert_refused("unknown key", &answer, &want);
+    let caller = fleet.caller(0);
+    let mut request = caller.request(Method::POST, fleet.router(0), CHAT, "{}".into());
+    request.headers_mut().remove("authorization");
+    assert_refused("no key", &caller.whole(request).await, &want);
+    assert_nothing_ran(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_models_pools_and_paths_are_refused() {
+    let fleet = fleet().await;
+    let caller = fleet.caller(0);
+    let want = Want {
+        status: 404,
+        slug: "unknown-pool",
+        field: None,
+    };
+    let answer = caller
+        .ask(fleet.router(0), &Ask::new("no-such-model", "hello"))
+        .await;
+    assert_refused("model", &answer, &want);
+    // A pool of services is no model, and the other way round.
+    let answer = caller
+        .ask(fleet.router(0), &Ask::new(SERVICE, "hello"))
+        .await;
+    assert_refused("service as model", &answer, &want);
+    for path in ["/services/none/x", "/services/annals/x", "/v1/nothing"] {
+        let call = caller.service(fleet.router(0), Method::GET, path, "", None);
+        assert_refused(path, &call.await, &want);
+    }
+    assert_nothing_ran(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_bodies_are_refused_with_the_field() {
+    let fleet = fleet().await;
+    let caller = fleet.caller(0);
+    let cases = [
+        ("body", "{ not json"),
+        ("body", "[1, 2]"),
+        ("model", r#"{"messages":[]}"#),
+        ("model", r#"{"model":7,"messages":[]}"#),
+        ("messages", r#"{"model":"annals"}"#),
+        ("messages", r#"{"model":"annals","messages":"hello"}"#),
+        (
+            "max_tokens",
+            r#"{"model":"annals","messages":[],"max_tokens":-3}"#,
+        ),
+        (
+            "stream",
+            r#"{"model":"annals","messages":[],"stream":"yes"}"#,
+        ),
+    ];
+    for (field, body) in cases {
+        let answer = post(&fleet, &caller, body).await;
+        let want = Want {
+            status: 400,
+            slug: "malformed",
+            field: Some(field),
+        };
+        assert_refused(body, &answer, &want);
+    }
+    assert_nothing_ran(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_headers_are_refused_by_name() {
+    let fleet = fleet().await;
+    let caller = fleet.caller(0);
+    let cases = [
+        ("idempotency-key", "17"),
+        ("idempotency-key", "6f9619ff-8b86-4d01-b42d-00cf4fc964ff"),
+        ("swiftlink-run", "twice"),
+        ("swiftlink-deadline-ms", "soon"),
+        ("last-event-id", "nonsense"),
+    ];
+    for (header, value) in cases {
+        let body = ask("hello").body().to_string().into();
+        let mut request = caller.request(Method::POST, fleet.router(0), CHAT, body);
+        set(&mut request, header, value);
+        let answer = caller.whole(request).await;
+        let want = Want {
+            status: 400,
+            slug: "malformed",
+            field: Some(header),
+        };
+        assert_refused(header, &answer, &want);
+    }
+    assert_nothing_ran(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_over_the_limit_is_refused() {
+    let plan = plan().router(json!({ "body_limit": 4096 }));
+    let fleet = plan.start().await.expect("the fleet starts");
+    let caller = fleet.caller(0);
+    let answer = caller
+        .ask(fleet.router(0), &ask(&"parcel ".repeat(1_000)))
+        .await;
+    let want = Want {
+        status: 413,
+        slug: "too-large",
+        field: None,
+    };
+    assert_refused("long body", &answer, &want);
+    assert_nothing_ran(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_empty_budget_is_refused() {
+    let tenants = vec![
+        Tenant::new("lannec", 1_000),
+        Tenant::new("poor", 0),
+        Tenant::new("tight", 20),
+    ];
+    let fleet = plan()
+        .tenants(tenants)
+        .start()
+        .await
+        .expect("the fleet starts");
+    let want = Want {
+        status: 402,
+        slug: "no-budget",
+        field: None,
+    };
+    for (tenant, router) in [(1, 0), (1, 1), (2, 2)] {
+        // The tight budget is smaller than the request's largest answer.
+        let answer = fleet
+            .caller(tenant)
+            .ask(fleet.router(router), &ask("hello"))
+            .await;
+        assert_refused(&fleet.tenant(tenant).name, &answer, &want);
+    }
+    assert_nothing_ran(&fleet).await;
+    // A top-up lets the next request through.
+    fleet
+        .api
+        .top_up("poor", "poor-1", 5_000)
+        .await
+        .expect("a top-up");
+    let served = swiftlink_testkit::until::until("the top-up to be of use", async || {
+        let answer = fleet.caller(1).ask(fleet.router(0), &ask("hello")).await;
+        answer.is_served().then_some(answer)
+    });
+    served.await.expect("the request is served in the end");
+}
--- /dev/null
+++ b/tests/testsuite/support.rs
@@ -0,0 +1,87 @@
+//! What the topics share: the binaries under test, and recorded calls.
+
+use std::path::PathBuf;
+
+use swiftlink_standins::engine;
+use swiftlink_testkit::caller::{Answer, Ask};
+use swiftlink_testkit::checker::{Call, End, History, check};
+use swiftlink_testkit::fleet::{Fleet, Plan, dir_of, settle};
+use swiftlink_testkit::recorder::{Recorder, Sent};
+use swiftlink_types::{RequestKey, wall_ms};
+
+/// Directory of the binaries under test.
+pub fn binaries() -> PathBuf {
+    dir_of(env!("CARGO_BIN_EXE_swiftlink-router"))
+}
+
+/// A fleet of the usual size.
+pub fn plan() -> Plan {
+    Plan::new(binaries())
+}
+
+/// A new request key.
+pub fn new_key() -> String {
+    RequestKey::generate(wall_ms()).to_string()
+}
+
+/// The text that a whole answer to `ask` must have.
+pub fn expected(ask: &Ask) -> String {
+    engine::answer(&ask.prompt, ask.max_tokens)
+}
+
+/// The tokens that a whole answer to `ask` runs.
+pub fn tokens(ask: &Ask) -> u64 {
+    engine::prompt_tokens(&ask.prompt) + engine::answer_length(&ask.prompt, ask.max_tokens)
+}
+
+/// Sends `ask` as tenant number `tenant` through router number `router`, and records it.
+pub async fn send(
+    fleet: &Fleet,
+    recorder: &Recorder,
+    tenant: usize,
+    router: usize,
+    ask: &Ask,
+) -> Answer {
+    let caller = fleet.caller(tenant);
+    let sent = sent(fleet, tenant, ask);
+    recorder
+        .record(sent, caller.ask(fleet.router(router), ask))
+        .await
+}
+
+/// What is known of `ask` before it is sent.
+pub fn sent(fleet: &Fleet, tenant: usize, ask: &Ask) -> Sent {
+    let name = &fleet.tenant(tenant).name;
+    Sent {
+        key: ask.key.clone().expect("recorded calls have keys"),
+        workspace: name.clone(),
+        budget: name.clone(),
+        price: price_of(ask),
+        once: ask.once,
+        expected: Some(expected(ask)),
+    }
+}
+
+fn price_of(ask: &Ask) -> u32 {
+    match ask.class.as_deref() {
+        Some("urgent") => swiftlink_testkit::fleet::URGENT_PRICE,
+        _ => swiftlink_types::PRICE_UNIT,
+    }
+}
+
+/// Waits until every call that was answered whole has its charge on the log, then
+/// checks the history; gives it back for further checks.
+pub async fn check_all(fleet: &Fleet, calls: Vec<Call>) -> History {
+    let settled = |history: &History| {
+        let accounts = swiftlink_testkit::checker::Accounts::fold(&history.streams);
+        history.calls.iter().all(|call| {
+            let charged = matches!(call.end, End::Whole { charged, .. } if charged > 0);
+            let place = (call.workspace.clone(), call.key.clone());
+            !charged || accounts.charges.contains_key(&place)
+        })
+    };
+    let history = settle(fleet, calls, settled).await;
+    let history = history.expect("every whole answer has its charge in the end");
+    assert_eq!(check(&history), [], "{:#?}", history.calls);
+    history
+}
