admission: count relayed requests as demand; a setting for what is held

Cause: in a trial driver (8 routers, one pool of rights, relay 2 ms, claim 20 ms) three quarters of all requests were relayed in the steady case: a router that relays reserves nothing, so its sizer saw no demand and never claimed. Change: Grant::miss, counted by the sizer as if taken.

A budget that can't cover all targets left half of its rest free whatever ahead said: SizerPolicy::hold sets that (1: half, 3: a quarter).

--- a/crates/admission/src/grant.rs
+++ b/crates/admission/src/grant.rs
@@ -20,6 +20,7 @@
     returned: AtomicU64,
     taken: AtomicU64,
     unspent: AtomicU64,
+    missed: AtomicU64,
     requests: AtomicU64,
 }
 
@@ -45,7 +46,9 @@
     pub taken: Tokens,
     /// Tokens handed back unspent by settled reservations.
     pub unspent: Tokens,
-    /// Reservations made.
+    /// Tokens that found no rights here and were reserved elsewhere, or not at all.
+    pub missed: Tokens,
+    /// Requests that asked for rights here: reservations and misses.
     pub requests: u64,
 }
 
@@ -81,6 +84,14 @@
         })
     }
 
+    /// Notes that a request of `cost` found no rights here and went elsewhere or was
+    /// refused, so that the sizer sees the demand. Once for each request; one that
+    /// waits and then reserves is no miss.
+    pub fn miss(&self, cost: Tokens) {
+        self.missed.fetch_add(cost, Relaxed);
+        self.requests.fetch_add(1, Relaxed);
+    }
+
     /// Ends a reservation: `charged` tokens are spent and the rest is free again.
     ///
     /// The charge is limited to what was reserved, since no more was held; the
@@ -142,6 +153,7 @@
         Demand {
             taken: self.taken.load(Relaxed),
             unspent: self.unspent.load(Relaxed),
+            missed: self.missed.load(Relaxed),
             requests: self.requests.load(Relaxed),
         }
     }
--- a/crates/admission/src/sizer.rs
+++ b/crates/admission/src/sizer.rs
@@ -34,6 +34,10 @@
     pub ahead: Duration,
     /// Least target, in tokens.
     pub min_grant: Tokens,
+    /// When a budget can't cover all targets: rights held for each token of the free
+    /// rest's share. 1 leaves half of what is left free for whoever needs it; 3 leaves
+    /// a quarter, which rides out a longer cut and strands more behind one.
+    pub hold: f64,
     /// Rights unused for this long are returned.
     pub idle_after: Duration,
     /// First pause after a refused or failed claim.
@@ -47,9 +51,10 @@
         Self {
             ahead: Duration::from_secs(10),
             min_grant: 0,
+            hold: 1.0,
             idle_after: Duration::from_secs(30),
             retry_base: Duration::from_millis(20),
-            retry_max: Duration::from_secs(2),
+            retry_max: Duration::from_secs(5),
         }
     }
 }
@@ -215,7 +220,10 @@
     /// Part of `ahead` that the free rest of the budget allows.
     fn ahead_part(&self, full: f64) -> f64 {
         match self.free_share {
-            Some(share) if share < full => (share / full).max(MIN_AHEAD),
+            Some(share) if share < full => {
+                let part = self.policy.hold * share / full;
+                part.clamp(MIN_AHEAD, 1.0)
+            }
             _ => 1.0,
         }
     }
@@ -246,7 +254,9 @@
 
     fn observe(&mut self, now: Micros, demand: Demand) {
         let step = now.saturating_sub(self.seen_at.unwrap_or(now));
-        let taken = demand.taken.saturating_sub(self.seen.taken);
+        // What went elsewhere would have been taken here with the rights for it.
+        let asked = demand.taken + demand.missed;
+        let taken = asked.saturating_sub(self.seen.taken + self.seen.missed);
         let unspent = demand.unspent.saturating_sub(self.seen.unspent);
         let requests = demand.requests.saturating_sub(self.seen.requests);
         // What one settle frees was taken before: the difference may be negative in
--- a/crates/admission/tests/sizer.rs
+++ b/crates/admission/tests/sizer.rs
@@ -66,6 +66,19 @@
     assert_eq!(sizer.claim(now, target, Waiting::default()), None);
 }
 
+#[test]
+fn relayed_requests_are_demand_too() {
+    let mut sizer = sizer();
+    let mut demand = Demand::default();
+    for step in 0..100 {
+        demand.missed += 500;
+        demand.requests += 5;
+        sizer.observe(step * STEP, demand);
+    }
+    let size = sizer.claim(10 * SEC, 0, Waiting::default());
+    assert!(size.expect("a claim").want > 40_000);
+}
+
 #[test]
 fn target_shrinks_at_the_end_of_a_budget() {
     let mut sizer = sizer();
