--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -86,7 +86,9 @@
         Err(error) => return fail(about, &chain(&error), BAD_USAGE),
     };
     stop_on_panic();
-    match block_on(about, settings, start) {
+    let result = block_on(about, settings, start);
+    drop(panic::take_hook());
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(about, &chain(error.as_ref()), 1),
     }
