--- a/crates/testkit/src/http.rs
+++ b/crates/testkit/src/http.rs
@@ -17,6 +17,9 @@
 /// No call of a test may take longer.
 pub const CALL_LIMIT: Duration = Duration::from_secs(60);
 
+/// A request with its whole body.
+pub type Call = Request<Full<Bytes>>;
+
 /// A client that opens a new connection for each call.
 #[derive(Clone, Debug)]
 pub struct Http {
@@ -69,7 +72,7 @@
     ///
     /// # Errors
     /// When no answer's head comes.
-    pub async fn open(&self, request: Request<Full<Bytes>>) -> anyhow::Result<Response<Incoming>> {
+    pub async fn open(&self, request: Call) -> anyhow::Result<Response<Incoming>> {
         let answer = tokio::time::timeout(CALL_LIMIT, self.client.request(request));
         let answer = answer.await.context("no answer in time")?;
         answer.context("no answer")
@@ -79,7 +82,7 @@
     ///
     /// # Errors
     /// When the connection fails before the answer's end.
-    pub async fn call(&self, request: Request<Full<Bytes>>) -> anyhow::Result<Reply> {
+    pub async fn call(&self, request: Call) -> anyhow::Result<Reply> {
         let answer = self.open(request).await?;
         let (head, body) = answer.into_parts();
         let body = tokio::time::timeout(CALL_LIMIT, body.collect());
@@ -91,6 +94,26 @@
         })
     }
 
+    /// Reads the first `count` lines of an unending answer, then closes the connection.
+    ///
+    /// # Errors
+    /// When no answer's head comes, or the lines do not come in time.
+    pub async fn lines(&self, request: Call, count: usize) -> anyhow::Result<Vec<String>> {
+        let mut body = self.open(request).await?.into_body();
+        let mut text = String::new();
+        while text.matches('\n').count() < count {
+            let frame = tokio::time::timeout(CALL_LIMIT, body.frame());
+            let frame = frame.await.context("no line in time")?;
+            let Some(frame) = frame else {
+                break;
+            };
+            if let Ok(data) = frame.context("the body broke off")?.into_data() {
+                text.push_str(&String::from_utf8_lossy(&data));
+            }
+        }
+        Ok(text.lines().take(count).map(str::to_owned).collect())
+    }
+
     /// `GET` of a path.
     ///
     /// # Errors
@@ -122,12 +145,7 @@
 /// # Panics
 /// When the path is no path.
 #[must_use]
-pub fn request(
-    method: Method,
-    address: SocketAddr,
-    path: &str,
-    body: Bytes,
-) -> Request<Full<Bytes>> {
+pub fn request(method: Method, address: SocketAddr, path: &str, body: Bytes) -> Call {
     Request::builder()
         .method(method)
         .uri(format!("http://{address}{path}"))
--- a/standins/src/service/server.rs
+++ b/standins/src/service/server.rs
@@ -76,10 +76,10 @@
     )
 }
 
-/// The answer to a call: what it was, and its body.
+/// The answer to a call: its method, its path with the query, and its body.
 #[must_use]
-pub fn echo(method: &str, path: &str, body: &str) -> Value {
-    json!({ "method": method, "path": path, "body": body })
+pub fn echo(method: &str, target: &str, body: &str) -> Value {
+    json!({ "method": method, "target": target, "body": body })
 }
 
 #[async_trait(?Send)]
@@ -110,7 +110,8 @@
     async fn serve(&self, mut request: Incoming) -> Response<Body> {
         let key = host::header(&request, "x-request-key");
         let method = request.method().to_string();
-        let path = request.uri().path().to_owned();
+        let target = request.uri().path_and_query();
+        let target = target.map_or("/", |target| target.as_str()).to_owned();
         let Ok(body) = request.body(BODY_LIMIT).await else {
             return refuse(StatusCode::BAD_REQUEST, "the body can't be read");
         };
@@ -132,7 +133,7 @@
             return refuse(StatusCode::INTERNAL_SERVER_ERROR, "the run broke off");
         }
         let text = String::from_utf8_lossy(&body);
-        json_answer(StatusCode::OK, &echo(&method, &path, &text))
+        json_answer(StatusCode::OK, &echo(&method, &target, &text))
     }
 }
 
