--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -1,10 +1,15 @@
 //! Why a command failed, with its exit code and what to do next.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use crate::api::{Certainty, Problem};
 use crate::http::HttpError;
 
+/// What to do when events were missed.
+const WATCH_AGAIN: &str =
+    "list the resources with `swiftlink get KIND -o json`, then watch from the version it shows";
+
 /// Exit codes of the `swiftlink` command.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 #[repr(u8)]
@@ -25,8 +30,8 @@
 #[derive(Debug, thiserror::Error)]
 pub enum ClientError {
     /// No operator of the list could be reached; nothing was done.
-    #[error("no operator can be reached: {}", list(.0))]
-    Unreachable(Vec<(SocketAddr, HttpError)>),
+    #[error("no operator can be reached")]
+    Unreachable(#[source] Tries),
     /// The operator refused or failed the request.
     #[error("{} ({}): {}", .0.title, .0.status, .0.detail)]
     Refused(Box<Problem>),
@@ -86,9 +91,7 @@
                  and the answer says whether it was"
             ),
             Self::Refused(problem) => return refused_step(problem),
-            Self::WatchEnded(_) => "list the resources with `swiftlink get`, then watch from \
-                 the version it shows"
-                .to_owned(),
+            Self::WatchEnded(_) => WATCH_AGAIN.to_owned(),
             Self::Protocol { .. } => {
                 "check that --operator names the listen address of a swiftlink-operator, \
                  not its admin address"
@@ -113,17 +116,25 @@
     match problem.status {
         401 => Some("check the token: --token-file or SWIFTLINK_TOKEN".to_owned()),
         404 => Some("`swiftlink get KIND` and `swiftlink status` show what exists".to_owned()),
+        410 => Some(WATCH_AGAIN.to_owned()),
         _ => None,
     }
 }
 
-fn list(tries: &[(SocketAddr, HttpError)]) -> String {
-    let mut text = String::new();
-    for (address, error) in tries {
-        if !text.is_empty() {
-            text.push_str("; ");
+/// The operators that were tried, and why each could not be reached.
+#[derive(Clone, Debug, Default)]
+pub struct Tries(pub Vec<(SocketAddr, HttpError)>);
+
+impl std::error::Error for Tries {}
+
+impl fmt::Display for Tries {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, (address, error)) in self.0.iter().enumerate() {
+            if index > 0 {
+                f.write_str("; ")?;
+            }
+            write!(f, "{address}: {error}")?;
         }
-        text.push_str(&format!("{address}: {error}"));
+        Ok(())
     }
-    text
 }
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod table;
 mod watch;
 
-pub use error::{ClientError, Exit};
+pub use error::{ClientError, Exit, Tries};
 pub use operator::Operator;
 pub use settings::{ClientSettings, Overrides, SettingsError};
 pub use watch::{WatchStream, Watcher};
--- a/crates/client/src/operator.rs
+++ b/crates/client/src/operator.rs
@@ -16,7 +16,7 @@
     Resource, ResourceList, Status,
 };
 use crate::http::{Answer, Call, Http, HttpError};
-use crate::{ClientError, ClientSettings, WatchStream};
+use crate::{ClientError, ClientSettings, Tries, WatchStream};
 
 /// Time limit of a call; longer than the operator's own limit for an apply.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
@@ -98,7 +98,7 @@
                 break;
             }
         }
-        let error = last.unwrap_or_else(|| ClientError::Unreachable(Vec::new()));
+        let error = last.unwrap_or_else(|| ClientError::Unreachable(Tries::default()));
         if !doubt {
             return Err(error);
         }
@@ -160,17 +160,13 @@
             };
             let status = response.status();
             if status.is_success() {
-                return Ok(WatchStream::new(
-                    address,
-                    response.into_body(),
-                    from.unwrap_or(0),
-                ));
+                return Ok(WatchStream::new(address, response.into_body(), from));
             }
             let body = response.into_body().collect().await;
             let body = body.map(|whole| whole.to_bytes()).unwrap_or_default();
             return Err(refusal(address, &Answer { status, body }));
         }
-        Err(ClientError::Unreachable(tries))
+        Err(ClientError::Unreachable(Tries(tries)))
     }
 
     /// State of every process that the operator knows of.
@@ -237,7 +233,7 @@
         match answer {
             Ok(answer) => parse(address, &answer),
             Err(cause @ HttpError::Unreachable(_)) => {
-                Err(ClientError::Unreachable(vec![(address, cause)]))
+                Err(ClientError::Unreachable(Tries(vec![(address, cause)])))
             }
             Err(cause) => Err(ClientError::Lost { address, cause }),
         }
@@ -259,7 +255,7 @@
                 Err(error) => tries.push((address, error)),
             }
         }
-        Err(ClientError::Unreachable(tries))
+        Err(ClientError::Unreachable(Tries(tries)))
     }
 
     fn call<'a>(&'a self, address: SocketAddr, ask: &Ask<'a>) -> Call<'a> {
--- a/crates/client/src/settings.rs
+++ b/crates/client/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the command line: which operators, and the credential.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -55,8 +56,17 @@
     pub token: String,
 }
 
-impl std::fmt::Debug for ClientSettings {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Display for ClientSettings {
+    /// The settings as TOML, without the credential.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let operators: Vec<_> = self.operators.iter().map(SocketAddr::to_string).collect();
+        writeln!(f, "operators = {operators:?}")?;
+        writeln!(f, "token = \"***\"")
+    }
+}
+
+impl fmt::Debug for ClientSettings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("ClientSettings")
             .field("operators", &self.operators)
             .finish_non_exhaustive()
--- a/crates/client/src/watch.rs
+++ b/crates/client/src/watch.rs
@@ -83,7 +83,7 @@
         loop {
             tokio::time::sleep(RESUME_DELAY).await;
             tries += 1;
-            match self.operator.watch(self.kind, Some(from)).await {
+            match self.operator.watch(self.kind, from).await {
                 Ok(stream) => {
                     self.stream = stream;
                     return Ok(());
@@ -111,11 +111,11 @@
     body: Incoming,
     rest: Vec<u8>,
     lines: VecDeque<WatchLine>,
-    version: u64,
+    version: Option<u64>,
 }
 
 impl WatchStream {
-    pub(crate) fn new(address: SocketAddr, body: Incoming, version: u64) -> Self {
+    pub(crate) fn new(address: SocketAddr, body: Incoming, version: Option<u64>) -> Self {
         Self {
             address,
             body,
@@ -126,11 +126,12 @@
     }
 
     /// Version up to which events were received; continue from here after a lost connection.
+    /// `None` while a watch from now on has not heard which version that is.
     ///
     /// Events of one change set share a version; it counts as received with the
     /// first event or heartbeat of a later version, so that none is left out.
     #[must_use]
-    pub fn version(&self) -> u64 {
+    pub fn version(&self) -> Option<u64> {
         self.version
     }
 
@@ -143,11 +144,11 @@
             while let Some(line) = self.lines.pop_front() {
                 match line {
                     WatchLine::Event(event) => {
-                        self.version = self.version.max(event.version.saturating_sub(1));
+                        self.version = self.version.max(event.version.checked_sub(1));
                         return Ok(Some(event));
                     }
                     WatchLine::Heartbeat { heartbeat } => {
-                        self.version = self.version.max(heartbeat);
+                        self.version = self.version.max(Some(heartbeat));
                     }
                     WatchLine::End { end } => return Err(ClientError::WatchEnded(end)),
                 }
--- a/crates/operator/src/applier.rs
+++ b/crates/operator/src/applier.rs
@@ -6,10 +6,10 @@
 use bytes::Bytes;
 use prost::Message;
 use rand::Rng;
-use swiftlink_client::api::{Applied, AppliedChange, ApplyRequest};
+use swiftlink_client::api::{Applied, AppliedChange, ApplyChange, ApplyRequest};
 use swiftlink_log::{Backoff, Log, LogError};
-use swiftlink_resource::{Config, Kind, Reject, SetFate, Verdict};
-use swiftlink_telemetry::event;
+use swiftlink_resource::{Config, Kind, Reject, SetFate, TopUp, Verdict};
+use swiftlink_telemetry::{Metrics, event};
 use swiftlink_types::{StreamName, wall_ms};
 use swiftlink_wire::log::{Change, ChangeSet};
 use tokio::time::{Instant, timeout_at};
@@ -72,6 +72,7 @@
     pub(crate) log: Arc<dyn Log>,
     pub(crate) board: Arc<Board>,
     pub(crate) ledgers: Arc<Ledgers>,
+    pub(crate) metrics: Metrics,
     /// Time limit for a decision.
     pub(crate) limit: Duration,
     /// Time limit for top-ups to come into effect.
@@ -91,6 +92,8 @@
             Err(outcome) => outcome,
         };
         let word = word(&outcome);
+        self.metrics
+            .count_with("operator.applies", 1, &[("outcome", word)]);
         event!(
             info,
             "apply",
@@ -108,7 +111,11 @@
                 "the configuration was not read yet",
             ));
         };
-        let set = Bytes::from(change_set(order, &config).encode_to_vec());
+        let set = change_set(order, &config);
+        if set.changes.is_empty() {
+            return Ok(settled(&order.id, config.version));
+        }
+        let set = Bytes::from(set.encode_to_vec());
         let stream = StreamName::from(CONFIG_STREAM);
         let mut backoff = Backoff::new(BACKOFF_BASE, BACKOFF_CAP);
         let mut doubt = !order.first;
@@ -188,16 +195,17 @@
         let deadline = Instant::now() + self.topup;
         let mut results = Vec::new();
         for change in &order.request.changes {
-            let mut effective = None;
-            if change.kind == Kind::TopUp.as_str() && !change.delete {
-                effective = Some(self.effective(&change.name, deadline).await);
-            }
-            results.push(AppliedChange {
+            let mut result = AppliedChange {
                 kind: change.kind.clone(),
                 name: change.name.clone(),
                 version,
-                effective,
-            });
+                effective: None,
+            };
+            if change.kind == Kind::TopUp.as_str() && !change.delete {
+                result.version = self.topup_version(&change.name).unwrap_or(version);
+                result.effective = Some(self.effective(&change.name, deadline).await);
+            }
+            results.push(result);
         }
         Applied {
             id: order.id.clone(),
@@ -206,6 +214,12 @@
         }
     }
 
+    /// Version of a top-up, which may stand in the configuration since an earlier set.
+    fn topup_version(&self, name: &str) -> Option<u64> {
+        let config = self.board.config()?;
+        Some(config.get(Kind::TopUp, name)?.version)
+    }
+
     /// Whether a ledger shows the top-up in its budget before the deadline.
     async fn effective(&self, name: &str, deadline: Instant) -> bool {
         let config = self.board.config();
@@ -231,9 +245,13 @@
 }
 
 /// The record of an order; a change without base is made from the version in `config`.
+/// Top-ups that are in force just so are left out.
 fn change_set(order: &Order, config: &Config) -> ChangeSet {
     let mut changes = Vec::new();
     for change in &order.request.changes {
+        if is_settled(change, config) {
+            continue;
+        }
         let spec = match &change.spec {
             Some(spec) if !change.delete => spec.to_string(),
             _ => String::new(),
@@ -257,6 +275,31 @@
     }
 }
 
+/// Whether the change asks for a top-up that is in force just so.
+///
+/// A top-up never changes, so this holds whatever else the log decides meanwhile;
+/// a file can be applied again without a rejection of its old top-ups.
+fn is_settled(change: &ApplyChange, config: &Config) -> bool {
+    if change.kind != Kind::TopUp.as_str() || change.delete || change.base.is_some() {
+        return false;
+    }
+    let asked = change.spec.clone().map(serde_json::from_value::<TopUp>);
+    match (asked, config.topups.get(change.name.as_str())) {
+        (Some(Ok(asked)), Some(known)) => asked == **known,
+        _ => false,
+    }
+}
+
+/// The fate of a set that asks for nothing new.
+fn settled(id: &str, version: u64) -> SetFate {
+    SetFate {
+        id: Arc::from(id),
+        version,
+        verdict: Verdict::Accepted,
+        events: Vec::new(),
+    }
+}
+
 fn current(config: &Config, kind: &str, name: &str) -> u64 {
     let Ok(kind) = kind.parse::<Kind>() else {
         return 0;
--- a/crates/operator/src/daemon.rs
+++ b/crates/operator/src/daemon.rs
@@ -188,6 +188,7 @@
         log: Arc::clone(&parts.log),
         board: Arc::clone(board),
         ledgers: Arc::clone(ledgers),
+        metrics: parts.metrics.clone(),
         limit: settings.apply_limit(),
         topup: settings.topup_limit(),
     };
--- a/crates/operator/src/follower.rs
+++ b/crates/operator/src/follower.rs
@@ -123,8 +123,8 @@
     }
 
     fn take_page(&mut self, page: &Page) {
-        // A ledger that keeps less than this replica knows is no help.
-        if page.first > self.replica.next() && self.replica.state().is_some() {
+        // Records between are missing: what is in force stays until the log is back.
+        if page.first > self.replica.next() && self.board.config().is_some() {
             return;
         }
         self.feed(page.first, &page.records);
--- a/crates/operator/tests/testsuite/apply.rs
+++ b/crates/operator/tests/testsuite/apply.rs
@@ -22,7 +22,7 @@
     let rennes = Rig::start(&log, &json!({})).await;
     let brest = Rig::start(&log, &json!({})).await;
     let mut base = 0;
-    for round in 1..20 {
+    for round in 1..=20 {
         let (left, right) = tokio::join!(
             rennes.apply(vec![class("urgent", Some(base), round)]),
             brest.apply(vec![class("urgent", Some(base), round + 100)]),
@@ -245,3 +245,34 @@
     assert_eq!(gone.status, 404);
     rig.operator.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_file_with_topups_can_be_applied_again() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({ "topup_ms": 1 })).await;
+    let topup = |amount: u64| {
+        let spec = json!({ "budget": "registry", "amount": amount });
+        put("topup", "first", None, spec)
+    };
+    let budget = put("budget", "registry", None, json!({}));
+    let first = rig
+        .apply(vec![budget.clone(), topup(500)])
+        .await
+        .expect("accepted");
+    let again = rig.apply(vec![budget, topup(500)]).await.expect("accepted");
+    assert!(again.version > first.version);
+    assert_eq!(again.results[0].version, again.version);
+    assert_eq!(
+        again.results[1].version, first.version,
+        "the top-up stayed as it was"
+    );
+
+    let end = log.end(&config());
+    let alone = rig.apply(vec![topup(500)]).await.expect("accepted");
+    assert_eq!(alone.version, again.version);
+    assert_eq!(log.end(&config()), end, "nothing to append");
+
+    let refused = problem(rig.apply(vec![topup(501)]).await.expect_err("immutable"));
+    assert_eq!(refused.rejects[0].reason, "immutable");
+    rig.operator.stop().await;
+}
--- a/crates/operator/tests/testsuite/interface.rs
+++ b/crates/operator/tests/testsuite/interface.rs
@@ -5,6 +5,8 @@
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
+use proptest::strategy::{Strategy, ValueTree};
+use proptest::test_runner::TestRunner;
 use serde_json::{Value, json};
 use swiftlink_client::http::{Answer, Call, Http};
 use swiftlink_log::{Fault, MemLog};
@@ -169,3 +171,33 @@
     rig.operator.stop().await;
     seen.operator.stop().await;
 }
+
+/// Bodies and queries that no client sends: each gets an answer of 4xx, and nothing is applied.
+#[tokio::test(flavor = "multi_thread")]
+async fn arbitrary_input_is_refused() {
+    const INPUTS: usize = 1_000;
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({})).await;
+    let mut runner = TestRunner::deterministic();
+    let body =
+        "(\\{\"changes\":\\[\\{\"kind\":\"(class|key)\",\"name\":)?[\\[\\]{}:,\"a-z0-9.-]{0,40}";
+    let bodies = body.prop_map(|text| format!("{text}\u{1}"));
+    let queries = "[a-z0-9%&=+]{0,30}".prop_map(|text| format!("/v1/watch?from=x&{text}"));
+    for _input in 0..INPUTS {
+        let text = bodies.new_tree(&mut runner).expect("generated").current();
+        let answer = call(&rig, Method::POST, "/v1/apply", Some(TOKEN), &text).await;
+        assert_eq!(answer.status, StatusCode::BAD_REQUEST, "{text:?}");
+        assert!(body_names_field(&answer), "{text:?}");
+        let path = queries.new_tree(&mut runner).expect("generated").current();
+        let answer = call(&rig, Method::GET, &path, Some(TOKEN), "").await;
+        assert_eq!(answer.status, StatusCode::BAD_REQUEST, "{path}");
+    }
+    assert_eq!(log.end(&config()), 0);
+    rig.operator.stop().await;
+}
+
+fn body_names_field(answer: &Answer) -> bool {
+    body(answer)["field"]
+        .as_str()
+        .is_some_and(|field| !field.is_empty())
+}
--- a/crates/operator/tests/testsuite/ledger.rs
+++ b/crates/operator/tests/testsuite/ledger.rs
@@ -11,12 +11,14 @@
 use swiftlink_log::{Fault, Log, MemLog};
 use swiftlink_wire::link::{BudgetView, Budgets, Page, reply, request};
 
-use crate::rig::{Rig, SECRET, class, config, put};
+use crate::rig::{Rig, SECRET, class, config, put, snapshot_all};
 
 /// A ledger with one budget, whose top-up it shows once told to.
 struct Ledger {
     counted: AtomicBool,
     log: Arc<MemLog>,
+    /// Oldest offset that it keeps.
+    first: u64,
 }
 
 #[async_trait]
@@ -25,10 +27,8 @@
         let kind = match request {
             request::Kind::GetBudgets(_) => reply::Kind::Budgets(self.budgets()),
             request::Kind::Follow(follow) => {
-                let read = self
-                    .log
-                    .read(&config(), follow.from, 100, Duration::ZERO)
-                    .await;
+                let from = follow.from.max(self.first);
+                let read = self.log.read(&config(), from, 100, Duration::ZERO).await;
                 let page = read.expect("this ledger reads the log");
                 reply::Kind::Page(Page {
                     first: page.first,
@@ -79,6 +79,7 @@
     let ledger = Arc::new(Ledger {
         counted: AtomicBool::new(false),
         log: Arc::clone(&log),
+        first: 0,
     });
     let (server, address) = serve(&ledger);
     let rig = Rig::start(&log, &with_ledger(address)).await;
@@ -130,6 +131,7 @@
     let ledger = Arc::new(Ledger {
         counted: AtomicBool::new(false),
         log: Arc::clone(&near),
+        first: 0,
     });
     let (server, address) = serve(&ledger);
     let rig = Rig::start(&far, &with_ledger(address)).await;
@@ -140,3 +142,31 @@
     writer.operator.stop().await;
     server.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_ledger_that_keeps_a_snapshot_only_is_enough_to_start_from() {
+    let near = Arc::new(MemLog::new());
+    let far = Arc::new(MemLog::new());
+    far.set_fault(Fault::Outage);
+    let writer = Rig::start(&near, &json!({})).await;
+    for weight in 1..=3 {
+        writer
+            .apply(vec![class("urgent", None, weight)])
+            .await
+            .expect("accepted");
+    }
+    let first = snapshot_all(&near).await;
+    near.trim(&config(), first);
+    let ledger = Arc::new(Ledger {
+        counted: AtomicBool::new(false),
+        log: Arc::clone(&near),
+        first,
+    });
+    let (server, address) = serve(&ledger);
+    let rig = Rig::start(&far, &with_ledger(address)).await;
+    let shown = rig.caller.get("class", "urgent").await.expect("shown");
+    assert_eq!((shown.version, &shown.spec["weight"]), (3, &json!(3)));
+    rig.operator.stop().await;
+    writer.operator.stop().await;
+    server.stop().await;
+}
--- a/crates/operator/tests/testsuite/rig.rs
+++ b/crates/operator/tests/testsuite/rig.rs
@@ -4,13 +4,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use prost::Message;
 use serde_json::{Value, json};
 use swiftlink_client::api::{Applied, ApplyChange, ApplyRequest};
 use swiftlink_client::{ClientError, ClientSettings, Operator as Caller, change_id};
-use swiftlink_log::MemLog;
+use swiftlink_log::{Fold as _, Log, MemLog, Replica, snapshot};
 use swiftlink_operator::{Operator, OperatorSettings, Parts};
+use swiftlink_resource::Fold;
 use swiftlink_telemetry::Metrics;
 use swiftlink_types::StreamName;
+use swiftlink_wire::log::ChangeSet;
 
 pub const TOKEN: &str = "token-of-the-operators";
 pub const SECRET: &str = "secret-of-the-links-0123";
@@ -110,3 +114,24 @@
 pub fn config() -> StreamName {
     StreamName::from("config")
 }
+
+/// Appends a snapshot of all that the log holds, as a ledger does; gives its offset.
+pub async fn snapshot_all(log: &MemLog) -> u64 {
+    let mut replica = Replica::<Fold>::new();
+    let page = log
+        .read(&config(), 0, 1_000, Duration::ZERO)
+        .await
+        .expect("read");
+    replica.feed(page.first, &page.records).expect("no hole");
+    let state = replica.state().expect("ready").encode();
+    let offset = replica.applied() - 1;
+    for chunk in snapshot::split(offset, &state) {
+        let set = ChangeSet {
+            snapshot: Some(chunk),
+            ..ChangeSet::default()
+        };
+        let data = Bytes::from(set.encode_to_vec());
+        log.append(&config(), data).await.expect("appended");
+    }
+    offset
+}
--- a/crates/operator/tests/testsuite/watch.rs
+++ b/crates/operator/tests/testsuite/watch.rs
@@ -3,16 +3,12 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use bytes::Bytes;
-use prost::Message;
 use serde_json::json;
 use swiftlink_client::api::WatchEvent;
 use swiftlink_client::{ClientError, Watcher};
-use swiftlink_log::{Fold as _, Log, MemLog, Replica, snapshot};
-use swiftlink_resource::Fold;
-use swiftlink_wire::log::ChangeSet;
+use swiftlink_log::MemLog;
 
-use crate::rig::{Rig, caller, class, config, delete};
+use crate::rig::{Rig, caller, class, config, delete, snapshot_all};
 
 /// Applies some sets; some change two resources, one deletes, one is rejected.
 async fn history(rig: &Rig) {
@@ -130,27 +126,6 @@
     second.operator.stop().await;
 }
 
-/// Appends a snapshot of all that the log holds, as a ledger does; gives its offset.
-async fn snapshot_all(log: &MemLog) -> u64 {
-    let mut replica = Replica::<Fold>::new();
-    let page = log
-        .read(&config(), 0, 1_000, std::time::Duration::ZERO)
-        .await
-        .expect("read");
-    replica.feed(page.first, &page.records).expect("no hole");
-    let state = replica.state().expect("ready").encode();
-    let offset = replica.applied() - 1;
-    for chunk in snapshot::split(offset, &state) {
-        let set = ChangeSet {
-            snapshot: Some(chunk),
-            ..ChangeSet::default()
-        };
-        let data = Bytes::from(set.encode_to_vec());
-        log.append(&config(), data).await.expect("appended");
-    }
-    offset
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn an_operator_that_starts_from_a_snapshot_refuses_older_watches() {
     let log = Arc::new(MemLog::new());
--- a/src/bin/swiftlink/cli.rs
+++ b/src/bin/swiftlink/cli.rs
@@ -87,13 +87,23 @@
     options.parsing_style(ParsingStyle::StopAtFirstFree);
     options.optflag("h", "help", "print this help");
     options.optflag("V", "version", "print the version");
+    options.optflag(
+        "",
+        "check",
+        "check the settings and print the effective ones",
+    );
+    add_settings(&mut options);
     let parsed = options.parse(args);
     let matches = parsed.map_err(|error| Failure::usage("", error.to_string()))?;
     if matches.opt_present("version") {
         return out(&format!("swiftlink {}\n", env!("CARGO_PKG_VERSION")));
     }
     if matches.opt_present("help") {
-        return out(&help());
+        return out(&help(&options));
+    }
+    if matches.opt_present("check") {
+        let settings = ClientSettings::resolve(&overrides(&[&matches]))?;
+        return out(&settings.to_string());
     }
     let Some((name, rest)) = matches.free.split_first() else {
         return Err(Failure::usage("", "no command given"));
@@ -101,10 +111,10 @@
     let Some(verb) = commands::ALL.iter().find(|verb| verb.name == name) else {
         return Err(Failure::usage("", format!("unknown command {name:?}")));
     };
-    run_verb(verb, rest)
+    run_verb(verb, rest, &matches)
 }
 
-fn run_verb(verb: &'static Verb, args: &[String]) -> Result<(), Failure> {
+fn run_verb(verb: &'static Verb, args: &[String], before: &Matches) -> Result<(), Failure> {
     let options = verb_options(verb);
     let parsed = options.parse(args);
     let matches = parsed.map_err(|error| Failure::usage(verb.name, error.to_string()))?;
@@ -123,7 +133,7 @@
             return Err(Failure::usage(verb.name, detail));
         }
     };
-    let settings = ClientSettings::resolve(&overrides(&matches))?;
+    let settings = ClientSettings::resolve(&overrides(&[&matches, before]))?;
     let context = Context {
         verb,
         matches,
@@ -137,45 +147,47 @@
     let mut options = Options::new();
     (verb.options)(&mut options);
     options.optopt("o", "output", "table (default) or json", "FORMAT");
-    options.optmulti(
-        "",
-        "operator",
-        "operator address; may be repeated (or SWIFTLINK_OPERATOR)",
-        "IP:PORT",
-    );
-    options.optopt(
-        "",
-        "token-file",
-        "file with the operators' token (or SWIFTLINK_TOKEN)",
-        "FILE",
-    );
-    options.optopt("c", "settings", "settings file (TOML)", "FILE");
+    add_settings(&mut options);
     options.optflag("h", "help", "print this help");
     options
 }
 
-fn overrides(matches: &Matches) -> Overrides {
-    let overrides = Overrides {
-        operators: matches.opt_strs("operator"),
-        token_file: matches.opt_str("token-file").map(PathBuf::from),
-        settings: matches.opt_str("settings").map(PathBuf::from),
-        ..Overrides::default()
-    };
+/// Options that are taken before and after the verb.
+fn add_settings(options: &mut Options) {
+    let about = "operator address; may be repeated (or SWIFTLINK_OPERATOR)";
+    options.optmulti("", "operator", about, "IP:PORT");
+    let about = "file with the operators' token (or SWIFTLINK_TOKEN)";
+    options.optopt("", "token-file", about, "FILE");
+    options.optopt("c", "settings", "settings file (TOML)", "FILE");
+}
+
+/// The settings given on the command line; those after the verb go first.
+fn overrides(places: &[&Matches]) -> Overrides {
+    let mut overrides = Overrides::default();
+    for matches in places {
+        if overrides.operators.is_empty() {
+            overrides.operators = matches.opt_strs("operator");
+        }
+        let path = |option| matches.opt_str(option).map(PathBuf::from);
+        overrides.token_file = overrides.token_file.or_else(|| path("token-file"));
+        overrides.settings = overrides.settings.or_else(|| path("settings"));
+    }
     overrides.with_environment()
 }
 
-fn help() -> String {
-    let mut text = String::from(
+fn help(options: &Options) -> String {
+    let mut brief = String::from(
         "The operators' command line of swiftlink\n\n\
          Usage: swiftlink COMMAND [options]\n\nCommands:\n",
     );
     for verb in commands::ALL {
-        text.push_str(&format!("    {:<10} {}\n", verb.name, verb.about));
+        brief.push_str(&format!("    {:<10} {}\n", verb.name, verb.about));
     }
+    brief.push_str("\n`swiftlink COMMAND --help` shows the options of a command.");
+    let mut text = options.usage(&brief);
     text.push_str(
-        "\n`swiftlink COMMAND --help` shows the options of a command.\n\n\
-         Settings: --operator and --token-file, else SWIFTLINK_OPERATOR (addresses, separated\n\
-         by commas) and SWIFTLINK_TOKEN, else the settings file given with -c.\n\n\
+        "\nThe environment variables SWIFTLINK_OPERATOR (addresses, separated by commas) and\n\
+         SWIFTLINK_TOKEN go before the settings file, options before both.\n\n\
          Exit codes: 0 done, 1 refused or failed, 2 wrong arguments or file, 3 conflict,\n\
          4 no operator can be reached.\n",
     );
