web: bound the refused connections that are kept

A connection over the limit is told 503 and kept for half a second, so that its client can read why; a flood of them held sockets without bound. Now 64 are told, and more are closed at once. The bound of 64 itself has no test.

--- a/crates/shell/src/web/connection.rs
+++ b/crates/shell/src/web/connection.rs
@@ -23,6 +23,8 @@
     connection: close\r\ncontent-length: 0\r\n\r\n";
 /// How long a refused connection is kept, so that its client can read why.
 const LINGER: Duration = Duration::from_millis(500);
+/// Most refused connections that are kept; more are closed without a word.
+pub(super) const REFUSALS: usize = 64;
 const PROBES: u32 = 3;
 
 tokio::task_local! {
@@ -34,6 +36,8 @@
 pub(super) struct Shared {
     /// One permit for each connection that may be open.
     pub(super) permits: Arc<Semaphore>,
+    /// One permit for each refused connection that may be told so.
+    pub(super) refusals: Semaphore,
     /// Cancelled when the server stops: no new requests.
     pub(super) stop: CancellationToken,
     /// Cancelled when the grace of a stop is over.
@@ -164,7 +168,10 @@
             return Ok(());
         };
         let Ok(_permit) = Arc::clone(&self.shared.permits).try_acquire_owned() else {
-            refuse(socket).await;
+            let told = self.shared.refusals.try_acquire();
+            if told.is_ok() {
+                refuse(socket).await;
+            }
             return Ok(());
         };
         let Ok(connection) = Connection::open(&socket, self.shared.stall) else {
--- a/crates/shell/src/web/limits.rs
+++ b/crates/shell/src/web/limits.rs
@@ -14,7 +14,7 @@
 pub struct Limits {
     /// Worker threads; each serves its share of the connections.
     pub workers: usize,
-    /// Most open connections; more get 503 and are closed.
+    /// Most open connections; more get 503 and are closed (a flood of them just closed).
     pub connections: usize,
     /// How long a connection may be idle between requests.
     pub idle: Duration,
--- a/crates/shell/src/web/server.rs
+++ b/crates/shell/src/web/server.rs
@@ -15,7 +15,7 @@
 use xitca_web::service::ServiceExt;
 
 use super::acceptor::Bound;
-use super::connection::{Layer, Shared};
+use super::connection::{Layer, REFUSALS, Shared};
 use super::limits::{HEADER_BYTES, HEADER_FIELDS, Limits};
 use super::request::Factory;
 use super::service::Service;
@@ -48,6 +48,7 @@
         let connections = u32::try_from(connections).unwrap_or(u32::MAX);
         let shared = Arc::new(Shared {
             permits: Arc::new(Semaphore::new(connections as usize)),
+            refusals: Semaphore::new(REFUSALS),
             stop: CancellationToken::new(),
             abort: CancellationToken::new(),
             stall: limits.stall,
