Remember every released incarnation, not the newest per address

Cause: a released and forgotten incarnation could join again at another address once a newer one of its old address was forgotten too; it came back active and late copies of its records counted. Ruled out: a refusal of every older epoch on the VM, which would refuse a live router at a second address that joins a stream late.

Change: the identities of forgotten incarnations are kept, the newest 4096.

--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -14,8 +14,8 @@
 //! - Of an accepted record, any later copy changes nothing.
 //! - A top-up that would take a budget over `u64::MAX` is malformed.
 //! - A join of a known incarnation answers what the incarnation is now: once
-//!   retired or released it stays so. The newest released epoch per VM and address
-//!   is remembered ([`FORMER_MAX`] of them), so that a late copy revives nothing.
+//!   retired or released it stays so. The identities of released ones are remembered
+//!   ([`FORMER_MAX`], the newest), so that a late copy revives nothing.
 //! - A claim with `need > want` or without a number is malformed. A claim on a
 //!   budget never topped up is granted 0. Also a claim that is granted 0 uses up its
 //!   number, and a copy of the last claim gets the same answer while the incarnation
@@ -30,7 +30,7 @@
 //!   only after that.
 //! - A retired incarnation wins no intent and gets no grant; its charges still count.
 //!   A released one has given up everything: its charges are void.
-//! - A released incarnation is forgotten, but for its epoch, once all keys that it
+//! - A released incarnation is forgotten, but for its identity, once all keys that it
 //!   ran or abandoned are forgotten. Charges by an unknown incarnation are void.
 //!
 //! A record that breaks the form of its kind is rejected alone; bytes that are no
--- a/crates/budget/src/routers.rs
+++ b/crates/budget/src/routers.rs
@@ -7,24 +7,21 @@
 
 use crate::router::{Phase, Router};
 
-/// Most forgotten incarnations of which the epoch is remembered, one per VM and
-/// address. When there are more, the oldest epoch goes.
+/// Most forgotten incarnations of which the identity is remembered. When there are
+/// more, the oldest epoch goes.
 pub const FORMER_MAX: usize = 4_096;
 
 /// Number of an incarnation in this process.
 pub(crate) type RouterId = u32;
 
-/// Where a router listens: VM and address.
-type Place = (Arc<str>, Arc<str>);
-
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Routers {
     by_id: BTreeMap<RouterId, Router>,
     /// Numbers by VM and epoch.
     by_vm: HashMap<Arc<str>, BTreeMap<u64, RouterId>>,
     next: RouterId,
-    /// Newest epoch forgotten, by VM and address.
-    former: BTreeMap<Place, u64>,
+    /// Addresses of forgotten incarnations, by VM and epoch.
+    former: BTreeMap<(Arc<str>, u64), Arc<str>>,
 }
 
 impl Routers {
@@ -70,31 +67,27 @@
         known.filter(move |(_, router)| router.is_at(address))
     }
 
-    /// Largest epoch ever joined at a VM and address.
+    /// Largest epoch that joined at a VM and address.
     pub(crate) fn newest(&self, vm: &str, address: &str) -> Option<u64> {
         let known = self.at(vm, address).map(|(_, router)| router.epoch).max();
-        // The map is small; a lookup by borrowed pair would need an own key type.
-        let place = (Arc::from(vm), Arc::from(address));
-        known.max(self.former.get(&place).copied())
+        let of_vm = (Arc::from(vm), 0)..=(Arc::from(vm), u64::MAX);
+        let former = self.former.range(of_vm).rev();
+        let mut here = former.filter(|(_, at)| &***at == address);
+        known.max(here.next().map(|((_, epoch), _)| *epoch))
     }
 
     /// Whether this incarnation was released and forgotten.
     pub(crate) fn is_former(&self, vm: &str, epoch: u64) -> bool {
-        let first = (Arc::from(vm), Arc::from(""));
-        let of_vm = self
-            .former
-            .range(first..)
-            .take_while(|(place, _)| &*place.0 == vm);
-        of_vm.into_iter().any(|(_, newest)| *newest == epoch)
+        self.former.contains_key(&(Arc::from(vm), epoch))
     }
 
+    /// VM, address and epoch of the forgotten incarnations.
     pub(crate) fn former(&self) -> impl Iterator<Item = (&Arc<str>, &Arc<str>, u64)> {
-        self.former
-            .iter()
-            .map(|((vm, address), epoch)| (vm, address, *epoch))
+        let former = self.former.iter();
+        former.map(|((vm, epoch), address)| (vm, address, *epoch))
     }
 
-    /// Forgets a released incarnation that no key names, but for its epoch.
+    /// Forgets a released incarnation that no key names, but for its identity.
     pub(crate) fn tidy(&mut self, id: RouterId) {
         let router = self.get(id);
         if router.phase != Phase::Released || router.keys > 0 {
@@ -113,17 +106,13 @@
     }
 
     fn remember(&mut self, vm: Arc<str>, address: Arc<str>, epoch: u64) {
-        let newest = self.former.entry((vm, address)).or_insert(epoch);
-        *newest = epoch.max(*newest);
+        self.former.insert((vm, epoch), address);
         if self.former.len() <= FORMER_MAX {
             return;
         }
-        let oldest = self
-            .former
-            .iter()
-            .min_by_key(|(place, epoch)| (**epoch, *place));
-        if let Some(place) = oldest.map(|(place, _)| place.clone()) {
-            self.former.remove(&place);
+        let oldest = self.former.keys().min_by_key(|(vm, epoch)| (*epoch, vm));
+        if let Some(oldest) = oldest.cloned() {
+            self.former.remove(&oldest);
         }
     }
 
--- a/crates/budget/tests/rules.rs
+++ b/crates/budget/tests/rules.rs
@@ -141,7 +141,10 @@
         panic!("a join has a join's fate");
     };
     assert_eq!((fate.active, fate.newest_epoch), (false, 5));
-    assert!(!active(apply(&mut fold, &join("v", 5, "elsewhere", 0))));
+    for epoch in [1, 5] {
+        let elsewhere = join("v", epoch, "elsewhere", 0);
+        assert!(!active(apply(&mut fold, &elsewhere)));
+    }
     assert_eq!(fold.active().len(), 2);
 }
 
