--- a/crates/link/tests/calls.rs
+++ b/crates/link/tests/calls.rs
@@ -13,7 +13,7 @@
 };
 use tokio::task::JoinHandle;
 
-const SHORT: Duration = Duration::from_millis(300);
+const SHORT: Duration = Duration::from_millis(500);
 
 fn spawn_silent(client: &Arc<Client>) -> JoinHandle<Result<reply::Kind, LinkError>> {
     let client = Arc::clone(client);
@@ -144,9 +144,16 @@
     let (server, fake, client) = pair().await;
     let result = client.call(silent(), SHORT).await;
     assert_eq!(result, Err(LinkError::Timeout));
+    assert!(!client.is_up());
     // The connection goes, so the handler sees its caller leave; a new one comes.
     reach(&fake.left, 1).await;
     assert!(client.wait_up(LONG).await);
+
+    // One that carried anything meanwhile stays.
+    let call = client.call(silent(), SHORT);
+    let (late, pong) = tokio::join!(call, client.call(ping(), LONG));
+    assert_eq!(late, Err(LinkError::Timeout));
+    assert!(pong.is_ok() && client.is_up());
     server.stop().await;
 }
 
--- a/crates/log/tests/replica.rs
+++ b/crates/log/tests/replica.rs
@@ -257,11 +257,15 @@
     replica.feed(0, &log).expect("no hole");
     assert_eq!(replica.since_snapshot(), 10);
 
-    let state = fold(&log[..8]).encode();
-    for chunk in Sum::split(7, &state) {
-        log.push(chunk_record(log.len() as u64, chunk));
+    for at in [7, 10] {
+        let state = fold(&log[..=at]).encode();
+        for chunk in Sum::split(at as u64, &state) {
+            log.push(chunk_record(log.len() as u64, chunk));
+        }
+        log.push(value_record(log.len() as u64, 1));
     }
-    log.push(value_record(log.len() as u64, 1));
+    // After 10: the other chunks of the first snapshot and of the second, two values.
     replica.feed(0, &log).expect("no hole");
-    assert_eq!(replica.since_snapshot(), 3);
+    assert_eq!(replica.newest_snapshot(), Some(10));
+    assert_eq!(replica.since_snapshot(), 2);
 }
