router: refuse at once what needs the log while it is silent

Seen in a trial with the log stand-in out: a non-idempotent request was refused only after 2.0 s and a claim after 1.0 s, although the age of the configuration already told that no ledger hears from the log. From an age of 2.5 s on such requests now end at once, with the time to come back.

--- a/crates/router/src/account.rs
+++ b/crates/router/src/account.rs
@@ -64,6 +64,8 @@
     pub claim_wait: Duration,
     /// Time for which the answer to a claim stands.
     pub pause: Duration,
+    /// Whether the log was heard of lately.
+    pub has_log: bool,
 }
 
 /// Rights on one budget.
@@ -166,7 +168,7 @@
             cost,
             now: micros_since(start, now),
             deadline: micros_since(start, until),
-            has_log: !told.is_out,
+            has_log: policy.has_log && !told.is_out,
             claim_time: self.claim_time(),
             free: is_fresh.then_some(told.free),
             elsewhere: told.elsewhere + own.available + own.reserved,
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -22,6 +22,9 @@
 
 /// A ledger that sends no page for so long is left for another.
 const SILENCE: Duration = Duration::from_millis(2_500);
+/// Age from which on the log counts as out. Ledgers tell their knowledge of its end
+/// at least every second.
+const LOG_SILENCE: Duration = Duration::from_millis(2_500);
 /// First and largest pause between tries.
 const RETRY_BASE: Duration = Duration::from_millis(50);
 const RETRY_CAP: Duration = Duration::from_millis(1_000);
@@ -63,6 +66,13 @@
         Some(now.saturating_sub(Duration::from_micros(known)))
     }
 
+    /// Whether no ledger has heard from the log lately, as far as this router knows:
+    /// what needs the log's word need not wait for it.
+    #[must_use]
+    pub fn is_log_silent(&self) -> bool {
+        self.age().is_none_or(|age| age > LOG_SILENCE)
+    }
+
     /// Tells of each new version.
     #[must_use]
     pub fn watch(&self) -> watch::Receiver<u64> {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -25,6 +25,8 @@
 
 /// When to come back to a router that has not joined the budget's stream yet.
 const JOIN_RETRY: Duration = Duration::from_secs(1);
+/// When to come back while the log is out.
+const LOG_RETRY: Duration = Duration::from_secs(2);
 
 /// Answers the callers' requests.
 #[derive(Debug)]
@@ -102,6 +104,9 @@
         let Some(seat) = seat.as_ref() else {
             return send(reply, Reply::Refused(not_joined()));
         };
+        if node.config.is_log_silent() {
+            return send(reply, Reply::Refused(log_out()));
+        }
         let won = node
             .intents
             .win(seat, &call.key_use, &call.budget, call.left())
@@ -149,6 +154,11 @@
     Refusal::not_run(RefusalKind::Unavailable, detail).with_retry(JOIN_RETRY)
 }
 
+fn log_out() -> Refusal {
+    let detail = "the log is out, and the request must be recorded there before it runs";
+    Refusal::not_run(RefusalKind::LogOut, detail).with_retry(LOG_RETRY)
+}
+
 /// Reserves the bound of the call's cost; `None` when it is free and needs no log.
 async fn hold(node: &Node, call: &Call) -> Result<Option<Holding>, Shortage> {
     if call.bound == 0 && !call.once {
@@ -165,6 +175,7 @@
         deadline: call.deadline,
         claim_wait: Duration::from_millis(node.settings.claim_wait_ms),
         pause: Duration::from_millis(node.settings.claim_pause_ms),
+        has_log: !node.config.is_log_silent(),
     };
     let reservation = account.obtain(call.bound, policy, !call.relayed).await?;
     Ok(Some(Holding { seat, reservation }))
