routing: judge servers by the pace of tokens too

The time to the first token holds the wait in a server's queue; the pace of tokens after it doesn't. A server slow in either counts as slow. The slowness and the fleet's inputs get modules of their own.

--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -4,71 +4,23 @@
 use std::time::Duration;
 
 use rand::Rng;
-use swiftlink_types::{DomainName, Micros, ServerName, VmName};
+use swiftlink_types::{Micros, ServerName, VmName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::health::{ErrorKind, Health, HealthPolicy};
+use crate::health::{ErrorKind, Health};
 use crate::load::{Load, LoadReport};
 use crate::policy::{Pick, Policy, PoolTimes, View, draw};
 use crate::server::{Sent, Server, ServerIdx, ServerView};
+use crate::slowness::Slowness;
+use crate::spec::{FleetPolicy, ListedVm, ServerSpec};
 
 /// Seed of the servers' own hashes, the same at every router.
 const NAME_SEED: u64 = 0;
+/// Tokens of an answer whose pace is taken.
+const MIN_TOKENS: u64 = 8;
 /// Thousandths that a load is kept in.
 const MILLI: f64 = 1_000.0;
 
-/// Settings of a [`Fleet`].
-#[derive(Clone, Debug, PartialEq)]
-pub struct FleetPolicy {
-    /// The router's own failure domain.
-    pub home: DomainName,
-    /// Servers that this router uses and polls; 0: all. Chosen by hash, so that the
-    /// routers' subsets cover the pool evenly.
-    pub subset: usize,
-    /// Sets this router apart from the others; a hash of its name. Must differ between
-    /// routers.
-    pub seed: u64,
-    /// Ejection of failing servers.
-    pub health: HealthPolicy,
-}
-
-impl FleetPolicy {
-    /// Settings with defaults for a router in `home`.
-    #[must_use]
-    pub fn new(home: DomainName) -> Self {
-        Self {
-            home,
-            subset: 0,
-            seed: 0,
-            health: HealthPolicy::default(),
-        }
-    }
-}
-
-/// A backend server as configured.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ServerSpec {
-    /// Its name.
-    pub name: ServerName,
-    /// Its failure domain.
-    pub domain: DomainName,
-    /// Its VM, if the VM list knows it.
-    pub vm: Option<VmName>,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Whether the operators want it to leave.
-    pub drain: bool,
-}
-
-/// An entry of the platform's VM list.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ListedVm {
-    /// The VM.
-    pub name: VmName,
-    /// Whether it is leaving.
-    pub leaving: bool,
-}
-
 /// Tracks a pool's servers and picks one for each request.
 #[derive(Debug)]
 pub struct Fleet {
@@ -170,14 +122,15 @@
         Some(Sent {
             idx,
             at: now,
-            has_first: false,
+            tokens: 0,
+            first_at: None,
             load: (load * MILLI) as u32,
         })
     }
 
     /// The first token (or byte) of the answer came.
     pub fn on_first_token(&mut self, sent: &mut Sent, now: Micros) {
-        if sent.has_first {
+        if sent.first_at.is_some() {
             return;
         }
         let time = now.saturating_sub(sent.at).max(1) as f64;
@@ -187,8 +140,8 @@
             return;
         };
         server.answered(sent);
-        sent.has_first = true;
-        server.learn_slowness(now, time / expected);
+        sent.first_at = Some(now);
+        server.first.learn(now, time / expected);
         let slowness = server.slowness(now);
         self.pool.learn_first(load, time, slowness.max(1.0));
     }
@@ -197,6 +150,7 @@
     pub fn on_end(&mut self, sent: Sent, now: Micros) {
         let time = now.saturating_sub(sent.at) as f64;
         self.pool.learn_service(time);
+        self.learn_pace(&sent, now);
         let Some(server) = self.get_mut(sent.idx) else {
             return;
         };
@@ -422,6 +376,23 @@
         }
     }
 
+    /// Takes the pace of a long enough answer. Unlike the time to the first token it
+    /// holds no wait in the server's queue.
+    fn learn_pace(&mut self, sent: &Sent, now: Micros) {
+        let Some(first_at) = sent.first_at else {
+            return;
+        };
+        if sent.tokens < MIN_TOKENS {
+            return;
+        }
+        let time = now.saturating_sub(first_at).max(1) as f64;
+        let pace = time / sent.tokens as f64;
+        let ratio = self.pool.learn_pace(pace);
+        if let Some(server) = self.get_mut(sent.idx) {
+            server.pace.learn(now, ratio);
+        }
+    }
+
     /// Whether one more server may be ejected for errors that overload also causes.
     fn may_eject(&self) -> bool {
         let ejected = self.ejected.len() as f64 + 1.0;
@@ -464,8 +435,8 @@
         draining_at: None,
         load: Load::default(),
         health: Health::default(),
-        slowness: 0.0,
-        slow_at: 0,
+        first: Slowness::default(),
+        pace: Slowness::default(),
         unanswered: 0,
         sent_sum: 0,
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,12 +15,15 @@
 mod retry;
 mod seen;
 mod server;
+mod slowness;
+mod spec;
 
 pub use baseline::{LeastReported, Random, RoundRobin, TwoChoices};
 pub use expected::{ExpectedWait, ScorePolicy};
-pub use fleet::{Fleet, FleetPolicy, ListedVm, ServerSpec};
+pub use fleet::Fleet;
 pub use health::{ErrorKind, Health, HealthPolicy};
 pub use load::{Load, LoadReport};
 pub use policy::{Pick, Policy, View};
 pub use retry::RetryBudget;
 pub use server::{Sent, Server, ServerIdx, ServerView};
+pub use spec::{FleetPolicy, ListedVm, ServerSpec};
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -133,6 +133,8 @@
     base: Option<f64>,
     /// Time of a whole request (µs), a geometric mean.
     service: Option<f64>,
+    /// Time of a token after the first (µs), a geometric mean.
+    pace: Option<f64>,
     /// Own and others' requests at a server, on average.
     own: f64,
     others: f64,
@@ -156,6 +158,7 @@
         Self {
             base: None,
             service: None,
+            pace: None,
             own: 0.0,
             others: 0.0,
         }
@@ -192,6 +195,13 @@
         self.service = Some(follow(self.service.unwrap_or(time), time));
     }
 
+    /// Takes the time of a token; answers its ratio to the pool's.
+    pub(crate) fn learn_pace(&mut self, pace: f64) -> f64 {
+        let old = self.pace.unwrap_or(pace);
+        self.pace = Some(follow(old, pace));
+        pace / old
+    }
+
     /// Wait at a server that has more requests than slots, and the risk of one that
     /// may soon: the load is an estimate.
     fn queueing(&self, load: f64) -> f64 {
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -4,6 +4,7 @@
 
 use crate::health::Health;
 use crate::load::Load;
+use crate::slowness::Slowness;
 
 /// Names a server within a [`crate::Fleet`]; never reused for another server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -29,23 +30,13 @@
     pub idx: ServerIdx,
     /// When it was sent.
     pub at: Micros,
-    pub(crate) has_first: bool,
+    /// Tokens of the answer so far, if the caller of the fleet counts them.
+    pub tokens: u64,
+    pub(crate) first_at: Option<Micros>,
     /// Load at the time of sending, in thousandths of the server's slots.
     pub(crate) load: u32,
 }
 
-/// Half-life of a slowness that no request confirms (µs).
-const SLOW_HALF: f64 = 20e6;
-/// Limits of the slowness.
-const SLOW_RANGE: (f64, f64) = (0.3, 50.0);
-/// Weight of a sample that shows a server faster, and one that shows it slower. A wait
-/// in the server's own queue looks like slowness, so it takes a run of slow answers.
-const SLOW_GAIN: (f64, f64) = (0.4, 0.15);
-/// Slowness below which servers count as alike.
-const SLOW_LEAST: f64 = 1.5;
-/// Its logarithm, rounded down.
-const SLOW_LEAST_LN: f64 = 0.405;
-
 /// State of one server, as policies see it.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -64,9 +55,9 @@
     pub(crate) draining_at: Option<Micros>,
     pub(crate) load: Load,
     pub(crate) health: Health,
-    /// Logarithm of the time to the first token against the pool's at equal load.
-    pub(crate) slowness: f64,
-    pub(crate) slow_at: Micros,
+    /// Slowness by the time to the first token, and by the pace of tokens after it.
+    pub(crate) first: Slowness,
+    pub(crate) pace: Slowness,
     /// Dispatches without a first token yet, and the sum of their send times.
     pub(crate) unanswered: u32,
     pub(crate) sent_sum: u64,
@@ -122,21 +113,11 @@
         self.is_drained || self.is_listed_out || self.draining_at.is_some()
     }
 
-    /// How many times slower it is than the pool at equal load; 1 when unknown or
-    /// not much slower.
+    /// How many times slower it is than the pool, by the time to the first token at
+    /// equal load or by the pace of tokens; 1 when unknown or not much slower.
     #[must_use]
     pub fn slowness(&self, now: Micros) -> f64 {
-        // The decay only lowers it: most servers end here.
-        if self.slowness < SLOW_LEAST_LN {
-            return 1.0;
-        }
-        let slowness = self.raw_slowness(now);
-        if slowness < SLOW_LEAST { 1.0 } else { slowness }
-    }
-
-    pub(crate) fn raw_slowness(&self, now: Micros) -> f64 {
-        let age = now.saturating_sub(self.slow_at) as f64;
-        (self.slowness * (-age / SLOW_HALF).exp2()).exp()
+        self.first.get(now).max(self.pace.get(now))
     }
 
     /// Mean age of the dispatches that have no first token yet (µs).
@@ -158,21 +139,12 @@
 
     /// The dispatch has its first token or will never have one.
     pub(crate) fn answered(&mut self, sent: &Sent) {
-        if sent.has_first {
+        if sent.first_at.is_some() {
             return;
         }
         self.unanswered = self.unanswered.saturating_sub(1);
         self.sent_sum = self.sent_sum.saturating_sub(sent.at);
     }
-
-    /// Takes the ratio of a time seen to the one the pool would have shown.
-    pub(crate) fn learn_slowness(&mut self, now: Micros, ratio: f64) {
-        let old = self.raw_slowness(now).ln();
-        let seen = ratio.clamp(SLOW_RANGE.0, SLOW_RANGE.1).ln();
-        let gain = if seen < old { SLOW_GAIN.0 } else { SLOW_GAIN.1 };
-        self.slowness = old + gain * (seen - old);
-        self.slow_at = now;
-    }
 }
 
 /// One line of the fleet's dump.
--- a/crates/routing/tests/fleet.rs
+++ b/crates/routing/tests/fleet.rs
@@ -177,6 +177,23 @@
     assert_eq!(picks_of(&mut fleet, idx, 20 * SEC), 0);
 }
 
+#[test]
+fn server_with_a_slow_pace_gets_little() {
+    let mut fleet = fleet(4);
+    for round in 0..20 {
+        for number in 0..4 {
+            let idx = named(&fleet, number);
+            let mut sent = fleet.on_sent(idx, round * SEC).expect("configured");
+            fleet.on_first_token(&mut sent, round * SEC + 40 * MS);
+            sent.tokens = 100;
+            let time = if number == 0 { 800 * MS } else { 200 * MS };
+            fleet.on_end(sent, round * SEC + 40 * MS + time);
+        }
+    }
+    let idx = named(&fleet, 0);
+    assert_eq!(picks_of(&mut fleet, idx, 20 * SEC), 0);
+}
+
 #[test]
 fn stalled_server_is_left_before_it_answers() {
     let mut fleet = fleet(4);
