--- /dev/null
+++ b/crates/router/tests/answer.rs
@@ -0,0 +1,71 @@
+//! The form of answers and the headers that are passed on.
+
+use http::{HeaderMap, HeaderValue};
+use serde_json::Value;
+use swiftlink_router::answer::{Receipt, event, tokens_run, with_receipt};
+use swiftlink_router::forward::{end_to_end, for_server};
+use swiftlink_stream::{Usage, parse_event_id};
+use swiftlink_types::RequestKey;
+
+#[test]
+fn an_event_carries_the_token_and_the_number() {
+    let bytes = event("abc", 7, "{\"a\":1}");
+    assert_eq!(&bytes[..], b"id: abc.7\ndata: {\"a\":1}\n\n");
+    assert_eq!(parse_event_id("abc.7"), Some(("abc", 7)));
+}
+
+#[test]
+fn data_of_several_lines_stays_one_event() {
+    let bytes = event("abc", 0, "one\ntwo");
+    assert_eq!(&bytes[..], b"id: abc.0\ndata: one\ndata: two\n\n");
+}
+
+#[test]
+fn the_receipt_joins_the_last_chunk_and_changes_nothing_else() {
+    let key = RequestKey::generate(1_700_000_000_000);
+    let receipt = Receipt { key, charged: 12 };
+    let data = r#"{"choices":[],"usage":{"total_tokens":12},"extra":[1,2]}"#;
+    let value: Value = serde_json::from_str(&with_receipt(data, receipt)).expect("JSON");
+    assert_eq!(value["swiftlink"]["charged"], 12);
+    assert_eq!(value["swiftlink"]["outcome"], "ran");
+    assert_eq!(value["swiftlink"]["key"], key.to_string());
+    assert_eq!(value["extra"], serde_json::json!([1, 2]));
+    assert_eq!(value["usage"]["total_tokens"], 12);
+}
+
+#[test]
+fn the_larger_of_total_and_sum_is_what_ran() {
+    let usage = Usage {
+        prompt_tokens: 5,
+        completion_tokens: 7,
+        total_tokens: 0,
+    };
+    assert_eq!(tokens_run(usage), 12);
+    let usage = Usage {
+        total_tokens: 15,
+        ..usage
+    };
+    assert_eq!(tokens_run(usage), 15);
+}
+
+#[test]
+fn headers_of_one_connection_and_credentials_are_not_passed_on() {
+    let mut headers = HeaderMap::new();
+    for (name, value) in [
+        ("authorization", "Bearer secret"),
+        ("connection", "keep-alive, x-hop"),
+        ("x-hop", "1"),
+        ("transfer-encoding", "chunked"),
+        ("swiftlink-run", "once"),
+        ("accept", "image/png"),
+    ] {
+        headers.insert(name, HeaderValue::from_static(value));
+    }
+    let kept = end_to_end(&headers);
+    assert!(!kept.contains_key("connection") && !kept.contains_key("x-hop"));
+    assert!(!kept.contains_key("transfer-encoding"));
+    assert!(kept.contains_key("authorization"), "a peer router needs it");
+    let kept = for_server(&headers);
+    assert!(!kept.contains_key("authorization") && !kept.contains_key("swiftlink-run"));
+    assert_eq!(kept["accept"], "image/png");
+}
