standins: let a load report say draining while work is taken

A test that counts what reaches a leaving server sees nothing at one that refuses by itself. With told_draining the server's own report is the only signal, and the count shows whether the routers heed it.

--- a/standins/src/engine/core.rs
+++ b/standins/src/engine/core.rs
@@ -33,6 +33,8 @@
     pub keep_ms: u64,
     /// New work is answered 503 with `x-draining: true`.
     pub draining: bool,
+    /// The load report says that the engine is draining, but new work is taken.
+    pub told_draining: bool,
     /// A connection breaks after so many events; null: never.
     pub cut_after: Option<u64>,
     /// Events come in swapped pairs.
@@ -58,6 +60,7 @@
             load_lag_ms: 0,
             keep_ms: 60_000,
             draining: false,
+            told_draining: false,
             cut_after: None,
             reorder: false,
             double: false,
--- a/standins/src/engine/server.rs
+++ b/standins/src/engine/server.rs
@@ -124,7 +124,7 @@
             "waiting": load.waiting,
             "slots": fault.slots,
             "kv_used": load.running as f64 / slots,
-            "draining": fault.draining,
+            "draining": fault.draining || fault.told_draining,
             "age_ms": age.as_millis() as u64,
         });
         json_answer(StatusCode::OK, &report)
--- a/standins/src/service/server.rs
+++ b/standins/src/service/server.rs
@@ -31,6 +31,8 @@
     pub run_ms: u64,
     /// New work is answered 503 with `x-draining: true`.
     pub draining: bool,
+    /// The load report says that the service is draining, but new work is taken.
+    pub told_draining: bool,
     /// New work is answered 500 at once and does not run.
     pub fail_fast: bool,
 }
@@ -169,12 +171,13 @@
 
     fn load(&self) -> Response<Body> {
         let running = self.running.load(Ordering::Relaxed);
+        let fault = self.switches.get();
         let report = json!({
             "running": running,
             "waiting": 0,
             "slots": SLOTS,
             "kv_used": 0.0,
-            "draining": self.switches.get().draining,
+            "draining": fault.draining || fault.told_draining,
             "age_ms": 0,
         });
         json_answer(StatusCode::OK, &report)
