router: hand a charge to its first ledger from the answer's own thread

The end of an answer waits for a ledger to store the charge. Handing it to a task of the main runtime and back cost two changes of thread; now the answer's thread asks the first ledger itself and only leaves the rest to the background.

--- a/crates/router/src/charge.rs
+++ b/crates/router/src/charge.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use swiftlink_budget::stream_of;
-use swiftlink_link::Client;
+use swiftlink_link::{Client, ReplyStream};
 use swiftlink_telemetry::{Metrics, event};
 use swiftlink_types::{BudgetName, RequestKey, Tokens, WorkspaceName};
 use swiftlink_wire::link::{Settle, Submitted, reply, request};
@@ -110,20 +110,32 @@
     /// Charges `cost` on the incarnation of `seat`; returns once a ledger has stored
     /// the charge, or after the wait that an answer's end is given.
     pub async fn settle(self: &Arc<Self>, seat: &Arc<Seat>, cost: Cost, hold: KeyHold) {
-        let (sender, stored) = oneshot::channel();
         let job = Job {
             settler: Arc::clone(self),
             seat: Arc::clone(seat),
             serial: seat.next_serial(),
             cost,
             _hold: hold,
-            stored: Some(sender),
+            start: Instant::now(),
+            is_stored: false,
+            told: None,
             stuck: false,
         };
         self.counts.pending.fetch_add(1, Ordering::Relaxed);
-        self.runtime.spawn(job.run());
-        // An error means that the charge was decided without being stored first.
-        let _stored = timeout(self.wait, stored).await;
+        let mut carrier = Carrier { job: Some(job) };
+        // The first ledger is asked from this thread: it saves the end of the answer
+        // two changes of thread.
+        if let Some(ledger) = order(self.ledgers.far()).first() {
+            if let Some(replies) = carrier.job().store(&ledger.client).await {
+                return carrier.leave(Some(replies));
+            }
+            ledger.shun();
+        }
+        let (sender, stored) = oneshot::channel();
+        carrier.job().told = Some(sender);
+        let left = self.wait.saturating_sub(carrier.job().start.elapsed());
+        carrier.leave(None);
+        let _late = timeout(left, stored).await;
     }
 
     /// Waits until no charge is pending; false when `limit` comes first.
@@ -138,6 +150,36 @@
     }
 }
 
+/// Holds a charge on the thread of its answer. If that thread gives the answer up, the
+/// charge goes on all the same.
+struct Carrier {
+    job: Option<Job>,
+}
+
+impl Carrier {
+    fn job(&mut self) -> &mut Job {
+        self.job.as_mut().expect("taken only when leaving")
+    }
+
+    /// Goes on in the background.
+    fn leave(mut self, replies: Option<ReplyStream>) {
+        self.depart(replies);
+    }
+
+    fn depart(&mut self, replies: Option<ReplyStream>) {
+        if let Some(job) = self.job.take() {
+            let runtime = job.settler.runtime.clone();
+            runtime.spawn(job.run(replies));
+        }
+    }
+}
+
+impl Drop for Carrier {
+    fn drop(&mut self) {
+        self.depart(None);
+    }
+}
+
 /// One charge on its way.
 struct Job {
     settler: Arc<Settler>,
@@ -145,55 +187,64 @@
     serial: u64,
     cost: Cost,
     _hold: KeyHold,
-    stored: Option<oneshot::Sender<()>>,
+    start: Instant,
+    /// Some ledger has it, or the log has decided it.
+    is_stored: bool,
+    /// Who waits for the storing.
+    told: Option<oneshot::Sender<()>>,
     stuck: bool,
 }
 
 impl Job {
-    async fn run(mut self) {
-        let start = Instant::now();
+    /// Follows `replies` of the ledger that stored the charge, and hands it to other
+    /// ledgers until the log has decided it.
+    async fn run(mut self, replies: Option<ReplyStream>) {
         let ledgers = Arc::clone(&self.settler.ledgers);
         let mut retry = self.settler.retry;
+        if let Some(mut replies) = replies
+            && let Some(fate) = self.follow(&mut replies, retry).await
+        {
+            return self.finish(fate);
+        }
         loop {
             for ledger in order(ledgers.far()) {
-                if let Some(fate) = self.hand_over(&ledger.client, start, retry).await {
+                if let Some(mut replies) = self.store(&ledger.client).await
+                    && let Some(fate) = self.follow(&mut replies, retry).await
+                {
                     return self.finish(fate);
                 }
                 ledger.shun();
-                self.note_stuck(start);
+                self.note_stuck();
             }
-            if self.stored.is_none() {
+            if self.is_stored {
                 retry = (retry * 2).min(RETRY_CAP);
             }
             tokio::time::sleep(ROUND_PAUSE).await;
-            self.note_stuck(start);
+            self.note_stuck();
         }
     }
 
-    /// Hands the charge to one ledger and waits for its fate.
-    async fn hand_over(
-        &mut self,
-        client: &Arc<Client>,
-        start: Instant,
-        retry: Duration,
-    ) -> Option<ChargeFate> {
+    /// Hands the charge to one ledger and waits until it has stored it.
+    async fn store(&mut self, client: &Arc<Client>) -> Option<ReplyStream> {
+        let limit = self.settler.try_time;
         let settle = request::Kind::Settle(self.message());
-        let opened = timeout(self.settler.try_time, client.stream(settle)).await;
+        let opened = timeout(limit, client.stream(settle)).await;
         let mut replies = opened.ok()?.ok()?;
-        let mut limit = self.settler.try_time;
-        loop {
-            let reply = timeout(limit, replies.next()).await.ok()??.ok()?;
-            match reply {
-                reply::Kind::Stored(_) => {
-                    self.note_stored(start);
-                    limit = retry;
-                }
-                reply::Kind::Submitted(submitted) => {
-                    self.note_stored(start);
-                    return Some(first_fate(&submitted));
-                }
-                _ => return None,
+        match replies.next_within(limit).await?.ok()? {
+            reply::Kind::Stored(_) => {
+                self.note_stored();
+                Some(replies)
             }
+            _ => None,
+        }
+    }
+
+    /// Waits for the log's word on a charge that a ledger has stored.
+    async fn follow(&mut self, replies: &mut ReplyStream, limit: Duration) -> Option<ChargeFate> {
+        let reply = timeout(limit, replies.next()).await.ok()??.ok()?;
+        match reply {
+            reply::Kind::Submitted(submitted) => Some(first_fate(&submitted)),
+            _ => None,
         }
     }
 
@@ -215,13 +266,16 @@
         }
     }
 
-    fn note_stored(&mut self, start: Instant) {
-        let Some(stored) = self.stored.take() else {
+    fn note_stored(&mut self) {
+        if self.is_stored {
             return;
-        };
-        // The answer's end may have stopped waiting.
-        let _sent = stored.send(());
-        let us = u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX);
+        }
+        self.is_stored = true;
+        if let Some(told) = self.told.take() {
+            // The answer's end may have stopped waiting.
+            let _sent = told.send(());
+        }
+        let us = u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX);
         self.settler.metrics.time_us("charge.stored", us);
         if self.stuck {
             self.stuck = false;
@@ -230,8 +284,8 @@
         }
     }
 
-    fn note_stuck(&mut self, start: Instant) {
-        if self.stuck || self.stored.is_none() || start.elapsed() < self.settler.wait {
+    fn note_stuck(&mut self) {
+        if self.stuck || self.is_stored || self.start.elapsed() < self.settler.wait {
             return;
         }
         self.stuck = true;
