operator: test what two trial mutants got past

A copy of a set that overwrote the remembered decision, and an operator that called a repeated id certainly not applied, both passed the tests. Two tests now fail for them. Tests that would hang fail after 60 s instead.

--- a/crates/operator/tests/testsuite/apply.rs
+++ b/crates/operator/tests/testsuite/apply.rs
@@ -2,12 +2,17 @@
 
 use std::sync::Arc;
 
-use serde_json::json;
-use swiftlink_client::api::Certainty;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use serde_json::{Value, json};
+use swiftlink_client::api::{CHANGE_FIRST_HEADER, CHANGE_ID_HEADER, Certainty};
+use swiftlink_client::http::{Call, Http};
 use swiftlink_client::{ClientError, Exit, change_id};
-use swiftlink_log::{Fault, MemLog};
+use swiftlink_log::{Fault, Log, MemLog};
 
-use crate::rig::{Rig, caller, class, config, delete, put, request};
+use crate::rig::{Rig, TOKEN, caller, class, config, delete, put, request};
 
 fn problem(error: ClientError) -> swiftlink_client::api::Problem {
     match error {
@@ -276,3 +281,71 @@
     assert_eq!(refused.rejects[0].reason, "immutable");
     rig.operator.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn only_a_first_use_of_an_id_can_be_certain() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({ "apply_ms": 100 })).await;
+    log.set_fault(Fault::Outage);
+    let body = Bytes::from_static(br#"{"changes":[{"kind":"class","name":"a","spec":{}}]}"#);
+    let cases = [
+        (vec![], "no"),
+        (
+            vec![(CHANGE_ID_HEADER, "id-1"), (CHANGE_FIRST_HEADER, "true")],
+            "no",
+        ),
+        (vec![(CHANGE_ID_HEADER, "id-1")], "unknown"),
+    ];
+    for (headers, applied) in cases {
+        let call = Call {
+            method: Method::POST,
+            token: Some(TOKEN),
+            headers,
+            body: body.clone(),
+            ..Call::get(rig.operator.address(), "/v1/apply")
+        };
+        let answer = Http::open("test")
+            .fetch(&call, Duration::from_secs(20))
+            .await;
+        let answer = answer.expect("answered");
+        let problem: Value = serde_json::from_slice(&answer.body).expect("a problem");
+        assert_eq!(answer.status, 503);
+        assert_eq!(problem["applied"], applied);
+        assert!(problem["change_id"].is_string());
+    }
+    rig.operator.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_copy_on_the_log_does_not_hide_the_decision() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({})).await;
+    let request = request(vec![class("urgent", None, 4)]);
+    let id = change_id();
+    let first = rig
+        .caller
+        .apply(&request, &id, false)
+        .await
+        .expect("accepted");
+    let page = log
+        .read(&config(), 0, 1, Duration::ZERO)
+        .await
+        .expect("read");
+    let copy = Bytes::from(page.records[0].data.clone());
+    log.append(&config(), copy).await.expect("appended");
+    // A later set: once it is decided, the copy was read too.
+    rig.apply(vec![class("later", None, 4)])
+        .await
+        .expect("accepted");
+    let again = rig
+        .caller
+        .apply(&request, &id, true)
+        .await
+        .expect("accepted before");
+    assert_eq!(first, again);
+    assert_eq!(
+        rig.caller.list("class").await.expect("listed").items.len(),
+        2
+    );
+    rig.operator.stop().await;
+}
--- a/crates/operator/tests/testsuite/rig.rs
+++ b/crates/operator/tests/testsuite/rig.rs
@@ -16,6 +16,8 @@
 use swiftlink_types::StreamName;
 use swiftlink_wire::log::ChangeSet;
 
+/// A test that waits longer hangs.
+pub const HANG: Duration = Duration::from_secs(60);
 pub const TOKEN: &str = "token-of-the-operators";
 pub const SECRET: &str = "secret-of-the-links-0123";
 
@@ -59,9 +61,13 @@
     }
 
     pub async fn ready(&self) {
-        while self.caller.list("workspace").await.is_err() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
+        let ready = async {
+            while self.caller.list("workspace").await.is_err() {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let ready = tokio::time::timeout(HANG, ready).await;
+        ready.expect("the operator never read the configuration");
     }
 
     /// Applies under a new id.
--- a/crates/operator/tests/testsuite/watch.rs
+++ b/crates/operator/tests/testsuite/watch.rs
@@ -8,7 +8,7 @@
 use swiftlink_client::{ClientError, Watcher};
 use swiftlink_log::MemLog;
 
-use crate::rig::{Rig, caller, class, config, delete, snapshot_all};
+use crate::rig::{HANG, Rig, caller, class, config, delete, snapshot_all};
 
 /// Applies some sets; some change two resources, one deletes, one is rejected.
 async fn history(rig: &Rig) {
@@ -35,7 +35,9 @@
         .expect("watched");
     let mut events = Vec::new();
     while events.len() < count {
-        events.push(stream.next().await.expect("goes on").expect("no end"));
+        let next = tokio::time::timeout(HANG, stream.next()).await;
+        let next = next.expect("an event never came");
+        events.push(next.expect("goes on").expect("no end"));
     }
     events
 }
