router: wait for rights in flight, leave silent engines, keep slots steady

Times to the first token below 250 ms no longer take slots away, and services' times don't count: they differ by request, not by queues.

--- a/crates/router/src/account.rs
+++ b/crates/router/src/account.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -82,6 +82,8 @@
     /// Expected time of a claim (µs).
     claim_time: AtomicU64,
     waiters: Mutex<Waiters>,
+    /// Number of waiters, to be looked at without the lock.
+    count: AtomicUsize,
     news: watch::Sender<News>,
 }
 
@@ -102,6 +104,7 @@
             low: AtomicU64::new(0),
             claim_time: AtomicU64::new(FIRST_CLAIM_TIME.as_micros() as u64),
             waiters: Mutex::default(),
+            count: AtomicUsize::new(0),
             news: watch::Sender::new(News::default()),
         }
     }
@@ -134,19 +137,40 @@
         let mut news = self.news.subscribe();
         let _waiter = self.enter(cost);
         self.wake.notify_one();
+        let mut busy = None;
         loop {
             let told = news.borrow_and_update().clone();
             if let Some(held) = self.take(cost) {
                 return Ok(held);
             }
-            self.decide(cost, &told, start, until, policy, may_relay)?;
+            match self.decide(cost, &told, start, until, policy, may_relay) {
+                Ok(()) => {}
+                Err(shortage) if shortage.holders.is_empty() && self.may_free(cost) => {
+                    busy = Some(shortage);
+                }
+                Err(shortage) => return Err(shortage),
+            }
             if timeout_at(until, news.changed()).await.is_err() {
                 let told = news.borrow().clone();
-                return Err(self.late(&told, may_relay));
+                return Err(busy.unwrap_or_else(|| self.late(&told, may_relay)));
             }
         }
     }
 
+    /// Whether requests in flight here hold rights enough: what they don't spend is
+    /// free again at their end.
+    fn may_free(&self, cost: Tokens) -> bool {
+        let own = self.grant.counters();
+        own.reserved > 0 && own.reserved + own.available >= cost
+    }
+
+    /// Tells those who wait that rights may have become free.
+    pub fn freed(&self) {
+        if self.count.load(Ordering::Relaxed) > 0 {
+            self.tell(|_news| {});
+        }
+    }
+
     /// Whether to wait on; the error ends the request here.
     fn decide(
         &self,
@@ -250,6 +274,7 @@
         let number = waiters.next;
         waiters.next += 1;
         waiters.costs.insert(number, cost);
+        self.count.fetch_add(1, Ordering::Relaxed);
         Waiter {
             account: self,
             number,
@@ -269,6 +294,7 @@
 
 impl Drop for Waiter<'_> {
     fn drop(&mut self) {
+        self.account.count.fetch_sub(1, Ordering::Relaxed);
         self.account.lock().costs.remove(&self.number);
     }
 }
--- a/crates/router/src/claim.rs
+++ b/crates/router/src/claim.rs
@@ -24,7 +24,7 @@
 /// Time between looks at the demand of an account in use.
 const TICK: Duration = Duration::from_millis(500);
 /// Pause of a claimer whose waiters must be answered from the last news.
-const TOLD_PAUSE: Duration = Duration::from_millis(5);
+const TOLD_PAUSE: Duration = Duration::from_millis(20);
 /// First and largest pause between submissions of one record.
 const RETRY_BASE: Duration = Duration::from_millis(100);
 const RETRY_CAP: Duration = Duration::from_secs(2);
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -117,7 +117,12 @@
         };
         attempt.tried.push(target.idx);
         attempt.dispatch();
-        let options = node.send_options(left, call.once);
+        // A silent engine is left for another; a run that must not repeat, and a
+        // service of any speed, have until the deadline.
+        let mut options = node.send_options(left, call.once);
+        if is_model && !call.once {
+            options.head = left.min(node.read_options().stall);
+        }
         match send(target.address, make(&target), options).await {
             Ok(answer) => {
                 let response = &answer.response;
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -18,6 +18,10 @@
 
 use crate::queue::PoolQueue;
 
+/// Times to the first token below this differ by prompts and by the engines' steps,
+/// not by queues at the engines; they don't take slots away.
+const FIRST_TOKEN_MIN: Duration = Duration::from_millis(250);
+
 /// One pool: its queue, its servers and its retries.
 #[derive(Debug)]
 pub struct Pool {
@@ -27,6 +31,8 @@
     pub queue: Arc<PoolQueue>,
     /// Bounds the retries.
     pub retries: RetryBudget,
+    /// Its servers are model engines.
+    is_model: bool,
     fleet: Mutex<Fleet>,
     addresses: ArcSwap<StdHashMap<ServerName, SocketAddr>>,
     start: Instant,
@@ -47,7 +53,13 @@
 }
 
 impl Pool {
-    fn new(name: PoolName, home: DomainName, subset: usize, seed: u64) -> Arc<Self> {
+    fn new(
+        name: PoolName,
+        is_model: bool,
+        home: DomainName,
+        subset: usize,
+        seed: u64,
+    ) -> Arc<Self> {
         let policy = FleetPolicy {
             subset,
             seed,
@@ -57,6 +69,7 @@
             name,
             queue: PoolQueue::new(),
             retries: RetryBudget::default(),
+            is_model,
             fleet: Mutex::new(Fleet::new(policy, Box::new(ExpectedWait::default()))),
             addresses: ArcSwap::default(),
             start: Instant::now(),
@@ -104,6 +117,12 @@
         self.addresses.load().get(server).copied()
     }
 
+    /// Whether its servers are model engines.
+    #[must_use]
+    pub fn is_model(&self) -> bool {
+        self.is_model
+    }
+
     /// Whether some server takes new work, and when one may be tried again if all
     /// are ejected.
     #[must_use]
@@ -191,7 +210,9 @@
         };
         let took = Duration::from_micros(now.saturating_sub(sent.at));
         self.pool.lock().on_first_token(sent, now);
-        self.pool.queue.on_first_token(took);
+        if self.pool.is_model {
+            self.pool.queue.on_first_token(took.max(FIRST_TOKEN_MIN));
+        }
     }
 
     /// The answer came to its end.
@@ -258,13 +279,20 @@
         self.pools.pin().values().map(Arc::clone).collect()
     }
 
+    fn open(&self, name: &PoolName, is_model: bool) -> Arc<Pool> {
+        let home = self.home.clone();
+        Pool::new(name.clone(), is_model, home, self.subset, self.seed)
+    }
+
     /// Takes a new configuration. Not to be called by two tasks at once.
     pub fn configure(&self, config: &Config) {
         let pools = self.pools.pin();
-        for name in config.pools.keys() {
-            let pool = match pools.get(name) {
+        for (name, spec) in &config.pools {
+            let is_model = spec.kind == PoolKind::Model;
+            let known = pools.get(name).filter(|pool| pool.is_model == is_model);
+            let pool = match known {
                 Some(pool) => Arc::clone(pool),
-                None => Pool::new(name.clone(), self.home.clone(), self.subset, self.seed),
+                None => self.open(name, is_model),
             };
             pool.configure(config.servers_of(name.as_str()));
             pools.insert(name.clone(), pool);
@@ -272,10 +300,3 @@
         pools.retain(|name, _| config.pools.contains_key(name));
     }
 }
-
-/// Whether the pool serves models, by the configuration.
-#[must_use]
-pub fn is_model(config: &Config, pool: &str) -> Option<bool> {
-    let pool = config.pools.get(pool)?;
-    Some(pool.kind == PoolKind::Model)
-}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -197,7 +197,6 @@
     let load = vms::follow_load(
         ms(settings.report_ms),
         Arc::from(settings.service_load.as_str()),
-        Arc::clone(&node.config),
         Arc::clone(&node.pools),
         stop.clone(),
     );
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -207,7 +207,11 @@
             let hold = self.call.key_use.hold();
             self.node.settler.settle(seat, charge, hold).await;
         }
-        rights.settle(cost)
+        let charged = rights.settle(cost);
+        if let Some(account) = seat.find(&self.call.budget) {
+            account.freed();
+        }
+        charged
     }
 
     /// What a charge for `tokens` run says.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -141,7 +141,7 @@
         500
     }
     pub(super) fn stall_ms() -> u64 {
-        10_000
+        5_000
     }
     pub(super) fn resume_ms() -> u64 {
         5_000
--- a/crates/router/src/vms.rs
+++ b/crates/router/src/vms.rs
@@ -15,9 +15,8 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::config::ConfigView;
 use crate::engine;
-use crate::fleet::{Pool, Pools, is_model};
+use crate::fleet::{Pool, Pools};
 use crate::upstream::{SendOptions, send};
 
 /// Longest body of a list or report (bytes).
@@ -85,7 +84,6 @@
 pub async fn follow_load(
     period: Duration,
     service_path: Arc<str>,
-    config: Arc<ConfigView>,
     pools: Arc<Pools>,
     stop: CancellationToken,
 ) {
@@ -96,14 +94,16 @@
             () = stop.cancelled() => return,
             _ = ticks.tick() => {}
         }
-        let config = config.load();
         let mut reads = Vec::new();
         for pool in pools.all() {
-            let path = match is_model(&config, pool.name.as_str()) {
-                Some(true) => MODEL_LOAD,
-                Some(false) if !service_path.is_empty() => &service_path,
-                _ => continue,
+            let path = if pool.is_model() {
+                MODEL_LOAD
+            } else {
+                &service_path
             };
+            if path.is_empty() {
+                continue;
+            }
             for (idx, address) in pool.polled() {
                 reads.push(report(Arc::clone(&pool), idx, address, path));
             }
--- a/crates/router/tests/account.rs
+++ b/crates/router/tests/account.rs
@@ -134,3 +134,41 @@
     assert_eq!(shortage.refusal.outcome, Outcome::NotRun);
     assert_eq!(start.elapsed(), policy().claim_wait, "paused clock");
 }
+
+#[tokio::test(start_paused = true)]
+async fn rights_of_requests_in_flight_are_waited_for() {
+    let account = account();
+    account.grant.credit(100);
+    let mut running = account.take(100).expect("at hand");
+    running.dispatch();
+    claimer(&account, |account| {
+        account.tell(|news| news.at = Some(Instant::now()));
+    });
+    let ending = Arc::clone(&account);
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(running.settle(30), 30);
+        ending.freed();
+    });
+    let held = account.obtain(60, policy(), true).await.expect("freed");
+    assert_eq!(held.amount(), 60);
+    assert_eq!(account.grant.available(), 10);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_wait_for_requests_in_flight_is_bounded() {
+    let account = account();
+    account.grant.credit(100);
+    let mut running = account.take(100).expect("at hand");
+    running.dispatch();
+    claimer(&account, |account| {
+        account.tell(|news| news.at = Some(Instant::now()));
+    });
+    let start = Instant::now();
+    let shortage = account
+        .obtain(60, policy(), true)
+        .await
+        .expect_err("too late");
+    assert_eq!(shortage.refusal.kind, RefusalKind::BudgetBusy);
+    assert_eq!(start.elapsed(), policy().claim_wait, "paused clock");
+}
