Test the path under single faults

Reordered, doubled, dropped and cut chunks; a router cut from all others; killed in mid-stream with the rest read at another router; frozen after its dispatch; a planned stop under load; a lost answer of a service call; a log that loses answers and goes out. Each history is checked from all sides.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The test suite: whole processes on loopback, one module per topic.
 
+mod faults;
 mod golden;
 mod path;
 mod settings;
