router: hand over charges that were put off before a stop ends

A planned stop looked for pending charges before the ones of cut answers had been handed over, and could end without them. They have a tracker of their own now, and the stop waits for it first. A copy of a request that this process has dispatched is refused here and no longer sent to a peer.

--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -55,6 +55,8 @@
     pub runtime: Handle,
     /// Work on `runtime` that a stop waits for.
     pub tasks: TaskTracker,
+    /// Charges of cut answers that were put off.
+    pub late: TaskTracker,
     /// Cancelled once no request is in flight any more: what was put off is done now.
     pub closing: CancellationToken,
     /// Set once no new request is taken.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -162,6 +162,7 @@
         secret: TokenSecret::new(settings.common.secret.expose().as_bytes()),
         runtime,
         tasks,
+        late: TaskTracker::new(),
         closing: CancellationToken::new(),
         stopping: AtomicBool::new(false),
         settings,
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -77,12 +77,16 @@
 }
 
 async fn serve(node: Arc<Node>, call: Call, reply: ReplySender) {
-    if let Some(refusal) = refuse_copy(&node, &call) {
-        let reply_to = relay::Origin {
-            node: &node,
-            call: &call,
-        };
-        return reply_to.relay_or_refuse(Vec::new(), refusal, reply).await;
+    match spent(&node, &call) {
+        None => {}
+        Some(Spent::Dispatched) => return send(reply, Reply::Refused(lost(false))),
+        Some(Spent::Abandoned) => {
+            let origin = relay::Origin {
+                node: &node,
+                call: &call,
+            };
+            return origin.relay_or_refuse(Vec::new(), given_up(), reply).await;
+        }
     }
     let holding = match hold(&node, &call).await {
         Ok(holding) => holding,
@@ -134,19 +138,17 @@
     let _gone = sender.send(reply);
 }
 
-/// A copy of a request that this process has dispatched or given up before.
-fn refuse_copy(node: &Node, call: &Call) -> Option<Refusal> {
+/// What this process has done before with the run of a request that must not repeat.
+fn spent(node: &Node, call: &Call) -> Option<Spent> {
     if !call.once {
         return None;
     }
-    match node.intents.spent(&call.key_use)? {
-        Spent::Dispatched => Some(lost(false)),
-        Spent::Abandoned => {
-            let detail = "this router has given the key up; another router may run it";
-            let refusal = Refusal::unknown(RefusalKind::KeyInUse, detail);
-            Some(refusal.with_retry(JOIN_RETRY))
-        }
-    }
+    node.intents.spent(&call.key_use)
+}
+
+fn given_up() -> Refusal {
+    let detail = "this router has given the key up; another router may run it";
+    Refusal::unknown(RefusalKind::KeyInUse, detail).with_retry(JOIN_RETRY)
 }
 
 fn not_joined() -> Refusal {
--- a/crates/router/src/settle_late.rs
+++ b/crates/router/src/settle_late.rs
@@ -33,7 +33,7 @@
 /// Charges the cut answer of `run` in the background.
 pub fn settle_late(run: Run, leftover: Leftover) {
     let node = std::sync::Arc::clone(&run.node);
-    node.tasks.spawn_on(work(run, leftover), &node.runtime);
+    node.late.spawn_on(work(run, leftover), &node.runtime);
 }
 
 async fn work(run: Run, leftover: Leftover) {
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -7,7 +7,7 @@
 use swiftlink_admission::GrantCounters;
 use swiftlink_telemetry::event;
 use swiftlink_wire::log::record;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::account::Account;
 use crate::members::Seat;
@@ -42,6 +42,12 @@
     web.stop(left.max(WEB_GRACE)).await;
     node.closing.cancel();
     claims.cancel();
+    // What was put off is handed over now; then all charges are waited for.
+    node.late.close();
+    let late = timeout(RETURN_WAIT, node.late.wait()).await;
+    if late.is_err() {
+        event!(warn, "stop.late-left", count = node.late.len());
+    }
     let settled = node
         .settler
         .drain(limit.max(Instant::now() + RETURN_WAIT))
@@ -51,10 +57,7 @@
     return_all(&node).await;
     upkeep.cancel();
     node.tasks.close();
-    if tokio::time::timeout(JOIN_WAIT, node.tasks.wait())
-        .await
-        .is_err()
-    {
+    if timeout(JOIN_WAIT, node.tasks.wait()).await.is_err() {
         event!(warn, "stop.tasks-left", count = node.tasks.len());
     }
     admin.stop().await;
