--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -22,9 +22,8 @@
 pub use settings::{Place, TOKEN};
 pub use standin::{Dirs, Standin, dir_of};
 
-use crate::caller::{Answer, Caller};
+use crate::caller::Caller;
 use crate::checker::{Call, History};
-use crate::http::Http;
 use crate::records;
 use crate::until::{PATIENCE, until_within};
 use swiftlink_standins::engine::Run;
@@ -158,8 +157,8 @@
     }
 }
 
-/// Waits until all running keys have ended at the log's stand-in `log`: no new
-/// record for a while is no proof, so a test gives the condition itself.
+/// Waits until the history of `calls` satisfies `settled`, and gives it. That no new
+/// record came for a while would be no proof, so a test states the condition.
 ///
 /// # Errors
 /// When `settled` does not hold in time.
@@ -174,18 +173,3 @@
     })
     .await
 }
-
-/// An answer to a request without an API key, for tests of refusals.
-///
-/// # Errors
-/// When the connection fails.
-pub async fn bare(router: SocketAddr, path: &str) -> anyhow::Result<Answer> {
-    let reply = Http::new().get(router, path).await?;
-    Ok(Answer {
-        status: reply.status.as_u16(),
-        headers: reply.headers,
-        body: reply.body,
-        whole: true,
-        ..Answer::default()
-    })
-}
