router: give a configuration to the pools before it is in force

Cause: a task of its own gave each configuration to the pools and first looked when it was first polled; a configuration published before that counted as seen, so every pool was unknown (404) until the next version. Even without the race a request between the publication and the task's turn was refused as unknown-pool. Ruled out: the ledgers' pages and the replica (the version in force was right). Change: the follower configures the pools, then publishes; the task only wakes claimers, and starts with one wake.

--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
 
+use crate::fleet::Pools;
 use crate::ledgers::{Ledgers, describe};
 
 /// A ledger that sends no page for so long is left for another.
@@ -33,6 +34,7 @@
 #[derive(Debug)]
 pub struct ConfigView {
     current: ArcSwap<Config>,
+    pools: Arc<Pools>,
     start: Instant,
     /// Microseconds from `start` to the moment of which the configuration is known
     /// to be the newest, plus one; 0 before the first.
@@ -41,11 +43,12 @@
 }
 
 impl ConfigView {
-    /// An empty configuration of unlimited age.
+    /// An empty configuration of unlimited age; `pools` get each new one first.
     #[must_use]
-    pub fn new() -> Arc<Self> {
+    pub fn new(pools: Arc<Pools>) -> Arc<Self> {
         Arc::new(Self {
             current: ArcSwap::from_pointee(Config::default()),
+            pools,
             start: Instant::now(),
             known: AtomicU64::new(0),
             changed: watch::Sender::new(0),
@@ -84,6 +87,9 @@
             return;
         }
         let version = config.version;
+        // Before a request can find the pool in the configuration in force: else it
+        // would be refused as if the pool didn't exist.
+        self.pools.configure(&config);
         self.current.store(config);
         self.changed.send_replace(version);
         event!(info, "config.applied", version = version);
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -119,7 +119,10 @@
     let tasks = TaskTracker::new();
     let runtime = shell.handle().clone();
     let ledgers = Arc::new(Ledgers::spawn(&settings));
-    let config = ConfigView::new();
+    let home = DomainName::from(settings.common.domain.as_str());
+    let seed = seed_of(&settings.common.vm);
+    let pools = Pools::new(home, settings.subset, seed);
+    let config = ConfigView::new(Arc::clone(&pools));
     let context = ClaimContext {
         ledgers: Arc::clone(&ledgers),
         config: Arc::clone(&config),
@@ -146,8 +149,6 @@
         shell.metrics.clone(),
         &settings,
     );
-    let home = DomainName::from(settings.common.domain.as_str());
-    let seed = seed_of(&settings.common.vm);
     Node {
         address,
         metrics: shell.metrics.clone(),
@@ -158,7 +159,7 @@
         keys: Keys::new(settings.key_window_ms, 0),
         settler,
         intents,
-        pools: Pools::new(home, settings.subset, seed),
+        pools,
         secret: TokenSecret::new(settings.common.secret.expose().as_bytes()),
         runtime,
         tasks,
@@ -193,8 +194,8 @@
     for shard in 0..settings.shards {
         node.tasks.spawn_on(keeper.clone().keep(shard), spawn_on);
     }
-    let configure = configure_pools(Arc::clone(node), stop.clone());
-    node.tasks.spawn_on(configure, spawn_on);
+    let wake = wake_claimers(Arc::clone(node), stop.clone());
+    node.tasks.spawn_on(wake, spawn_on);
     let load = vms::follow_load(
         ms(settings.report_ms),
         Arc::from(settings.service_load.as_str()),
@@ -211,15 +212,16 @@
     node.tasks.spawn_on(forget, spawn_on);
 }
 
-/// Gives each new configuration to the pools and wakes the claimers of budgets in use.
-async fn configure_pools(node: Arc<Node>, stop: CancellationToken) {
+/// Wakes the claimers of budgets in use at each new configuration.
+async fn wake_claimers(node: Arc<Node>, stop: CancellationToken) {
     let mut versions = node.config.watch();
+    // One may have been published before.
+    versions.mark_changed();
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
             changed = versions.changed() => if changed.is_err() { return },
         }
-        node.pools.configure(&node.config.load());
         for seat in node.members.seats() {
             for account in seat.accounts() {
                 account.wake.notify_one();
