ledger: save no appends up while the log is out

After an outage the log met a burst from every ledger: the pacer forgets its saved-up appends at a failed append, but the pauses of the back-off, up to 2 s, saved them up again, at all ledgers at once. With the default of 50 appends/s and a burst of 50, eight ledgers could make 800 appends in the first second; the log takes several hundred.

Ruled out: the number of waiting charges. About 5,000 of them went out in one batch per ledger and stream.

Change: the first append that succeeds after a failed one forgets what was saved up too.

--- a/crates/ledger/src/appender.rs
+++ b/crates/ledger/src/appender.rs
@@ -268,6 +268,7 @@
     async fn append_all(&self) {
         let mut backoff = Backoff::new(RETRY_BASE, RETRY_CAP);
         let mut earliest = 0;
+        let mut is_out = false;
         loop {
             self.outbox.wait_for_work().await;
             self.clock.until(earliest).await;
@@ -279,9 +280,16 @@
             };
             earliest = self.clock.now() + self.gap;
             if self.append(seq, data).await {
+                if is_out {
+                    // The back-off's pauses have saved up appends again, at every
+                    // ledger; the log is back for all of them at once.
+                    self.pacer.drain(self.clock.now());
+                }
+                is_out = false;
                 backoff.reset();
                 continue;
             }
+            is_out = true;
             self.pacer.drain(self.clock.now());
             let pause = tokio::time::sleep(backoff.next(rand::random()));
             tokio::select! {
