admission: return rights too small for the request that waits

Cause: at the end of a budget each of eight routers kept a piece of the rest that was smaller than any request's bound. Nobody returned its piece, because it was below twice the target, and every claim was refused, because almost nothing was free. The rest could not be spent while callers kept asking.

Ruled out: a shorter idle time (the routers are not idle, they refuse), and a smaller target (it would cost claims in the middle of a budget).

Change: after a refused claim for a waiting request, rights below the request's cost are returned once; the next claim then finds the pieces of all routers together.

--- a/crates/admission/src/sizer.rs
+++ b/crates/admission/src/sizer.rs
@@ -169,6 +169,10 @@
     free_share: Option<f64>,
     free: Tokens,
     is_out: bool,
+    /// Cheapest waiting request when the last claim was made; 0 when none waited.
+    wanted: Tokens,
+    /// Rights below this can't serve the request that the last claim was refused for.
+    useless: Tokens,
     pause: Pause,
 }
 
@@ -188,6 +192,8 @@
             free_share: None,
             free: 0,
             is_out: false,
+            wanted: 0,
+            useless: 0,
             pause: Pause::new(policy.retry_base, policy.retry_max),
         }
     }
@@ -281,9 +287,11 @@
         self.hear(outcome.free, outcome.sharers);
         if outcome.granted == 0 {
             self.pause.extend(now);
+            self.useless = self.wanted;
         } else {
             self.pause.clear();
             self.over_since = None;
+            self.useless = 0;
         }
     }
 
@@ -311,6 +319,7 @@
             return None;
         }
         let want = target.saturating_sub(available);
+        self.wanted = if is_short { waiting.least } else { 0 };
         let need = if is_short {
             waiting.least - available
         } else {
@@ -329,6 +338,12 @@
             self.over_since = None;
             return Some(available);
         }
+        if available < self.useless {
+            // Too little for a request here, but together with the like of the other
+            // routers it may serve one.
+            self.useless = 0;
+            return Some(available);
+        }
         let target = self.target(now);
         if available as f64 <= target as f64 * HIGH_MARK {
             self.over_since = None;
--- a/crates/admission/tests/sizer.rs
+++ b/crates/admission/tests/sizer.rs
@@ -130,6 +130,23 @@
     assert_eq!(back, held - sizer.target(now));
 }
 
+#[test]
+fn rights_too_small_for_the_waiting_request_are_returned() {
+    let mut sizer = sizer();
+    let waiting = Waiting {
+        least: 120,
+        total: 120,
+    };
+    sizer.claim(0, 70, waiting).expect("70 are too few");
+    sizer.on_claimed(0, &granted(0, 3, 8));
+    assert_eq!(sizer.surplus(1, 70), Some(70));
+    assert_eq!(sizer.surplus(2, 70), None);
+    // What arrives meanwhile is of use.
+    sizer.claim(SEC, 70, waiting).expect("70 are too few");
+    sizer.on_claimed(SEC, &granted(0, 3, 8));
+    assert_eq!(sizer.surplus(SEC, 120), None);
+}
+
 #[test]
 fn even_split_claims_its_share_once() {
     let mut sizer = EvenSplit::new(4);
