stream: keep tool calls and other fields in whole answers

Cause: the engine always streams, and a whole answer was put together from the text of the parts alone. Tool calls, refusals, reasoning and log probabilities of a caller that asked for a whole answer were lost.

Change: WholeAnswer moved to a module of its own. Tool calls are put together by index (id and type once, name and arguments in pieces), other texts of a delta are joined, lists of log probabilities are appended, and any other value is kept as last told. A message of tool calls alone has a null content.

Ruled out: passing the first part on and patching it; the order of fields from parallel calls is free.

--- a/crates/router/src/answer.rs
+++ b/crates/router/src/answer.rs
@@ -92,14 +92,17 @@
 #[must_use]
 pub fn whole(whole: &Whole, receipt: Receipt) -> Bytes {
     let ended = &whole.ended;
-    let (object, choice) = if whole.chat {
-        let message = json!({"role": "assistant", "content": ended.text});
-        let choice = json!({"index": 0, "message": message, "finish_reason": ended.finish});
-        ("chat.completion", choice)
+    let mut choice = ended.choice.clone();
+    let object = if whole.chat {
+        choice.insert("message".to_owned(), message(ended));
+        "chat.completion"
     } else {
-        let choice = json!({"index": 0, "text": ended.text, "finish_reason": ended.finish});
-        ("text_completion", choice)
+        let text = ended.text.as_deref().unwrap_or_default();
+        choice.insert("text".to_owned(), json!(text));
+        "text_completion"
     };
+    choice.insert("index".to_owned(), json!(0));
+    choice.insert("finish_reason".to_owned(), json!(ended.finish));
     let body = json!({
         "id": whole.id,
         "object": object,
@@ -112,6 +115,21 @@
     body.to_string().into()
 }
 
+/// The message of a whole chat answer.
+fn message(ended: &Ended) -> Value {
+    let mut message = ended.message.clone();
+    message.insert("role".to_owned(), json!("assistant"));
+    // A message of tool calls alone has a null for its text.
+    let is_bare = ended.text.is_none() && !message.contains_key("tool_calls");
+    let text = if is_bare {
+        Some("")
+    } else {
+        ended.text.as_deref()
+    };
+    message.insert("content".to_owned(), json!(text));
+    Value::Object(message)
+}
+
 /// Tokens run, as told by the engine.
 #[must_use]
 pub fn tokens_run(usage: Usage) -> Tokens {
--- a/crates/router/src/sink.rs
+++ b/crates/router/src/sink.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, StatusCode};
-use swiftlink_stream::{Completion, Ended, StreamEvent, WholeAnswer, parse_event};
+use swiftlink_stream::{Completion, StreamEvent, WholeAnswer, parse_event};
 use swiftlink_types::{OUTCOME_HEADER, Outcome, Refusal, RequestKey, Tokens, wall_ms};
 use tokio::sync::mpsc;
 
@@ -203,11 +203,7 @@
         let Some(reply) = self.reply.take() else {
             return;
         };
-        let ended = self.whole.finish().unwrap_or_else(|| Ended {
-            text: String::new(),
-            finish: None,
-            usage: swiftlink_stream::Usage::default(),
-        });
+        let ended = self.whole.finish().unwrap_or_default();
         let whole = Whole {
             id: self.id,
             model: self.model,
--- a/crates/router/tests/answer.rs
+++ b/crates/router/tests/answer.rs
@@ -1,10 +1,10 @@
 //! The form of answers and the headers that are passed on.
 
 use http::{HeaderMap, HeaderValue};
-use serde_json::Value;
-use swiftlink_router::answer::{Receipt, event, tokens_run, with_receipt};
+use serde_json::{Value, json};
+use swiftlink_router::answer::{Receipt, Whole, event, tokens_run, whole, with_receipt};
 use swiftlink_router::forward::{end_to_end, for_server};
-use swiftlink_stream::{Usage, parse_event_id};
+use swiftlink_stream::{StreamEvent, Usage, WholeAnswer, parse_event, parse_event_id};
 use swiftlink_types::RequestKey;
 
 #[test]
@@ -33,6 +33,45 @@
     assert_eq!(value["usage"]["total_tokens"], 12);
 }
 
+#[test]
+fn a_whole_chat_answer_has_its_tool_calls() {
+    let events = [
+        json!({ "choices": [{ "delta": { "tool_calls": [
+            { "index": 0, "id": "a", "type": "function",
+              "function": { "name": "deed", "arguments": "{\"lot\":" } },
+        ]}}]}),
+        json!({ "choices": [{ "delta": { "tool_calls": [
+            { "index": 0, "function": { "arguments": "12}" } },
+        ]}, "finish_reason": "tool_calls" }], "usage": { "total_tokens": 5 } }),
+    ];
+    let mut parts = WholeAnswer::default();
+    for event in events {
+        let Ok(StreamEvent::Part(part)) = parse_event(event.to_string().as_bytes()) else {
+            panic!("no part: {event}");
+        };
+        parts.add(&part);
+    }
+    let answer = Whole {
+        id: "a".to_owned(),
+        model: "m".to_owned(),
+        created: 1_700_000_000_000,
+        chat: true,
+        ended: parts.finish().expect("the usage was told"),
+    };
+    let key = RequestKey::generate(1_700_000_000_000);
+    let body: Value =
+        serde_json::from_slice(&whole(&answer, Receipt { key, charged: 5 })).expect("JSON");
+    let message = &body["choices"][0]["message"];
+    assert_eq!(message["role"], "assistant");
+    assert_eq!(message["content"], Value::Null);
+    let call = &message["tool_calls"][0];
+    assert_eq!(
+        call["function"],
+        json!({ "name": "deed", "arguments": "{\"lot\":12}" })
+    );
+    assert_eq!(body["choices"][0]["finish_reason"], "tool_calls");
+}
+
 #[test]
 fn the_larger_of_total_and_sum_is_what_ran() {
     let usage = Usage {
--- a/crates/stream/src/lib.rs
+++ b/crates/stream/src/lib.rs
@@ -8,10 +8,12 @@
 mod assembler;
 mod openai;
 mod token;
+mod whole;
 
 pub use assembler::{Assembler, AssemblerError, AssemblerPolicy, Chunk, Taken};
 pub use openai::{
-    BodyError, Bound, Choice, Completion, DONE, Delta, Ended, Message, Prompt, RequestBody,
-    StreamEvent, Usage, WholeAnswer, bound_prompt, bound_tokens, parse_event, parse_request,
+    BodyError, Bound, Choice, Completion, DONE, Delta, Message, Prompt, RequestBody, StreamEvent,
+    Usage, bound_prompt, bound_tokens, parse_event, parse_request,
 };
 pub use token::{ResumeToken, TokenError, TokenSecret, event_id, parse_event_id};
+pub use whole::{Ended, WholeAnswer};
--- a/crates/stream/src/openai.rs
+++ b/crates/stream/src/openai.rs
@@ -272,6 +272,9 @@
     /// Text of the part.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub content: Option<String>,
+    /// Whatever else the part has: tool calls, a refusal, reasoning.
+    #[serde(flatten)]
+    pub more: Map<String, Value>,
 }
 
 /// One choice of a stream event: a chat delta or a plain text.
@@ -289,6 +292,9 @@
     /// Why the answer ended, in its last part.
     #[serde(default)]
     pub finish_reason: Option<String>,
+    /// Whatever else the part has, like `logprobs`.
+    #[serde(flatten)]
+    pub more: Map<String, Value>,
 }
 
 /// Data of one event of an engine's stream.
@@ -348,52 +354,3 @@
         .map(StreamEvent::Part)
         .map_err(|error| BodyError::new("event", error.to_string()))
 }
-
-/// How an answer ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Ended {
-    /// The whole text.
-    pub text: String,
-    /// Why it ended, in the engine's word.
-    pub finish: Option<String>,
-    /// Tokens run.
-    pub usage: Usage,
-}
-
-/// Builds a whole answer from its parts in order.
-#[derive(Clone, Debug, Default)]
-pub struct WholeAnswer {
-    text: String,
-    finish: Option<String>,
-    usage: Option<Usage>,
-}
-
-impl WholeAnswer {
-    /// Adds the next part.
-    pub fn add(&mut self, part: &Completion) {
-        self.text.push_str(part.text());
-        if let Some(finish) = part.finish() {
-            self.finish = Some(finish.to_owned());
-        }
-        if part.usage.is_some() {
-            self.usage = part.usage;
-        }
-    }
-
-    /// Tokens run, once the engine has told them.
-    #[must_use]
-    pub fn usage(&self) -> Option<Usage> {
-        self.usage
-    }
-
-    /// The whole; `None` when the engine never told the tokens run.
-    #[must_use]
-    pub fn finish(self) -> Option<Ended> {
-        let usage = self.usage?;
-        Some(Ended {
-            text: self.text,
-            finish: self.finish,
-            usage,
-        })
-    }
-}
--- a/crates/stream/tests/openai.rs
+++ b/crates/stream/tests/openai.rs
@@ -96,9 +96,10 @@
         total_tokens: 5,
     };
     let ended = Ended {
-        text: "Seven".to_owned(),
+        text: Some("Seven".to_owned()),
         finish: Some("stop".to_owned()),
         usage,
+        ..Ended::default()
     };
     assert_eq!(whole.finish(), Some(ended));
     assert_eq!(WholeAnswer::default().finish(), None);
