router: remember dispatched keys, and answer a repeat without a run

Cause: the log charges a key once, and the rights of a second run are credited back. So a caller that sent one key again and again had every run but the first for nothing, with the same request or another one, and could be told another figure than the one charged.

Change: the router remembers the keys it has dispatched, with a digest of the request, the backend server and stream of the answer and the charge, bounded by `key_memory` (131,072), oldest dropped first. Another request under the key is refused with 422 `key-reused`. A whole answer is given again from the engine's kept stream with the charge as told first; if none is kept, 409 `key-in-use` with outcome `ran` and the charge in the detail. A run whose end isn't known may run again as before. A key whose charge the log voids isn't run again here. A router that has dispatched a key refuses it with `unknown` or `ran`, never `not-run`.

Ruled out: asking the log before each run (a message per request, none served in an outage); keeping answers in the router (memory); refusing any second use (a caller whose answer was lost could never have it).

--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use swiftlink_resource::{Config, Pool as PoolSpec, PoolKind};
 use swiftlink_shell::web::{BodyError, Incoming};
 use swiftlink_stream::{
@@ -23,6 +24,7 @@
 use crate::fleet::Pool;
 use crate::keys::{KeyRefusal, KeyUse};
 use crate::node::Node;
+use crate::repeat;
 use crate::surface::{self, LAST_EVENT, Options, Route, bearer, malformed, options, route};
 
 /// When to come back to a router that can't take new work for now.
@@ -37,6 +39,23 @@
 /// # Errors
 /// The final answer to a request that is not admitted.
 pub async fn admit(node: &Node, request: &mut Incoming) -> Result<Call, Refusal> {
+    match try_admit(node, request).await {
+        Ok(call) => Ok(call),
+        Err(refusal) => Err(judge(node, request.headers(), refusal)),
+    }
+}
+
+/// The refusal as it is when the request names a key that was dispatched here before.
+fn judge(node: &Node, headers: &HeaderMap, refusal: Refusal) -> Refusal {
+    let config = node.config.load();
+    let sender = bearer(headers).and_then(|secret| authenticate(&config, secret, false));
+    match (sender, surface::key(headers)) {
+        (Ok(sender), Ok(Some(key))) => repeat::judge(&node.past, &sender.name, key, refusal),
+        _ => refusal,
+    }
+}
+
+async fn try_admit(node: &Node, request: &mut Incoming) -> Result<Call, Refusal> {
     let uri = request.uri().clone();
     let route = route(request.method(), uri.path(), uri.query())?;
     let config = node.config.load();
--- a/crates/router/src/charge.rs
+++ b/crates/router/src/charge.rs
@@ -21,6 +21,7 @@
 use crate::keys::KeyHold;
 use crate::ledgers::{Ledgers, order};
 use crate::members::Seat;
+use crate::past::PastRuns;
 
 /// Pause after all ledgers failed to take a charge.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
@@ -63,6 +64,7 @@
 #[derive(Debug)]
 pub struct Settler {
     ledgers: Arc<Ledgers>,
+    past: Arc<PastRuns>,
     runtime: Handle,
     metrics: Metrics,
     counts: ChargeCounts,
@@ -79,12 +81,14 @@
     #[must_use]
     pub fn new(
         ledgers: Arc<Ledgers>,
+        past: Arc<PastRuns>,
         runtime: Handle,
         metrics: Metrics,
         settings: &crate::settings::Settings,
     ) -> Arc<Self> {
         Arc::new(Self {
             ledgers,
+            past,
             runtime,
             metrics,
             counts: ChargeCounts::default(),
@@ -315,6 +319,8 @@
                     key = self.cost.key,
                     reason = "key charged before"
                 );
+                let Cost { workspace, key, .. } = &self.cost;
+                self.settler.past.note_void(workspace, *key);
                 // The log drew nothing, so the rights are still held here.
                 if let Some(account) = self.seat.find(&self.cost.budget) {
                     account.grant.credit(self.cost.cost);
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::fleet::Target;
 use crate::intent::Intent;
 use crate::node::Node;
+use crate::past::PastRun;
 use crate::queue::Slot;
 use crate::upstream::{Answer, SendError, send};
 
@@ -31,6 +32,8 @@
     pub rights: Option<Reservation>,
     /// The won intent of a non-idempotent request.
     pub intent: Option<Intent>,
+    /// What the router remembers of the run.
+    pub past: Option<PastRun>,
     /// Servers that were tried.
     pub tried: Vec<ServerIdx>,
     /// A server may have run the request.
@@ -46,6 +49,9 @@
         if let Some(intent) = self.intent.as_mut() {
             intent.dispatch();
         }
+        if let Some(past) = self.past.as_mut() {
+            past.dispatch();
+        }
     }
 
     /// The last dispatch certainly did not reach a server.
@@ -59,6 +65,9 @@
         if let Some(intent) = self.intent.as_mut() {
             intent.recall();
         }
+        if let Some(past) = self.past.as_mut() {
+            past.recall();
+        }
     }
 
     /// The refusal as it is when a server may have run the request.
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -5,14 +5,15 @@
 use swiftlink_routing::ErrorKind;
 use swiftlink_stream::ResumeToken;
 use swiftlink_telemetry::event;
-use swiftlink_types::{Refusal, RefusalKind};
+use swiftlink_types::{Refusal, RefusalKind, ServerName, Tokens};
 use tokio::time::Instant;
 
 use crate::answer::tokens_run;
-use crate::call::{ModelWork, Work};
+use crate::call::{Call, ModelWork, Work};
 use crate::dispatch::{Opened, may_retry, open, wait_slot};
 use crate::engine;
 use crate::fleet::Target;
+use crate::node::Node;
 use crate::pass::{End, Finished, Progress, pass, read_usage};
 use crate::reader::{ReadError, Reader};
 use crate::reply::{Reply, ReplySender};
@@ -53,17 +54,21 @@
         let Opened { answer, mut target } = opened;
         let options = run.node.read_options();
         let mut reader = Reader::new(target.address, answer, 0, options);
-        sink.begin(token(&run, &work, &target, &reader));
+        let stream = reader.stream().unwrap_or_default();
+        sink.begin(token(&run.node, &run.call, work.chat, &target.name, stream));
         let mut progress = Progress::default();
         let orphan = Duration::from_millis(run.node.settings.orphan_ms);
         let on_first = || target.first_token();
         let end = pass(&mut reader, &mut sink, &mut progress, orphan, on_first).await;
         match end {
             End::Whole(finished) => {
+                let server = target.name.clone();
                 target.done();
                 slot.served();
                 drop(slot);
-                finish(&mut run, sink, finished).await;
+                let charged = run.charge(finished.tokens).await;
+                run.remember(Some(server), reader.stream(), charged);
+                finish(&run, sink, finished, charged).await;
                 return reader.finish().await;
             }
             End::Orphaned => {
@@ -98,9 +103,8 @@
     }
 }
 
-/// Charges a whole answer and releases its end.
-pub async fn finish(run: &mut Run, sink: Sink, finished: Finished) {
-    let charged = run.charge(finished.tokens).await;
+/// Releases the end of a whole answer, which is charged.
+pub async fn finish(run: &Run, sink: Sink, finished: Finished, charged: Tokens) {
     run.node.metrics.count("answer.whole", 1);
     let receipt = receipt(run.call.key(), charged);
     sink.finish(finished.last, finished.end, receipt).await;
@@ -128,25 +132,25 @@
 }
 
 /// The signed token that resumes the stream at any router.
-fn token(run: &Run, work: &ModelWork, target: &Target, reader: &Reader) -> String {
-    let call = &run.call;
-    let seat = run.seat.as_ref();
+#[must_use]
+pub fn token(node: &Node, call: &Call, chat: bool, server: &ServerName, stream: &str) -> String {
+    let seat = node.members.seat(&call.budget);
     let token = ResumeToken {
         key: call.key().as_bytes().to_vec(),
         workspace: call.workspace().to_string(),
         budget: call.budget.to_string(),
         pool: call.pool.name.to_string(),
-        server: target.name.to_string(),
-        stream: reader.stream().unwrap_or_default().to_owned(),
+        server: server.to_string(),
+        stream: stream.to_owned(),
         class: call.class_name.to_string(),
         price: call.class.price,
         bound: call.bound,
-        vm: run.node.settings.common.vm.clone(),
+        vm: node.settings.common.vm.clone(),
         epoch: seat.map_or(0, |seat| seat.incarnation.epoch),
         once: call.once,
-        chat: work.chat,
+        chat,
     };
-    token.sign(&run.node.secret)
+    token.sign(&node.secret)
 }
 
 /// Ends a stream that nobody waits for, and charges what ran.
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -19,6 +19,7 @@
 use crate::keys::Keys;
 use crate::ledgers::Ledgers;
 use crate::members::Members;
+use crate::past::PastRuns;
 use crate::reader::ReadOptions;
 use crate::settings::Settings;
 use crate::upstream::SendOptions;
@@ -43,6 +44,8 @@
     pub claimers: Claimers,
     /// Request keys in use.
     pub keys: Arc<Keys>,
+    /// Request keys dispatched before.
+    pub past: Arc<PastRuns>,
     /// Hands charges to ledgers.
     pub settler: Arc<Settler>,
     /// Intents of non-idempotent requests.
--- a/crates/router/src/resume.rs
+++ b/crates/router/src/resume.rs
@@ -64,7 +64,8 @@
 
 async fn finish_resumed(run: &mut Run, sink: Sink, finished: Finished) {
     run.node.metrics.count("answer.resumed", 1);
-    finish(run, sink, finished).await;
+    let charged = run.charge(finished.tokens).await;
+    finish(run, sink, finished, charged).await;
 }
 
 fn gone(detail: impl Into<String>) -> Refusal {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -25,6 +25,7 @@
 use crate::ledgers::Ledgers;
 use crate::members::{Keeper, Members};
 use crate::node::Node;
+use crate::past::PastRuns;
 use crate::serve::Surface;
 use crate::settings::Settings;
 use crate::{stop, vms};
@@ -143,8 +144,10 @@
         ms(settings.intent_wait_ms),
         upkeep.clone(),
     );
+    let past = PastRuns::new(settings.key_memory);
     let settler = Settler::new(
         Arc::clone(&ledgers),
+        Arc::clone(&past),
         runtime.clone(),
         shell.metrics.clone(),
         &settings,
@@ -157,6 +160,7 @@
         members: Members::new(settings.shards),
         claimers,
         keys: Keys::new(settings.key_window_ms, 0),
+        past,
         settler,
         intents,
         pools,
@@ -238,7 +242,9 @@
         }
         // Twice the window: no router takes a key of that age.
         let window = node.settings.key_window_ms.saturating_mul(2);
-        node.intents.forget(wall_ms().saturating_sub(window));
+        let floor = wall_ms().saturating_sub(window);
+        node.intents.forget(floor);
+        node.past.forget(floor);
     }
 }
 
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -9,7 +9,7 @@
 use async_trait::async_trait;
 use swiftlink_admission::Reservation;
 use swiftlink_shell::web::{Incoming, Response, Service};
-use swiftlink_types::{Refusal, RefusalKind, Tokens};
+use swiftlink_types::{Refusal, RefusalKind, ServerName, Tokens};
 use tokio::sync::oneshot;
 
 use crate::account::{Shortage, WaitPolicy};
@@ -20,8 +20,9 @@
 use crate::intent::{Spent, lost};
 use crate::members::Seat;
 use crate::node::Node;
+use crate::past::{Past, WholeRun, digest};
 use crate::reply::{Reply, ReplySender};
-use crate::{model, problem, relay, resume, service};
+use crate::{model, problem, relay, repeat, resume, service};
 
 /// When to come back to a router that has not joined the budget's stream yet.
 const JOIN_RETRY: Duration = Duration::from_secs(1);
@@ -46,15 +47,21 @@
             }
         };
         let key = call.key();
+        let workspace = call.workspace().clone();
         let (sender, receiver) = oneshot::channel();
         tokio::spawn(serve(Arc::clone(&self.node), call, sender));
         let reply = receiver.await.unwrap_or_else(|_closed| {
             let detail = "the request's task ended without an answer";
             Reply::Refused(Refusal::unknown(RefusalKind::ServerFailed, detail))
         });
-        if let Reply::Refused(refusal) = &reply {
-            count_refusal(&self.node, refusal);
-        }
+        let reply = match reply {
+            Reply::Refused(refusal) => {
+                let refusal = repeat::judge(&self.node.past, &workspace, key, refusal);
+                count_refusal(&self.node, &refusal);
+                Reply::Refused(refusal)
+            }
+            other => other,
+        };
         reply.into_response(key)
     }
 }
@@ -77,6 +84,17 @@
 }
 
 async fn serve(node: Arc<Node>, call: Call, reply: ReplySender) {
+    // A resumption reads a run; it makes none.
+    let is_run = !matches!(call.work, Work::Resume(_));
+    let digest = if is_run { digest(&call.original) } else { 0 };
+    if is_run {
+        match node.past.look(&call.key_use, digest) {
+            Past::Open => {}
+            Past::Whole(whole) => return repeat::run(&node, call, whole, reply).await,
+            Past::Reused => return send(reply, Reply::Refused(repeat::reused())),
+            Past::Charged => return send(reply, Reply::Refused(repeat::charged())),
+        }
+    }
     match spent(&node, &call) {
         None => {}
         Some(Spent::Dispatched) => return send(reply, Reply::Refused(lost(false))),
@@ -102,6 +120,7 @@
     let seat = holding.as_ref().map(|holding| Arc::clone(&holding.seat));
     let mut attempt = Attempt {
         rights: holding.map(|holding| holding.reservation),
+        past: is_run.then(|| node.past.begin(&call.key_use, digest)),
         ..Attempt::default()
     };
     if call.once {
@@ -216,6 +235,17 @@
         charged
     }
 
+    /// Remembers that the answer was whole, for a repeat of the request.
+    pub fn remember(&self, server: Option<ServerName>, stream: Option<&str>, charged: Tokens) {
+        if let Some(past) = &self.attempt.past {
+            past.whole(WholeRun {
+                server,
+                stream: stream.map(str::to_owned),
+                charged,
+            });
+        }
+    }
+
     /// What a charge for `tokens` run says.
     #[must_use]
     pub fn charge_of(&self, tokens: Tokens, cost: Tokens) -> Cost {
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -58,6 +58,7 @@
     if pass_body(body, &mut lease, &sender).await {
         slot.served();
         target.done();
+        run.remember(None, None, charged);
     } else if !sender.is_closed() {
         target.failed(ErrorKind::Broken);
     }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -34,6 +34,9 @@
     /// Age over which a request key is refused.
     #[serde(default = "d::key_window_ms")]
     pub key_window_ms: u64,
+    /// Keys that the router remembers to have dispatched.
+    #[serde(default = "d::key_memory")]
+    pub key_memory: usize,
     /// Time between marks of settled keys.
     #[serde(default = "d::mark_ms")]
     pub mark_ms: u64,
@@ -110,6 +113,9 @@
     pub(super) fn key_window_ms() -> u64 {
         600_000
     }
+    pub(super) fn key_memory() -> usize {
+        1 << 17
+    }
     pub(super) fn mark_ms() -> u64 {
         30_000
     }
@@ -189,6 +195,9 @@
         if self.body_limit == 0 {
             return Err(CheckError::new("body_limit", "must be more than 0"));
         }
+        if self.key_memory == 0 {
+            return Err(CheckError::new("key_memory", "must be more than 0"));
+        }
         if self.subset == 0 {
             return Err(CheckError::new("subset", "must be more than 0"));
         }
--- a/crates/router/src/surface.rs
+++ b/crates/router/src/surface.rs
@@ -98,11 +98,10 @@
 /// # Errors
 /// [`RefusalKind::Malformed`], with the header at fault.
 pub fn options(headers: &HeaderMap) -> Result<Options, Refusal> {
-    let mut options = Options::default();
-    if let Some(text) = text(headers, KEY)? {
-        let key = text.trim().trim_matches('"').parse();
-        options.key = Some(key.map_err(|error| malformed(KEY, format!("{error}")))?);
-    }
+    let mut options = Options {
+        key: key(headers)?,
+        ..Options::default()
+    };
     if let Some(text) = text(headers, CLASS)? {
         options.class = Some(ClassName::from(text.trim()));
     }
@@ -123,6 +122,19 @@
     Ok(options)
 }
 
+/// The request key that the caller gave.
+///
+/// # Errors
+/// [`RefusalKind::Malformed`], with the header at fault.
+pub fn key(headers: &HeaderMap) -> Result<Option<RequestKey>, Refusal> {
+    let Some(text) = text(headers, KEY)? else {
+        return Ok(None);
+    };
+    let key = text.trim().trim_matches('"').parse();
+    key.map(Some)
+        .map_err(|error| malformed(KEY, format!("{error}")))
+}
+
 /// The secret of a bearer key.
 ///
 /// # Errors
--- a/crates/types/src/refusal.rs
+++ b/crates/types/src/refusal.rs
@@ -60,6 +60,8 @@
     KeyTooOld,
     /// Another run of the same key exists or may exist.
     KeyInUse,
+    /// The key was sent before with another request.
+    KeyReused,
     /// The backend server failed after it may have begun to run the request.
     ServerFailed,
     /// The resume token is broken or its stream is gone.
@@ -79,6 +81,7 @@
             Self::KeyInUse | Self::KeyTooOld => 409,
             Self::StreamGone => 410,
             Self::TooLarge => 413,
+            Self::KeyReused => 422,
             Self::Overloaded | Self::BudgetBusy => 429,
             Self::ServerFailed => 502,
             Self::NoServer | Self::LogOut | Self::Unavailable => 503,
@@ -102,6 +105,7 @@
             Self::Unavailable => "unavailable",
             Self::KeyTooOld => "key-too-old",
             Self::KeyInUse => "key-in-use",
+            Self::KeyReused => "key-reused",
             Self::ServerFailed => "server-failed",
             Self::StreamGone => "stream-gone",
         }
@@ -124,6 +128,7 @@
             Self::Unavailable => "This router takes no new work",
             Self::KeyTooOld => "The idempotency key is too old",
             Self::KeyInUse => "The idempotency key is in use",
+            Self::KeyReused => "The idempotency key was used for another request",
             Self::ServerFailed => "The backend server failed",
             Self::StreamGone => "The stream can't be resumed",
         }
@@ -168,6 +173,15 @@
         }
     }
 
+    /// A refusal of a request whose key has run to its end and was charged.
+    #[must_use]
+    pub fn ran(kind: RefusalKind, detail: impl Into<String>) -> Self {
+        Self {
+            outcome: Outcome::Ran,
+            ..Self::not_run(kind, detail)
+        }
+    }
+
     /// Names the field at fault.
     #[must_use]
     pub fn with_field(mut self, field: impl Into<String>) -> Self {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,5 +3,6 @@
 mod faults;
 mod golden;
 mod path;
+mod repeat;
 mod settings;
 mod support;
--- /dev/null
+++ b/tests/testsuite/repeat.rs
@@ -0,0 +1,194 @@
+//! One request key sent again: answered again, refused, or told that it ran, and never
+//! run again at no charge.
+
+use std::time::Duration;
+
+use http::Method;
+use serde_json::json;
+use swiftlink_testkit::caller::{Answer, Ask, set};
+use swiftlink_testkit::checker::{Accounts, History};
+use swiftlink_testkit::fleet::{CALL_TOKENS, Fleet, MODEL, SERVICE};
+use swiftlink_testkit::recorder::Recorder;
+
+use crate::support::{check_all, expected, new_key, plan, send, tokens};
+
+/// Times that a key is sent.
+const TIMES: usize = 4;
+
+fn ask(prompt: &str) -> Ask {
+    Ask::new(MODEL, prompt).with_key(&new_key())
+}
+
+async fn fleet() -> Fleet {
+    plan().start().await.expect("the fleet starts")
+}
+
+fn charged(history: &History) -> u64 {
+    Accounts::fold(&history.streams).budgets["lannec"].charged
+}
+
+/// Sum of the runs of a key at all backend servers.
+fn executions(history: &History, key: Option<&str>) -> u64 {
+    let runs = history.runs.iter();
+    let of_key = runs.filter(|run| key.is_none_or(|key| run.key == key));
+    of_key.map(|run| run.executions).sum()
+}
+
+fn assert_refused(answer: &Answer, status: u16, slug: &str, outcome: &str) {
+    assert_eq!(answer.status, status, "{answer:?}");
+    assert_eq!(answer.slug().as_deref(), Some(slug), "{answer:?}");
+    assert_eq!(answer.outcome.as_deref(), Some(outcome), "{answer:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeat_gets_the_answer_again_without_a_run() {
+    let fleet = fleet().await;
+    let recorder = Recorder::default();
+    let whole = ask("who dug the well? tokens=9");
+    let streamed = ask("who filled the well? tokens=7").streamed();
+    let once = ask("who owns the well? tokens=6").once();
+    for ask in [&whole, &streamed, &once] {
+        for _time in 0..TIMES {
+            let answer = send(&fleet, &recorder, 0, 0, ask).await;
+            assert!(answer.is_served(), "{answer:?}");
+            assert_eq!(answer.text, expected(ask));
+            assert_eq!(answer.charged, Some(tokens(ask)));
+            assert_eq!(answer.outcome.as_deref(), Some("ran"));
+            assert_eq!(answer.key, ask.key);
+        }
+    }
+    let history = check_all(&fleet, recorder.calls()).await;
+    assert_eq!(executions(&history, None), 3, "{:?}", history.runs);
+    let sum = tokens(&whole) + tokens(&streamed) + tokens(&once);
+    assert_eq!(charged(&history), sum);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_runs_once_more_at_most_on_each_router() {
+    let fleet = fleet().await;
+    let recorder = Recorder::default();
+    let ask = ask("the same key everywhere tokens=5");
+    for round in 0..TIMES {
+        for router in 0..3 {
+            let answer = send(&fleet, &recorder, 0, router, &ask).await;
+            assert!(answer.is_served(), "round {round}: {answer:?}");
+            assert_eq!(answer.text, expected(&ask));
+        }
+    }
+    let history = check_all(&fleet, recorder.calls()).await;
+    assert_eq!(charged(&history), tokens(&ask));
+    let runs = executions(&history, None);
+    assert!(runs <= 3, "{runs} runs at three routers");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_with_another_body_is_refused() {
+    let fleet = fleet().await;
+    let recorder = Recorder::default();
+    let first = ask("lot 12 tokens=5");
+    let answer = send(&fleet, &recorder, 0, 0, &first).await;
+    assert!(answer.is_served(), "{answer:?}");
+    let mut other = first.clone();
+    other.prompt = "lot 13 tokens=50".to_owned();
+    for other in [&other, &other.clone().once(), &other.clone().streamed()] {
+        let answer = fleet.caller(0).ask(fleet.router(0), other).await;
+        assert_refused(&answer, 422, "key-reused", "unknown");
+    }
+    let history = check_all(&fleet, recorder.calls()).await;
+    assert_eq!(executions(&history, None), 1);
+    assert_eq!(charged(&history), tokens(&first));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_whose_answer_is_not_kept_is_told_that_it_ran() {
+    let fleet = fleet().await;
+    let caller = fleet.caller(0);
+    let path = format!("/services/{SERVICE}/tiles/3/9");
+    let key = new_key();
+    let call = || caller.service(fleet.router(0), Method::GET, &path, "", Some(&key));
+    let answer = call().await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    for _time in 0..TIMES {
+        let answer = call().await;
+        assert_refused(&answer, 409, "key-in-use", "ran");
+        let detail = answer.json()["detail"].to_string();
+        assert!(detail.contains(&CALL_TOKENS.to_string()), "{detail}");
+    }
+    let history = check_all(&fleet, Vec::new()).await;
+    assert_eq!(executions(&history, Some(&key)), 1);
+    assert_eq!(charged(&history), CALL_TOKENS);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_stream_is_told_as_run() {
+    let mut fleet = plan().engines(1).start().await.expect("the fleet starts");
+    let recorder = Recorder::default();
+    let ask = ask("kept by nobody tokens=5");
+    let answer = send(&fleet, &recorder, 0, 0, &ask).await;
+    assert!(answer.is_served(), "{answer:?}");
+    let history = check_all(&fleet, recorder.calls()).await;
+    assert_eq!(charged(&history), tokens(&ask));
+    fleet.engines[0].process.kill();
+    let answer = fleet.caller(0).ask(fleet.router(0), &ask).await;
+    assert_refused(&answer, 409, "key-in-use", "ran");
+    let detail = answer.json()["detail"].to_string();
+    assert!(detail.contains(&tokens(&ask).to_string()), "{detail}");
+}
+
+/// Whatever a later request under the key is refused for, the key has run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_that_ran_is_never_told_as_not_run() {
+    let fleet = fleet().await;
+    let recorder = Recorder::default();
+    let first = ask("lot 14 tokens=5");
+    let answer = send(&fleet, &recorder, 0, 0, &first).await;
+    assert!(answer.is_served(), "{answer:?}");
+    let caller = fleet.caller(0);
+    let post = async |body: &str, class: &str| {
+        let path = "/v1/chat/completions";
+        let body = body.to_owned().into();
+        let mut request = caller.request(Method::POST, fleet.router(0), path, body);
+        set(&mut request, "idempotency-key", first.key.as_deref().expect("a key"));
+        set(&mut request, "x-priority", class);
+        caller.whole(request).await
+    };
+    let body = first.body().to_string();
+    let answer = post("{ not json", "standard").await;
+    assert_refused(&answer, 400, "malformed", "unknown");
+    let answer = post(&body.replace(MODEL, "nobody"), "standard").await;
+    assert_refused(&answer, 404, "unknown-pool", "unknown");
+    let answer = post(&body, "no-such-class").await;
+    assert_eq!(answer.outcome.as_deref(), Some("unknown"), "{answer:?}");
+}
+
+/// A frozen peer that a request was relayed to is given up, not waited for.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_peer_is_not_waited_for() {
+    let tenant = swiftlink_testkit::fleet::Tenant::new("tight", 1_500);
+    let plan = plan().tenants(vec![tenant]).engines(1);
+    let plan = plan.router(json!({ "deadline_ms": 600_000 }));
+    let mut fleet = plan.start().await.expect("the fleet starts");
+    let recorder = Recorder::default();
+    // Router 1 takes all rights, and is frozen with them.
+    let taken = swiftlink_testkit::until::until("rights at router 1", async || {
+        let answer = send(&fleet, &recorder, 0, 1, &ask("take it all tokens=1")).await;
+        answer.is_served().then_some(())
+    });
+    taken.await.expect("router 1 serves");
+    fleet.routers[1].process.freeze();
+    for once in [false, true] {
+        let mut ask = ask("held by the frozen one tokens=4");
+        ask.once = once;
+        let caller = fleet.caller(0);
+        let answer = tokio::time::timeout(
+            Duration::from_secs(60),
+            caller.ask(fleet.router(0), &ask),
+        );
+        let answer = answer.await.expect("an answer long before the deadline");
+        if !answer.is_served() {
+            assert!(answer.header("retry-after").is_some(), "{answer:?}");
+        }
+    }
+    fleet.routers[1].process.thaw();
+    check_all(&fleet, recorder.calls()).await;
+}
