web: answer those who wait to be accepted before a stop closes the listener

Cause: the kernel connects a client, and takes its request, before a worker accepts it. A stop closed the listener at once, so clients in the queue were reset, and could not know whether their request had run. A connection accepted just before the stop was shut before its first request could come.

A connection without a request so far has 500 ms for its first one.

Ruled out: asking tokio for the queued connections; it may not have heard of them. Left: a client that connects between the last accept and the close is reset.

Tests: two new ones, both failed before with a reset connection (100 clients queued behind a worker that is held up; a request sent just after the stop).

--- a/crates/shell/src/web/connection.rs
+++ b/crates/shell/src/web/connection.rs
@@ -8,6 +8,7 @@
 use std::net::{Shutdown, TcpStream as StdStream};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
@@ -26,6 +27,10 @@
 /// Most refused connections that are kept; more are closed without a word.
 pub(super) const REFUSALS: usize = 64;
 const PROBES: u32 = 3;
+/// Time that a new connection has for its first request once the server stops.
+const FIRST_WAIT: Duration = Duration::from_millis(500);
+/// Time between looks at connections that are about to be served.
+const LOOK: Duration = Duration::from_millis(1);
 
 tokio::task_local! {
     /// The connection that the current future serves.
@@ -40,17 +45,33 @@
     pub(super) refusals: Semaphore,
     /// Cancelled when the server stops: no new requests.
     pub(super) stop: CancellationToken,
+    /// Cancelled when the listener is closed: nobody waits to be accepted any more.
+    pub(super) closed: CancellationToken,
+    /// Connections accepted that have no permit yet.
+    pub(super) arriving: AtomicUsize,
     /// Cancelled when the grace of a stop is over.
     pub(super) abort: CancellationToken,
     /// See [`Limits::stall`](super::Limits::stall).
     pub(super) stall: Duration,
 }
 
+impl Shared {
+    /// Resolves when all connections that there will be have their permits.
+    pub(super) async fn all_arrived(&self) {
+        self.closed.cancelled().await;
+        while self.arriving.load(Ordering::SeqCst) > 0 {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+}
+
 /// A second handle on a connection's socket, by which the connection is watched and
 /// ended while xitca's dispatcher reads and writes it.
 pub(super) struct Connection {
     socket: TcpStream,
     busy: Cell<bool>,
+    /// The first request has begun.
+    begun: CancellationToken,
     closing: Cell<bool>,
     shut: Cell<bool>,
 }
@@ -69,6 +90,7 @@
         Ok(Self {
             socket: TcpStream::from_std(watched)?,
             busy: Cell::new(false),
+            begun: CancellationToken::new(),
             closing: Cell::new(false),
             shut: Cell::new(false),
         })
@@ -77,6 +99,7 @@
     /// Notes that a request is in flight.
     pub(super) fn begin(&self) {
         self.busy.set(true);
+        self.begun.cancel();
     }
 
     /// Notes that the response was handed to the dispatcher in full, or was dropped.
@@ -133,6 +156,9 @@
 
     async fn stopped(&self, shared: &Shared) {
         shared.stop.cancelled().await;
+        // Its request may be on the way; a client doesn't send one again that was
+        // cut on a new connection.
+        let _late = tokio::time::timeout(FIRST_WAIT, self.begun.cancelled()).await;
         self.close_when_idle();
         shared.abort.cancelled().await;
     }
@@ -167,7 +193,9 @@
         let Stream::Tcp(socket, peer) = stream else {
             return Ok(());
         };
-        let Ok(_permit) = Arc::clone(&self.shared.permits).try_acquire_owned() else {
+        let permit = Arc::clone(&self.shared.permits).try_acquire_owned();
+        self.shared.arriving.fetch_sub(1, Ordering::SeqCst);
+        let Ok(_permit) = permit else {
             let told = self.shared.refusals.try_acquire();
             if told.is_ok() {
                 refuse(socket).await;
--- a/crates/shell/src/web/server.rs
+++ b/crates/shell/src/web/server.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -22,6 +23,8 @@
 
 /// Bytes of a response that are collected before they are written in any case.
 const WRITE_BYTES: usize = 64 * 1024;
+/// Longest wait of a stop for those who wait to be accepted.
+const ARRIVE_WAIT: Duration = Duration::from_secs(1);
 
 /// A server while it serves. Dropped without [`WebServer::stop`], it cuts all
 /// connections and ends in the background.
@@ -50,6 +53,8 @@
             permits: Arc::new(Semaphore::new(connections as usize)),
             refusals: Semaphore::new(REFUSALS),
             stop: CancellationToken::new(),
+            closed: CancellationToken::new(),
+            arriving: AtomicUsize::new(0),
             abort: CancellationToken::new(),
             stall: limits.stall,
         });
@@ -77,10 +82,13 @@
         self.address
     }
 
-    /// Stops accepting, closes idle connections, lets requests in flight end within
+    /// Accepts who waits and no more, closes idle connections, lets requests in flight end within
     /// `grace`, cuts the rest, and joins the workers.
     pub async fn stop(mut self, grace: Duration) {
         self.shared.stop.cancel();
+        // Whoever is accepted after this finds no permit left.
+        let arrived = self.shared.all_arrived();
+        let _late = tokio::time::timeout(ARRIVE_WAIT.min(grace), arrived).await;
         let all = self.shared.permits.acquire_many(self.connections);
         // Running out of grace is an outcome like any other: what is left is cut.
         let _result = tokio::time::timeout(grace, all).await;
--- a/crates/shell/tests/web.rs
+++ b/crates/shell/tests/web.rs
@@ -402,3 +402,61 @@
     client.chunks().await.unwrap_err();
     server.stop(LONG).await;
 }
+
+/// Clients that have connected and sent their request before a stop are answered, also
+/// when no worker has got round to accept them yet.
+#[tokio::test]
+async fn a_stop_answers_those_who_wait_to_be_accepted() {
+    const WAITING: usize = 100;
+    let (started, mut is_started) = mpsc::channel::<()>(1);
+    let (release, released) = std::sync::mpsc::channel::<()>();
+    let released = std::sync::Mutex::new(Some(released));
+    let limits = Limits {
+        workers: 1,
+        ..Limits::default()
+    };
+    let server = serve(
+        limits,
+        service(move |_request: Incoming| {
+            // The first request holds up the only worker, so that the others wait.
+            if let Some(released) = released.lock().unwrap().take() {
+                started.try_send(()).unwrap();
+                released.recv().unwrap();
+            }
+            async { text(StatusCode::OK, "served") }
+        }),
+    );
+    let address = server.address();
+    let mut first = Client::open(address).await;
+    first.get("/first").await;
+    is_started.recv().await.unwrap();
+    let mut clients = Vec::new();
+    for _ in 0..WAITING {
+        let mut client = Client::open(address).await;
+        client.get("/waiting").await;
+        clients.push(client);
+    }
+    let stop = tokio::spawn(server.stop(LONG));
+    tokio::task::yield_now().await;
+    release.send(()).unwrap();
+    assert_eq!(first.answer().await.unwrap().status, 200);
+    for mut client in clients {
+        let answer = client.answer().await.expect("an answer, no reset");
+        assert_eq!(answer.status, 200);
+        assert!(client.is_closed().await);
+    }
+    stop.await.unwrap();
+    assert!(tokio::net::TcpStream::connect(address).await.is_err());
+}
+
+/// A client that has just connected may send its request within a moment.
+#[tokio::test]
+async fn a_stop_leaves_a_new_connection_time_for_its_request() {
+    let server = echo_server();
+    let mut client = Client::open(server.address()).await;
+    let stop = tokio::spawn(server.stop(LONG));
+    tokio::task::yield_now().await;
+    client.get("/late").await;
+    assert_eq!(client.answer().await.expect("an answer").status, 200);
+    stop.await.unwrap();
+}
