budget: tell what a retired router holds of each budget

Cause: the view gave one sum over all budgets of a stream, so that nobody could tell whose rights are in quarantine on which budget.

Change: `RetiredRouter` has `held`: name and unspent rights of each budget on which the incarnation has any, by name. `unspent` stays their sum.

Runs: the new test names a field that did not exist, so before the change it did not compile. cargo test -p swiftlink-budget: 27 passed, 0 failed; clippy -D warnings clean.

--- a/crates/budget/src/view.rs
+++ b/crates/budget/src/view.rs
@@ -18,6 +18,8 @@
     pub address: Arc<str>,
     /// Rights unspent over all budgets of the stream (tokens).
     pub unspent: Tokens,
+    /// Rights unspent of each budget on which it has any, by name (tokens).
+    pub held: Vec<(Arc<str>, Tokens)>,
 }
 
 /// An incarnation that may claim and charge.
@@ -81,7 +83,24 @@
     #[must_use]
     pub fn retired(&self) -> Vec<RetiredRouter> {
         let routers = self.in_phase(Phase::Retired).into_iter();
-        routers.map(retired_router).collect()
+        routers.map(|router| self.retired_router(router)).collect()
+    }
+
+    fn retired_router(&self, router: &Router) -> RetiredRouter {
+        let mut held = Vec::new();
+        for (budget, grant) in &router.grants {
+            if grant.held() > 0 {
+                held.push((Arc::clone(self.budgets.name(*budget)), grant.held()));
+            }
+        }
+        held.sort_unstable();
+        let unspent = held.iter().map(|(_, tokens)| *tokens);
+        RetiredRouter {
+            incarnation: router.identity(),
+            address: Arc::clone(&router.address),
+            unspent: unspent.fold(0, Tokens::saturating_add),
+            held,
+        }
     }
 
     /// Active incarnations, by VM and epoch.
@@ -112,15 +131,6 @@
     }
 }
 
-fn retired_router(router: &Router) -> RetiredRouter {
-    let held = router.grants.values().map(|grant| grant.held());
-    RetiredRouter {
-        incarnation: router.identity(),
-        address: Arc::clone(&router.address),
-        unspent: held.fold(0, Tokens::saturating_add),
-    }
-}
-
 fn active_router(router: &Router) -> ActiveRouter {
     ActiveRouter {
         incarnation: router.identity(),
--- a/crates/budget/tests/rules.rs
+++ b/crates/budget/tests/rules.rs
@@ -390,3 +390,34 @@
     assert_eq!((shard_of("a", 0), shard_of("a", 1)), (0, 0));
     assert_eq!(stream_of(3).as_str(), "budget-3");
 }
+
+#[test]
+fn a_retired_router_tells_what_it_holds_of_each_budget() {
+    let mut fold = Fold::empty();
+    for budget in ["b", "a", "c", "d"] {
+        apply(&mut fold, &top_up(budget, "t", 1_000));
+    }
+    for vm in ["v", "u"] {
+        apply(&mut fold, &join(vm, 1, "a", 0));
+    }
+    for (budget, want) in [("b", 30), ("a", 20), ("c", 10)] {
+        apply(&mut fold, &claim("v", 1, budget, 1, 1, want));
+    }
+    apply(&mut fold, &claim("u", 1, "d", 1, 1, 5));
+    let spent = vec![item(key(1, 1), "c", 10, 1), item(key(1, 2), "b", 12, 2)];
+    apply(&mut fold, &charges("v", 1, spent));
+    for vm in ["v", "u"] {
+        apply(&mut fold, &retire(vm, 1));
+    }
+    let held = |fold: &Fold| -> Vec<String> {
+        let retired = fold.retired().into_iter();
+        let told = retired.map(|router| {
+            let vm = &router.incarnation.vm;
+            format!("{vm} {} {:?}", router.unspent, router.held)
+        });
+        told.collect()
+    };
+    let expected = [r#"u 5 [("d", 5)]"#, r#"v 38 [("a", 20), ("b", 18)]"#];
+    assert_eq!(held(&fold), expected);
+    assert_eq!(held(&reload(&fold)), expected);
+}
