--- a/crates/client/src/table/mod.rs
+++ b/crates/client/src/table/mod.rs
@@ -44,7 +44,7 @@
 pub fn event(event: &WatchEvent) -> String {
     let what = if event.deleted { "deleted" } else { "changed" };
     let mut line = format!(
-        "{:>8}  {what}  {:<9}  {}",
+        "{:>8}  {what}  {:<10}  {}",
         event.version, event.kind, event.name
     );
     if !event.deleted {
--- a/crates/client/tests/testsuite/document.rs
+++ b/crates/client/tests/testsuite/document.rs
@@ -74,6 +74,7 @@
         "[[server]]\nname = \"a\"\npool = \"p\"\naddress = \"here\"\ndomain = \"d\"\n",
         "[[workspace]]\nname = \"a\"\nbudget = \"b\"\nclasses = [\"c\", 3]\n",
         "[[workspace]]\nname = \"a\"\nbudget = \"b\"\nsecret = \"s\"\n",
+        "[[retirement]]\nname = \"vm-3\"\nbecause = \"burnt\"\n",
     ];
     let lines: Vec<_> = texts.iter().map(|text| shown(text)).collect();
     insta::assert_snapshot!(lines.join("\n"));
@@ -101,6 +102,20 @@
     assert_eq!(fate.events.len(), set.changes.len());
 }
 
+/// The sample's retirement is a comment: without its marks it is a resource.
+#[test]
+fn the_sample_of_a_retirement_is_valid() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/fleet.toml");
+    let text = std::fs::read_to_string(file).expect("readable");
+    let (_, sample) = text.split_once("# [[retirement]]").expect("shown");
+    let lines = sample.lines().map(|line| line.trim_start_matches("# "));
+    let text = format!("[[retirement]]{}", lines.collect::<Vec<_>>().join("\n"));
+    let changes = parse("fleet.toml", &text).expect("valid");
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].kind, "retirement");
+    assert!(changes[0].spec.as_ref().expect("given")["reason"].is_string());
+}
+
 #[test]
 fn a_missing_file_is_an_error() {
     let error = load(Path::new("no/such/file.toml")).expect_err("missing");
--- a/crates/client/tests/testsuite/table.rs
+++ b/crates/client/tests/testsuite/table.rs
@@ -126,6 +126,14 @@
             json!({ "weight": 8 })
         },
     };
-    let lines = [table::event(&event(false)), table::event(&event(true))];
+    let retired = WatchEvent {
+        version: 18,
+        kind: "retirement".to_owned(),
+        name: "vm-3".to_owned(),
+        deleted: false,
+        spec: json!({ "reason": "power supply burnt" }),
+    };
+    let lines = [event(false), event(true), retired];
+    let lines = lines.map(|event| table::event(&event));
     insta::assert_snapshot!(lines.join("\n"));
 }
--- a/crates/ledger/src/appender.rs
+++ b/crates/ledger/src/appender.rs
@@ -11,7 +11,7 @@
 use swiftlink_log::{Backoff, Log};
 use swiftlink_telemetry::{Metrics, event};
 use swiftlink_types::{Incarnation, Micros, wall_ms};
-use swiftlink_wire::log::{ChargeFate, Charges, LogRecord, Record, fate};
+use swiftlink_wire::log::{Charges, LogRecord, Record, fate};
 use tokio::sync::{Notify, oneshot};
 use tokio_util::sync::CancellationToken;
 
@@ -20,6 +20,7 @@
 use crate::contact::Contact;
 use crate::pacer::Pacer;
 use crate::stream::{Sink, Stream};
+use crate::void::fate_name;
 
 /// First ceiling of the back-off after a failed append.
 const RETRY_BASE: Duration = Duration::from_millis(20);
@@ -208,21 +209,27 @@
     }
 }
 
-/// Counts charges by what became of them.
+/// Counts charges by what became of them, and logs those that are lost.
 fn count_charges(metrics: &Metrics, decided: &Decided) {
+    for void in &decided.void {
+        metrics.count("ledger.void_tokens", void.cost);
+        event!(
+            warn,
+            "charge.void",
+            router = void.router,
+            workspace = void.workspace,
+            budget = void.budget,
+            key = void.key,
+            cost = void.cost,
+            reason = fate_name(void.reason.into())
+        );
+    }
     for fate in &decided.fates {
         let Some(fate::Kind::Charges(charges)) = &fate.kind else {
             continue;
         };
         for item in charges.items.iter().copied() {
-            let name = match ChargeFate::try_from(item) {
-                Ok(ChargeFate::Charged) => "charged",
-                Ok(ChargeFate::Duplicate) => "duplicate",
-                Ok(ChargeFate::VoidKey) => "void_key",
-                Ok(ChargeFate::VoidReleased) => "void_released",
-                Ok(ChargeFate::Overdrawn) => "overdrawn",
-                Ok(ChargeFate::Unspecified) | Err(_) => "unknown",
-            };
+            let name = fate_name(item);
             metrics.count_with("ledger.charges", 1, &[("fate", name)]);
         }
     }
--- a/crates/ledger/src/batcher.rs
+++ b/crates/ledger/src/batcher.rs
@@ -7,6 +7,8 @@
 use swiftlink_types::{Incarnation, WallMs};
 use swiftlink_wire::log::{Batch, Charges, Fate, Record, record};
 
+use crate::void::{VoidCharge, void_charges};
+
 /// Most bytes of records in one batch, and so in one entry.
 pub const BATCH_BYTES: usize = 256 * 1024;
 /// Most records in one batch, and so in one entry.
@@ -28,6 +30,8 @@
     pub fates: Vec<Fate>,
     /// Offset of the batch that was folded.
     pub offset: u64,
+    /// Charges among the records that count for nothing.
+    pub void: Vec<VoidCharge>,
 }
 
 /// Collects entries into batches, one append in flight at a time.
@@ -172,8 +176,14 @@
         for entry in sent.entries {
             self.bytes -= entry.size;
             self.uncount_charges(&entry.records);
-            let fates = fates.by_ref().take(entry.records.len()).collect();
-            decided.push((entry.ticket, Decided { fates, offset }));
+            let fates: Vec<Fate> = fates.by_ref().take(entry.records.len()).collect();
+            let void = void_charges(&entry.records, &fates);
+            let outcome = Decided {
+                fates,
+                offset,
+                void,
+            };
+            decided.push((entry.ticket, outcome));
         }
         decided
     }
--- a/crates/ledger/src/daemon.rs
+++ b/crates/ledger/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::follower::Follower;
 use crate::gauges::Gauges;
 use crate::handover::hand_over;
+use crate::joins::Joins;
 use crate::pacer::Pacer;
 use crate::peers::{NAME_PREFIX, Peers};
 use crate::quarantine::Quarantine;
@@ -201,6 +202,7 @@
             Arc::clone(&self.config),
             Arc::clone(&self.shards),
             Arc::clone(&self.contact),
+            Joins::new(self.metrics.clone()),
         )
     }
 
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -9,7 +9,9 @@
 //! - [`batcher`], [`appender`], [`pacer`]: what is appended, and when;
 //! - [`service`]: answers to requests over links;
 //! - [`reconcile`]: brings declared top-ups into the budget streams;
-//! - [`quarantine`], [`release`], [`vms`]: retires routers and frees their rights;
+//! - [`quarantine`], [`proof`], [`release`], [`vms`], [`joins`]: retires routers, frees
+//!   their rights, refuses joins on VMs that are declared gone;
+//! - [`void`]: charges that came too late;
 //! - [`snapshots`]: writes snapshots before the log drops old records;
 //! - [`daemon`]: puts it together.
 
@@ -22,8 +24,10 @@
 pub mod follower;
 pub mod gauges;
 mod handover;
+pub mod joins;
 pub mod pacer;
 pub mod peers;
+pub mod proof;
 pub mod quarantine;
 pub mod reconcile;
 pub mod release;
@@ -36,6 +40,7 @@
 pub mod tail;
 pub mod vm_list;
 pub mod vms;
+pub mod void;
 
 pub use daemon::{ABOUT, Ledger, run};
 pub use settings::LedgerSettings;
--- a/crates/ledger/src/quarantine.rs
+++ b/crates/ledger/src/quarantine.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use swiftlink_budget::{Fold, RetiredRouter};
-use swiftlink_resource::{Config, ReleaseRule};
+use swiftlink_budget::Fold;
+use swiftlink_resource::Config;
 use swiftlink_telemetry::{Metrics, event};
 use swiftlink_types::{Incarnation, Micros};
 use swiftlink_wire::log::{self as wire, Record, record};
@@ -16,6 +16,7 @@
 use crate::contact::Contact;
 use crate::duty::Duty;
 use crate::peers::{Peer, Peers};
+use crate::proof::proof_of;
 use crate::release::{Answer, Proof, Verdict, decide};
 use crate::shards::{Shard, Shards};
 use crate::stream::Stream;
@@ -54,6 +55,9 @@
 /// An incarnation as one budget stream knows it.
 type Case = (u32, Incarnation);
 
+/// What was logged of the cases that are open.
+type Told = HashSet<(Case, Verdict)>;
+
 impl Quarantine {
     /// Works until `stop`.
     pub async fn run(self, stop: CancellationToken) {
@@ -63,7 +67,7 @@
     async fn watch(&self) {
         let mut retire = Duty::new(SPREAD, AGAIN);
         let mut release = Duty::new(SPREAD, AGAIN);
-        let mut told = HashSet::new();
+        let mut told = Told::new();
         loop {
             tokio::time::sleep(TICK).await;
             if self.contact.age_ms() > CONTACT_MS {
@@ -75,23 +79,25 @@
             let quarantined = self.quarantined();
             told.retain(|(case, _)| quarantined.contains(case));
             for case in release.step(self.clock.now(), quarantined, rand::random) {
-                let verdict = self.judge(&case).await;
-                self.act(case, verdict, &mut told);
+                if let Some((proof, verdict)) = self.judge(&case).await {
+                    self.act(case, proof, verdict, &mut told);
+                }
             }
         }
     }
 
-    /// Active incarnations whose VM left the VM list.
+    /// Active incarnations whose VM left the VM list or is declared gone.
     fn gone(&self) -> Vec<Case> {
         let mut cases = Vec::new();
-        if !self.vms.any_gone() {
+        let config = self.config().unwrap_or_default();
+        if !self.vms.any_gone() && config.retirements.is_empty() {
             return cases;
         }
         for (number, shard) in (0..).zip(self.shards.iter()) {
             let state = shard.stream.state();
             let active = state.current().map(Fold::active).unwrap_or_default();
             for router in active {
-                if self.vms.is_gone(router.incarnation.vm.as_str()) {
+                if self.is_gone(&config, router.incarnation.vm.as_str()) {
                     cases.push((number, router.incarnation));
                 }
             }
@@ -99,13 +105,28 @@
         cases
     }
 
+    fn config(&self) -> Option<Arc<Config>> {
+        let state = self.config.state();
+        state.current().map(swiftlink_resource::Fold::config)
+    }
+
+    fn is_gone(&self, config: &Config, vm: &str) -> bool {
+        config.is_retired(vm) || self.vms.is_gone(vm)
+    }
+
     fn retire(&self, (number, incarnation): &Case) {
+        let listed = self.vms.is_gone(incarnation.vm.as_str());
+        let reason = if listed {
+            "vm left the list"
+        } else {
+            "vm is declared gone"
+        };
         event!(
             warn,
             "router.retire",
             router = incarnation,
             shard = number,
-            reason = "vm left the list"
+            reason = reason
         );
         self.metrics.count("ledger.retires", 1);
         let kind = record::Kind::Retire(wire::Retire {
@@ -134,19 +155,20 @@
     /// Asks twice: a ledger that stops hands its charges to another, which may have
     /// been asked just before, and may be up again before it is asked itself. The
     /// second round finds what was handed over during the first.
-    async fn judge(&self, case: &Case) -> Option<Verdict> {
+    async fn judge(&self, case: &Case) -> Option<(Proof, Verdict)> {
         let proof = self.proof(case)?;
         for _round in 0..2 {
             let answers = match proof {
                 Proof::None => Vec::new(),
-                Proof::Bound | Proof::Listed => self.ask_all(&case.1).await,
+                Proof::Bound | Proof::Declared | Proof::Listed => self.ask_all(&case.1).await,
             };
             let verdict = decide(proof, &answers);
             if verdict != Verdict::Release {
-                return Some(verdict);
+                return Some((proof, verdict));
             }
         }
-        Some(Verdict::Release)
+        // The statement may have been withdrawn while the ledgers were asked.
+        (self.proof(case)? == proof).then_some((proof, Verdict::Release))
     }
 
     async fn ask_all(&self, incarnation: &Incarnation) -> Vec<Answer> {
@@ -162,27 +184,29 @@
 
     async fn ask(&self, peer: &Peer, incarnation: &Incarnation) -> Answer {
         let pending = peer.pending(incarnation).await.ok();
+        let config = self.config().unwrap_or_default();
         Answer {
             ledger: Arc::clone(&peer.name),
             pending,
-            gone: self.vms.is_gone(peer.vm()),
+            gone: self.is_gone(&config, peer.vm()),
         }
     }
 
+    /// What proves that a retired incarnation is gone; `None` if it isn't retired.
     fn proof(&self, (number, incarnation): &Case) -> Option<Proof> {
-        let config = {
-            let state = self.config.state();
-            state.current()?.config()
-        };
+        let config = self.config()?;
+        let absent = self.vms.is_absent(incarnation.vm.as_str());
         let shard = self.shard(*number)?;
         let state = shard.stream.state();
-        proof_of(incarnation, state.current()?, &config)
+        let fold = state.current()?;
+        let retired = fold.retired();
+        let router = retired
+            .iter()
+            .find(|router| router.incarnation == *incarnation)?;
+        Some(proof_of(router, fold, &config, absent))
     }
 
-    fn act(&self, case: Case, verdict: Option<Verdict>, told: &mut HashSet<(Case, Verdict)>) {
-        let Some(verdict) = verdict else {
-            return;
-        };
+    fn act(&self, case: Case, proof: Proof, verdict: Verdict, told: &mut Told) {
         let (number, incarnation) = &case;
         if verdict != Verdict::Release {
             if told.insert((case.clone(), verdict.clone())) {
@@ -196,7 +220,13 @@
             }
             return;
         }
-        event!(info, "router.release", router = incarnation, shard = number);
+        event!(
+            info,
+            "router.release",
+            router = incarnation,
+            shard = number,
+            proof = proof
+        );
         self.metrics.count("ledger.releases", 1);
         let kind = record::Kind::Release(wire::Release {
             incarnation: Some(incarnation.into()),
@@ -217,48 +247,3 @@
         self.shards.iter().nth(number as usize)
     }
 }
-
-/// What proves that the retired `incarnation` is gone; `None` if it isn't retired.
-fn proof_of(incarnation: &Incarnation, fold: &Fold, config: &Config) -> Option<Proof> {
-    let retired = fold.retired();
-    let router = retired
-        .iter()
-        .find(|router| router.incarnation == *incarnation)?;
-    if has_successor(router, fold) {
-        return Some(Proof::Bound);
-    }
-    if router.unspent == 0 || all_listed(fold, config) {
-        return Some(Proof::Listed);
-    }
-    Some(Proof::None)
-}
-
-/// Whether a later start on the same VM has bound the same address.
-#[must_use]
-pub fn has_successor(router: &RetiredRouter, fold: &Fold) -> bool {
-    let own = &router.incarnation;
-    let follows = |other: &Incarnation, address: &str| {
-        other.vm == own.vm && other.epoch > own.epoch && address == &*router.address
-    };
-    let active = fold.active();
-    let retired = fold.retired();
-    active
-        .iter()
-        .any(|other| follows(&other.incarnation, &other.address))
-        || retired
-            .iter()
-            .any(|other| follows(&other.incarnation, &other.address))
-}
-
-/// Whether each budget of the stream that has rights in quarantine takes the VM
-/// list for proof. A release frees all rights of an incarnation, and the fold's view
-/// doesn't tell whose rights are in quarantine; so one budget that wants proof
-/// holds back all. That errs towards keeping.
-fn all_listed(fold: &Fold, config: &Config) -> bool {
-    let views = fold.views();
-    let mut held = views.iter().filter(|view| view.quarantined > 0);
-    held.all(|view| {
-        let budget = config.budgets.get(view.name.as_str());
-        budget.is_some_and(|budget| budget.release == ReleaseRule::Listed)
-    })
-}
--- a/crates/ledger/src/release.rs
+++ b/crates/ledger/src/release.rs
@@ -9,10 +9,12 @@
     /// A successor bound the same address on the same VM, which it could not while
     /// the predecessor lived.
     Bound,
+    /// An operator states that its VM is gone for good.
+    Declared,
     /// Its VM left the VM list, and all budgets on which it holds rights take that
-    /// for proof (`release = "listed"`).
+    /// for proof (`release = "listed"`), or it holds none.
     Listed,
-    /// Its VM left the VM list, but it may still be running.
+    /// It was retired, but may still be running.
     None,
 }
 
@@ -23,7 +25,7 @@
     pub ledger: Arc<str>,
     /// Charges that it holds and hasn't seen folded; nothing when it can't be reached.
     pub pending: Option<u64>,
-    /// Whether its VM left the VM list, so that what it held is lost.
+    /// Whether its VM left the VM list or is declared gone, so that what it held is lost.
     pub gone: bool,
 }
 
@@ -68,6 +70,17 @@
     Verdict::Release
 }
 
+impl fmt::Display for Proof {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Bound => "successor bound its address",
+            Self::Declared => "vm is declared gone",
+            Self::Listed => "vm left the list",
+            Self::None => "none",
+        })
+    }
+}
+
 impl fmt::Display for Verdict {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/ledger/src/service.rs
+++ b/crates/ledger/src/service.rs
@@ -18,6 +18,7 @@
 use crate::appender::{Outbox, Waiter};
 use crate::batcher::{BATCH_BYTES, BATCH_RECORDS, Decided};
 use crate::contact::Contact;
+use crate::joins::Joins;
 use crate::shards::{Shard, Shards};
 use crate::stream::Stream;
 
@@ -36,6 +37,7 @@
     config: Arc<Stream<swiftlink_resource::Fold>>,
     shards: Arc<Shards>,
     contact: Arc<Contact>,
+    joins: Joins,
     closed: AtomicBool,
 }
 
@@ -70,6 +72,7 @@
         config: Arc<Stream<swiftlink_resource::Fold>>,
         shards: Arc<Shards>,
         contact: Arc<Contact>,
+        joins: Joins,
     ) -> Self {
         Self {
             name,
@@ -77,6 +80,7 @@
             config,
             shards,
             contact,
+            joins,
             closed: AtomicBool::new(false),
         }
     }
@@ -88,6 +92,7 @@
 
     async fn submit(&self, submit: Submit, replies: &Replies) -> Answer {
         let (_, shard) = self.admit(&submit.stream, &submit.records)?;
+        self.check_joins(&submit.records)?;
         let mut waiter = queue(&shard.outbox, submit.records)?;
         let limit = Duration::from_millis(u64::from(submit.wait_ms)).min(WAIT_LIMIT);
         let decided = tokio::select! {
@@ -147,6 +152,18 @@
         found.ok_or_else(|| failure(FailureKind::NotServed, "no such stream here"))
     }
 
+    fn check_joins(&self, records: &[Record]) -> Result<(), Failure> {
+        let config = {
+            let state = self.config.state();
+            state.get().map(swiftlink_resource::Fold::config)
+        };
+        let Some(config) = config else {
+            return Ok(());
+        };
+        let checked = self.joins.check(&config, records);
+        checked.map_err(|retired| failure(FailureKind::NotServed, &retired.to_string()))
+    }
+
     fn admit(&self, name: &str, records: &[Record]) -> Result<(u32, &Shard), Failure> {
         if self.closed.load(Ordering::Relaxed) {
             return Err(failure(FailureKind::NotServed, STOPPING));
--- a/crates/ledger/src/status.rs
+++ b/crates/ledger/src/status.rs
@@ -5,14 +5,14 @@
 use std::sync::atomic::Ordering;
 
 use serde_json::{Value, json};
-use swiftlink_budget::Fold as BudgetFold;
+use swiftlink_budget::{Fold as BudgetFold, RetiredRouter};
 use swiftlink_log::Fold;
 use swiftlink_resource::Fold as ConfigFold;
 use swiftlink_shell::Dump;
 
 use crate::contact::Contact;
 use crate::peers::{Peer, Peers};
-use crate::quarantine::has_successor;
+use crate::proof::has_successor;
 use crate::settings::LedgerSettings;
 use crate::shards::{Shard, Shards};
 use crate::stream::Stream;
@@ -132,12 +132,19 @@
             "router": router.incarnation.to_string(),
             "address": router.address.to_string(),
             "unspent": router.unspent,
+            "held": held_of(&router),
             "proved": has_successor(&router, fold),
         })
     });
     retired.collect()
 }
 
+fn held_of(router: &RetiredRouter) -> Value {
+    let held = router.held.iter();
+    let entries = held.map(|(budget, tokens)| (budget.to_string(), Value::from(*tokens)));
+    Value::Object(entries.collect())
+}
+
 fn peer_of(peer: &Peer) -> Value {
     json!({
         "name": &*peer.name,
--- a/crates/ledger/src/vm_list.rs
+++ b/crates/ledger/src/vm_list.rs
@@ -47,6 +47,12 @@
         lock(&self.0).is_gone(vm)
     }
 
+    /// Whether the newest answers leave out `vm`, whether or not it was listed before.
+    #[must_use]
+    pub fn is_absent(&self, vm: &str) -> bool {
+        lock(&self.0).is_absent(vm)
+    }
+
     /// Whether any VM is gone.
     #[must_use]
     pub fn any_gone(&self) -> bool {
--- a/crates/ledger/src/vms.rs
+++ b/crates/ledger/src/vms.rs
@@ -29,6 +29,8 @@
 pub struct VmWatch {
     reads: u32,
     version: u64,
+    /// Answers believed so far.
+    answers: u32,
     absent: HashMap<String, u32>,
 }
 
@@ -39,6 +41,7 @@
         Self {
             reads: reads.max(1),
             version: 0,
+            answers: 0,
             absent: HashMap::new(),
         }
     }
@@ -49,6 +52,7 @@
             return false;
         }
         self.version = list.version;
+        self.answers = self.answers.saturating_add(1);
         let listed: HashSet<&str> = list.vms.iter().map(|vm| vm.name.as_str()).collect();
         for (name, count) in &mut self.absent {
             if !listed.contains(name.as_str()) {
@@ -69,6 +73,16 @@
             .is_some_and(|count| *count >= self.reads)
     }
 
+    /// Whether the newest answers leave out `vm`, whether or not it was listed before.
+    ///
+    /// Says less than [`VmWatch::is_gone`]: a VM that was never listed may be on its
+    /// way into the list. It serves for routers that are retired already.
+    #[must_use]
+    pub fn is_absent(&self, vm: &str) -> bool {
+        let absent = self.absent.get(vm).copied();
+        absent.unwrap_or(self.answers) >= self.reads
+    }
+
     /// Newest version of the list.
     #[must_use]
     pub fn version(&self) -> u64 {
--- a/crates/ledger/tests/append.rs
+++ b/crates/ledger/tests/append.rs
@@ -10,7 +10,7 @@
 use swiftlink_link::LinkError;
 use swiftlink_log::{Fault, MemLog};
 use swiftlink_wire::link::{FailureKind, reply};
-use swiftlink_wire::log::{ChargeFate, fate};
+use swiftlink_wire::log::{ChargeFate, RejectReason, fate};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_claim_is_granted_and_a_charge_is_counted() {
@@ -184,3 +184,34 @@
         node.stop().await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_join_whose_answer_was_lost_is_the_same_join() {
+    let log = Arc::new(MemLog::new());
+    let node = single(&log);
+    node.up().await;
+    declare(&log, 1_000, "proof").await;
+    node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
+        .await;
+    // Before its join is in the log, a router may do nothing.
+    let fate = node.one(claim(1, 1, 10)).await;
+    let unknown = RejectReason::UnknownIncarnation;
+    assert!(matches!(fate, fate::Kind::Rejected(fate) if fate.reason() == unknown));
+
+    // The router hears nothing of the first two; one of them lands.
+    for fault in [Fault::Outage, Fault::LoseAnswers] {
+        log.set_fault(fault);
+        let lost = node.submit(vec![join(1)], Duration::from_millis(1)).await;
+        assert!(lost.is_err(), "{lost:?}");
+    }
+    log.set_fault(Fault::None);
+    assert!(matches!(node.one(join(1)).await, fate::Kind::Join(fate) if fate.active));
+    assert!(
+        matches!(node.one(claim(1, 1, 100)).await, fate::Kind::Claim(fate) if fate.granted == 100)
+    );
+    node.until("one start", |fold| {
+        fold.active().len() == 1 && fold.retired().is_empty()
+    })
+    .await;
+    node.stop().await;
+}
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A fleet of ledgers on one log in memory, and records to submit to them.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod list;
+
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -127,10 +129,20 @@
 }
 
 pub fn spawn(settings: LedgerSettings, listener: TcpListener, log: &Arc<MemLog>) -> Node {
+    spawn_measured(settings, listener, log, Metrics::nop())
+}
+
+/// A node that sends its metrics.
+pub fn spawn_measured(
+    settings: LedgerSettings,
+    listener: TcpListener,
+    log: &Arc<MemLog>,
+    metrics: Metrics,
+) -> Node {
     let address = listener.local_addr().unwrap();
     let log = CountingLog::new(log);
     let shared: Arc<dyn Log> = Arc::<CountingLog>::clone(&log);
-    let ledger = Ledger::spawn(settings, shared, listener, Metrics::nop()).unwrap();
+    let ledger = Ledger::spawn(settings, shared, listener, metrics).unwrap();
     let client = Client::spawn(address, "router-test", Secret::new(SECRET));
     Node {
         ledger,
@@ -305,8 +317,13 @@
             &format!(r#"{{"budget":"{BUDGET}","amount":{amount}}}"#),
         ),
     ];
+    apply(log, "set-1", changes).await;
+}
+
+/// Appends a set of changes under `id`.
+pub async fn apply(log: &MemLog, id: &str, changes: Vec<Change>) {
     let set = ChangeSet {
-        id: "set-1".to_owned(),
+        id: id.to_owned(),
         author: "test".to_owned(),
         stamp_ms: 0,
         changes,
@@ -318,7 +335,7 @@
         .unwrap();
 }
 
-fn change(kind: &str, name: &str, spec: &str) -> Change {
+pub fn change(kind: &str, name: &str, spec: &str) -> Change {
     Change {
         kind: kind.to_owned(),
         name: name.to_owned(),
@@ -327,3 +344,31 @@
         spec: spec.to_owned(),
     }
 }
+
+/// The same record by the router of another VM.
+pub fn of_vm(vm: &str, mut kind: record::Kind) -> record::Kind {
+    let incarnation = match &mut kind {
+        record::Kind::Join(join) => &mut join.incarnation,
+        record::Kind::Claim(claim) => &mut claim.incarnation,
+        record::Kind::Charges(charges) => &mut charges.incarnation,
+        other => panic!("no test needs {other:?}"),
+    };
+    let incarnation = incarnation.as_mut().expect("an incarnation");
+    incarnation.vm = vm.to_owned();
+    kind
+}
+
+/// The same claim on another budget.
+pub fn of_budget(budget: &str, mut kind: record::Kind) -> record::Kind {
+    let record::Kind::Claim(claim) = &mut kind else {
+        panic!("not a claim: {kind:?}");
+    };
+    claim.budget = budget.to_owned();
+    kind
+}
+
+pub async fn stop_all(nodes: Vec<Node>) {
+    for node in nodes {
+        node.stop().await;
+    }
+}
--- a/crates/ledger/tests/decisions.rs
+++ b/crates/ledger/tests/decisions.rs
@@ -258,6 +258,7 @@
     let clear = answer(Some(0), false);
     assert_eq!(decide(Proof::Bound, from_ref(&clear)), Verdict::Release);
     assert_eq!(decide(Proof::Listed, from_ref(&clear)), Verdict::Release);
+    assert_eq!(decide(Proof::Declared, from_ref(&clear)), Verdict::Release);
     assert_eq!(decide(Proof::None, from_ref(&clear)), Verdict::Unproved);
     let pending = Verdict::Pending {
         ledger: Arc::clone(&ledger),
@@ -267,7 +268,9 @@
         decide(Proof::Bound, &[clear.clone(), answer(Some(2), true)]),
         pending
     );
+    assert_eq!(decide(Proof::Declared, &[answer(Some(2), true)]), pending);
     let unreachable = Verdict::Unreachable { ledger };
+    assert_eq!(decide(Proof::Declared, &[answer(None, false)]), unreachable);
     assert_eq!(
         decide(Proof::Bound, &[answer(None, false), clear.clone()]),
         unreachable
@@ -306,6 +309,29 @@
     assert!(watch.is_gone("b") && !watch.is_gone("a"));
 }
 
+#[test]
+fn a_vm_is_absent_after_some_answers_without_it() {
+    let list = |names: &[&str]| {
+        let vms = names.iter().map(|name| Vm {
+            name: (*name).to_owned(),
+        });
+        VmList {
+            version: 1,
+            vms: vms.collect(),
+        }
+    };
+    let mut watch = VmWatch::new(2);
+    assert!(!watch.is_absent("c"), "no answer says nothing");
+    watch.read(&list(&["a", "b"]));
+    watch.read(&list(&[]));
+    assert!(!watch.is_absent("c"), "one answer, and one not believed");
+    watch.read(&list(&["a"]));
+    assert!(watch.is_absent("c"), "never listed");
+    assert!(!watch.is_absent("a") && !watch.is_absent("b"));
+    watch.read(&list(&["a", "c"]));
+    assert!(watch.is_absent("b") && !watch.is_absent("c"));
+}
+
 #[test]
 fn a_snapshot_is_due_by_count_and_by_time() {
     let progress = |since_snapshot, snapshot| Progress {
--- a/crates/ledger/tests/quarantine.rs
+++ b/crates/ledger/tests/quarantine.rs
@@ -2,13 +2,15 @@
 
 mod common;
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
-use common::{Node, charge, claim, declare, fleet, join, listener, settings, spawn};
-use swiftlink_budget::Fold;
+use common::list::VmList;
+use common::{
+    BUDGET, SHARDS, apply, change, charge, claim, declare, fleet, join, listener, of_budget, of_vm,
+    settings, spawn, stop_all,
+};
+use swiftlink_budget::{Fold, shard_of};
 use swiftlink_log::{Fault, MemLog};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -99,6 +101,57 @@
     }
 }
 
+/// A budget on the stream of [`BUDGET`].
+fn neighbour() -> String {
+    let mut names = (0..).map(|number| format!("n{number}"));
+    let shard = shard_of(BUDGET, SHARDS);
+    let found = names.find(|name| shard_of(name, SHARDS) == shard);
+    found.expect("half of all names")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_router_is_judged_by_the_budgets_on_which_it_holds_rights() {
+    let log = Arc::new(MemLog::new());
+    let all = r#"{"version":1,"vms":[{"name":"vm-1"},{"name":"router-vm"},{"name":"other-vm"}]}"#;
+    let list = VmList::serve(all);
+    let (bound, _) = listener();
+    let mut with_list = settings("vm-1", &[]);
+    with_list.vms = Some(list.address);
+    let node = spawn(with_list, bound, &log);
+    node.up().await;
+    declare(&log, 1_000, "listed").await;
+    let strict = neighbour();
+    let top_up = format!(r#"{{"budget":"{strict}","amount":500}}"#);
+    let changes = vec![
+        change("budget", &strict, r#"{"release":"proof"}"#),
+        change("topup", "t2", &top_up),
+    ];
+    apply(&log, "strict", changes).await;
+    node.until("top-ups", |fold| {
+        fold.has_top_up("b1", "t1") && fold.has_top_up(&strict, "t2")
+    })
+    .await;
+    node.one(join(1)).await;
+    node.one(claim(1, 1, 100)).await;
+    node.one(of_vm("other-vm", join(1))).await;
+    let other = |kind| of_budget(&strict, of_vm("other-vm", kind));
+    node.one(other(claim(1, 1, 50))).await;
+    list.wait_read().await;
+    list.set(r#"{"version":2,"vms":[{"name":"vm-1"}]}"#);
+
+    // The rights of one go back; those of the other wait for their proof.
+    node.until("release", |fold| {
+        fold.active().is_empty() && quarantined(fold) == Some(0)
+    })
+    .await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    node.until("quarantine", |fold| {
+        fold.view(&strict).map(|view| view.quarantined) == Some(50)
+    })
+    .await;
+    node.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stop_during_an_outage_hands_charges_to_a_peer() {
     let log = Arc::new(MemLog::new());
@@ -132,49 +185,3 @@
     let view = fold.view("b1")?;
     Some((view.charged, view.free))
 }
-
-async fn stop_all(nodes: Vec<Node>) {
-    for node in nodes {
-        node.stop().await;
-    }
-}
-
-/// A VM list that answers with a fixed body.
-struct VmList {
-    address: SocketAddr,
-    state: Arc<Mutex<(String, u64)>>,
-}
-
-impl VmList {
-    fn serve(body: &str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let state = Arc::new(Mutex::new((body.to_owned(), 0)));
-        let shared = Arc::clone(&state);
-        std::thread::spawn(move || {
-            for socket in listener.incoming() {
-                let mut socket = socket.unwrap();
-                let mut head = [0; 4096];
-                let _read = socket.read(&mut head).unwrap();
-                let mut state = shared.lock().unwrap();
-                let body = &state.0;
-                let answer = format!(
-                    "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
-                    body.len()
-                );
-                socket.write_all(answer.as_bytes()).unwrap();
-                state.1 += 1;
-            }
-        });
-        Self { address, state }
-    }
-
-    fn set(&self, body: &str) {
-        self.state.lock().unwrap().0 = body.to_owned();
-    }
-
-    async fn wait_read(&self) {
-        let before = self.state.lock().unwrap().1;
-        common::eventually("a read", || self.state.lock().unwrap().1 > before).await;
-    }
-}
--- /dev/null
+++ b/crates/ledger/tests/retirement.rs
@@ -0,0 +1,201 @@
+//! Rights of a VM that an operator declares gone for good.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::list::VmList;
+use common::{
+    LONG, Node, apply, change, charge, claim, declare, fleet, join, listener, settings, single,
+    spawn, stop_all, stream,
+};
+use prost::Message;
+use swiftlink_budget::Fold;
+use swiftlink_link::LinkError;
+use swiftlink_log::{Log, MemLog};
+use swiftlink_wire::log::{Batch, Change, Record};
+
+/// Several times the wait before a retirement or release.
+const SETTLED: Duration = Duration::from_secs(2);
+
+async fn retire(log: &MemLog, vm: &str) {
+    let spec = r#"{"reason":"power supply burnt"}"#;
+    apply(
+        log,
+        &format!("retire-{vm}"),
+        vec![change("retirement", vm, spec)],
+    )
+    .await;
+}
+
+/// Withdraws the retirement that stands at `version`.
+async fn withdraw(log: &MemLog, vm: &str, version: u64) {
+    let delete = Change {
+        base: version,
+        delete: true,
+        ..change("retirement", vm, "")
+    };
+    apply(log, &format!("withdraw-{vm}"), vec![delete]).await;
+}
+
+async fn open(nodes: &[Node], log: &MemLog, release: &str) {
+    declare(log, 1_000, release).await;
+    for node in nodes {
+        node.up().await;
+        node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
+            .await;
+    }
+    nodes[0].one(join(1)).await;
+    nodes[0].one(claim(1, 1, 100)).await;
+}
+
+fn quarantined(fold: &Fold) -> Option<u64> {
+    Some(fold.view("b1")?.quarantined)
+}
+
+/// Charged and free tokens.
+fn totals(fold: &Fold) -> Option<(u64, u64)> {
+    let view = fold.view("b1")?;
+    Some((view.charged, view.free))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_declared_retirement_frees_rights_and_counts_charges() {
+    let log = Arc::new(MemLog::new());
+    let nodes = fleet(2, &log);
+    open(&nodes, &log, "proof").await;
+    drop(nodes[1].settle(charge(1, 1, 40)).await);
+    retire(&log, "router-vm").await;
+    for node in &nodes {
+        node.until("release", |fold| {
+            fold.active().is_empty() && fold.retired().is_empty()
+        })
+        .await;
+        node.until("totals", |fold| totals(fold) == Some((40, 960)))
+            .await;
+    }
+    stop_all(nodes).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn pending_charges_hold_back_a_declared_release_too() {
+    let log = Arc::new(MemLog::new());
+    let nodes = fleet(2, &log);
+    open(&nodes, &log, "proof").await;
+    nodes[1].log.set_cut(true);
+    drop(nodes[1].settle(charge(1, 1, 40)).await);
+    // Also when the peer's own VM is declared gone, for as long as it answers.
+    retire(&log, "vm-1").await;
+    retire(&log, "router-vm").await;
+    nodes[0]
+        .until("retirement", |fold| fold.active().is_empty())
+        .await;
+    tokio::time::sleep(SETTLED).await;
+    nodes[0]
+        .until("quarantine", |fold| quarantined(fold) == Some(100))
+        .await;
+    nodes[1].log.set_cut(false);
+    nodes[0]
+        .until("charge", |fold| totals(fold) == Some((40, 960)))
+        .await;
+    stop_all(nodes).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_silent_ledger_counts_as_gone_only_when_its_vm_is_declared_gone() {
+    let log = Arc::new(MemLog::new());
+    let mut nodes = fleet(2, &log);
+    open(&nodes, &log, "proof").await;
+    nodes.pop().unwrap().stop().await;
+    retire(&log, "router-vm").await;
+    nodes[0]
+        .until("retirement", |fold| fold.active().is_empty())
+        .await;
+    tokio::time::sleep(SETTLED).await;
+    nodes[0]
+        .until("quarantine", |fold| quarantined(fold) == Some(100))
+        .await;
+    retire(&log, "vm-1").await;
+    nodes[0]
+        .until("release", |fold| totals(fold) == Some((0, 1_000)))
+        .await;
+    stop_all(nodes).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn joins_on_a_retired_vm_are_refused_until_it_is_withdrawn() {
+    let log = Arc::new(MemLog::new());
+    let node = single(&log);
+    let nodes = [node];
+    open(&nodes, &log, "proof").await;
+    let [node] = nodes;
+    retire(&log, "router-vm").await;
+    node.until("release", |fold| totals(fold) == Some((0, 1_000)))
+        .await;
+    let refused = node.submit(vec![join(2)], LONG).await;
+    let Err(LinkError::Failed(failure)) = refused else {
+        panic!("joined: {refused:?}");
+    };
+    assert_eq!(
+        failure.detail,
+        "VM router-vm is declared gone for good: delete retirement/router-vm to use it again"
+    );
+    // One that came by a ledger which had not read of it is retired and released.
+    let record = Record {
+        kind: Some(join(3)),
+    };
+    let batch = Batch {
+        writer: "ledger-behind".to_owned(),
+        writer_epoch: 1,
+        seq: 1,
+        stamp_ms: 0,
+        records: vec![record],
+    };
+    let data = Bytes::from(batch.encode_to_vec());
+    let offset = log.append(&stream(), data).await.unwrap();
+    let (_, shard) = node.ledger.shards().find(stream().as_str()).unwrap();
+    common::eventually("join", || shard.stream.next() > offset).await;
+    node.until("release", |fold| {
+        fold.active().is_empty() && fold.retired().is_empty()
+    })
+    .await;
+
+    withdraw(&log, "router-vm", 2).await;
+    common::eventually("withdrawal", || node.ledger.config().next() == 3).await;
+    node.one(join(4)).await;
+    node.one(claim(4, 1, 10)).await;
+    tokio::time::sleep(SETTLED).await;
+    node.until("active", |fold| fold.active().len() == 1).await;
+    node.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_withdrawn_retirement_proves_nothing() {
+    let log = Arc::new(MemLog::new());
+    let list = VmList::serve(r#"{"version":1,"vms":[{"name":"vm-0"},{"name":"router-vm"}]}"#);
+    let (bound, _) = listener();
+    // A peer that can't be asked until later holds back the release.
+    let (late, address) = listener();
+    let mut with_list = settings("vm-0", &[("vm-1".to_owned(), address)]);
+    with_list.vms = Some(list.address);
+    let nodes = [spawn(with_list, bound, &log)];
+    open(&nodes, &log, "listed").await;
+    let [node] = nodes;
+    retire(&log, "router-vm").await;
+    node.until("retirement", |fold| fold.active().is_empty())
+        .await;
+    withdraw(&log, "router-vm", 2).await;
+    common::eventually("withdrawal", || node.ledger.config().next() == 3).await;
+    let peer = spawn(settings("vm-1", &[]), late, &log);
+    peer.up().await;
+    tokio::time::sleep(SETTLED).await;
+    node.until("quarantine", |fold| quarantined(fold) == Some(100))
+        .await;
+    // The list's own word still counts, by the budget's rule.
+    list.set(r#"{"version":2,"vms":[{"name":"vm-0"}]}"#);
+    node.until("release", |fold| quarantined(fold) == Some(0))
+        .await;
+    stop_all(vec![node, peer]).await;
+}
--- a/crates/operator/tests/testsuite/apply.rs
+++ b/crates/operator/tests/testsuite/apply.rs
@@ -12,7 +12,7 @@
 use swiftlink_client::{ClientError, Exit, change_id};
 use swiftlink_log::{Fault, Log, MemLog};
 
-use crate::rig::{Rig, TOKEN, caller, class, config, delete, put, request};
+use crate::rig::{HANG, Rig, TOKEN, caller, class, config, delete, put, request};
 
 fn problem(error: ClientError) -> swiftlink_client::api::Problem {
     match error {
@@ -349,3 +349,42 @@
     );
     rig.operator.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_retirement_is_applied_shown_watched_and_deleted() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({})).await;
+    let made = put("retirement", "vm-3", Some(0), json!({ "reason": "burnt" }));
+    let applied = rig.apply(vec![made]).await.expect("accepted");
+    let shown = rig.caller.get("retirement", "vm-3").await.expect("exists");
+    assert_eq!(
+        (shown.version, &shown.spec),
+        (applied.version, &json!({ "reason": "burnt" }))
+    );
+    let bare = put("retirement", "vm-4", None, json!({}));
+    rig.apply(vec![bare]).await.expect("accepted");
+    rig.apply(vec![delete("retirement", "vm-3")])
+        .await
+        .expect("deleted");
+    let list = rig.caller.list("retirement").await.expect("listed");
+    let names: Vec<_> = list.items.iter().map(|item| item.name.as_str()).collect();
+    assert_eq!(names, ["vm-4"]);
+    let mut stream = rig
+        .caller
+        .watch(Some("retirement"), Some(0))
+        .await
+        .expect("watched");
+    let mut seen = Vec::new();
+    while seen.len() < 3 {
+        let next = tokio::time::timeout(HANG, stream.next()).await;
+        let event = next.expect("an event never came").expect("goes on");
+        let event = event.expect("no end");
+        seen.push((event.name, event.deleted));
+    }
+    let expected = [("vm-3", false), ("vm-4", false), ("vm-3", true)];
+    assert_eq!(
+        seen,
+        expected.map(|(name, deleted)| (name.to_owned(), deleted))
+    );
+    rig.operator.stop().await;
+}
--- a/crates/resource/src/config.rs
+++ b/crates/resource/src/config.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 
 use subtle::ConstantTimeEq;
-use swiftlink_types::{BudgetName, ClassName, KeyName, PoolName, ServerName, WorkspaceName};
+use swiftlink_types::{
+    BudgetName, ClassName, KeyName, PoolName, ServerName, VmName, WorkspaceName,
+};
 
-use crate::{Budget, Class, Key, KeyHash, Kind, Pool, Server, Spec, TopUp, Workspace};
+use crate::{Budget, Class, Key, KeyHash, Kind, Pool, Retirement, Server, Spec, TopUp, Workspace};
 
 /// The configuration at one version. Shared as `Arc<Config>` and never changed.
 #[derive(Clone, Debug, Default)]
@@ -27,6 +29,8 @@
     pub servers: BTreeMap<ServerName, Arc<Server>>,
     /// API keys by name.
     pub keys: BTreeMap<KeyName, Arc<Key>>,
+    /// Retirements by name of the VM that is gone for good.
+    pub retirements: BTreeMap<VmName, Arc<Retirement>>,
     resources: BTreeMap<Kind, BTreeMap<Arc<str>, Resource>>,
     hashes: HashMap<KeyHash, KeyName>,
     members: BTreeMap<PoolName, Vec<PoolServer>>,
@@ -88,6 +92,12 @@
         self.resources.values().map(BTreeMap::len).sum()
     }
 
+    /// Whether an operator states that the VM of this name is gone for good.
+    #[must_use]
+    pub fn is_retired(&self, vm: &str) -> bool {
+        self.retirements.contains_key(vm)
+    }
+
     pub(crate) fn key_named(&self, hash: &KeyHash) -> Option<&KeyName> {
         self.hashes.get(hash)
     }
@@ -119,6 +129,10 @@
                 self.hashes.insert(spec.hash, name.clone());
                 self.keys.insert(name, Arc::clone(spec));
             }
+            Spec::Retirement(spec) => {
+                self.retirements
+                    .insert(VmName::from(&**name), Arc::clone(spec));
+            }
         }
         let kind = self.resources.entry(resource.spec.kind()).or_default();
         kind.insert(Arc::clone(name), resource);
@@ -136,6 +150,7 @@
             Kind::Pool => drop(self.pools.remove(name)),
             Kind::Server => self.remove_server(name),
             Kind::Key => self.remove_key(name),
+            Kind::Retirement => drop(self.retirements.remove(name)),
         }
     }
 
--- a/crates/resource/src/kind.rs
+++ b/crates/resource/src/kind.rs
@@ -23,6 +23,8 @@
     Server,
     /// An API key of a workspace.
     Key,
+    /// The statement that a VM is gone for good.
+    Retirement,
 }
 
 /// A text that names no kind of resource.
@@ -31,7 +33,7 @@
 
 impl Kind {
     /// Every kind, in an order in which references point backwards only.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Budget,
         Self::TopUp,
         Self::Class,
@@ -39,6 +41,7 @@
         Self::Key,
         Self::Pool,
         Self::Server,
+        Self::Retirement,
     ];
 
     /// The kind as the operator interface spells it.
@@ -52,6 +55,7 @@
             Self::Pool => "pool",
             Self::Server => "server",
             Self::Key => "key",
+            Self::Retirement => "retirement",
         }
     }
 }
--- a/crates/resource/src/lib.rs
+++ b/crates/resource/src/lib.rs
@@ -1,7 +1,7 @@
 //! Declared resources, their validation and their deterministic fold.
 //!
 //! Operators declare workspaces, budgets, top-ups, priority classes, pools,
-//! backend servers and API keys. A change set on the configuration stream is
+//! backend servers, API keys and the retirement of VMs. A change set on the configuration stream is
 //! accepted as a whole or rejected as a whole: every change names the version it
 //! was made from, so the first of two racing changes wins and the second is a
 //! conflict. [`Fold`] decides it, [`Config`] is the result that processes use.
@@ -21,7 +21,7 @@
 pub use kind::Kind;
 pub use sets::SET_MEMORY;
 pub use spec::{
-    Budget, Class, Key, KeyHash, Pool, PoolKind, ReleaseRule, Server, Spec, StaleRule, TopUp,
-    Workspace,
+    Budget, Class, Key, KeyHash, Pool, PoolKind, ReleaseRule, Retirement, Server, Spec, StaleRule,
+    TopUp, Workspace,
 };
 pub use verdict::{Event, Reject, RejectReason, SetFate, Verdict};
--- a/crates/resource/src/spec.rs
+++ b/crates/resource/src/spec.rs
@@ -151,6 +151,17 @@
     pub disabled: bool,
 }
 
+/// The statement that the VM of this name is gone for good, powered off or erased.
+///
+/// It takes the place of a proof: the rights of the VM's routers are released by it.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Retirement {
+    /// How the operator knows, for those who read it later.
+    #[serde(default)]
+    pub reason: String,
+}
+
 /// SHA-256 of a key's secret; 64 hexadecimal characters in JSON.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct KeyHash(pub [u8; 32]);
@@ -194,6 +205,8 @@
     Server(Arc<Server>),
     /// Of an API key.
     Key(Arc<Key>),
+    /// Of the retirement of a VM.
+    Retirement(Arc<Retirement>),
 }
 
 impl Spec {
@@ -208,6 +221,7 @@
             Self::Pool(_) => Kind::Pool,
             Self::Server(_) => Kind::Server,
             Self::Key(_) => Kind::Key,
+            Self::Retirement(_) => Kind::Retirement,
         }
     }
 
@@ -222,6 +236,7 @@
             Self::Pool(spec) => serde_json::to_string(&**spec),
             Self::Server(spec) => serde_json::to_string(&**spec),
             Self::Key(spec) => serde_json::to_string(&**spec),
+            Self::Retirement(spec) => serde_json::to_string(&**spec),
         };
         json.expect("specifications hold only strings, numbers and lists")
     }
@@ -242,7 +257,7 @@
             Self::TopUp(spec) => vec![(Kind::Budget, spec.budget.as_str())],
             Self::Server(spec) => vec![(Kind::Pool, spec.pool.as_str())],
             Self::Key(spec) => vec![(Kind::Workspace, spec.workspace.as_str())],
-            Self::Budget(_) | Self::Class(_) | Self::Pool(_) => Vec::new(),
+            Self::Budget(_) | Self::Class(_) | Self::Pool(_) | Self::Retirement(_) => Vec::new(),
         }
     }
 }
--- a/crates/resource/src/validate.rs
+++ b/crates/resource/src/validate.rs
@@ -5,7 +5,7 @@
 
 use serde::de::DeserializeOwned;
 
-use crate::{Class, Kind, Pool, PoolKind, RejectReason, Server, Spec, Workspace};
+use crate::{Class, Kind, Pool, PoolKind, RejectReason, Retirement, Server, Spec, Workspace};
 
 /// Longest name of a resource (bytes).
 const NAME_MAX: usize = 128;
@@ -21,6 +21,8 @@
 const AHEAD_MAX: u32 = 3_600;
 /// Most bytes that may count as one token.
 const TOKEN_BYTES_MAX: u32 = 64;
+/// Longest reason of a retirement (bytes).
+const REASON_MAX: usize = 512;
 
 /// Parses and checks the specification of a resource.
 pub(crate) fn parse(kind: Kind, name: &str, json: &str) -> Result<Spec, RejectReason> {
@@ -40,6 +42,7 @@
         Kind::Pool => Spec::Pool(typed(json)?),
         Kind::Server => Spec::Server(typed(json)?),
         Kind::Key => Spec::Key(typed(json)?),
+        Kind::Retirement => Spec::Retirement(typed(json)?),
     })
 }
 
@@ -106,6 +109,7 @@
         Spec::Class(spec) => check_class(spec),
         Spec::Pool(spec) => check_pool(spec),
         Spec::Server(spec) => check_server(spec),
+        Spec::Retirement(spec) => check_retirement(spec),
     }
 }
 
@@ -161,6 +165,16 @@
     check_range("slots", spec.slots, 1, SLOTS_MAX)
 }
 
+fn check_retirement(spec: &Retirement) -> Result<(), RejectReason> {
+    if spec.reason.len() > REASON_MAX {
+        return Err(invalid(
+            "reason",
+            format!("must have at most {REASON_MAX} bytes"),
+        ));
+    }
+    Ok(())
+}
+
 fn check_address(address: SocketAddr) -> Result<(), RejectReason> {
     if address.port() == 0 {
         return Err(invalid("address", "must have a port"));
--- a/crates/resource/tests/common/mod.rs
+++ b/crates/resource/tests/common/mod.rs
@@ -60,9 +60,10 @@
         put("pool", "p", 0, r#"{"kind":"model"}"#),
         put("class", "c", 0, "{}"),
         put("budget", "b", 0, "{}"),
+        put("retirement", "vm-9", 0, "{}"),
     ];
     let fate = apply(&mut fold, 9, "start", changes);
-    assert_eq!((fate.verdict, fate.events.len()), (Verdict::Accepted, 7));
+    assert_eq!((fate.verdict, fate.events.len()), (Verdict::Accepted, 8));
     fold
 }
 
--- a/crates/resource/tests/properties.rs
+++ b/crates/resource/tests/properties.rs
@@ -40,6 +40,7 @@
         ),
         Kind::Pool => format!(r#"{{"kind":"model","max_tokens":{n}}}"#),
         Kind::Server => format!(r#"{{"pool":"n{name}","address":"127.0.0.1:{n}","domain":"d"}}"#),
+        Kind::Retirement => format!(r#"{{"reason":"{n}"}}"#),
     }
 }
 
@@ -181,10 +182,15 @@
                 .key_by_hash(&key.hash.0)
                 .is_some_and(|(found, _)| found == *name)
         });
-        let whole = found.count() == config.keys.len() && members == config.servers.len();
+        let retired = config.list(Kind::Retirement);
+        let known = retired.filter(|(name, _)| config.is_retired(name)).count();
+        let whole = found.count() == config.keys.len()
+            && members == config.servers.len()
+            && known == config.retirements.len()
+            && known == config.list(Kind::Retirement).count();
         whole
             .then_some(())
-            .ok_or("an index lost a key or a server".to_owned())
+            .ok_or("an index lost a key, a server or a retirement".to_owned())
     }
 }
 
--- a/crates/resource/tests/rules.rs
+++ b/crates/resource/tests/rules.rs
@@ -79,15 +79,56 @@
 server n {"pool":"p","address":"0.0.0.0:80","domain":"d"} address
 server n {"pool":"p","address":"127.0.0.1:80","domain":""} domain
 key n {"workspace":"w","hash":"12"} hash
+retirement n {"reason":1} reason
+retirement n {"vm":"n"} vm
+retirement a/b {} name
 key n {"workspace":"w","hash":"00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"} hash
 "#;
 
+/// A retirement with a reason of this length.
+fn reason(length: usize) -> String {
+    format!(r#"{{"reason":"{}"}}"#, "x".repeat(length))
+}
+
+#[test]
+fn a_retirement_stands_until_it_is_deleted() {
+    let mut fold = start();
+    let shown = |fold: &Fold| {
+        let config = fold.config();
+        let found = config.get(Kind::Retirement, "vm-9");
+        found.map(|resource| (resource.version, resource.json.to_string()))
+    };
+    assert_eq!(shown(&fold), Some((10, r#"{"reason":""}"#.to_owned())));
+    assert!(fold.config().is_retired("vm-9") && !fold.config().is_retired("vm-8"));
+    let change = put("retirement", "vm-9", 10, r#"{"reason":"burnt"}"#);
+    apply(&mut fold, 20, "why", vec![change]);
+    assert_eq!(fold.config().retirements["vm-9"].reason, "burnt");
+    let longest = put("retirement", "vm-8", 0, &reason(512));
+    apply(&mut fold, 21, "more", vec![longest]);
+    // A fold loaded from a snapshot knows of it too.
+    let mut fold = Fold::decode(&fold.encode()).expect("a state");
+    assert!(fold.config().is_retired("vm-8") && fold.config().is_retired("vm-9"));
+    let stale = delete("retirement", "vm-9", 10);
+    assert_eq!(
+        refused(&mut fold, stale),
+        [RejectReason::Conflict { current: 21 }]
+    );
+    apply(
+        &mut fold,
+        23,
+        "back",
+        vec![delete("retirement", "vm-9", 21)],
+    );
+    assert!(!fold.config().is_retired("vm-9") && shown(&fold).is_none());
+}
+
 #[test]
 fn invalid_specifications_name_the_field() {
     let mut fold = start();
     let mut changes = vec![
         (put("class", "", 0, "{}"), "name"),
         (put("class", &"n".repeat(129), 0, "{}"), "name"),
+        (put("retirement", "n", 0, &reason(513)), "reason"),
     ];
     for line in INVALID.trim().lines() {
         let words: Vec<&str> = line.split(' ').collect();
