router: count requests without rights as demand

A request that found no rights here and was relayed or refused was not told to the sizer: Grant::miss had no caller. A router whose requests all went to another holder saw no demand, its target stayed 0, and it went on relaying them.

Ruled out: a claim's own answer can't stand in for it. A request that is relayed at once no longer waits when the claimer looks, so the claim for it asks for nothing.

Account::obtain now counts one miss for each request that ends without rights, and wakes the claimer after it: the wake at the start of the wait may have been used up by a look that came before the miss.

Run: crates/router/tests/account.rs, 11 tests pass; the two new ones failed before (0 misses counted, no second wake).

--- a/crates/router/src/account.rs
+++ b/crates/router/src/account.rs
@@ -128,6 +128,21 @@
         cost: Tokens,
         policy: WaitPolicy,
         may_relay: bool,
+    ) -> Result<Reservation, Shortage> {
+        let found = self.try_obtain(cost, policy, may_relay).await;
+        if found.is_err() {
+            // Demand that was not met here; the claimer sizes its claims by it.
+            self.grant.miss(cost);
+            self.wake.notify_one();
+        }
+        found
+    }
+
+    async fn try_obtain(
+        &self,
+        cost: Tokens,
+        policy: WaitPolicy,
+        may_relay: bool,
     ) -> Result<Reservation, Shortage> {
         if let Some(held) = self.take(cost) {
             return Ok(held);
--- a/crates/router/tests/account.rs
+++ b/crates/router/tests/account.rs
@@ -172,3 +172,55 @@
     assert_eq!(shortage.refusal.kind, RefusalKind::BudgetBusy);
     assert_eq!(start.elapsed(), policy().claim_wait, "paused clock");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_request_without_rights_is_one_miss() {
+    let address = "127.0.0.1:7101".parse().expect("an address");
+    let account = account();
+    // Relayed: another router holds rights.
+    claimer(&account, move |account| {
+        account.tell(|news| {
+            news.at = Some(Instant::now());
+            news.elsewhere = 500;
+            news.holders = Arc::from([Holder { address, held: 500 }]);
+        });
+    });
+    let relayed = account.obtain(60, policy(), true).await;
+    assert_eq!(relayed.expect_err("elsewhere").holders, [address]);
+    let demand = account.grant.demand();
+    assert_eq!((demand.missed, demand.requests), (60, 1));
+    // Refused: it was relayed here already.
+    let refused = account.obtain(40, policy(), false).await;
+    assert!(refused.is_err());
+    let demand = account.grant.demand();
+    assert_eq!((demand.missed, demand.requests), (100, 2));
+    // One that waits and then reserves is no miss.
+    account.wake.notified().await;
+    tokio::time::sleep(policy().pause * 2).await;
+    claimer(&account, |account| {
+        account.grant.credit(80);
+        account.tell(|news| news.at = Some(Instant::now()));
+    });
+    let held = account.obtain(30, policy(), false).await.expect("granted");
+    assert_eq!(held.amount(), 30);
+    let demand = account.grant.demand();
+    assert_eq!((demand.taken, demand.missed, demand.requests), (30, 100, 3));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_miss_wakes_the_claimer() {
+    let account = account();
+    let silent = WaitPolicy {
+        has_log: false,
+        ..policy()
+    };
+    let mut waits = std::pin::pin!(account.wake.notified());
+    waits.as_mut().enable();
+    let refused = account.obtain(60, silent, true).await;
+    assert!(refused.is_err());
+    waits.await;
+    // The claimer may have looked at the demand before the miss was noted.
+    let again = tokio::time::timeout(Duration::from_secs(1), account.wake.notified()).await;
+    assert!(again.is_ok(), "a second wake, after the miss");
+    assert_eq!(account.grant.demand().missed, 60);
+}
