admission, router: let an idle budget rest

An idle fleet wrote 100 to 151 log records a second (measured on three VMs). After idle_after the sizer returned all rights, but its target stayed at the floor (four requests of mean cost, or min_grant), so that it claimed again at once; and the claimer began its next look without a pause after each claim and return.

Ruled out: a lower floor only makes the same circle smaller; a pause alone only makes it slower.

The target of an idle router is 0. Requests that end after the idle time began hold the return back, so that there is one for all of them. Demand that returns is claimed for by the size that it had before. Without a request at most one surplus is returned before the idle return. Refused claims that no request waits for are paused for up to 30 s, and only news of enough free tokens ends the pause. The claimer pauses 5 ms after each look, and reads the waiting requests before the demand, so that a request that takes its rights in between is not missed by both.

The pause of the claimer has no test of its own.

--- a/crates/admission/src/sizer.rs
+++ b/crates/admission/src/sizer.rs
@@ -25,6 +25,8 @@
 const HIGH_MARK: f64 = 2.0;
 /// Least part of `ahead` that is held at the end of a budget.
 const MIN_AHEAD: f64 = 0.02;
+/// Longest pause after refused claims that no request waits for.
+const STOCK_PAUSE: Duration = Duration::from_secs(30);
 
 /// Settings of a [`DemandSizer`].
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -155,6 +157,10 @@
 /// few requests. When the free rest of the budget can't cover the targets of all
 /// sharers, `ahead` shrinks in proportion, and what is then surplus is returned for
 /// the others. While the log is out nothing is returned.
+///
+/// Without demand for `idle_after` the target is 0: all is returned once, and nothing
+/// is claimed until a request comes. Demand that returns is claimed for by the size
+/// that it had before.
 #[derive(Debug)]
 pub struct DemandSizer {
     policy: SizerPolicy,
@@ -163,8 +169,17 @@
     peak: f64,
     seen: Demand,
     seen_at: Option<Micros>,
+    /// When a request last asked for rights; `None` before the first.
     busy_at: Option<Micros>,
+    /// When a request last left some of its rights.
+    freed_at: Micros,
     over_since: Option<Micros>,
+    /// A surplus was returned since the last request.
+    is_trimmed: bool,
+    /// Tokens for `ahead` at the last request.
+    usual: f64,
+    /// Demand is back after an idle time, and nothing was granted since.
+    is_back: bool,
     /// Free tokens of the budget for each sharer, as last heard.
     free_share: Option<f64>,
     free: Tokens,
@@ -173,7 +188,11 @@
     wanted: Tokens,
     /// Rights below this can't serve the request that the last claim was refused for.
     useless: Tokens,
+    /// Least amount of the last claim.
+    need: Tokens,
     pause: Pause,
+    /// Pause between claims that no request waits for.
+    stock: Pause,
 }
 
 impl DemandSizer {
@@ -188,13 +207,19 @@
             seen: Demand::default(),
             seen_at: None,
             busy_at: None,
+            freed_at: 0,
             over_since: None,
+            is_trimmed: false,
+            usual: 0.0,
+            is_back: false,
             free_share: None,
             free: 0,
             is_out: false,
             wanted: 0,
             useless: 0,
+            need: 0,
             pause: Pause::new(policy.retry_base, policy.retry_max),
+            stock: Pause::new(policy.retry_base, STOCK_PAUSE),
         }
     }
 
@@ -211,11 +236,14 @@
         rates.fold(0.0, f64::max)
     }
 
-    /// Tokens that the sizer would like to hold at `now`.
+    /// Tokens that the sizer would like to hold at `now`; 0 when idle.
     #[must_use]
     pub fn target(&self, now: Micros) -> Tokens {
-        let rate = self.rate(now);
-        let full = rate * self.policy.ahead.as_secs_f64();
+        if self.is_idle(now) {
+            return 0;
+        }
+        let usual = if self.is_back { self.usual } else { 0.0 };
+        let full = self.full(now).max(usual);
         let part = self.ahead_part(full);
         let floor = MIN_REQUESTS * self.cost.get().unwrap_or(0.0);
         let least = floor.max(self.policy.min_grant as f64 * part);
@@ -223,6 +251,11 @@
         target.ceil() as Tokens
     }
 
+    /// Tokens for all of `ahead`.
+    fn full(&self, now: Micros) -> f64 {
+        self.rate(now) * self.policy.ahead.as_secs_f64()
+    }
+
     /// Part of `ahead` that the free rest of the budget allows.
     fn ahead_part(&self, full: f64) -> f64 {
         match self.free_share {
@@ -241,15 +274,23 @@
 
     /// Whether the free rest of the budget is short for the sharers' targets.
     fn is_tail(&self, now: Micros) -> bool {
-        let full = self.rate(now) * self.policy.ahead.as_secs_f64();
+        let full = self.full(now);
         self.free_share.is_some_and(|share| share < full)
     }
 
     fn is_idle(&self, now: Micros) -> bool {
-        let Some(busy) = self.busy_at else {
-            return false;
-        };
-        now.saturating_sub(busy) >= micros(self.policy.idle_after)
+        let idle = micros(self.policy.idle_after);
+        self.busy_at
+            .is_none_or(|busy| now.saturating_sub(busy) >= idle)
+    }
+
+    /// Takes note of a request at `now`.
+    fn stir(&mut self, now: Micros) {
+        if self.busy_at.is_some() && self.is_idle(now) {
+            self.is_back = true;
+        }
+        self.busy_at = Some(now);
+        self.is_trimmed = false;
     }
 }
 
@@ -273,13 +314,18 @@
         }
         if requests > 0 {
             self.cost.add(taken as f64 / requests as f64);
-            self.busy_at = Some(now);
+            self.stir(now);
+        }
+        if requests > 0 && !self.is_back {
+            self.usual = self.full(now);
+        }
+        if unspent > 0 {
+            self.freed_at = now;
         }
         let decay = PEAK_DECAY.powf(step as f64 / MICROS_PER_SEC);
         self.peak = (self.peak * decay).max(taken as f64);
         self.seen = demand;
         self.seen_at = Some(now);
-        self.busy_at.get_or_insert(now);
     }
 
     fn on_claimed(&mut self, now: Micros, outcome: &ClaimOutcome) {
@@ -288,10 +334,15 @@
         if outcome.granted == 0 {
             self.pause.extend(now);
             self.useless = self.wanted;
+            if self.wanted == 0 {
+                self.stock.extend(now);
+            }
         } else {
             self.pause.clear();
+            self.stock.clear();
             self.over_since = None;
             self.useless = 0;
+            self.is_back = false;
         }
     }
 
@@ -301,23 +352,30 @@
     }
 
     fn on_budget(&mut self, _now: Micros, _topped_up: Tokens, free: Tokens, sharers: u32) {
-        // News of more free tokens (a top-up, a return) ends the pause.
-        if free > self.free {
+        // News of more free tokens (a top-up, a return) ends the pause, once they are
+        // enough for what was refused.
+        if free > self.free && free >= self.need {
             self.pause.clear();
+            self.stock.clear();
         }
         self.hear(free, sharers);
     }
 
     fn claim(&mut self, now: Micros, available: Tokens, waiting: Waiting) -> Option<ClaimSize> {
+        if waiting.total > 0 {
+            self.stir(now);
+        }
         if !self.pause.is_over(now) {
             return None;
         }
-        let target = self.target(now).saturating_add(waiting.total);
-        let low = self.target(now) as f64 * LOW_MARK;
+        let target = self.target(now);
+        let low = target as f64 * LOW_MARK;
         let is_short = waiting.least > available;
-        if !is_short && available as f64 >= low {
+        let is_low = (available as f64) < low && self.stock.is_over(now);
+        if !is_short && !is_low {
             return None;
         }
+        let target = target.saturating_add(waiting.total);
         let want = target.saturating_sub(available);
         self.wanted = if is_short { waiting.least } else { 0 };
         let need = if is_short {
@@ -327,6 +385,7 @@
         };
         let need = need.clamp(1, want.max(1));
         let want = want.max(need);
+        self.need = need;
         Some(ClaimSize { need, want })
     }
 
@@ -334,9 +393,12 @@
         if self.is_out || available == 0 {
             return None;
         }
+        let idle = micros(self.policy.idle_after);
         if self.is_idle(now) {
             self.over_since = None;
-            return Some(available);
+            // Requests that still run leave more soon: one return for all of it.
+            let is_settled = now.saturating_sub(self.freed_at) >= idle;
+            return is_settled.then_some(available);
         }
         if available < self.useless {
             // Too little for a request here, but together with the like of the other
@@ -345,18 +407,18 @@
             return Some(available);
         }
         let target = self.target(now);
-        if available as f64 <= target as f64 * HIGH_MARK {
+        if self.is_trimmed || available as f64 <= target as f64 * HIGH_MARK {
             self.over_since = None;
             return None;
         }
         let since = *self.over_since.get_or_insert(now);
-        let idle = micros(self.policy.idle_after);
         // Others may be refused for want of these tokens: don't sit on them.
         let patience = if self.is_tail(now) { idle / 10 } else { idle };
         if now.saturating_sub(since) < patience {
             return None;
         }
         self.over_since = None;
+        self.is_trimmed = true;
         Some(available - target)
     }
 }
--- a/crates/router/src/claim.rs
+++ b/crates/router/src/claim.rs
@@ -23,6 +23,8 @@
 
 /// Time between looks at the demand of an account in use.
 const TICK: Duration = Duration::from_millis(500);
+/// Least time between two looks, so that no run of claims or wakes keeps a thread busy.
+const LOOK_PAUSE: Duration = Duration::from_millis(5);
 /// Pause of a claimer whose waiters must be answered from the last news.
 const TOLD_PAUSE: Duration = Duration::from_millis(20);
 /// First and largest pause between submissions of one record.
@@ -105,24 +107,14 @@
         let stop = self.context.stop.clone();
         while !stop.is_cancelled() && !self.seat.is_retired() {
             self.refresh();
-            let now = self.now();
-            let available = self.account.grant.available();
-            self.sizer.observe(now, self.account.grant.demand());
-            self.account.set_low(self.sizer.target(now) / 2);
-            let waiting = self.account.waiting();
-            if let Some(size) = self.sizer.claim(now, available, waiting) {
-                self.claim(size).await;
-                continue;
+            let is_claimed = self.look().await;
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = tokio::time::sleep(LOOK_PAUSE) => {}
             }
-            let is_short = waiting.least > available;
-            if is_short {
-                // In a pause between claims the last answer stands.
-                self.account.tell(|news| news.at = Some(Instant::now()));
-            } else if let Some(extra) = self.sizer.surplus(now, available) {
-                self.give_back(extra).await;
-                continue;
+            if !is_claimed {
+                self.sleep().await;
             }
-            self.sleep(is_short).await;
         }
         // Those who still wait are told that nothing more comes.
         self.account.tell(|news| {
@@ -131,8 +123,31 @@
         });
     }
 
-    async fn sleep(&self, is_short: bool) {
-        let is_idle = self.account.grant.available() == 0 && !is_short;
+    /// Makes at most one claim or return; whether a claim was made.
+    async fn look(&mut self) -> bool {
+        let now = self.now();
+        // Before the demand: a request that has stopped to wait is counted there.
+        let waiting = self.account.waiting();
+        self.sizer.observe(now, self.account.grant.demand());
+        self.account.set_low(self.sizer.target(now) / 2);
+        let available = self.account.grant.available();
+        if let Some(size) = self.sizer.claim(now, available, waiting) {
+            self.claim(size).await;
+            return true;
+        }
+        if waiting.least > available {
+            // In a pause between claims the last answer stands.
+            self.account.tell(|news| news.at = Some(Instant::now()));
+        } else if let Some(extra) = self.sizer.surplus(now, available) {
+            self.give_back(extra).await;
+        }
+        false
+    }
+
+    async fn sleep(&self) {
+        let available = self.account.grant.available();
+        let is_short = self.account.waiting().least > available;
+        let is_idle = available == 0 && !is_short;
         let tick = if is_short { TOLD_PAUSE } else { TICK };
         tokio::select! {
             () = self.context.stop.cancelled() => {}
