router: an outage of the log for everyone makes no configuration stale

Cause: over stale_ms (5 s) without news a router refused every workspace with stale = "refuse", although it held rights and nobody could have had a change accepted while the log was out for all. Any longer outage was a full refusal.

Change: Freshness (sans-IO) trusts the configuration also while every ledger answers pings and says that the log is out for it, and none heard from the log after what is folded here. One ledger that is not heard, or that was restarted in the outage, leaves the age to decide. Routers ping each ledger once a second, at most ping_sample (32) a second.

Ruled out: taking the answers of some ledgers for all (a partition with the operator and the log on the other side would serve a revoked key).

--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -3,8 +3,8 @@
 //! It is as old as the last moment at which some ledger knew the log's end and this
 //! router had folded up to it. It never goes back.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -13,12 +13,14 @@
 use swiftlink_log::{Backoff, Replica};
 use swiftlink_resource::{Config, Fold};
 use swiftlink_telemetry::event;
+use swiftlink_types::Micros;
 use swiftlink_wire::link::{Follow, Page, reply, request};
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::fleet::Pools;
+use crate::freshness::{Freshness, Pong, Trust};
 use crate::ledgers::{Ledgers, describe};
 
 /// A ledger that sends no page for so long is left for another.
@@ -36,21 +38,29 @@
     current: ArcSwap<Config>,
     pools: Arc<Pools>,
     start: Instant,
+    freshness: Mutex<Freshness>,
     /// Microseconds from `start` to the moment of which the configuration is known
     /// to be the newest, plus one; 0 before the first.
     known: AtomicU64,
+    /// The same for the moment until which it may be taken for the newest.
+    until: AtomicU64,
+    /// Offset of the configuration stream that is read next.
+    offset: AtomicU64,
     changed: watch::Sender<u64>,
 }
 
 impl ConfigView {
     /// An empty configuration of unlimited age; `pools` get each new one first.
     #[must_use]
-    pub fn new(pools: Arc<Pools>) -> Arc<Self> {
+    pub fn new(pools: Arc<Pools>, freshness: Freshness) -> Arc<Self> {
         Arc::new(Self {
             current: ArcSwap::from_pointee(Config::default()),
             pools,
             start: Instant::now(),
+            freshness: Mutex::new(freshness),
             known: AtomicU64::new(0),
+            until: AtomicU64::new(0),
+            offset: AtomicU64::new(0),
             changed: watch::Sender::new(0),
         })
     }
@@ -69,6 +79,37 @@
         Some(now.saturating_sub(Duration::from_micros(known)))
     }
 
+    /// Whether a newer configuration may exist; true before the first.
+    #[must_use]
+    pub fn is_stale(&self) -> bool {
+        let until = self.until.load(Ordering::Relaxed).checked_sub(1);
+        until.is_none_or(|until| self.now() > until)
+    }
+
+    /// How far the configuration can be trusted now.
+    #[must_use]
+    pub fn trust(&self) -> Trust {
+        let now = self.now();
+        self.freshness().judge(now)
+    }
+
+    /// Offset of the configuration stream that is read next.
+    #[must_use]
+    pub fn offset(&self) -> u64 {
+        self.offset.load(Ordering::Relaxed)
+    }
+
+    /// Time of this view's clock.
+    #[must_use]
+    pub fn now(&self) -> Micros {
+        micros(self.start.elapsed())
+    }
+
+    /// Notes the answer of ledger number `ledger` of the nearest first.
+    pub fn hear(&self, ledger: usize, pong: Pong) {
+        self.judge(|freshness| freshness.pong(ledger, pong));
+    }
+
     /// Whether no ledger has heard from the log lately, as far as this router knows:
     /// what needs the log's word need not wait for it.
     #[must_use]
@@ -97,12 +138,30 @@
 
     /// Notes that the configuration was the newest `age` ago.
     fn confirm(&self, age: Duration) {
-        let at = self.start.elapsed().saturating_sub(age);
-        let micros = u64::try_from(at.as_micros()).unwrap_or(u64::MAX - 1);
-        self.known.fetch_max(micros + 1, Ordering::Relaxed);
+        let known = self.now().saturating_sub(micros(age));
+        self.known.fetch_max(known + 1, Ordering::Relaxed);
+        self.judge(|freshness| freshness.page(known));
+    }
+
+    fn freshness(&self) -> std::sync::MutexGuard<'_, Freshness> {
+        self.freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes news in, and publishes until when the configuration may be trusted.
+    fn judge(&self, news: impl FnOnce(&mut Freshness)) {
+        let mut freshness = self.freshness();
+        news(&mut freshness);
+        let until = freshness.until().map_or(0, |until| until.saturating_add(1));
+        self.until.store(until, Ordering::Relaxed);
     }
 }
 
+fn micros(time: Duration) -> Micros {
+    Micros::try_from(time.as_micros()).unwrap_or(Micros::MAX - 1)
+}
+
 /// Follows the configuration until `stop`, from one ledger after another.
 pub async fn follow(
     view: Arc<ConfigView>,
@@ -187,6 +246,8 @@
         self.replica
             .feed(page.first, &page.records)
             .map_err(|error| error.to_string())?;
+        let offset = self.replica.next();
+        self.view.offset.store(offset, Ordering::Relaxed);
         let Some(state) = self.replica.state() else {
             return Ok(());
         };
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -76,8 +76,7 @@
     /// Whether a newer configuration may exist; true before the first.
     #[must_use]
     pub fn is_stale(&self) -> bool {
-        let age = self.config.age();
-        age.is_none_or(|age| age > self.settings.stale())
+        self.config.is_stale()
     }
 
     /// How a request to a backend server may use connections, when `left` is left
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -20,6 +20,7 @@
 use crate::config::{self, ConfigView};
 use crate::dump::NodeDump;
 use crate::fleet::Pools;
+use crate::freshness::Freshness;
 use crate::intent::Intents;
 use crate::keys::Keys;
 use crate::ledgers::Ledgers;
@@ -28,7 +29,7 @@
 use crate::past::PastRuns;
 use crate::serve::Surface;
 use crate::settings::Settings;
-use crate::{stop, vms};
+use crate::{pings, stop, vms};
 
 /// Least worker threads of the callers' listener.
 const WORKERS_MIN: usize = 2;
@@ -123,7 +124,8 @@
     let home = DomainName::from(settings.common.domain.as_str());
     let seed = seed_of(&settings.common.vm);
     let pools = Pools::new(home, settings.subset, seed);
-    let config = ConfigView::new(Arc::clone(&pools));
+    let freshness = Freshness::new(pings::rule(settings.stale()), ledgers.near().len());
+    let config = ConfigView::new(Arc::clone(&pools), freshness);
     let context = ClaimContext {
         ledgers: Arc::clone(&ledgers),
         config: Arc::clone(&config),
@@ -185,6 +187,13 @@
         stop.clone(),
     );
     node.tasks.spawn_on(follow, spawn_on);
+    let ping = pings::ping(
+        Arc::clone(&node.config),
+        Arc::clone(&node.ledgers),
+        settings.ping_sample,
+        stop.clone(),
+    );
+    node.tasks.spawn_on(ping, spawn_on);
     let keeper = Keeper {
         vm: VmName::from(settings.common.vm.as_str()),
         domain: Arc::from(settings.common.domain.as_str()),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -31,6 +31,10 @@
     /// Age over which the configuration counts as stale.
     #[serde(default = "d::stale_ms")]
     pub stale_ms: u64,
+    /// Most ledgers asked in one second whether the log is out for them too. A fleet
+    /// with more than twice as many goes by the age of the configuration alone.
+    #[serde(default = "d::ping_sample")]
+    pub ping_sample: usize,
     /// Age over which a request key is refused.
     #[serde(default = "d::key_window_ms")]
     pub key_window_ms: u64,
@@ -110,6 +114,9 @@
     pub(super) fn stale_ms() -> u64 {
         5_000
     }
+    pub(super) fn ping_sample() -> usize {
+        32
+    }
     pub(super) fn key_window_ms() -> u64 {
         600_000
     }
@@ -198,6 +205,9 @@
         if self.key_memory == 0 {
             return Err(CheckError::new("key_memory", "must be more than 0"));
         }
+        if self.ping_sample == 0 {
+            return Err(CheckError::new("ping_sample", "must be more than 0"));
+        }
         if self.subset == 0 {
             return Err(CheckError::new("subset", "must be more than 0"));
         }
