router: don't take an outage of the log for the time of a claim

After an outage requests were refused with 429 budget-busy, "tokens are held elsewhere", with 998,500 tokens free. The claim that was submitted through the outage put its whole length into the estimate of a claim's time; with the estimate over claim_wait_ms no claim was waited for, and Retry-After grew with it (ten minutes: about 75 s).

Ruled out: resetting the estimate once the log is back would forget that a log is slow; a cap at claim_wait_ms would still rule claims out at the cap.

Only a claim decided by its first submission is timed; that is at most claim_wait_ms. And a refusal because a claim would come too late, with enough free, now says so (503 log-out) and no longer blames other holders.

--- a/crates/admission/src/shortfall.rs
+++ b/crates/admission/src/shortfall.rs
@@ -99,6 +99,10 @@
         let detail = "no rights are held here and the log can't grant any";
         return Refusal::not_run(RefusalKind::LogOut, detail).with_retry(retry);
     }
+    if case.free.is_none_or(|free| free >= case.cost) {
+        let detail = "the log is not expected to decide a claim of rights in time";
+        return Refusal::not_run(RefusalKind::LogOut, detail).with_retry(retry);
+    }
     let detail = "the budget's tokens are held elsewhere";
     Refusal::not_run(RefusalKind::BudgetBusy, detail).with_retry(retry)
 }
--- a/crates/admission/tests/decisions.rs
+++ b/crates/admission/tests/decisions.rs
@@ -68,6 +68,21 @@
     assert_eq!(kind(&out), (RefusalKind::LogOut, true));
 }
 
+#[test]
+fn a_claim_that_comes_too_late_is_not_blamed_on_other_holders() {
+    let mut late = case(&[]);
+    late.claim_time = Duration::from_secs(5);
+    for free in [Some(998_500), None] {
+        late.free = free;
+        let Step::Refuse(refusal) = shortfall(&late) else {
+            panic!("a claim after the deadline is of no use");
+        };
+        assert_eq!(refusal.kind, RefusalKind::LogOut);
+        assert_eq!(refusal.retry_after, Some(late.claim_time));
+        assert!(!refusal.detail.contains("elsewhere"), "{}", refusal.detail);
+    }
+}
+
 #[test]
 fn appointments_are_spaced_by_the_rate_and_kept_once() {
     let mut book = Appointments::new(BookPolicy::default());
--- a/crates/router/src/account.rs
+++ b/crates/router/src/account.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, timeout_at};
 
 /// Expected time of a claim before one has been timed.
-const FIRST_CLAIM_TIME: Duration = Duration::from_millis(20);
+pub const FIRST_CLAIM_TIME: Duration = Duration::from_millis(20);
 /// Time that a relay to another router is expected to add.
 const DETOUR: Duration = Duration::from_millis(5);
 
@@ -280,7 +280,9 @@
             .store(old - old / 8 + new / 8, Ordering::Relaxed);
     }
 
-    fn claim_time(&self) -> Duration {
+    /// Expected time of a claim.
+    #[must_use]
+    pub fn claim_time(&self) -> Duration {
         Duration::from_micros(self.claim_time.load(Ordering::Relaxed))
     }
 
--- a/crates/router/src/claim.rs
+++ b/crates/router/src/claim.rs
@@ -194,13 +194,14 @@
             need: size.need,
             want: size.want,
         };
-        let start = Instant::now();
-        let Some(fate) = self.decide(record::Kind::Claim(claim)).await else {
+        let Some(decided) = self.decide(record::Kind::Claim(claim)).await else {
             return;
         };
-        match fate {
+        match decided.fate {
             fate::Kind::Claim(fate) => {
-                self.account.note_claim(start.elapsed());
+                if let Some(took) = decided.took {
+                    self.account.note_claim(took);
+                }
                 self.apply(size, &fate);
             }
             fate::Kind::Rejected(rejected) => {
@@ -268,7 +269,7 @@
             return;
         }
         let kind = record::Kind::GiveBack(self.account.give_back(&self.seat));
-        let _fate = self.decide(kind).await;
+        let _decided = self.decide(kind).await;
         event!(
             debug,
             "grant.returned",
@@ -278,8 +279,10 @@
     }
 
     /// Submits the record until the log has decided it; `None` when stopped before.
-    async fn decide(&mut self, kind: record::Kind) -> Option<fate::Kind> {
+    async fn decide(&mut self, kind: record::Kind) -> Option<Decided> {
         let mut backoff = Backoff::new(RETRY_BASE, RETRY_CAP);
+        let start = Instant::now();
+        let mut is_first = true;
         let mut said = false;
         loop {
             let context = &self.context;
@@ -289,7 +292,10 @@
                     => submitted,
             };
             match submitted {
-                Ok(fate) => return Some(fate),
+                Ok(fate) => {
+                    let took = is_first.then(|| start.elapsed());
+                    return Some(Decided { fate, took });
+                }
                 Err(error) if !said => {
                     event!(
                         warn,
@@ -301,6 +307,7 @@
                 }
                 Err(_) => {}
             }
+            is_first = false;
             let now = self.now();
             self.sizer.on_failed(now);
             self.fail();
@@ -323,6 +330,13 @@
     }
 }
 
+/// A record's fate.
+struct Decided {
+    fate: fate::Kind,
+    /// How long the log took; `None` after a retry, which times an outage.
+    took: Option<Duration>,
+}
+
 impl Account {
     /// The record that returns all rights taken out of use so far.
     #[must_use]
--- /dev/null
+++ b/crates/router/tests/claim.rs
@@ -0,0 +1,252 @@
+//! The claimer against a ledger that answers as each test says.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use serde_json::json;
+use swiftlink_link::{Handler, Replies, Secret, Server};
+use swiftlink_router::Settings;
+use swiftlink_router::account::{Account, FIRST_CLAIM_TIME, Shortage, WaitPolicy};
+use swiftlink_router::claim::{ClaimContext, Claimers};
+use swiftlink_router::config::ConfigView;
+use swiftlink_router::fleet::Pools;
+use swiftlink_router::freshness::Freshness;
+use swiftlink_router::keys::Keys;
+use swiftlink_router::ledgers::Ledgers;
+use swiftlink_router::members::{Keeper, Members, Seat};
+use swiftlink_router::pings;
+use swiftlink_telemetry::Metrics;
+use swiftlink_types::{BudgetName, DomainName, RefusalKind, VmName};
+use swiftlink_wire::link::{BudgetView, Budgets, Failure, FailureKind, Submitted, reply, request};
+use swiftlink_wire::log::{ClaimFate, Fate, JoinFate, fate, record};
+use tokio::runtime::Handle;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+const SECRET: &str = "0123456789abcdef";
+/// Longer than anything here takes, even on a busy machine.
+const LONG: Duration = Duration::from_secs(60);
+
+/// A ledger of one budget.
+#[derive(Debug, Default)]
+struct Fake {
+    /// Claims that are still to be failed, as in an outage of the log.
+    failures: AtomicU64,
+    /// Claims that are still to be refused, as by a budget without free tokens.
+    refusals: AtomicU64,
+    /// Free tokens.
+    free: AtomicU64,
+}
+
+impl Fake {
+    fn decide(&self, kind: record::Kind) -> Result<fate::Kind, Failure> {
+        let record::Kind::Claim(claim) = kind else {
+            let active = true;
+            return Ok(fate::Kind::Join(JoinFate {
+                active,
+                ..JoinFate::default()
+            }));
+        };
+        if is_left(&self.failures) {
+            return Err(Failure {
+                kind: FailureKind::LogOut.into(),
+                detail: String::new(),
+            });
+        }
+        if is_left(&self.refusals) {
+            return Ok(fate::Kind::Claim(ClaimFate {
+                seq: claim.seq,
+                ..ClaimFate::default()
+            }));
+        }
+        let free = self.free.load(Ordering::SeqCst);
+        let granted = if free < claim.need {
+            0
+        } else {
+            free.min(claim.want)
+        };
+        self.free.store(free - granted, Ordering::SeqCst);
+        Ok(fate::Kind::Claim(ClaimFate {
+            seq: claim.seq,
+            granted,
+            free: free - granted,
+            elsewhere: 0,
+            holders: Vec::new(),
+            sharers: 1,
+        }))
+    }
+
+    fn answer(&self, request: request::Kind) -> reply::Kind {
+        match request {
+            request::Kind::Submit(submit) => {
+                let mut records = submit.records.into_iter();
+                let kind = records.next().and_then(|record| record.kind);
+                match self.decide(kind.expect("a record")) {
+                    Err(failure) => reply::Kind::Failure(failure),
+                    Ok(kind) => reply::Kind::Submitted(Submitted {
+                        fates: vec![Fate { kind: Some(kind) }],
+                        offset: 0,
+                    }),
+                }
+            }
+            request::Kind::GetBudgets(ask) => reply::Kind::Budgets(Budgets {
+                items: vec![BudgetView {
+                    name: ask.names[0].clone(),
+                    topped_up: 1_000_000,
+                    free: self.free.load(Ordering::SeqCst),
+                    ..BudgetView::default()
+                }],
+            }),
+            _ => reply::Kind::Failure(Failure::default()),
+        }
+    }
+}
+
+/// Counts one down, if any is left.
+fn is_left(count: &AtomicU64) -> bool {
+    let down = |left: u64| left.checked_sub(1);
+    count
+        .fetch_update(Ordering::SeqCst, Ordering::SeqCst, down)
+        .is_ok()
+}
+
+/// The fake as the link's handler.
+struct Shared(Fake);
+
+#[async_trait]
+impl Handler for Shared {
+    async fn handle(&self, _peer: &str, request: request::Kind, replies: Replies) {
+        let _gone = replies.send(self.0.answer(request), true).await;
+    }
+}
+
+/// A router's claims on one budget of the fake ledger.
+struct Bench {
+    server: Server,
+    ledgers: Arc<Ledgers>,
+    tasks: TaskTracker,
+    stop: CancellationToken,
+    _seat: Arc<Seat>,
+    account: Arc<Account>,
+}
+
+impl Bench {
+    async fn open(fake: Fake) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let handler = Arc::new(Shared(fake));
+        let server =
+            Server::bind(listener, "ledger", Secret::new(SECRET), handler).expect("a server");
+        let settings: Settings = serde_json::from_value(json!({
+            "vm": "vm-1", "domain": "east", "admin": "127.0.0.1:1", "secret": SECRET,
+            "listen": "127.0.0.1:1", "shards": 1, "mark_ms": 600_000,
+            "ledgers": [{
+                "name": "ledger", "address": server.address().to_string(), "domain": "east",
+            }],
+        }))
+        .expect("settings");
+        let ledgers = Arc::new(Ledgers::spawn(&settings));
+        let stop = CancellationToken::new();
+        let tasks = TaskTracker::new();
+        let members = Members::new(1);
+        let keeper = Keeper {
+            vm: VmName::from("vm-1"),
+            domain: Arc::from("east"),
+            address: settings.listen,
+            mark: Duration::from_millis(settings.mark_ms),
+            ledgers: Arc::clone(&ledgers),
+            keys: Keys::new(settings.key_window_ms, 0),
+            members: Arc::clone(&members),
+            stop: stop.clone(),
+        };
+        tasks.spawn(keeper.keep(0));
+        let pools = Pools::new(DomainName::from("east"), 1, 0);
+        let freshness = Freshness::new(pings::rule(settings.stale()), 1);
+        let claimers = Claimers {
+            context: Arc::new(ClaimContext {
+                ledgers: Arc::clone(&ledgers),
+                config: ConfigView::new(pools, freshness),
+                metrics: Metrics::nop(),
+                wait: Duration::from_millis(100),
+                pause: Duration::from_millis(100),
+                stop: stop.clone(),
+            }),
+            runtime: Handle::current(),
+            tasks: tasks.clone(),
+        };
+        let budget = BudgetName::from("registry");
+        let seat = until(|| members.seat(&budget)).await;
+        let account = seat.open(&budget, &claimers);
+        Self {
+            server,
+            ledgers,
+            tasks,
+            stop,
+            _seat: seat,
+            account,
+        }
+    }
+
+    /// Asks for `cost` tokens and hands them back unspent.
+    async fn ask(&self, cost: u64) -> Result<(), Shortage> {
+        let policy = WaitPolicy {
+            deadline: Instant::now() + LONG,
+            claim_wait: LONG,
+            pause: Duration::from_millis(100),
+            has_log: true,
+        };
+        self.account.obtain(cost, policy, true).await.map(drop)
+    }
+
+    async fn stop(self) {
+        self.stop.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+        self.ledgers.stop().await;
+        self.server.stop().await;
+    }
+}
+
+/// Looks until something is there.
+async fn until<T>(mut look: impl FnMut() -> Option<T>) -> T {
+    let found = async {
+        loop {
+            if let Some(found) = look() {
+                return found;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(LONG, found).await.expect("in time")
+}
+
+#[tokio::test]
+async fn a_claim_through_an_outage_does_not_tell_the_time_of_a_claim() {
+    let bench = Bench::open(Fake {
+        // Some retries, whatever number of tries one submission makes.
+        failures: AtomicU64::new(8),
+        free: AtomicU64::new(1_000_000),
+        ..Fake::default()
+    })
+    .await;
+    let refused = bench.ask(100).await.expect_err("the log is out");
+    assert_eq!(refused.refusal.kind, RefusalKind::LogOut);
+    until(|| (bench.account.grant.available() > 0).then_some(())).await;
+    assert_eq!(bench.account.claim_time(), FIRST_CLAIM_TIME);
+    bench.stop().await;
+}
+
+#[tokio::test]
+async fn a_claim_answered_at_once_tells_the_time_of_a_claim() {
+    let bench = Bench::open(Fake {
+        free: AtomicU64::new(1_000_000),
+        ..Fake::default()
+    })
+    .await;
+    bench.ask(100).await.expect("granted");
+    assert_ne!(bench.account.claim_time(), FIRST_CLAIM_TIME);
+    bench.stop().await;
+}
