admission: say how much of a budget is left in its refusal

With 1,100 tokens free and a request of up to 2,048 the caller read only that not enough of the budget was left. The detail of no-budget now gives the tokens that the request may cost, those free and those held by routers, and, when some are left, that a lower max_tokens costs less. 402 stays.

The title of the problem ("The prepaid budget is used up") is as before; it doesn't fit a budget with some tokens left.

Run: crates/admission/tests/decisions.rs, 9 of 9 pass; the new test failed before.

--- a/crates/admission/src/shortfall.rs
+++ b/crates/admission/src/shortfall.rs
@@ -90,9 +90,11 @@
 }
 
 fn refuse(case: &Shortfall<'_>) -> Refusal {
-    let known = case.free.map(|free| free.saturating_add(case.elsewhere));
-    if case.has_log && known.is_some_and(|known| known < case.cost) {
-        return Refusal::not_run(RefusalKind::NoBudget, "not enough of the budget is left");
+    if case.has_log
+        && let Some(free) = case.free
+        && free.saturating_add(case.elsewhere) < case.cost
+    {
+        return Refusal::not_run(RefusalKind::NoBudget, too_little(case, free));
     }
     let retry = case.claim_time.max(Duration::from_secs(1));
     if !case.has_log {
@@ -106,3 +108,18 @@
     let detail = "the budget's tokens are held elsewhere";
     Refusal::not_run(RefusalKind::BudgetBusy, detail).with_retry(retry)
 }
+
+/// How much the request needs and how much there is.
+fn too_little(case: &Shortfall<'_>, free: Tokens) -> String {
+    let Shortfall {
+        cost, elsewhere, ..
+    } = case;
+    let need = format!(
+        "the request may cost up to {cost} tokens; {free} tokens of the budget are free now \
+         and {elsewhere} are held by routers"
+    );
+    if free == 0 && *elsewhere == 0 {
+        return need;
+    }
+    need + "; a model request with a lower max_tokens costs less"
+}
--- a/crates/admission/tests/decisions.rs
+++ b/crates/admission/tests/decisions.rs
@@ -83,6 +83,27 @@
     }
 }
 
+#[test]
+fn a_budget_with_too_little_left_says_how_much() {
+    let mut tail = case(&[]);
+    tail.cost = 2_060;
+    tail.free = Some(1_100);
+    tail.elsewhere = 40;
+    let Step::Refuse(refusal) = shortfall(&tail) else {
+        panic!("the budget can't cover it");
+    };
+    assert_eq!(refusal.kind, RefusalKind::NoBudget);
+    for part in ["2060", "1100", "40", "max_tokens"] {
+        assert!(refusal.detail.contains(part), "{part}: {}", refusal.detail);
+    }
+    tail.free = Some(0);
+    tail.elsewhere = 0;
+    let Step::Refuse(refusal) = shortfall(&tail) else {
+        panic!("the budget is empty");
+    };
+    assert!(!refusal.detail.contains("max_tokens"), "nothing fits");
+}
+
 #[test]
 fn appointments_are_spaced_by_the_rate_and_kept_once() {
     let mut book = Appointments::new(BookPolicy::default());
