testkit: seeded rounds, callers of all kinds, versions of all processes

For the fault histories. rounds prints each history's seed and repeats it SWIFTLINK_ROUNDS times; traffic sends model and plain requests, some of which may not run twice, and takes a key to other routers; versions watches the configuration in force on every process and notes each time one goes back; spare starts a second operator.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -13,4 +13,8 @@
 pub mod process;
 pub mod recorder;
 pub mod records;
+pub mod rounds;
+pub mod spare;
+pub mod traffic;
 pub mod until;
+pub mod versions;
