Test that "not run" is true

One history through an empty budget, overload, late, cut and lost answers, engines that fail or drain, the log out, a router cut off, servers down and a router stopping. Each key is tried once, so no other try can explain a run or a charge. Checked: no server saw and no charge names a key that was told not-run; every refusal says not-run or unknown; 429 and 503 with not-run carry Retry-After.

Seen to fail (trial on a scratch copy): a dispatch whose answer was lost after sending, refused as not-run in place of unknown; the checker gives WrongRefusal.

Found: a pool with less than 4 slots ends a router's tasks at the limiter (f64::clamp with min 4 and max 2 panics). Not mended here; the history uses engines of 2 slots each. The same clamp meets max 0 when all servers leave.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod faults;
 mod golden;
 mod path;
+mod refusals;
 mod repeat;
 mod settings;
 mod support;
