Test that what may not run twice runs at most once

Callers take each key to up to four routers after 500 ms, model and plain service alike, while routers are killed, frozen for 2 s (their longest time-out is set to 1.2 s), cut from all, from the ledgers and from a server, and all ledgers are frozen; the log is slow and loses a tenth of its answers. Executions are counted at the servers.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod golden;
+mod once;
 mod path;
 mod refusals;
 mod repeat;
--- /dev/null
+++ b/tests/testsuite/once.rs
@@ -0,0 +1,182 @@
+//! At most once: requests that may not run twice, model and plain service alike,
+//! while routers are killed, frozen for longer than any of their time-outs, and cut,
+//! and callers take the same key to other routers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use swiftlink_testkit::checker::History;
+use swiftlink_testkit::fleet::Fleet;
+use swiftlink_testkit::recorder::Recorder;
+use swiftlink_testkit::rounds::{Draw, rounds, say};
+use swiftlink_testkit::traffic::{Mix, Told, Traffic};
+use swiftlink_testkit::until::until;
+
+use crate::support::{check_all, plan};
+
+/// Longest of the routers' time-outs, which the settings below set (ms).
+const LONGEST_MS: u64 = 1_200;
+/// A router stands still for so long: longer than any of its time-outs.
+const FREEZE: Duration = Duration::from_millis(LONGEST_MS + 800);
+/// How long a cut or an outage lasts.
+const CUT: Duration = Duration::from_millis(LONGEST_MS);
+/// Cuts of a server's links in a row.
+const CUTS: usize = 8;
+/// A caller waits so long for an answer before it goes to the next router.
+const PATIENCE: Duration = Duration::from_millis(500);
+
+/// Settings of routers whose time-outs are all below [`FREEZE`].
+fn short() -> Value {
+    json!({
+        "deadline_ms": LONGEST_MS, "stale_ms": LONGEST_MS, "stall_ms": LONGEST_MS,
+        "claim_wait_ms": 400, "intent_wait_ms": 400, "ledger_try_ms": 150,
+        "settle_wait_ms": 400, "settle_retry_ms": 400, "resume_ms": 400,
+        "connect_ms": 200, "report_ms": 200, "vms_ms": 300,
+        "orphan_ms": 400, "partial_ms": 400,
+    })
+}
+
+/// What befalls a router.
+#[derive(Clone, Copy, Debug)]
+enum Blow {
+    Kill,
+    Freeze,
+    CutAll,
+    CutLedgers,
+    CutServers,
+    FreezeLedgers,
+}
+
+impl Blow {
+    const ALL: [Self; 6] = [
+        Self::Kill,
+        Self::Freeze,
+        Self::CutAll,
+        Self::CutLedgers,
+        Self::CutServers,
+        Self::FreezeLedgers,
+    ];
+
+    async fn fall(self, fleet: &mut Fleet, at: usize) {
+        let router = format!("router-{at}");
+        match self {
+            Self::Kill => {
+                fleet.routers[at].restart().expect("it starts again");
+                let ready = fleet.routers[at].ready().await;
+                ready.expect("it is ready again");
+            }
+            Self::Freeze => {
+                fleet.routers[at].process.freeze();
+                tokio::time::sleep(FREEZE).await;
+                fleet.routers[at].process.thaw();
+            }
+            Self::CutAll => {
+                fleet.net.cut(&router);
+                tokio::time::sleep(CUT).await;
+            }
+            Self::CutLedgers => {
+                let links = |from: &str, to: &str| from == router && to.starts_with("ledger");
+                fleet.net.cut_where(links);
+                tokio::time::sleep(CUT).await;
+            }
+            Self::CutServers => {
+                // Another server of the pool could take the work over, and must not.
+                for _cut in 0..CUTS {
+                    fleet
+                        .net
+                        .cut_where(|_from, to| to == "engine-0" || to == "service-0");
+                    tokio::time::sleep(CUT / 20).await;
+                    fleet.net.mend();
+                    tokio::time::sleep(CUT / 5).await;
+                }
+            }
+            Self::FreezeLedgers => {
+                for ledger in &mut fleet.ledgers {
+                    ledger.process.freeze();
+                }
+                tokio::time::sleep(CUT / 2).await;
+                for ledger in &mut fleet.ledgers {
+                    ledger.process.thaw();
+                }
+            }
+        }
+        fleet.net.mend();
+    }
+}
+
+/// Waits until more is served than before.
+async fn goes_on(traffic: &Traffic) {
+    let before = traffic.served();
+    let on = until("answers after the blow", async || {
+        (traffic.served() > before + 2).then_some(())
+    });
+    on.await.expect("the fleet serves again");
+}
+
+/// The history is worth something: many keys ran, and many were taken elsewhere.
+fn check_worth(told: &[Told], history: &History) {
+    let mut routers: BTreeMap<&str, BTreeSet<usize>> = BTreeMap::new();
+    for told in told {
+        routers.entry(&told.key).or_default().insert(told.router);
+    }
+    let moved: BTreeSet<&str> = routers
+        .iter()
+        .filter(|(_key, asked)| asked.len() > 1)
+        .map(|(key, _asked)| *key)
+        .collect();
+    let ran = |run: &&swiftlink_standins::engine::Run| run.executions > 0;
+    let both = history.runs.iter().filter(ran);
+    let both = both.filter(|run| moved.contains(run.key.as_str())).count();
+    say(&format!(
+        "once: {} keys, {} taken to another router, {both} of those ran, none twice",
+        routers.len(),
+        moved.len()
+    ));
+    assert!(both > 0, "some key that ran was also tried elsewhere");
+    for kind in ["model", "service"] {
+        let some = history.runs.iter().any(|run| run.kind == kind);
+        assert!(some, "something of kind {kind} ran");
+    }
+}
+
+async fn history(mut draw: Draw) {
+    let plan = plan().relayed().services(2).router(short());
+    let mut fleet = plan.start().await.expect("the fleet starts");
+    let recorder = Arc::new(Recorder::default());
+    // Intents take long enough that a blow often falls between win and dispatch.
+    let log = json!({ "delay_ms": 20, "lose_answers": 0.1 });
+    fleet.log.set(log).await.expect("a switch");
+    for engine in &fleet.engines {
+        engine.set(json!({ "pace_ms": 10 })).await.expect("a pace");
+    }
+    for service in &fleet.services {
+        service.set(json!({ "run_ms": 60 })).await.expect("a time");
+    }
+    let mix = Mix {
+        once: 100,
+        service: 50,
+        tries: 4,
+        patience: PATIENCE,
+        ..Mix::new()
+    };
+    let traffic = Traffic::start(&fleet, &recorder, &mut draw, &mix);
+    for blow in Blow::ALL {
+        goes_on(&traffic).await;
+        let at = draw.index(fleet.routers.len());
+        blow.fall(&mut fleet, at).await;
+    }
+    goes_on(&traffic).await;
+    let told = traffic.stop().await;
+    let history = check_all(&fleet, recorder.calls()).await;
+    for run in &history.runs {
+        assert!(run.executions <= 1, "{run:?}");
+    }
+    check_worth(&told, &history);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_may_not_run_twice_runs_at_most_once() {
+    rounds("what_may_not_run_twice_runs_at_most_once", history).await;
+}
