Test that a leaving server gets no new work after 3 s

Each signal alone, with the routers' own intervals, counted at the server: no request arrives in a window that begins 3 s after the signal, while the other server of the pool gets some, and no caller is refused.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod golden;
+mod leaving;
 mod once;
 mod path;
 mod refusals;
