Test planned stops under load

All routers stop one after the other by SIGTERM: no answer is cut, what got no answer did not run, the exit code is 0 within the limit, and afterwards free and charged make up the whole budget. Ledgers and the operator stop and start under load; then all routers are killed and the ledgers stop with a slow log, so that they alone hold the charges of what was just answered.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,4 +8,5 @@
 mod refusals;
 mod repeat;
 mod settings;
+mod stopping;
 mod support;
