Test what becomes of a dead VM's rights

A router and the ledger of its VM are killed under load and replaced with nothing kept: the rights come back by the successor's bind and not before. A VM that never comes back and leaves the VM list stays in quarantine, and is released once the budget takes the list for proof.

Seen to fail (trials on a scratch copy): a successor that is no proof; the list taken for proof by every budget.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod path;
 mod refusals;
 mod repeat;
+mod replace;
 mod settings;
 mod stopping;
 mod support;
