Test the appends after a long outage of the log

4 ledgers with 2 streams each, 16 callers that go on, 9 s without the log. While it is out each ledger and stream may try 2 appends a second; in the second that begins with its first append afterwards a ledger may make append_rate and 3 more.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod golden;
 mod leaving;
 mod once;
+mod outage;
 mod path;
 mod refusals;
 mod repeat;
