bench: drivers for grants, routing, limits and the cost of decisions

Cause: the aims for the decisions had trial figures only, from drivers that were not kept. Change: swiftlink-bench, one driver for each decision, on the real Fold, Grant, sizers, shortfall, Fleet, RetryBudget and Queue; one seed, one run, baselines beside the choice; a line of key=value pairs for each row, and Markdown tables. Allocations are counted by stats_alloc, which is the program's global allocator only in this program.

A definition that was tried and left: every refusal while the sum of all rests covers the request counts as false.

--- /dev/null
+++ b/crates/bench/src/cost/meter.rs
@@ -0,0 +1,86 @@
+//! Clock, allocation counts and slopes.
+
+use std::alloc::System;
+use std::hint::black_box;
+use std::time::Instant;
+
+use stats_alloc::StatsAlloc;
+
+/// The allocator that counts.
+pub type Allocator = StatsAlloc<System>;
+
+/// The counting allocator, to be made the global one by the program.
+pub use stats_alloc::INSTRUMENTED_SYSTEM as COUNTING;
+
+/// Rounds of which the median counts.
+const ROUNDS: usize = 5;
+
+/// Cost of one operation.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Cost {
+    pub(super) nanos: f64,
+    pub(super) allocations: Option<f64>,
+}
+
+/// Median cost of `act` over some rounds of `count` calls.
+pub(super) fn cost<T>(count: usize, mut act: impl FnMut() -> T) -> Cost {
+    for _ in 0..count / 4 {
+        black_box(act());
+    }
+    let mut times = Vec::with_capacity(ROUNDS);
+    let before = COUNTING.stats().allocations;
+    for _ in 0..ROUNDS {
+        let start = Instant::now();
+        for _ in 0..count {
+            black_box(act());
+        }
+        times.push(start.elapsed().as_nanos() as f64 / count as f64);
+    }
+    let made = COUNTING.stats().allocations - before;
+    times.sort_by(f64::total_cmp);
+    let is_counted = COUNTING.stats().allocations > 0;
+    Cost {
+        nanos: times[ROUNDS / 2],
+        allocations: is_counted.then_some(made as f64 / (ROUNDS * count) as f64),
+    }
+}
+
+/// Time of one call (s) and its result.
+pub(super) fn timed<T>(act: impl FnOnce() -> T) -> (f64, T) {
+    let start = Instant::now();
+    let result = act();
+    (start.elapsed().as_secs_f64(), result)
+}
+
+/// Bytes in use on the heap; `None` without the counting allocator.
+pub(super) fn in_use() -> Option<f64> {
+    let stats = COUNTING.stats();
+    if stats.allocations == 0 {
+        return None;
+    }
+    let grown = stats.bytes_allocated as f64 + stats.bytes_reallocated as f64;
+    Some(grown - stats.bytes_deallocated as f64)
+}
+
+/// Bytes that `make` leaves in use, and what it made.
+pub(super) fn held<T>(make: impl FnOnce() -> T) -> (Option<f64>, T) {
+    let before = in_use();
+    let made = make();
+    let bytes = in_use().zip(before).map(|(after, before)| after - before);
+    (bytes, made)
+}
+
+/// Slope and height at 0 of the straight line nearest to the points.
+pub(super) fn line(points: &[(f64, f64)]) -> (f64, f64) {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let mut over = 0.0;
+    let mut under = 0.0;
+    for (x, y) in points {
+        over += (x - mean_x) * (y - mean_y);
+        under += (x - mean_x).powi(2);
+    }
+    let slope = over / under;
+    (slope, mean_y - slope * mean_x)
+}
--- /dev/null
+++ b/crates/bench/src/grants/counter.rs
@@ -0,0 +1,76 @@
+//! The all-seeing counter: one budget, every request, no distance.
+
+use swiftlink_types::{Micros, Tokens};
+
+use super::setup::{Arrival, Counted, Setup, Window};
+use crate::agenda::Agenda;
+use crate::draw::SEC;
+
+/// Time after the counter's last request that is still counted.
+const AFTER: Micros = 10 * SEC;
+
+/// What the counter made of the demand.
+#[derive(Debug)]
+pub(crate) struct Counter {
+    /// Whether it took each request.
+    pub(crate) taken: Vec<bool>,
+    /// The part of the run that is counted.
+    pub(crate) counted: Window,
+}
+
+enum Event {
+    TopUp(Tokens),
+    Arrive(usize),
+    End(usize),
+}
+
+/// Runs the counter over the demand.
+pub(crate) fn count(setup: &Setup, arrivals: &[Arrival]) -> Counter {
+    let mut agenda = Agenda::new();
+    for (at, amount) in &setup.top_ups {
+        agenda.put(*at, Event::TopUp(*amount));
+    }
+    for (index, arrival) in arrivals.iter().enumerate() {
+        agenda.put(arrival.at, Event::Arrive(index));
+    }
+    let mut taken = vec![false; arrivals.len()];
+    let (mut paid, mut spent, mut reserved) = (0, 0, 0);
+    let mut from = None;
+    let mut last = 0;
+    while let Some((now, event)) = agenda.pop() {
+        match event {
+            Event::TopUp(amount) => paid += amount,
+            Event::Arrive(index) => {
+                let arrival = arrivals[index];
+                if spent + reserved + arrival.cost > paid {
+                    continue;
+                }
+                reserved += arrival.cost;
+                taken[index] = true;
+                last = now;
+                agenda.put(now + arrival.time, Event::End(index));
+            }
+            Event::End(index) => {
+                reserved -= arrivals[index].cost;
+                spent += arrivals[index].spend;
+            }
+        }
+        if let Counted::Tail(share) = setup.counted
+            && from.is_none()
+            && ((paid - spent) as f64) < paid as f64 * share
+        {
+            from = Some(now);
+        }
+    }
+    let counted = match setup.counted {
+        Counted::All => Window {
+            from: 0,
+            until: setup.length,
+        },
+        Counted::Tail(_) => Window {
+            from: from.unwrap_or(0),
+            until: last + AFTER,
+        },
+    };
+    Counter { taken, counted }
+}
--- /dev/null
+++ b/crates/bench/src/grants/holder.rs
@@ -0,0 +1,181 @@
+//! One holder: its grant, its sizer and the requests that wait for rights.
+
+use std::time::Duration;
+
+use swiftlink_admission::{
+    ClaimOutcome, ClaimSize, Grant, Holding, Shortfall, Sizing, Step, Waiting, shortfall,
+};
+use swiftlink_types::{Micros, Tokens};
+use swiftlink_wire::log::ClaimFate;
+
+use super::ledger::holder_of;
+use crate::draw::MS;
+
+/// Time that a relay is expected to add.
+const DETOUR: Duration = Duration::from_millis(5);
+/// Time for which the answer to a claim stands.
+const PAUSE: Micros = 100 * MS;
+/// Expected time of a claim before one has been timed.
+const FIRST_CLAIM: Micros = 20 * MS;
+
+/// What the last claim told.
+#[derive(Debug, Default)]
+pub(crate) struct News {
+    pub(crate) at: Option<Micros>,
+    pub(crate) is_out: bool,
+    pub(crate) free: Tokens,
+    elsewhere: Tokens,
+    /// The largest other holders.
+    holders: Vec<(usize, Tokens)>,
+}
+
+/// A request that waits for rights.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Waiter {
+    pub(crate) request: usize,
+    pub(crate) cost: Tokens,
+    pub(crate) since: Micros,
+    pub(crate) until: Micros,
+    /// Whether it may go to another holder.
+    pub(crate) may_relay: bool,
+}
+
+/// What a claim is waiting for.
+#[derive(Debug)]
+pub(crate) struct Pending {
+    pub(crate) since: Micros,
+}
+
+/// A holder of rights on the budget.
+#[derive(Debug)]
+pub(crate) struct Holder {
+    pub(crate) grant: Grant,
+    pub(crate) sizing: Box<dyn Sizing>,
+    pub(crate) news: News,
+    pub(crate) waiters: Vec<Waiter>,
+    pub(crate) pending: Option<Pending>,
+    pub(crate) seq: u64,
+    pub(crate) low: Tokens,
+    pub(crate) sharers: u32,
+    pub(crate) topped_up: Tokens,
+    /// When it looks at its demand again.
+    pub(crate) poll_at: Micros,
+    claim_time: Micros,
+}
+
+/// What a holder does next.
+#[derive(Debug)]
+pub(crate) enum Move {
+    Claim(ClaimSize),
+    Return(Tokens),
+    /// Nothing; whether a request waits for rights.
+    Nothing {
+        is_short: bool,
+    },
+}
+
+impl Holder {
+    pub(crate) fn new(sizing: Box<dyn Sizing>) -> Self {
+        Self {
+            grant: Grant::new(),
+            sizing,
+            news: News::default(),
+            waiters: Vec::new(),
+            pending: None,
+            seq: 0,
+            low: 0,
+            sharers: 1,
+            topped_up: 0,
+            poll_at: 0,
+            claim_time: FIRST_CLAIM,
+        }
+    }
+
+    /// Looks at the demand, as the router's claimer does.
+    pub(crate) fn poll(&mut self, now: Micros) -> Move {
+        let available = self.grant.available();
+        self.sizing.observe(now, self.grant.demand());
+        let waiting = Waiting {
+            least: self.waiters.iter().map(|w| w.cost).min().unwrap_or(0),
+            total: self.waiters.iter().map(|w| w.cost).sum(),
+        };
+        if let Some(size) = self.sizing.claim(now, available, waiting) {
+            return Move::Claim(size);
+        }
+        let is_short = waiting.least > available;
+        if !is_short && let Some(extra) = self.sizing.surplus(now, available) {
+            let taken = self.grant.shrink(extra);
+            return Move::Return(taken);
+        }
+        Move::Nothing { is_short }
+    }
+
+    /// Takes the fate of a claim.
+    pub(crate) fn on_claimed(&mut self, now: Micros, fate: &ClaimFate, credits: u64) {
+        if let Some(pending) = self.pending.take() {
+            let took = now - pending.since;
+            self.claim_time = self.claim_time - self.claim_time / 8 + took / 8;
+        }
+        let outcome = ClaimOutcome {
+            granted: fate.granted,
+            free: fate.free,
+            elsewhere: fate.elsewhere,
+            sharers: fate.sharers,
+        };
+        self.sharers = fate.sharers;
+        self.sizing.on_claimed(now, &outcome);
+        self.grant.credit(fate.granted * credits);
+        let known = |holder: &swiftlink_wire::log::Holder| {
+            let index = holder_of(holder.incarnation.as_ref()?)?;
+            Some((index, holder.held))
+        };
+        self.news = News {
+            at: Some(now),
+            is_out: false,
+            free: fate.free,
+            elsewhere: fate.elsewhere,
+            holders: fate.holders.iter().filter_map(known).collect(),
+        };
+    }
+
+    /// The claim or return has had no answer for too long.
+    pub(crate) fn on_failed(&mut self, now: Micros) {
+        self.sizing.on_failed(now);
+        self.news.is_out = true;
+        self.news.at = Some(now);
+    }
+
+    /// What a request does that finds no rights; for a relay the holders to try.
+    pub(crate) fn decide(&self, now: Micros, waiter: &Waiter, has_log: bool) -> (Step, Vec<usize>) {
+        let news = &self.news;
+        let is_fresh = news
+            .at
+            .is_some_and(|at| now - at <= PAUSE || at >= waiter.since);
+        let listed: &[(usize, Tokens)] = if waiter.may_relay { &news.holders } else { &[] };
+        let holdings: Vec<Holding> = listed.iter().map(|(_, held)| holding(*held)).collect();
+        let own = self.grant.counters();
+        let step = shortfall(&Shortfall {
+            cost: waiter.cost,
+            now,
+            deadline: waiter.until,
+            has_log: has_log && !news.is_out,
+            claim_time: Duration::from_micros(self.claim_time),
+            free: is_fresh.then_some(news.free),
+            elsewhere: news.elsewhere + own.available + own.reserved,
+            holders: &holdings,
+        });
+        let mut peers: Vec<usize> = listed.iter().map(|(index, _)| *index).collect();
+        if let Step::Relay(index) = step {
+            peers.swap(0, index);
+        }
+        (step, peers)
+    }
+}
+
+fn holding(held: Tokens) -> Holding {
+    Holding {
+        held,
+        detour: DETOUR,
+        is_up: true,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/grants/mod.rs
@@ -0,0 +1,18 @@
+//! Grant sizing: what each policy refuses, strands and appends.
+//!
+//! Drives the real budget fold, grants, sizers and shortfall decision. Requests
+//! arrive at holders of one budget; claims, returns and charges go through group
+//! commits to one fold. An all-seeing counter takes the same requests for comparison.
+
+mod counter;
+mod holder;
+mod ledger;
+mod outcome;
+mod scenario;
+mod setup;
+mod world;
+
+pub use outcome::Outcome;
+pub use scenario::{ahead_curve, run};
+pub use setup::{Arrival, Counted, Plan, Setup, Size, Window, arrivals};
+pub use world::World;
--- /dev/null
+++ b/crates/bench/src/limits/mod.rs
@@ -0,0 +1,17 @@
+//! Limits, priority and retries: goodput and honesty of refusals under overload, and
+//! attempts while runners fail.
+
+mod overload;
+mod retries;
+mod setup;
+
+pub use overload::{Outcome, World};
+pub use setup::{CLASSES, Class, Setup};
+
+use crate::row::Rows;
+
+/// Runs all scenarios.
+pub fn run(seed: u64, quick: bool, rows: &mut Rows) {
+    overload::run(seed, quick, rows);
+    retries::run(seed, quick, rows);
+}
--- /dev/null
+++ b/crates/bench/src/limits/overload.rs
@@ -0,0 +1,349 @@
+//! A queue before its slots, and callers that come back when they are told to.
+
+use std::time::Duration;
+
+use rand_pcg::Pcg64Mcg;
+use swiftlink_admission::{ClassSpec, Entry, Queue, QueuePolicy};
+use swiftlink_types::{ClassName, Micros, Refusal};
+
+use super::setup::{CLASSES, SERVICE, SLOTS, Setup};
+use crate::agenda::Agenda;
+use crate::draw::{SEC, around, below, gap, generator};
+use crate::row::Rows;
+
+/// Spread of the service times.
+const SPREAD: f64 = 0.4;
+/// Time between looks for entries that are too late.
+const LOOK: Micros = SEC / 10;
+/// Range in which callers come back after the moment that they were told.
+const LATE: Micros = SEC / 2;
+/// Multiples of the capacity that are run.
+const LOADS: [f64; 6] = [0.5, 0.8, 1.0, 1.5, 2.0, 3.0];
+
+/// Counts of one class.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Served {
+    /// First arrivals.
+    pub offered: u64,
+    /// Answers within the deadline.
+    pub good: u64,
+    /// Times from arrival (of the attempt that was admitted) to the answer (µs).
+    pub times: Vec<Micros>,
+    /// Attempts refused at the door.
+    pub refused: u64,
+    /// Entries admitted and given up later, and how long they had waited (µs).
+    pub given_up: Vec<Micros>,
+    /// Attempts that came back as told.
+    pub returns: u64,
+    /// Of these, admitted.
+    pub returns_taken: u64,
+    /// Of the admitted ones, given up later.
+    pub returns_lost: u64,
+    /// Times told to the refused (µs).
+    pub told: Vec<Micros>,
+}
+
+/// What came of a run: one entry for each class.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Outcome {
+    /// The classes, highest first.
+    pub classes: Vec<Served>,
+    /// Time that was counted (s).
+    pub secs: f64,
+}
+
+#[derive(Debug)]
+enum Event {
+    Arrive(usize),
+    Return {
+        class: usize,
+        key: u64,
+    },
+    Done {
+        class: usize,
+        since: Micros,
+        start: Micros,
+        due: Micros,
+    },
+    Look,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    class: usize,
+    since: Micros,
+    is_return: bool,
+}
+
+/// One run of the queue.
+#[derive(Debug)]
+pub struct World<'a> {
+    setup: &'a Setup,
+    queue: Queue<Waiting>,
+    agenda: Agenda<Event>,
+    demand: Pcg64Mcg,
+    times: Pcg64Mcg,
+    next_key: u64,
+    outcome: Outcome,
+}
+
+impl<'a> World<'a> {
+    /// A run with the real queue.
+    #[must_use]
+    pub fn new(setup: &'a Setup, seed: u64) -> Self {
+        let mut queue = Queue::new(QueuePolicy::default(), SLOTS);
+        for class in CLASSES {
+            let spec = ClassSpec {
+                weight: class.weight,
+                ..ClassSpec::default()
+            };
+            if setup.classes {
+                queue.set_class(&ClassName::from(class.name), spec);
+            }
+        }
+        let counted = (setup.length - setup.warm_up) as f64 / SEC as f64;
+        Self {
+            setup,
+            queue,
+            agenda: Agenda::new(),
+            demand: generator(seed, 1),
+            times: generator(seed, 2),
+            next_key: 0,
+            outcome: Outcome {
+                classes: vec![Served::default(); CLASSES.len()],
+                secs: counted,
+            },
+        }
+    }
+
+    /// Runs to the end.
+    #[must_use]
+    pub fn run(mut self) -> Outcome {
+        self.agenda.put(0, Event::Look);
+        for class in 0..CLASSES.len() {
+            self.arrive_next(0, class);
+        }
+        while let Some((now, event)) = self.agenda.pop() {
+            if now >= self.setup.length {
+                break;
+            }
+            match event {
+                Event::Arrive(class) => self.arrive(now, class),
+                Event::Return { class, key } => self.push(now, class, key, true),
+                Event::Done {
+                    class,
+                    since,
+                    start,
+                    due,
+                } => self.done(now, class, since, start, due),
+                Event::Look => {
+                    self.agenda.put(now + LOOK, Event::Look);
+                    self.give_up(now);
+                }
+            }
+            self.dispatch(now);
+        }
+        for class in &mut self.outcome.classes {
+            class.times.sort_unstable();
+            class.given_up.sort_unstable();
+            class.told.sort_unstable();
+        }
+        self.outcome
+    }
+
+    fn counts(&self, now: Micros) -> bool {
+        now >= self.setup.warm_up
+    }
+
+    fn arrive_next(&mut self, now: Micros, class: usize) {
+        let rate = Setup::capacity() * self.setup.load * CLASSES[class].share;
+        let wait = gap(&mut self.demand, rate);
+        self.agenda.put(now + wait, Event::Arrive(class));
+    }
+
+    fn arrive(&mut self, now: Micros, class: usize) {
+        self.arrive_next(now, class);
+        if self.counts(now) {
+            self.outcome.classes[class].offered += 1;
+        }
+        self.next_key += 1;
+        self.push(now, class, self.next_key, false);
+    }
+
+    fn push(&mut self, now: Micros, class: usize, key: u64, is_return: bool) {
+        let name = if self.setup.classes {
+            CLASSES[class].name
+        } else {
+            "all"
+        };
+        let entry = Entry {
+            class: ClassName::from(name),
+            key,
+            deadline: now + self.setup.deadline,
+            expect: None,
+            payload: Waiting {
+                class,
+                since: now,
+                is_return,
+            },
+        };
+        let pushed = self.queue.push(entry, now);
+        let counts = self.counts(now);
+        let served = &mut self.outcome.classes[class];
+        if counts && is_return {
+            served.returns += 1;
+            served.returns_taken += u64::from(pushed.is_ok());
+        }
+        let Err(refusal) = pushed else {
+            return;
+        };
+        if counts {
+            served.refused += 1;
+        }
+        self.come_back(now, class, key, &refusal);
+    }
+
+    /// The caller comes back at the time told, in whole seconds as the header has it.
+    fn come_back(&mut self, now: Micros, class: usize, key: u64, refusal: &Refusal) {
+        let told = refusal.retry_after.unwrap_or(Duration::from_secs(1));
+        let secs = told.as_micros().div_ceil(u128::from(SEC)) as u64;
+        if self.counts(now) {
+            self.outcome.classes[class].told.push(secs * SEC);
+        }
+        let late = below(&mut self.demand, LATE);
+        let back = Event::Return { class, key };
+        self.agenda.put(now + secs * SEC + late, back);
+    }
+
+    fn give_up(&mut self, now: Micros) {
+        for given in self.queue.expired(now) {
+            let waiting = given.entry.payload;
+            let counts = self.counts(now);
+            let served = &mut self.outcome.classes[waiting.class];
+            if counts {
+                served.given_up.push(now - waiting.since);
+                served.returns_lost += u64::from(waiting.is_return);
+            }
+            self.come_back(now, waiting.class, given.entry.key, &given.refusal);
+        }
+    }
+
+    fn dispatch(&mut self, now: Micros) {
+        while let Some((_ticket, entry)) = self.queue.pop(now) {
+            let time = around(&mut self.times, SERVICE, SPREAD);
+            let done = Event::Done {
+                class: entry.payload.class,
+                since: entry.payload.since,
+                start: now,
+                due: entry.deadline,
+            };
+            self.agenda.put(now + time, done);
+        }
+        self.give_up(now);
+    }
+
+    fn done(&mut self, now: Micros, class: usize, since: Micros, start: Micros, due: Micros) {
+        self.queue.on_done(now, now - start);
+        if !self.counts(now) {
+            return;
+        }
+        let served = &mut self.outcome.classes[class];
+        served.good += u64::from(now <= due);
+        served.times.push(now - since);
+    }
+}
+
+/// Runs all loads with and without classes.
+pub(super) fn run(seed: u64, quick: bool, rows: &mut Rows) {
+    let run_all = |classes| {
+        LOADS.map(|load| {
+            let setup = Setup::at(load, classes, quick);
+            World::new(&setup, seed).run()
+        })
+    };
+    let policies = [("one-class", run_all(false)), ("classes", run_all(true))];
+    for (index, load) in LOADS.iter().enumerate() {
+        for (policy, runs) in &policies {
+            let peak = runs.iter().map(Outcome::goodput).fold(0.0, f64::max);
+            let scenario = format!("overload-{load}x");
+            write(&scenario, policy, &runs[index], &runs[0], peak, rows);
+        }
+    }
+}
+
+impl Outcome {
+    /// Answers in time a second.
+    #[must_use]
+    pub fn goodput(&self) -> f64 {
+        let good: u64 = self.classes.iter().map(|class| class.good).sum();
+        good as f64 / self.secs
+    }
+}
+
+fn write(
+    scenario: &str,
+    policy: &str,
+    outcome: &Outcome,
+    unloaded: &Outcome,
+    peak: f64,
+    rows: &mut Rows,
+) {
+    let mut add = |metric, value| rows.add(scenario, policy, metric, value);
+    let [high, middle, low] = &outcome.classes[..] else {
+        return;
+    };
+    let p99 = |class: &Served| quantile(&class.times, 0.99) / 1_000.0;
+    add("goodput_per_s", outcome.goodput());
+    add("goodput_of_peak_pct", 100.0 * outcome.goodput() / peak);
+    add("high_p99_ms", p99(high));
+    add(
+        "high_p99_of_unloaded",
+        p99(high) / p99(&unloaded.classes[0]),
+    );
+    for (metric, class) in [
+        ("high_good_pct", high),
+        ("middle_good_pct", middle),
+        ("low_good_pct", low),
+    ] {
+        add(
+            metric,
+            100.0 * class.good as f64 / class.offered.max(1) as f64,
+        );
+    }
+    let sum = |count: fn(&Served) -> u64| outcome.classes.iter().map(count).sum::<u64>();
+    let returns = sum(|class| class.returns);
+    if returns == 0 {
+        return;
+    }
+    let kept = sum(|class| class.returns_taken) - sum(|class| class.returns_lost);
+    add("returns", returns as f64);
+    add("returns_taken_pct", 100.0 * kept as f64 / returns as f64);
+    for (metric, class) in [
+        ("high_returns_taken_pct", high),
+        ("middle_returns_taken_pct", middle),
+        ("low_returns_taken_pct", low),
+    ] {
+        if class.returns > 0 {
+            let kept = class.returns_taken - class.returns_lost;
+            add(metric, 100.0 * kept as f64 / class.returns as f64);
+        }
+    }
+    let given = sum(|class| class.given_up.len() as u64);
+    let refused = sum(|class| class.refused);
+    add(
+        "refused_at_once_pct",
+        100.0 * refused as f64 / (refused + given).max(1) as f64,
+    );
+    let mut waits: Vec<Micros> = Vec::new();
+    for class in &outcome.classes {
+        waits.extend(&class.given_up);
+        waits.extend(std::iter::repeat_n(0, class.refused as usize));
+    }
+    waits.sort_unstable();
+    add("refusal_wait_p99_ms", quantile(&waits, 0.99) / 1_000.0);
+    add("low_told_p99_s", quantile(&low.told, 0.99) / SEC as f64);
+}
+
+fn quantile(sorted: &[Micros], quantile: f64) -> f64 {
+    crate::draw::quantile_of(sorted, quantile) as f64
+}
--- /dev/null
+++ b/crates/bench/src/routing/runner.rs
@@ -0,0 +1,105 @@
+//! A runner, as far as the choice of one can see it.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use swiftlink_routing::LoadReport;
+use swiftlink_types::Micros;
+
+use super::setup::{Fault, SLOTS};
+
+/// Prefixes that a runner keeps.
+const CACHE: usize = 48;
+/// Time between remembered states, and how many are kept.
+pub(crate) const STEP: Micros = 100_000;
+const KEPT: usize = 64;
+
+/// Slots, a queue, a prefix cache and past states for its reports.
+#[derive(Debug)]
+pub(crate) struct Runner {
+    pub(crate) fault: Option<Fault>,
+    running: usize,
+    queue: VecDeque<usize>,
+    cache: HashMap<u64, Micros>,
+    past: VecDeque<(u32, u32)>,
+}
+
+impl Runner {
+    pub(crate) fn new(fault: Option<Fault>) -> Self {
+        Self {
+            fault,
+            running: 0,
+            queue: VecDeque::new(),
+            cache: HashMap::new(),
+            past: VecDeque::new(),
+        }
+    }
+
+    /// How many times slower it is than the others.
+    pub(crate) fn slowness(&self) -> f64 {
+        match self.fault {
+            Some(Fault::Slow(factor)) => factor,
+            _ => 1.0,
+        }
+    }
+
+    /// Takes a request; whether it starts at once.
+    pub(crate) fn take(&mut self, request: usize) -> bool {
+        if self.running == SLOTS {
+            self.queue.push_back(request);
+            return false;
+        }
+        self.running += 1;
+        true
+    }
+
+    /// Ends a request; the one that starts in its place.
+    pub(crate) fn end(&mut self) -> Option<usize> {
+        let next = self.queue.pop_front();
+        if next.is_none() {
+            self.running -= 1;
+        }
+        next
+    }
+
+    /// Share of the slots in use.
+    pub(crate) fn load(&self) -> f64 {
+        self.running as f64 / SLOTS as f64
+    }
+
+    /// Whether the prefix is in the cache; it is afterwards.
+    pub(crate) fn warm(&mut self, prefix: u64, now: Micros) -> bool {
+        let known = self.cache.insert(prefix, now).is_some();
+        if self.cache.len() > CACHE {
+            let oldest = self.cache.iter().min_by_key(|(key, at)| (**at, **key));
+            if let Some((key, _)) = oldest {
+                let key = *key;
+                self.cache.remove(&key);
+            }
+        }
+        known
+    }
+
+    /// Remembers the state for the reports to come.
+    pub(crate) fn remember(&mut self) {
+        if self.past.len() == KEPT {
+            self.past.pop_front();
+        }
+        let state = (self.running as u32, self.queue.len() as u32);
+        self.past.push_back(state);
+    }
+
+    /// The report that arrives now, `lag` old.
+    pub(crate) fn report(&self, lag: Micros) -> LoadReport {
+        let steps = (lag / STEP) as usize;
+        let at = self.past.len().saturating_sub(steps + 1);
+        let (running, waiting) = self.past.get(at).copied().unwrap_or_default();
+        LoadReport {
+            running,
+            waiting,
+            slots: SLOTS as u32,
+            draining: false,
+            age: Duration::from_micros(lag),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/routing/world.rs
@@ -0,0 +1,329 @@
+//! The run: routers choose runners in virtual time.
+
+use rand_pcg::Pcg64Mcg;
+use swiftlink_routing::{
+    ErrorKind, Fleet, FleetPolicy, Pick, RetryBudget, Sent, ServerIdx, ServerSpec,
+};
+use swiftlink_types::{DomainName, Micros, ServerName};
+
+use super::outcome::Outcome;
+use super::runner::{Runner, STEP};
+use super::setup::{Choice, FIRST, Fault, REST, Retry, SLOTS, Setup};
+use crate::agenda::Agenda;
+use crate::draw::{MS, around, below, gap, generator, unit, weighted};
+
+/// Failure domains.
+const DOMAINS: usize = 4;
+/// One-way time to a runner in the same domain and in another one.
+const NEAR: Micros = 50;
+const FAR: Micros = 500;
+/// Time in which a failing runner fails.
+const FAIL: Micros = 2 * MS;
+/// Spread of the times to the first token, and of the rest.
+const FIRST_SPREAD: f64 = 0.2;
+const REST_SPREAD: f64 = 0.5;
+/// Part of the time to the first token that is left with a cached prefix.
+const WARM: f64 = 0.5;
+/// Most attempts for one request.
+const ATTEMPTS: u32 = 3;
+
+#[derive(Debug)]
+enum Event {
+    Arrive,
+    Start(usize),
+    First(usize),
+    End(usize),
+    Fail(usize),
+    Poll { router: usize, member: usize },
+    Remember,
+}
+
+#[derive(Debug)]
+struct Router {
+    fleet: Fleet,
+    members: Vec<(ServerIdx, usize)>,
+    retries: RetryBudget,
+}
+
+#[derive(Debug)]
+struct Request {
+    router: usize,
+    came: Micros,
+    prefix: u64,
+    attempts: u32,
+    tried: Vec<ServerIdx>,
+    runner: usize,
+    sent: Option<Sent>,
+    is_warm: bool,
+}
+
+/// One run of one policy.
+#[derive(Debug)]
+pub struct World<'a> {
+    setup: &'a Setup,
+    routers: Vec<Router>,
+    runners: Vec<Runner>,
+    requests: Vec<Request>,
+    /// Weights of the known prefixes.
+    weights: Vec<f64>,
+    agenda: Agenda<Event>,
+    /// For demand, for the policy and for the runners, so that each policy meets the
+    /// same demand.
+    demand: Pcg64Mcg,
+    chance: Pcg64Mcg,
+    times: Pcg64Mcg,
+    outcome: Outcome,
+}
+
+impl<'a> World<'a> {
+    /// A run of the choice.
+    #[must_use]
+    pub fn new(setup: &'a Setup, choice: Choice, seed: u64) -> Self {
+        let specs: Vec<ServerSpec> = (0..setup.runners).map(spec).collect();
+        let routers = (0..setup.routers).map(|index| router(setup, choice, &specs, index, seed));
+        let faults = |index: usize| setup.faults.get(index).copied();
+        let ranks = 1..=setup.prefixes.count;
+        Self {
+            setup,
+            routers: routers.collect(),
+            runners: (0..setup.runners)
+                .map(|index| Runner::new(faults(index)))
+                .collect(),
+            requests: Vec::new(),
+            weights: ranks
+                .map(|rank| (rank as f64).powf(-setup.prefixes.skew))
+                .collect(),
+            agenda: Agenda::new(),
+            demand: generator(seed, 1),
+            chance: generator(seed, 2),
+            times: generator(seed, 3),
+            outcome: Outcome::default(),
+        }
+    }
+
+    /// Runs to the end.
+    #[must_use]
+    pub fn run(mut self) -> Outcome {
+        self.begin();
+        while let Some((now, event)) = self.agenda.pop() {
+            if now >= self.setup.length {
+                break;
+            }
+            match event {
+                Event::Arrive => self.arrive(now),
+                Event::Start(request) => self.reach(now, request),
+                Event::First(request) => self.first(now, request),
+                Event::End(request) => self.end(now, request),
+                Event::Fail(request) => self.fail(now, request),
+                Event::Poll { router, member } => self.poll(now, router, member),
+                Event::Remember => self.remember(now),
+            }
+        }
+        self.outcome.firsts.sort_unstable();
+        self.outcome
+    }
+
+    fn begin(&mut self) {
+        self.agenda.put(0, Event::Remember);
+        self.agenda.put(0, Event::Arrive);
+        for (router, state) in self.routers.iter().enumerate() {
+            for member in 0..state.members.len() {
+                let at = below(&mut self.chance, self.setup.poll);
+                self.agenda.put(at, Event::Poll { router, member });
+            }
+        }
+    }
+
+    fn arrive(&mut self, now: Micros) {
+        let wait = gap(&mut self.demand, self.setup.rate());
+        self.agenda.put(now + wait, Event::Arrive);
+        let router = below(&mut self.demand, self.routers.len() as u64) as usize;
+        let number = self.requests.len();
+        let is_known = unit(&mut self.demand) < self.setup.prefixes.share;
+        let rank = weighted(&mut self.demand, &self.weights);
+        let prefix = if is_known {
+            hash(rank as u64)
+        } else {
+            hash(1 << 40 | number as u64)
+        };
+        self.requests.push(Request {
+            router,
+            came: now,
+            prefix,
+            attempts: 0,
+            tried: Vec::new(),
+            runner: 0,
+            sent: None,
+            is_warm: false,
+        });
+        if self.counts(number) {
+            self.outcome.requests += 1;
+        }
+        self.send(now, number);
+    }
+
+    fn counts(&self, request: usize) -> bool {
+        self.requests[request].came >= self.setup.warm_up
+    }
+
+    fn send(&mut self, now: Micros, number: usize) {
+        let counts = self.counts(number);
+        let request = &mut self.requests[number];
+        let router = &mut self.routers[request.router];
+        let pick = Pick {
+            now,
+            prefix: request.prefix,
+            exclude: &request.tried,
+            may_probe: true,
+        };
+        let Some(sent) = router.fleet.send(&pick, &mut self.chance) else {
+            if counts {
+                self.outcome.lost += 1;
+            }
+            return;
+        };
+        let mut members = router.members.iter();
+        let member = members.find(|(idx, _)| *idx == sent.idx);
+        request.runner = member.expect("a router picks among its members").1;
+        request.tried.push(sent.idx);
+        request.sent = Some(sent);
+        request.attempts += 1;
+        let hop = hop(request.router, request.runner);
+        if counts {
+            self.outcome.attempts += 1;
+            let is_faulty = self.runners[request.runner].fault.is_some();
+            self.outcome.to_faulty += u64::from(is_faulty);
+        }
+        self.agenda.put(now + hop, Event::Start(number));
+    }
+
+    /// The request reaches its runner.
+    fn reach(&mut self, now: Micros, number: usize) {
+        let runner = self.requests[number].runner;
+        if let Some(Fault::Fails(share)) = self.runners[runner].fault
+            && unit(&mut self.times) < share
+        {
+            return self.agenda.put(now + FAIL, Event::Fail(number));
+        }
+        if self.runners[runner].take(number) {
+            self.start(now, number);
+        }
+    }
+
+    fn start(&mut self, now: Micros, number: usize) {
+        let request = &mut self.requests[number];
+        let runner = &mut self.runners[request.runner];
+        request.is_warm = runner.warm(request.prefix, now);
+        let part = if request.is_warm { WARM } else { 1.0 };
+        let mean = FIRST * part * (1.0 + runner.load()) * runner.slowness();
+        let first = around(&mut self.times, mean, FIRST_SPREAD);
+        let rest = around(&mut self.times, REST * runner.slowness(), REST_SPREAD);
+        let hop = hop(request.router, request.runner);
+        self.agenda.put(now + first + hop, Event::First(number));
+        self.agenda
+            .put(now + first + rest + hop, Event::End(number));
+    }
+
+    fn first(&mut self, now: Micros, number: usize) {
+        let counts = self.counts(number);
+        let request = &mut self.requests[number];
+        let router = &mut self.routers[request.router];
+        if let Some(sent) = &mut request.sent {
+            router.fleet.on_first_token(sent, now);
+        }
+        if counts {
+            self.outcome.firsts.push(now - request.came);
+            self.outcome.hits += u64::from(request.is_warm);
+        }
+    }
+
+    fn end(&mut self, now: Micros, number: usize) {
+        let request = &mut self.requests[number];
+        let router = &mut self.routers[request.router];
+        if let Some(sent) = request.sent.take() {
+            router.fleet.on_end(sent, now);
+            router.retries.on_success();
+        }
+        if let Some(next) = self.runners[request.runner].end() {
+            self.start(now, next);
+        }
+    }
+
+    fn fail(&mut self, now: Micros, number: usize) {
+        let counts = self.counts(number);
+        let request = &mut self.requests[number];
+        let router = &mut self.routers[request.router];
+        if let Some(sent) = request.sent.take() {
+            router.fleet.on_error(sent, now, ErrorKind::Status);
+        }
+        let may = request.attempts < ATTEMPTS;
+        let may = may && (self.setup.retry == Retry::Always || router.retries.take());
+        if may {
+            return self.send(now, number);
+        }
+        if counts {
+            self.outcome.lost += 1;
+        }
+    }
+
+    fn poll(&mut self, now: Micros, router: usize, member: usize) {
+        let state = &mut self.routers[router];
+        let (idx, runner) = state.members[member];
+        let report = self.runners[runner].report(self.setup.lag);
+        state.fleet.on_report(idx, now, report);
+        self.agenda
+            .put(now + self.setup.poll, Event::Poll { router, member });
+    }
+
+    fn remember(&mut self, now: Micros) {
+        for runner in &mut self.runners {
+            runner.remember();
+        }
+        self.agenda.put(now + STEP, Event::Remember);
+    }
+}
+
+fn router(setup: &Setup, choice: Choice, specs: &[ServerSpec], index: usize, seed: u64) -> Router {
+    let mut settings = FleetPolicy::new(domain(index));
+    settings.subset = setup.subset;
+    settings.seed = hash(seed ^ index as u64);
+    settings.health = choice.health();
+    let mut fleet = Fleet::new(settings, choice.policy());
+    fleet.set_config(specs);
+    let number = |name: &ServerName| specs.iter().position(|spec| spec.name == *name);
+    let members = fleet.members().into_iter();
+    let members = members.map(|(idx, name)| (idx, number(&name).expect("it is configured")));
+    Router {
+        members: members.collect(),
+        fleet,
+        retries: RetryBudget::default(),
+    }
+}
+
+fn spec(index: usize) -> ServerSpec {
+    ServerSpec {
+        name: ServerName::from(format!("runner-{index}")),
+        domain: domain(index),
+        vm: None,
+        slots: SLOTS as u32,
+        drain: false,
+    }
+}
+
+fn domain(index: usize) -> DomainName {
+    DomainName::from(format!("domain-{}", index % DOMAINS))
+}
+
+fn hop(router: usize, runner: usize) -> Micros {
+    if router % DOMAINS == runner % DOMAINS {
+        NEAR
+    } else {
+        FAR
+    }
+}
+
+/// Spreads the bits of a number; never 0.
+fn hash(number: u64) -> u64 {
+    let wide = u128::from(number + 1) * 0xd6e8_feb8_6659_fd93_a076_1d64_78bd_642f;
+    ((wide >> 64) as u64 ^ wide as u64) | 1
+}
--- /dev/null
+++ b/crates/bench/tests/limits.rs
@@ -0,0 +1,43 @@
+//! The limits driver: equal seeds give equal rows, and overload shows.
+
+use swiftlink_bench::limits::{Outcome, Setup, World};
+
+const SEC: u64 = 1_000_000;
+
+fn run(load: f64, seed: u64) -> Outcome {
+    let setup = Setup {
+        length: 60 * SEC,
+        warm_up: 10 * SEC,
+        ..Setup::at(load, true, true)
+    };
+    World::new(&setup, seed).run()
+}
+
+#[test]
+fn equal_seeds_give_equal_outcomes() {
+    assert_eq!(run(2.0, 5), run(2.0, 5));
+    assert_ne!(run(2.0, 5), run(2.0, 6));
+}
+
+#[test]
+fn only_overload_refuses() {
+    let refused = |outcome: &Outcome| {
+        outcome
+            .classes
+            .iter()
+            .map(|class| class.refused)
+            .sum::<u64>()
+    };
+    assert_eq!(refused(&run(0.5, 1)), 0);
+    assert!(refused(&run(2.0, 1)) > 0);
+}
+
+#[test]
+fn what_is_counted_adds_up() {
+    let outcome = run(2.0, 1);
+    for class in &outcome.classes {
+        assert!(class.good <= class.times.len() as u64);
+        assert!(class.returns_taken <= class.returns);
+        assert!(class.returns_lost <= class.returns_taken);
+    }
+}
--- /dev/null
+++ b/crates/bench/tests/routing.rs
@@ -0,0 +1,52 @@
+//! The routing driver: equal seeds give equal rows, and a bad runner shows.
+
+use swiftlink_bench::routing::{Choice, Fault, Outcome, Retry, Setup, World};
+
+const SEC: u64 = 1_000_000;
+
+fn small(faults: Vec<Fault>) -> Setup {
+    Setup {
+        routers: 4,
+        runners: 6,
+        faults,
+        length: 60 * SEC,
+        warm_up: 10 * SEC,
+        ..Setup::basic("small", true)
+    }
+}
+
+fn run(setup: &Setup, choice: Choice, seed: u64) -> Outcome {
+    World::new(setup, choice, seed).run()
+}
+
+#[test]
+fn equal_seeds_give_equal_outcomes() {
+    let setup = small(vec![Fault::Slow(4.0)]);
+    for choice in Choice::ALL {
+        let one = run(&setup, choice, 3);
+        assert_eq!(one, run(&setup, choice, 3), "{}", choice.name());
+        assert!(!one.firsts.is_empty(), "{}", choice.name());
+    }
+    assert_ne!(run(&setup, Choice::Ours, 3), run(&setup, Choice::Ours, 4));
+}
+
+#[test]
+fn a_black_hole_takes_requests_from_who_looks_at_reports_alone() {
+    let setup = small(vec![Fault::Fails(1.0)]);
+    let naive = run(&setup, Choice::LeastReported, 1);
+    let ours = run(&setup, Choice::Ours, 1);
+    assert!(naive.lost > 0);
+    assert!(ours.to_faulty < naive.to_faulty);
+}
+
+#[test]
+fn without_a_budget_retries_multiply() {
+    let faults = vec![Fault::Fails(1.0); 6];
+    let mut setup = small(faults);
+    let saved = run(&setup, Choice::Random, 1);
+    setup.retry = Retry::Always;
+    let always = run(&setup, Choice::Random, 1);
+    assert_eq!(always.attempts, 3 * always.requests);
+    assert!(saved.attempts < 2 * saved.requests);
+    assert_eq!(saved.lost, saved.requests);
+}
