client, operator: tell an own change from a conflict, and plain log levels

Change: on a conflict the command looks at what is in force, and says "already in force" (exit 0) when every resource is as asked, defaults filled in. Retries within one run keep their change id already; nothing to mend there. GET of a process's log-level at the operator. get KIND NAME prints a line per field. A 404 that is not of the operator interface is told as a wrong address, and an apply there counts as not applied.

Ruled out: an id made from the content across runs (the same file applied a second time on purpose would be taken for a copy and do nothing).

--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -10,6 +10,10 @@
 const WATCH_AGAIN: &str =
     "list the resources with `swiftlink get KIND -o json`, then watch from the version it shows";
 
+/// What to do about a rejected change of a top-up.
+const IMMUTABLE: &str = "a top-up stays as it was first applied: for more tokens apply another \
+     [[topup]] with a new name, and take the changed one out of the file";
+
 /// Exit codes of the `swiftlink` command.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 #[repr(u8)]
@@ -61,6 +65,9 @@
         /// What is wrong with it.
         detail: String,
     },
+    /// Something else than an operator answers there; it did nothing.
+    #[error("{0} is no operator's address: it has no such path")]
+    NotOperator(SocketAddr),
     /// The operator can't continue a watch.
     #[error("the watch ended: {0}")]
     WatchEnded(String),
@@ -92,7 +99,7 @@
             ),
             Self::Refused(problem) => return refused_step(problem),
             Self::WatchEnded(_) => WATCH_AGAIN.to_owned(),
-            Self::Protocol { .. } => {
+            Self::Protocol { .. } | Self::NotOperator(_) => {
                 "check that --operator names the listen address of a swiftlink-operator, \
                  not its admin address"
                     .to_owned()
@@ -105,11 +112,18 @@
 fn refused_step(problem: &Problem) -> Option<String> {
     if problem.is_conflict() {
         return Some(
-            "someone changed it meanwhile: look at it with `swiftlink get`, then apply the \
-             change to the current version"
+            "someone changed it meanwhile, and it isn't as this change asks: look at it with \
+             `swiftlink get`, then apply the change to the current version"
                 .to_owned(),
         );
     }
+    if problem
+        .rejects
+        .iter()
+        .any(|reject| reject.reason == "immutable")
+    {
+        return Some(IMMUTABLE.to_owned());
+    }
     if problem.applied == Some(Certainty::No) {
         return Some("nothing was applied: run the command again later".to_owned());
     }
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod document;
 mod error;
 pub mod http;
+pub mod in_force;
 mod operator;
 mod settings;
 pub mod table;
--- a/crates/client/src/operator.rs
+++ b/crates/client/src/operator.rs
@@ -23,6 +23,9 @@
 /// Rounds over all operators that an undecided apply is repeated for.
 const APPLY_ROUNDS: u32 = 2;
 
+/// How the type of every problem of the operator interface begins.
+const PROBLEM_URN: &str = "urn:swiftlink:problem:";
+
 /// Client of the operator interface.
 #[derive(Debug)]
 pub struct Operator {
@@ -209,6 +212,15 @@
         self.json(&ask).await
     }
 
+    /// The log level of a process.
+    ///
+    /// # Errors
+    /// When no operator answers, or the process is unknown or does not answer.
+    pub async fn read_level(&self, process: &str) -> Result<Value, ClientError> {
+        let path = format!("/v1/processes/{}/log-level", part(process));
+        self.json(&Ask::get(&path)).await
+    }
+
     async fn apply_at(
         &self,
         address: SocketAddr,
@@ -304,7 +316,7 @@
 
 fn verdict(error: &ClientError) -> Verdict {
     match error {
-        ClientError::Unreachable(_) => Verdict::NotApplied,
+        ClientError::Unreachable(_) | ClientError::NotOperator(_) => Verdict::NotApplied,
         ClientError::Refused(problem) => match problem.applied {
             Some(Certainty::No) => Verdict::NotApplied,
             Some(Certainty::Unknown) => Verdict::Doubtful,
@@ -327,14 +339,18 @@
 
 fn refusal(address: SocketAddr, answer: &Answer) -> ClientError {
     match serde_json::from_slice::<Problem>(&answer.body) {
-        Ok(problem) => ClientError::Refused(Box::new(problem)),
-        Err(_error) => protocol(address, answer.status),
+        Ok(problem) if problem.kind.starts_with(PROBLEM_URN) => {
+            ClientError::Refused(Box::new(problem))
+        }
+        // Some other server, the admin address of a process for one.
+        _ if answer.status == StatusCode::NOT_FOUND => ClientError::NotOperator(address),
+        _ => protocol(address, answer.status),
     }
 }
 
 fn protocol(address: SocketAddr, status: StatusCode) -> ClientError {
     ClientError::Protocol {
         address,
-        detail: format!("status {status} without a problem document"),
+        detail: format!("status {status} without a problem of the operator interface"),
     }
 }
--- a/crates/client/src/table/mod.rs
+++ b/crates/client/src/table/mod.rs
@@ -11,6 +11,8 @@
 
 /// Longest cell of a specification before it is cut (characters).
 const SPEC_WIDTH: usize = 100;
+/// A field without a value.
+const NONE: &str = "-";
 
 /// What became of each change of an accepted set.
 #[must_use]
@@ -39,6 +41,41 @@
     text(&table)
 }
 
+/// One resource, a line per field.
+#[must_use]
+pub fn resource(item: &Resource) -> String {
+    let mut table = plain(&[&item.kind, &item.name]);
+    table.add_row(["version", &item.version.to_string()]);
+    let Some(fields) = item.spec.as_object() else {
+        table.add_row(["spec", &field(&item.spec)]);
+        return text(&table);
+    };
+    for (name, value) in fields {
+        table.add_row([name.as_str(), &field(value)]);
+    }
+    text(&table)
+}
+
+/// The value of a field, for people.
+fn field(value: &Value) -> String {
+    match value {
+        Value::Null => NONE.to_owned(),
+        Value::String(text) => text.clone(),
+        Value::Array(items) if items.is_empty() => NONE.to_owned(),
+        Value::Array(items) => items.iter().map(field).collect::<Vec<_>>().join(", "),
+        other => other.to_string(),
+    }
+}
+
+/// A text on a line of its own; other values as JSON.
+#[must_use]
+pub fn line(value: &Value) -> String {
+    match value {
+        Value::String(text) => format!("{text}\n"),
+        other => json(other),
+    }
+}
+
 /// One event of a watch, on one line.
 #[must_use]
 pub fn event(event: &WatchEvent) -> String {
--- a/crates/client/src/table/status.rs
+++ b/crates/client/src/table/status.rs
@@ -9,6 +9,16 @@
 const CONFIG_STREAM: &str = "config";
 /// A cell without a value.
 const NONE: &str = "-";
+/// What a trouble of a router means to its callers.
+const TROUBLES: [(&str, &str); 5] = [
+    ("stopping", "stopping, takes no new work"),
+    ("no-configuration", "no configuration, refuses all"),
+    ("stale", "stale, refuses workspaces with stale=refuse"),
+    ("stuck", "charges are stuck, takes no new work"),
+    ("not-joined", "has not joined all budget streams"),
+];
+/// What an operator should know of a configuration that nobody can change.
+const LOG_OUT: &str = "the log is out for all ledgers";
 
 /// The processes of the fleet.
 #[must_use]
@@ -107,8 +117,22 @@
 
 fn note(process: &ProcessStatus) -> String {
     if process.reachable {
-        return String::new();
+        return state(&process.status);
     }
     let error = process.error.as_deref().unwrap_or("no answer");
     format!("unreachable: {error}")
 }
+
+/// What a process says against itself.
+fn state(status: &Value) -> String {
+    let mut notes = Vec::new();
+    if status.get("configuration").and_then(Value::as_str) == Some("log-out") {
+        notes.push(LOG_OUT.to_owned());
+    }
+    let troubles = status.get("troubles").and_then(Value::as_array);
+    for trouble in troubles.into_iter().flatten().filter_map(Value::as_str) {
+        let known = TROUBLES.iter().find(|(slug, _)| *slug == trouble);
+        notes.push(known.map_or(trouble, |(_, meaning)| meaning).to_owned());
+    }
+    notes.join("; ")
+}
--- a/crates/client/tests/testsuite/table.rs
+++ b/crates/client/tests/testsuite/table.rs
@@ -4,6 +4,7 @@
 use swiftlink_client::api::{
     Applied, AppliedChange, Budget, ProcessStatus, Resource, Status, WatchEvent,
 };
+use swiftlink_client::in_force::same_spec;
 use swiftlink_client::table;
 
 #[test]
@@ -45,6 +46,24 @@
     ];
     insta::assert_snapshot!(table::resources(&items));
     insta::assert_snapshot!("listed_nothing", table::resources(&[]));
+    let whole = table::resource(&items[1]);
+    assert!(whole.contains("class-19"), "nothing is cut: {whole}");
+    insta::assert_snapshot!("one_resource", table::resource(&items[0]));
+}
+
+#[test]
+fn a_level_is_a_plain_word() {
+    assert_eq!(table::line(&json!("debug")), "debug\n");
+}
+
+#[test]
+fn specifications_are_the_same_whether_defaults_are_written_or_not() {
+    let short = json!({ "budget": "registry" });
+    let long = json!({ "budget": "registry", "classes": [], "stale": "refuse" });
+    let other = json!({ "budget": "registry", "stale": "serve" });
+    assert!(same_spec("workspace", &short, &long));
+    assert!(!same_spec("workspace", &short, &other));
+    assert!(!same_spec("nonsense", &short, &short));
 }
 
 #[test]
@@ -66,7 +85,8 @@
     let ledger = json!({ "version": 41, "log_age_ms": 3, "streams": streams });
     let operator = json!({ "config_version": 42, "log_offset": 44, "log_age_ms": 15 });
     let router = json!({
-        "version": 41, "version_age_ms": 3,
+        "version": 41, "version_age_ms": 3, "log_offset": 44,
+        "configuration": "current", "troubles": ["stuck", "not-joined"],
         "grants": [{ "available": 900, "reserved": 100 }, { "available": 200, "reserved": 0 }],
         "queue": [{ "pool": "a", "waiting": 4 }, { "pool": "b", "waiting": 1 }],
     });
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -58,6 +58,13 @@
         Ok(json(&answer.body))
     }
 
+    /// The log level of a process.
+    pub(crate) async fn read_level(&self, name: &str) -> Result<Value, FleetError> {
+        let process = self.find(name)?;
+        let call = Call::get(process.admin, "/log-level");
+        Ok(json(&self.ask(process, &call).await?.body))
+    }
+
     /// Sets the log level of a process.
     pub(crate) async fn log_level(&self, name: &str, level: Bytes) -> Result<Value, FleetError> {
         let process = self.find(name)?;
--- a/crates/operator/src/web/mod.rs
+++ b/crates/operator/src/web/mod.rs
@@ -69,6 +69,7 @@
             (Method::GET, ["v1", "status"]) => self.status().await,
             (Method::GET, ["v1", "budgets", name]) => self.budget(name).await,
             (Method::GET, ["v1", "processes", name, "dump"]) => self.dump(name).await,
+            (Method::GET, ["v1", "processes", name, "log-level"]) => self.read_level(name).await,
             (Method::PUT, ["v1", "processes", name, "log-level"]) => {
                 self.log_level(name, request).await
             }
--- a/crates/operator/src/web/read.rs
+++ b/crates/operator/src/web/read.rs
@@ -88,6 +88,13 @@
         proxied(dump)
     }
 
+    pub(super) async fn read_level(&self, name: &str) -> Result<Response, Fault> {
+        let fleet = Arc::clone(&self.fleet);
+        let name = name.to_owned();
+        let level = self.detach(async move { fleet.read_level(&name).await });
+        proxied(level.await?)
+    }
+
     pub(super) async fn log_level(
         &self,
         name: &str,
--- a/crates/operator/tests/testsuite/interface.rs
+++ b/crates/operator/tests/testsuite/interface.rs
@@ -8,10 +8,11 @@
 use proptest::strategy::{Strategy, ValueTree};
 use proptest::test_runner::TestRunner;
 use serde_json::{Value, json};
+use swiftlink_client::ClientError;
 use swiftlink_client::http::{Answer, Call, Http};
 use swiftlink_log::{Fault, MemLog};
 
-use crate::rig::{Rig, TOKEN, class, config};
+use crate::rig::{Rig, TOKEN, caller, class, config, put, request};
 
 const LIMIT: Duration = Duration::from_secs(20);
 
@@ -168,6 +169,8 @@
         .await
         .expect("changed");
     assert!(rig.caller.log_level("seen", "loud").await.is_err());
+    let level = rig.caller.read_level("seen").await.expect("read");
+    assert_eq!(level, "debug");
     rig.operator.stop().await;
     seen.operator.stop().await;
 }
@@ -201,3 +204,60 @@
         .as_str()
         .is_some_and(|field| !field.is_empty())
 }
+
+/// The admin address in place of the operator's: an easy slip, and nothing is done there.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_admin_address_is_told_apart() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({})).await;
+    let admin = caller(&[rig.operator.admin()]);
+    let error = admin.status().await.expect_err("no operator there");
+    assert!(matches!(error, ClientError::NotOperator(_)), "{error:?}");
+    let next = error.next_step().expect("a next step");
+    assert!(next.contains("--operator"), "{next}");
+    let change = request(vec![class("urgent", None, 2)]);
+    let error = admin.apply(&change, "id-1", false).await;
+    assert!(matches!(error, Err(ClientError::NotOperator(_))), "{error:?}");
+    assert_eq!(log.end(&config()), 0);
+    rig.operator.stop().await;
+}
+
+/// A change whose answer was lost looks like someone else's: what is in force tells.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_own_change_is_told_from_a_conflict() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({})).await;
+    let change = vec![class("urgent", Some(0), 2)];
+    let first = rig.apply(change.clone()).await.expect("accepted");
+    let again = rig.apply(change.clone()).await;
+    assert!(
+        matches!(&again, Err(ClientError::Refused(problem)) if problem.is_conflict()),
+        "{again:?}"
+    );
+    let found = rig.caller.in_force(&request(change)).await;
+    let found = found.expect("asked").expect("it is as asked");
+    assert_eq!(found.version, first.version);
+    let other = request(vec![class("urgent", Some(0), 3)]);
+    assert_eq!(rig.caller.in_force(&other).await.expect("asked"), None);
+    let absent = request(vec![class("patient", Some(0), 2)]);
+    assert_eq!(rig.caller.in_force(&absent).await.expect("asked"), None);
+    rig.operator.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_changed_top_up_is_refused_with_a_next_step() {
+    let log = Arc::new(MemLog::new());
+    let rig = Rig::start(&log, &json!({ "topup_ms": 1 })).await;
+    let top_up = |amount: u64| {
+        let spec = json!({ "budget": "registry", "amount": amount });
+        vec![
+            put("budget", "registry", None, json!({})),
+            put("topup", "registry-01", None, spec),
+        ]
+    };
+    rig.apply(top_up(100)).await.expect("accepted");
+    let error = rig.apply(top_up(200)).await.expect_err("it stands");
+    let next = error.next_step().expect("a next step");
+    assert!(next.contains("new name"), "{next}");
+    rig.operator.stop().await;
+}
--- a/src/bin/swiftlink/commands/apply.rs
+++ b/src/bin/swiftlink/commands/apply.rs
@@ -4,7 +4,7 @@
 
 use getopts::Options;
 use swiftlink_client::api::ApplyRequest;
-use swiftlink_client::{block_on, change_id, document, table};
+use swiftlink_client::{ClientError, block_on, change_id, document, table};
 
 use crate::cli::{Context, Verb};
 use crate::failure::Failure;
@@ -57,8 +57,21 @@
     let given = context.matches.opt_str("change-id");
     let repeat = given.is_some();
     let id = given.unwrap_or_else(change_id);
-    let applied = block_on(context.operator.apply(request, &id, repeat))??;
-    context.print(&applied, table::applied)
+    let error = match block_on(context.operator.apply(request, &id, repeat))? {
+        Ok(applied) => return context.print(&applied, table::applied),
+        Err(error) => error,
+    };
+    if !matches!(&error, ClientError::Refused(problem) if problem.is_conflict()) {
+        return Err(error.into());
+    }
+    // Perhaps the conflict is with this very change, whose answer was lost.
+    match block_on(context.operator.in_force(request))? {
+        Ok(Some(applied)) => {
+            eprintln!("already in force: this run changed nothing");
+            context.print(&applied, table::applied)
+        }
+        _ => Err(error.into()),
+    }
 }
 
 /// Who asks: `--author`, else the user's name.
--- a/src/bin/swiftlink/commands/get.rs
+++ b/src/bin/swiftlink/commands/get.rs
@@ -29,7 +29,7 @@
 }
 
 fn one(resource: &Resource) -> String {
-    table::resources(std::slice::from_ref(resource))
+    table::resource(resource)
 }
 
 fn many(list: &ResourceList) -> String {
--- a/src/bin/swiftlink/commands/log_level.rs
+++ b/src/bin/swiftlink/commands/log_level.rs
@@ -1,4 +1,4 @@
-//! `swiftlink log-level PROCESS LEVEL`
+//! `swiftlink log-level PROCESS [LEVEL]`
 
 use swiftlink_client::{block_on, table};
 
@@ -7,14 +7,17 @@
 
 pub const VERB: Verb = Verb {
     name: "log-level",
-    about: "Change what a process logs, without a restart",
-    usage: "PROCESS LEVEL",
+    about: "Show or change what a process logs, without a restart",
+    usage: "PROCESS [LEVEL]",
     options: |_options| {},
     run,
 };
 
 fn run(context: &Context) -> Result<(), Failure> {
-    let words = context.words(2, 2)?;
-    let answer = block_on(context.operator.log_level(words[0], words[1]))??;
-    context.print(&answer, table::json)
+    let words = context.words(1, 2)?;
+    let answer = match words[..] {
+        [process, level] => block_on(context.operator.log_level(process, level))??,
+        _ => block_on(context.operator.read_level(words[0]))??,
+    };
+    context.print(&answer, table::line)
 }
