router: give up a peer that falls silent during a relay

Cause: a relayed request waited for the head of the peer's answer until its own deadline (120 s by default), and for the rest of the answer without a limit. The kernel of a frozen process takes connections and requests, so nothing failed.

Change: while a request waits for a peer, the peer is asked for a sign of life every `peer_ms` (1 s). Any answer counts. Without one twice in a row the relay is given up: a request that may be repeated goes to one more peer, else the caller is told `unknown` with Retry-After at once; an answer in the middle is cut, to be resumed at any router. A peer known to be silent gets nothing until it answers. What may have run at a peer is remembered like a dispatch, so that a later refusal of the key does not say `not-run`.

Ruled out: a limit on the wait for the head. The head of a whole answer comes at its end, so a limit would cut long answers of living peers.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod node;
 pub mod pass;
 pub mod past;
+pub mod peers;
 pub mod pings;
 pub mod problem;
 pub mod queue;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -20,6 +20,7 @@
 use crate::ledgers::Ledgers;
 use crate::members::Members;
 use crate::past::PastRuns;
+use crate::peers::Peers;
 use crate::reader::ReadOptions;
 use crate::settings::Settings;
 use crate::upstream::SendOptions;
@@ -46,6 +47,8 @@
     pub keys: Arc<Keys>,
     /// Request keys dispatched before.
     pub past: Arc<PastRuns>,
+    /// Peer routers that requests were relayed to.
+    pub peers: Arc<Peers>,
     /// Hands charges to ledgers.
     pub settler: Arc<Settler>,
     /// Intents of non-idempotent requests.
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -1,6 +1,10 @@
 //! Relays a request that finds no rights here to a peer router, one hop.
+//!
+//! The peer is watched while it is waited for (see [`crate::peers`]): one that falls
+//! silent is given up at once, and the outcome there isn't known.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use http::header::HOST;
 use http::{HeaderValue, Request};
@@ -8,9 +12,11 @@
 use swiftlink_telemetry::event;
 use swiftlink_types::{OUTCOME_HEADER, Outcome, Refusal, RefusalKind};
 
-use crate::call::Call;
+use crate::call::{Call, Work};
 use crate::forward::{end_to_end, pass_body};
 use crate::node::Node;
+use crate::past::{PastRun, digest};
+use crate::peers::Watched;
 use crate::reply::{Reply, ReplySender, pieces};
 use crate::serve::send;
 use crate::surface::{KEY, RELAY};
@@ -18,6 +24,8 @@
 
 /// Peers that are asked for one request.
 const PEERS_MAX: usize = 2;
+/// When to come back after a peer was lost.
+const LOST_RETRY: Duration = Duration::from_secs(1);
 /// Longest refusal of a peer that is read (bytes).
 const REFUSAL_MAX: usize = 16 << 10;
 
@@ -40,16 +48,21 @@
     ) {
         let mut refusal = refusal;
         if may_relay(self.call, &refusal) {
+            // Where it may have run is remembered as if it had been dispatched here.
+            let mut past = self.past();
             for address in self.candidates(holders) {
+                past.iter_mut().for_each(PastRun::dispatch);
                 match self.try_peer(address).await {
-                    Tried::Answered(answer) => {
+                    Tried::Answered(answer, watched) => {
                         self.node.metrics.count("request.relayed", 1);
-                        return pass(answer, reply).await;
+                        return pass(answer, watched, reply).await;
                     }
-                    Tried::NotRun => {}
+                    Tried::NotRun => past.iter_mut().for_each(PastRun::recall),
                     Tried::Lost(why) => {
+                        past = None;
                         let detail = format!("the peer router's answer was lost: {why}");
-                        refusal = Refusal::unknown(RefusalKind::ServerFailed, detail);
+                        refusal = Refusal::unknown(RefusalKind::ServerFailed, detail)
+                            .with_retry(LOST_RETRY);
                         if self.call.once {
                             break;
                         }
@@ -60,6 +73,13 @@
         send(reply, Reply::Refused(refusal));
     }
 
+    /// What is to be remembered of the request; nothing of a resumption.
+    fn past(self) -> Option<PastRun> {
+        let call = self.call;
+        let is_run = !matches!(call.work, Work::Resume(_));
+        is_run.then(|| self.node.past.begin(&call.key_use, digest(&call.original)))
+    }
+
     fn candidates(self, holders: Vec<SocketAddr>) -> Vec<SocketAddr> {
         let mut list = holders;
         let peers = &self.node.settings.peers;
@@ -84,8 +104,15 @@
         if left.is_zero() {
             return Tried::NotRun;
         }
+        let mut watched = self.node.peers.watch(address);
+        if watched.is_silent() {
+            return Tried::NotRun;
+        }
         let options = self.node.send_options(left, self.call.once);
-        let sent = send_http(address, self.request(address), options).await;
+        let sent = tokio::select! {
+            sent = send_http(address, self.request(address), options) => sent,
+            () = watched.silenced() => Err(SendError::Lost("the peer is silent".to_owned())),
+        };
         let answer = match sent {
             Ok(answer) => answer,
             Err(SendError::NotSent(why)) => {
@@ -99,7 +126,7 @@
         };
         let outcome = answer.response.headers().get(OUTCOME_HEADER);
         if outcome.is_none_or(|outcome| outcome != Outcome::NotRun.as_str()) {
-            return Tried::Answered(Box::new(answer));
+            return Tried::Answered(Box::new(answer), watched);
         }
         let (response, mut lease) = answer.split();
         let body = Limited::new(response.into_body(), REFUSAL_MAX);
@@ -131,7 +158,7 @@
 /// What became of a try.
 enum Tried {
     /// The peer answered, and the request may have run there.
-    Answered(Box<Answer>),
+    Answered(Box<Answer>, Watched),
     /// The peer was not reached or did not run the request.
     NotRun,
     /// The peer was reached and its answer was lost.
@@ -148,12 +175,20 @@
     elsewhere && !call.relayed
 }
 
-/// Passes the peer's answer on as it comes.
-async fn pass(answer: Box<Answer>, reply: ReplySender) {
+/// Passes the peer's answer on as it comes; a silent peer cuts it, and the caller can
+/// resume it at any router.
+async fn pass(answer: Box<Answer>, mut watched: Watched, reply: ReplySender) {
     let (response, mut lease) = answer.split();
     let (parts, body) = response.into_parts();
     let headers = end_to_end(&parts.headers);
     let (sender, receiver) = pieces();
     send(reply, Reply::Pieces(parts.status, headers, receiver));
-    pass_body(body, &mut lease, &sender).await;
+    let is_silent = tokio::select! {
+        _whole = pass_body(body, &mut lease, &sender) => false,
+        () = watched.silenced() => true,
+    };
+    if is_silent {
+        let cut = std::io::Error::other("the peer router is silent");
+        let _gone = sender.send(Err(cut)).await;
+    }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -27,6 +27,7 @@
 use crate::members::{Keeper, Members};
 use crate::node::Node;
 use crate::past::PastRuns;
+use crate::peers::Peers;
 use crate::serve::Surface;
 use crate::settings::Settings;
 use crate::{pings, stop, vms};
@@ -147,6 +148,12 @@
         upkeep.clone(),
     );
     let past = PastRuns::new(settings.key_memory);
+    let peers = Peers::new(
+        runtime.clone(),
+        tasks.clone(),
+        ms(settings.peer_ms),
+        upkeep.clone(),
+    );
     let settler = Settler::new(
         Arc::clone(&ledgers),
         Arc::clone(&past),
@@ -163,6 +170,7 @@
         claimers,
         keys: Keys::new(settings.key_window_ms, 0),
         past,
+        peers,
         settler,
         intents,
         pools,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -71,6 +71,10 @@
     /// Longest time for a connection to a backend server or peer.
     #[serde(default = "d::connect_ms")]
     pub connect_ms: u64,
+    /// Time between signs of life asked of a peer router that a relayed request waits
+    /// for, and the longest wait for one; a peer that gives none twice is given up.
+    #[serde(default = "d::peer_ms")]
+    pub peer_ms: u64,
     /// Silence of an engine in mid-answer after which the stream is resumed.
     #[serde(default = "d::stall_ms")]
     pub stall_ms: u64,
@@ -153,6 +157,9 @@
     pub(super) fn connect_ms() -> u64 {
         500
     }
+    pub(super) fn peer_ms() -> u64 {
+        1_000
+    }
     pub(super) fn stall_ms() -> u64 {
         5_000
     }
@@ -216,7 +223,7 @@
 }
 
 impl Settings {
-    fn periods(&self) -> [(&'static str, u64); 11] {
+    fn periods(&self) -> [(&'static str, u64); 12] {
         [
             ("deadline_ms", self.deadline_ms),
             ("stale_ms", self.stale_ms),
@@ -229,6 +236,7 @@
             ("report_ms", self.report_ms),
             ("vms_ms", self.vms_ms),
             ("connect_ms", self.connect_ms),
+            ("peer_ms", self.peer_ms),
         ]
     }
 
--- a/tests/testsuite/repeat.rs
+++ b/tests/testsuite/repeat.rs
@@ -4,16 +4,18 @@
 use std::time::Duration;
 
 use http::Method;
-use serde_json::json;
+use serde_json::{Value, json};
 use swiftlink_testkit::caller::{Answer, Ask, set};
-use swiftlink_testkit::checker::{Accounts, History};
-use swiftlink_testkit::fleet::{CALL_TOKENS, Fleet, MODEL, SERVICE};
+use swiftlink_testkit::checker::{Accounts, End, History};
+use swiftlink_testkit::fleet::{CALL_TOKENS, Fleet, MODEL, SERVICE, Tenant};
 use swiftlink_testkit::recorder::Recorder;
 
-use crate::support::{check_all, expected, new_key, plan, send, tokens};
+use crate::support::{check_all, expected, new_key, plan, send, sent, tokens};
 
 /// Times that a key is sent.
 const TIMES: usize = 4;
+/// A part of the deadline (120 s) that a silent peer may not take.
+const LONG_BEFORE: Duration = Duration::from_secs(30);
 
 fn ask(prompt: &str) -> Ask {
     Ask::new(MODEL, prompt).with_key(&new_key())
@@ -148,7 +150,11 @@
         let path = "/v1/chat/completions";
         let body = body.to_owned().into();
         let mut request = caller.request(Method::POST, fleet.router(0), path, body);
-        set(&mut request, "idempotency-key", first.key.as_deref().expect("a key"));
+        set(
+            &mut request,
+            "idempotency-key",
+            first.key.as_deref().expect("a key"),
+        );
         set(&mut request, "x-priority", class);
         caller.whole(request).await
     };
@@ -161,34 +167,42 @@
     assert_eq!(answer.outcome.as_deref(), Some("unknown"), "{answer:?}");
 }
 
-/// A frozen peer that a request was relayed to is given up, not waited for.
+/// A frozen peer that requests were relayed to is given up long before the deadline.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_frozen_peer_is_not_waited_for() {
-    let tenant = swiftlink_testkit::fleet::Tenant::new("tight", 1_500);
-    let plan = plan().tenants(vec![tenant]).engines(1);
-    let plan = plan.router(json!({ "deadline_ms": 600_000 }));
-    let mut fleet = plan.start().await.expect("the fleet starts");
+    let tenant = Tenant::new("tight", 450);
+    let mut fleet = plan().tenants(vec![tenant]).start().await.expect("a fleet");
     let recorder = Recorder::default();
-    // Router 1 takes all rights, and is frozen with them.
-    let taken = swiftlink_testkit::until::until("rights at router 1", async || {
-        let answer = send(&fleet, &recorder, 0, 1, &ask("take it all tokens=1")).await;
-        answer.is_served().then_some(())
-    });
-    taken.await.expect("router 1 serves");
+    for engine in &fleet.engines {
+        engine.set(json!({ "pace_ms": 20 })).await.expect("a pace");
+    }
+    // Router 1 holds nearly all rights, for a request in flight, and is frozen with them.
+    let mut large = ask("at length tokens=100").streamed();
+    large.max_tokens = 256;
+    let begun = recorder.tick();
+    let caller = fleet.caller(0);
+    let stream = caller.begin(fleet.router(1), &large).await;
+    let mut stream = stream.expect("a stream");
+    stream.next().await.expect("an event");
     fleet.routers[1].process.freeze();
-    for once in [false, true] {
-        let mut ask = ask("held by the frozen one tokens=4");
-        ask.once = once;
-        let caller = fleet.caller(0);
-        let answer = tokio::time::timeout(
-            Duration::from_secs(60),
-            caller.ask(fleet.router(0), &ask),
-        );
-        let answer = answer.await.expect("an answer long before the deadline");
-        if !answer.is_served() {
-            assert!(answer.header("retry-after").is_some(), "{answer:?}");
-        }
+    let (idempotent, once) = (
+        ask("held there tokens=4"),
+        ask("held there tokens=5").once(),
+    );
+    let calls = tokio::time::timeout(LONG_BEFORE, async {
+        tokio::join!(
+            send(&fleet, &recorder, 0, 0, &idempotent),
+            send(&fleet, &recorder, 0, 0, &once),
+        )
+    });
+    let answers = calls.await.expect("answers long before the deadline");
+    for answer in [answers.0, answers.1] {
+        assert_eq!(answer.outcome.as_deref(), Some("unknown"), "{answer:?}");
+        assert!(answer.header("retry-after").is_some(), "{answer:?}");
     }
     fleet.routers[1].process.thaw();
+    let whole = stream.finish().await;
+    assert!(whole.is_served(), "{whole:?}");
+    recorder.note(sent(&fleet, 0, &large), begun, End::from(&whole));
     check_all(&fleet, recorder.calls()).await;
 }
