--- a/crates/router/tests/settings.rs
+++ b/crates/router/tests/settings.rs
@@ -33,7 +33,9 @@
             continue;
         }
         assert_eq!(sample[&name], default, "{name}");
-        let stated = text.lines().any(|line| line.starts_with(&format!("{name} = ")));
+        let stated = text
+            .lines()
+            .any(|line| line.starts_with(&format!("{name} = ")));
         assert!(stated, "{name} is in the sample");
     }
 }
