Prove by histories that nothing is overspent

Four histories against real processes: a partition of two sites with all routers cut from each other while top-ups land; answers of appends lost after the write; eight routers that race for a small budget until no request fits; routers killed and restarted at their address. Checked are the log's fold, the top-ups that were paid in (so that a top-up counted twice shows too), and the tokens that the engines ran for distinct keys, billed or not.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod config;
 mod faults;
 mod golden;
+mod hammer;
 mod leaving;
 mod once;
 mod outage;
@@ -11,5 +12,6 @@
 mod repeat;
 mod replace;
 mod settings;
+mod spend;
 mod stopping;
 mod support;
