router: tell the sizer about once a second what is free

Sizing::on_budget was called only for a top-up in the configuration, with a guess of the free tokens (the last claim's answer and the top-up; before the first claim the whole sum of top-ups). A router that had rights for a while did not hear that the budget nears its end, and one whose claim was refused not that other routers had returned some.

Ruled out: telling it with every claim's fate alone; a router without a reason to claim gets none.

The claimer reads the budget's view from the nearest connected ledger once a second in which requests asked for rights: no record on the log, and no read for an idle account. The view only guides sizes; it grants nothing.

--- a/crates/router/src/claim.rs
+++ b/crates/router/src/claim.rs
@@ -3,6 +3,8 @@
 //! A claim that got no answer is submitted again, the same record, until the log
 //! has decided it: its rights may have been granted.
 
+mod news;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,8 +12,10 @@
 use swiftlink_log::Backoff;
 use swiftlink_telemetry::{Metrics, event};
 use swiftlink_types::{Micros, Tokens};
+use swiftlink_wire::link::BudgetView;
 use swiftlink_wire::log::{Claim, ClaimFate, Return, fate, record};
 use tokio::runtime::Handle;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -63,8 +67,17 @@
     /// Starts the claimer of `account`.
     pub fn spawn(&self, seat: &Arc<Seat>, account: &Arc<Account>) {
         let context = Arc::clone(&self.context);
-        let claimer = Claimer::new(context, Arc::clone(seat), Arc::clone(account));
-        self.tasks.spawn_on(claimer.run(), &self.runtime);
+        let seat = Arc::clone(seat);
+        let account = Arc::clone(account);
+        let run = async move {
+            let (told, view) = watch::channel(BudgetView::default());
+            let claimer = Claimer::new(Arc::clone(&context), seat, Arc::clone(&account), view);
+            tokio::select! {
+                () = claimer.run() => {}
+                () = news::follow(&context, &account, &told) => {}
+            }
+        };
+        self.tasks.spawn_on(run, &self.runtime);
     }
 }
 
@@ -79,12 +92,19 @@
     seq: u64,
     topped_up: Tokens,
     sharers: u32,
+    /// The budget as a ledger last knew it.
+    view: watch::Receiver<BudgetView>,
 }
 
 impl Claimer {
     /// A claimer for `account` on `seat`.
     #[must_use]
-    pub fn new(context: Arc<ClaimContext>, seat: Arc<Seat>, account: Arc<Account>) -> Self {
+    pub fn new(
+        context: Arc<ClaimContext>,
+        seat: Arc<Seat>,
+        account: Arc<Account>,
+        view: watch::Receiver<BudgetView>,
+    ) -> Self {
         let policy = SizerPolicy {
             retry_max: context.pause,
             ..SizerPolicy::default()
@@ -99,6 +119,7 @@
             seq: 0,
             topped_up: 0,
             sharers: 1,
+            view,
         }
     }
 
@@ -144,7 +165,7 @@
         false
     }
 
-    async fn sleep(&self) {
+    async fn sleep(&mut self) {
         let available = self.account.grant.available();
         let is_short = self.account.waiting().least > available;
         let is_idle = available == 0 && !is_short;
@@ -152,6 +173,7 @@
         tokio::select! {
             () = self.context.stop.cancelled() => {}
             () = self.account.wake.notified() => {}
+            Ok(()) = self.view.changed() => self.view.mark_changed(),
             () = tokio::time::sleep(tick), if !is_idle => {}
         }
     }
@@ -183,6 +205,20 @@
             let now = self.now();
             self.sizer.on_budget(now, topped_up, free, self.sharers);
         }
+        self.hear();
+    }
+
+    /// Takes what a ledger says of the budget.
+    fn hear(&mut self) {
+        if !self.view.has_changed().unwrap_or(false) {
+            return;
+        }
+        let (topped_up, free) = {
+            let view = self.view.borrow_and_update();
+            (view.topped_up, view.free)
+        };
+        let now = self.now();
+        self.sizer.on_budget(now, topped_up, free, self.sharers);
     }
 
     async fn claim(&mut self, size: ClaimSize) {
--- /dev/null
+++ b/crates/router/src/claim/news.rs
@@ -0,0 +1,56 @@
+//! News of a budget's free tokens, read from a ledger while the account is in use.
+//!
+//! A claim tells what was free when it was decided; a router that has enough for a
+//! while would otherwise not hear that the budget nears its end, or was filled.
+
+use std::time::Duration;
+
+use swiftlink_wire::link::{BudgetView, GetBudgets, reply, request};
+use tokio::sync::watch;
+
+use super::ClaimContext;
+use crate::account::Account;
+use crate::ledgers::order;
+
+/// Time between two reads.
+const PERIOD: Duration = Duration::from_secs(1);
+/// Longest wait for a ledger's answer.
+const WAIT: Duration = Duration::from_millis(400);
+
+/// Reads the budget's view about once a second in which requests asked for rights.
+pub(super) async fn follow(
+    context: &ClaimContext,
+    account: &Account,
+    told: &watch::Sender<BudgetView>,
+) {
+    let mut seen = 0;
+    loop {
+        tokio::time::sleep(PERIOD).await;
+        let requests = account.grant.demand().requests;
+        if requests == seen {
+            continue;
+        }
+        if let Some(view) = read(context, account).await {
+            seen = requests;
+            told.send_replace(view);
+        }
+    }
+}
+
+/// What the nearest connected ledger knows of the budget.
+async fn read(context: &ClaimContext, account: &Account) -> Option<BudgetView> {
+    let ledgers = order(context.ledgers.near());
+    let ledger = ledgers.first()?;
+    let ask = GetBudgets {
+        names: vec![account.budget.to_string()],
+    };
+    let kind = request::Kind::GetBudgets(ask);
+    match ledger.client.call(kind, WAIT).await {
+        Ok(reply::Kind::Budgets(budgets)) => budgets.items.into_iter().next(),
+        Ok(_) => None,
+        Err(_) => {
+            ledger.shun();
+            None
+        }
+    }
+}
--- a/crates/router/tests/claim.rs
+++ b/crates/router/tests/claim.rs
@@ -250,3 +250,18 @@
     assert_ne!(bench.account.claim_time(), FIRST_CLAIM_TIME);
     bench.stop().await;
 }
+
+#[tokio::test]
+async fn free_tokens_are_heard_of_without_a_claim() {
+    let bench = Bench::open(Fake {
+        refusals: AtomicU64::new(1),
+        free: AtomicU64::new(5_000),
+        ..Fake::default()
+    })
+    .await;
+    let refused = bench.ask(100).await.expect_err("nothing was free");
+    assert_eq!(refused.refusal.kind, RefusalKind::NoBudget);
+    // No further request comes; the ledger's view tells of the free tokens.
+    until(|| (bench.account.grant.available() >= 100).then_some(())).await;
+    bench.stop().await;
+}
