Prove by histories that each caller gets its own whole answer

Sixteen callers of three workspaces while three engines double, reorder, drop, delay and cut and links to them break; fifteen streams whose router is killed, resumed at a second one that is killed too, and read to the end at a third. Bytes are compared. Another workspace's id and a forged id are refused.

A resumption at a router without rights may be told to come back (429): the router relays to holders that are dead and doesn't fall back to a claim. The history comes back, as a caller does; the refusal itself is not mended here.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The test suite: whole processes on loopback, one module per topic.
 
+mod answers;
 mod config;
 mod faults;
 mod golden;
