Prove by histories that each request is billed once

The same key at two routers; a router killed between the engine's last chunk and the release, retried with the log out, its late charges arriving before or after; all witnesses killed; a router killed after the release, so that only the witness has the charge; a release that must wait for charges that ledgers cut from the log hold. Exactly the keys with a whole answer are charged, once, with the tokens told.

--- /dev/null
+++ b/tests/testsuite/billing.rs
@@ -0,0 +1,307 @@
+//! Each accepted and completed request is billed exactly once, with the tokens that
+//! its caller was told.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use swiftlink_budget::Fold;
+use swiftlink_log::{Fold as _, Step};
+use swiftlink_standins::relay::RelayFault;
+use swiftlink_testkit::caller::Ask;
+use swiftlink_testkit::checker::{Accounts, End, History};
+use swiftlink_testkit::fleet::{Fleet, MODEL, Plan, change};
+use swiftlink_testkit::recorder::Recorder;
+use swiftlink_testkit::rounds::{Draw, rounds, say};
+use swiftlink_testkit::until::until;
+use swiftlink_wire::log::{ChargeFate, fate};
+use tokio::task::JoinSet;
+
+use crate::support::{check_all, new_key, plan, send, sent, tokens};
+
+/// Rights that each claim brings, enough for a log outage (tokens).
+const AHEAD: u64 = 20_000;
+/// A key is served long before so many tries.
+const TRIES: usize = 300;
+/// Looks at a budget whose rights must stay in quarantine.
+const LOOKS: usize = 15;
+/// Pause between the tries of one key, and between looks.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+fn four() -> Plan {
+    // An answer's end waits longer than any of the tests needs to kill its router.
+    plan().vms(4, 4).router(json!({ "settle_wait_ms": 20_000 }))
+}
+
+/// Starts the fleet and sees to it that every router holds rights.
+async fn start(plan: Plan) -> (Arc<Recorder>, Fleet) {
+    let fleet = plan.start().await.expect("the fleet starts");
+    let spec = json!({ "min_grant": AHEAD });
+    let version = fleet.api.apply(vec![change("budget", "lannec", spec)]);
+    let version = version.await.expect("a change");
+    fleet.in_force(version).await.expect("it is in force");
+    let recorder = Arc::new(Recorder::default());
+    for router in 0..fleet.routers.len() {
+        served(&fleet, &recorder, router).await;
+    }
+    (recorder, fleet)
+}
+
+/// Sends new requests to the router until it serves one.
+async fn served(fleet: &Fleet, recorder: &Recorder, router: usize) {
+    let answer = until("an answer", async || {
+        let ask = Ask::new(MODEL, "first tokens=3").with_key(&new_key());
+        let answer = send(fleet, recorder, 0, router, &ask).await;
+        answer.is_served().then_some(())
+    });
+    answer.await.expect("the router serves in the end");
+}
+
+fn questions(draw: &mut Draw, count: usize) -> Vec<Ask> {
+    let mut asks = Vec::new();
+    for number in 0..count {
+        let length = 1 + draw.below(40);
+        let prompt = format!("bill {number} once tokens={length}");
+        let mut ask = Ask::new(MODEL, &prompt).with_key(&new_key());
+        ask.stream = draw.chance(50);
+        asks.push(ask);
+    }
+    asks
+}
+
+/// Sends the key at the routers `at` in turn until a whole answer comes.
+async fn insist(fleet: &Fleet, recorder: &Recorder, at: &[usize], ask: &Ask) {
+    for number in 0..TRIES {
+        let answer = send(fleet, recorder, 0, at[number % at.len()], ask).await;
+        if answer.is_served() {
+            assert_eq!(answer.charged, Some(tokens(ask)), "{answer:?}");
+            return;
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    panic!("never served: {ask:?}");
+}
+
+/// Checks that exactly the keys with a whole answer are charged, each once.
+async fn check_bills(fleet: &Fleet, recorder: &Recorder) -> History {
+    let history = check_all(fleet, recorder.calls()).await;
+    let whole = |end: &End| matches!(end, End::Whole { .. });
+    let calls = history.calls.iter().filter(|call| whole(&call.end));
+    let keys: BTreeSet<_> = calls.map(|call| call.key.clone()).collect();
+    let accounts = Accounts::fold(&history.streams);
+    let charged = accounts.charges.keys().map(|(_workspace, key)| key.clone());
+    assert_eq!(charged.collect::<BTreeSet<_>>(), keys);
+    history
+}
+
+/// Charges on the log that were void because their key had been charged.
+fn second_charges(history: &History) -> usize {
+    let mut count = 0;
+    for stream in &history.streams {
+        let mut fold = Fold::empty();
+        for record in &stream.records {
+            let Step::Fate(batch) = fold.apply(record.offset, &record.data) else {
+                continue;
+            };
+            for fate in batch.fates {
+                let Some(fate::Kind::Charges(charges)) = fate.kind else {
+                    continue;
+                };
+                let void = |fate: &&i32| **fate == i32::from(ChargeFate::VoidKey);
+                count += charges.items.iter().filter(void).count();
+            }
+        }
+    }
+    count
+}
+
+async fn switch_log(fleet: &Fleet, out: bool) {
+    let switched = fleet.log.set(json!({ "outage": out })).await;
+    switched.expect("a switch");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_key_at_two_routers_is_billed_once() {
+    rounds("one_key_at_two_routers_is_billed_once", doubled).await;
+}
+
+async fn doubled(mut draw: Draw) {
+    let (recorder, fleet) = start(four()).await;
+    let fleet = Arc::new(fleet);
+    let mut tasks = JoinSet::new();
+    for ask in questions(&mut draw, 30) {
+        let first = draw.index(4);
+        for router in [first, draw.other(4, first)] {
+            let (fleet, recorder, ask) = (Arc::clone(&fleet), Arc::clone(&recorder), ask.clone());
+            let wait = Duration::from_millis(draw.below(20));
+            tasks.spawn(async move {
+                tokio::time::sleep(wait).await;
+                insist(&fleet, &recorder, &[router], &ask).await;
+            });
+        }
+    }
+    while let Some(ended) = tasks.join_next().await {
+        ended.expect("no caller panics");
+    }
+    let history = check_bills(&fleet, &recorder).await;
+    let void = second_charges(&history);
+    say(&format!("  {void} second charges were void"));
+    assert!(void > 0, "some keys were charged twice");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_killed_before_the_release_bills_once() {
+    rounds("a_router_killed_before_the_release_bills_once", unreleased).await;
+}
+
+async fn unreleased(mut draw: Draw) {
+    let (recorder, mut fleet) = start(four().relayed()).await;
+    let victim = draw.index(4);
+    let name = format!("router-{victim}");
+    let frozen = RelayFault {
+        cut: false,
+        freeze: true,
+    };
+    let to_ledgers = |from: &str, to: &str| from == name && to.starts_with("ledger-");
+    assert!(fleet.net.set_where(frozen, to_ledgers) > 0);
+    let asks = questions(&mut draw, 8);
+    let mut tasks = JoinSet::new();
+    for ask in &asks {
+        let (sent, ask) = (sent(&fleet, 0, ask), ask.clone());
+        let (caller, router) = (fleet.caller(0), fleet.router(victim));
+        let recorder = Arc::clone(&recorder);
+        tasks.spawn(async move { recorder.record(sent, caller.ask(router, &ask)).await });
+    }
+    let all_ran = until("the engines to run all", async || {
+        let runs = fleet.runs().await.ok()?;
+        let ran = |ask: &&Ask| {
+            let key = ask.key.as_deref();
+            let mut runs = runs.iter();
+            runs.any(|run| run.finished && Some(run.key.as_str()) == key)
+        };
+        (asks.iter().filter(ran).count() == asks.len()).then_some(())
+    });
+    all_ran.await.expect("the router dispatches on its rights");
+    let outage_first = draw.chance(50);
+    if outage_first {
+        switch_log(&fleet, true).await;
+    }
+    tokio::time::sleep(Duration::from_millis(draw.below(100))).await;
+    fleet.routers[victim].process.kill();
+    while let Some(answer) = tasks.join_next().await {
+        let answer = answer.expect("no caller panics");
+        assert!(!answer.is_served(), "released too early: {answer:?}");
+    }
+    switch_log(&fleet, true).await;
+    let others: Vec<_> = (0..4).filter(|at| *at != victim).collect();
+    let thaw_first = draw.chance(50);
+    if thaw_first {
+        // What the dead router had sent arrives at the ledgers now.
+        fleet.net.mend();
+    }
+    for ask in &asks {
+        insist(&fleet, &recorder, &others, ask).await;
+    }
+    fleet.net.mend();
+    switch_log(&fleet, false).await;
+    fleet.routers[victim].restart().expect("it starts");
+    fleet.routers[victim].ready().await.expect("it is ready");
+    served(&fleet, &recorder, victim).await;
+    let history = check_bills(&fleet, &recorder).await;
+    say(&format!(
+        "  outage first: {outage_first}, late charges first: {thaw_first}, void: {}",
+        second_charges(&history)
+    ));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_witnesses_lose_no_bill() {
+    rounds("killed_witnesses_lose_no_bill", unwitnessed).await;
+}
+
+async fn unwitnessed(mut draw: Draw) {
+    let (recorder, mut fleet) = start(four()).await;
+    switch_log(&fleet, true).await;
+    for ask in questions(&mut draw, 12) {
+        insist(&fleet, &recorder, &[0, 1, 2, 3], &ask).await;
+    }
+    // Every copy in a ledger's memory goes; the routers still have theirs.
+    for ledger in &mut fleet.ledgers {
+        ledger.process.kill();
+        if draw.chance(50) {
+            ledger.restart().expect("it starts");
+        }
+    }
+    switch_log(&fleet, false).await;
+    for ledger in &mut fleet.ledgers {
+        if ledger.process.ended().is_some() {
+            ledger.restart().expect("it starts");
+        }
+    }
+    for router in 0..4 {
+        served(&fleet, &recorder, router).await;
+    }
+    check_bills(&fleet, &recorder).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_killed_after_the_release_is_billed_by_its_witness() {
+    let name = "a_router_killed_after_the_release_is_billed_by_its_witness";
+    rounds(name, released).await;
+}
+
+async fn released(mut draw: Draw) {
+    let (recorder, mut fleet) = start(four()).await;
+    switch_log(&fleet, true).await;
+    let victim = draw.index(4);
+    for ask in questions(&mut draw, 12) {
+        insist(&fleet, &recorder, &[victim], &ask).await;
+    }
+    fleet.routers[victim].process.kill();
+    if draw.chance(50) {
+        // The successor waits for the log to join and to free what is left.
+        fleet.routers[victim].restart().expect("it starts");
+        switch_log(&fleet, false).await;
+    } else {
+        switch_log(&fleet, false).await;
+        fleet.routers[victim].restart().expect("it starts");
+    }
+    fleet.routers[victim].ready().await.expect("it is ready");
+    served(&fleet, &recorder, victim).await;
+    check_bills(&fleet, &recorder).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_release_waits_for_the_charges_of_witnesses() {
+    rounds("a_release_waits_for_the_charges_of_witnesses", held_back).await;
+}
+
+async fn held_back(mut draw: Draw) {
+    let (recorder, mut fleet) = start(four().relayed()).await;
+    let victim = draw.index(4);
+    let own = format!("ledger-{victim}");
+    // The ledgers of the other failure domains store what they can't append.
+    let cut = |from: &str, to: &str| from.starts_with("ledger-") && to == "log" && from != own;
+    assert_eq!(fleet.net.cut_where(cut), 3);
+    for ask in questions(&mut draw, 12) {
+        insist(&fleet, &recorder, &[victim], &ask).await;
+    }
+    fleet.routers[victim].process.kill();
+    fleet.routers[victim].restart().expect("it starts");
+    fleet.routers[victim].ready().await.expect("it is ready");
+    // The only ledger that reaches the log must not free what the others' charges draw on.
+    let retired = |budget: &Value| budget["quarantined"].as_u64() > Some(0);
+    let seen = fleet.api.budget_until("lannec", retired).await;
+    seen.expect("the successor retires it");
+    for _look in 0..LOOKS {
+        let budget = fleet.api.budget("lannec").await.expect("a budget");
+        assert!(retired(&budget), "released too early: {budget}");
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    fleet.net.mend();
+    let free = |budget: &Value| budget["quarantined"].as_u64() == Some(0);
+    let freed = fleet.api.budget_until("lannec", free).await;
+    freed.expect("the rest comes back");
+    check_bills(&fleet, &recorder).await;
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! The test suite: whole processes on loopback, one module per topic.
 
 mod answers;
+mod billing;
 mod config;
 mod faults;
 mod golden;
