router: say when it is stale, stuck, stopping or not joined

Cause: a router that refused everybody looked well: status showed its version as current, no event and no metric told of it, and the balancer had no path to ask (a request without key got 404 or 401 either way).

Change: health.rs judges the troubles (facts in, reasons out). /status names them with the configuration's state and the log offset, router.trouble and router.trouble-over are events, router.trouble is a gauge by reason, with gauges for queue, requests in flight, rights, configuration age and stuck charges. GET /health on the callers' address answers 200 {"status":"ready"} or 503 with the reason, without a key. A router that has yet to join keeps its callers: it relays, and serves the streams that it has joined.

--- a/crates/router/src/dump.rs
+++ b/crates/router/src/dump.rs
@@ -7,6 +7,7 @@
 use swiftlink_shell::Dump;
 
 use crate::fleet::Pool;
+use crate::health::{Facts, Trouble};
 use crate::node::Node;
 
 /// Shows a node's state.
@@ -93,6 +94,9 @@
     fn status(&self) -> Value {
         let node = &self.node;
         let common = &node.settings.common;
+        let facts = Facts::of(node);
+        let troubles = facts.troubles().into_iter().map(Trouble::as_str);
+        let troubles: Vec<_> = troubles.collect();
         let mut queue = Vec::new();
         for pool in node.pools.all() {
             let (waiting, in_flight) = pool.queue.depth();
@@ -110,6 +114,9 @@
             "address": node.address.to_string(),
             "version": node.config.load().version,
             "version_age_ms": node.config.age().map(|age| age.as_millis() as u64),
+            "log_offset": node.config.offset(),
+            "configuration": facts.trust.as_str(),
+            "troubles": troubles,
             "shards": node.settings.shards,
             "joined": node.members.joined(),
             "stopping": node.is_stopping(),
--- /dev/null
+++ b/crates/router/src/health.rs
@@ -0,0 +1,187 @@
+//! What keeps a router from taking work, for operators and the balancer.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::StatusCode;
+use serde_json::json;
+use swiftlink_shell::web::{self, Response};
+use swiftlink_telemetry::event;
+use tokio::time::{MissedTickBehavior, interval};
+use tokio_util::sync::CancellationToken;
+
+use crate::freshness::Trust;
+use crate::node::Node;
+
+/// Path of the health report on the callers' address.
+pub const PATH: &str = "/health";
+/// Time between two looks.
+const PERIOD: Duration = Duration::from_millis(500);
+/// Looks between two sends of the gauges.
+const GAUGE_EVERY: u32 = 10;
+
+/// A reason for which a router doesn't take work, or some of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trouble {
+    /// It is stopping.
+    Stopping,
+    /// It has read no configuration since its start.
+    NoConfiguration,
+    /// Its configuration may be out of date: workspaces that ask for it are refused.
+    Stale,
+    /// No ledger stores some of its charges: all new work is refused.
+    Stuck,
+    /// It has not joined all budget streams: it has no rights on their budgets.
+    NotJoined,
+}
+
+impl Trouble {
+    /// All of them.
+    pub const ALL: [Self; 5] = [
+        Self::Stopping,
+        Self::NoConfiguration,
+        Self::Stale,
+        Self::Stuck,
+        Self::NotJoined,
+    ];
+
+    /// Its name in answers, events and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Stopping => "stopping",
+            Self::NoConfiguration => "no-configuration",
+            Self::Stale => "stale",
+            Self::Stuck => "stuck",
+            Self::NotJoined => "not-joined",
+        }
+    }
+
+    /// Whether a balancer should send its callers elsewhere.
+    #[must_use]
+    pub fn turns_away(self) -> bool {
+        self != Self::NotJoined
+    }
+}
+
+/// What the troubles are judged by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Facts {
+    /// A planned stop has begun.
+    pub stopping: bool,
+    /// How far the configuration can be trusted.
+    pub trust: Trust,
+    /// Charges that no ledger has stored.
+    pub stuck: usize,
+    /// Budget streams joined.
+    pub joined: usize,
+    /// Budget streams of the fleet.
+    pub shards: usize,
+}
+
+impl Facts {
+    /// The facts about `node` now.
+    #[must_use]
+    pub fn of(node: &Node) -> Self {
+        Self {
+            stopping: node.is_stopping(),
+            trust: node.config.trust(),
+            stuck: node.settler.counts().stuck.load(Ordering::Relaxed),
+            joined: node.members.joined(),
+            shards: node.settings.shards as usize,
+        }
+    }
+
+    /// The troubles, the one that refuses most first.
+    #[must_use]
+    pub fn troubles(&self) -> Vec<Trouble> {
+        let holds = |trouble: &Trouble| match trouble {
+            Trouble::Stopping => self.stopping,
+            Trouble::NoConfiguration => self.trust == Trust::None,
+            Trouble::Stale => self.trust == Trust::Stale,
+            Trouble::Stuck => self.stuck > 0,
+            Trouble::NotJoined => self.joined < self.shards,
+        };
+        Trouble::ALL.into_iter().filter(holds).collect()
+    }
+}
+
+/// The answer to a balancer: whether callers should be sent here.
+#[must_use]
+pub fn respond(node: &Node) -> Response {
+    let mut troubles = Facts::of(node).troubles();
+    troubles.retain(|trouble| trouble.turns_away());
+    let Some(first) = troubles.first() else {
+        return web::json(StatusCode::OK, &json!({ "status": "ready" }));
+    };
+    let body = json!({ "status": "unready", "reason": first.as_str() });
+    web::json(StatusCode::SERVICE_UNAVAILABLE, &body)
+}
+
+/// Tells of troubles that begin and end, and sends the gauges, until `stop`.
+pub async fn watch(node: Arc<Node>, stop: CancellationToken) {
+    let mut ticks = interval(PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut known = Vec::new();
+    let mut looks = 0_u32;
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            _ = ticks.tick() => {}
+        }
+        let facts = Facts::of(&node);
+        let troubles = facts.troubles();
+        if troubles != known {
+            tell(&known, &troubles);
+        }
+        if troubles != known || looks % GAUGE_EVERY == 0 {
+            gauges(&node, &facts, &troubles);
+        }
+        known = troubles;
+        looks = looks.wrapping_add(1);
+    }
+}
+
+fn tell(known: &[Trouble], troubles: &[Trouble]) {
+    for trouble in troubles {
+        if known.contains(trouble) {
+            continue;
+        }
+        event!(warn, "router.trouble", reason = trouble.as_str());
+    }
+    for trouble in known {
+        if troubles.contains(trouble) {
+            continue;
+        }
+        event!(info, "router.trouble-over", reason = trouble.as_str());
+    }
+}
+
+fn gauges(node: &Node, facts: &Facts, troubles: &[Trouble]) {
+    let metrics = &node.metrics;
+    for trouble in Trouble::ALL {
+        let tags = [("reason", trouble.as_str())];
+        let value = u64::from(troubles.contains(&trouble));
+        metrics.gauge_with("router.trouble", value, &tags);
+    }
+    let mut waiting = 0;
+    for pool in node.pools.all() {
+        waiting += pool.queue.depth().0 as u64;
+    }
+    let mut rights = 0_u64;
+    for seat in node.members.seats() {
+        for account in seat.accounts() {
+            let counters = account.grant.counters();
+            rights = rights.saturating_add(counters.available + counters.reserved);
+        }
+    }
+    metrics.gauge("router.queue", waiting);
+    metrics.gauge("router.in_flight", node.keys.in_flight() as u64);
+    metrics.gauge("router.rights", rights);
+    metrics.gauge("router.stuck_charges", facts.stuck as u64);
+    if let Some(age) = node.config.age() {
+        let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        metrics.gauge("router.config_age_ms", age);
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod fleet;
 pub mod forward;
 pub mod freshness;
+pub mod health;
 pub mod intent;
 pub mod keys;
 pub mod ledgers;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -30,7 +30,7 @@
 use crate::peers::Peers;
 use crate::serve::Surface;
 use crate::settings::Settings;
-use crate::{pings, stop, vms};
+use crate::{health, pings, stop, vms};
 
 /// Least worker threads of the callers' listener.
 const WORKERS_MIN: usize = 2;
@@ -229,6 +229,8 @@
         let list = vms::follow_list(address, ms(settings.vms_ms), pools, stop.clone());
         node.tasks.spawn_on(list, spawn_on);
     }
+    let health = health::watch(Arc::clone(node), stop.clone());
+    node.tasks.spawn_on(health, spawn_on);
     let forget = forget_old(Arc::clone(node), stop.clone());
     node.tasks.spawn_on(forget, spawn_on);
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use http::Method;
 use swiftlink_admission::Reservation;
 use swiftlink_shell::web::{Incoming, Response, Service};
 use swiftlink_types::{Refusal, RefusalKind, ServerName, Tokens};
@@ -22,7 +23,7 @@
 use crate::node::Node;
 use crate::past::{Past, WholeRun, digest};
 use crate::reply::{Reply, ReplySender};
-use crate::{model, problem, relay, repeat, resume, service};
+use crate::{health, model, problem, relay, repeat, resume, service};
 
 /// When to come back to a router that has not joined the budget's stream yet.
 const JOIN_RETRY: Duration = Duration::from_secs(1);
@@ -39,6 +40,9 @@
 #[async_trait(?Send)]
 impl Service for Surface {
     async fn call(&self, mut request: Incoming) -> Response {
+        if request.method() == Method::GET && request.uri().path() == health::PATH {
+            return health::respond(&self.node);
+        }
         let call = match admit(&self.node, &mut request).await {
             Ok(call) => call,
             Err(refusal) => {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,5 +15,6 @@
 mod replace;
 mod settings;
 mod spend;
+mod standing;
 mod stopping;
 mod support;
--- /dev/null
+++ b/tests/testsuite/standing.rs
@@ -0,0 +1,117 @@
+//! What a router says of itself: stale or not, to operators, to the balancer, and in
+//! its log.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use serde_json::{Value, json};
+use swiftlink_testkit::caller::Ask;
+use swiftlink_testkit::fleet::{Fleet, MODEL};
+use swiftlink_testkit::http::Http;
+use swiftlink_testkit::until::until;
+
+use crate::support::{new_key, plan};
+
+/// Age over which a configuration is stale by itself (ms).
+const STALE_MS: u64 = 4_000;
+/// Rights that last for all of an outage (tokens).
+const RIGHTS: u64 = 2_000;
+/// Time between two requests of one caller.
+const PACE: Duration = Duration::from_millis(200);
+/// No look waits longer.
+const LIMIT: Duration = Duration::from_secs(60);
+
+fn ask() -> Ask {
+    Ask::new(MODEL, "who owned parcel 7? tokens=4").with_key(&new_key())
+}
+
+/// What the balancer is told.
+async fn health(fleet: &Fleet, router: usize) -> (StatusCode, Value) {
+    let url = fleet.router(router);
+    let reply = Http::new().get(url, "/health").await.expect("an answer");
+    (reply.status, reply.json())
+}
+
+/// Requests until router 0 holds rights for many more.
+async fn warm(fleet: &Fleet) {
+    let held = until("rights", async || {
+        let answer = fleet.caller(0).ask(fleet.router(0), &ask()).await;
+        assert!(answer.is_served(), "{answer:?}");
+        let status = fleet.routers[0].status().await?;
+        let available = status["grants"][0]["available"].as_u64()?;
+        (available > RIGHTS).then_some(())
+    });
+    held.await.expect("it claims ahead");
+}
+
+/// Requests, all served, until the configuration of router 0 is too old to be trusted
+/// by its age.
+async fn serve_until_old(fleet: &Fleet) -> Value {
+    let old = until("age", async || {
+        let answer = fleet.caller(0).ask(fleet.router(0), &ask()).await;
+        assert!(answer.is_served(), "{answer:?}");
+        tokio::time::sleep(PACE).await;
+        let status = fleet.routers[0].status().await?;
+        (status["version_age_ms"].as_u64() > Some(2 * STALE_MS)).then_some(status)
+    });
+    old.await.expect("it hears no news")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_of_the_log_for_all_refuses_nobody() {
+    let plan = plan().relayed().engines(1).services(0);
+    let plan = plan.router(json!({ "stale_ms": STALE_MS }));
+    let fleet = plan.start().await.expect("the fleet starts");
+    let caller = fleet.caller(0);
+    warm(&fleet).await;
+    assert_eq!(
+        health(&fleet, 0).await,
+        (StatusCode::OK, json!({ "status": "ready" }))
+    );
+
+    let out = fleet.log.set(json!({ "outage": true }));
+    out.await.expect("a switch");
+    let status = serve_until_old(&fleet).await;
+    assert_eq!(status["configuration"], "log-out", "{status}");
+    assert_eq!(status["troubles"], json!([]));
+    assert_eq!(health(&fleet, 0).await.0, StatusCode::OK);
+
+    // One ledger that is not heard may stand where changes go on.
+    let cut = fleet
+        .net
+        .cut_where(|from, to| from == "router-0" && to == "ledger-1");
+    assert_eq!(cut, 1, "one link to cut");
+    let stale = fleet.routers[0].status_until(LIMIT, "trouble", |status| {
+        status["troubles"] == json!(["stale"])
+    });
+    stale.await.expect("it can't know");
+    let refused = caller.ask(fleet.router(0), &ask()).await;
+    assert_eq!(refused.slug().as_deref(), Some("unavailable"));
+    assert_eq!(
+        health(&fleet, 0).await,
+        (
+            StatusCode::SERVICE_UNAVAILABLE,
+            json!({ "status": "unready", "reason": "stale" })
+        )
+    );
+    line(&fleet, &["level=warn event=router.trouble reason=stale"]).await;
+
+    fleet.net.mend();
+    let back = fleet.log.set(json!({ "outage": false }));
+    back.await.expect("a switch");
+    let well = fleet.routers[0].status_until(LIMIT, "trouble", |status| {
+        status["troubles"] == json!([]) && status["configuration"] == "current"
+    });
+    well.await.expect("it hears the news again");
+}
+
+/// The line of the log with `parts`, once it is written.
+async fn line(fleet: &Fleet, parts: &[&str]) -> String {
+    let found = until("a line of the log", async || {
+        let printed = fleet.routers[0].process.printed();
+        let mut lines = printed.lines();
+        let line = lines.find(|line| parts.iter().all(|part| line.contains(part)));
+        line.map(str::to_owned)
+    });
+    found.await.expect("the line")
+}
