router: write one line for each request

Cause: a request that went well, or was refused, left no line; an operator who was given a request key could find nothing by it.

Change: record.rs. An admitted request writes request.done or request.refused with key, workspace, outcome, status, charged tokens and ms once its task has ended; one that is not admitted writes request.refused at once. request.admitted and request.refusal at debug carry pool, class, bound and the refusal's detail. With the level off a request costs the record's allocation and no formatting. Outcome "passed" is an answer that another router or an earlier run gave.

Not in the line: the charge of a cut answer that is settled later.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod problem;
 pub mod queue;
 pub mod reader;
+pub mod record;
 pub mod relay;
 pub mod repeat;
 pub mod reply;
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -106,6 +106,7 @@
 /// Releases the end of a whole answer, which is charged.
 pub async fn finish(run: &Run, sink: Sink, finished: Finished, charged: Tokens) {
     run.node.metrics.count("answer.whole", 1);
+    run.whole();
     let receipt = receipt(run.call.key(), charged);
     sink.finish(finished.last, finished.end, receipt).await;
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -3,18 +3,20 @@
 //! A request runs in a task of its own, on the thread of its caller's connection, so
 //! that it goes on to its charge when the caller disconnects.
 
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use async_trait::async_trait;
-use http::Method;
+use http::{HeaderMap, Method};
 use swiftlink_admission::Reservation;
 use swiftlink_shell::web::{Incoming, Response, Service};
-use swiftlink_types::{Refusal, RefusalKind, ServerName, Tokens};
+use swiftlink_types::{Refusal, RefusalKind, ServerName, Tokens, WorkspaceName};
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use crate::account::{Shortage, WaitPolicy};
 use crate::admit::admit;
+use crate::auth::authenticate;
 use crate::call::{Call, Work};
 use crate::charge::Cost;
 use crate::dispatch::Attempt;
@@ -22,8 +24,9 @@
 use crate::members::Seat;
 use crate::node::Node;
 use crate::past::{Past, WholeRun, digest};
+use crate::record::{self, Record};
 use crate::reply::{Reply, ReplySender};
-use crate::{health, model, problem, relay, repeat, resume, service};
+use crate::{health, model, problem, relay, repeat, resume, service, surface};
 
 /// When to come back to a router that has not joined the budget's stream yet.
 const JOIN_RETRY: Duration = Duration::from_secs(1);
@@ -43,17 +46,23 @@
         if request.method() == Method::GET && request.uri().path() == health::PATH {
             return health::respond(&self.node);
         }
+        let begun = Instant::now();
         let call = match admit(&self.node, &mut request).await {
             Ok(call) => call,
             Err(refusal) => {
                 count_refusal(&self.node, &refusal);
+                let headers = request.headers();
+                let key = surface::key(headers).ok().flatten();
+                record::refused(&refusal, key, || workspace_of(&self.node, headers), begun);
                 return problem::respond(&refusal, None);
             }
         };
+        let record = Record::new(&call, begun);
         let key = call.key();
         let workspace = call.workspace().clone();
         let (sender, receiver) = oneshot::channel();
-        tokio::spawn(serve(Arc::clone(&self.node), call, sender));
+        let task = serve(Arc::clone(&self.node), call, Arc::clone(&record), sender);
+        tokio::spawn(task);
         let reply = receiver.await.unwrap_or_else(|_closed| {
             let detail = "the request's task ended without an answer";
             Reply::Refused(Refusal::unknown(RefusalKind::ServerFailed, detail))
@@ -66,10 +75,18 @@
             }
             other => other,
         };
+        record.answer(&reply);
         reply.into_response(key)
     }
 }
 
+/// Workspace that a request which was not admitted speaks for.
+fn workspace_of(node: &Node, headers: &HeaderMap) -> Option<WorkspaceName> {
+    let secret = surface::bearer(headers).ok()?;
+    let sender = authenticate(&node.config.load(), secret, false);
+    Some(sender.ok()?.name)
+}
+
 fn count_refusal(node: &Node, refusal: &Refusal) {
     let tags = [
         ("kind", refusal.kind.slug()),
@@ -87,14 +104,17 @@
     pub reservation: Reservation,
 }
 
-async fn serve(node: Arc<Node>, call: Call, reply: ReplySender) {
+async fn serve(node: Arc<Node>, call: Call, record: Arc<Record>, reply: ReplySender) {
     // A resumption reads a run; it makes none.
     let is_run = !matches!(call.work, Work::Resume(_));
     let digest = if is_run { digest(&call.original) } else { 0 };
     if is_run {
         match node.past.look(&call.key_use, digest) {
             Past::Open => {}
-            Past::Whole(whole) => return repeat::run(&node, call, whole, reply).await,
+            Past::Whole(whole) => {
+                record.pass();
+                return repeat::run(&node, call, whole, reply).await;
+            }
             Past::Reused => return send(reply, Reply::Refused(repeat::reused())),
             Past::Charged => return send(reply, Reply::Refused(repeat::charged())),
         }
@@ -103,6 +123,7 @@
         None => {}
         Some(Spent::Dispatched) => return send(reply, Reply::Refused(lost(false))),
         Some(Spent::Abandoned) => {
+            record.pass();
             let origin = relay::Origin {
                 node: &node,
                 call: &call,
@@ -113,6 +134,7 @@
     let holding = match hold(&node, &call).await {
         Ok(holding) => holding,
         Err(shortage) => {
+            record.pass();
             let origin = relay::Origin {
                 node: &node,
                 call: &call,
@@ -148,6 +170,7 @@
         call,
         seat,
         attempt,
+        record: Arc::downgrade(&record),
     };
     match &run.call.work {
         Work::Model(_) => model::run(run, reply).await,
@@ -217,6 +240,8 @@
     pub seat: Option<Arc<Seat>>,
     /// Rights, intent and the dispatches so far.
     pub attempt: Attempt,
+    /// What the log gets to read; gone once the line is written.
+    pub record: Weak<Record>,
 }
 
 impl Run {
@@ -233,14 +258,25 @@
             self.node.settler.settle(seat, charge, hold).await;
         }
         let charged = rights.settle(cost);
+        if let Some(record) = self.record.upgrade() {
+            record.charge(charged);
+        }
         if let Some(account) = seat.find(&self.call.budget) {
             account.freed();
         }
         charged
     }
 
+    /// Notes that the answer came to its end.
+    pub fn whole(&self) {
+        if let Some(record) = self.record.upgrade() {
+            record.whole();
+        }
+    }
+
     /// Remembers that the answer was whole, for a repeat of the request.
     pub fn remember(&self, server: Option<ServerName>, stream: Option<&str>, charged: Tokens) {
+        self.whole();
         if let Some(past) = &self.attempt.past {
             past.whole(WholeRun {
                 server,
--- a/crates/router/src/settle_late.rs
+++ b/crates/router/src/settle_late.rs
@@ -42,6 +42,7 @@
         call,
         seat,
         attempt,
+        ..
     } = run;
     let hold = call.key_use.hold();
     let workspace = call.workspace().clone();
--- a/tests/testsuite/standing.rs
+++ b/tests/testsuite/standing.rs
@@ -5,7 +5,7 @@
 
 use http::StatusCode;
 use serde_json::{Value, json};
-use swiftlink_testkit::caller::Ask;
+use swiftlink_testkit::caller::{Ask, Caller};
 use swiftlink_testkit::fleet::{Fleet, MODEL};
 use swiftlink_testkit::http::Http;
 use swiftlink_testkit::until::until;
@@ -115,3 +115,34 @@
     });
     found.await.expect("the line")
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_request_leaves_one_line() {
+    let plan = plan().engines(1).services(0);
+    let fleet = plan.start().await.expect("the fleet starts");
+    for ask in [ask(), ask().streamed()] {
+        let key = ask.key.clone().expect("a key");
+        let answer = fleet.caller(0).ask(fleet.router(0), &ask).await;
+        assert!(answer.is_served(), "{answer:?}");
+        let line = line(&fleet, &["event=request.done", &key]).await;
+        let charged = format!("charged={} ", answer.charged.expect("a charge"));
+        for part in ["workspace=lannec ", "outcome=ran ", "status=200 ", &charged] {
+            assert!(line.contains(part), "{part}: {line}");
+        }
+        let printed = fleet.routers[0].process.printed();
+        let told = printed
+            .lines()
+            .filter(|line| line.contains("level=info") && line.contains(&key));
+        assert_eq!(told.count(), 1, "{printed}");
+    }
+    let wrong = ask();
+    let key = wrong.key.clone().expect("a key");
+    let answer = Caller::new("nobody's key")
+        .ask(fleet.router(0), &wrong)
+        .await;
+    assert_eq!(answer.status, 401);
+    let line = line(&fleet, &["event=request.refused", &key]).await;
+    for part in ["workspace=- ", "outcome=not-run ", "kind=unauthenticated "] {
+        assert!(line.contains(part), "{part}: {line}");
+    }
+}
