bench: measure the look for top-ups and the bytes of control messages

A router's claimer goes through all top-ups each time that it looks at its demand, and a budget's view names all of its top-ups. Change: rows for both, for an entry of the VM list and for a poll of a runner's load; the events of the grants driver have a file of their own.

--- a/crates/bench/src/cost/config.rs
+++ b/crates/bench/src/cost/config.rs
@@ -7,7 +7,7 @@
 use swiftlink_resource::Fold;
 use swiftlink_wire::log as wire;
 
-use super::meter::{held, line, timed};
+use super::meter::{cost, held, line, timed};
 use super::sizes;
 use crate::row::Rows;
 
@@ -17,6 +17,8 @@
 const SERVERS: usize = 600;
 /// Changes that are timed.
 const CHANGES: usize = 50;
+/// Looks that are timed in one round.
+const SCANS: usize = 50;
 /// Changes in one set while the state is built.
 const SET: usize = 500;
 
@@ -25,6 +27,7 @@
     let mut bytes = Vec::new();
     let mut times = Vec::new();
     let mut shared = Vec::new();
+    let mut scans = Vec::new();
     for size in sizes {
         let policy = size.to_string();
         let x = size as f64;
@@ -50,12 +53,21 @@
         rows.add("config-workspaces", &policy, "change_alone_ms", alone);
         let in_use = change_ms(&mut fold, size, true);
         rows.add("config-workspaces", &policy, "change_in_use_ms", in_use);
+        let scan = scan_us(&fold);
+        rows.add("config-workspaces", &policy, "topup_scan_us", scan);
+        scans.push((x, scan));
         times.push((x, alone));
         shared.push((x, in_use));
     }
     if !bytes.is_empty() {
         rows.add("config-workspaces", "slope", "bytes", line(&bytes).0);
     }
+    rows.add(
+        "config-workspaces",
+        "slope",
+        "topup_scan_us",
+        line(&scans).0,
+    );
     rows.add(
         "config-workspaces",
         "slope",
@@ -70,6 +82,18 @@
     );
 }
 
+/// Time of one look for the top-ups of a budget, as a router's claimer makes it each
+/// time that it looks at its demand.
+fn scan_us(fold: &Fold) -> f64 {
+    let config = fold.config();
+    let scan = || {
+        let topups = config.topups.values();
+        let own = topups.filter(|topup| topup.budget.as_str() == "budget-0");
+        own.map(|topup| topup.amount).sum::<u64>()
+    };
+    cost(SCANS, scan).nanos / 1e3
+}
+
 /// Mean time of a change to one workspace. A router keeps the version before in use,
 /// so that the fold works on a copy.
 fn change_ms(fold: &mut Fold, size: usize, in_use: bool) -> f64 {
--- a/crates/bench/src/cost/records.rs
+++ b/crates/bench/src/cost/records.rs
@@ -2,6 +2,7 @@
 
 use prost::Message;
 use swiftlink_types::RequestKey;
+use swiftlink_wire::link;
 use swiftlink_wire::log as wire;
 use wire::record::Kind;
 
@@ -10,6 +11,17 @@
 /// A time in ms since 1970, for keys of ordinary size.
 const NOW_MS: u64 = 1_790_000_000_000;
 
+/// One VM in the answer of the platform's list.
+const LISTED: &str = r#"{"name":"entry-bilbao-123","domain":"deusto-hall","state":"live"},"#;
+/// One poll of a runner's load: the request's head, then the answer.
+const POLL: &str = concat!(
+    "GET /load HTTP/1.1\r\nhost: 10.20.30.40:8000\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 84\r\n",
+    "date: Wed, 02 Dec 2026 15:00:00 GMT\r\n\r\n",
+    r#"{"running":12,"waiting":3,"slots":16,"kv_used":0.5125,"draining":false,"age_ms":500}"#,
+);
+const TEXTS: [(&str, &str); 2] = [("vm-listed", LISTED), ("load-poll", POLL)];
+
 pub(super) fn run(rows: &mut Rows) {
     let one = charges(1);
     let many = charges(101);
@@ -22,6 +34,13 @@
     for (name, bytes) in kinds {
         rows.add("record-bytes", name, "bytes", bytes);
     }
+    for (name, top_ups) in [("budget-view", 1), ("budget-view-100-topups", 100)] {
+        let bytes = budget_view(top_ups).encoded_len() as f64;
+        rows.add("record-bytes", name, "bytes", bytes);
+    }
+    for (name, text) in TEXTS {
+        rows.add("record-bytes", name, "bytes", text.len() as f64);
+    }
     let fate = wire::Fate {
         kind: Some(wire::fate::Kind::Claim(claim_fate())),
     };
@@ -83,6 +102,22 @@
     })
 }
 
+/// What a ledger tells of a budget; routers read that of each budget in use.
+fn budget_view(top_ups: usize) -> link::BudgetView {
+    let ids = (0..top_ups).map(|number| format!("topup-2026-{number:05}"));
+    link::BudgetView {
+        name: "budget-12345".to_owned(),
+        topped_up: 1_000_000_000,
+        granted: 900_000_000,
+        charged: 800_000_000,
+        free: 100_000_000,
+        quarantined: 0,
+        offset: 10_000_000,
+        age_ms: 100,
+        top_ups: ids.collect(),
+    }
+}
+
 fn claim_fate() -> wire::ClaimFate {
     let holder = wire::Holder {
         incarnation: incarnation(),
--- a/crates/bench/src/grants/mod.rs
+++ b/crates/bench/src/grants/mod.rs
@@ -5,6 +5,7 @@
 //! commits to one fold. An all-seeing counter takes the same requests for comparison.
 
 mod counter;
+mod event;
 mod holder;
 mod ledger;
 mod outcome;
--- a/crates/bench/src/grants/world.rs
+++ b/crates/bench/src/grants/world.rs
@@ -4,8 +4,10 @@
 use swiftlink_types::{Micros, RefusalKind, Tokens};
 
 use super::counter::{Counter, count};
+use super::event::{Event, Relay, Sent};
 use super::holder::{Holder, Move, Pending, Waiter};
-use super::ledger::{Heard, Ledger};
+use super::ledger::Heard;
+use super::ledger::Ledger;
 use super::outcome::{Average, Outcome};
 use super::setup::{Arrival, Plan, Setup};
 use crate::agenda::Agenda;
@@ -31,41 +33,6 @@
 /// Peers that one request is relayed to at most, one after the other.
 const PEERS_MAX: usize = 2;
 
-#[derive(Debug)]
-enum Event {
-    TopUp(usize),
-    TopUpNews(usize),
-    Arrive(usize),
-    End { request: usize, holder: usize },
-    Poll(usize),
-    Deadline { request: usize, holder: usize },
-    Silence { holder: usize, since: Micros },
-    Submit(usize, Sent),
-    Flush,
-    Commit,
-    Heard(usize, Heard),
-    Relay(Relay),
-    Sample,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Sent {
-    Claim {
-        seq: u64,
-        need: Tokens,
-        want: Tokens,
-    },
-    Return(Tokens),
-    Charge(usize),
-}
-
-/// A request on its way to one of the peers that it may go to.
-#[derive(Clone, Debug)]
-struct Relay {
-    request: usize,
-    peers: Vec<usize>,
-}
-
 /// One run of one policy.
 #[derive(Debug)]
 pub struct World<'a> {
