admission: bear pools with fewer slots than the limiter's least

Cause: the limiter clamped between its least (4) and the pool's slots, which panics when the pool has fewer; a router's task then aborted the process. By the code the same happened when all servers of a pool drained.

--- a/crates/admission/src/limiter.rs
+++ b/crates/admission/src/limiter.rs
@@ -70,7 +70,12 @@
     #[must_use]
     pub fn limit(&self) -> usize {
         let limit = self.limit as usize;
-        limit.clamp(self.policy.min, self.policy.max.max(self.policy.min))
+        limit.clamp(self.least(), self.policy.max)
+    }
+
+    /// The least limit; a pool may have fewer slots than the policy's least.
+    fn least(&self) -> usize {
+        self.policy.min.min(self.policy.max)
     }
 
     /// The pool's servers changed: `max` slots in all.
@@ -102,7 +107,7 @@
 
     /// A server refused work because it is full.
     pub fn on_full(&mut self) {
-        self.limit = (self.limit * 0.9).max(self.policy.min as f64);
+        self.limit = (self.limit * 0.9).max(self.least() as f64);
     }
 
     fn adapt(&mut self, floor: f64, in_flight: usize) {
@@ -114,6 +119,6 @@
         }
         let goal = self.limit * gradient + self.limit.sqrt();
         let moved = self.limit + ROUND_GAIN * (goal - self.limit);
-        self.limit = moved.clamp(self.policy.min as f64, self.policy.max as f64);
+        self.limit = moved.clamp(self.least() as f64, self.policy.max as f64);
     }
 }
--- a/crates/admission/tests/decisions.rs
+++ b/crates/admission/tests/decisions.rs
@@ -163,3 +163,16 @@
     }
     assert!(limiter.limit() > 4 * low, "{} {low}", limiter.limit());
 }
+
+#[test]
+fn limiter_bears_pools_of_few_slots() {
+    for max in 0..6 {
+        let mut limiter = Limiter::new(LimiterPolicy::default());
+        limiter.set_max(max);
+        for time in (1..100).map(|step| 20_000 * step) {
+            limiter.on_first_token(time, max);
+            limiter.on_full();
+            assert!(limiter.limit() <= max, "{} of {max}", limiter.limit());
+        }
+    }
+}
