quickstart: end on SIGINT also when a script starts it in the background

Cause: a shell makes a script's background jobs ignore SIGINT, and bash can't trap a signal that was ignored when it began, so kill -INT did nothing.

The operator is in its own list of processes, so status shows it.

--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -3,11 +3,19 @@
 # an operator and the stand-ins, all on free loopback ports; applies the sample
 # resources, sends a request through two routers, and stays up until Ctrl-C.
 #
+# SIGINT, SIGTERM and SIGHUP end it, and all that it started. A shell makes what a
+# script starts in the background ignore SIGINT, which no trap can take back; GNU env
+# does it here, and without that use SIGTERM.
+#
 # --once: ends by itself after the requests. The last line is then
 #   charged=N served=N answers=N
 # tokens charged by the log, tokens that the engines ran, whole answers received.
 set -euo pipefail
 
+if [[ -n $(trap -p INT) ]] && env --default-signal=INT true 2>/dev/null; then
+    exec env --default-signal=INT bash "${BASH_SOURCE[0]}" "$@"
+fi
+
 readonly DOMAINS=(rennes-a rennes-b brest)
 readonly SHARDS=4
 readonly BUDGET=registry-2026
@@ -21,12 +29,13 @@
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 once=no
 work=
+idle=                          # pid of the sleep between requests and the end
 next_port=$((FIRST_PORT + $$ * 37 % PORT_COUNT))
 daemons=()                     # pids, in the order of their stop
 standins=()
 
 usage() {
-    sed -n '2,8s/^# \{0,1\}//p' "${BASH_SOURCE[0]}"
+    sed -n '2,12s/^# \{0,1\}//p' "${BASH_SOURCE[0]}"
 }
 
 say() {
@@ -65,9 +74,12 @@
 
 clean_up() {
     local status=$?
-    trap - EXIT INT TERM
+    # A second signal must not cut this short.
+    trap '' INT TERM HUP
+    trap - EXIT
     end_all "${daemons[@]}"
     end_all "${standins[@]}"
+    end_all $idle
     [[ -z $work ]] || rm -rf "$work"
     exit "$status"
 }
@@ -155,6 +167,7 @@
             process_settings "router-$at" router "${router_admins[at]}"
             process_settings "ledger-$at" ledger "${ledger_admins[at]}"
         done
+        process_settings operator operator "$operator_admin"
     } >"$work/operator.toml"
 }
 
@@ -250,7 +263,7 @@
 
 print_addresses() {
     say ""
-    say "Addresses to try (Ctrl-C ends all):"
+    say "Addresses to try (Ctrl-C, or kill $$, ends all):"
     for at in "${!DOMAINS[@]}"; do
         say "  ${DOMAINS[at]}: router http://${routers[at]}," \
             "its state http://${router_admins[at]}/dump"
@@ -288,6 +301,7 @@
 trap clean_up EXIT
 trap 'exit 130' INT
 trap 'exit 143' TERM
+trap 'exit 129' HUP
 work=$(mktemp -d)
 random_hex() { od -An -N16 -tx1 /dev/urandom | tr -d ' \n'; }
 secret=$(random_hex)
@@ -343,9 +357,11 @@
 
 if [[ $once == no ]]; then
     print_addresses
-    # Ctrl-C ends the wait through the trap.
+    # A signal ends the wait through its trap at once; a foreground sleep would hold it up.
     while :; do
-        sleep 1
+        sleep 3600 &
+        idle=$!
+        wait "$idle"
     done
 fi
 
