--- a/crates/router/tests/freshness.rs
+++ b/crates/router/tests/freshness.rs
@@ -177,7 +177,7 @@
                 if within(vm.cut, now) {
                     continue;
                 }
-                if now % PING == 0 {
+                if now.is_multiple_of(PING) {
                     fresh.pong(ledger, pong(now, vm.contact(now)));
                 }
                 fresh.page(vm.contact(now));
