bench: measure the cost of the path and the idle daemons

The aims of the path (added p50 and p99, routed/direct throughput) had no driver. Two scenarios start the real processes beside the bench binary: path sends the same call direct and through a router in turns, on one connection and on 256, streamed and whole; idle counts processor time, memory and bytes sent of each daemon without calls, by VMs and by resources.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod draw;
 pub mod grants;
 pub mod limits;
+pub mod path;
 pub mod routing;
 pub mod row;
 mod run;
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -8,7 +8,7 @@
 
 use crate::row::Rows;
 use crate::table::markdown;
-use crate::{cost, grants, limits, routing};
+use crate::{cost, grants, limits, path, routing};
 
 /// Seed of a run that names none.
 const SEED: u64 = 1;
@@ -41,6 +41,14 @@
         name: "cost",
         run: cost::run,
     },
+    Driver {
+        name: "path",
+        run: path::run,
+    },
+    Driver {
+        name: "idle",
+        run: path::run_idle,
+    },
 ];
 
 /// What to run.
