router, operator: take news from before the start for as old as they are

Cause: both kept times since their own start and let them end at 0, so a router or operator started in an outage took a page of long ago for one of its start: current, and serving a key that may be revoked, for another 5 s. And a page of a ledger that never knew the log's end counted as news.

Change: their clocks begin far from 0; a page without known age confirms nothing.

Not mended here: the ledger does the same with its peers' pages (follower.rs, read_peer), seen on the quickstart's fleet: killed and started again 20 s into an outage, it told pages 3 s old, and routers that were stale served.

Tests: crates/router/tests/config.rs failed before (told 25 us for 50 s) and passes; board/tests.rs, new, passes; cargo test -p swiftlink-router -p swiftlink-operator passes; clippy as well.

--- a/crates/operator/src/board.rs
+++ b/crates/operator/src/board.rs
@@ -11,6 +11,12 @@
 
 use crate::journal::{Batch, Cursor, Gone, Journal};
 
+#[cfg(test)]
+mod tests;
+
+/// Time of the board's clock at its start (ms): what was known long before can be told.
+const START: u64 = 1 << 50;
+
 /// The configuration in force, the journal, and how fresh they are.
 #[derive(Debug)]
 pub(crate) struct Board {
@@ -18,7 +24,7 @@
     journal: Mutex<Journal>,
     pulse: watch::Sender<()>,
     start: Instant,
-    /// When the end of the stream was last known, in ms after `start` plus one; 0: never.
+    /// When the end of the stream was last known, in ms of the board's clock; 0: never.
     heard: AtomicU64,
     /// Offset to read next.
     next: AtomicU64,
@@ -60,13 +66,13 @@
     pub(crate) fn age_ms(&self) -> Option<u64> {
         match self.heard.load(Ordering::Relaxed) {
             0 => None,
-            heard => Some((self.now_ms() + 1).saturating_sub(heard)),
+            heard => Some(self.now_ms().saturating_sub(heard)),
         }
     }
 
     /// Notes that the end of the stream was known `age_ms` ago.
     pub(crate) fn hear(&self, age_ms: u64) {
-        let heard = (self.now_ms() + 1).saturating_sub(age_ms);
+        let heard = self.now_ms().saturating_sub(age_ms);
         self.heard.fetch_max(heard.max(1), Ordering::Relaxed);
     }
 
@@ -146,7 +152,8 @@
     }
 
     fn now_ms(&self) -> u64 {
-        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+        let since = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX);
+        START.saturating_add(since)
     }
 
     fn journal(&self) -> MutexGuard<'_, Journal> {
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -22,6 +22,7 @@
 use crate::fleet::Pools;
 use crate::freshness::{Freshness, Pong, Trust};
 use crate::ledgers::{Ledgers, describe};
+use crate::pings::NEVER_MS;
 
 /// A ledger that sends no page for so long is left for another.
 const SILENCE: Duration = Duration::from_millis(2_500);
@@ -32,6 +33,9 @@
 const RETRY_BASE: Duration = Duration::from_millis(50);
 const RETRY_CAP: Duration = Duration::from_millis(1_000);
 
+/// Time of the view's clock at its start: what a ledger knew long before can be told.
+const START: Micros = 1 << 60;
+
 /// The published configuration; reading it takes no lock.
 #[derive(Debug)]
 pub struct ConfigView {
@@ -39,7 +43,7 @@
     pools: Arc<Pools>,
     start: Instant,
     freshness: Mutex<Freshness>,
-    /// Microseconds from `start` to the moment of which the configuration is known
+    /// Time of this view's clock of which the configuration is known
     /// to be the newest, plus one; 0 before the first.
     known: AtomicU64,
     /// The same for the moment until which it may be taken for the newest.
@@ -75,8 +79,7 @@
     #[must_use]
     pub fn age(&self) -> Option<Duration> {
         let known = self.known.load(Ordering::Relaxed).checked_sub(1)?;
-        let now = self.start.elapsed();
-        Some(now.saturating_sub(Duration::from_micros(known)))
+        Some(Duration::from_micros(self.now().saturating_sub(known)))
     }
 
     /// Whether a newer configuration may exist; true before the first.
@@ -102,7 +105,7 @@
     /// Time of this view's clock.
     #[must_use]
     pub fn now(&self) -> Micros {
-        micros(self.start.elapsed())
+        START.saturating_add(micros(self.start.elapsed()))
     }
 
     /// Notes the answer of ledger number `ledger` of the nearest first.
@@ -136,8 +139,8 @@
         event!(info, "config.applied", version = version);
     }
 
-    /// Notes that the configuration was the newest `age` ago.
-    fn confirm(&self, age: Duration) {
+    /// Notes that the configuration was the newest `age` ago, perhaps before the start.
+    pub fn confirm(&self, age: Duration) {
         let known = self.now().saturating_sub(micros(age));
         self.known.fetch_max(known + 1, Ordering::Relaxed);
         self.judge(|freshness| freshness.page(known));
@@ -252,7 +255,8 @@
             return Ok(());
         };
         self.view.publish(state.config());
-        if self.replica.is_ready() && self.replica.next() >= page.next {
+        let is_told = page.age_ms < NEVER_MS;
+        if is_told && self.replica.is_ready() && self.replica.next() >= page.next {
             self.view.confirm(Duration::from_millis(page.age_ms));
         }
         Ok(())
--- a/crates/router/src/health.rs
+++ b/crates/router/src/health.rs
@@ -135,7 +135,7 @@
         if troubles != known {
             tell(&known, &troubles);
         }
-        if troubles != known || looks % GAUGE_EVERY == 0 {
+        if troubles != known || looks.is_multiple_of(GAUGE_EVERY) {
             gauges(&node, &facts, &troubles);
         }
         known = troubles;
--- a/crates/router/src/pings.rs
+++ b/crates/router/src/pings.rs
@@ -23,7 +23,7 @@
 /// hears from the log at least every second.
 const OUT_MICROS: Micros = 2_500_000;
 /// A ledger that had no contact with the log since its start tells the largest `u32`.
-const NEVER_MS: u64 = u32::MAX as u64;
+pub const NEVER_MS: u64 = u32::MAX as u64;
 
 /// The rule by which a configuration is judged, where it is stale by itself over `stale`.
 #[must_use]
