router: join anew only once nothing of the old incarnation is under way

Cause: a router that was retired while it lives, such as when the VM list lost its VM for a while, joined again at once. Ledgers take a later join at the same address for proof that the predecessor is gone, released its rights while its requests still ran, and their charges became void: overspend, also with release = "proof".

Ruled out: telling ledgers that a join is no bind (a field in the log whose meaning old records don't have); closing and binding the listener again (answers in flight go on all the same); counting reserved rights (those stranded by a run of unknown end stay reserved for ever).

Change: a seat counts the work under way on it, from before its rights are reserved until its charge is decided or it is certain that there is none. Once retired it takes no new work (503 unavailable, not-run, Retry-After) and the keeper waits for the count to be 0.

A retired router learns of it by a rejected claim or a void charge; its marks are not rejected while its rights are in quarantine.

--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -90,6 +90,10 @@
         let detail = "this router is stopping";
         return Err(unavailable(detail));
     }
+    if node.is_retired() {
+        let detail = "this router's VM is declared gone for good";
+        return Err(unavailable(detail));
+    }
     if node.settler.is_stuck() {
         let detail = "this router has charges that no ledger has stored yet";
         return Err(unavailable(detail));
--- a/crates/router/src/charge.rs
+++ b/crates/router/src/charge.rs
@@ -20,7 +20,7 @@
 
 use crate::keys::KeyHold;
 use crate::ledgers::{Ledgers, order};
-use crate::members::Seat;
+use crate::members::{Seat, Stay};
 use crate::past::PastRuns;
 
 /// Pause after all ledgers failed to take a charge.
@@ -116,7 +116,7 @@
     pub async fn settle(self: &Arc<Self>, seat: &Arc<Seat>, cost: Cost, hold: KeyHold) {
         let job = Job {
             settler: Arc::clone(self),
-            seat: Arc::clone(seat),
+            seat: seat.stay(),
             serial: seat.next_serial(),
             cost,
             _hold: hold,
@@ -187,7 +187,8 @@
 /// One charge on its way.
 struct Job {
     settler: Arc<Settler>,
-    seat: Arc<Seat>,
+    /// Incarnation that is charged.
+    seat: Stay,
     serial: u64,
     cost: Cost,
     _hold: KeyHold,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod repeat;
 pub mod reply;
 pub mod resume;
+pub mod retirement;
 pub mod router;
 pub mod serve;
 pub mod service;
--- a/crates/router/src/members.rs
+++ b/crates/router/src/members.rs
@@ -2,11 +2,14 @@
 //!
 //! Before its join on a stream is decided, a router has no rights on the stream's
 //! budgets. An incarnation that the log has retired is left, with its rights, for
-//! a new one; charges of its requests in flight still name the old one.
+//! a new one. Ledgers take the new one's join for proof that the old one is gone, and
+//! free its rights; so the router joins anew only once nothing is left that may still
+//! be charged to the old one.
 
 use std::net::SocketAddr;
+use std::ops::Deref;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwapOption;
@@ -41,12 +44,18 @@
     pub evicted_ms: WallMs,
     serial: AtomicU64,
     retired: AtomicBool,
+    /// Wakes the keeper at the retirement.
     left: Notify,
+    stays: AtomicUsize,
+    /// Wakes the keeper when the last stay on a retired incarnation ends.
+    empty: Notify,
     accounts: HashMap<BudgetName, Arc<Account>>,
 }
 
 impl Seat {
-    fn new(shard: u32, incarnation: Incarnation, evicted_ms: WallMs) -> Arc<Self> {
+    /// An incarnation that has just joined.
+    #[must_use]
+    pub fn new(shard: u32, incarnation: Incarnation, evicted_ms: WallMs) -> Arc<Self> {
         Arc::new(Self {
             shard,
             incarnation,
@@ -54,6 +63,8 @@
             serial: AtomicU64::new(0),
             retired: AtomicBool::new(false),
             left: Notify::new(),
+            stays: AtomicUsize::new(0),
+            empty: Notify::new(),
             accounts: HashMap::new(),
         })
     }
@@ -94,16 +105,54 @@
         self.serial.fetch_add(1, Ordering::Relaxed) + 1
     }
 
+    /// Begins work that may be charged to this incarnation; `None` once it is retired.
+    #[must_use]
+    pub fn enter(self: &Arc<Self>) -> Option<Stay> {
+        // Counted first: whoever sees the incarnation retired and empty knows that no
+        // later work begins on it.
+        let stay = self.stay();
+        (!self.is_retired()).then_some(stay)
+    }
+
+    /// Goes on with work that has begun on this incarnation.
+    #[must_use]
+    pub fn stay(self: &Arc<Self>) -> Stay {
+        self.stays.fetch_add(1, Ordering::SeqCst);
+        Stay {
+            seat: Arc::clone(self),
+        }
+    }
+
+    /// Requests and charges that are under way on this incarnation.
+    #[must_use]
+    pub fn stays(&self) -> usize {
+        self.stays.load(Ordering::SeqCst)
+    }
+
+    /// Whether the router may join anew: the incarnation is retired, and nothing is
+    /// left that may be charged to it.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        self.is_retired() && self.stays() == 0
+    }
+
+    /// Waits until a retired incarnation is over.
+    pub async fn over(&self) {
+        while !self.is_over() {
+            self.empty.notified().await;
+        }
+    }
+
     /// Notes that the log has retired this incarnation.
     pub fn retire(&self) {
-        self.retired.store(true, Ordering::Relaxed);
+        self.retired.store(true, Ordering::SeqCst);
         self.left.notify_one();
     }
 
     /// Whether the log has retired this incarnation.
     #[must_use]
     pub fn is_retired(&self) -> bool {
-        self.retired.load(Ordering::Relaxed)
+        self.retired.load(Ordering::SeqCst)
     }
 
     /// Looks at a rejection: an incarnation that is unknown or retired is left.
@@ -117,6 +166,31 @@
     }
 }
 
+/// Work under way on an incarnation, from before its rights are reserved until its
+/// charge is decided or it is certain that there will be none. Rights that stay
+/// reserved since the end of a run isn't known are no work: they are never charged.
+#[derive(Debug)]
+pub struct Stay {
+    seat: Arc<Seat>,
+}
+
+impl Deref for Stay {
+    type Target = Arc<Seat>;
+
+    fn deref(&self) -> &Arc<Seat> {
+        &self.seat
+    }
+}
+
+impl Drop for Stay {
+    fn drop(&mut self) {
+        let was_last = self.seat.stays.fetch_sub(1, Ordering::SeqCst) == 1;
+        if was_last && self.seat.is_retired() {
+            self.seat.empty.notify_one();
+        }
+    }
+}
+
 /// The memberships on all budget streams.
 #[derive(Debug)]
 pub struct Members {
@@ -203,9 +277,18 @@
                 warn,
                 "shard.retired",
                 shard = shard,
-                incarnation = incarnation
+                incarnation = incarnation,
+                under_way = seat.stays()
             );
             self.members.put(None, shard);
+            for account in seat.accounts() {
+                account.wake.notify_one();
+            }
+            // A join now would free the rights on which the work under way draws.
+            tokio::select! {
+                () = self.stop.cancelled() => return,
+                () = seat.over() => {}
+            }
             epoch = wall_micros().max(seat.incarnation.epoch + 1);
         }
     }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -76,6 +76,12 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Whether an operator states that this router's VM is gone for good.
+    #[must_use]
+    pub fn is_retired(&self) -> bool {
+        self.config.load().is_retired(&self.settings.common.vm)
+    }
+
     /// Whether a newer configuration may exist; true before the first.
     #[must_use]
     pub fn is_stale(&self) -> bool {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -30,7 +30,7 @@
 use crate::peers::Peers;
 use crate::serve::Surface;
 use crate::settings::Settings;
-use crate::{health, pings, stop, vms};
+use crate::{health, pings, retirement, stop, vms};
 
 /// Least worker threads of the callers' listener.
 const WORKERS_MIN: usize = 2;
@@ -231,6 +231,8 @@
     }
     let health = health::watch(Arc::clone(node), stop.clone());
     node.tasks.spawn_on(health, spawn_on);
+    let declared = retirement::watch(Arc::clone(node), stop.clone());
+    node.tasks.spawn_on(declared, spawn_on);
     let forget = forget_old(Arc::clone(node), stop.clone());
     node.tasks.spawn_on(forget, spawn_on);
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -21,7 +21,7 @@
 use crate::charge::Cost;
 use crate::dispatch::Attempt;
 use crate::intent::{Spent, lost};
-use crate::members::Seat;
+use crate::members::Stay;
 use crate::node::Node;
 use crate::past::{Past, WholeRun, digest};
 use crate::record::{self, Record};
@@ -98,8 +98,8 @@
 /// The rights of one request, and the incarnation that holds them.
 #[derive(Debug)]
 pub struct Holding {
-    /// The incarnation.
-    pub seat: Arc<Seat>,
+    /// Work under way on the incarnation.
+    pub seat: Stay,
     /// The rights, until a dispatch takes them over.
     pub reservation: Reservation,
 }
@@ -143,9 +143,11 @@
             return origin.relay_or_refuse(holders, refusal, reply).await;
         }
     };
-    let seat = holding.as_ref().map(|holding| Arc::clone(&holding.seat));
+    let (seat, rights) = holding
+        .map(|holding| (holding.seat, holding.reservation))
+        .unzip();
     let mut attempt = Attempt {
-        rights: holding.map(|holding| holding.reservation),
+        rights,
         past: is_run.then(|| node.past.begin(&call.key_use, digest)),
         ..Attempt::default()
     };
@@ -198,7 +200,7 @@
 }
 
 fn not_joined() -> Refusal {
-    let detail = "this router has not joined the budget's stream on the log yet";
+    let detail = "this router has no membership of the budget's stream on the log now";
     Refusal::not_run(RefusalKind::Unavailable, detail).with_retry(JOIN_RETRY)
 }
 
@@ -212,11 +214,9 @@
     if call.bound == 0 && !call.once {
         return Ok(None);
     }
-    let Some(seat) = node.members.seat(&call.budget) else {
-        return Err(Shortage {
-            refusal: not_joined(),
-            holders: Vec::new(),
-        });
+    let joined = node.members.seat(&call.budget);
+    let Some(seat) = joined.and_then(|seat| seat.enter()) else {
+        return Err(none_here());
     };
     let account = seat.open(&call.budget, &node.claimers);
     let policy = WaitPolicy {
@@ -226,9 +226,21 @@
         has_log: !node.config.is_log_silent(),
     };
     let reservation = account.obtain(call.bound, policy, !call.relayed).await?;
+    if seat.is_retired() {
+        // Meanwhile; nothing new is begun on rights that are in quarantine.
+        return Err(none_here());
+    }
     Ok(Some(Holding { seat, reservation }))
 }
 
+/// No rights can be held here now.
+fn none_here() -> Shortage {
+    Shortage {
+        refusal: not_joined(),
+        holders: Vec::new(),
+    }
+}
+
 /// A request that has its rights.
 #[derive(Debug)]
 pub struct Run {
@@ -237,7 +249,7 @@
     /// The request.
     pub call: Call,
     /// Incarnation that holds its rights; `None` when it costs nothing.
-    pub seat: Option<Arc<Seat>>,
+    pub seat: Option<Stay>,
     /// Rights, intent and the dispatches so far.
     pub attempt: Attempt,
     /// What the log gets to read; gone once the line is written.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod outage;
 mod path;
 mod refusals;
+mod rejoin;
 mod repeat;
 mod replace;
 mod settings;
