router: tell the charge that is in force for the key

Cause: a key run at two routers at different cost (urgent, then standard) was charged by the first run alone, but the second answer went out on `Stored`, before the fold voided its charge: the caller was told 14 where 28 was charged.

Ruled out: waiting for the fate of each charge (every answer's end would wait for a group commit and stand still in a log outage).

--- a/crates/budget/src/charges.rs
+++ b/crates/budget/src/charges.rs
@@ -1,6 +1,6 @@
 //! Charges of requests that ran.
 
-use swiftlink_types::RequestKey;
+use swiftlink_types::{RequestKey, Tokens};
 use swiftlink_wire::log as wire;
 use wire::ChargeFate;
 use wire::fate::Kind as FateKind;
@@ -10,6 +10,12 @@
 use crate::routers::RouterId;
 
 impl Fold {
+    /// What the key was charged; `None` if it was not, or is forgotten.
+    #[must_use]
+    pub fn charged(&self, workspace: &str, key: RequestKey) -> Option<Tokens> {
+        self.keys.find(workspace, key)?.cost
+    }
+
     pub(crate) fn charge_all(&mut self, charges: &wire::Charges) -> FateKind {
         let Some(inc) = charges.incarnation.as_ref() else {
             return malformed();
--- a/crates/ledger/src/service.rs
+++ b/crates/ledger/src/service.rs
@@ -110,9 +110,11 @@
         let kind = settle.charges.map(record::Kind::Charges);
         let records = vec![Record { kind }];
         let (_, shard) = self.admit(&settle.stream, &records)?;
+        let charged_cost = shard.charged(&records);
         let mut waiter = queue(&shard.outbox, records)?;
         // The charge is kept from here on, whatever becomes of the caller.
-        let _result = replies.send(reply::Kind::Stored(Stored {}), false).await;
+        let stored = reply::Kind::Stored(Stored { charged_cost });
+        let _result = replies.send(stored, false).await;
         let decided = tokio::select! {
             decided = waiter.wait() => decided,
             () = replies.closed() => return Err(gone()),
--- a/crates/ledger/src/shards.rs
+++ b/crates/ledger/src/shards.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use swiftlink_budget::{Fold, shard_of};
-use swiftlink_types::Incarnation;
+use swiftlink_types::{Incarnation, RequestKey, Tokens};
 use swiftlink_wire::link::BudgetView;
 use swiftlink_wire::log::{Record, record};
 
@@ -139,6 +139,23 @@
 }
 
 impl Shard {
+    /// What the key of a single charge was charged before.
+    #[must_use]
+    pub fn charged(&self, records: &[Record]) -> Option<Tokens> {
+        let [record] = records else {
+            return None;
+        };
+        let Some(record::Kind::Charges(charges)) = &record.kind else {
+            return None;
+        };
+        let [charge] = charges.items.as_slice() else {
+            return None;
+        };
+        let key = RequestKey::from_bytes(&charge.key).ok()?;
+        let state = self.stream.state();
+        state.get()?.charged(&charge.workspace, key)
+    }
+
     fn views(&self) -> Vec<BudgetView> {
         let views = {
             let state = self.stream.state();
--- a/crates/link/tests/common/mod.rs
+++ b/crates/link/tests/common/mod.rs
@@ -46,7 +46,7 @@
                 self.left.fetch_add(1, Ordering::SeqCst);
             }
             request::Kind::Submit(submit) => {
-                let stored = reply::Kind::Stored(Stored {});
+                let stored = reply::Kind::Stored(Stored::default());
                 let _gone = replies.send(stored, submit.wait_ms == 0).await;
             }
             request::Kind::GetPending(_) => drop(replies),
--- a/crates/router/src/charge.rs
+++ b/crates/router/src/charge.rs
@@ -112,8 +112,14 @@
     }
 
     /// Charges `cost` on the incarnation of `seat`; returns once a ledger has stored
-    /// the charge, or after the wait that an answer's end is given.
-    pub async fn settle(self: &Arc<Self>, seat: &Arc<Seat>, cost: Cost, hold: KeyHold) {
+    /// the charge, or after the wait that an answer's end is given. The answer is what
+    /// the key was charged before, if the ledger knows of it: the charge is void then.
+    pub async fn settle(
+        self: &Arc<Self>,
+        seat: &Arc<Seat>,
+        cost: Cost,
+        hold: KeyHold,
+    ) -> Option<Tokens> {
         let job = Job {
             settler: Arc::clone(self),
             seat: seat.stay(),
@@ -130,8 +136,9 @@
         // The first ledger is asked from this thread: it saves the end of the answer
         // two changes of thread.
         if let Some(ledger) = order(self.ledgers.far()).first() {
-            if let Some(replies) = carrier.job().store(&ledger.client).await {
-                return carrier.leave(Some(replies));
+            if let Some((charged, replies)) = carrier.job().store(&ledger.client).await {
+                carrier.leave(Some(replies));
+                return charged;
             }
             ledger.shun();
         }
@@ -139,7 +146,7 @@
         carrier.job().told = Some(sender);
         let left = self.wait.saturating_sub(carrier.job().start.elapsed());
         carrier.leave(None);
-        let _late = timeout(left, stored).await;
+        timeout(left, stored).await.ok()?.ok()?
     }
 
     /// Waits until no charge is pending; false when `limit` comes first.
@@ -196,7 +203,7 @@
     /// Some ledger has it, or the log has decided it.
     is_stored: bool,
     /// Who waits for the storing.
-    told: Option<oneshot::Sender<()>>,
+    told: Option<oneshot::Sender<Option<Tokens>>>,
     stuck: bool,
 }
 
@@ -213,7 +220,7 @@
         }
         loop {
             for ledger in order(ledgers.far()) {
-                if let Some(mut replies) = self.store(&ledger.client).await
+                if let Some((_, mut replies)) = self.store(&ledger.client).await
                     && let Some(fate) = self.follow(&mut replies, retry).await
                 {
                     return self.finish(fate);
@@ -229,16 +236,17 @@
         }
     }
 
-    /// Hands the charge to one ledger and waits until it has stored it.
-    async fn store(&mut self, client: &Arc<Client>) -> Option<ReplyStream> {
+    /// Hands the charge to one ledger and waits until it has stored it; the answer
+    /// begins with what the key was charged before, as far as the ledger knows.
+    async fn store(&mut self, client: &Arc<Client>) -> Option<(Option<Tokens>, ReplyStream)> {
         let limit = self.settler.try_time;
         let settle = request::Kind::Settle(self.message());
         let opened = timeout(limit, client.stream(settle)).await;
         let mut replies = opened.ok()?.ok()?;
         match replies.next_within(limit).await?.ok()? {
-            reply::Kind::Stored(_) => {
-                self.note_stored();
-                Some(replies)
+            reply::Kind::Stored(stored) => {
+                self.note_stored(stored.charged_cost);
+                Some((stored.charged_cost, replies))
             }
             _ => None,
         }
@@ -271,14 +279,14 @@
         }
     }
 
-    fn note_stored(&mut self) {
+    fn note_stored(&mut self, charged: Option<Tokens>) {
         if self.is_stored {
             return;
         }
         self.is_stored = true;
         if let Some(told) = self.told.take() {
             // The answer's end may have stopped waiting.
-            let _sent = told.send(());
+            let _sent = told.send(charged);
         }
         let us = u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX);
         self.settler.metrics.time_us("charge.stored", us);
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -257,19 +257,22 @@
 }
 
 impl Run {
-    /// Charges `tokens` run, once; the answer is the cost drawn. Returns once the
-    /// charge is stored in another failure domain, or after the wait for it.
+    /// Charges `tokens` run, once; the answer is what the key is charged, by this run
+    /// or by one before. Returns once the charge is stored in another failure domain, or
+    /// after the wait for it.
     pub async fn charge(&mut self, tokens: Tokens) -> Tokens {
         let (Some(seat), Some(rights)) = (&self.seat, self.attempt.rights.take()) else {
             return 0;
         };
         let cost = self.call.cost(tokens);
+        let mut before = None;
         if cost > 0 {
             let charge = self.charge_of(tokens, cost);
             let hold = self.call.key_use.hold();
-            self.node.settler.settle(seat, charge, hold).await;
+            before = self.node.settler.settle(seat, charge, hold).await;
         }
-        let charged = rights.settle(cost);
+        let drawn = rights.settle(cost);
+        let charged = before.unwrap_or(drawn);
         if let Some(record) = self.record.upgrade() {
             record.charge(charged);
         }
--- a/tests/testsuite/repeat.rs
+++ b/tests/testsuite/repeat.rs
@@ -5,6 +5,7 @@
 
 use http::Method;
 use serde_json::{Value, json};
+use swiftlink_budget::{shard_of, stream_of};
 use swiftlink_testkit::caller::{Answer, Ask, set};
 use swiftlink_testkit::checker::{Accounts, End, History};
 use swiftlink_testkit::fleet::{CALL_TOKENS, Fleet, MODEL, SERVICE, Tenant};
@@ -83,6 +84,52 @@
     assert!(runs <= 3, "{runs} runs at three routers");
 }
 
+/// Waits until every ledger has folded a charge of `cost` on the first tenant's budget.
+async fn folded(fleet: &Fleet, cost: u64) {
+    let is_charged = |budget: &Value| budget["charged"].as_u64() == Some(cost);
+    let budget = fleet.api.budget_until("lannec", is_charged).await;
+    let offset = budget.expect("the charge is folded")["offset"].as_u64();
+    let name = stream_of(shard_of("lannec", fleet.shards())).to_string();
+    let holds = |status: &Value| {
+        let streams = status["streams"].as_array();
+        let mut streams = streams.into_iter().flatten();
+        let found = streams.find(|stream| stream["name"] == name.as_str());
+        found.and_then(|stream| stream["offset"].as_u64()) > offset
+    };
+    for ledger in &fleet.ledgers {
+        let status = ledger.status_until(LONG_BEFORE, "the charge", holds);
+        status.await.expect("every ledger folds the charge");
+    }
+}
+
+/// A run at another router is told what the first one was charged, since its own charge
+/// is void.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_told_is_what_was_charged_before() {
+    for streamed in [false, true] {
+        let fleet = fleet().await;
+        let mut first = ask("a deed at signing tokens=9");
+        first.stream = streamed;
+        first.class = Some("urgent".to_owned());
+        let mut second = first.clone();
+        second.class = None;
+        let caller = fleet.caller(0);
+        let urgent = caller.ask(fleet.router(0), &first).await;
+        let cost = 2 * tokens(&first);
+        assert_eq!(urgent.charged, Some(cost), "{urgent:?}");
+        folded(&fleet, cost).await;
+        for router in [1, 2] {
+            for _time in 0..2 {
+                let standard = caller.ask(fleet.router(router), &second).await;
+                assert!(standard.is_served(), "{standard:?}");
+                assert_eq!(standard.charged, Some(cost), "{standard:?}");
+            }
+        }
+        let history = check_all(&fleet, Vec::new()).await;
+        assert_eq!(charged(&history), cost);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_with_another_body_is_refused() {
     let fleet = fleet().await;
