--- a/crates/resource/src/spec.rs
+++ b/crates/resource/src/spec.rs
@@ -43,7 +43,8 @@
     /// What must be known before a vanished router's grants are released.
     #[serde(default)]
     pub release: ReleaseRule,
-    /// Seconds of expected demand that a router claims ahead.
+    /// Seconds of expected demand that a router claims ahead. The default carries a
+    /// router through a log outage of ten minutes (docs/design/grants.md).
     #[serde(default = "default_ahead")]
     pub ahead_secs: u32,
     /// Least amount that a router claims at a time (tokens).
@@ -263,7 +264,7 @@
 }
 
 fn default_ahead() -> u32 {
-    10
+    300
 }
 
 fn default_price() -> u32 {
--- a/crates/types/src/refusal.rs
+++ b/crates/types/src/refusal.rs
@@ -120,7 +120,7 @@
             Self::UnknownPool => "No such model or pool",
             Self::Malformed => "The request is malformed",
             Self::TooLarge => "The request body is too large",
-            Self::NoBudget => "The prepaid budget is used up",
+            Self::NoBudget => "Not enough of the prepaid budget is left",
             Self::BudgetBusy => "The budget's free tokens are held elsewhere for now",
             Self::Overloaded => "Too much work is queued",
             Self::NoServer => "No backend server can take the request",
