fetch: one HTTP exchange with limits, and one read of the VM list

Cause: the VM list was read by the router and by the ledger, each with its own request, types and limits; the client had a third exchange, which the operator used. Ruled out: one entry type for both readers. The ledger reads names alone, so a state that it doesn't know never hides that a VM is gone; the router needs the state. The list is generic over its entries instead. Load reports stay with the router's own connections. Change: crates/fetch holds the client's HTTP calls (moved), a JSON GET with limits of time and size, and the VM list; router, ledger, operator and client use it. What differs at the router: the three steps of a read, 1 s each, are now 3 s in all; it names itself `swiftlink-router` to the list; a list without `version`, which the platform's interface always gives, is refused as the ledger does. At the ledger the text of the error in `vms.out_of_reach` differs. The whole suite was not run.

--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -3,8 +3,9 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use swiftlink_fetch::HttpError;
+
 use crate::api::{Certainty, Problem};
-use crate::http::HttpError;
 
 /// What to do when events were missed.
 const WATCH_AGAIN: &str =
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod api;
 pub mod document;
 mod error;
-pub mod http;
 pub mod in_force;
 mod operator;
 mod settings;
@@ -18,6 +17,8 @@
 pub use error::{ClientError, Exit, Tries};
 pub use operator::Operator;
 pub use settings::{ClientSettings, Overrides, SettingsError};
+/// The HTTP calls under this interface, for those that call it by hand.
+pub use swiftlink_fetch as http;
 pub use watch::{WatchStream, Watcher};
 
 /// A new identifier for a change set; it carries the time.
--- a/crates/client/src/operator.rs
+++ b/crates/client/src/operator.rs
@@ -10,12 +10,12 @@
 use percent_encoding::{NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
+use swiftlink_fetch::{Answer, Call, Http, HttpError};
 
 use crate::api::{
     Applied, ApplyRequest, Budget, CHANGE_FIRST_HEADER, CHANGE_ID_HEADER, Certainty, Problem,
     Resource, ResourceList, Status,
 };
-use crate::http::{Answer, Call, Http, HttpError};
 use crate::{ClientError, ClientSettings, Tries, WatchStream};
 
 /// Time limit of a call; longer than the operator's own limit for an apply.
--- a/crates/client/src/watch.rs
+++ b/crates/client/src/watch.rs
@@ -6,9 +6,9 @@
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use swiftlink_fetch::HttpError;
 
 use crate::api::{WatchEvent, WatchLine};
-use crate::http::HttpError;
 use crate::{ClientError, Operator};
 
 /// Silence after which a watch is taken for dead; the operator sends heartbeats more often.
--- a/crates/client/src/http.rs
+++ b/crates/fetch/src/client.rs
@@ -1,6 +1,7 @@
-//! Small HTTP/1.1 client with a time limit and a bound on answers.
+//! The HTTP/1.1 client.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +12,8 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 
+use crate::json::Limits;
+
 /// Time in which a TCP connection must stand.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest answer that is read whole (bytes).
@@ -78,17 +81,18 @@
 #[derive(Clone, Debug)]
 pub struct Http {
     client: Client<HttpConnector, Full<Bytes>>,
-    agent: &'static str,
+    agent: Arc<str>,
 }
 
 impl Http {
     /// A client that names itself `agent`.
     #[must_use]
-    pub fn open(agent: &'static str) -> Self {
+    pub fn open(agent: impl Into<Arc<str>>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new()).build(connector);
+        let agent = agent.into();
         Self { client, agent }
     }
 
@@ -97,10 +101,22 @@
     /// # Errors
     /// When no whole answer came in time.
     pub async fn fetch(&self, call: &Call<'_>, timeout: Duration) -> Result<Answer, HttpError> {
+        let limits = Limits {
+            time: timeout,
+            bytes: MAX_ANSWER,
+        };
+        self.fetch_within(call, limits).await
+    }
+
+    pub(crate) async fn fetch_within(
+        &self,
+        call: &Call<'_>,
+        limits: Limits,
+    ) -> Result<Answer, HttpError> {
         let work = async {
             let response = self.send(call).await?;
             let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_ANSWER);
+            let body = Limited::new(response.into_body(), limits.bytes);
             let whole = body.collect().await;
             let whole = whole.map_err(|error| HttpError::Lost(error.to_string()))?;
             Ok(Answer {
@@ -108,8 +124,8 @@
                 body: whole.to_bytes(),
             })
         };
-        let limited = tokio::time::timeout(timeout, work).await;
-        limited.map_err(|_elapsed| HttpError::Timeout(timeout))?
+        let limited = tokio::time::timeout(limits.time, work).await;
+        limited.map_err(|_elapsed| HttpError::Timeout(limits.time))?
     }
 
     /// Makes a call and returns once the head of the answer is there.
@@ -134,7 +150,7 @@
         let mut builder = Request::builder()
             .method(call.method.clone())
             .uri(uri)
-            .header("user-agent", self.agent);
+            .header("user-agent", &*self.agent);
         if let Some(token) = call.token {
             builder = builder.header("authorization", format!("Bearer {token}"));
         }
--- a/crates/ledger/src/vm_list.rs
+++ b/crates/ledger/src/vm_list.rs
@@ -1,17 +1,10 @@
 //! Polls the platform's list of VMs.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use anyhow::{Context, ensure};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::{Request, header};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use swiftlink_fetch::Http;
 use swiftlink_telemetry::event;
 use tokio_util::sync::CancellationToken;
 
@@ -22,8 +15,6 @@
 const POLL: Duration = Duration::from_secs(1);
 /// Time after which a read counts as unanswered.
 const TIMEOUT: Duration = Duration::from_secs(2);
-/// Most bytes of an answer.
-const MAX_ANSWER: usize = 4 * 1024 * 1024;
 
 /// What the VM list said so far, shared between tasks.
 #[derive(Debug)]
@@ -70,10 +61,10 @@
 }
 
 /// The task that polls the list.
+#[derive(Debug)]
 pub struct Poller {
-    uri: String,
-    agent: Arc<str>,
-    client: Client<HttpConnector, Empty<Bytes>>,
+    address: SocketAddr,
+    http: Http,
     vms: Arc<Vms>,
 }
 
@@ -81,13 +72,9 @@
     /// Polls the list at `address` under the name `agent`.
     #[must_use]
     pub fn new(address: SocketAddr, agent: Arc<str>, vms: Arc<Vms>) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(TIMEOUT));
-        let client = Client::builder(TokioExecutor::new()).build(connector);
         Self {
-            uri: format!("http://{address}/vms"),
-            agent,
-            client,
+            address,
+            http: Http::open(agent),
             vms,
         }
     }
@@ -100,11 +87,11 @@
     async fn poll(&self) {
         let mut reached = true;
         loop {
-            let answer = self.read().await;
+            let answer = VmList::read(&self.http, self.address, TIMEOUT).await;
             if let Err(error) = &answer
                 && reached
             {
-                event!(warn, "vms.out_of_reach", error = format!("{error:#}"));
+                event!(warn, "vms.out_of_reach", error = error);
             }
             reached = answer.is_ok();
             if let Ok(list) = answer {
@@ -113,32 +100,4 @@
             tokio::time::sleep(POLL).await;
         }
     }
-
-    async fn read(&self) -> anyhow::Result<VmList> {
-        let exchange = tokio::time::timeout(TIMEOUT, self.exchange());
-        let body = exchange.await.context("no answer in time")??;
-        serde_json::from_slice(&body).context("the answer is no list of VMs")
-    }
-
-    async fn exchange(&self) -> anyhow::Result<Bytes> {
-        let request = Request::get(&self.uri)
-            .header(header::USER_AGENT, &*self.agent)
-            .body(Empty::new())?;
-        let response = self.client.request(request).await?;
-        let status = response.status();
-        ensure!(status.is_success(), "the VM list answered {status}");
-        let body = Limited::new(response.into_body(), MAX_ANSWER)
-            .collect()
-            .await;
-        let body = body.map_err(anyhow::Error::from_boxed)?;
-        Ok(body.to_bytes())
-    }
-}
-
-impl fmt::Debug for Poller {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Poller")
-            .field("uri", &self.uri)
-            .finish_non_exhaustive()
-    }
 }
--- a/crates/ledger/src/vms.rs
+++ b/crates/ledger/src/vms.rs
@@ -4,16 +4,13 @@
 
 use serde::Deserialize;
 
-/// Body of `GET /vms`.
-#[derive(Debug, Clone, Deserialize)]
-pub struct VmList {
-    /// Grows with each change of the list.
-    pub version: u64,
-    /// VMs that are live or leaving.
-    pub vms: Vec<Vm>,
-}
+/// The VM list as far as a ledger reads it.
+pub type VmList = swiftlink_fetch::VmList<Vm>;
 
-/// One VM of the list.
+/// One VM of the list, live or leaving.
+///
+/// Its state isn't read: one that this version doesn't know must not hide that
+/// another VM is gone.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Vm {
     /// Name of the VM.
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -7,7 +7,7 @@
 use http::Method;
 use serde_json::Value;
 use swiftlink_client::api::ProcessStatus;
-use swiftlink_client::http::{Answer, Call, Http};
+use swiftlink_fetch::{Answer, Call, Http};
 
 use crate::settings::Process;
 
--- a/crates/router/src/vms.rs
+++ b/crates/router/src/vms.rs
@@ -7,8 +7,8 @@
 use futures_util::future::join_all;
 use http::{Method, StatusCode};
 use http_body_util::{BodyExt, Limited};
-use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use swiftlink_fetch::{Http, Vm, VmList, VmState};
 use swiftlink_routing::{ListedVm, LoadReport, ServerIdx};
 use swiftlink_telemetry::event;
 use swiftlink_types::VmName;
@@ -19,31 +19,17 @@
 use crate::fleet::{Pool, Pools};
 use crate::upstream::{SendOptions, send};
 
-/// Longest body of a list or report (bytes).
+/// Longest body of a report (bytes).
 const BODY_MAX: usize = 4 << 20;
-/// Longest time for one read.
+/// Longest time for each step of reading a report: connection, head and body.
 const READ_TIME: Duration = Duration::from_secs(1);
+/// Longest time for reading the VM list.
+const LIST_TIME: Duration = Duration::from_secs(3);
+/// What the router calls itself at the VM list.
+const AGENT: &str = "swiftlink-router";
 /// Path of a model engine's load report.
 const MODEL_LOAD: &str = "/load";
 
-#[derive(Debug, Deserialize)]
-struct VmList {
-    vms: Vec<VmEntry>,
-}
-
-#[derive(Debug, Deserialize)]
-struct VmEntry {
-    name: String,
-    state: VmState,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum VmState {
-    Live,
-    Leaving,
-}
-
 /// Reads the VM list at `address` every `period` until `stop`.
 pub async fn follow_list(
     address: SocketAddr,
@@ -53,13 +39,14 @@
 ) {
     let mut ticks = interval(period);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let http = Http::open(AGENT);
     let mut is_out = false;
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
             _ = ticks.tick() => {}
         }
-        let Some(list) = read::<VmList>(address, "/vms").await else {
+        let Ok(list) = VmList::<Vm>::read(&http, address, LIST_TIME).await else {
             if !is_out {
                 event!(warn, "vms.unreachable", address = address);
             }
