Count a young ledger's news by their age; sum top-ups once; no overflow in a driver

Cause 1: a ledger's clock began at 0, so the moment that a peer's old page points back to was cut off at the start: 20 s into a log outage a restarted ledger told pages of about 3 s, and routers served workspaces that refuse when stale (seen on a quickstart fleet). Change: the clock begins beyond the largest age. Its test failed before (age 0). Change: the configuration keeps the sum per budget. Run: cargo test -p swiftlink-resource -p swiftlink-ledger -p swiftlink-bench, green.

--- a/crates/bench/src/routing/world.rs
+++ b/crates/bench/src/routing/world.rs
@@ -324,6 +324,6 @@
 
 /// Spreads the bits of a number; never 0.
 fn hash(number: u64) -> u64 {
-    let wide = u128::from(number + 1) * 0xd6e8_feb8_6659_fd93_a076_1d64_78bd_642f;
+    let wide = u128::from(number + 1).wrapping_mul(0xd6e8_feb8_6659_fd93_a076_1d64_78bd_642f);
     ((wide >> 64) as u64 ^ wide as u64) | 1
 }
--- a/crates/ledger/src/clock.rs
+++ b/crates/ledger/src/clock.rs
@@ -3,21 +3,26 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use swiftlink_types::Micros;
+use swiftlink_types::{MICROS_PER_MS, Micros};
 
 /// Age that stands for "never known", in milliseconds (about 49 days).
 ///
 /// Large enough to count as stale everywhere, small enough to be added to.
 pub const NEVER_MS: u64 = u32::MAX as u64;
 
-/// Source of monotonic time, from the start of the process on.
+/// What a clock reads at its start: more than any age that a peer may tell, so that
+/// the moment which such an age points back to stays apart from the start. With 0, a
+/// ledger that had just started took a peer's old knowledge for as young as itself.
+const START: Micros = 2 * NEVER_MS * MICROS_PER_MS;
+
+/// Source of monotonic time; its start is an arbitrary number.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
     start: Instant,
 }
 
 impl Clock {
-    /// A clock that reads 0 now.
+    /// A clock that starts now.
     #[must_use]
     pub fn start() -> Self {
         Self {
@@ -25,10 +30,10 @@
         }
     }
 
-    /// Microseconds since the start.
+    /// Microseconds, with an arbitrary number at the start.
     #[must_use]
     pub fn now(&self) -> Micros {
-        micros(self.start.elapsed())
+        START + micros(self.start.elapsed())
     }
 
     /// Sleeps until the clock reads `at`.
--- a/crates/ledger/tests/decisions.rs
+++ b/crates/ledger/tests/decisions.rs
@@ -7,6 +7,7 @@
 use proptest::prelude::*;
 use prost::Message;
 use swiftlink_ledger::batcher::{Batcher, Ticket};
+use swiftlink_ledger::clock::{Clock, NEVER_MS};
 use swiftlink_ledger::duty::Duty;
 use swiftlink_ledger::pacer::Pacer;
 use swiftlink_ledger::release::{Answer, Proof, Verdict, decide};
@@ -14,7 +15,7 @@
 use swiftlink_ledger::stream::Progress;
 use swiftlink_ledger::tail::Tail;
 use swiftlink_ledger::vms::{Vm, VmList, VmWatch};
-use swiftlink_types::Incarnation;
+use swiftlink_types::{Incarnation, MICROS_PER_MS};
 use swiftlink_wire::log::{Batch, Charge, Charges, Fate, Mark, Record, record};
 
 #[derive(Debug, Clone)]
@@ -364,3 +365,12 @@
     };
     assert!(!plan.step(200 * second, &unread, || 0));
 }
+
+/// A ledger that has just started must not take a peer's old knowledge for new.
+#[test]
+fn an_age_told_by_a_peer_reaches_back_before_the_start() {
+    let clock = Clock::start();
+    let known = clock.now().saturating_sub(NEVER_MS * MICROS_PER_MS);
+    let age_ms = (clock.now() - known) / MICROS_PER_MS;
+    assert!(age_ms >= NEVER_MS, "{age_ms} ms");
+}
--- a/crates/resource/src/config.rs
+++ b/crates/resource/src/config.rs
@@ -5,7 +5,7 @@
 
 use subtle::ConstantTimeEq;
 use swiftlink_types::{
-    BudgetName, ClassName, KeyName, PoolName, ServerName, VmName, WorkspaceName,
+    BudgetName, ClassName, KeyName, PoolName, ServerName, Tokens, VmName, WorkspaceName,
 };
 
 use crate::{Budget, Class, Key, KeyHash, Kind, Pool, Retirement, Server, Spec, TopUp, Workspace};
@@ -34,6 +34,8 @@
     resources: BTreeMap<Kind, BTreeMap<Arc<str>, Resource>>,
     hashes: HashMap<KeyHash, KeyName>,
     members: BTreeMap<PoolName, Vec<PoolServer>>,
+    /// Sums of `topups` by budget.
+    paid: BTreeMap<BudgetName, Tokens>,
 }
 
 /// One resource with its version.
@@ -86,6 +88,12 @@
         self.members.get(pool).map_or(&[], Vec::as_slice)
     }
 
+    /// Tokens that all declared top-ups of a budget add up to.
+    #[must_use]
+    pub fn topped_up(&self, budget: &str) -> Tokens {
+        self.paid.get(budget).copied().unwrap_or_default()
+    }
+
     /// Number of resources of all kinds.
     #[must_use]
     pub fn count(&self) -> usize {
@@ -114,6 +122,8 @@
                     .insert(BudgetName::from(&**name), Arc::clone(spec));
             }
             Spec::TopUp(spec) => {
+                let paid = self.paid.entry(spec.budget.clone()).or_default();
+                *paid = paid.saturating_add(spec.amount);
                 self.topups.insert(Arc::clone(name), Arc::clone(spec));
             }
             Spec::Class(spec) => {
@@ -145,7 +155,7 @@
         match kind {
             Kind::Workspace => drop(self.workspaces.remove(name)),
             Kind::Budget => drop(self.budgets.remove(name)),
-            Kind::TopUp => drop(self.topups.remove(name)),
+            Kind::TopUp => self.remove_top_up(name),
             Kind::Class => drop(self.classes.remove(name)),
             Kind::Pool => drop(self.pools.remove(name)),
             Kind::Server => self.remove_server(name),
@@ -154,6 +164,15 @@
         }
     }
 
+    fn remove_top_up(&mut self, name: &str) {
+        let Some(spec) = self.topups.remove(name) else {
+            return;
+        };
+        if let Some(paid) = self.paid.get_mut(&spec.budget) {
+            *paid = paid.saturating_sub(spec.amount);
+        }
+    }
+
     fn put_server(&mut self, name: ServerName, spec: &Arc<Server>) {
         self.servers.insert(name.clone(), Arc::clone(spec));
         let members = self.members.entry(spec.pool.clone()).or_default();
--- a/crates/resource/tests/rules.rs
+++ b/crates/resource/tests/rules.rs
@@ -259,6 +259,10 @@
         refused(&mut fold, delete("topup", "t", 10)),
         [RejectReason::Immutable]
     );
+    let more = vec![put("topup", "u", 0, r#"{"budget":"b","amount":6}"#)];
+    apply(&mut fold, 20, "more", more);
+    let config = fold.config();
+    assert_eq!((config.topped_up("b"), config.topped_up("x")), (11, 0));
 }
 
 #[test]
--- a/crates/router/src/claim.rs
+++ b/crates/router/src/claim.rs
@@ -193,12 +193,7 @@
             self.policy = policy;
             self.sizer.set_policy(policy);
         }
-        let budget = &self.account.budget;
-        let topups = config
-            .topups
-            .values()
-            .filter(|topup| topup.budget == *budget);
-        let topped_up: Tokens = topups.map(|topup| topup.amount).sum();
+        let topped_up = config.topped_up(self.account.budget.as_str());
         if topped_up > self.topped_up {
             let free = self.account.news().free + (topped_up - self.topped_up);
             self.topped_up = topped_up;
