ledger: a successor that was released itself stays proof

Cause: proof by bind looked at active and retired incarnations alone. A successor that was retired and, holding nothing, released at once (its VM was not on the list yet) was forgotten as proof, and the predecessor's rights stayed in quarantine until the next start.

Ruled out: a new rule of the fold; it remembers the released identities already, to judge late joins.

Change: Fold::newest_epoch tells the largest epoch that joined at a VM and address in any phase, forgotten ones included; has_successor compares with it.

--- a/crates/budget/src/view.rs
+++ b/crates/budget/src/view.rs
@@ -110,6 +110,13 @@
         routers.map(active_router).collect()
     }
 
+    /// Largest epoch that joined on `vm` at `address`, in whatever phase it is now;
+    /// of those that were released and forgotten only the newest are remembered.
+    #[must_use]
+    pub fn newest_epoch(&self, vm: &str, address: &str) -> Option<u64> {
+        self.routers.newest(vm, address)
+    }
+
     fn in_phase(&self, phase: Phase) -> Vec<&Router> {
         let all = self.routers.iter().map(|(_, router)| router);
         let mut routers: Vec<&Router> = all.filter(|router| router.phase == phase).collect();
--- a/crates/ledger/src/proof.rs
+++ b/crates/ledger/src/proof.rs
@@ -2,7 +2,6 @@
 
 use swiftlink_budget::{Fold, RetiredRouter};
 use swiftlink_resource::{Config, ReleaseRule};
-use swiftlink_types::Incarnation;
 
 use crate::release::Proof;
 
@@ -23,21 +22,12 @@
     Proof::None
 }
 
-/// Whether a later start on the same VM has bound the same address.
+/// Whether a later start on the same VM has bound the same address. Its join is a fact
+/// of the log, whatever became of it since.
 #[must_use]
 pub fn has_successor(router: &RetiredRouter, fold: &Fold) -> bool {
     let own = &router.incarnation;
-    let follows = |other: &Incarnation, address: &str| {
-        other.vm == own.vm && other.epoch > own.epoch && address == &*router.address
-    };
-    let active = fold.active();
-    let retired = fold.retired();
-    active
-        .iter()
-        .any(|other| follows(&other.incarnation, &other.address))
-        || retired
-            .iter()
-            .any(|other| follows(&other.incarnation, &other.address))
+    fold.newest_epoch(own.vm.as_str(), &router.address) > Some(own.epoch)
 }
 
 /// Whether each budget on which the router holds rights takes the VM list for proof.
