router: wait for a claim where a relay brought nothing

Cause: a request without rights is relayed to a listed holder when that is expected to be sooner than a claim. When the holder refused or could not be reached, the request was refused 429 budget-busy although the budget had free tokens. A resumption was told `not-run` in the same case, though the run that it reads exists.

Ruled out: claiming and relaying at once (rights claimed for nothing on each relay); treating a refused connection as silence (it would cut what a stopping router still answers).

Change: after a relay that certainly ran nothing the request waits for a claim, up to claim_wait_ms and its deadline, and is refused by what that tells. Peers that are silent, or refused a connection within the last second, are no candidates. No refusal of a resumption says `not-run`; one that a peer refuses as busy is tried elsewhere. A request that is served on its second look counts twice in the demand (once as unmet), which makes the next claim larger by that one request.

--- a/crates/router/src/account.rs
+++ b/crates/router/src/account.rs
@@ -138,6 +138,19 @@
         found
     }
 
+    /// Takes `cost` tokens for a request that got none before and that no other router
+    /// has served; it is counted as unmet already.
+    ///
+    /// # Errors
+    /// When no rights can be had here in time.
+    pub async fn obtain_here(
+        &self,
+        cost: Tokens,
+        policy: WaitPolicy,
+    ) -> Result<Reservation, Shortage> {
+        self.try_obtain(cost, policy, false).await
+    }
+
     async fn try_obtain(
         &self,
         cost: Tokens,
--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -49,12 +49,27 @@
 fn judge(node: &Node, headers: &HeaderMap, refusal: Refusal) -> Refusal {
     let config = node.config.load();
     let sender = bearer(headers).and_then(|secret| authenticate(&config, secret, false));
-    match (sender, surface::key(headers)) {
-        (Ok(sender), Ok(Some(key))) => repeat::judge(&node.past, &sender.name, key, refusal),
+    let Ok(sender) = sender else {
+        return refusal;
+    };
+    if is_resumption(node, headers, &sender) {
+        return repeat::of_run(refusal);
+    }
+    match surface::key(headers) {
+        Ok(Some(key)) => repeat::judge(&node.past, &sender.name, key, refusal),
         _ => refusal,
     }
 }
 
+/// Whether the request reads on a stream of its sender's.
+fn is_resumption(node: &Node, headers: &HeaderMap, sender: &Sender) -> bool {
+    let id = headers.get(LAST_EVENT).and_then(|id| id.to_str().ok());
+    let Some((text, _seen)) = id.and_then(|id| parse_event_id(id.trim())) else {
+        return false;
+    };
+    ResumeToken::verify(text, sender.name.as_str(), &node.secret).is_ok()
+}
+
 async fn try_admit(node: &Node, request: &mut Incoming) -> Result<Call, Refusal> {
     let uri = request.uri().clone();
     let route = route(request.method(), uri.path(), uri.query())?;
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -117,6 +117,12 @@
         self.key_use.workspace()
     }
 
+    /// Whether it reads a run that exists, and makes none.
+    #[must_use]
+    pub fn is_resumption(&self) -> bool {
+        matches!(self.work, Work::Resume(_))
+    }
+
     /// Time left until its deadline.
     #[must_use]
     pub fn left(&self) -> Duration {
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -26,6 +26,8 @@
 const PROBE: &str = "/health";
 /// Probes without an answer after which a peer counts as silent.
 const MISSES: u32 = 2;
+/// Time for which a peer that could not be reached is not tried again.
+const DOWN_TIME: Duration = Duration::from_secs(1);
 /// Time for which a silent peer that nobody waits for is asked on.
 const SILENT_TIME: Duration = Duration::from_secs(30);
 
@@ -37,6 +39,8 @@
     period: Duration,
     stop: CancellationToken,
     list: Mutex<HashMap<SocketAddr, Peer>>,
+    /// Peers that could not be reached, and when.
+    down: Mutex<HashMap<SocketAddr, Instant>>,
 }
 
 #[derive(Debug)]
@@ -62,6 +66,7 @@
             period,
             stop,
             list: Mutex::default(),
+            down: Mutex::default(),
         })
     }
 
@@ -87,6 +92,27 @@
         }
     }
 
+    /// Notes that no connection to the peer could be made. Requests that wait for it go
+    /// on: a router that stops takes no new connection and ends what it has begun.
+    pub fn note_down(&self, address: SocketAddr) {
+        let mut down = self.down.lock().unwrap_or_else(PoisonError::into_inner);
+        down.retain(|_, at| at.elapsed() < DOWN_TIME);
+        down.insert(address, Instant::now());
+    }
+
+    /// Whether nothing speaks against the peer: it is neither silent nor was it out of
+    /// reach a moment ago.
+    #[must_use]
+    pub fn is_up(&self, address: SocketAddr) -> bool {
+        let is_silent = |peer: &Peer| *peer.silent.borrow();
+        if self.lock().get(&address).is_some_and(is_silent) {
+            return false;
+        }
+        let down = self.down.lock().unwrap_or_else(PoisonError::into_inner);
+        down.get(&address)
+            .is_none_or(|at| at.elapsed() >= DOWN_TIME)
+    }
+
     /// Probes the peer until nobody waits for it any more.
     async fn probe(self: Arc<Self>, address: SocketAddr, silent: watch::Sender<bool>) {
         let mut misses = 0;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use http::header::HOST;
-use http::{HeaderValue, Request};
+use http::{HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use swiftlink_telemetry::event;
 use swiftlink_types::{OUTCOME_HEADER, Outcome, Refusal, RefusalKind};
 
-use crate::call::{Call, Work};
+use crate::call::Call;
 use crate::forward::{end_to_end, pass_body};
 use crate::node::Node;
 use crate::past::{PastRun, digest};
@@ -38,6 +38,15 @@
     pub call: &'a Call,
 }
 
+/// What became of a relay.
+#[derive(Debug)]
+pub enum Relayed {
+    /// The caller has its answer.
+    Answered,
+    /// No peer has run the request; the caller still waits.
+    Nowhere(ReplySender),
+}
+
 impl Origin<'_> {
     /// Passes the request to one of `holders` or another peer, or refuses it.
     pub async fn relay_or_refuse(
@@ -46,8 +55,21 @@
         refusal: Refusal,
         reply: ReplySender,
     ) {
-        let mut refusal = refusal;
-        if may_relay(self.call, &refusal) {
+        if let Relayed::Nowhere(reply) = self.relay(holders, &refusal, reply).await {
+            send(reply, Reply::Refused(refusal));
+        }
+    }
+
+    /// Passes the request to one of `holders` or another peer, where what it is refused
+    /// for here need not stand there.
+    pub async fn relay(
+        self,
+        holders: Vec<SocketAddr>,
+        refusal: &Refusal,
+        reply: ReplySender,
+    ) -> Relayed {
+        let mut lost = None;
+        if may_relay(self.call, refusal) {
             // Where it may have run is remembered as if it had been dispatched here.
             let mut past = self.past();
             for address in self.candidates(holders) {
@@ -55,14 +77,15 @@
                 match self.try_peer(address).await {
                     Tried::Answered(answer, watched) => {
                         self.node.metrics.count("request.relayed", 1);
-                        return pass(answer, watched, reply).await;
+                        pass(answer, watched, reply).await;
+                        return Relayed::Answered;
                     }
                     Tried::NotRun => past.iter_mut().for_each(PastRun::recall),
                     Tried::Lost(why) => {
                         past = None;
                         let detail = format!("the peer router's answer was lost: {why}");
-                        refusal = Refusal::unknown(RefusalKind::ServerFailed, detail)
-                            .with_retry(LOST_RETRY);
+                        let refusal = Refusal::unknown(RefusalKind::ServerFailed, detail);
+                        lost = Some(refusal.with_retry(LOST_RETRY));
                         if self.call.once {
                             break;
                         }
@@ -70,14 +93,17 @@
                 }
             }
         }
-        send(reply, Reply::Refused(refusal));
+        let Some(lost) = lost else {
+            return Relayed::Nowhere(reply);
+        };
+        send(reply, Reply::Refused(lost));
+        Relayed::Answered
     }
 
     /// What is to be remembered of the request; nothing of a resumption.
     fn past(self) -> Option<PastRun> {
         let call = self.call;
-        let is_run = !matches!(call.work, Work::Resume(_));
-        is_run.then(|| self.node.past.begin(&call.key_use, digest(&call.original)))
+        (!call.is_resumption()).then(|| self.node.past.begin(&call.key_use, digest(&call.original)))
     }
 
     fn candidates(self, holders: Vec<SocketAddr>) -> Vec<SocketAddr> {
@@ -91,7 +117,8 @@
         }
         let mut candidates: Vec<SocketAddr> = Vec::with_capacity(PEERS_MAX);
         for address in list {
-            if address != self.node.address && !candidates.contains(&address) {
+            let is_known = address == self.node.address || candidates.contains(&address);
+            if !is_known && self.node.peers.is_up(address) {
                 candidates.push(address);
             }
         }
@@ -117,6 +144,7 @@
             Ok(answer) => answer,
             Err(SendError::NotSent(why)) => {
                 event!(debug, "relay.not-sent", peer = address, why = why);
+                self.node.peers.note_down(address);
                 return Tried::NotRun;
             }
             Err(SendError::Lost(why)) => {
@@ -124,8 +152,7 @@
                 return Tried::Lost(why);
             }
         };
-        let outcome = answer.response.headers().get(OUTCOME_HEADER);
-        if outcome.is_none_or(|outcome| outcome != Outcome::NotRun.as_str()) {
+        if !self.is_refused(&answer) {
             return Tried::Answered(Box::new(answer), watched);
         }
         let (response, mut lease) = answer.split();
@@ -136,6 +163,21 @@
         Tried::NotRun
     }
 
+    /// Whether the peer has not run the request, and another may.
+    fn is_refused(self, answer: &Answer) -> bool {
+        let outcome = answer.response.headers().get(OUTCOME_HEADER);
+        if outcome.is_some_and(|outcome| outcome == Outcome::NotRun.as_str()) {
+            return true;
+        }
+        // Of a resumption it is never said that it has not run; reading on runs nothing.
+        let status = answer.response.status();
+        let is_busy = matches!(
+            status,
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+        );
+        is_busy && self.call.is_resumption()
+    }
+
     fn request(self, address: SocketAddr) -> Request<Full<bytes::Bytes>> {
         let original = &self.call.original;
         let body = original.body.clone();
--- a/crates/router/src/repeat.rs
+++ b/crates/router/src/repeat.rs
@@ -88,9 +88,18 @@
     past: &PastRuns,
     workspace: &WorkspaceName,
     key: RequestKey,
-    mut refusal: Refusal,
+    refusal: Refusal,
 ) -> Refusal {
-    if refusal.outcome == Outcome::NotRun && past.knows(workspace, key) {
+    if past.knows(workspace, key) {
+        return of_run(refusal);
+    }
+    refusal
+}
+
+/// The refusal of a request whose key has a run, such as a resumption.
+#[must_use]
+pub fn of_run(mut refusal: Refusal) -> Refusal {
+    if refusal.outcome == Outcome::NotRun {
         refusal.outcome = Outcome::Unknown;
     }
     refusal
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -25,6 +25,7 @@
 use crate::node::Node;
 use crate::past::{Past, WholeRun, digest};
 use crate::record::{self, Record};
+use crate::relay::Relayed;
 use crate::reply::{Reply, ReplySender};
 use crate::{health, model, problem, relay, repeat, resume, service, surface};
 
@@ -60,6 +61,7 @@
         let record = Record::new(&call, begun);
         let key = call.key();
         let workspace = call.workspace().clone();
+        let is_resumption = call.is_resumption();
         let (sender, receiver) = oneshot::channel();
         let task = serve(Arc::clone(&self.node), call, Arc::clone(&record), sender);
         tokio::spawn(task);
@@ -69,7 +71,11 @@
         });
         let reply = match reply {
             Reply::Refused(refusal) => {
-                let refusal = repeat::judge(&self.node.past, &workspace, key, refusal);
+                let refusal = if is_resumption {
+                    repeat::of_run(refusal)
+                } else {
+                    repeat::judge(&self.node.past, &workspace, key, refusal)
+                };
                 count_refusal(&self.node, &refusal);
                 Reply::Refused(refusal)
             }
@@ -105,8 +111,8 @@
 }
 
 async fn serve(node: Arc<Node>, call: Call, record: Arc<Record>, reply: ReplySender) {
-    // A resumption reads a run; it makes none.
-    let is_run = !matches!(call.work, Work::Resume(_));
+    let mut reply = reply;
+    let is_run = !call.is_resumption();
     let digest = if is_run { digest(&call.original) } else { 0 };
     if is_run {
         match node.past.look(&call.key_use, digest) {
@@ -131,17 +137,16 @@
             return origin.relay_or_refuse(Vec::new(), given_up(), reply).await;
         }
     }
-    let holding = match hold(&node, &call).await {
+    let holding = match hold(&node, &call, Turn::First).await {
         Ok(holding) => holding,
-        Err(shortage) => {
-            record.pass();
-            let origin = relay::Origin {
-                node: &node,
-                call: &call,
-            };
-            let Shortage { refusal, holders } = shortage;
-            return origin.relay_or_refuse(holders, refusal, reply).await;
-        }
+        Err(shortage) => match relay_or_hold(&node, &call, shortage, reply).await {
+            Got::Rights(holding, back) => {
+                reply = back;
+                holding
+            }
+            Got::Answered => return record.pass(),
+            Got::Refused(refusal, back) => return send(back, Reply::Refused(refusal)),
+        },
     };
     let (seat, rights) = holding
         .map(|holding| (holding.seat, holding.reservation))
@@ -209,8 +214,44 @@
     Refusal::not_run(RefusalKind::LogOut, detail).with_retry(LOG_RETRY)
 }
 
+/// What a request that found no rights came to.
+enum Got {
+    /// Rights here after all.
+    Rights(Option<Holding>, ReplySender),
+    /// An answer by way of a peer.
+    Answered,
+    /// Nothing.
+    Refused(Refusal, ReplySender),
+}
+
+/// Relays a request that found no rights; where that certainly ran nothing, and rights
+/// were expected there, what is free in the budget may still serve it here.
+async fn relay_or_hold(node: &Node, call: &Call, shortage: Shortage, reply: ReplySender) -> Got {
+    let Shortage { refusal, holders } = shortage;
+    let had_holders = !holders.is_empty();
+    let origin = relay::Origin { node, call };
+    let reply = match origin.relay(holders, &refusal, reply).await {
+        Relayed::Answered => return Got::Answered,
+        Relayed::Nowhere(reply) => reply,
+    };
+    if !had_holders {
+        return Got::Refused(refusal, reply);
+    }
+    match hold(node, call, Turn::AfterRelay).await {
+        Ok(holding) => Got::Rights(holding, reply),
+        Err(shortage) => Got::Refused(shortage.refusal, reply),
+    }
+}
+
+/// When a request asks for rights.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Turn {
+    First,
+    AfterRelay,
+}
+
 /// Reserves the bound of the call's cost; `None` when it is free and needs no log.
-async fn hold(node: &Node, call: &Call) -> Result<Option<Holding>, Shortage> {
+async fn hold(node: &Node, call: &Call, turn: Turn) -> Result<Option<Holding>, Shortage> {
     if call.bound == 0 && !call.once {
         return Ok(None);
     }
@@ -225,7 +266,10 @@
         pause: Duration::from_millis(node.settings.claim_pause_ms),
         has_log: !node.config.is_log_silent(),
     };
-    let reservation = account.obtain(call.bound, policy, !call.relayed).await?;
+    let reservation = match turn {
+        Turn::First => account.obtain(call.bound, policy, !call.relayed).await?,
+        Turn::AfterRelay => account.obtain_here(call.bound, policy).await?,
+    };
     if seat.is_retired() {
         // Meanwhile; nothing new is begun on rights that are in quarantine.
         return Err(none_here());
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -6,11 +6,13 @@
 use swiftlink_standins::{engine, service};
 use swiftlink_testkit::caller::{Answer, Ask, Caller, set};
 use swiftlink_testkit::checker::Accounts;
-use swiftlink_testkit::fleet::{CALL_TOKENS, Fleet, MODEL, SERVICE, Tenant};
+use swiftlink_testkit::fleet::{CALL_TOKENS, Fleet, MODEL, SERVICE, Tenant, change};
 use swiftlink_testkit::recorder::{Recorder, Sent};
 
 use crate::support::{check_all, expected, new_key, plan, send, tokens};
 
+/// More than all of a test's requests can cost (tokens).
+const PLENTY: u64 = 40_000_000;
 const CHAT: &str = "/v1/chat/completions";
 
 fn ask(prompt: &str) -> Ask {
@@ -366,3 +368,79 @@
     });
     served.await.expect("the request is served in the end");
 }
+
+/// Routers 0 and 1, of which 1 knows that 0 holds much and holds little itself, in a
+/// budget with much to spare.
+async fn rich_neighbour() -> Fleet {
+    let plan = plan().vms(2, 2).tenants(vec![Tenant::new("rich", PLENTY)]);
+    let fleet = plan.start().await.expect("the fleet starts");
+    let dear = json!({ "price": 1_000_000 });
+    let set = async |least: u64| {
+        let spec = json!({ "min_grant": least, "ahead_secs": 0 });
+        let changes = vec![
+            change("budget", "rich", spec),
+            change("class", "dear", dear.clone()),
+        ];
+        let version = fleet.api.apply(changes).await.expect("a change");
+        fleet.in_force(version).await.expect("it is in force");
+    };
+    let first = async |router: usize| {
+        let answer = fleet
+            .caller(0)
+            .ask(fleet.router(router), &ask("first tokens=2"))
+            .await;
+        assert!(answer.is_served(), "{answer:?}");
+    };
+    // A claim takes longer than a relay is expected to.
+    let slow = fleet.log.set(json!({ "delay_ms": 40 }));
+    slow.await.expect("a delay");
+    set(PLENTY / 4).await;
+    first(0).await;
+    set(0).await;
+    first(1).await;
+    fleet
+}
+
+fn dear(prompt: &str) -> Ask {
+    let mut ask = ask(prompt);
+    ask.class = Some("dear".to_owned());
+    ask
+}
+
+/// A holder of rights that can't be reached is no reason to refuse: the budget has more.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dead_holder_is_no_reason_to_refuse() {
+    let mut fleet = rich_neighbour().await;
+    fleet.routers[0].process.kill();
+    for number in 0..3 {
+        let ask = dear(&format!("dear {number} tokens=9"));
+        let answer = fleet.caller(0).ask(fleet.router(1), &ask).await;
+        assert!(answer.is_served(), "{number}: {answer:?}");
+        assert_eq!(answer.charged, Some(1_000 * tokens(&ask)));
+    }
+    check_all(&fleet, Vec::new()).await;
+}
+
+/// A resumption reads a run that exists, whatever it is refused for.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumption_is_never_told_as_not_run() {
+    let plan = plan().tenants(vec![Tenant::new("tight", 450)]);
+    let mut fleet = plan.start().await.expect("the fleet starts");
+    for engine in &fleet.engines {
+        engine.set(json!({ "pace_ms": 20 })).await.expect("a pace");
+    }
+    // The stream's own router holds nearly all rights, and dies with them.
+    let mut large = ask("at length tokens=100").streamed();
+    large.max_tokens = 256;
+    let caller = fleet.caller(0);
+    let stream = caller.begin(fleet.router(0), &large).await;
+    let mut stream = stream.expect("a stream");
+    let event = stream.next().await.expect("an event");
+    fleet.routers[0].process.kill();
+    for router in [1, 2] {
+        let resumed = caller.resume(fleet.router(router), &event.id).await;
+        let answer = resumed.expect_err("no rights are left");
+        assert_eq!(answer.outcome.as_deref(), Some("unknown"), "{answer:?}");
+        assert!(answer.header("retry-after").is_some(), "{answer:?}");
+    }
+}
