standins: turn the switches and listen in one place

Cause: five servers repeated how switches are shown and changed, four how a host listens with its seed, and two the refusal of a draining backend server; `delete` and `apply` repeated the options of a change. Ruled out: a `--seed` option for the relay, whose control interface has no base faults. Change: a stand-in names its panel of switches, and the host reads and turns it; `Args::host`, `refuse_draining` and `change_options` hold the rest. Run: cargo test -p swiftlink-standins, 10 passed; of the suite of the root package the tests under faults, golden and leaving: 14 passed, 0 failed (50 filtered out). No test changed.

--- a/src/bin/swiftlink/commands/apply.rs
+++ b/src/bin/swiftlink/commands/apply.rs
@@ -24,6 +24,11 @@
         "document with [[workspace]], [[budget]], ... tables",
         "FILE",
     );
+    change_options(options);
+}
+
+/// The options of every command that sends a change.
+pub fn change_options(options: &mut Options) {
     options.optopt("", "change-id", "repeat the change of this id", "ID");
     options.optopt(
         "",
--- a/src/bin/swiftlink/commands/delete.rs
+++ b/src/bin/swiftlink/commands/delete.rs
@@ -3,7 +3,7 @@
 use getopts::Options;
 use swiftlink_client::api::{ApplyChange, ApplyRequest};
 
-use super::apply::{author, send};
+use super::apply::{author, change_options, send};
 use crate::cli::{Context, Verb};
 use crate::failure::Failure;
 
@@ -17,13 +17,7 @@
 
 fn options(options: &mut Options) {
     options.optopt("", "base", "only if this version is current", "VERSION");
-    options.optopt("", "change-id", "repeat the change of this id", "ID");
-    options.optopt(
-        "",
-        "author",
-        "who asks, for the record (default: the user's name)",
-        "NAME",
-    );
+    change_options(options);
 }
 
 fn run(context: &Context) -> Result<(), Failure> {
--- a/standins/src/cli.rs
+++ b/standins/src/cli.rs
@@ -3,12 +3,14 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::str::FromStr;
+use std::sync::Arc;
 
 use anyhow::Context as _;
 use getopts::{Matches, Options};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::JoinHandle;
 
-use crate::host::Host;
+use crate::host::{Host, Standin};
 
 /// What tells one stand-in's command line from another's.
 #[derive(Clone, Copy, Debug)]
@@ -55,6 +57,18 @@
         parse(name, &text)
     }
 
+    /// Serves `standin` on `--listen`; `--seed` drives the faults' draws.
+    ///
+    /// # Errors
+    /// When an option can't be read or the address can't be bound.
+    pub fn host(
+        &self,
+        standin: Arc<dyn Standin>,
+        tasks: Vec<JoinHandle<()>>,
+    ) -> anyhow::Result<Host> {
+        Host::bind(self.listen()?, self.get("seed", 1)?, standin, tasks)
+    }
+
     /// All values of an option that may be repeated.
     #[must_use]
     pub fn all(&self, name: &str) -> Vec<String> {
--- a/standins/src/engine/core.rs
+++ b/standins/src/engine/core.rs
@@ -9,7 +9,7 @@
 
 use super::batch::{Batch, Job, Load, StreamNo};
 use super::text::Call;
-use crate::fault::{BaseFault, Switches};
+use crate::fault::{BaseFault, Fault, Switches};
 
 /// Tokens per request and step when no pace is set.
 const UNPACED_TOKENS: u64 = 64;
@@ -51,6 +51,12 @@
     pub freeze: bool,
 }
 
+impl Fault for EngineFault {
+    fn base(&self) -> BaseFault {
+        self.base.clone()
+    }
+}
+
 impl Default for EngineFault {
     fn default() -> Self {
         Self {
--- a/standins/src/engine/server.rs
+++ b/standins/src/engine/server.rs
@@ -15,7 +15,7 @@
 use super::event;
 use super::text::{self, Call};
 use crate::cli::{self, About, Args};
-use crate::fault::BaseFault;
+use crate::fault::Panel;
 use crate::host::{self, BODY_LIMIT, Host, Standin, json_answer, refuse};
 
 /// Answer's limit when the request has none (tokens).
@@ -57,12 +57,7 @@
         engine,
         prefix: uuid::Uuid::new_v4().simple().to_string(),
     };
-    Host::bind(
-        args.listen()?,
-        args.get("seed", 1)?,
-        Arc::new(server),
-        tasks,
-    )
+    args.host(Arc::new(server), tasks)
 }
 
 struct EngineServer {
@@ -72,16 +67,8 @@
 
 #[async_trait(?Send)]
 impl Standin for EngineServer {
-    fn base(&self) -> BaseFault {
-        self.engine.switches.get().base
-    }
-
-    fn fault(&self) -> Value {
-        json!(self.engine.switches.get())
-    }
-
-    fn patch(&self, patch: &[u8]) -> Result<(), String> {
-        self.engine.switches.patch(patch).map(drop)
+    fn panel(&self) -> &dyn Panel {
+        &self.engine.switches
     }
 
     async fn control(&self, path: &str, _request: Incoming) -> Response<Body> {
@@ -138,10 +125,7 @@
         };
         let fault = self.engine.switches.get();
         if fault.draining {
-            let mut answer = refuse(StatusCode::SERVICE_UNAVAILABLE, "draining");
-            let value = HeaderValue::from_static("true");
-            answer.headers_mut().insert("x-draining", value);
-            return answer;
+            return host::refuse_draining();
         }
         if fault.fail_fast {
             return refuse(StatusCode::INTERNAL_SERVER_ERROR, "failed by the switch");
--- a/standins/src/fault.rs
+++ b/standins/src/fault.rs
@@ -4,7 +4,7 @@
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use serde_json::{Map, Value};
+use serde_json::{Map, Value, json};
 
 /// Switches that every HTTP stand-in has.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -20,6 +20,25 @@
     pub cut: Vec<String>,
 }
 
+/// The switches of one stand-in, in a plain struct.
+pub trait Fault: Clone + Serialize + DeserializeOwned + Send + 'static {
+    /// The base switches among them.
+    fn base(&self) -> BaseFault;
+}
+
+/// The switches as the host reads and turns them for any stand-in.
+pub trait Panel {
+    /// The base switches now.
+    fn base(&self) -> BaseFault;
+    /// All switches as JSON.
+    fn shown(&self) -> Value;
+    /// Changes the switches that the JSON object `patch` names.
+    ///
+    /// # Errors
+    /// Those of [`Switches::patch`].
+    fn turn(&self, patch: &[u8]) -> Result<(), String>;
+}
+
 /// A set of switches, read on each call and changed at run time.
 #[derive(Debug)]
 pub struct Switches<T>(Mutex<T>);
@@ -59,3 +78,17 @@
         Ok(next)
     }
 }
+
+impl<T: Fault> Panel for Switches<T> {
+    fn base(&self) -> BaseFault {
+        self.get().base()
+    }
+
+    fn shown(&self) -> Value {
+        json!(self.get())
+    }
+
+    fn turn(&self, patch: &[u8]) -> Result<(), String> {
+        self.patch(patch).map(drop)
+    }
+}
--- a/standins/src/host.rs
+++ b/standins/src/host.rs
@@ -10,15 +10,15 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures_util::stream;
-use http::{Method, Response, StatusCode};
+use http::{HeaderValue, Method, Response, StatusCode};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
-use serde_json::{Value, json};
+use serde_json::json;
 use swiftlink_shell::web::{Body, Incoming, Limits, Service, WebServer};
 use tokio::task::JoinHandle;
 
-use crate::fault::BaseFault;
+use crate::fault::Panel;
 
 /// First part of the paths that control a stand-in.
 pub const CONTROL: &str = "/_standin/";
@@ -35,15 +35,10 @@
 /// The thing that is stood in for.
 #[async_trait(?Send)]
 pub trait Standin: Send + Sync + 'static {
-    /// The base switches now.
-    fn base(&self) -> BaseFault;
-    /// All switches as JSON.
-    fn fault(&self) -> Value;
-    /// Changes the switches that the JSON object names.
-    ///
-    /// # Errors
-    /// One sentence; then nothing is changed.
-    fn patch(&self, patch: &[u8]) -> Result<(), String>;
+    /// Its fault switches.
+    fn panel(&self) -> &dyn Panel;
+    /// Called after each change of the switches.
+    fn turned(&self) {}
     /// Answers a control call other than `fault`; `path` is without [`CONTROL`].
     async fn control(&self, path: &str, request: Incoming) -> Response<Body>;
     /// Answers a call of a user.
@@ -135,20 +130,21 @@
             return self.standin.control(path, request).await;
         }
         if request.method() != Method::PUT {
-            return json_answer(StatusCode::OK, &self.standin.fault());
+            return json_answer(StatusCode::OK, &self.standin.panel().shown());
         }
         let Ok(patch) = request.body(BODY_LIMIT).await else {
             return refuse(StatusCode::BAD_REQUEST, "the body can't be read");
         };
-        match self.standin.patch(&patch) {
-            Ok(()) => json_answer(StatusCode::OK, &self.standin.fault()),
-            Err(detail) => refuse(StatusCode::BAD_REQUEST, &detail),
+        if let Err(detail) = self.standin.panel().turn(&patch) {
+            return refuse(StatusCode::BAD_REQUEST, &detail);
         }
+        self.standin.turned();
+        json_answer(StatusCode::OK, &self.standin.panel().shown())
     }
 
     /// Applies delay, outage and cut; an answer means that the call does nothing.
     async fn hold(&self, agent: &str) -> Option<Response<Body>> {
-        let base = self.standin.base();
+        let base = self.standin.panel().base();
         if base.delay_ms > 0 {
             tokio::time::sleep(Duration::from_millis(base.delay_ms)).await;
         }
@@ -164,18 +160,19 @@
             // What was sent into a partition never arrives.
             return Some(refuse(StatusCode::SERVICE_UNAVAILABLE, "cut"));
         }
-        if self.standin.base().outage {
+        if self.standin.panel().base().outage {
             return Some(refuse(StatusCode::SERVICE_UNAVAILABLE, "outage"));
         }
         None
     }
 
     fn cuts(&self, agent: &str) -> bool {
-        self.standin.base().cut.iter().any(|name| name == agent)
+        let cut = self.standin.panel().base().cut;
+        cut.iter().any(|name| name == agent)
     }
 
     fn loses(&self) -> bool {
-        let share = self.standin.base().lose_answers;
+        let share = self.standin.panel().base().lose_answers;
         if share <= 0.0 {
             return false;
         }
@@ -215,7 +212,7 @@
     let data = serde_json::to_vec(value).expect("the answers hold no map with other keys");
     let mut answer = Response::new(Body::full(Bytes::from(data)));
     *answer.status_mut() = status;
-    let kind = http::HeaderValue::from_static("application/json");
+    let kind = HeaderValue::from_static("application/json");
     answer
         .headers_mut()
         .insert(http::header::CONTENT_TYPE, kind);
@@ -227,6 +224,14 @@
     json_answer(status, &json!({ "error": detail }))
 }
 
+/// The refusal of new work by a backend server that drains; nothing ran.
+pub fn refuse_draining() -> Response<Body> {
+    let mut answer = refuse(StatusCode::SERVICE_UNAVAILABLE, "draining");
+    let value = HeaderValue::from_static("true");
+    answer.headers_mut().insert("x-draining", value);
+    answer
+}
+
 /// An answer whose connection breaks before its first byte.
 fn broken() -> Response<Body> {
     let lost = io::Error::new(io::ErrorKind::ConnectionReset, "lost by the fault switch");
--- a/standins/src/log/server.rs
+++ b/standins/src/log/server.rs
@@ -10,13 +10,13 @@
 use http::{Method, Response, StatusCode};
 use prost::Message as _;
 use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
+use serde_json::json;
 use swiftlink_shell::web::{Body, Incoming};
 use tokio::sync::watch;
 
 use super::state::{Found, Streams};
 use crate::cli::{self, About, Args};
-use crate::fault::{BaseFault, Switches};
+use crate::fault::{BaseFault, Fault, Panel, Switches};
 use crate::host::{self, BODY_LIMIT, Host, Standin, json_answer, refuse};
 
 /// Records of a page when the caller does not say.
@@ -37,6 +37,12 @@
     pub slow_ms: u64,
 }
 
+impl Fault for LogFault {
+    fn base(&self) -> BaseFault {
+        self.base.clone()
+    }
+}
+
 #[derive(Debug, Default, Serialize)]
 struct Counts {
     appends: u64,
@@ -85,30 +91,19 @@
         writing: tokio::sync::Mutex::default(),
         start: Instant::now(),
     };
-    Host::bind(
-        args.listen()?,
-        args.get("seed", 1)?,
-        Arc::new(LogServer(Arc::new(shared))),
-        Vec::new(),
-    )
+    args.host(Arc::new(LogServer(Arc::new(shared))), Vec::new())
 }
 
 #[async_trait(?Send)]
 impl Standin for LogServer {
-    fn base(&self) -> BaseFault {
-        self.0.switches.get().base
-    }
-
-    fn fault(&self) -> Value {
-        json!(self.0.switches.get())
+    fn panel(&self) -> &dyn Panel {
+        &self.0.switches
     }
 
-    fn patch(&self, patch: &[u8]) -> Result<(), String> {
-        let fault = self.0.switches.patch(patch)?;
-        self.0.streams().trim(fault.retain);
+    fn turned(&self) {
+        self.0.streams().trim(self.0.switches.get().retain);
         // Polls in flight look at the switches again.
         self.0.changed.send_replace(());
-        Ok(())
     }
 
     async fn control(&self, path: &str, _request: Incoming) -> Response<Body> {
--- a/standins/src/relay/forward.rs
+++ b/standins/src/relay/forward.rs
@@ -11,6 +11,8 @@
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 
+use crate::fault::{BaseFault, Fault};
+
 /// Bytes forwarded at once.
 const CHUNK: usize = 16 << 10;
 
@@ -24,6 +26,13 @@
     pub freeze: bool,
 }
 
+impl Fault for RelayFault {
+    /// None of them: the control interface itself never fails.
+    fn base(&self) -> BaseFault {
+        BaseFault::default()
+    }
+}
+
 /// A running forwarder; ends when it is dropped.
 #[derive(Debug)]
 pub struct Relay {
--- a/standins/src/relay/server.rs
+++ b/standins/src/relay/server.rs
@@ -7,12 +7,11 @@
 use anyhow::Context as _;
 use async_trait::async_trait;
 use http::{Response, StatusCode};
-use serde_json::{Value, json};
 use swiftlink_shell::web::{Body, Incoming};
 
 use super::forward::{Relay, RelayFault};
 use crate::cli::{self, About, Args};
-use crate::fault::{BaseFault, Switches};
+use crate::fault::{Panel, Switches};
 use crate::host::{Host, Standin, refuse};
 
 struct RelayServer {
@@ -50,18 +49,12 @@
 
 #[async_trait(?Send)]
 impl Standin for RelayServer {
-    fn base(&self) -> BaseFault {
-        BaseFault::default()
+    fn panel(&self) -> &dyn Panel {
+        &self.switches
     }
 
-    fn fault(&self) -> Value {
-        json!(self.switches.get())
-    }
-
-    fn patch(&self, patch: &[u8]) -> Result<(), String> {
-        let fault = self.switches.patch(patch)?;
-        self.relay.set(fault);
-        Ok(())
+    fn turned(&self) {
+        self.relay.set(self.switches.get());
     }
 
     async fn control(&self, _path: &str, _request: Incoming) -> Response<Body> {
--- a/standins/src/service/server.rs
+++ b/standins/src/service/server.rs
@@ -7,14 +7,14 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use http::{HeaderValue, Response, StatusCode};
+use http::{Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use swiftlink_shell::web::{Body, Incoming};
 
 use crate::cli::{self, About, Args};
 use crate::engine::Run;
-use crate::fault::{BaseFault, Switches};
+use crate::fault::{BaseFault, Fault, Panel, Switches};
 use crate::host::{self, BODY_LIMIT, Host, Standin, json_answer, refuse};
 
 /// Calls that a service reports as its size.
@@ -37,6 +37,12 @@
     pub fail_fast: bool,
 }
 
+impl Fault for ServiceFault {
+    fn base(&self) -> BaseFault {
+        self.base.clone()
+    }
+}
+
 struct ServiceServer(Arc<Shared>);
 
 struct Shared {
@@ -69,13 +75,7 @@
         running: AtomicU64::new(0),
         switches: Switches::new(fault),
     };
-    let seed = args.get("seed", 1)?;
-    Host::bind(
-        args.listen()?,
-        seed,
-        Arc::new(ServiceServer(Arc::new(shared))),
-        Vec::new(),
-    )
+    args.host(Arc::new(ServiceServer(Arc::new(shared))), Vec::new())
 }
 
 /// The answer to a call: its method, its path with the query, and its body.
@@ -86,16 +86,8 @@
 
 #[async_trait(?Send)]
 impl Standin for ServiceServer {
-    fn base(&self) -> BaseFault {
-        self.0.switches.get().base
-    }
-
-    fn fault(&self) -> Value {
-        json!(self.0.switches.get())
-    }
-
-    fn patch(&self, patch: &[u8]) -> Result<(), String> {
-        self.0.switches.patch(patch).map(drop)
+    fn panel(&self) -> &dyn Panel {
+        &self.0.switches
     }
 
     async fn control(&self, path: &str, _request: Incoming) -> Response<Body> {
@@ -119,10 +111,7 @@
         };
         let fault = self.0.switches.get();
         if fault.draining {
-            let mut answer = refuse(StatusCode::SERVICE_UNAVAILABLE, "draining");
-            let value = HeaderValue::from_static("true");
-            answer.headers_mut().insert("x-draining", value);
-            return answer;
+            return host::refuse_draining();
         }
         if fault.fail_fast {
             return refuse(StatusCode::INTERNAL_SERVER_ERROR, "failed by the switch");
--- a/standins/src/vms/server.rs
+++ b/standins/src/vms/server.rs
@@ -8,12 +8,12 @@
 use async_trait::async_trait;
 use http::{Method, Response, StatusCode};
 use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
+use serde_json::json;
 use swiftlink_shell::web::{Body, Incoming};
 
 use super::state::{Lagging, Vm, VmState};
 use crate::cli::{self, About, Args};
-use crate::fault::{BaseFault, Switches};
+use crate::fault::{BaseFault, Fault, Panel, Switches};
 use crate::host::{BODY_LIMIT, Host, Standin, json_answer, refuse};
 
 /// Switches of the VM list.
@@ -27,6 +27,12 @@
     pub lag_ms: u64,
 }
 
+impl Fault for VmsFault {
+    fn base(&self) -> BaseFault {
+        self.base.clone()
+    }
+}
+
 /// Body of a set.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -74,8 +80,7 @@
         switches: Switches::new(fault),
         start: Instant::now(),
     };
-    let seed = args.get("seed", 1)?;
-    Host::bind(args.listen()?, seed, Arc::new(server), Vec::new())
+    args.host(Arc::new(server), Vec::new())
 }
 
 impl VmsServer {
@@ -99,16 +104,8 @@
 
 #[async_trait(?Send)]
 impl Standin for VmsServer {
-    fn base(&self) -> BaseFault {
-        self.switches.get().base
-    }
-
-    fn fault(&self) -> Value {
-        json!(self.switches.get())
-    }
-
-    fn patch(&self, patch: &[u8]) -> Result<(), String> {
-        self.switches.patch(patch).map(drop)
+    fn panel(&self) -> &dyn Panel {
+        &self.switches
     }
 
     async fn control(&self, path: &str, request: Incoming) -> Response<Body> {
