router: say when to come back after a passed deadline

Cause: the refusal "the deadline has passed" had no Retry-After, and a refusal that became `unknown` since a server may have run the request lost the one it had.

Change: both carry it.

Test: `path::a_passed_deadline_says_when_to_come_back`, red before (502 `unknown` without Retry-After), green now, with the other `path::a_*` tests.

--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -4,6 +4,8 @@
 //! may have reached it goes to another only if it is idempotent and the pool's
 //! retry budget allows.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -22,6 +24,8 @@
 use crate::queue::Slot;
 use crate::upstream::{Answer, SendError, send};
 
+/// When to come back after a deadline that passed before an answer.
+const LATE_RETRY: Duration = Duration::from_secs(1);
 /// Most of an engine's refusal that is passed on (bytes).
 const EXCERPT: usize = 1_024;
 
@@ -76,7 +80,10 @@
         if !self.maybe_ran {
             return refusal;
         }
-        Refusal::unknown(RefusalKind::ServerFailed, refusal.detail)
+        Refusal {
+            retry_after: refusal.retry_after,
+            ..Refusal::unknown(RefusalKind::ServerFailed, refusal.detail)
+        }
     }
 }
 
@@ -118,7 +125,8 @@
         let left = call.left();
         if left.is_zero() {
             let detail = "the deadline has passed";
-            return Err(attempt.judge(Refusal::not_run(RefusalKind::Overloaded, detail)));
+            let late = Refusal::not_run(RefusalKind::Overloaded, detail);
+            return Err(attempt.judge(late.with_retry(LATE_RETRY)));
         }
         let Some(target) = call.pool.choose(prefix, &attempt.tried, !call.once) else {
             let (_open, retry) = call.pool.opening();
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -398,6 +398,8 @@
     first(0).await;
     set(0).await;
     first(1).await;
+    let budget = fleet.api.budget("rich").await.expect("a budget");
+    assert!(budget["free"].as_u64() >= Some(PLENTY / 2), "{budget}");
     fleet
 }
 
@@ -444,3 +446,27 @@
         assert!(answer.header("retry-after").is_some(), "{answer:?}");
     }
 }
+
+/// A caller that is told of its deadline is told when to come back, too.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_passed_deadline_says_when_to_come_back() {
+    let plan = plan().engines(2);
+    let fleet = plan.start().await.expect("the fleet starts");
+    for engine in &fleet.engines {
+        engine
+            .set(json!({ "delay_ms": 5_000 }))
+            .await
+            .expect("a delay");
+    }
+    let mut late = ask("too late tokens=3");
+    late.deadline_ms = Some(200);
+    let answer = fleet.caller(0).ask(fleet.router(0), &late).await;
+    assert_eq!(answer.outcome.as_deref(), Some("unknown"), "{answer:?}");
+    assert_eq!(
+        answer.slug().as_deref(),
+        Some("server-failed"),
+        "{answer:?}"
+    );
+    assert!(answer.text.contains("deadline"), "{answer:?}");
+    assert!(answer.header("retry-after").is_some(), "{answer:?}");
+}
