router: tell the balancer that its VM is declared gone

Cause: a router whose VM is declared gone refuses all callers, while /health went on to say ready.

Before, the router had no such trouble: the extended tests don't compile there.

--- a/crates/router/src/health.rs
+++ b/crates/router/src/health.rs
@@ -26,6 +26,8 @@
 pub enum Trouble {
     /// It is stopping.
     Stopping,
+    /// Its VM is declared gone for good: all new work is refused.
+    DeclaredGone,
     /// It has read no configuration since its start.
     NoConfiguration,
     /// Its configuration may be out of date: workspaces that ask for it are refused.
@@ -38,8 +40,9 @@
 
 impl Trouble {
     /// All of them.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Stopping,
+        Self::DeclaredGone,
         Self::NoConfiguration,
         Self::Stale,
         Self::Stuck,
@@ -51,6 +54,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Stopping => "stopping",
+            Self::DeclaredGone => "declared-gone",
             Self::NoConfiguration => "no-configuration",
             Self::Stale => "stale",
             Self::Stuck => "stuck",
@@ -70,6 +74,8 @@
 pub struct Facts {
     /// A planned stop has begun.
     pub stopping: bool,
+    /// An operator states that its VM is gone for good.
+    pub retired: bool,
     /// How far the configuration can be trusted.
     pub trust: Trust,
     /// Charges that no ledger has stored.
@@ -86,6 +92,7 @@
     pub fn of(node: &Node) -> Self {
         Self {
             stopping: node.is_stopping(),
+            retired: node.is_retired(),
             trust: node.config.trust(),
             stuck: node.settler.counts().stuck.load(Ordering::Relaxed),
             joined: node.members.joined(),
@@ -98,6 +105,7 @@
     pub fn troubles(&self) -> Vec<Trouble> {
         let holds = |trouble: &Trouble| match trouble {
             Trouble::Stopping => self.stopping,
+            Trouble::DeclaredGone => self.retired,
             Trouble::NoConfiguration => self.trust == Trust::None,
             Trouble::Stale => self.trust == Trust::Stale,
             Trouble::Stuck => self.stuck > 0,
--- a/crates/router/tests/health.rs
+++ b/crates/router/tests/health.rs
@@ -5,6 +5,7 @@
 
 const WELL: Facts = Facts {
     stopping: false,
+    retired: false,
     trust: Trust::Current,
     stuck: 0,
     joined: 4,
@@ -31,6 +32,13 @@
             },
             Trouble::Stopping,
         ),
+        (
+            Facts {
+                retired: true,
+                ..WELL
+            },
+            Trouble::DeclaredGone,
+        ),
         (
             Facts {
                 trust: Trust::None,
@@ -53,6 +61,7 @@
     }
     let all = Facts {
         stopping: true,
+        retired: true,
         trust: Trust::Stale,
         stuck: 2,
         joined: 0,
@@ -60,6 +69,7 @@
     };
     let expected = [
         Trouble::Stopping,
+        Trouble::DeclaredGone,
         Trouble::Stale,
         Trouble::Stuck,
         Trouble::NotJoined,
--- a/tests/testsuite/rejoin.rs
+++ b/tests/testsuite/rejoin.rs
@@ -2,13 +2,14 @@
 
 use std::time::{Duration, Instant};
 
-use http::Method;
+use http::{Method, StatusCode};
 use serde_json::{Value, json};
 use swiftlink_budget::{Fold, shard_of, stream_of};
 use swiftlink_log::Fold as _;
 use swiftlink_testkit::caller::Ask;
 use swiftlink_testkit::checker::End;
 use swiftlink_testkit::fleet::{Fleet, MODEL, change};
+use swiftlink_testkit::http::Http;
 use swiftlink_testkit::recorder::Recorder;
 use swiftlink_testkit::records;
 use swiftlink_testkit::until::until;
@@ -174,6 +175,10 @@
     assert!(refused.header("retry-after").is_some(), "{refused:?}");
     let detail = refused.json()["detail"].clone();
     assert_eq!(detail, "this router's VM is declared gone for good");
+    let health = Http::new().get(fleet.router(0), "/health").await;
+    let health = health.expect("an answer");
+    assert_eq!(health.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(health.json()["reason"], "declared-gone");
     let said = until("the router to say so", async || {
         let printed = fleet.routers[0].process.printed();
         printed.contains("event=router.declared-gone").then_some(())
