ledger: one wait for the declared top-up in the tests

Cause: eleven set-ups spelled out the wait for the top-up of `declare`. Change: `Node::topped_up`, the same check on the same fold; no assertion changed.

--- a/crates/ledger/tests/append.rs
+++ b/crates/ledger/tests/append.rs
@@ -18,8 +18,7 @@
     let node = single(&log);
     node.up().await;
     declare(&log, 1_000, "proof").await;
-    node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
-        .await;
+    node.topped_up().await;
 
     assert!(matches!(node.one(join(1)).await, fate::Kind::Join(fate) if fate.active));
     assert!(
@@ -44,8 +43,7 @@
     let node = single(&log);
     node.up().await;
     declare(&log, 1_000, "proof").await;
-    node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
-        .await;
+    node.topped_up().await;
 
     for (fault, calls, base) in [(Fault::LoseAnswers, 20, 0), (Fault::LoseRequests, 8, 10)] {
         log.fail_next(fault, calls);
@@ -76,8 +74,7 @@
     declare(&log, 100_000, "proof").await;
     for node in &nodes {
         node.up().await;
-        node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
-            .await;
+        node.topped_up().await;
     }
     nodes[0].one(join(1)).await;
     nodes[0].one(claim(1, 1, 50_000)).await;
@@ -123,8 +120,7 @@
     let node = single(&log);
     node.up().await;
     declare(&log, 1_000, "proof").await;
-    node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
-        .await;
+    node.topped_up().await;
     node.one(join(1)).await;
     node.one(claim(1, 1, 100)).await;
 
@@ -147,8 +143,7 @@
     declare(&log, 1_000, "proof").await;
     for node in &nodes {
         node.up().await;
-        node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
-            .await;
+        node.topped_up().await;
     }
     let joined = [join(1), join(2)];
     nodes[0]
@@ -191,8 +186,7 @@
     let node = single(&log);
     node.up().await;
     declare(&log, 1_000, "proof").await;
-    node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
-        .await;
+    node.topped_up().await;
     // Before its join is in the log, a router may do nothing.
     let fate = node.one(claim(1, 1, 10)).await;
     let unknown = RejectReason::UnknownIncarnation;
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -238,6 +238,12 @@
         .await;
     }
 
+    /// Waits until this ledger has folded the top-up of [`declare`].
+    pub async fn topped_up(&self) {
+        self.until("top-up", |fold| fold.has_top_up(BUDGET, "t1"))
+            .await;
+    }
+
     pub fn charged(&self) -> u64 {
         let views = self.ledger.shards().views(&[BUDGET.to_owned()]);
         views.first().map_or(0, |view| view.charged)
--- a/crates/ledger/tests/follow.rs
+++ b/crates/ledger/tests/follow.rs
@@ -21,9 +21,7 @@
     cut.log.set_cut(true);
     declare(&log, 1_000, "proof").await;
     nodes[0].up().await;
-    nodes[0]
-        .until("top-up", |fold| fold.has_top_up("b1", "t1"))
-        .await;
+    nodes[0].topped_up().await;
     nodes[0].one(join(1)).await;
     nodes[0].one(claim(1, 1, 100)).await;
 
@@ -74,8 +72,7 @@
     let node = spawn(often, bound, &log);
     node.up().await;
     declare(&log, 1_000, "proof").await;
-    node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
-        .await;
+    node.topped_up().await;
     node.one(join(1)).await;
     for seq in 1..=25 {
         node.one(claim(1, seq, 2)).await;
@@ -107,8 +104,7 @@
     let node = single(&log);
     node.up().await;
     declare(&log, 1_000, "proof").await;
-    node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
-        .await;
+    node.topped_up().await;
     let follow = Follow {
         stream: stream().to_string(),
         from: 0,
--- a/crates/ledger/tests/retirement.rs
+++ b/crates/ledger/tests/retirement.rs
@@ -44,8 +44,7 @@
     declare(log, 1_000, release).await;
     for node in nodes {
         node.up().await;
-        node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
-            .await;
+        node.topped_up().await;
     }
     nodes[0].one(join(1)).await;
     nodes[0].one(claim(1, 1, 100)).await;
--- a/crates/ledger/tests/void.rs
+++ b/crates/ledger/tests/void.rs
@@ -68,8 +68,7 @@
     let node = spawn_measured(settings("vm-1", &[]), bound, &log, metrics.clone());
     node.up().await;
     declare(&log, 1_000, "proof").await;
-    node.until("top-up", |fold| fold.has_top_up("b1", "t1"))
-        .await;
+    node.topped_up().await;
     node.one(join(1)).await;
     node.one(claim(1, 1, 100)).await;
     node.one(join(2)).await;
