docs: tell the flow and the reading order in each small crate; mend broken links

Cause: a newcomer met a list of modules without order, and rustdoc had three links that lead nowhere (two to private items, one to a method of another type). Comments alone changed.

--- a/crates/client/src/settings.rs
+++ b/crates/client/src/settings.rs
@@ -31,9 +31,9 @@
     pub token_file: Option<PathBuf>,
     /// `-c`.
     pub settings: Option<PathBuf>,
-    /// Value of [`OPERATOR_VARIABLE`].
+    /// Value of the variable `SWIFTLINK_OPERATOR`.
     pub operator_variable: Option<String>,
-    /// Value of [`TOKEN_VARIABLE`].
+    /// Value of the variable `SWIFTLINK_TOKEN`.
     pub token_variable: Option<String>,
 }
 
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -6,6 +6,12 @@
 //! traffic is neither encrypted nor signed after that, so the network between the
 //! processes must be the operators' own. Requests are multiplexed: each has a
 //! number, and one or more replies carry the same number.
+//!
+//! The way of a call: `client` connects and `server` accepts, both prove themselves in
+//! `handshake`. Then `connection` on the client's side numbers the request, notes in
+//! `pending` who waits for it and queues it in `outgoing`; `session` on the server's
+//! side calls the [`Handler`], whose [`Replies`] go back through its own `outgoing`.
+//! Both sides read with `incoming`. Read the modules in this order.
 
 mod client;
 mod codec;
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -5,6 +5,11 @@
 //! [`Replica`] decides without I/O how the records of one stream become a state:
 //! it drops duplicates, sees gaps, and starts from a [`snapshot`] when the log no
 //! longer keeps the oldest records. [`Backoff`] spaces out retries.
+//!
+//! A process reads pages from a [`Log`] and feeds them to a [`Replica`], which applies
+//! each record to a [`Fold`], the state that the stream stands for; what became of the
+//! record comes back as the fold's fate. Reading order: `service`, `fold`, `replica`
+//! with `buffer` and `snapshot`, then `http`.
 
 mod backoff;
 mod buffer;
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -41,7 +41,7 @@
 
 /// An answer whose body is still to be read.
 ///
-/// Hand the connection back with [`Answer::recycle`] after the body's end.
+/// Hand the connection back with [`Lease::recycle`] after the body's end.
 #[derive(Debug)]
 pub struct Answer {
     /// Head and body.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,6 +5,12 @@
 //! a [`Policy`] to choose. A pick takes a few hundred nanoseconds, so a `Mutex`
 //! around the fleet is held only briefly; [`Fleet::send`] picks and counts in one
 //! step.
+//!
+//! What is known of a server comes from four sides: the configuration and the VM list
+//! (`spec`), its load reports and the router's own requests (`load`), its errors
+//! (`health`) and its times (`slowness`). Reading order: `spec`, `server`, `fleet`,
+//! `policy`, then `expected`, the policy in use; those of `baseline` are there to be
+//! compared with it. `retry` stands alone.
 
 mod baseline;
 mod expected;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,6 +3,9 @@
 //! [`load`] reads a file into any deserializable type; [`open`] also runs the
 //! checks of a [`Settings`] type. A settings struct carries
 //! `#[serde(deny_unknown_fields)]` and may flatten [`Common`].
+//!
+//! Reading order: this file, `common`, `error`. `culprit` finds the key that an error
+//! is about and `locate` its line.
 
 mod common;
 mod culprit;
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -4,6 +4,9 @@
 //! A daemon's `main` is one call of [`run`]: it parses the command line, reads and
 //! checks the settings, opens log and metrics, starts the runtime, and hands the
 //! daemon its settings and a [`Shell`].
+//!
+//! Reading order: `run`, `shell`, `admin` (what each daemon shows of itself), then
+//! [`web`], which also serves callers and operators.
 
 mod admin;
 mod cli;
--- a/crates/stream/src/lib.rs
+++ b/crates/stream/src/lib.rs
@@ -4,6 +4,10 @@
 //! which may come late, twice, out of order or not at all, into each chunk once and
 //! in order. A [`ResumeToken`] names a stream so that any router of the fleet can
 //! take it up again for the workspace that owns it.
+//!
+//! The way of an answer: `openai` reads the request and bounds its cost; the engine's
+//! chunks go through `assembler`; each that comes out goes to the caller under an id
+//! from `token`, or into `whole` for a caller that wants the answer in one piece.
 
 mod assembler;
 mod openai;
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -10,6 +10,9 @@
 //! ```
 //!
 //! writes `ts=2026-01-01T00:00:00.000Z level=info event=grant.claimed budget=crossword granted=500`.
+//!
+//! Reading order: [`event!`] below, `line` (how a value is written), `log` (where the
+//! line goes), `metrics`.
 
 mod line;
 mod log;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -3,6 +3,10 @@
 //! Nothing here does I/O. Names are shared immutable strings; amounts are whole
 //! tokens; a request that is not served in full ends in a [`Refusal`], whose
 //! [`Outcome`] tells the caller what is known of the run.
+//!
+//! Reading order: `name` (what is declared), `amount` (what a request costs), `id`
+//! (the key of a request, and [`Incarnation`], one start of a router), `time`, and
+//! `refusal`.
 
 mod amount;
 mod id;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,10 @@
 //! `proto/link.proto` (what passes between processes); the comments there are
 //! the specification. `tools/codegen` writes `src/generated`, which is committed
 //! so that the build needs no generator.
+//!
+//! Reading order: `Incarnation`, `Batch` and `Record` in `log.proto`, which all else
+//! hangs on, then `Frame` in `link.proto`. `crates/budget` says what a record of a
+//! budget stream does, `crates/resource` what a `ChangeSet` does.
 
 /// Records of the streams on the platform's log.
 #[allow(missing_docs, clippy::all, reason = "generated code")]
