--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -149,7 +149,7 @@
         2_000
     }
     pub(super) fn report_ms() -> u64 {
-        500
+        1_500
     }
     pub(super) fn vms_ms() -> u64 {
         1_000
