--- a/crates/client/src/table/status.rs
+++ b/crates/client/src/table/status.rs
@@ -12,7 +12,10 @@
 /// What a trouble of a router means to its callers.
 const TROUBLES: [(&str, &str); 6] = [
     ("stopping", "stopping, takes no new work"),
-    ("declared-gone", "its VM is declared gone, takes no new work"),
+    (
+        "declared-gone",
+        "its VM is declared gone, takes no new work",
+    ),
     ("no-configuration", "no configuration, refuses all"),
     ("stale", "stale, refuses workspaces with stale=refuse"),
     ("stuck", "charges are stuck, takes no new work"),
--- a/crates/operator/tests/testsuite/interface.rs
+++ b/crates/operator/tests/testsuite/interface.rs
@@ -217,7 +217,10 @@
     assert!(next.contains("--operator"), "{next}");
     let change = request(vec![class("urgent", None, 2)]);
     let error = admin.apply(&change, "id-1", false).await;
-    assert!(matches!(error, Err(ClientError::NotOperator(_))), "{error:?}");
+    assert!(
+        matches!(error, Err(ClientError::NotOperator(_))),
+        "{error:?}"
+    );
     assert_eq!(log.end(&config()), 0);
     rig.operator.stop().await;
 }
