Say an error's causes and a claim's pause in one place each

Cause: log and fetch each wrote an error and its causes on one line, and both simple sizing policies told alike what a claim's answer means for the pause. Ruled out: the sizer's own answer, which does more than that; the lists of fields in testkit's Sent and Call, which are two types with two jobs. Change: `swiftlink_fetch::on_one_line`, `Pause::note`; the module docs of routing's seen and shell's run say what they are for.

--- a/crates/admission/src/baseline.rs
+++ b/crates/admission/src/baseline.rs
@@ -41,11 +41,7 @@
 
     fn on_claimed(&mut self, now: Micros, outcome: &ClaimOutcome) {
         self.granted += outcome.granted;
-        if outcome.granted == 0 {
-            self.pause.extend(now);
-        } else {
-            self.pause.clear();
-        }
+        self.pause.note(now, outcome);
     }
 
     fn on_failed(&mut self, now: Micros) {
@@ -97,11 +93,7 @@
     fn observe(&mut self, _now: Micros, _demand: Demand) {}
 
     fn on_claimed(&mut self, now: Micros, outcome: &ClaimOutcome) {
-        if outcome.granted == 0 {
-            self.pause.extend(now);
-        } else {
-            self.pause.clear();
-        }
+        self.pause.note(now, outcome);
     }
 
     fn on_failed(&mut self, now: Micros) {
--- a/crates/admission/src/sizer.rs
+++ b/crates/admission/src/sizer.rs
@@ -141,6 +141,15 @@
         self.until = now + self.step;
     }
 
+    /// Takes an answer: one that granted nothing makes it longer, another ends it.
+    pub(crate) fn note(&mut self, now: Micros, outcome: &ClaimOutcome) {
+        if outcome.granted == 0 {
+            self.extend(now);
+        } else {
+            self.clear();
+        }
+    }
+
     pub(crate) fn clear(&mut self) {
         self.step = 0;
         self.until = 0;
--- a/crates/fetch/src/client.rs
+++ b/crates/fetch/src/client.rs
@@ -136,7 +136,7 @@
         let request = self.request(call)?;
         let answer = self.client.request(request).await;
         answer.map_err(|error| {
-            let text = chain(&error);
+            let text = on_one_line(&error);
             if error.is_connect() {
                 HttpError::Unreachable(text)
             } else {
@@ -165,7 +165,9 @@
     }
 }
 
-fn chain(error: &dyn std::error::Error) -> String {
+/// The error and its causes on one line.
+#[must_use]
+pub fn on_one_line(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
     let mut source = error.source();
     while let Some(cause) = source {
--- a/crates/log/src/http.rs
+++ b/crates/log/src/http.rs
@@ -12,6 +12,7 @@
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use prost::Message;
 use serde::Deserialize;
+use swiftlink_fetch::on_one_line;
 use swiftlink_types::StreamName;
 use swiftlink_wire::log::LogPage;
 
@@ -165,7 +166,7 @@
 
 /// A request that found no connection was certainly not sent.
 fn classify(error: &hyper_util::client::legacy::Error) -> LogError {
-    let detail = chain(error);
+    let detail = on_one_line(error);
     if error.is_connect() {
         LogError::Out(detail)
     } else {
@@ -203,15 +204,3 @@
         other => other,
     }
 }
-
-/// The error and its causes on one line.
-fn chain(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut cause = error.source();
-    while let Some(inner) = cause {
-        text.push_str(": ");
-        text.push_str(&inner.to_string());
-        cause = inner.source();
-    }
-    text
-}
--- a/crates/routing/src/seen.rs
+++ b/crates/routing/src/seen.rs
@@ -1,4 +1,7 @@
-//! Prefixes that came lately.
+//! Prefixes of prompts that came lately.
+//!
+//! One that is new to this router is hardly in a server's cache yet, so only one that
+//! came before is sent to the server that it belongs to.
 
 use swiftlink_types::Micros;
 
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -1,4 +1,5 @@
-//! Entry of the daemons.
+//! Entry of the daemons: command line, settings, log and metrics, runtime, and then
+//! the daemon itself until it has stopped.
 
 use std::panic;
 use std::path::Path;
