--- a/crates/router/tests/peers.rs
+++ b/crates/router/tests/peers.rs
@@ -72,3 +72,24 @@
     }
     assert!(!peers.watch(address).is_silent());
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_peer_out_of_reach_is_passed_over_for_a_while() {
+    let address = "127.0.0.1:7101".parse().expect("an address");
+    let peers = peers();
+    assert!(peers.is_up(address));
+    peers.note_down(address);
+    assert!(!peers.is_up(address));
+    tokio::time::advance(Duration::from_secs(1)).await;
+    assert!(peers.is_up(address));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_peer_is_passed_over() {
+    let (_listener, address) = frozen();
+    let peers = peers();
+    let mut watched = peers.watch(address);
+    assert!(peers.is_up(address));
+    watched.silenced().await;
+    assert!(!peers.is_up(address));
+}
