router: refuse at once who waits when the last backend server leaves

Cause: a request that waits in a pool's queue when the last server starts to drain stayed there until its deadline; nothing could serve it. Ruled out: the relay and the wait for the abandonment (the router's log shows the request admitted and nothing after it). Change: with no slots left the queue hands everyone the refusal no-server, not-run, with the time to come back, and takes nobody in.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -194,6 +194,16 @@
         std::mem::take(&mut self.late)
     }
 
+    /// Takes out all entries that wait: nothing will serve them.
+    pub fn drain(&mut self) -> Vec<Entry<T>> {
+        let mut entries = Vec::new();
+        for lane in &mut self.lanes {
+            let waiters = lane.take_late(|_waiter| true);
+            entries.extend(waiters.into_iter().map(|waiter| waiter.entry));
+        }
+        entries
+    }
+
     /// When [`Self::expired`] will next have something, as far as is known.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Micros> {
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -66,8 +66,8 @@
             ..FleetPolicy::new(home)
         };
         Arc::new(Self {
+            queue: PoolQueue::new(name.clone()),
             name,
-            queue: PoolQueue::new(),
             retries: RetryBudget::default(),
             is_model,
             fleet: Mutex::new(Fleet::new(policy, Box::new(ExpectedWait::default()))),
--- a/crates/router/src/queue.rs
+++ b/crates/router/src/queue.rs
@@ -8,10 +8,12 @@
 use std::time::Duration;
 
 use swiftlink_admission::{ClassSpec, Entry, Limiter, LimiterPolicy, Queue, QueuePolicy};
-use swiftlink_types::{ClassName, Micros, Refusal, RefusalKind};
+use swiftlink_types::{ClassName, Micros, PoolName, Refusal, RefusalKind};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::admit::no_server;
+
 /// Time between looks for entries that can't be served in time any more.
 const EXPIRY_TICK: Duration = Duration::from_millis(20);
 
@@ -20,10 +22,13 @@
 struct Inner {
     queue: Queue<oneshot::Sender<Turn>>,
     limiter: Limiter,
+    /// No backend server takes work: nothing may wait.
+    is_closed: bool,
 }
 
 /// The queue of one pool.
 pub struct PoolQueue {
+    pool: PoolName,
     inner: Mutex<Inner>,
     start: Instant,
     /// When entries that are late were last looked for.
@@ -50,9 +55,9 @@
 }
 
 impl PoolQueue {
-    /// An empty queue without slots.
+    /// An empty queue of `pool` without slots.
     #[must_use]
-    pub fn new() -> Arc<Self> {
+    pub fn new(pool: PoolName) -> Arc<Self> {
         let policy = LimiterPolicy {
             max: 0,
             ..LimiterPolicy::default()
@@ -60,17 +65,28 @@
         let inner = Inner {
             queue: Queue::new(QueuePolicy::default(), 0),
             limiter: Limiter::new(policy),
+            is_closed: true,
         };
         Arc::new(Self {
+            pool,
             inner: Mutex::new(inner),
             start: Instant::now(),
             checked: AtomicU64::new(0),
         })
     }
 
-    /// Sets the slots of all backend servers that take work.
+    /// Sets the slots of all backend servers that take work. With none left, those
+    /// who wait are refused at once: held until their deadline they would only wait
+    /// for the same answer.
     pub fn set_slots(self: &Arc<Self>, slots: usize) {
         let mut inner = self.lock();
+        inner.is_closed = slots == 0;
+        if inner.is_closed {
+            for entry in inner.queue.drain() {
+                // The request may have gone.
+                let _gone = entry.payload.send(Err(no_server(&self.pool, None)));
+            }
+        }
         inner.limiter.set_max(slots);
         let limit = if slots == 0 { 0 } else { inner.limiter.limit() };
         inner.queue.set_slots(limit);
@@ -82,7 +98,8 @@
     /// Waits for a slot.
     ///
     /// # Errors
-    /// When the queue has no room or the deadline can't be met; with the time to come back.
+    /// When no server takes work, the queue has no room or the deadline can't be met;
+    /// with the time to come back.
     pub async fn acquire(self: &Arc<Self>, arrival: Arrival) -> Turn {
         let (sender, mut receiver) = oneshot::channel();
         self.push(arrival, sender)?;
@@ -133,6 +150,9 @@
     ) -> Result<(), Refusal> {
         let now = self.now();
         let mut inner = self.lock();
+        if inner.is_closed {
+            return Err(no_server(&self.pool, None));
+        }
         inner.queue.set_class(&arrival.class, arrival.spec);
         let entry = Entry {
             class: arrival.class,
