link: write a frame straight to the socket while nothing waits before it

A charge's round trip to the ledger went through a writing task on both sides, each a change of thread within the time that the caller waits for its last chunk. A frame now goes from the thread that has it straight to the socket when the queue is empty and the socket takes it; else, and for what the socket leaves, the writing task does it as before, in batches. Frames of one caller keep their order: while any is queued, none goes straight.

Ruled out as the cause: a ledger that answers slowly.

--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use swiftlink_wire::link::{Failure, FailureKind, Frame, Reply, frame, reply, request};
-use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
@@ -13,7 +12,7 @@
 use crate::codec::MAX_FRAME;
 use crate::handshake::Proved;
 use crate::incoming::Reader;
-use crate::outgoing::{self, Outgoing, Ticket};
+use crate::outgoing::{self, Backlog, Outbound, Outgoing, Ticket};
 use crate::pending::{Delivery, Pending, STREAM_QUEUE, Sink, ended};
 use crate::stream::ReplyStream;
 
@@ -27,7 +26,7 @@
 /// Requests in flight on one connection.
 pub(crate) struct Connection {
     peer: Arc<str>,
-    queue: mpsc::Sender<Outgoing>,
+    out: Outbound,
     pending: Pending,
     next_id: AtomicU64,
     heard: Arc<AtomicU64>,
@@ -37,28 +36,23 @@
 /// The halves of the socket, for [`Connection::run`].
 pub(crate) struct Io {
     reader: Reader,
-    writer: OwnedWriteHalf,
-    queue: mpsc::Receiver<Outgoing>,
+    backlog: Backlog,
 }
 
 impl Connection {
     pub(crate) fn new(proved: Proved) -> (Arc<Self>, Io) {
         let (read, writer) = proved.socket.into_split();
         let reader = Reader::new(read, proved.input);
-        let (sender, queue) = mpsc::channel(QUEUE);
+        let (out, backlog) = outgoing::channel(writer, QUEUE);
         let connection = Self {
             peer: proved.peer,
-            queue: sender,
+            out,
             pending: Pending::new(),
             next_id: AtomicU64::new(1),
             heard: reader.heard(),
             dead: CancellationToken::new(),
         };
-        let io = Io {
-            reader,
-            writer,
-            queue,
-        };
+        let io = Io { reader, backlog };
         (Arc::new(connection), io)
     }
 
@@ -74,7 +68,7 @@
     /// Carries frames both ways until the connection is lost or `stop`.
     pub(crate) async fn run(&self, io: Io, stop: &CancellationToken) {
         let finish = CancellationToken::new();
-        let write = outgoing::write_all(io.writer, io.queue, finish);
+        let write = outgoing::write_all(io.backlog, finish);
         tokio::select! {
             () = write => {}
             () = self.read(io.reader) => {}
@@ -82,6 +76,7 @@
             () = stop.cancelled() => {}
         }
         self.dead.cancel();
+        self.out.close();
         self.pending.close_all();
     }
 
@@ -192,13 +187,16 @@
                 detail: "request is too large".to_owned(),
             }));
         }
-        let queued = self.queue.send(outgoing).await;
-        queued.map_err(|_closed| LinkError::Down)
+        let place = self.out.reserve().await;
+        place.map_err(|_closed| LinkError::Down)?.send(outgoing);
+        Ok(())
     }
 
     /// If the queue is full the next unwanted reply tries again.
     fn send_cancel(&self, id: u64) {
-        let _full = self.queue.try_send(Outgoing::cancel(id));
+        if let Some(place) = self.out.try_reserve() {
+            place.send(Outgoing::cancel(id));
+        }
     }
 }
 
--- a/crates/link/src/replies.rs
+++ b/crates/link/src/replies.rs
@@ -7,12 +7,11 @@
 use async_trait::async_trait;
 use swiftlink_wire::link::{Failure, FailureKind, reply, request};
 use tokio::sync::mpsc;
-use tokio::sync::mpsc::Permit;
 use tokio_util::sync::CancellationToken;
 
 use crate::Closed;
 use crate::codec::MAX_FRAME;
-use crate::outgoing::Outgoing;
+use crate::outgoing::{Outbound, Outgoing, Place};
 
 /// Serves the requests of a server's peers.
 #[async_trait]
@@ -30,7 +29,7 @@
 /// caller gets [`LinkError::Lost`](crate::LinkError::Lost).
 pub struct Replies {
     id: u64,
-    queue: mpsc::Sender<Outgoing>,
+    out: Outbound,
     ended: mpsc::UnboundedSender<Ended>,
     gone: CancellationToken,
     leaving: CancellationToken,
@@ -48,7 +47,7 @@
 /// What the replies to all requests of one session share.
 #[derive(Debug, Clone)]
 pub(crate) struct Shared {
-    pub(crate) queue: mpsc::Sender<Outgoing>,
+    pub(crate) out: Outbound,
     pub(crate) ended: mpsc::UnboundedSender<Ended>,
     /// Cancelled when the server stops.
     pub(crate) leaving: CancellationToken,
@@ -61,7 +60,7 @@
         shared.in_flight.fetch_add(1, Ordering::AcqRel);
         Self {
             id,
-            queue: shared.queue.clone(),
+            out: shared.out.clone(),
             ended: shared.ended.clone(),
             gone,
             leaving: shared.leaving.clone(),
@@ -91,14 +90,14 @@
 
         // Nothing is marked before there is room: a send that is dropped while it
         // waits leaves the request unanswered.
-        let permit = match self.queue.try_reserve() {
-            Ok(permit) => permit,
-            Err(_full) => self.wait().await?,
+        let place = match self.out.try_reserve() {
+            Some(place) => place,
+            None => self.wait().await?,
         };
         if last && !self.finish() {
             return Err(Closed);
         }
-        permit.send(outgoing);
+        place.send(outgoing);
         Ok(())
     }
 
@@ -120,11 +119,11 @@
         first
     }
 
-    async fn wait(&self) -> Result<Permit<'_, Outgoing>, Closed> {
+    async fn wait(&self) -> Result<Place<'_>, Closed> {
         tokio::select! {
             biased;
             () = self.gone.cancelled() => Err(Closed),
-            permit = self.queue.reserve() => permit.map_err(|_closed| Closed),
+            place = self.out.reserve() => place,
         }
     }
 }
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -42,7 +42,7 @@
 pub(crate) async fn serve(proved: Proved, handler: SharedHandler, stop: CancellationToken) {
     let (read, write) = proved.socket.into_split();
     let mut reader = Reader::new(read, proved.input);
-    let (queue, outgoing) = mpsc::channel(QUEUE);
+    let (out, backlog) = outgoing::channel(write, QUEUE);
     let (ended, mut endings) = mpsc::unbounded_channel();
     let finish = CancellationToken::new();
 
@@ -50,7 +50,7 @@
         peer: proved.peer,
         handler,
         shared: Shared {
-            queue,
+            out,
             ended,
             leaving: stop.clone(),
             in_flight: Arc::default(),
@@ -58,7 +58,7 @@
         open: HashMap::new(),
         tasks: JoinSet::new(),
     };
-    let writer = outgoing::write_all(write, outgoing, finish.clone());
+    let writer = outgoing::write_all(backlog, finish.clone());
     let reading = async {
         session.read(&mut reader, &mut endings, &stop).await;
         session.wind_down(&mut endings, &stop).await;
@@ -82,13 +82,13 @@
         endings: &mut mpsc::UnboundedReceiver<Ended>,
         stop: &CancellationToken,
     ) {
-        let queue = self.shared.queue.clone();
+        let out = self.shared.out.clone();
         loop {
             // Endings before frames, so that ended requests don't pile up.
             let going = tokio::select! {
                 biased;
                 () = stop.cancelled() => return,
-                () = queue.closed() => Err(Closed),
+                () = out.closed() => Err(Closed),
                 Some(ended) = endings.recv() => self.end(ended).await,
                 Some(_ended) = self.tasks.join_next() => Ok(()),
                 frame = reader.next() => match frame {
@@ -152,8 +152,8 @@
     }
 
     async fn reply(&self, outgoing: Outgoing) -> Result<(), Closed> {
-        let sent = self.shared.queue.send(outgoing).await;
-        sent.map_err(|_closed| Closed)
+        self.shared.out.reserve().await?.send(outgoing);
+        Ok(())
     }
 
     fn cancel_all(&self) {
