router: release the end of an answer before what follows its charge

Between the ledger's word and the last write to the caller stood the wake-up of another thread that follows the charge to the log's word, and the request's log line: 48 us of 470 us in a trace of the system calls. The charge is stored by then, so the answer's end goes out first. A charge still goes on whatever becomes of its answer: its carrier does that when it is dropped.

The tests of the crate pass, and the 16 of testsuite path. The charge is stored in another failure domain before the last chunk, as before.

--- a/crates/router/src/charge.rs
+++ b/crates/router/src/charge.rs
@@ -114,12 +114,15 @@
     /// Charges `cost` on the incarnation of `seat`; returns once a ledger has stored
     /// the charge, or after the wait that an answer's end is given. The answer is what
     /// the key was charged before, if the ledger knows of it: the charge is void then.
+    ///
+    /// The charge is followed to the log's word once the [`Carrier`] is dropped, which
+    /// the request does when its answer's end is on the way.
     pub async fn settle(
         self: &Arc<Self>,
         seat: &Arc<Seat>,
         cost: Cost,
         hold: KeyHold,
-    ) -> Option<Tokens> {
+    ) -> (Option<Tokens>, Carrier) {
         let job = Job {
             settler: Arc::clone(self),
             seat: seat.stay(),
@@ -132,21 +135,25 @@
             stuck: false,
         };
         self.counts.pending.fetch_add(1, Ordering::Relaxed);
-        let mut carrier = Carrier { job: Some(job) };
+        let mut carrier = Carrier {
+            job: Some(job),
+            replies: None,
+        };
         // The first ledger is asked from this thread: it saves the end of the answer
         // two changes of thread.
         if let Some(ledger) = order(self.ledgers.far()).first() {
             if let Some((charged, replies)) = carrier.job().store(&ledger.client).await {
-                carrier.leave(Some(replies));
-                return charged;
+                carrier.replies = Some(replies);
+                return (charged, carrier);
             }
             ledger.shun();
         }
         let (sender, stored) = oneshot::channel();
         carrier.job().told = Some(sender);
         let left = self.wait.saturating_sub(carrier.job().start.elapsed());
-        carrier.leave(None);
-        timeout(left, stored).await.ok()?.ok()?
+        carrier.depart();
+        let told = timeout(left, stored).await;
+        (told.ok().and_then(Result::ok).flatten(), carrier)
     }
 
     /// Waits until no charge is pending; false when `limit` comes first.
@@ -161,37 +168,37 @@
     }
 }
 
-/// Holds a charge on the thread of its answer. If that thread gives the answer up, the
-/// charge goes on all the same.
-struct Carrier {
+/// Holds a charge on the thread of its answer. Dropped, for whatever reason, it lets
+/// the charge go on in the background.
+#[derive(Debug)]
+pub struct Carrier {
     job: Option<Job>,
+    /// Where the log's word comes from, if a ledger has stored the charge.
+    replies: Option<ReplyStream>,
 }
 
 impl Carrier {
     fn job(&mut self) -> &mut Job {
-        self.job.as_mut().expect("taken only when leaving")
+        self.job.as_mut().expect("taken only when departing")
     }
 
     /// Goes on in the background.
-    fn leave(mut self, replies: Option<ReplyStream>) {
-        self.depart(replies);
-    }
-
-    fn depart(&mut self, replies: Option<ReplyStream>) {
+    fn depart(&mut self) {
         if let Some(job) = self.job.take() {
             let runtime = job.settler.runtime.clone();
-            runtime.spawn(job.run(replies));
+            runtime.spawn(job.run(self.replies.take()));
         }
     }
 }
 
 impl Drop for Carrier {
     fn drop(&mut self) {
-        self.depart(None);
+        self.depart();
     }
 }
 
 /// One charge on its way.
+#[derive(Debug)]
 struct Job {
     settler: Arc<Settler>,
     /// Incarnation that is charged.
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -69,6 +69,8 @@
                 let charged = run.charge(finished.tokens).await;
                 run.remember(Some(server), reader.stream(), charged);
                 finish(&run, sink, finished, charged).await;
+                // The caller's connection, on this thread too, writes the end first.
+                tokio::task::yield_now().await;
                 return reader.finish().await;
             }
             End::Orphaned => {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -21,7 +21,7 @@
 use crate::admit::admit;
 use crate::auth::authenticate;
 use crate::call::{Call, Work};
-use crate::charge::Cost;
+use crate::charge::{Carrier, Cost};
 use crate::dispatch::Attempt;
 use crate::intent::{Spent, lost};
 use crate::members::Stay;
@@ -211,6 +211,7 @@
         seat,
         attempt,
         record: Arc::downgrade(&record),
+        carrier: None,
     };
     match &run.call.work {
         Work::Model(_) => model::run(run, reply).await,
@@ -331,6 +332,8 @@
     pub attempt: Attempt,
     /// What the log gets to read; gone once the line is written.
     pub record: Weak<Record>,
+    /// Its charge, which is followed once the run is dropped.
+    pub carrier: Option<Carrier>,
 }
 
 impl Run {
@@ -346,7 +349,9 @@
         if cost > 0 {
             let charge = self.charge_of(tokens, cost);
             let hold = self.call.key_use.hold();
-            before = self.node.settler.settle(seat, charge, hold).await;
+            let (known, carrier) = self.node.settler.settle(seat, charge, hold).await;
+            before = known;
+            self.carrier = Some(carrier);
         }
         let drawn = rights.settle(cost);
         let charged = before.unwrap_or(drawn);
