router: free a key before the end of its answer goes out

Ruled out: waiting in the test, since a caller may do the same. Change: the key is freed once its run is remembered as whole; its hold goes on until the log has decided the charge, so no mark passes it.

--- a/crates/router/src/keys.rs
+++ b/crates/router/src/keys.rs
@@ -6,7 +6,7 @@
 //! a floor, no older key is accepted.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 use papaya::HashMap;
 use swiftlink_types::{RequestKey, WallMs, WorkspaceName};
@@ -77,6 +77,7 @@
             keys: Arc::clone(self),
             id,
             shared: None,
+            is_free: AtomicBool::new(false),
         };
         self.check_floor(key)?;
         Ok(key_use)
@@ -100,6 +101,7 @@
             keys: Arc::clone(self),
             id: (workspace.clone(), key),
             shared: Some(self.hold(key)),
+            is_free: AtomicBool::new(false),
         };
         self.check_floor(key)?;
         Ok(key_use)
@@ -168,6 +170,8 @@
     id: Id,
     /// Set when another request may use the same key.
     shared: Option<KeyHold>,
+    /// Free again already; another request may use the key since.
+    is_free: AtomicBool,
 }
 
 impl KeyUse {
@@ -183,6 +187,15 @@
         self.id.1
     }
 
+    /// Frees the key before the end of the answer goes out, so that a caller who
+    /// repeats the request at once doesn't meet its own first call.
+    pub fn free(&self) {
+        if self.shared.is_some() || self.is_free.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        self.keys.used.pin().remove(&self.id);
+    }
+
     /// Holds the key beyond its use, until its charge is decided.
     #[must_use]
     pub fn hold(&self) -> KeyHold {
@@ -209,6 +222,6 @@
             self.keys.shared.fetch_sub(1, Ordering::SeqCst);
             return;
         }
-        self.keys.used.pin().remove(&self.id);
+        self.free();
     }
 }
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -68,6 +68,7 @@
                 drop(slot);
                 let charged = run.charge(finished.tokens).await;
                 run.remember(Some(server), reader.stream(), charged);
+                run.call.key_use.free();
                 finish(&run, sink, finished, charged).await;
                 // The caller's connection, on this thread too, writes the end first.
                 tokio::task::yield_now().await;
