router: let the queue's limiter alone say that a pool is closed

Change: the flag and the branch are gone, one function carries the limit over. Behaviour is the same.

--- a/crates/router/src/queue.rs
+++ b/crates/router/src/queue.rs
@@ -22,8 +22,19 @@
 struct Inner {
     queue: Queue<oneshot::Sender<Turn>>,
     limiter: Limiter,
-    /// No backend server takes work: nothing may wait.
-    is_closed: bool,
+}
+
+impl Inner {
+    /// No backend server takes work: nothing may wait. With any slot at all the
+    /// limiter leaves one.
+    fn is_closed(&self) -> bool {
+        self.limiter.limit() == 0
+    }
+
+    /// Gives the queue as many slots as the limiter leaves.
+    fn limit(&mut self) {
+        self.queue.set_slots(self.limiter.limit());
+    }
 }
 
 /// The queue of one pool.
@@ -65,7 +76,6 @@
         let inner = Inner {
             queue: Queue::new(QueuePolicy::default(), 0),
             limiter: Limiter::new(policy),
-            is_closed: true,
         };
         Arc::new(Self {
             pool,
@@ -80,16 +90,14 @@
     /// for the same answer.
     pub fn set_slots(self: &Arc<Self>, slots: usize) {
         let mut inner = self.lock();
-        inner.is_closed = slots == 0;
-        if inner.is_closed {
+        inner.limiter.set_max(slots);
+        inner.limit();
+        if inner.is_closed() {
             for entry in inner.queue.drain() {
                 // The request may have gone.
                 let _gone = entry.payload.send(Err(no_server(&self.pool, None)));
             }
         }
-        inner.limiter.set_max(slots);
-        let limit = if slots == 0 { 0 } else { inner.limiter.limit() };
-        inner.queue.set_slots(limit);
         let spare = self.pump(&mut inner);
         drop(inner);
         drop(spare);
@@ -131,16 +139,14 @@
         inner
             .limiter
             .on_first_token(time.as_micros() as Micros, in_flight);
-        let limit = inner.limiter.limit();
-        inner.queue.set_slots(limit);
+        inner.limit();
     }
 
     /// Notes that a backend server refused work because it is full.
     pub fn on_full(&self) {
         let mut inner = self.lock();
         inner.limiter.on_full();
-        let limit = inner.limiter.limit();
-        inner.queue.set_slots(limit);
+        inner.limit();
     }
 
     fn push(
@@ -150,7 +156,7 @@
     ) -> Result<(), Refusal> {
         let now = self.now();
         let mut inner = self.lock();
-        if inner.is_closed {
+        if inner.is_closed() {
             return Err(no_server(&self.pool, None));
         }
         inner.queue.set_class(&arrival.class, arrival.spec);
