--- a/crates/fetch/src/client.rs
+++ b/crates/fetch/src/client.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::CONTENT_TYPE;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -32,7 +33,7 @@
     pub token: Option<&'a str>,
     /// Further headers.
     pub headers: Vec<(&'static str, &'a str)>,
-    /// Body; sent as JSON when not empty.
+    /// Body; sent as JSON when not empty, unless the headers name another type.
     pub body: Bytes,
 }
 
@@ -154,7 +155,8 @@
         if let Some(token) = call.token {
             builder = builder.header("authorization", format!("Bearer {token}"));
         }
-        if !call.body.is_empty() {
+        let has_type = call.headers.iter().any(|(name, _)| *name == CONTENT_TYPE);
+        if !call.body.is_empty() && !has_type {
             builder = builder.header("content-type", "application/json");
         }
         for (name, value) in &call.headers {
--- /dev/null
+++ b/crates/gateway/src/catalog.rs
@@ -0,0 +1,51 @@
+//! How a deployment writes down its configuration and its backend servers.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use swiftlink_types::{DomainName, PoolName, ServerName};
+
+use crate::model::Config;
+
+/// Reads the documents that the store's feeds carry.
+pub trait Catalog: fmt::Debug + Send + Sync {
+    /// The configuration in a record of the configuration feed; `None` when the record
+    /// is about something else.
+    ///
+    /// # Errors
+    /// When the record is a configuration that can't be read.
+    fn config(&self, key: &str, value: &[u8]) -> Result<Option<Config>, CatalogError>;
+
+    /// The backend server in a record of the server feed.
+    ///
+    /// # Errors
+    /// When the record can't be read.
+    fn server(&self, key: &str, value: &[u8]) -> Result<ServerEntry, CatalogError>;
+}
+
+/// A document that can't be read.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{key}: {reason}")]
+pub struct CatalogError {
+    /// Key of the record.
+    pub key: String,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// A backend server, as it describes itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerEntry {
+    /// Its name; a server that starts anew has a new one.
+    pub name: ServerName,
+    /// Pool that it serves.
+    pub pool: PoolName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Failure domain that it runs in.
+    pub domain: DomainName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving and takes no new work.
+    pub draining: bool,
+}
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,247 @@
+//! The backend servers of each pool, as this router knows them.
+//!
+//! [`Pools`] follows the configuration and the directory; [`Pool::send`] chooses a server
+//! and gives a [`Ticket`], which tells the pool's [`Fleet`] how the request ended.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use swiftlink_routing::{
+    ErrorKind, Fleet, FleetPolicy, LoadReport, Pick, Rendezvous, RetryBudget, Sent, ServerIdx,
+    ServerSpec,
+};
+use swiftlink_types::{Micros, PoolName, ServerName};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::catalog::ServerEntry;
+use crate::model::{Config, PoolSpec};
+use crate::settings::RouterSettings;
+
+/// Part of the fleet-wide retries that routers use in all: each counts by itself, and
+/// requests are not spread evenly over them.
+const RETRY_PART: f64 = 0.6;
+/// Routers that the retries of one window are shared between, until more show: seven and
+/// eight are the users' smaller deployments, which may grow by half.
+const ROUTERS: f64 = 12.0;
+
+/// One pool.
+#[derive(Debug)]
+pub struct Pool {
+    /// Its name.
+    pub name: PoolName,
+    /// Bound on requests that are sent again.
+    pub retries: RetryBudget,
+    spec: ArcSwap<PoolSpec>,
+    fleet: Mutex<Fleet>,
+    addresses: ArcSwap<HashMap<ServerName, SocketAddr>>,
+    clock: Instant,
+}
+
+/// A chosen server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Chosen {
+    /// Its name.
+    pub name: ServerName,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl Pool {
+    fn new(spec: Arc<PoolSpec>, settings: &RouterSettings, clock: Instant) -> Self {
+        let mut policy = FleetPolicy::new(settings.domain.clone());
+        policy.seed = xxh3_64(settings.vm.as_str().as_bytes());
+        let burst = (settings.retries.slack * RETRY_PART / ROUTERS).max(1.0);
+        let share = settings.retries.ratio * RETRY_PART;
+        Self {
+            name: spec.name.clone(),
+            retries: RetryBudget::new(share, burst as u32),
+            spec: ArcSwap::new(spec),
+            fleet: Mutex::new(Fleet::new(policy, Box::new(Rendezvous::default()))),
+            addresses: ArcSwap::default(),
+            clock,
+        }
+    }
+
+    /// What is declared of it.
+    #[must_use]
+    pub fn spec(&self) -> Arc<PoolSpec> {
+        self.spec.load_full()
+    }
+
+    /// Chooses a server for a request with a prompt that begins like others with the
+    /// same `prefix` (0: none), and counts the request as sent. `None` when no server
+    /// can take it.
+    #[must_use]
+    pub fn send(self: &Arc<Self>, prefix: u64, tried: &[ServerIdx]) -> Option<(Chosen, Ticket)> {
+        let now = self.now();
+        let pick = Pick {
+            now,
+            prefix,
+            exclude: tried,
+            may_probe: true,
+        };
+        let mut fleet = self.fleet();
+        let sent = fleet.send(&pick, &mut rand::rng())?;
+        let name = fleet.get(sent.idx)?.name().clone();
+        drop(fleet);
+        let idx = sent.idx;
+        let ticket = Ticket {
+            pool: Arc::clone(self),
+            sent: Some(sent),
+            idx,
+        };
+        let address = self.addresses.load().get(&name).copied()?;
+        Some((Chosen { name, address }, ticket))
+    }
+
+    /// Servers that may get work.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.fleet().open_len()
+    }
+
+    /// A server's report of its load.
+    pub fn on_report(&self, idx: ServerIdx, report: LoadReport) {
+        let now = self.now();
+        self.fleet().on_report(idx, now, report);
+    }
+
+    fn set_servers(&self, entries: &[&ServerEntry]) {
+        let mut specs = Vec::with_capacity(entries.len());
+        let mut addresses = HashMap::with_capacity(entries.len());
+        for entry in entries {
+            specs.push(ServerSpec {
+                name: entry.name.clone(),
+                domain: entry.domain.clone(),
+                vm: None,
+                slots: entry.slots,
+                drain: entry.draining,
+            });
+            addresses.insert(entry.name.clone(), entry.address);
+        }
+        self.addresses.store(Arc::new(addresses));
+        self.fleet().set_config(&specs);
+    }
+
+    fn now(&self) -> Micros {
+        Micros::try_from(self.clock.elapsed().as_micros()).unwrap_or(Micros::MAX)
+    }
+
+    fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        // The fleet's methods leave it whole, also when one of them panics.
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request that was sent to a server. Dropped, it says nothing of the server.
+#[derive(Debug)]
+pub struct Ticket {
+    pool: Arc<Pool>,
+    sent: Option<Sent>,
+    /// The server.
+    pub idx: ServerIdx,
+}
+
+impl Ticket {
+    /// The answer's first byte or event is there.
+    pub fn first(&mut self) {
+        let now = self.pool.now();
+        if let Some(sent) = &mut self.sent {
+            self.pool.fleet().on_first_token(sent, now);
+        }
+    }
+
+    /// The answer has come to its end.
+    pub fn end(mut self) {
+        let now = self.pool.now();
+        if let Some(sent) = self.sent.take() {
+            self.pool.fleet().on_end(sent, now);
+        }
+    }
+
+    /// The request failed by the server's fault.
+    pub fn fail(mut self, kind: ErrorKind) {
+        let now = self.pool.now();
+        if let Some(sent) = self.sent.take() {
+            self.pool.fleet().on_error(sent, now, kind);
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let now = self.pool.now();
+        if let Some(sent) = self.sent.take() {
+            self.pool.fleet().on_unused(sent, now);
+        }
+    }
+}
+
+/// All pools.
+#[derive(Debug)]
+pub struct Pools {
+    pools: ArcSwap<HashMap<PoolName, Arc<Pool>>>,
+    entries: ArcSwap<HashMap<ServerName, ServerEntry>>,
+    clock: Instant,
+}
+
+impl Pools {
+    /// No pools.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            pools: ArcSwap::default(),
+            entries: ArcSwap::default(),
+            clock: Instant::now(),
+        }
+    }
+
+    /// A pool.
+    #[must_use]
+    pub fn get(&self, name: &PoolName) -> Option<Arc<Pool>> {
+        self.pools.load().get(name).cloned()
+    }
+
+    /// Takes the pools of a configuration. One that is no longer declared stays for the
+    /// requests that it has.
+    pub fn set_config(&self, config: &Config, settings: &RouterSettings) {
+        let mut pools = HashMap::clone(&self.pools.load());
+        for (name, spec) in &config.pools {
+            if let Some(pool) = pools.get(name) {
+                pool.spec.store(Arc::clone(spec));
+                continue;
+            }
+            let pool = Pool::new(Arc::clone(spec), settings, self.clock);
+            pool.set_servers(&members(&self.entries.load(), name));
+            pools.insert(name.clone(), Arc::new(pool));
+        }
+        self.pools.store(Arc::new(pools));
+    }
+
+    /// Takes all servers that there are.
+    pub fn set_servers(&self, entries: HashMap<ServerName, ServerEntry>) {
+        let entries = Arc::new(entries);
+        self.entries.store(Arc::clone(&entries));
+        for (name, pool) in self.pools.load().iter() {
+            pool.set_servers(&members(&entries, name));
+        }
+    }
+}
+
+/// The servers of one pool.
+fn members<'a>(
+    entries: &'a HashMap<ServerName, ServerEntry>,
+    pool: &PoolName,
+) -> Vec<&'a ServerEntry> {
+    let members = entries.values().filter(|entry| entry.pool == *pool);
+    members.collect()
+}
+
+impl Default for Pools {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/model/config.rs
@@ -0,0 +1,58 @@
+//! One version of the configuration.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use swiftlink_types::{PoolName, Tokens, WorkspaceName};
+
+use super::table::RouteTable;
+
+/// A whole configuration; versions only grow.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its version.
+    pub version: u64,
+    /// Routes.
+    pub routes: RouteTable,
+    /// Pools of backend servers.
+    pub pools: HashMap<PoolName, Arc<PoolSpec>>,
+    /// What a caller's request may measure.
+    pub limits: RequestLimits,
+    /// Workspaces by name.
+    pub workspaces: HashMap<WorkspaceName, Arc<Workspace>>,
+    /// Workspaces by their callers' keys.
+    pub keys: HashMap<Box<str>, Arc<Workspace>>,
+}
+
+/// A pool of backend servers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PoolSpec {
+    /// Its name.
+    pub name: PoolName,
+    /// Most connections that one of its servers takes from all callers together.
+    pub connections: Option<u32>,
+    /// Most output tokens that one event of a stream holds; `None` where the servers are
+    /// no model engines.
+    pub stride: Option<u64>,
+}
+
+/// What a caller's request may measure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestLimits {
+    /// Longest body, in bytes.
+    pub body: usize,
+    /// How long a connection may be idle between requests.
+    pub idle: Duration,
+}
+
+/// A workspace: who prepays and is charged.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Workspace {
+    /// Its name.
+    pub name: WorkspaceName,
+    /// Rank of its requests, which goes before that of the route; 0 is the most urgent.
+    pub priority: Option<u8>,
+    /// Tokens that it may spend in all; `None`: as many as it likes.
+    pub prepaid: Option<Tokens>,
+}
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,79 @@
+//! What the parts of a running router share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
+
+use arc_swap::ArcSwapOption;
+
+use crate::dialect::Dialect;
+use crate::fleet::Pools;
+use crate::model::Config;
+use crate::rights::Books;
+use crate::settings::RouterSettings;
+
+/// State that requests read, and the tasks that keep it up to date write.
+#[derive(Debug)]
+pub struct Node {
+    /// What the router was told at its start.
+    pub settings: RouterSettings,
+    /// What callers and backend servers speak.
+    pub dialect: Arc<dyn Dialect>,
+    /// The configuration in force; `None` until one was read.
+    pub config: ArcSwapOption<Config>,
+    /// The backend servers.
+    pub pools: Pools,
+    /// Rights of the workspaces.
+    pub books: Arc<Books>,
+    /// Whether the directory of backend servers was read.
+    pub has_servers: AtomicBool,
+    /// Whether the router was told to stop.
+    pub is_stopping: AtomicBool,
+    in_flight: AtomicUsize,
+}
+
+impl Node {
+    /// A node that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: RouterSettings, dialect: Arc<dyn Dialect>) -> Self {
+        Self {
+            books: Arc::new(Books::new(settings.parts)),
+            settings,
+            dialect,
+            config: ArcSwapOption::empty(),
+            pools: Pools::new(),
+            has_servers: AtomicBool::new(false),
+            is_stopping: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+        }
+    }
+
+    /// Whether new connections should come here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let knows = self.config.load().is_some() && self.has_servers.load(Relaxed);
+        knows && !self.is_stopping.load(Relaxed)
+    }
+
+    /// Requests that are being served.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Relaxed)
+    }
+
+    /// Counts a request as being served while the guard lives.
+    #[must_use]
+    pub fn enter(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Relaxed);
+        InFlight(Arc::clone(self))
+    }
+}
+
+/// A request that is being served.
+#[derive(Debug)]
+pub struct InFlight(Arc<Node>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/proof.rs
@@ -0,0 +1,84 @@
+//! What the outcome of a send proves.
+//!
+//! This is the only place that decides whether a request may be sent again and whether a
+//! refusal may say that it has not run.
+
+use crate::model::Replay;
+
+/// How one send to a backend server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// No connection could be made.
+    NotConnected,
+    /// The connection was closed before a byte of the request was written.
+    NotWritten,
+    /// The server refused, and says that it did not run the request.
+    Shed,
+    /// Another server has the address by now.
+    Misdirected,
+    /// The connection broke after the request was written, before an answer.
+    Lost,
+    /// No answer came in time.
+    Silent,
+    /// The answer belongs to another request.
+    Stray,
+    /// The answer's body broke off.
+    Truncated,
+    /// The server answered with a failure of its own.
+    Failed,
+    /// The server answered with success.
+    Served,
+}
+
+/// Whether the request has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ran {
+    /// It has not, and will not.
+    No,
+    /// It may have, or may still.
+    Maybe,
+    /// It has.
+    Yes,
+}
+
+impl Outcome {
+    /// Whether the request has run at the server.
+    #[must_use]
+    pub fn ran(self) -> Ran {
+        match self {
+            Self::NotConnected | Self::NotWritten | Self::Shed | Self::Misdirected => Ran::No,
+            Self::Lost | Self::Silent | Self::Stray => Ran::Maybe,
+            Self::Truncated | Self::Failed | Self::Served => Ran::Yes,
+        }
+    }
+
+    /// Whether the request may be sent to another server.
+    #[must_use]
+    pub fn may_retry(self, replay: Replay) -> bool {
+        match (self, replay) {
+            (Self::Served, _) => false,
+            (_, Replay::Whole) => true,
+            // A failure that a server made for a stream is its answer.
+            (Self::Failed, _) => false,
+            (_, Replay::Resume) => true,
+            (_, Replay::Never) => self.ran() == Ran::No,
+        }
+    }
+
+    /// Its name in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotConnected => "not_connected",
+            Self::NotWritten => "not_written",
+            Self::Shed => "shed",
+            Self::Misdirected => "misdirected",
+            Self::Lost => "lost",
+            Self::Silent => "silent",
+            Self::Stray => "stray",
+            Self::Truncated => "truncated",
+            Self::Failed => "failed",
+            Self::Served => "served",
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/rights/account.rs
@@ -0,0 +1,161 @@
+//! The account of one workspace, and how a router changes it. No I/O.
+
+use swiftlink_types::Tokens;
+use swiftlink_wire::rights::{Account, Holder};
+
+/// Part of what is left that routers hold; the rest is free for those who run short.
+/// After a loss of all machines half of what was left is there.
+const HELD_PART: f64 = 0.5;
+/// Rights are held for so many seconds of the rate of use, at most: a cut from the store
+/// lasts about nine on the users' deployments.
+const AHEAD_SECS: f64 = 20.0;
+/// Routers that an account is shared between at least, until they show: the users'
+/// smaller deployments have seven and eight.
+const ROUTERS: usize = 8;
+/// Part of its share that a router without any demand holds.
+const IDLE_PART: f64 = 0.5;
+/// A router gives rights back from this multiple of its target on.
+const EXCESS: f64 = 1.3;
+/// A router asks for more below this part of its target.
+const SHORT: f64 = 0.8;
+/// Part of what it holds that a router may spend before it says so.
+const STALE_PART: f64 = 0.1;
+
+/// A router's side of an account.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stake {
+    /// Its VM.
+    pub vm: String,
+    /// Its process.
+    pub process: u64,
+    /// The most that it spends, since its start.
+    pub granted: Tokens,
+    /// What it has spent.
+    pub charged: Tokens,
+    /// Tokens that running requests hold.
+    pub reserved: Tokens,
+    /// Tokens a second that are asked for.
+    pub rate: u64,
+    /// Tokens that the largest waiting request lacks rights for; 0 when none waits.
+    pub need: Tokens,
+}
+
+/// What to write, and what the router may spend once it is written.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// The account's new state.
+    pub account: Account,
+    /// The router's rights in it.
+    pub granted: Tokens,
+}
+
+/// What is left of `prepaid` by what all routers say that they have spent.
+#[must_use]
+pub fn rest(account: &Account, prepaid: Tokens) -> Tokens {
+    let charged: Tokens = account.holders.iter().map(|holder| holder.charged).sum();
+    prepaid.saturating_sub(account.closed + charged)
+}
+
+/// The router's rights as the account has them.
+#[must_use]
+pub fn granted(account: &Account, process: u64) -> Option<Tokens> {
+    let holder = account
+        .holders
+        .iter()
+        .find(|holder| holder.process == process)?;
+    Some(holder.granted)
+}
+
+/// How `stake` changes the account, if it should.
+#[must_use]
+pub fn adjust(account: &Account, prepaid: Tokens, stake: &Stake) -> Option<Change> {
+    let mut base = without(account, stake);
+    let target = target(&base, prepaid, stake);
+    let unspent = stake.granted.saturating_sub(stake.charged);
+    let granted = stake.charged + resize(unspent, target, stake);
+    let known = account
+        .holders
+        .iter()
+        .find(|holder| holder.process == stake.process);
+    let is_due = match known {
+        None => true,
+        Some(known) => {
+            let unsaid = stake.charged.saturating_sub(known.charged);
+            granted != known.granted || unsaid as f64 > target as f64 * STALE_PART
+        }
+    };
+    if !is_due {
+        return None;
+    }
+    base.holders.push(Holder {
+        vm: stake.vm.clone(),
+        process: stake.process,
+        granted,
+        charged: stake.charged,
+        rate: stake.rate,
+    });
+    Some(Change {
+        account: base,
+        granted,
+    })
+}
+
+/// The account without this router, which has ended its work.
+#[must_use]
+pub fn close(account: &Account, stake: &Stake) -> Account {
+    let mut base = without(account, stake);
+    base.closed += stake.charged;
+    base
+}
+
+/// The account without this VM: what an earlier process on it held counts as spent.
+fn without(account: &Account, stake: &Stake) -> Account {
+    let mut base = Account {
+        closed: account.closed,
+        holders: Vec::with_capacity(account.holders.len() + 1),
+    };
+    for holder in &account.holders {
+        if holder.process == stake.process {
+            continue;
+        }
+        if holder.vm == stake.vm {
+            base.closed += holder.granted;
+            continue;
+        }
+        base.holders.push(holder.clone());
+    }
+    base
+}
+
+/// Unspent tokens that the router should hold.
+fn target(others: &Account, prepaid: Tokens, stake: &Stake) -> Tokens {
+    let held: Tokens = others.holders.iter().map(|holder| holder.granted).sum();
+    let free = prepaid.saturating_sub(others.closed + held + stake.charged);
+    let left = rest(others, prepaid).saturating_sub(stake.charged);
+    let count = (others.holders.len() + 1).max(ROUTERS) as f64;
+    let rates: u64 = others.holders.iter().map(|holder| holder.rate).sum();
+    let even = 1.0 / count;
+    let weight = if stake.rate + rates == 0 {
+        even
+    } else {
+        let by_rate = stake.rate as f64 / (stake.rate + rates) as f64;
+        (even + by_rate) / 2.0
+    };
+    let share = left as f64 * HELD_PART * weight;
+    let ahead = (stake.rate as f64 * AHEAD_SECS).max(share * IDLE_PART);
+    let wanted = share.min(ahead) as Tokens;
+    let least = stake.reserved + stake.need;
+    wanted.max(least).min(free).max(stake.reserved)
+}
+
+/// The router's unspent tokens after the change. Small differences aren't worth a call.
+fn resize(unspent: Tokens, target: Tokens, stake: &Stake) -> Tokens {
+    let is_short = (unspent as f64) < target as f64 * SHORT;
+    let is_excess = unspent as f64 > target as f64 * EXCESS;
+    let is_needed = stake.need > 0 && unspent < stake.reserved + stake.need;
+    if is_short || is_excess || is_needed {
+        target
+    } else {
+        unspent
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/rights/book.rs
@@ -0,0 +1,244 @@
+//! A router's rights on each workspace, in memory.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use swiftlink_admission::Grant;
+use swiftlink_types::{Tokens, WorkspaceName};
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout_at};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::dialect::Usage;
+use crate::model::Config;
+
+/// `prepaid` of a workspace that may spend as much as it likes.
+const UNBOUNDED: Tokens = Tokens::MAX;
+
+/// One workspace's rights at this router.
+#[derive(Debug)]
+pub struct Book {
+    /// The workspace.
+    pub workspace: WorkspaceName,
+    /// What may be spent here.
+    pub grant: Arc<Grant>,
+    prepaid: AtomicU64,
+    /// The largest request that waits for rights.
+    need: AtomicU64,
+    /// What is left in the whole fleet, as last read.
+    rest: AtomicU64,
+    /// Grows with each reading of the account.
+    readings: AtomicU64,
+    /// Told when rights came or the account was read.
+    changed: Notify,
+    /// Wakes the task that claims.
+    wanted: Arc<Notify>,
+}
+
+/// Why a request gets no rights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoRights {
+    /// What is left in the whole fleet doesn't cover it.
+    Spent {
+        /// Tokens left.
+        rest: Tokens,
+    },
+    /// Other routers hold what is left, or the store can't be reached.
+    Elsewhere,
+}
+
+impl Book {
+    fn new(workspace: WorkspaceName, wanted: Arc<Notify>) -> Self {
+        Self {
+            workspace,
+            grant: Arc::new(Grant::new()),
+            prepaid: AtomicU64::new(0),
+            need: AtomicU64::new(0),
+            rest: AtomicU64::new(UNBOUNDED),
+            readings: AtomicU64::new(0),
+            changed: Notify::new(),
+            wanted,
+        }
+    }
+
+    /// Tokens that the workspace may spend in all.
+    #[must_use]
+    pub fn prepaid(&self) -> Tokens {
+        self.prepaid.load(Relaxed)
+    }
+
+    /// Takes the largest waiting request; it is forgotten.
+    pub(super) fn take_need(&self) -> Tokens {
+        self.need.swap(0, Relaxed)
+    }
+
+    /// Notes that the account was read and what it leaves.
+    pub(super) fn on_reading(&self, rest: Tokens) {
+        self.rest.store(rest, Relaxed);
+        self.readings.fetch_add(1, Relaxed);
+        self.changed.notify_waiters();
+    }
+
+    /// Reserves the most that `usage` can cost, waiting up to `wait` for rights.
+    ///
+    /// # Errors
+    /// When there are none.
+    pub async fn reserve(
+        self: &Arc<Self>,
+        usage: Usage,
+        wait: Duration,
+    ) -> Result<Spend, NoRights> {
+        let cost = usage.prompt + usage.output;
+        if let Some(spend) = self.try_reserve(usage, cost) {
+            return Ok(spend);
+        }
+        let until = Instant::now() + wait;
+        let readings = self.readings.load(Relaxed);
+        self.grant.miss(cost);
+        loop {
+            let changed = self.changed.notified();
+            self.need.fetch_max(cost, Relaxed);
+            self.wanted.notify_one();
+            let is_over = timeout_at(until, changed).await.is_err();
+            if let Some(spend) = self.try_reserve(usage, cost) {
+                return Ok(spend);
+            }
+            let rest = self.rest.load(Relaxed);
+            let is_fresh = self.readings.load(Relaxed) != readings;
+            if is_fresh && rest < cost {
+                return Err(NoRights::Spent { rest });
+            }
+            if is_over {
+                return Err(NoRights::Elsewhere);
+            }
+        }
+    }
+
+    fn try_reserve(self: &Arc<Self>, usage: Usage, cost: Tokens) -> Option<Spend> {
+        self.grant.reserve(cost)?;
+        Some(Spend {
+            book: Arc::clone(self),
+            usage,
+            reserved: cost,
+            prompt: 0,
+            output: 0,
+        })
+    }
+}
+
+/// Rights that one request holds. When it is dropped, what was not spent is free again.
+#[derive(Debug)]
+pub struct Spend {
+    book: Arc<Book>,
+    usage: Usage,
+    reserved: Tokens,
+    prompt: Tokens,
+    output: Tokens,
+}
+
+impl Spend {
+    /// The request may run: its prompt is spent.
+    pub fn ran(&mut self) {
+        self.prompt = self.usage.prompt;
+    }
+
+    /// It certainly hasn't run after all.
+    pub fn not_run(&mut self) {
+        self.prompt = 0;
+    }
+
+    /// Output tokens that the caller may have by now.
+    pub fn delivered(&mut self, output: Tokens) {
+        self.output = output.min(self.usage.output);
+    }
+
+    /// Tokens spent so far.
+    #[must_use]
+    pub fn spent(&self) -> Tokens {
+        self.prompt + self.output
+    }
+}
+
+impl Drop for Spend {
+    fn drop(&mut self) {
+        let spent = self.spent();
+        self.book.grant.settle(self.reserved, spent);
+    }
+}
+
+/// All books of a router.
+#[derive(Debug)]
+pub struct Books {
+    books: ArcSwap<HashMap<WorkspaceName, Arc<Book>>>,
+    /// By partition: wakes its claim task.
+    wanted: Vec<Arc<Notify>>,
+}
+
+impl Books {
+    /// No books; accounts are spread over `parts` partitions.
+    #[must_use]
+    pub fn new(parts: u32) -> Self {
+        let wanted = (0..parts.max(1)).map(|_| Arc::new(Notify::new()));
+        Self {
+            books: ArcSwap::default(),
+            wanted: wanted.collect(),
+        }
+    }
+
+    /// Partition that holds the account of a workspace.
+    #[must_use]
+    pub fn part(&self, workspace: &WorkspaceName) -> u32 {
+        let hash = xxh3_64(workspace.as_str().as_bytes());
+        (hash % self.wanted.len() as u64) as u32
+    }
+
+    /// Takes the workspaces of a configuration. Books of workspaces that are gone stay:
+    /// what was spent on them may have to be told.
+    pub fn set_config(&self, config: &Config) {
+        let mut books = HashMap::clone(&self.books.load());
+        for (name, workspace) in &config.workspaces {
+            let Some(prepaid) = workspace.prepaid else {
+                books.remove(name);
+                continue;
+            };
+            let wanted = &self.wanted[self.part(name) as usize];
+            let book = books
+                .entry(name.clone())
+                .or_insert_with(|| Arc::new(Book::new(name.clone(), Arc::clone(wanted))));
+            book.prepaid.store(prepaid, Relaxed);
+        }
+        self.books.store(Arc::new(books));
+        for wanted in &self.wanted {
+            wanted.notify_one();
+        }
+    }
+
+    /// The book of a workspace; `None` when it may spend as much as it likes.
+    #[must_use]
+    pub fn get(&self, workspace: &WorkspaceName) -> Option<Arc<Book>> {
+        self.books.load().get(workspace).cloned()
+    }
+
+    /// Books whose accounts are in `part`.
+    #[must_use]
+    pub fn in_part(&self, part: u32) -> Vec<Arc<Book>> {
+        let books = self.books.load();
+        let books = books
+            .values()
+            .filter(|book| self.part(&book.workspace) == part);
+        books.cloned().collect()
+    }
+
+    pub(super) fn wanted(&self, part: u32) -> Arc<Notify> {
+        Arc::clone(&self.wanted[part as usize])
+    }
+
+    /// Number of partitions.
+    #[must_use]
+    pub fn parts(&self) -> u32 {
+        self.wanted.len() as u32
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/rights/claim.rs
@@ -0,0 +1,385 @@
+//! The tasks that change accounts on the store, one for each partition.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message;
+use swiftlink_telemetry::event;
+use swiftlink_types::{Tokens, VmName, WorkspaceName};
+use swiftlink_wire::rights::Account;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::account::{self, Stake};
+use super::book::{Book, Books};
+use crate::store::{Feed, Store, StoreError};
+
+/// Time between looks at the accounts of a partition.
+const PERIOD: Duration = Duration::from_secs(1);
+/// Shortest time between two rounds: waiting requests wake the task more often.
+const PAUSE: Duration = Duration::from_millis(20);
+/// First pause after the store failed; doubles up to [`PERIOD`].
+const BACKOFF: Duration = Duration::from_millis(100);
+/// Longest random pause after another router was faster; doubles with each time.
+const CONTEND: Duration = Duration::from_millis(8);
+/// Times that a round starts anew because another router was faster.
+const TRIES: u32 = 10;
+/// Weight of a second's use in the average rate.
+const GAIN: f64 = 0.3;
+
+/// The running tasks.
+#[derive(Debug)]
+pub struct Claims {
+    tasks: JoinSet<()>,
+    stop: CancellationToken,
+}
+
+impl Claims {
+    /// Starts a task for each partition; `process` tells this process from others on
+    /// its VM.
+    #[must_use]
+    pub fn spawn(books: &Arc<Books>, store: &Arc<dyn Store>, vm: &VmName, process: u64) -> Self {
+        let stop = CancellationToken::new();
+        let mut tasks = JoinSet::new();
+        for part in 0..books.parts() {
+            let task = Part {
+                feed: Feed::Rights(part),
+                books: Arc::clone(books),
+                part,
+                store: Arc::clone(store),
+                vm: vm.clone(),
+                process,
+                seen: None,
+                rates: HashMap::new(),
+            };
+            let wanted = books.wanted(part);
+            tasks.spawn(task.run(wanted, stop.clone()));
+        }
+        Self { tasks, stop }
+    }
+
+    /// Gives all rights back and ends the tasks, within `grace`.
+    pub async fn stop(mut self, grace: Duration) {
+        self.stop.cancel();
+        let all = async { while self.tasks.join_next().await.is_some() {} };
+        if timeout(grace, all).await.is_err() {
+            event!(warn, "rights.kept", reason = "store gave no answer in time");
+        }
+        self.tasks.shutdown().await;
+    }
+}
+
+/// A partition as last read.
+#[derive(Debug, Default)]
+struct Seen {
+    end: u64,
+    accounts: HashMap<WorkspaceName, Account>,
+}
+
+/// Use of one workspace's rights.
+#[derive(Debug)]
+struct Rate {
+    asked: Tokens,
+    at: Instant,
+    value: f64,
+}
+
+struct Part {
+    feed: Feed,
+    books: Arc<Books>,
+    part: u32,
+    store: Arc<dyn Store>,
+    vm: VmName,
+    process: u64,
+    seen: Option<Seen>,
+    rates: HashMap<WorkspaceName, Rate>,
+}
+
+impl Part {
+    async fn run(mut self, wanted: Arc<Notify>, stop: CancellationToken) {
+        let mut backoff = BACKOFF;
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => break,
+                () = wanted.notified() => {}
+                () = sleep(PERIOD.mul_f64(0.8 + 0.4 * rand::random::<f64>())) => {}
+            }
+            let pause = match self.round().await {
+                Ok(()) => {
+                    backoff = BACKOFF;
+                    PAUSE
+                }
+                Err(error) => {
+                    event!(warn, "rights.unchanged", feed = self.feed, error = error);
+                    let pause = backoff;
+                    backoff = (backoff * 2).min(PERIOD);
+                    pause
+                }
+            };
+            tokio::select! {
+                () = stop.cancelled() => break,
+                () = sleep(pause) => {}
+            }
+        }
+        if let Err(error) = self.close().await {
+            event!(warn, "rights.kept", feed = self.feed, error = error);
+        }
+    }
+
+    /// Brings the accounts of this partition up to date.
+    async fn round(&mut self) -> Result<(), StoreError> {
+        let books = self.books.in_part(self.part);
+        if books.is_empty() {
+            return Ok(());
+        }
+        for book in &books {
+            self.follow_rate(book);
+        }
+        let mut needs: HashMap<WorkspaceName, Tokens> = HashMap::new();
+        for attempt in 0..TRIES {
+            if self.seen.is_none() {
+                self.read_all(&books).await?;
+            }
+            for book in &books {
+                let need = needs.entry(book.workspace.clone()).or_default();
+                *need = (*need).max(book.take_need());
+            }
+            match self.write(&books, &needs).await {
+                Err(StoreError::Conflict { .. }) => {
+                    let most = CONTEND * 2_u32.pow(attempt.min(4));
+                    sleep(most.mul_f64(rand::random())).await;
+                    self.read_news(&books).await?;
+                }
+                result => return result,
+            }
+        }
+        Err(StoreError::Refused("other routers were faster".to_owned()))
+    }
+
+    /// Writes what should change. Rights that are given back are out of use before.
+    async fn write(
+        &mut self,
+        books: &[Arc<Book>],
+        needs: &HashMap<WorkspaceName, Tokens>,
+    ) -> Result<(), StoreError> {
+        let Some(seen) = &self.seen else {
+            return Ok(());
+        };
+        let mut records = Vec::new();
+        let mut changes = Vec::new();
+        for book in books {
+            let account = seen
+                .accounts
+                .get(&book.workspace)
+                .cloned()
+                .unwrap_or_default();
+            let need = needs.get(&book.workspace).copied().unwrap_or(0);
+            let stake = self.stake(book, need);
+            let Some(change) = account::adjust(&account, book.prepaid(), &stake) else {
+                book.on_reading(account::rest(&account, book.prepaid()));
+                continue;
+            };
+            let mut change = change;
+            if change.granted < stake.granted {
+                give_back(book, &stake, &mut change, self.process);
+            }
+            records.push(record(&book.workspace, &change.account));
+            changes.push((Arc::clone(book), change));
+        }
+        if records.is_empty() {
+            return Ok(());
+        }
+        let at = seen.end;
+        let end = self.store.append_at(self.feed, at, &records).await?;
+        if let Some(seen) = &mut self.seen {
+            seen.end = end;
+            for (book, change) in &changes {
+                let account = change.account.clone();
+                seen.accounts.insert(book.workspace.clone(), account);
+            }
+        }
+        for (book, change) in changes {
+            self.accept(&book, change.granted);
+            book.on_reading(account::rest(&change.account, book.prepaid()));
+        }
+        Ok(())
+    }
+
+    /// The router may spend `granted` from now on.
+    fn accept(&self, book: &Book, granted: Tokens) {
+        let held = held(book);
+        if granted > held {
+            book.grant.credit(granted - held);
+        }
+        if granted != held {
+            event!(
+                debug,
+                "rights.changed",
+                workspace = book.workspace,
+                granted = granted,
+                before = held,
+                prepaid = book.prepaid(),
+            );
+        }
+    }
+
+    async fn read_all(&mut self, books: &[Arc<Book>]) -> Result<(), StoreError> {
+        let page = self.store.newest(self.feed).await?;
+        self.seen = Some(Seen {
+            end: page.end,
+            accounts: HashMap::new(),
+        });
+        self.take(page.records, books);
+        Ok(())
+    }
+
+    /// Reads what others wrote since. The feed has moved on, so an append of ours that
+    /// had no answer is in it by now or never will be.
+    async fn read_news(&mut self, books: &[Arc<Book>]) -> Result<(), StoreError> {
+        let Some(seen) = &self.seen else {
+            return self.read_all(books).await;
+        };
+        let from = seen.end;
+        match self.store.read(self.feed, from, Duration::ZERO).await {
+            Ok(page) => {
+                if let Some(seen) = &mut self.seen {
+                    seen.end = page.end.max(from);
+                }
+                self.take(page.records, books);
+                Ok(())
+            }
+            Err(StoreError::Trimmed { .. }) => self.read_all(books).await,
+            Err(error) => Err(error),
+        }
+    }
+
+    fn take(&mut self, records: Vec<crate::store::Record>, books: &[Arc<Book>]) {
+        let Some(seen) = &mut self.seen else {
+            return;
+        };
+        for record in records {
+            let Some(value) = record.value else {
+                continue;
+            };
+            match Account::decode(value) {
+                Ok(account) => {
+                    let workspace = WorkspaceName::from(record.key);
+                    seen.accounts.insert(workspace, account);
+                }
+                Err(error) => {
+                    event!(error, "rights.unreadable", key = record.key, error = error);
+                }
+            }
+        }
+        for book in books {
+            let Some(account) = self
+                .seen
+                .as_ref()
+                .and_then(|s| s.accounts.get(&book.workspace))
+            else {
+                continue;
+            };
+            let rest = account::rest(account, book.prepaid());
+            if let Some(granted) = account::granted(account, self.process) {
+                self.accept(book, granted);
+            }
+            book.on_reading(rest);
+        }
+    }
+
+    /// Gives back all rights that no request holds, and says what was spent.
+    async fn close(&mut self) -> Result<(), StoreError> {
+        let books = self.books.in_part(self.part);
+        for _attempt in 0..TRIES {
+            let Some(seen) = &self.seen else {
+                return Ok(());
+            };
+            let mut records = Vec::new();
+            for book in &books {
+                let counters = book.grant.counters();
+                book.grant.shrink(counters.available);
+                let Some(account) = seen.accounts.get(&book.workspace) else {
+                    continue;
+                };
+                if account::granted(account, self.process).is_none() {
+                    continue;
+                }
+                let mut stake = self.stake(book, 0);
+                // What a request still holds is counted as spent.
+                stake.charged += stake.reserved;
+                records.push(record(&book.workspace, &account::close(account, &stake)));
+            }
+            if records.is_empty() {
+                return Ok(());
+            }
+            match self.store.append_at(self.feed, seen.end, &records).await {
+                Err(StoreError::Conflict { .. }) => self.read_news(&[]).await?,
+                result => return result.map(drop),
+            }
+        }
+        Err(StoreError::Refused("other routers were faster".to_owned()))
+    }
+
+    fn stake(&self, book: &Book, need: Tokens) -> Stake {
+        let counters = book.grant.counters();
+        let rate = self
+            .rates
+            .get(&book.workspace)
+            .map_or(0.0, |rate| rate.value);
+        Stake {
+            vm: self.vm.to_string(),
+            process: self.process,
+            granted: held(book),
+            charged: counters.charged,
+            reserved: counters.reserved,
+            rate: rate as u64,
+            need,
+        }
+    }
+
+    fn follow_rate(&mut self, book: &Book) {
+        let demand = book.grant.demand();
+        let asked = (demand.taken + demand.missed).saturating_sub(demand.unspent);
+        let now = Instant::now();
+        let rate = self.rates.entry(book.workspace.clone()).or_insert(Rate {
+            asked,
+            at: now,
+            value: 0.0,
+        });
+        let time = now.duration_since(rate.at).as_secs_f64();
+        if time < PERIOD.as_secs_f64() / 2.0 {
+            return;
+        }
+        let sample = asked.saturating_sub(rate.asked) as f64 / time;
+        rate.value += GAIN * (sample - rate.value);
+        rate.asked = asked;
+        rate.at = now;
+    }
+}
+
+/// The most that the router spends, since its start.
+fn held(book: &Book) -> Tokens {
+    let counters = book.grant.counters();
+    counters.granted.saturating_sub(counters.returned)
+}
+
+/// Takes rights out of use before they are given back. Requests may have taken some in
+/// the meantime; the change is made to fit.
+fn give_back(book: &Book, stake: &Stake, change: &mut account::Change, process: u64) {
+    let excess = stake.granted - change.granted;
+    let taken = book.grant.shrink(excess);
+    change.granted = stake.granted - taken;
+    for holder in &mut change.account.holders {
+        if holder.process == process {
+            holder.granted = change.granted;
+        }
+    }
+}
+
+fn record(workspace: &WorkspaceName, account: &Account) -> (String, Bytes) {
+    (workspace.to_string(), Bytes::from(account.encode_to_vec()))
+}
--- /dev/null
+++ b/crates/gateway/src/rights/mod.rs
@@ -0,0 +1,18 @@
+//! Rights: how much of each workspace's prepaid tokens this router may spend.
+//!
+//! What a workspace prepaid is shared out between routers. An [`account`] on the store
+//! says how much each may spend; it changes only by appends on condition, so two routers
+//! never get the same tokens. A router spends from its own part without a message
+//! ([`book`]), and the [`claim`] tasks change the accounts: more rights where they run
+//! short, fewer where others need them, and what was spent.
+//!
+//! Rights don't lapse with time, so no clock is trusted and a router that was frozen or
+//! cut off may go on with what it has. They end when their process does: the next
+//! process on the same VM counts all that its predecessor held as spent.
+
+pub mod account;
+mod book;
+mod claim;
+
+pub use book::{Book, Books, NoRights, Spend};
+pub use claim::Claims;
--- /dev/null
+++ b/crates/gateway/src/router.rs
@@ -0,0 +1,127 @@
+//! A running router process.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use swiftlink_shell::Shell;
+use swiftlink_shell::web::{Limits, WebServer};
+use swiftlink_telemetry::event;
+use tokio::task::JoinSet;
+
+use crate::catalog::Catalog;
+use crate::dialect::Dialect;
+use crate::node::Node;
+use crate::ready::Readiness;
+use crate::rights::Claims;
+use crate::serve::Surface;
+use crate::settings::RouterSettings;
+use crate::store::Store;
+use crate::{stop, watch};
+
+/// How long a connection may be idle. Callers reuse connections for up to four fifths of
+/// the limit in the configuration, which on the users' deployments is 15 s.
+const IDLE: Duration = Duration::from_secs(90);
+/// How long the head of a request may take.
+const HEAD: Duration = Duration::from_secs(10);
+/// How long a caller may take no data.
+const STALL: Duration = Duration::from_secs(10);
+
+/// What a deployment brings.
+#[derive(Clone, Debug)]
+pub struct Adapter {
+    /// What callers and backend servers speak.
+    pub dialect: Arc<dyn Dialect>,
+    /// Where what must last lives.
+    pub store: Arc<dyn Store>,
+    /// How it is written down there.
+    pub catalog: Arc<dyn Catalog>,
+}
+
+/// A router while it runs.
+#[derive(Debug)]
+pub struct Router {
+    pub(crate) node: Arc<Node>,
+    pub(crate) callers: WebServer,
+    pub(crate) readiness: WebServer,
+    pub(crate) claims: Claims,
+    pub(crate) tasks: JoinSet<()>,
+}
+
+/// Runs a router until its shell is told to stop.
+///
+/// # Errors
+/// When an address can't be bound.
+pub async fn run(settings: RouterSettings, adapter: Adapter, shell: Shell) -> anyhow::Result<()> {
+    let stopped = shell.stopped();
+    let router = Router::open(settings, adapter)?;
+    event!(
+        info,
+        "router.serving",
+        callers = router.callers.address(),
+        readiness = router.readiness.address(),
+    );
+    stopped.await;
+    router.stop().await;
+    Ok(())
+}
+
+impl Router {
+    /// Binds the addresses and starts everything.
+    ///
+    /// # Errors
+    /// When an address can't be bound.
+    pub fn open(settings: RouterSettings, adapter: Adapter) -> anyhow::Result<Self> {
+        let callers = TcpListener::bind(settings.callers)
+            .with_context(|| format!("binding the callers' address {}", settings.callers))?;
+        let readiness = TcpListener::bind(settings.readiness)
+            .with_context(|| format!("binding the readiness address {}", settings.readiness))?;
+        let limits = limits(&settings);
+        let node = Arc::new(Node::new(settings, adapter.dialect));
+        let mut tasks = JoinSet::new();
+        watch::spawn(&mut tasks, &node, &adapter.store, &adapter.catalog);
+        let process = rand::random();
+        let claims = Claims::spawn(&node.books, &adapter.store, &node.settings.vm, process);
+        let surface = Arc::new(Surface(Arc::clone(&node)));
+        let callers =
+            WebServer::bind(callers, limits, surface).context("starting the callers' listener")?;
+        let limits = Limits {
+            workers: 1,
+            connections: 16,
+            ..Limits::default()
+        };
+        let ready = Arc::new(Readiness(Arc::clone(&node)));
+        let readiness =
+            WebServer::bind(readiness, limits, ready).context("starting the readiness listener")?;
+        Ok(Self {
+            node,
+            callers,
+            readiness,
+            claims,
+            tasks,
+        })
+    }
+
+    /// What its parts share.
+    #[must_use]
+    pub fn node(&self) -> &Arc<Node> {
+        &self.node
+    }
+
+    /// Stops in an orderly way, within the grace of the settings.
+    pub async fn stop(self) {
+        stop::stop(self).await;
+    }
+}
+
+fn limits(settings: &RouterSettings) -> Limits {
+    Limits {
+        workers: settings.workers,
+        connections: settings.connections,
+        idle: IDLE,
+        head: HEAD,
+        stall: STALL,
+        ..Limits::default()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve/attempt.rs
@@ -0,0 +1,132 @@
+//! One send of a request to one backend server.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, response};
+use http_body_util::Full;
+use hyper::body::Incoming as Body;
+use swiftlink_routing::ErrorKind;
+use tokio::time::Instant;
+
+use super::journey::Journey;
+use crate::dialect::{Order, Verdict};
+use crate::fleet::{Chosen, Ticket};
+use crate::proof::{Outcome, Ran};
+use crate::upstream::{Lease, SendError, SendOptions, send};
+
+/// Longest time for a new connection; within a region it takes a millisecond or two.
+const CONNECT: Duration = Duration::from_millis(400);
+
+/// The head of an answer that belongs to the request, and what is to come.
+pub(super) struct Reply {
+    pub(super) head: response::Parts,
+    pub(super) body: Body,
+    pub(super) lease: Lease,
+    pub(super) ticket: Ticket,
+    pub(super) server: Chosen,
+    /// `Served` or `Failed`.
+    pub(super) outcome: Outcome,
+}
+
+/// Sends the request once. `until`: when to give the server up.
+pub(super) async fn attempt(
+    journey: &Journey,
+    server: Chosen,
+    mut ticket: Ticket,
+    resume: Option<u64>,
+    until: Instant,
+) -> Result<Reply, Outcome> {
+    let request = build(journey, &server, resume);
+    let now = Instant::now();
+    let options = SendOptions {
+        connect: CONNECT.min(until.saturating_duration_since(now)),
+        head: until.saturating_duration_since(now),
+        fresh: false,
+    };
+    let answer = match send(server.address, request, options).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            let (outcome, kind) = match error {
+                SendError::NotSent(_) => (Outcome::NotConnected, ErrorKind::Connect),
+                SendError::Lost(_) => (Outcome::Lost, ErrorKind::Broken),
+                SendError::Silent => (Outcome::Silent, ErrorKind::Timeout),
+            };
+            ticket.fail(kind);
+            return Err(outcome);
+        }
+    };
+    let (response, mut lease) = answer.split();
+    let (head, body) = response.into_parts();
+    let dialect = &journey.node.dialect;
+    if let Some(report) = dialect.load(&head.headers) {
+        journey.pool.on_report(ticket.idx, report);
+    }
+    let verdict = dialect.verdict(journey.ask.id.as_ref(), head.status, &head.headers);
+    let outcome = match verdict {
+        Verdict::Shed => Outcome::Shed,
+        Verdict::Misdirected => Outcome::Misdirected,
+        Verdict::Stray => Outcome::Stray,
+        Verdict::Served => Outcome::Served,
+        Verdict::Failed => Outcome::Failed,
+    };
+    match outcome {
+        Outcome::Stray => ticket.fail(ErrorKind::Broken),
+        Outcome::Misdirected => ticket.fail(ErrorKind::Connect),
+        Outcome::Shed => {
+            if let Some(keep) = dialect.keep(&head.headers) {
+                finish(body, &mut lease, keep).await;
+            }
+            drop(ticket);
+        }
+        _ => {
+            if outcome.ran() == Ran::Yes && !journey.is_stream() {
+                ticket.first();
+            }
+            return Ok(Reply {
+                head,
+                body,
+                lease,
+                ticket,
+                server,
+                outcome,
+            });
+        }
+    }
+    Err(outcome)
+}
+
+/// Reads the short body of a refusal, so that its connection can be used again.
+async fn finish(body: Body, lease: &mut Lease, keep: Duration) {
+    use http_body_util::{BodyExt, Limited};
+    /// Longest body that is read for the sake of its connection, in bytes.
+    const SHORT: usize = 4_096;
+    /// Longest wait for it.
+    const WAIT: Duration = Duration::from_millis(20);
+    let rest = Limited::new(body, SHORT).collect();
+    if let Ok(Ok(_body)) = tokio::time::timeout(WAIT, rest).await {
+        lease.recycle_for(keep);
+    }
+}
+
+fn build(journey: &Journey, server: &Chosen, resume: Option<u64>) -> Request<Full<Bytes>> {
+    let parcel = &journey.parcel;
+    let workspace = journey.workspace.as_deref();
+    let priority = workspace.and_then(|workspace| workspace.priority);
+    let order = Order {
+        server: &server.name,
+        workspace: workspace.map(|workspace| &workspace.name),
+        left: journey.left(),
+        priority: Some(priority.unwrap_or(journey.route.priority)),
+        resume,
+    };
+    let headers = journey
+        .node
+        .dialect
+        .request_headers(&parcel.headers, &order);
+    let mut request = Request::new(Full::new(parcel.body.clone()));
+    *request.method_mut() = parcel.method.clone();
+    *request.uri_mut() = parcel.uri.clone();
+    *request.headers_mut() = headers;
+    request
+}
--- /dev/null
+++ b/crates/gateway/src/serve/journey.rs
@@ -0,0 +1,277 @@
+//! A request from its first send to the head of its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::CONNECTION;
+use http::{HeaderMap, Method, Uri};
+use http_body_util::{BodyExt, Limited};
+use swiftlink_routing::{ErrorKind, ServerIdx};
+use swiftlink_shell::web::{Body, Response};
+use swiftlink_telemetry::event;
+use tokio::time::{Instant, timeout_at};
+
+use super::attempt::{Reply, attempt};
+use super::refuse::Refusal;
+use super::relay;
+use crate::dialect::Ask;
+use crate::fleet::Pool;
+use crate::model::{Replay, Route, RouteKind, Workspace};
+use crate::node::{InFlight, Node};
+use crate::proof::{Outcome, Ran};
+use crate::rights::Spend;
+
+/// Most servers that one request is offered to, also when none of them ran it.
+const OFFERS: usize = 4;
+/// Longest answer that is read whole before it is handed on, in bytes: one that breaks
+/// off can then be replaced by another or by an honest failure.
+const WHOLE: u64 = 256 * 1024;
+/// How long an idle connection is kept when the server doesn't say.
+const KEEP: Duration = Duration::from_secs(4);
+
+/// A caller's request, as it is sent on.
+#[derive(Debug)]
+pub(super) struct Parcel {
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+/// A request that has its rights, and what is known of it.
+#[derive(Debug)]
+pub(super) struct Journey {
+    pub(super) node: Arc<Node>,
+    pub(super) pool: Arc<Pool>,
+    pub(super) route: Arc<Route>,
+    pub(super) workspace: Option<Arc<Workspace>>,
+    pub(super) parcel: Parcel,
+    pub(super) ask: Ask,
+    pub(super) spend: Option<Spend>,
+    pub(super) start: Instant,
+    pub(super) deadline: Instant,
+}
+
+/// Sends so far.
+#[derive(Debug, Default)]
+pub(super) struct Trail {
+    tried: Vec<ServerIdx>,
+    /// Servers that may have run it.
+    runs: u32,
+}
+
+impl Journey {
+    /// Whether the answer is a stream of events.
+    pub(super) fn is_stream(&self) -> bool {
+        self.route.kind == RouteKind::Streaming
+    }
+
+    /// Time until the deadline.
+    pub(super) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Id of the request, for logs.
+    pub(super) fn id(&self) -> &str {
+        let id = self.ask.id.as_ref();
+        id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
+
+    /// How long the connection of an answer may be kept.
+    pub(super) fn keep(&self, head: &HeaderMap) -> Option<Duration> {
+        let is_last = head.get(CONNECTION);
+        if is_last.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close")) {
+            return None;
+        }
+        Some(self.node.dialect.keep(head).unwrap_or(KEEP))
+    }
+
+    /// Serves the request.
+    pub(super) async fn run(mut self, guard: InFlight) -> Response {
+        let mut trail = Trail::default();
+        loop {
+            let reply = match self.dispatch(&mut trail, self.ask.resume).await {
+                Ok(reply) => reply,
+                Err(refusal) => return self.refuse(refusal, &trail),
+            };
+            if self.is_stream() && reply.outcome == Outcome::Served {
+                return relay::stream(self, trail, reply, guard);
+            }
+            match self.whole(&mut trail, reply).await {
+                Ok(response) => return response,
+                Err(Some(refusal)) => return self.refuse(refusal, &trail),
+                Err(None) => {}
+            }
+        }
+    }
+
+    /// Sends the request until a server answers it.
+    pub(super) async fn dispatch(
+        &mut self,
+        trail: &mut Trail,
+        resume: Option<u64>,
+    ) -> Result<Reply, Refusal> {
+        loop {
+            let Some((server, ticket)) = self.pool.send(self.ask.prefix, &trail.tried) else {
+                return Err(trail.give_up());
+            };
+            let idx = ticket.idx;
+            let until = self.until(trail);
+            if let Some(spend) = &mut self.spend {
+                spend.ran();
+            }
+            let name = server.name.clone();
+            let outcome = match attempt(self, server, ticket, resume, until).await {
+                Ok(reply) => {
+                    trail.tried.push(idx);
+                    trail.runs += 1;
+                    return Ok(reply);
+                }
+                Err(outcome) => outcome,
+            };
+            trail.tried.push(idx);
+            self.note(trail, outcome);
+            event!(
+                info,
+                "request.send_failed",
+                id = self.id(),
+                server = name,
+                outcome = outcome.as_str(),
+                attempt = trail.tried.len(),
+                left_ms = self.left().as_millis(),
+            );
+            if !self.may_retry(trail, outcome) {
+                return Err(trail.give_up());
+            }
+        }
+    }
+
+    /// Keeps count of a failed send.
+    fn note(&mut self, trail: &mut Trail, outcome: Outcome) {
+        if outcome.ran() != Ran::No {
+            trail.runs += 1;
+        }
+        if trail.runs > 0 {
+            return;
+        }
+        if let Some(spend) = &mut self.spend {
+            spend.not_run();
+        }
+    }
+
+    /// Whether the request may be sent once more, and the fleet's retries allow it.
+    pub(super) fn may_retry(&self, trail: &Trail, outcome: Outcome) -> bool {
+        let may = outcome.may_retry(self.route.replay())
+            && trail.runs < self.route.attempts.max(1)
+            && trail.tried.len() < OFFERS
+            && !self.left().is_zero();
+        may && self.pool.retries.take()
+    }
+
+    /// When to give up waiting for a server's head: where another may be asked, half of
+    /// the time is left for it.
+    fn until(&self, trail: &Trail) -> Instant {
+        let is_last = trail.runs + 1 >= self.route.attempts;
+        if self.route.replay() == Replay::Never || is_last {
+            return self.deadline;
+        }
+        Instant::now() + self.left() / 2
+    }
+
+    /// Reads an answer that isn't a stream and makes the caller's answer of it. `None`:
+    /// send it again.
+    async fn whole(&self, trail: &mut Trail, reply: Reply) -> Result<Response, Option<Refusal>> {
+        let Reply {
+            head,
+            body,
+            mut lease,
+            ticket,
+            server,
+            outcome,
+        } = reply;
+        if outcome == Outcome::Failed && self.may_retry(trail, outcome) {
+            event!(
+                info,
+                "request.failed",
+                id = self.id(),
+                server = server.name,
+                status = head.status.as_u16(),
+                next = "another server",
+            );
+            ticket.fail(ErrorKind::Status);
+            return Err(None);
+        }
+        let whole = Limited::new(body, WHOLE as usize).collect();
+        let body = match timeout_at(self.deadline, whole).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) => {
+                event!(
+                    info,
+                    "request.truncated",
+                    id = self.id(),
+                    server = server.name,
+                    error = error,
+                );
+                ticket.fail(ErrorKind::Broken);
+                if self.may_retry(trail, Outcome::Truncated) {
+                    return Err(None);
+                }
+                return Err(Some(Refusal::Lost));
+            }
+            Err(_elapsed) => return Err(Some(Refusal::Timeout)),
+        };
+        if let Some(keep) = self.keep(&head.headers) {
+            lease.recycle_for(keep);
+        }
+        match outcome {
+            Outcome::Failed => ticket.fail(ErrorKind::Status),
+            _ => ticket.end(),
+        }
+        event!(
+            info,
+            "request.answered",
+            id = self.id(),
+            route = self.route.name,
+            server = server.name,
+            status = head.status.as_u16(),
+            attempts = trail.tried.len(),
+            ms = self.start.elapsed().as_millis(),
+        );
+        let mut response = Response::new(Body::full(body));
+        *response.status_mut() = head.status;
+        *response.headers_mut() = self.node.dialect.response_headers(&head.headers);
+        Ok(response)
+    }
+
+    /// The router's own answer.
+    pub(super) fn refuse(&self, refusal: Refusal, trail: &Trail) -> Response {
+        event!(
+            info,
+            "request.refused",
+            id = self.id(),
+            route = self.route.name,
+            reason = refusal.as_str(),
+            attempts = trail.tried.len(),
+            runs = trail.runs,
+            open = self.pool.open(),
+            ms = self.start.elapsed().as_millis(),
+        );
+        refusal.response()
+    }
+}
+
+impl Trail {
+    /// Number of sends.
+    pub(super) fn sends(&self) -> usize {
+        self.tried.len()
+    }
+
+    /// What the caller hears when the request isn't sent again.
+    fn give_up(&self) -> Refusal {
+        if self.runs == 0 {
+            return Refusal::NoServer;
+        }
+        Refusal::Lost
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve/refuse.rs
@@ -0,0 +1,99 @@
+//! Answers that the router gives by itself.
+
+use std::time::Duration;
+
+use http::header::RETRY_AFTER;
+use http::{HeaderValue, StatusCode};
+use swiftlink_shell::web::{Response, problem};
+
+/// Why a request isn't served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Refusal {
+    /// The router has no configuration yet.
+    NotReady,
+    /// The headers make no sense.
+    Malformed,
+    /// No route takes it.
+    NoRoute,
+    /// The route's requests need a key that a workspace has.
+    NoKey,
+    /// Longer than the limit.
+    TooLarge,
+    /// The caller sent its body too slowly.
+    Slow,
+    /// What the workspace has left doesn't cover it.
+    Spent,
+    /// Other routers hold the rights that are left.
+    NoRights,
+    /// No server takes it now; it has not run.
+    NoServer,
+    /// It may have run, and there is no answer.
+    Lost,
+    /// It may have run, and no answer came in time.
+    Timeout,
+}
+
+/// When rights that others hold may be back: a round of claims takes about a second.
+const RIGHTS_WAIT: Duration = Duration::from_millis(500);
+/// When a server may take work again: a few steps of a batch, or a new server.
+const SERVER_WAIT: Duration = Duration::from_millis(250);
+/// When a starting router may be ready.
+const START_WAIT: Duration = Duration::from_millis(500);
+
+impl Refusal {
+    /// Status of the answer. Only those for requests that have not run and never will
+    /// are among 408, 429 and 503.
+    pub(super) fn status(self) -> StatusCode {
+        match self {
+            Self::NotReady | Self::NoServer => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoKey => StatusCode::UNAUTHORIZED,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Slow => StatusCode::REQUEST_TIMEOUT,
+            Self::Spent => StatusCode::PAYMENT_REQUIRED,
+            Self::NoRights => StatusCode::TOO_MANY_REQUESTS,
+            Self::Lost => StatusCode::BAD_GATEWAY,
+            Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// When the caller may come back.
+    fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::NotReady => Some(START_WAIT),
+            Self::NoServer => Some(SERVER_WAIT),
+            Self::NoRights => Some(RIGHTS_WAIT),
+            _ => None,
+        }
+    }
+
+    /// Name in logs.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::NotReady => "not_ready",
+            Self::Malformed => "malformed",
+            Self::NoRoute => "no_route",
+            Self::NoKey => "no_key",
+            Self::TooLarge => "too_large",
+            Self::Slow => "slow_body",
+            Self::Spent => "budget_spent",
+            Self::NoRights => "no_rights",
+            Self::NoServer => "no_server",
+            Self::Lost => "lost",
+            Self::Timeout => "timeout",
+        }
+    }
+
+    /// The answer.
+    pub(super) fn response(self) -> Response {
+        let mut response = problem(self.status(), self.as_str());
+        if let Some(after) = self.retry_after() {
+            let secs = format!("{:.3}", after.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&secs) {
+                response.headers_mut().insert(RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve/surface.rs
@@ -0,0 +1,131 @@
+//! Takes callers' requests.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use http::header::HOST;
+use swiftlink_shell::web::{BodyError, Incoming, Response, Service};
+use swiftlink_telemetry::event;
+use tokio::time::Instant;
+
+use super::journey::{Journey, Parcel};
+use super::refuse::Refusal;
+use crate::dialect::Ask;
+use crate::model::{Config, Route, Workspace};
+use crate::node::Node;
+use crate::rights::{NoRights, Spend};
+
+/// Longest wait for rights, as a part of the time to the answer that the caller hopes
+/// for. A refusal after more than a quarter of it counts as late on the users' bench.
+const RIGHTS_PART: u32 = 5;
+/// Time that a request has when neither its caller nor its route says.
+const TIME: Duration = Duration::from_secs(60);
+
+/// Serves callers.
+#[derive(Debug)]
+pub struct Surface(pub Arc<Node>);
+
+#[async_trait(?Send)]
+impl Service for Surface {
+    async fn call(&self, request: Incoming) -> Response {
+        let start = Instant::now();
+        let guard = self.0.enter();
+        let id = request.headers().get(self.0.dialect.id_header()).cloned();
+        match self.serve(request, start).await {
+            Ok(journey) => journey.run(guard).await,
+            Err(refusal) => {
+                let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
+                let ms = start.elapsed().as_millis();
+                let reason = refusal.as_str();
+                event!(info, "request.refused", id = id, reason = reason, ms = ms);
+                refusal.response()
+            }
+        }
+    }
+}
+
+impl Surface {
+    /// All that is decided before a request is sent.
+    async fn serve(&self, mut request: Incoming, start: Instant) -> Result<Journey, Refusal> {
+        let node = &self.0;
+        let config = node.config.load_full().ok_or(Refusal::NotReady)?;
+        let route = find_route(&config, &request).ok_or(Refusal::NoRoute)?;
+        let ask = node.dialect.ask(request.headers());
+        let ask = ask.map_err(|_reason| Refusal::Malformed)?;
+        let workspace = find_workspace(&config, &route, &ask)?;
+        let body = request
+            .body(config.limits.body)
+            .await
+            .map_err(refuse_body)?;
+        let time = ask.deadline.unwrap_or(TIME).min(route.timeout);
+        let spend = self.reserve(&route, workspace.as_deref(), &ask).await?;
+        let target = route.target(rand::random()).ok_or(Refusal::NoServer)?;
+        let pool = node.pools.get(&target.pool).ok_or(Refusal::NoServer)?;
+        pool.retries.on_success();
+        Ok(Journey {
+            node: Arc::clone(node),
+            pool,
+            route,
+            workspace,
+            parcel: Parcel {
+                method: request.method().clone(),
+                uri: request.uri().clone(),
+                headers: request.headers().clone(),
+                body,
+            },
+            ask,
+            spend,
+            start,
+            deadline: start + time,
+        })
+    }
+
+    /// Reserves the most that the request can cost.
+    async fn reserve(
+        &self,
+        route: &Route,
+        workspace: Option<&Workspace>,
+        ask: &Ask,
+    ) -> Result<Option<Spend>, Refusal> {
+        let (Some(workspace), Some(usage)) = (workspace, ask.usage) else {
+            return Ok(None);
+        };
+        let Some(book) = self.0.books.get(&workspace.name) else {
+            return Ok(None);
+        };
+        let wait = route.aim / RIGHTS_PART;
+        match book.reserve(usage, wait).await {
+            Ok(spend) => Ok(Some(spend)),
+            Err(NoRights::Spent { .. }) => Err(Refusal::Spent),
+            Err(NoRights::Elsewhere) => Err(Refusal::NoRights),
+        }
+    }
+}
+
+fn find_route(config: &Config, request: &Incoming) -> Option<Arc<Route>> {
+    let host = request.header(HOST.as_str())?;
+    let route = config.routes.find(host, request.uri().path())?;
+    Some(Arc::clone(route))
+}
+
+/// The workspace that is charged; none on a public route without a known key.
+fn find_workspace(
+    config: &Config,
+    route: &Route,
+    ask: &Ask,
+) -> Result<Option<Arc<Workspace>>, Refusal> {
+    let known = ask.key.as_deref().and_then(|key| config.keys.get(key));
+    if known.is_none() && !route.public && !config.keys.is_empty() {
+        return Err(Refusal::NoKey);
+    }
+    Ok(known.cloned())
+}
+
+fn refuse_body(error: BodyError) -> Refusal {
+    match error {
+        BodyError::TooLarge => Refusal::TooLarge,
+        BodyError::Timeout => Refusal::Slow,
+        BodyError::Broken => Refusal::Malformed,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,40 @@
+//! What a router is told at its start.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use swiftlink_types::{DomainName, VmName};
+
+/// Settings of a router, as the adapter found them.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    /// VM that it runs on.
+    pub vm: VmName,
+    /// Failure domain of the VM.
+    pub domain: DomainName,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether it is ready.
+    pub readiness: SocketAddr,
+    /// Worker threads that serve callers.
+    pub workers: usize,
+    /// Most open connections of callers.
+    pub connections: usize,
+    /// Time between SIGTERM and the forced end.
+    pub grace: Duration,
+    /// How many retries the whole fleet may send.
+    pub retries: RetryTerms,
+    /// Partitions of the accounts' feed.
+    pub parts: u32,
+    /// Whether a draining or lapsed server must get no new work after this time.
+    pub lapse: Duration,
+}
+
+/// How many retries the whole fleet may send to a pool.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryTerms {
+    /// Retries for each request.
+    pub ratio: f64,
+    /// Retries in one window beyond that.
+    pub slack: f64,
+}
--- /dev/null
+++ b/crates/gateway/src/store.rs
@@ -0,0 +1,104 @@
+//! The border to the platform's store, where what must last lives.
+
+use std::fmt;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+
+/// A sequence of keyed records on the store; the newest record of each key is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Feed {
+    /// The operators' configuration.
+    Config,
+    /// The backend servers' own entries.
+    Servers,
+    /// Accounts of budgets, in one of several partitions.
+    Rights(u32),
+}
+
+impl fmt::Display for Feed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Config => f.write_str("config"),
+            Self::Servers => f.write_str("servers"),
+            Self::Rights(part) => write!(f, "rights-{part}"),
+        }
+    }
+}
+
+/// A record of a feed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// Its place in the feed.
+    pub offset: u64,
+    /// What it is about.
+    pub key: String,
+    /// What it says; `None` removes the key.
+    pub value: Option<Bytes>,
+}
+
+/// Records, and where the feed ended when they were read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The records, by offset.
+    pub records: Vec<Record>,
+    /// Offset that the next record gets.
+    pub end: u64,
+}
+
+/// Why the store did not do what it was asked to.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    /// It refused, or was certainly not reached: nothing was done.
+    #[error("not done: {0}")]
+    Refused(String),
+    /// No usable answer: a write may have been done, or may be done later while its
+    /// condition holds.
+    #[error("no answer: {0}")]
+    Unknown(String),
+    /// The feed ends elsewhere than the append's condition says.
+    #[error("the feed ends at {end}")]
+    Conflict {
+        /// Where it ends.
+        end: u64,
+    },
+    /// The offset asked for is no longer kept.
+    #[error("records from offset {first} on only")]
+    Trimmed {
+        /// Oldest offset that is kept.
+        first: u64,
+    },
+    /// An answer that makes no sense.
+    #[error("unexpected answer: {0}")]
+    Protocol(String),
+}
+
+/// The platform's store.
+#[async_trait]
+pub trait Store: fmt::Debug + Send + Sync {
+    /// Records from `from` on. Waits up to `wait` for the first one.
+    ///
+    /// # Errors
+    /// [`StoreError::Trimmed`] when `from` is no longer kept; else when it can't be read.
+    async fn read(&self, feed: Feed, from: u64, wait: Duration) -> Result<Page, StoreError>;
+
+    /// The newest record of each key. Records after the page's end are missing, others
+    /// may be newer than it.
+    ///
+    /// # Errors
+    /// When it can't be read.
+    async fn newest(&self, feed: Feed) -> Result<Page, StoreError>;
+
+    /// Appends all of `records` (key and value), if the feed ends at `at`. Gives the new end.
+    ///
+    /// # Errors
+    /// [`StoreError::Conflict`] when it ends elsewhere; after [`StoreError::Unknown`] the
+    /// append may have been done or be done later.
+    async fn append_at(
+        &self,
+        feed: Feed,
+        at: u64,
+        records: &[(String, Bytes)],
+    ) -> Result<u64, StoreError>;
+}
--- a/crates/router/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -17,10 +17,13 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// Idle connections kept per thread and address.
 const IDLE_MAX: usize = 64;
+/// How long an idle connection is kept when the other side doesn't say how long it
+/// keeps it.
+const IDLE_TIME: Duration = Duration::from_secs(60);
 
 /// Why no answer head came back.
 #[derive(Debug, thiserror::Error)]
@@ -31,12 +34,33 @@
     /// The request was sent, in part or in whole, and no answer came back.
     #[error("lost after sending: {0}")]
     Lost(String),
+    /// The request was sent, and no answer came in time.
+    #[error("no answer in time")]
+    Silent,
+}
+
+impl SendError {
+    /// What happened, for logs and answers.
+    #[must_use]
+    pub fn why(&self) -> &str {
+        match self {
+            Self::NotSent(why) | Self::Lost(why) => why,
+            Self::Silent => "no answer in time",
+        }
+    }
 }
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// A connection that no request uses.
+struct Idle {
+    sender: Sender,
+    /// The other side may close it from then on.
+    until: Instant,
+}
+
 thread_local! {
-    static IDLE: RefCell<HashMap<SocketAddr, Vec<Sender>>> = RefCell::new(HashMap::new());
+    static IDLE: RefCell<HashMap<SocketAddr, Vec<Idle>>> = RefCell::new(HashMap::new());
 }
 
 /// An answer whose body is still to be read.
@@ -72,6 +96,11 @@
 impl Lease {
     /// Keeps the connection for the next request; call it once the body has ended.
     pub fn recycle(&mut self) {
+        self.recycle_for(IDLE_TIME);
+    }
+
+    /// Like [`Self::recycle`], for no longer than `keep`.
+    pub fn recycle_for(&mut self, keep: Duration) {
         let Some(sender) = self.sender.take() else {
             return;
         };
@@ -81,7 +110,8 @@
         IDLE.with_borrow_mut(|idle| {
             let list = idle.entry(self.address).or_default();
             if list.len() < IDLE_MAX {
-                list.push(sender);
+                let until = Instant::now() + keep;
+                list.push(Idle { sender, until });
             }
         });
     }
@@ -102,7 +132,7 @@
 /// Sends `request` to `address` and waits for the answer's head.
 ///
 /// # Errors
-/// See [`SendError`]; a timeout after sending is [`SendError::Lost`].
+/// See [`SendError`].
 pub async fn send(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
@@ -118,6 +148,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(Failed::Returned(back)) => request = *back,
                 Err(Failed::Gone(error)) => return Err(SendError::Lost(error)),
+                Err(Failed::Silent) => return Err(SendError::Silent),
             }
         }
     }
@@ -126,12 +157,14 @@
         Ok(answer) => Ok(answer),
         Err(Failed::Returned(_)) => Err(SendError::NotSent("connection closed".to_owned())),
         Err(Failed::Gone(error)) => Err(SendError::Lost(error)),
+        Err(Failed::Silent) => Err(SendError::Silent),
     }
 }
 
 enum Failed {
     Returned(Box<Request<Full<Bytes>>>),
     Gone(String),
+    Silent,
 }
 
 async fn attempt(
@@ -142,7 +175,7 @@
 ) -> Result<Answer, Failed> {
     let sent = timeout(head, sender.try_send_request(request)).await;
     let Ok(sent) = sent else {
-        return Err(Failed::Gone("no answer in time".to_owned()));
+        return Err(Failed::Silent);
     };
     match sent {
         Ok(response) => Ok(Answer {
@@ -160,9 +193,10 @@
 fn take_idle(address: SocketAddr) -> Option<Sender> {
     IDLE.with_borrow_mut(|idle| {
         let list = idle.get_mut(&address)?;
-        while let Some(sender) = list.pop() {
-            if !sender.is_closed() {
-                return Some(sender);
+        let now = Instant::now();
+        while let Some(idle) = list.pop() {
+            if !idle.sender.is_closed() && now < idle.until {
+                return Some(idle.sender);
             }
         }
         None
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -22,7 +22,7 @@
 use crate::node::Node;
 use crate::past::PastRun;
 use crate::queue::Slot;
-use crate::upstream::{Answer, SendError, send};
+use swiftlink_gateway::upstream::{Answer, SendError, send};
 
 /// When to come back after a deadline that passed before an answer.
 const LATE_RETRY: Duration = Duration::from_secs(1);
@@ -158,7 +158,8 @@
                 event!(debug, "dispatch.not-sent", server = target.name, why = why);
                 target.failed(ErrorKind::Connect);
             }
-            Err(SendError::Lost(why)) => {
+            Err(error @ (SendError::Lost(_) | SendError::Silent)) => {
+                let why = error.why();
                 event!(
                     info,
                     "dispatch.lost",
@@ -167,7 +168,7 @@
                     why = why
                 );
                 target.failed(ErrorKind::Broken);
-                may_retry(call, attempt, &why)?;
+                may_retry(call, attempt, why)?;
             }
         }
     }
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 
 use crate::reply::Piece;
-use crate::upstream::Lease;
+use swiftlink_gateway::upstream::Lease;
 
 /// Headers that concern one connection only.
 const HOP: [HeaderName; 9] = [
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -48,7 +48,7 @@
 pub mod sink;
 pub mod stop;
 pub mod surface;
-pub mod upstream;
+
 pub mod vms;
 
 pub use router::{Router, run};
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -21,7 +21,7 @@
 use crate::settle_late::{Leftover, settle_late};
 use crate::sink::{Sink, receipt};
 use crate::surface::Route;
-use crate::upstream;
+use swiftlink_gateway::upstream;
 
 /// Time that an engine gets to end a stream after it was told to.
 const CANCEL_TIME: Duration = Duration::from_secs(2);
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -23,7 +23,7 @@
 use crate::peers::Peers;
 use crate::reader::ReadOptions;
 use crate::settings::Settings;
-use crate::upstream::SendOptions;
+use swiftlink_gateway::upstream::SendOptions;
 
 /// Shared state of one router process. The request path reads it without locks,
 /// but for the short ones of a pool's queue and fleet.
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -20,7 +20,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::engine;
-use crate::upstream::{SendOptions, send};
+use swiftlink_gateway::upstream::{SendOptions, send};
 
 /// Path of a probe. Any answer is a sign of life.
 const PROBE: &str = "/health";
--- a/crates/router/src/reader.rs
+++ b/crates/router/src/reader.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::engine;
-use crate::upstream::{Answer, Lease, SendOptions, send};
+use swiftlink_gateway::upstream::{Answer, Lease, SendOptions, send};
 
 /// First and largest pause between tries to resume.
 const RETRY_BASE: Duration = Duration::from_millis(10);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -20,7 +20,7 @@
 use crate::reply::{Reply, ReplySender, pieces};
 use crate::serve::send;
 use crate::surface::{KEY, RELAY};
-use crate::upstream::{Answer, SendError, send as send_http};
+use swiftlink_gateway::upstream::{Answer, SendError, send as send_http};
 
 /// Peers that are asked for one request.
 const PEERS_MAX: usize = 2;
@@ -147,7 +147,8 @@
                 self.node.peers.note_down(address);
                 return Tried::NotRun;
             }
-            Err(SendError::Lost(why)) => {
+            Err(error @ (SendError::Lost(_) | SendError::Silent)) => {
+                let why = error.why().to_owned();
                 event!(info, "relay.lost", peer = address, why = why);
                 return Tried::Lost(why);
             }
--- a/crates/router/src/vms.rs
+++ b/crates/router/src/vms.rs
@@ -17,7 +17,7 @@
 
 use crate::engine;
 use crate::fleet::{Pool, Pools};
-use crate::upstream::{SendOptions, send};
+use swiftlink_gateway::upstream::{SendOptions, send};
 
 /// Longest body of a report (bytes).
 const BODY_MAX: usize = 4 << 20;
--- a/crates/routing/src/expected.rs
+++ b/crates/routing/src/expected.rs
@@ -229,7 +229,7 @@
 }
 
 /// Spreads the bits of a hash: both halves of a wide product.
-fn mix(hash: u64) -> u64 {
+pub(crate) fn mix(hash: u64) -> u64 {
     let wide = u128::from(hash) * SPREAD;
     (wide >> 64) as u64 ^ wide as u64
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -50,10 +50,23 @@
 /// # Errors
 /// Those of [`load`], and a failing check of the common or the daemon's own settings.
 pub fn open<T: Settings>(path: &Path) -> Result<T, SettingsError> {
+    open_checked(path, |settings: &T| {
+        settings.common().check().and_then(|()| settings.check())
+    })
+}
+
+/// Reads the TOML file at `path` into a `T` that `check` accepts.
+///
+/// # Errors
+/// Those of [`load`], and a failing check.
+pub fn open_checked<T, F>(path: &Path, check: F) -> Result<T, SettingsError>
+where
+    T: DeserializeOwned,
+    F: FnOnce(&T) -> Result<(), CheckError>,
+{
     let text = read(path)?;
     let settings: T = parse(path, &text)?;
-    let checked = settings.common().check().and_then(|()| settings.check());
-    if let Err(error) = checked {
+    if let Err(error) = check(&settings) {
         let line = locate::line_of_key(&text, &error.key);
         return Err(SettingsError::invalid(path, line, error.key, error.detail));
     }
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -18,6 +18,6 @@
 pub use admin::{Admin, Dump};
 pub use cli::{About, Command, UsageError};
 pub use report::chain;
-pub use run::{run, run_args};
+pub use run::{Identity, Source, args, run, run_args, run_source};
 pub use shell::Shell;
 pub use swiftlink_settings::{CheckError, Common, Settings};
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -1,13 +1,15 @@
 //! Entry of the daemons: command line, settings, log and metrics, runtime, and then
 //! the daemon itself until it has stopped.
 
+use std::net::SocketAddr;
 use std::panic;
 use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use anyhow::Context;
-use swiftlink_settings::Settings;
+use serde::Serialize;
+use swiftlink_settings::{Common, Settings, SettingsError};
 use swiftlink_telemetry::{Metrics, event};
 
 use crate::cli::{About, Command};
@@ -19,6 +21,28 @@
 /// How long a metric may wait in the buffer.
 const FLUSH: Duration = Duration::from_secs(1);
 
+/// What a daemon says of itself in logs and metrics.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// VM that it runs on.
+    pub vm: String,
+    /// Failure domain of the VM.
+    pub domain: String,
+    /// Lowest level of events that are logged.
+    pub log_level: String,
+    /// Address of the StatsD server, if there is one.
+    pub statsd: Option<SocketAddr>,
+}
+
+/// How a daemon's settings are read and used.
+#[derive(Debug)]
+pub struct Source<S> {
+    /// Reads and checks the settings file.
+    pub load: fn(&Path) -> Result<S, SettingsError>,
+    /// What the daemon says of itself.
+    pub identity: fn(&S) -> Identity,
+}
+
 /// Runs a daemon as the process's command line says.
 ///
 /// `start` gets the checked settings and ends when the daemon has stopped. The exit
@@ -29,11 +53,7 @@
     F: FnOnce(S, Shell) -> Fut,
     Fut: Future<Output = anyhow::Result<()>>,
 {
-    let mut args = Vec::new();
-    for arg in std::env::args_os().skip(1) {
-        args.push(arg.to_string_lossy().into_owned());
-    }
-    run_args(about, &args, start)
+    run_args(about, &args(), start)
 }
 
 /// Runs a daemon as `args` (without the program's name) say.
@@ -42,12 +62,31 @@
     S: Settings,
     F: FnOnce(S, Shell) -> Fut,
     Fut: Future<Output = anyhow::Result<()>>,
+{
+    let source = Source {
+        load: swiftlink_settings::open,
+        identity: |settings: &S| identity(settings.common()),
+    };
+    run_source(about, args, &source, start)
+}
+
+/// Runs a daemon whose settings come from `source`.
+pub fn run_source<S, F, Fut>(
+    about: About,
+    args: &[String],
+    source: &Source<S>,
+    start: F,
+) -> ExitCode
+where
+    S: Serialize,
+    F: FnOnce(S, Shell) -> Fut,
+    Fut: Future<Output = anyhow::Result<()>>,
 {
     match about.parse(args) {
         Ok(Command::Help) => print(&about.help()),
         Ok(Command::Version) => print(&about.version_line()),
-        Ok(Command::Check(file)) => check::<S>(&about, &file),
-        Ok(Command::Run(file)) => serve(&about, &file, start),
+        Ok(Command::Check(file)) => check(&about, &file, source),
+        Ok(Command::Run(file)) => serve(&about, &file, source, start),
         Err(error) => {
             let hint = format!("try `{} --help`", about.name);
             fail(&about, &format!("{error}\n{hint}"), BAD_USAGE)
@@ -55,6 +94,22 @@
     }
 }
 
+/// The process's arguments without the program's name.
+#[must_use]
+pub fn args() -> Vec<String> {
+    let args = std::env::args_os().skip(1);
+    args.map(|arg| arg.to_string_lossy().into_owned()).collect()
+}
+
+fn identity(common: &Common) -> Identity {
+    Identity {
+        vm: common.vm.clone(),
+        domain: common.domain.clone(),
+        log_level: common.log_level.clone(),
+        statsd: common.statsd,
+    }
+}
+
 fn print(text: &str) -> ExitCode {
     println!("{}", text.trim_end());
     ExitCode::SUCCESS
@@ -65,8 +120,8 @@
     ExitCode::from(code)
 }
 
-fn check<S: Settings>(about: &About, file: &Path) -> ExitCode {
-    let settings: S = match swiftlink_settings::open(file) {
+fn check<S: Serialize>(about: &About, file: &Path, source: &Source<S>) -> ExitCode {
+    let settings = match (source.load)(file) {
         Ok(settings) => settings,
         Err(error) => return fail(about, &chain(&error), BAD_USAGE),
     };
@@ -76,18 +131,18 @@
     }
 }
 
-fn serve<S, F, Fut>(about: &About, file: &Path, start: F) -> ExitCode
+fn serve<S, F, Fut>(about: &About, file: &Path, source: &Source<S>, start: F) -> ExitCode
 where
-    S: Settings,
     F: FnOnce(S, Shell) -> Fut,
     Fut: Future<Output = anyhow::Result<()>>,
 {
-    let settings: S = match swiftlink_settings::open(file) {
+    let settings = match (source.load)(file) {
         Ok(settings) => settings,
         Err(error) => return fail(about, &chain(&error), BAD_USAGE),
     };
     stop_on_panic();
-    let result = block_on(about, settings, start);
+    let identity = (source.identity)(&settings);
+    let result = block_on(about, &identity, |shell| start(settings, shell));
     drop(panic::take_hook());
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -95,27 +150,25 @@
     }
 }
 
-fn block_on<S, F, Fut>(about: &About, settings: S, start: F) -> anyhow::Result<()>
+fn block_on<F, Fut>(about: &About, identity: &Identity, start: F) -> anyhow::Result<()>
 where
-    S: Settings,
-    F: FnOnce(S, Shell) -> Fut,
+    F: FnOnce(Shell) -> Fut,
     Fut: Future<Output = anyhow::Result<()>>,
 {
-    let common = settings.common();
-    swiftlink_telemetry::init(&common.log_level).context("log level")?;
+    swiftlink_telemetry::init(&identity.log_level).context("log level")?;
     let tags = [
-        ("vm", common.vm.as_str()),
-        ("domain", common.domain.as_str()),
+        ("vm", identity.vm.as_str()),
+        ("domain", identity.domain.as_str()),
         ("process", about.name),
     ];
-    let metrics = Metrics::open(common.statsd, &tags).context("opening the metrics socket")?;
+    let metrics = Metrics::open(identity.statsd, &tags).context("opening the metrics socket")?;
     event!(
         info,
         "process.started",
         process = about.name,
         version = about.version,
-        vm = common.vm,
-        domain = common.domain,
+        vm = identity.vm,
+        domain = identity.domain,
     );
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
@@ -126,7 +179,7 @@
         let shell = Shell::new(metrics.clone());
         shell.follow_signals().context("following signals")?;
         let flushing = tokio::spawn(flush(metrics.clone()));
-        let result = start(settings, shell).await;
+        let result = start(shell).await;
         flushing.abort();
         result
     });
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,8 +1,9 @@
 //! Generated protobuf types of the log records and of the link messages.
 //!
-//! The sources are `proto/log.proto` (what stands on the platform's log) and
-//! `proto/link.proto` (what passes between processes); the comments there are
-//! the specification. `tools/codegen` writes `src/generated`, which is committed
+//! The sources are `proto/log.proto` (what stands on the platform's log),
+//! `proto/link.proto` (what passes between processes) and `proto/rights.proto` (what a
+//! fleet keeps of its budgets on the platform's store); the comments there are the
+//! specification. `tools/codegen` writes `src/generated`, which is committed
 //! so that the build needs no generator.
 //!
 //! Reading order: `Incarnation`, `Batch` and `Record` in `log.proto`, which all else
@@ -20,3 +21,9 @@
 pub mod link {
     include!("generated/swiftlink.link.rs");
 }
+
+/// The account of a budget on the platform's store.
+#[allow(missing_docs, clippy::all, reason = "generated code")]
+pub mod rights {
+    include!("generated/swiftlink.rights.rs");
+}
--- a/tools/codegen/src/main.rs
+++ b/tools/codegen/src/main.rs
@@ -11,8 +11,12 @@
 
 const PROTO_DIR: &str = "crates/wire/proto";
 const OUT_DIR: &str = "crates/wire/src/generated";
-const PROTOS: [&str; 2] = ["log.proto", "link.proto"];
-const OUTPUTS: [&str; 2] = ["swiftlink.log.rs", "swiftlink.link.rs"];
+const PROTOS: [&str; 3] = ["log.proto", "link.proto", "rights.proto"];
+const OUTPUTS: [&str; 3] = [
+    "swiftlink.log.rs",
+    "swiftlink.link.rs",
+    "swiftlink.rights.rs",
+];
 
 fn main() -> Result<()> {
     let check = std::env::args().any(|arg| arg == "--check");
