rights: read accounts in each round, and give back what others wait for

Cause: a router looked at an account only when it wrote to it.

Change: a round begins with a read; accounts lie in two partitions, so that it is one call for all of a partition; a holder says what its requests lack, and the others give back what isn't in use; shares go by the rate of use but for a tenth. An append without an answer now keeps its router from taking rights back while it may still be done.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -24,6 +24,15 @@
     pub resume: Option<u64>,
 }
 
+impl Ask {
+    /// The request's id, for logs.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        let id = self.id.as_ref();
+        id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
+}
+
 /// What a request may consume, in tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Usage {
--- a/crates/gateway/src/rights/account.rs
+++ b/crates/gateway/src/rights/account.rs
@@ -12,8 +12,10 @@
 /// Routers that an account is shared between at least, until they show: the users'
 /// smaller deployments have seven and eight.
 const ROUTERS: usize = 8;
-/// Part of its share that a router without any demand holds.
-const IDLE_PART: f64 = 0.5;
+/// Part of the shares that is dealt evenly, for callers who come to another router; the
+/// rest goes by the rate of use. Callers mostly stay at their router: the largest
+/// workspace of the users' sites uses one alone.
+const EVEN_PART: f64 = 0.1;
 /// A router gives rights back from this multiple of its target on.
 const EXCESS: f64 = 1.3;
 /// A router asks for more below this part of its target.
@@ -81,7 +83,9 @@
         None => true,
         Some(known) => {
             let unsaid = stake.charged.saturating_sub(known.charged);
-            granted != known.granted || unsaid as f64 > target as f64 * STALE_PART
+            granted != known.granted
+                || known.need != stake.need
+                || unsaid as f64 > target as f64 * STALE_PART
         }
     };
     if !is_due {
@@ -93,6 +97,7 @@
         granted,
         charged: stake.charged,
         rate: stake.rate,
+        need: stake.need,
     });
     Some(Change {
         account: base,
@@ -129,23 +134,33 @@
 
 /// Unspent tokens that the router should hold.
 fn target(others: &Account, prepaid: Tokens, stake: &Stake) -> Tokens {
-    let held: Tokens = others.holders.iter().map(|holder| holder.granted).sum();
-    let free = prepaid.saturating_sub(others.closed + held + stake.charged);
+    let most = free(others, prepaid, stake.charged);
     let left = rest(others, prepaid).saturating_sub(stake.charged);
     let count = (others.holders.len() + 1).max(ROUTERS) as f64;
     let rates: u64 = others.holders.iter().map(|holder| holder.rate).sum();
-    let even = 1.0 / count;
-    let weight = if stake.rate + rates == 0 {
+    let even = left as f64 * HELD_PART / count;
+    let wanted = if stake.rate + rates == 0 {
         even
     } else {
         let by_rate = stake.rate as f64 / (stake.rate + rates) as f64;
-        (even + by_rate) / 2.0
+        let share = left as f64 * HELD_PART * (1.0 - EVEN_PART) * by_rate;
+        share.min(stake.rate as f64 * AHEAD_SECS) + even * EVEN_PART
+    };
+    let missing: Tokens = others.holders.iter().map(|holder| holder.need).sum();
+    let wanted = if missing > free(others, prepaid, stake.granted) {
+        // Others wait for what is held here: all that isn't used goes back.
+        0
+    } else {
+        wanted as Tokens
     };
-    let share = left as f64 * HELD_PART * weight;
-    let ahead = (stake.rate as f64 * AHEAD_SECS).max(share * IDLE_PART);
-    let wanted = share.min(ahead) as Tokens;
     let least = stake.reserved + stake.need;
-    wanted.max(least).min(free).max(stake.reserved)
+    wanted.max(least).min(most).max(stake.reserved)
+}
+
+/// What nobody holds when this router holds nothing but what it has spent.
+fn free(others: &Account, prepaid: Tokens, charged: Tokens) -> Tokens {
+    let held: Tokens = others.holders.iter().map(|holder| holder.granted).sum();
+    prepaid.saturating_sub(others.closed + held + charged)
 }
 
 /// The router's unspent tokens after the change. Small differences aren't worth a call.
--- a/crates/gateway/src/rights/book.rs
+++ b/crates/gateway/src/rights/book.rs
@@ -15,6 +15,10 @@
 use crate::dialect::Usage;
 use crate::model::Config;
 
+/// Partitions that accounts are spread over. All accounts of a partition are read and
+/// written in one call, so few partitions mean few calls; more of them mean that appends
+/// of different routers meet less often.
+const PARTS: u32 = 2;
 /// `prepaid` of a workspace that may spend as much as it likes.
 const UNBOUNDED: Tokens = Tokens::MAX;
 
@@ -70,6 +74,12 @@
         self.prepaid.load(Relaxed)
     }
 
+    /// What is left in the whole fleet, as last read from the account.
+    #[must_use]
+    pub fn rest(&self) -> Tokens {
+        self.rest.load(Relaxed)
+    }
+
     /// Takes the largest waiting request; it is forgotten.
     pub(super) fn take_need(&self) -> Tokens {
         self.need.swap(0, Relaxed)
@@ -178,10 +188,10 @@
 }
 
 impl Books {
-    /// No books; accounts are spread over `parts` partitions.
+    /// No books; accounts are spread over at most `parts` partitions.
     #[must_use]
     pub fn new(parts: u32) -> Self {
-        let wanted = (0..parts.max(1)).map(|_| Arc::new(Notify::new()));
+        let wanted = (0..parts.clamp(1, PARTS)).map(|_| Arc::new(Notify::new()));
         Self {
             books: ArcSwap::default(),
             wanted: wanted.collect(),
--- a/crates/gateway/src/rights/claim.rs
+++ b/crates/gateway/src/rights/claim.rs
@@ -18,18 +18,27 @@
 use super::book::{Book, Books};
 use crate::store::{Feed, Store, StoreError};
 
-/// Time between looks at the accounts of a partition.
-const PERIOD: Duration = Duration::from_secs(1);
+/// Time between looks at the accounts of a partition for each router, so that appends of
+/// many routers seldom meet: one takes about 5 ms.
+const PERIOD_EACH: Duration = Duration::from_millis(40);
+/// Shortest time between looks that nobody waits for.
+const PERIOD_MIN: Duration = Duration::from_millis(500);
+/// Longest time between looks.
+const PERIOD_MAX: Duration = Duration::from_secs(4);
 /// Shortest time between two rounds: waiting requests wake the task more often.
-const PAUSE: Duration = Duration::from_millis(20);
-/// First pause after the store failed; doubles up to [`PERIOD`].
+const PAUSE: Duration = Duration::from_millis(100);
+/// First pause after the store failed; doubles up to [`BACKOFF_MAX`].
 const BACKOFF: Duration = Duration::from_millis(100);
+/// Longest pause after the store failed.
+const BACKOFF_MAX: Duration = Duration::from_secs(1);
+/// Shortest time over which the rate of use is taken.
+const RATE_TIME: Duration = Duration::from_millis(400);
 /// Longest random pause after another router was faster; doubles with each time.
 const CONTEND: Duration = Duration::from_millis(8);
 /// Times that a round starts anew because another router was faster.
 const TRIES: u32 = 10;
-/// Weight of a second's use in the average rate.
-const GAIN: f64 = 0.3;
+/// Time over which the rate of use is averaged, in seconds.
+const AVERAGE_SECS: f64 = 3.0;
 
 /// The running tasks.
 #[derive(Debug)]
@@ -54,6 +63,7 @@
                 vm: vm.clone(),
                 process,
                 seen: None,
+                unresolved: None,
                 rates: HashMap::new(),
             };
             let wanted = books.wanted(part);
@@ -96,6 +106,9 @@
     vm: VmName,
     process: u64,
     seen: Option<Seen>,
+    /// Condition of an append that had no answer: while the feed ends there, it may still
+    /// be done, and rights that it gives back must not be used.
+    unresolved: Option<u64>,
     rates: HashMap<WorkspaceName, Rate>,
 }
 
@@ -106,7 +119,7 @@
             tokio::select! {
                 () = stop.cancelled() => break,
                 () = wanted.notified() => {}
-                () = sleep(PERIOD.mul_f64(0.8 + 0.4 * rand::random::<f64>())) => {}
+                () = sleep(self.period()) => {}
             }
             let pause = match self.round().await {
                 Ok(()) => {
@@ -116,7 +129,7 @@
                 Err(error) => {
                     event!(warn, "rights.unchanged", feed = self.feed, error = error);
                     let pause = backoff;
-                    backoff = (backoff * 2).min(PERIOD);
+                    backoff = (backoff * 2).min(BACKOFF_MAX);
                     pause
                 }
             };
@@ -130,6 +143,15 @@
         }
     }
 
+    /// Time until the next look, drawn so that routers don't meet again and again.
+    fn period(&self) -> Duration {
+        let accounts = self.seen.iter().flat_map(|seen| seen.accounts.values());
+        let routers = accounts.map(|account| account.holders.len()).max();
+        let period = PERIOD_EACH * routers.unwrap_or(0) as u32;
+        let period = period.clamp(PERIOD_MIN, PERIOD_MAX);
+        period.mul_f64(0.8 + 0.4 * rand::random::<f64>())
+    }
+
     /// Brings the accounts of this partition up to date.
     async fn round(&mut self) -> Result<(), StoreError> {
         let books = self.books.in_part(self.part);
@@ -140,10 +162,8 @@
             self.follow_rate(book);
         }
         let mut needs: HashMap<WorkspaceName, Tokens> = HashMap::new();
+        self.read_news(&books).await?;
         for attempt in 0..TRIES {
-            if self.seen.is_none() {
-                self.read_all(&books).await?;
-            }
             for book in &books {
                 let need = needs.entry(book.workspace.clone()).or_default();
                 *need = (*need).max(book.take_need());
@@ -194,7 +214,13 @@
             return Ok(());
         }
         let at = seen.end;
-        let end = self.store.append_at(self.feed, at, &records).await?;
+        let appended = self.store.append_at(self.feed, at, &records).await;
+        self.unresolved = match appended {
+            Err(StoreError::Unknown(_) | StoreError::Protocol(_)) => Some(at),
+            Err(_) => self.unresolved,
+            Ok(_) => None,
+        };
+        let end = appended?;
         if let Some(seen) = &mut self.seen {
             seen.end = end;
             for (book, change) in &changes {
@@ -216,12 +242,15 @@
             book.grant.credit(granted - held);
         }
         if granted != held {
+            let counters = book.grant.counters();
             event!(
-                debug,
+                info,
                 "rights.changed",
                 workspace = book.workspace,
                 granted = granted,
                 before = held,
+                charged = counters.charged,
+                reserved = counters.reserved,
                 prepaid = book.prepaid(),
             );
         }
@@ -229,16 +258,20 @@
 
     async fn read_all(&mut self, books: &[Arc<Book>]) -> Result<(), StoreError> {
         let page = self.store.newest(self.feed).await?;
+        let known = self.seen.take().unwrap_or_default();
+        if self.unresolved.is_some_and(|at| page.end > at) {
+            self.unresolved = None;
+        }
         self.seen = Some(Seen {
-            end: page.end,
-            accounts: HashMap::new(),
+            end: page.end.max(known.end),
+            accounts: known.accounts,
         });
         self.take(page.records, books);
         Ok(())
     }
 
-    /// Reads what others wrote since. The feed has moved on, so an append of ours that
-    /// had no answer is in it by now or never will be.
+    /// Reads what others wrote since. Once the feed has moved on, an append of ours that
+    /// had no answer is in it or never will be.
     async fn read_news(&mut self, books: &[Arc<Book>]) -> Result<(), StoreError> {
         let Some(seen) = &self.seen else {
             return self.read_all(books).await;
@@ -246,8 +279,12 @@
         let from = seen.end;
         match self.store.read(self.feed, from, Duration::ZERO).await {
             Ok(page) => {
+                let end = page.end.max(from);
                 if let Some(seen) = &mut self.seen {
-                    seen.end = page.end.max(from);
+                    seen.end = end;
+                }
+                if self.unresolved.is_some_and(|at| end > at) {
+                    self.unresolved = None;
                 }
                 self.take(page.records, books);
                 Ok(())
@@ -284,7 +321,8 @@
                 continue;
             };
             let rest = account::rest(account, book.prepaid());
-            if let Some(granted) = account::granted(account, self.process) {
+            let granted = account::granted(account, self.process);
+            if let (Some(granted), None) = (granted, self.unresolved) {
                 self.accept(book, granted);
             }
             book.on_reading(rest);
@@ -351,11 +389,11 @@
             value: 0.0,
         });
         let time = now.duration_since(rate.at).as_secs_f64();
-        if time < PERIOD.as_secs_f64() / 2.0 {
+        if time < RATE_TIME.as_secs_f64() {
             return;
         }
         let sample = asked.saturating_sub(rate.asked) as f64 / time;
-        rate.value += GAIN * (sample - rate.value);
+        rate.value += (1.0 - (-time / AVERAGE_SECS).exp()) * (sample - rate.value);
         rate.asked = asked;
         rate.at = now;
     }
--- a/crates/gateway/src/serve/journey.rs
+++ b/crates/gateway/src/serve/journey.rs
@@ -74,8 +74,7 @@
 
     /// Id of the request, for logs.
     pub(super) fn id(&self) -> &str {
-        let id = self.ask.id.as_ref();
-        id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+        self.ask.id()
     }
 
     /// How long the connection of an answer may be kept.
--- a/crates/gateway/src/serve/surface.rs
+++ b/crates/gateway/src/serve/surface.rs
@@ -31,11 +31,13 @@
     async fn call(&self, request: Incoming) -> Response {
         let start = Instant::now();
         let guard = self.0.enter();
-        let id = request.headers().get(self.0.dialect.id_header()).cloned();
+        let id = request
+            .header(self.0.dialect.id_header())
+            .map(str::to_owned);
         match self.serve(request, start).await {
             Ok(journey) => journey.run(guard).await,
             Err(refusal) => {
-                let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
+                let id = id.as_deref().unwrap_or("-");
                 let ms = start.elapsed().as_millis();
                 let reason = refusal.as_str();
                 event!(info, "request.refused", id = id, reason = reason, ms = ms);
@@ -95,11 +97,24 @@
             return Ok(None);
         };
         let wait = route.aim / RIGHTS_PART;
-        match book.reserve(usage, wait).await {
-            Ok(spend) => Ok(Some(spend)),
-            Err(NoRights::Spent { .. }) => Err(Refusal::Spent),
-            Err(NoRights::Elsewhere) => Err(Refusal::NoRights),
-        }
+        let refusal = match book.reserve(usage, wait).await {
+            Ok(spend) => return Ok(Some(spend)),
+            Err(NoRights::Spent { .. }) => Refusal::Spent,
+            Err(NoRights::Elsewhere) => Refusal::NoRights,
+        };
+        let counters = book.grant.counters();
+        event!(
+            info,
+            "rights.missing",
+            id = ask.id(),
+            workspace = workspace.name,
+            cost = usage.prompt + usage.output,
+            available = counters.available,
+            reserved = counters.reserved,
+            rest = book.rest(),
+            prepaid = book.prepaid(),
+        );
+        Err(refusal)
     }
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -24,7 +24,7 @@
     pub grace: Duration,
     /// How many retries the whole fleet may send.
     pub retries: RetryTerms,
-    /// Partitions of the accounts' feed.
+    /// Partitions that the accounts' feed may have.
     pub parts: u32,
     /// Whether a draining or lapsed server must get no new work after this time.
     pub lapse: Duration,
--- a/crates/shell/src/shell.rs
+++ b/crates/shell/src/shell.rs
@@ -1,8 +1,11 @@
 //! What a running daemon gets from its surroundings.
 
+use std::sync::Arc;
+
 use swiftlink_telemetry::{Metrics, event};
 use tokio::runtime::Handle;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 /// Exit code after a second signal, which doesn't wait for requests in flight.
@@ -14,6 +17,7 @@
     /// The process's metrics.
     pub metrics: Metrics,
     stop: CancellationToken,
+    reload: Arc<Notify>,
     handle: Handle,
 }
 
@@ -27,6 +31,7 @@
         Self {
             metrics,
             stop: CancellationToken::new(),
+            reload: Arc::default(),
             handle: Handle::current(),
         }
     }
@@ -41,22 +46,35 @@
         self.stop.cancel();
     }
 
+    /// Resolves once the process was told by SIGHUP that its settings file has changed.
+    pub async fn reloaded(&self) {
+        self.reload.notified().await;
+    }
+
     /// The multi-threaded runtime, for tasks that must outlive an HTTP request.
     #[must_use]
     pub fn handle(&self) -> &Handle {
         &self.handle
     }
 
-    /// Follows SIGTERM and SIGINT: the first one asks for a stop, the second forces it.
+    /// Follows SIGTERM and SIGINT, of which the first one asks for a stop and the second
+    /// forces it, and SIGHUP.
     pub(crate) fn follow_signals(&self) -> std::io::Result<()> {
         let mut term = signal(SignalKind::terminate())?;
         let mut int = signal(SignalKind::interrupt())?;
+        let mut hup = signal(SignalKind::hangup())?;
         let stop = self.stop.clone();
+        let reload = Arc::clone(&self.reload);
         tokio::spawn(async move {
             loop {
                 let name = tokio::select! {
                     _ = term.recv() => "SIGTERM",
                     _ = int.recv() => "SIGINT",
+                    _ = hup.recv() => {
+                        event!(info, "process.reload", signal = "SIGHUP");
+                        reload.notify_waiters();
+                        continue;
+                    }
                 };
                 if stop.is_cancelled() {
                     event!(warn, "process.forced", signal = name);
