rights: routers lend rights to each other

Change: routers register in the members' feed, with the secret of their links, and a router that runs short asks those that held most. What is lent counts as spent on the lender's side before the answer leaves; what is borrowed is kept out of the borrower's account. A lost answer strands the loan and never doubles it.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fleet;
 pub mod model;
 mod node;
+pub mod peers;
 pub mod proof;
 mod ready;
 pub mod rights;
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,183 @@
+//! Other routers of the fleet, and calls to them.
+//!
+//! Routers find each other in the members' feed of the store. The secret of their links
+//! is drawn by the first of them and stands there too.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message;
+use swiftlink_link::{Client, LinkError, Secret};
+use swiftlink_telemetry::event;
+use swiftlink_types::VmName;
+use swiftlink_wire::link::{reply, request};
+use swiftlink_wire::rights::Member;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::settings::RouterSettings;
+use crate::store::{Feed, Store, StoreError};
+use crate::watch::{Follow, News};
+
+/// Key of the links' secret; no VM's name has a slash.
+const SECRET_KEY: &str = "links/secret";
+/// Bytes of the secret before its hexadecimal form.
+const SECRET_BYTES: usize = 24;
+/// Links that are kept open at a time.
+const LINKS: usize = 16;
+/// First pause after a registration failed.
+const BACKOFF: Duration = Duration::from_millis(20);
+/// Longest pause.
+const BACKOFF_MAX: Duration = Duration::from_secs(1);
+
+/// The other routers.
+#[derive(Debug)]
+pub struct Peers {
+    vm: VmName,
+    addresses: Mutex<HashMap<VmName, SocketAddr>>,
+    links: Mutex<HashMap<SocketAddr, Arc<Client>>>,
+    secret: watch::Sender<Option<Secret>>,
+}
+
+impl Peers {
+    /// A router on `vm` that knows no others.
+    #[must_use]
+    pub fn new(vm: VmName) -> Self {
+        Self {
+            vm,
+            addresses: Mutex::default(),
+            links: Mutex::default(),
+            secret: watch::Sender::new(None),
+        }
+    }
+
+    /// Resolves once the secret of the links is known.
+    pub async fn secret(&self) -> Option<Secret> {
+        let mut known = self.secret.subscribe();
+        let known = known.wait_for(Option::is_some).await.ok()?;
+        known.clone()
+    }
+
+    /// Calls the router on `vm`.
+    ///
+    /// # Errors
+    /// [`LinkError::Down`] when it isn't known or can't be reached: nothing was sent.
+    pub async fn call(
+        &self,
+        vm: &VmName,
+        kind: request::Kind,
+        time: Duration,
+    ) -> Result<reply::Kind, LinkError> {
+        let client = self.link(vm).ok_or(LinkError::Down)?;
+        if !client.wait_up(time).await {
+            return Err(LinkError::Down);
+        }
+        client.call(kind, time).await
+    }
+
+    fn link(&self, vm: &VmName) -> Option<Arc<Client>> {
+        let secret = self.secret.borrow().clone()?;
+        let address = *lock(&self.addresses).get(vm)?;
+        let mut links = lock(&self.links);
+        if let Some(client) = links.get(&address) {
+            return Some(Arc::clone(client));
+        }
+        if links.len() >= LINKS {
+            // Any one will do: they are opened again in a millisecond or two.
+            let oldest = links.keys().next().copied();
+            oldest.and_then(|address| links.remove(&address));
+        }
+        let client = Client::spawn(address, self.vm.as_str(), secret);
+        links.insert(address, Arc::clone(&client));
+        Some(client)
+    }
+
+    fn learn(&self, key: &str, value: &Bytes) {
+        if key == SECRET_KEY {
+            let text = String::from_utf8_lossy(value);
+            self.secret.send_replace(Some(Secret::new(text)));
+            return;
+        }
+        let address = match Member::decode(value.clone()) {
+            Ok(member) => member.address.parse().ok(),
+            Err(error) => {
+                event!(error, "peer.unreadable", key = key, error = error);
+                None
+            }
+        };
+        let vm = VmName::from(key);
+        let Some(address) = address else {
+            return;
+        };
+        if vm == self.vm {
+            return;
+        }
+        event!(info, "peer.listed", vm = vm, address = address);
+        lock(&self.addresses).insert(vm, address);
+    }
+}
+
+/// Takes news of the members' feed.
+#[derive(Debug)]
+pub(crate) struct Follower(pub(crate) Arc<Peers>);
+
+impl Follow for Follower {
+    fn take(&mut self, news: News) {
+        for change in &news.changes {
+            if let Some(value) = &change.value {
+                self.0.learn(&change.key, value);
+            }
+        }
+    }
+
+    fn regained(&mut self) {}
+
+    fn tick(&mut self) {}
+}
+
+/// Writes this router into the members' feed, and the secret if there is none.
+pub(crate) async fn register(store: Arc<dyn Store>, settings: RouterSettings, process: u64) {
+    let mut backoff = BACKOFF;
+    loop {
+        match try_register(&*store, &settings, process).await {
+            Ok(()) => return,
+            Err(error) => event!(info, "peer.not_registered", error = error),
+        }
+        sleep(backoff.mul_f64(rand::random())).await;
+        backoff = (backoff * 2).min(BACKOFF_MAX);
+    }
+}
+
+async fn try_register(
+    store: &dyn Store,
+    settings: &RouterSettings,
+    process: u64,
+) -> Result<(), StoreError> {
+    let page = store.newest(Feed::Members).await?;
+    let member = Member {
+        process,
+        address: settings.peers.to_string(),
+        domain: settings.domain.to_string(),
+    };
+    let value = Bytes::from(member.encode_to_vec());
+    let mut records = vec![(settings.vm.to_string(), value)];
+    if !page.records.iter().any(|record| record.key == SECRET_KEY) {
+        records.push((SECRET_KEY.to_owned(), draw_secret()));
+    }
+    store.append_at(Feed::Members, page.end, &records).await?;
+    Ok(())
+}
+
+fn draw_secret() -> Bytes {
+    let drawn: [u8; SECRET_BYTES] = rand::random();
+    let text: String = drawn.iter().map(|byte| format!("{byte:02x}")).collect();
+    Bytes::from(text)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    // Maps are whole between any two calls.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/gateway/src/rights/book.rs
+++ b/crates/gateway/src/rights/book.rs
@@ -1,13 +1,13 @@
 //! A router's rights on each workspace, in memory.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use swiftlink_admission::Grant;
-use swiftlink_types::{Tokens, WorkspaceName};
+use swiftlink_types::{Tokens, VmName, WorkspaceName};
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 use xxhash_rust::xxh3::xxh3_64;
@@ -30,8 +30,14 @@
     /// What may be spent here.
     pub grant: Arc<Grant>,
     prepaid: AtomicU64,
+    /// Held while rights move in or out, so that both sides of a move are seen or none.
+    loans: Mutex<Loans>,
     /// The largest request that waits for rights.
     need: AtomicU64,
+    /// The same, for the task that borrows.
+    short: AtomicU64,
+    /// Unspent rights of other routers, as last read; the largest first.
+    lenders: ArcSwap<Vec<Lender>>,
     /// What is left in the whole fleet, as last read.
     rest: AtomicU64,
     /// Grows with each reading of the account.
@@ -40,6 +46,35 @@
     changed: Notify,
     /// Wakes the task that claims.
     wanted: Arc<Notify>,
+    /// Wakes the task that borrows.
+    lacking: Arc<Notify>,
+}
+
+/// Rights that went to other routers and came from them, ever.
+#[derive(Debug, Default)]
+struct Loans {
+    lent: Tokens,
+    borrowed: Tokens,
+}
+
+/// A router that may lend rights.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lender {
+    /// Its VM.
+    pub vm: VmName,
+    /// What it had not spent, as last read.
+    pub unspent: Tokens,
+}
+
+/// A router's side of an account.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// The most that it spends, as the account has it.
+    pub granted: Tokens,
+    /// What it has spent or lent, but for what it has borrowed.
+    pub charged: Tokens,
+    /// Tokens that running requests hold.
+    pub reserved: Tokens,
 }
 
 /// Why a request gets no rights.
@@ -55,19 +90,93 @@
 }
 
 impl Book {
-    fn new(workspace: WorkspaceName, wanted: Arc<Notify>) -> Self {
+    fn new(workspace: WorkspaceName, wanted: Arc<Notify>, lacking: Arc<Notify>) -> Self {
         Self {
             workspace,
             grant: Arc::new(Grant::new()),
             prepaid: AtomicU64::new(0),
+            loans: Mutex::default(),
             need: AtomicU64::new(0),
+            short: AtomicU64::new(0),
+            lenders: ArcSwap::default(),
             rest: AtomicU64::new(UNBOUNDED),
             readings: AtomicU64::new(0),
             changed: Notify::new(),
             wanted,
+            lacking,
         }
     }
 
+    /// The router's side of the account.
+    ///
+    /// Borrowed tokens were spent by their lender as far as accounts are concerned. Rights
+    /// are given back only as far as the account gave them, so `granted` isn't negative.
+    #[must_use]
+    pub fn standing(&self) -> Standing {
+        let loans = self.loans();
+        self.standing_with(&loans)
+    }
+
+    fn standing_with(&self, loans: &Loans) -> Standing {
+        let counters = self.grant.counters();
+        let Loans { lent, borrowed } = *loans;
+        Standing {
+            granted: (counters.granted + lent).saturating_sub(counters.returned + borrowed),
+            charged: (counters.charged + lent).saturating_sub(borrowed),
+            reserved: counters.reserved,
+        }
+    }
+
+    /// Takes what the account grants this router; gives what it held before.
+    pub(super) fn accept(&self, granted: Tokens) -> Tokens {
+        let loans = self.loans();
+        let held = self.standing_with(&loans).granted;
+        if granted > held {
+            self.grant.credit(granted - held);
+        }
+        held
+    }
+
+    /// Takes up to `amount` out of use for another router; gives what was taken. A router
+    /// with callers of its own keeps half of what is free.
+    pub fn lend(&self, amount: Tokens) -> Tokens {
+        let mut loans = self.loans();
+        let counters = self.grant.counters();
+        let spare = if counters.charged + counters.reserved == 0 {
+            counters.available
+        } else {
+            counters.available / 2
+        };
+        let taken = self.grant.shrink(amount.min(spare));
+        loans.lent += taken;
+        taken
+    }
+
+    /// Takes tokens that another router lent.
+    pub fn borrow(&self, amount: Tokens) {
+        let mut loans = self.loans();
+        loans.borrowed += amount;
+        self.grant.credit(amount);
+        drop(loans);
+        self.changed.notify_waiters();
+    }
+
+    fn loans(&self) -> MutexGuard<'_, Loans> {
+        // The two sums are whole between any two statements.
+        self.loans.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The largest request that waits for borrowed rights; it is forgotten.
+    pub(super) fn take_short(&self) -> Tokens {
+        self.short.swap(0, Relaxed)
+    }
+
+    /// Routers that may lend, the best first.
+    #[must_use]
+    pub fn lenders(&self) -> Arc<Vec<Lender>> {
+        self.lenders.load_full()
+    }
+
     /// Tokens that the workspace may spend in all.
     #[must_use]
     pub fn prepaid(&self) -> Tokens {
@@ -86,7 +195,9 @@
     }
 
     /// Notes that the account was read and what it leaves.
-    pub(super) fn on_reading(&self, rest: Tokens) {
+    pub(super) fn on_reading(&self, rest: Tokens, mut lenders: Vec<Lender>) {
+        lenders.sort_by_key(|lender| std::cmp::Reverse(lender.unspent));
+        self.lenders.store(Arc::new(lenders));
         self.rest.store(rest, Relaxed);
         self.readings.fetch_add(1, Relaxed);
         self.changed.notify_waiters();
@@ -111,7 +222,9 @@
         loop {
             let changed = self.changed.notified();
             self.need.fetch_max(cost, Relaxed);
+            self.short.fetch_max(cost, Relaxed);
             self.wanted.notify_one();
+            self.lacking.notify_one();
             let is_over = timeout_at(until, changed).await.is_err();
             if let Some(spend) = self.try_reserve(usage, cost) {
                 return Ok(spend);
@@ -185,6 +298,8 @@
     books: ArcSwap<HashMap<WorkspaceName, Arc<Book>>>,
     /// By partition: wakes its claim task.
     wanted: Vec<Arc<Notify>>,
+    /// Wakes the task that borrows.
+    lacking: Arc<Notify>,
 }
 
 impl Books {
@@ -195,6 +310,7 @@
         Self {
             books: ArcSwap::default(),
             wanted: wanted.collect(),
+            lacking: Arc::default(),
         }
     }
 
@@ -215,9 +331,10 @@
                 continue;
             };
             let wanted = &self.wanted[self.part(name) as usize];
-            let book = books
-                .entry(name.clone())
-                .or_insert_with(|| Arc::new(Book::new(name.clone(), Arc::clone(wanted))));
+            let book = books.entry(name.clone()).or_insert_with(|| {
+                let lacking = Arc::clone(&self.lacking);
+                Arc::new(Book::new(name.clone(), Arc::clone(wanted), lacking))
+            });
             book.prepaid.store(prepaid, Relaxed);
         }
         self.books.store(Arc::new(books));
@@ -246,6 +363,16 @@
         Arc::clone(&self.wanted[part as usize])
     }
 
+    /// All books.
+    #[must_use]
+    pub fn all(&self) -> Vec<Arc<Book>> {
+        self.books.load().values().cloned().collect()
+    }
+
+    pub(super) fn lacking(&self) -> Arc<Notify> {
+        Arc::clone(&self.lacking)
+    }
+
     /// Number of partitions.
     #[must_use]
     pub fn parts(&self) -> u32 {
--- a/crates/gateway/src/rights/claim.rs
+++ b/crates/gateway/src/rights/claim.rs
@@ -15,7 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::account::{self, Stake};
-use super::book::{Book, Books};
+use super::book::{Book, Books, Lender};
 use crate::store::{Feed, Store, StoreError};
 
 /// Time between looks at the accounts of a partition for each router, so that appends of
@@ -200,7 +200,7 @@
             let need = needs.get(&book.workspace).copied().unwrap_or(0);
             let stake = self.stake(book, need);
             let Some(change) = account::adjust(&account, book.prepaid(), &stake) else {
-                book.on_reading(account::rest(&account, book.prepaid()));
+                self.tell(book, &account);
                 continue;
             };
             let mut change = change;
@@ -230,17 +230,14 @@
         }
         for (book, change) in changes {
             self.accept(&book, change.granted);
-            book.on_reading(account::rest(&change.account, book.prepaid()));
+            self.tell(&book, &change.account);
         }
         Ok(())
     }
 
     /// The router may spend `granted` from now on.
     fn accept(&self, book: &Book, granted: Tokens) {
-        let held = held(book);
-        if granted > held {
-            book.grant.credit(granted - held);
-        }
+        let held = book.accept(granted);
         if granted != held {
             let counters = book.grant.counters();
             event!(
@@ -256,6 +253,19 @@
         }
     }
 
+    /// Tells the book what the account says of the whole fleet.
+    fn tell(&self, book: &Book, account: &Account) {
+        let mut lenders = Vec::new();
+        for holder in &account.holders {
+            let unspent = holder.granted.saturating_sub(holder.charged);
+            if holder.process != self.process && unspent > 0 {
+                let vm = VmName::from(holder.vm.as_str());
+                lenders.push(Lender { vm, unspent });
+            }
+        }
+        book.on_reading(account::rest(account, book.prepaid()), lenders);
+    }
+
     async fn read_all(&mut self, books: &[Arc<Book>]) -> Result<(), StoreError> {
         let page = self.store.newest(self.feed).await?;
         let known = self.seen.take().unwrap_or_default();
@@ -320,12 +330,11 @@
             else {
                 continue;
             };
-            let rest = account::rest(account, book.prepaid());
             let granted = account::granted(account, self.process);
             if let (Some(granted), None) = (granted, self.unresolved) {
                 self.accept(book, granted);
             }
-            book.on_reading(rest);
+            self.tell(book, account);
         }
     }
 
@@ -348,7 +357,7 @@
                 }
                 let mut stake = self.stake(book, 0);
                 // What a request still holds is counted as spent.
-                stake.charged += stake.reserved;
+                stake.charged = (stake.charged + stake.reserved).min(stake.granted);
                 records.push(record(&book.workspace, &account::close(account, &stake)));
             }
             if records.is_empty() {
@@ -363,7 +372,7 @@
     }
 
     fn stake(&self, book: &Book, need: Tokens) -> Stake {
-        let counters = book.grant.counters();
+        let standing = book.standing();
         let rate = self
             .rates
             .get(&book.workspace)
@@ -371,9 +380,11 @@
         Stake {
             vm: self.vm.to_string(),
             process: self.process,
-            granted: held(book),
-            charged: counters.charged,
-            reserved: counters.reserved,
+            granted: standing.granted,
+            charged: standing.charged,
+            reserved: standing
+                .reserved
+                .min(standing.granted.saturating_sub(standing.charged)),
             rate: rate as u64,
             need,
         }
@@ -399,12 +410,6 @@
     }
 }
 
-/// The most that the router spends, since its start.
-fn held(book: &Book) -> Tokens {
-    let counters = book.grant.counters();
-    counters.granted.saturating_sub(counters.returned)
-}
-
 /// Takes rights out of use before they are given back. Requests may have taken some in
 /// the meantime; the change is made to fit.
 fn give_back(book: &Book, stake: &Stake, change: &mut account::Change, process: u64) {
--- a/crates/gateway/src/rights/mod.rs
+++ b/crates/gateway/src/rights/mod.rs
@@ -6,6 +6,10 @@
 //! ([`book`]), and the [`claim`] tasks change the accounts: more rights where they run
 //! short, fewer where others need them, and what was spent.
 //!
+//! Where the store can't be reached or all is held, routers [`lend`] to each other: what
+//! is lent counts as spent on the lender's side at once, so that the accounts stay right
+//! whatever becomes of the message.
+//!
 //! Rights don't lapse with time, so no clock is trusted and a router that was frozen or
 //! cut off may go on with what it has. They end when their process does: the next
 //! process on the same VM counts all that its predecessor held as spent.
@@ -13,6 +17,7 @@
 pub mod account;
 mod book;
 mod claim;
+pub mod lend;
 
 pub use book::{Book, Books, NoRights, Spend};
 pub use claim::Claims;
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use swiftlink_link::Server;
 use swiftlink_shell::Shell;
 use swiftlink_shell::web::{Limits, WebServer};
 use swiftlink_telemetry::event;
@@ -13,11 +14,13 @@
 use crate::catalog::Catalog;
 use crate::dialect::Dialect;
 use crate::node::Node;
+use crate::peers::{self, Peers};
 use crate::ready::Readiness;
 use crate::rights::Claims;
+use crate::rights::lend::{self, LendHandler};
 use crate::serve::Surface;
 use crate::settings::RouterSettings;
-use crate::store::Store;
+use crate::store::{Feed, Store};
 use crate::{stop, watch};
 
 /// How long a connection may be idle. Callers reuse connections for up to four fifths of
@@ -82,6 +85,7 @@
         let mut tasks = JoinSet::new();
         watch::spawn(&mut tasks, &node, &adapter.store, &adapter.catalog);
         let process = rand::random();
+        spawn_peers(&mut tasks, &node, &adapter.store, process)?;
         let claims = Claims::spawn(&node.books, &adapter.store, &node.settings.vm, process);
         let surface = Arc::new(Surface(Arc::clone(&node)));
         let callers =
@@ -115,6 +119,37 @@
     }
 }
 
+/// Starts what lends to other routers and borrows from them.
+fn spawn_peers(
+    tasks: &mut JoinSet<()>,
+    node: &Arc<Node>,
+    store: &Arc<dyn Store>,
+    process: u64,
+) -> anyhow::Result<()> {
+    let settings = &node.settings;
+    let listener = TcpListener::bind(settings.peers)
+        .with_context(|| format!("binding the routers' address {}", settings.peers))?;
+    let peers = Arc::new(Peers::new(settings.vm.clone()));
+    let registered = peers::register(Arc::clone(store), settings.clone(), process);
+    tasks.spawn(registered);
+    let reader = watch::Reader::new(Feed::Members, Arc::clone(store));
+    tasks.spawn(watch::follow(reader, peers::Follower(Arc::clone(&peers))));
+    tasks.spawn(lend::run(Arc::clone(&node.books), Arc::clone(&peers)));
+    let handler = Arc::new(LendHandler(Arc::clone(&node.books)));
+    let name = settings.vm.to_string();
+    tasks.spawn(async move {
+        let Some(secret) = peers.secret().await else {
+            return;
+        };
+        match Server::bind(listener, &name, secret, handler) {
+            // Serves until the task is aborted.
+            Ok(_server) => std::future::pending().await,
+            Err(error) => event!(error, "peer.not_serving", error = error),
+        }
+    });
+    Ok(())
+}
+
 fn limits(settings: &RouterSettings) -> Limits {
     Limits {
         workers: settings.workers,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -13,6 +13,8 @@
     Config,
     /// The backend servers' own entries.
     Servers,
+    /// Routers, and the secret of the links between them.
+    Members,
     /// Accounts of budgets, in one of several partitions.
     Rights(u32),
 }
@@ -22,6 +24,7 @@
         match self {
             Self::Config => f.write_str("config"),
             Self::Servers => f.write_str("servers"),
+            Self::Members => f.write_str("members"),
             Self::Rights(part) => write!(f, "rights-{part}"),
         }
     }
--- a/crates/gateway/src/watch/follow.rs
+++ b/crates/gateway/src/watch/follow.rs
@@ -10,9 +10,11 @@
 
 use crate::store::{Feed, Page, Record, Store, StoreError};
 
-/// How long the store keeps a poll that finds nothing new. Also how long it takes to
-/// notice a store that fell silent.
+/// How long the store keeps a poll that finds nothing new, and so how long it takes to
+/// notice that it fell silent.
 const POLL: Duration = Duration::from_secs(1);
+/// The same for feeds that change seldom and that nobody waits for.
+const LONG_POLL: Duration = Duration::from_secs(15);
 /// Pause between polls that found something: entries of servers come all the time, and
 /// each call has its price. Well below the shortest bound, two seconds.
 const PAUSE: Duration = Duration::from_millis(250);
@@ -42,14 +44,14 @@
 }
 
 /// What is done with changes.
-pub(super) trait Follow: Send + 'static {
+pub(crate) trait Follow: Send + 'static {
     /// Takes what a poll found.
     fn take(&mut self, news: News);
 
     /// The store answers again, after a time without.
     fn regained(&mut self);
 
-    /// Does what has become due; called at least every [`POLL`].
+    /// Does what has become due; called after each poll.
     fn tick(&mut self);
 }
 
@@ -128,11 +130,15 @@
 }
 
 /// Follows a feed until the task is aborted.
-pub(super) async fn run(mut reader: Reader, mut follower: impl Follow) {
+pub(crate) async fn run(mut reader: Reader, mut follower: impl Follow) {
     let mut backoff = BACKOFF;
     let mut away: Option<Instant> = None;
+    let wait = match reader.feed {
+        Feed::Members => LONG_POLL,
+        Feed::Config | Feed::Servers | Feed::Rights(_) => POLL,
+    };
     loop {
-        match reader.poll(POLL).await {
+        match reader.poll(wait).await {
             Ok(news) => {
                 if let Some(since) = away.take() {
                     let secs = since.elapsed().as_secs_f32();
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -18,6 +18,7 @@
 
 pub use directory::Directory;
 pub use follow::{Change, News, Reader};
+pub(crate) use follow::{Follow, run as follow};
 
 /// Starts the tasks that follow the feeds, in `tasks`.
 pub fn spawn(
