rights: hold two fifths to a half of what is left; don't ask drained lenders again

Conclusion: what binds is that rights of routers which all died at once can't be told from spent ones.

--- a/crates/gateway/src/rights/account.rs
+++ b/crates/gateway/src/rights/account.rs
@@ -3,12 +3,15 @@
 use swiftlink_types::Tokens;
 use swiftlink_wire::rights::{Account, Holder};
 
-/// Part of what is left that routers hold; the rest is free for those who run short.
-/// After a loss of all machines half of what was left is there.
-const HELD_PART: f64 = 0.5;
-/// Rights are held for so many seconds of the rate of use, at most: a cut from the store
-/// lasts about nine on the users' deployments.
-const AHEAD_SECS: f64 = 20.0;
+/// Part of what is left that routers hold at most; the rest is free for those who run
+/// short, and is there after a loss of all machines.
+const HELD_MOST: f64 = 0.5;
+/// Part of what is left that routers hold in any case: use may rise while the store is out
+/// of reach.
+const HELD_LEAST: f64 = 0.4;
+/// Between the two, rights are held for so many seconds of use: a cut from the store lasts
+/// about nine on the users' deployments.
+const AHEAD_SECS: f64 = 12.0;
 /// Routers that an account is shared between at least, until they show: the users'
 /// smaller deployments have seven and eight.
 const ROUTERS: usize = 8;
@@ -138,13 +141,15 @@
     let left = rest(others, prepaid).saturating_sub(stake.charged);
     let count = (others.holders.len() + 1).max(ROUTERS) as f64;
     let rates: u64 = others.holders.iter().map(|holder| holder.rate).sum();
-    let even = left as f64 * HELD_PART / count;
-    let wanted = if stake.rate + rates == 0 {
+    let rate = (stake.rate + rates) as f64;
+    let left = left as f64;
+    let all = (rate * AHEAD_SECS).clamp(left * HELD_LEAST, left * HELD_MOST);
+    let even = all / count;
+    let wanted = if rate == 0.0 {
         even
     } else {
-        let by_rate = stake.rate as f64 / (stake.rate + rates) as f64;
-        let share = left as f64 * HELD_PART * (1.0 - EVEN_PART) * by_rate;
-        share.min(stake.rate as f64 * AHEAD_SECS) + even * EVEN_PART
+        let by_rate = all * stake.rate as f64 / rate;
+        by_rate * (1.0 - EVEN_PART) + even * EVEN_PART
     };
     let missing: Tokens = others.holders.iter().map(|holder| holder.need).sum();
     let wanted = if missing > free(others, prepaid, stake.granted) {
--- a/crates/gateway/src/rights/book.rs
+++ b/crates/gateway/src/rights/book.rs
@@ -138,14 +138,15 @@
     }
 
     /// Takes up to `amount` out of use for another router; gives what was taken. A router
-    /// with callers of its own keeps half of what is free.
-    pub fn lend(&self, amount: Tokens) -> Tokens {
+    /// with callers of its own keeps half of what is free, but for the `need` of a request
+    /// that waits.
+    pub fn lend(&self, amount: Tokens, need: Tokens) -> Tokens {
         let mut loans = self.loans();
         let counters = self.grant.counters();
         let spare = if counters.charged + counters.reserved == 0 {
             counters.available
         } else {
-            counters.available / 2
+            (counters.available / 2).max(need.min(counters.available))
         };
         let taken = self.grant.shrink(amount.min(spare));
         loans.lent += taken;
@@ -171,6 +172,13 @@
         self.short.swap(0, Relaxed)
     }
 
+    /// The router on `vm` has no more to lend.
+    pub(super) fn is_drained(&self, vm: &VmName) {
+        let mut lenders = Vec::clone(&self.lenders.load());
+        lenders.retain(|lender| lender.vm != *vm);
+        self.lenders.store(Arc::new(lenders));
+    }
+
     /// Routers that may lend, the best first.
     #[must_use]
     pub fn lenders(&self) -> Arc<Vec<Lender>> {
--- a/crates/gateway/src/rights/lend.rs
+++ b/crates/gateway/src/rights/lend.rs
@@ -18,7 +18,7 @@
 /// Longest time for a peer's answer, and for a new connection to it.
 const ANSWER_TIME: Duration = Duration::from_millis(40);
 /// Most peers that are asked for one workspace at a time.
-const ASKED: usize = 4;
+const ASKED: usize = 8;
 /// Multiple of what is missing that is asked for: more requests come.
 const AHEAD: Tokens = 6;
 
@@ -46,7 +46,7 @@
     fn lend(&self, peer: &str, ask: &Borrow) -> reply::Kind {
         let workspace = WorkspaceName::from(ask.workspace.as_str());
         let book = self.0.get(&workspace);
-        let amount = book.map_or(0, |book| book.lend(ask.amount));
+        let amount = book.map_or(0, |book| book.lend(ask.amount, ask.need));
         event!(
             info,
             "rights.lent",
@@ -82,12 +82,16 @@
         let ask = Borrow {
             workspace: book.workspace.to_string(),
             amount: wanted - got,
+            need: short.saturating_sub(got),
         };
         let kind = request::Kind::Borrow(ask);
         match peers.call(&lender.vm, kind, ANSWER_TIME).await {
             Ok(reply::Kind::Lent(lent)) => {
                 let amount = lent.amount.min(wanted - got);
                 book.borrow(amount);
+                if amount < wanted - got {
+                    book.is_drained(&lender.vm);
+                }
                 got += amount;
                 event!(
                     info,
