--- /dev/null
+++ b/crates/gateway/src/store/mem.rs
@@ -0,0 +1,242 @@
+//! A store in memory that fails as told, for tests and benches.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+
+use super::{Feed, Page, Record, Store, StoreError};
+
+/// How a [`MemStore`] fails.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// It doesn't.
+    #[default]
+    None,
+    /// Calls are refused without effect.
+    Away,
+    /// Appends are done, but their answers are lost; reads work.
+    LoseAnswers,
+    /// Appends have no answer and are done by [`MemStore::release`], if their condition
+    /// still holds then; reads work.
+    Late,
+    /// Reads answer with the state at the time of [`MemStore::set_fault`].
+    Stale,
+}
+
+/// Feeds kept in memory.
+#[derive(Debug)]
+pub struct MemStore {
+    inner: Mutex<Inner>,
+    changed: watch::Sender<()>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    fault: StoreFault,
+    feeds: HashMap<Feed, Records>,
+    stale: HashMap<Feed, Records>,
+    late: Vec<Append>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Records {
+    first: u64,
+    end: u64,
+    all: Vec<Record>,
+    newest: BTreeMap<String, Record>,
+}
+
+#[derive(Debug)]
+struct Append {
+    feed: Feed,
+    at: u64,
+    records: Vec<(String, Bytes)>,
+}
+
+impl MemStore {
+    /// A store without records.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            inner: Mutex::default(),
+            changed: watch::Sender::new(()),
+        }
+    }
+
+    /// Fails in this way from now on.
+    pub fn set_fault(&self, fault: StoreFault) {
+        let mut inner = self.lock();
+        inner.fault = fault;
+        inner.stale = inner.feeds.clone();
+        drop(inner);
+        self.changed.send_replace(());
+    }
+
+    /// Writes a record as an operator or a server does; `None` removes the key.
+    pub fn put(&self, feed: Feed, key: &str, value: Option<Bytes>) {
+        let mut inner = self.lock();
+        let records = inner.feeds.entry(feed).or_default();
+        records.push(key.to_owned(), value);
+        drop(inner);
+        self.changed.send_replace(());
+    }
+
+    /// Forgets all records but the newest of each key.
+    pub fn compact(&self, feed: Feed) {
+        let mut inner = self.lock();
+        let records = inner.feeds.entry(feed).or_default();
+        records.all.clear();
+        records.first = records.end;
+    }
+
+    /// Does the late appends whose condition still holds.
+    pub fn release(&self) {
+        let mut inner = self.lock();
+        for append in std::mem::take(&mut inner.late) {
+            // One whose condition fails is lost, as its caller must expect.
+            let _lost = inner.append(append.feed, append.at, &append.records);
+        }
+        drop(inner);
+        self.changed.send_replace(());
+    }
+
+    /// The newest value of a key.
+    #[must_use]
+    pub fn get(&self, feed: Feed, key: &str) -> Option<Bytes> {
+        let inner = self.lock();
+        let record = inner.feeds.get(&feed)?.newest.get(key)?;
+        record.value.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        // Every change is whole before the guard is dropped.
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn page(&self, feed: Feed, from: u64) -> Result<Page, StoreError> {
+        let inner = self.lock();
+        let records = inner.seen(feed)?;
+        let Some(records) = records else {
+            return Ok(Page::default());
+        };
+        if from < records.first {
+            let first = records.first;
+            return Err(StoreError::Trimmed { first });
+        }
+        let newer = records.all.iter().filter(|record| record.offset >= from);
+        Ok(Page {
+            records: newer.cloned().collect(),
+            end: records.end,
+        })
+    }
+}
+
+impl Default for MemStore {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Inner {
+    /// A feed as reads see it.
+    fn seen(&self, feed: Feed) -> Result<Option<&Records>, StoreError> {
+        match self.fault {
+            StoreFault::Away => Err(StoreError::Refused("away".to_owned())),
+            StoreFault::Stale => Ok(self.stale.get(&feed)),
+            _ => Ok(self.feeds.get(&feed)),
+        }
+    }
+
+    fn append(
+        &mut self,
+        feed: Feed,
+        at: u64,
+        records: &[(String, Bytes)],
+    ) -> Result<u64, StoreError> {
+        let known = self.feeds.entry(feed).or_default();
+        if known.end != at {
+            return Err(StoreError::Conflict { end: known.end });
+        }
+        for (key, value) in records {
+            known.push(key.clone(), Some(value.clone()));
+        }
+        Ok(known.end)
+    }
+}
+
+impl Records {
+    fn push(&mut self, key: String, value: Option<Bytes>) {
+        let record = Record {
+            offset: self.end,
+            key: key.clone(),
+            value,
+        };
+        self.end += 1;
+        self.all.push(record.clone());
+        if record.value.is_some() {
+            self.newest.insert(key, record);
+        } else {
+            self.newest.remove(&key);
+        }
+    }
+}
+
+#[async_trait]
+impl Store for MemStore {
+    async fn read(&self, feed: Feed, from: u64, wait: Duration) -> Result<Page, StoreError> {
+        let deadline = Instant::now() + wait;
+        let mut changes = self.changed.subscribe();
+        loop {
+            let page = self.page(feed, from)?;
+            if !page.records.is_empty() {
+                return Ok(page);
+            }
+            if timeout_at(deadline, changes.changed()).await.is_err() {
+                return Ok(page);
+            }
+        }
+    }
+
+    async fn newest(&self, feed: Feed) -> Result<Page, StoreError> {
+        let inner = self.lock();
+        let Some(records) = inner.seen(feed)? else {
+            return Ok(Page::default());
+        };
+        Ok(Page {
+            records: records.newest.values().cloned().collect(),
+            end: records.end,
+        })
+    }
+
+    async fn append_at(
+        &self,
+        feed: Feed,
+        at: u64,
+        records: &[(String, Bytes)],
+    ) -> Result<u64, StoreError> {
+        let mut inner = self.lock();
+        let unknown = || StoreError::Unknown("no answer".to_owned());
+        match inner.fault {
+            StoreFault::Away => return Err(StoreError::Refused("away".to_owned())),
+            StoreFault::Late => {
+                let records = records.to_vec();
+                inner.late.push(Append { feed, at, records });
+                return Err(unknown());
+            }
+            StoreFault::None | StoreFault::LoseAnswers | StoreFault::Stale => {}
+        }
+        let lost = inner.fault == StoreFault::LoseAnswers;
+        let appended = inner.append(feed, at, records);
+        drop(inner);
+        self.changed.send_replace(());
+        match appended {
+            Ok(_) if lost => Err(unknown()),
+            appended => appended,
+        }
+    }
+}
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -1,4 +1,8 @@
 //! The border to the platform's store, where what must last lives.
+//!
+//! [`MemStore`] keeps feeds in memory for tests and benches, and fails as told.
+
+mod mem;
 
 use std::fmt;
 use std::time::Duration;
@@ -6,6 +10,8 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 
+pub use mem::{MemStore, StoreFault};
+
 /// A sequence of keyed records on the store; the newest record of each key is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Feed {
--- /dev/null
+++ b/crates/gateway/tests/testsuite/accounts.rs
@@ -0,0 +1,145 @@
+//! How a router changes an account.
+
+use proptest::prelude::*;
+use swiftlink_gateway::rights::account::{Stake, adjust, close, granted, rest};
+use swiftlink_wire::rights::{Account, Holder};
+
+fn stake(vm: &str, process: u64) -> Stake {
+    Stake {
+        vm: vm.to_owned(),
+        process,
+        granted: 0,
+        charged: 0,
+        reserved: 0,
+        rate: 0,
+        need: 0,
+    }
+}
+
+fn committed(account: &Account) -> u64 {
+    let held: u64 = account.holders.iter().map(|holder| holder.granted).sum();
+    account.closed + held
+}
+
+#[test]
+fn the_first_routers_get_a_part_and_leave_the_rest() {
+    let mut account = Account::default();
+    for process in 1..=7 {
+        let change = adjust(&account, 800_000, &stake(&format!("vm{process}"), process));
+        account = change.expect("a first claim").account;
+    }
+    let held = committed(&account);
+    assert!(held > 100_000 && held <= 400_000, "{held}");
+}
+
+#[test]
+fn a_request_that_waits_gets_what_is_free_at_once() {
+    let first = adjust(&Account::default(), 100_000, &stake("a", 1)).expect("a claim");
+    let mut needy = stake("b", 2);
+    needy.need = 60_000;
+    let change = adjust(&first.account, 100_000, &needy).expect("a claim");
+    assert!(change.granted >= 60_000, "{}", change.granted);
+}
+
+#[test]
+fn others_give_back_what_a_waiting_request_lacks() {
+    let mut holder = stake("a", 1);
+    let account = Account {
+        closed: 0,
+        holders: vec![
+            Holder {
+                vm: "a".to_owned(),
+                process: 1,
+                granted: 90_000,
+                charged: 10_000,
+                ..Holder::default()
+            },
+            Holder {
+                vm: "b".to_owned(),
+                process: 2,
+                need: 50_000,
+                ..Holder::default()
+            },
+        ],
+    };
+    holder.granted = 90_000;
+    holder.charged = 10_000;
+    holder.reserved = 5_000;
+    let change = adjust(&account, 100_000, &holder).expect("a return");
+    assert_eq!(
+        change.granted, 15_000,
+        "what runs stays, the rest goes back"
+    );
+}
+
+#[test]
+fn a_younger_process_closes_what_its_predecessor_held() {
+    let first = adjust(&Account::default(), 100_000, &stake("a", 1)).expect("a claim");
+    let second = adjust(&first.account, 100_000, &stake("a", 2)).expect("a claim");
+    assert_eq!(second.account.closed, first.granted);
+    assert_eq!(granted(&second.account, 1), None);
+    assert!(granted(&second.account, 2).is_some());
+}
+
+#[test]
+fn a_stop_leaves_only_what_was_spent() {
+    let first = adjust(&Account::default(), 100_000, &stake("a", 1)).expect("a claim");
+    let mut me = stake("a", 1);
+    me.granted = first.granted;
+    me.charged = 1_234;
+    let account = close(&first.account, &me);
+    assert_eq!(account.closed, 1_234);
+    assert!(account.holders.is_empty());
+    assert_eq!(rest(&account, 100_000), 98_766);
+}
+
+#[test]
+fn a_quiet_round_writes_nothing() {
+    let first = adjust(&Account::default(), 100_000, &stake("a", 1)).expect("a claim");
+    let mut me = stake("a", 1);
+    me.granted = first.granted;
+    assert_eq!(adjust(&first.account, 100_000, &me), None);
+}
+
+proptest! {
+    /// No change commits more than was prepaid, but for what is out already, and none
+    /// takes rights away from requests that run.
+    #[test]
+    fn a_change_never_commits_more_than_is_prepaid(
+        closed in 0_u64..50_000,
+        others in prop::collection::vec((0_u64..40_000, 0_u64..40_000, 0_u64..5_000, 0_u64..20_000), 0..6),
+        mine in (0_u64..40_000, 0_u64..40_000, 0_u64..40_000, 0_u64..5_000, 0_u64..30_000),
+        prepaid in 0_u64..300_000,
+    ) {
+        let mut account = Account { closed, holders: Vec::new() };
+        for (index, (unspent, charged, rate, need)) in others.iter().enumerate() {
+            account.holders.push(Holder {
+                vm: format!("vm{index}"),
+                process: index as u64,
+                granted: unspent + charged,
+                charged: *charged,
+                rate: *rate,
+                need: *need,
+            });
+        }
+        let (unspent, charged, reserved, rate, need) = mine;
+        let mut me = stake("me", 99);
+        me.granted = unspent + charged;
+        me.charged = charged;
+        me.reserved = reserved.min(unspent);
+        me.rate = rate;
+        me.need = need;
+        account.holders.push(Holder {
+            vm: me.vm.clone(),
+            process: me.process,
+            granted: me.granted,
+            ..Holder::default()
+        });
+        let before = committed(&account);
+        if let Some(change) = adjust(&account, prepaid, &me) {
+            prop_assert!(committed(&change.account) <= prepaid.max(before));
+            prop_assert!(change.granted >= me.charged + me.reserved);
+            prop_assert_eq!(granted(&change.account, me.process), Some(change.granted));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the router core, one file a topic; the way of a request over sockets is
+//! tested in the adapter's suite.
+
+mod accounts;
+mod book;
+mod proof;
+mod rights;
+mod sse;
+mod table;
+mod watch;
--- /dev/null
+++ b/crates/gateway/tests/testsuite/watch.rs
@@ -0,0 +1,121 @@
+//! Following the store's feeds.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use swiftlink_gateway::catalog::ServerEntry;
+use swiftlink_gateway::store::{Feed, MemStore, Store, StoreFault};
+use swiftlink_gateway::watch::{Directory, News, Reader};
+use swiftlink_types::{DomainName, PoolName, ServerName};
+use tokio::time::Instant;
+
+const NO_WAIT: Duration = Duration::ZERO;
+
+fn reader(store: &Arc<MemStore>) -> Reader {
+    Reader::new(Feed::Config, Arc::clone(store) as Arc<dyn Store>)
+}
+
+fn put(store: &MemStore, key: &str, value: &'static str) {
+    store.put(Feed::Config, key, Some(Bytes::from(value)));
+}
+
+fn values(news: &News) -> Vec<String> {
+    let values = news
+        .changes
+        .iter()
+        .filter_map(|change| change.value.as_ref());
+    values
+        .map(|value| String::from_utf8_lossy(value).into_owned())
+        .collect()
+}
+
+#[tokio::test]
+async fn the_newest_records_come_first_and_then_what_is_new() {
+    let store = Arc::new(MemStore::new());
+    put(&store, "a", "1");
+    put(&store, "a", "2");
+    let mut reader = reader(&store);
+    let news = reader.poll(NO_WAIT).await.expect("news");
+    assert_eq!(values(&news), ["2"]);
+    assert!(news.keys.expect("the whole feed").contains("a"));
+    put(&store, "a", "3");
+    let news = reader.poll(NO_WAIT).await.expect("news");
+    assert_eq!(values(&news), ["3"]);
+    assert!(news.keys.is_none());
+}
+
+#[tokio::test]
+async fn lost_history_is_made_up_for() {
+    let store = Arc::new(MemStore::new());
+    put(&store, "a", "1");
+    let mut reader = reader(&store);
+    reader.poll(NO_WAIT).await.expect("news");
+    put(&store, "a", "2");
+    put(&store, "b", "3");
+    store.compact(Feed::Config);
+    let news = reader.poll(NO_WAIT).await.expect("news");
+    assert_eq!(values(&news), ["2", "3"]);
+    assert!(news.keys.is_some());
+}
+
+#[tokio::test]
+async fn an_older_state_of_the_store_changes_nothing() {
+    let store = Arc::new(MemStore::new());
+    put(&store, "a", "1");
+    let mut fresh = reader(&store);
+    store.set_fault(StoreFault::Stale);
+    put(&store, "a", "2");
+    assert_eq!(values(&fresh.poll(NO_WAIT).await.expect("news")), ["1"]);
+    store.set_fault(StoreFault::None);
+    assert_eq!(values(&fresh.poll(NO_WAIT).await.expect("news")), ["2"]);
+    store.set_fault(StoreFault::Stale);
+    assert_eq!(values(&fresh.poll(NO_WAIT).await.expect("news")), [""; 0]);
+}
+
+fn server(name: &str) -> ServerEntry {
+    ServerEntry {
+        name: ServerName::from(name),
+        pool: PoolName::from("pool"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        domain: DomainName::from("a"),
+        slots: 4,
+        draining: false,
+    }
+}
+
+#[tokio::test]
+async fn a_server_whose_entry_is_removed_is_gone_at_once() {
+    let mut directory = Directory::default();
+    assert!(directory.put(server("s")));
+    assert!(!directory.put(server("s")), "nothing new");
+    assert!(directory.remove(&ServerName::from("s"), Instant::now()));
+    assert!(directory.entries().is_empty());
+}
+
+#[tokio::test]
+async fn an_entry_that_lapsed_while_the_store_was_away_has_time_to_come_back() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.put(server("back"));
+    directory.put(server("gone"));
+    directory.regained(now);
+    assert!(!directory.remove(&ServerName::from("back"), now));
+    assert!(!directory.remove(&ServerName::from("gone"), now));
+    assert_eq!(directory.entries().len(), 2);
+    directory.put(server("back"));
+    let later = now + Duration::from_secs(3);
+    assert_eq!(directory.expire(later), [ServerName::from("gone")]);
+    assert_eq!(directory.entries().len(), 1);
+}
+
+#[tokio::test]
+async fn long_after_the_stores_return_a_removed_entry_is_gone_at_once() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.put(server("s"));
+    directory.regained(now);
+    let later = now + Duration::from_secs(5);
+    assert!(directory.remove(&ServerName::from("s"), later));
+}
