--- a/crates/gateway/src/rights/account.rs
+++ b/crates/gateway/src/rights/account.rs
@@ -61,6 +61,17 @@
     prepaid.saturating_sub(account.closed + charged)
 }
 
+/// What all but `process` have spent, as far as they say.
+#[must_use]
+pub fn spent_by_others(account: &Account, process: u64) -> Tokens {
+    let others = account
+        .holders
+        .iter()
+        .filter(|holder| holder.process != process);
+    let charged: Tokens = others.map(|holder| holder.charged).sum();
+    account.closed + charged
+}
+
 /// The router's rights as the account has them.
 #[must_use]
 pub fn granted(account: &Account, process: u64) -> Option<Tokens> {
--- a/crates/gateway/src/rights/book.rs
+++ b/crates/gateway/src/rights/book.rs
@@ -19,8 +19,6 @@
 /// written in one call, so few partitions mean few calls; more of them mean that appends
 /// of different routers meet less often.
 const PARTS: u32 = 2;
-/// `prepaid` of a workspace that may spend as much as it likes.
-const UNBOUNDED: Tokens = Tokens::MAX;
 
 /// One workspace's rights at this router.
 #[derive(Debug)]
@@ -38,10 +36,8 @@
     short: AtomicU64,
     /// Unspent rights of other routers, as last read; the largest first.
     lenders: ArcSwap<Vec<Lender>>,
-    /// What is left in the whole fleet, as last read.
-    rest: AtomicU64,
-    /// Grows with each reading of the account.
-    readings: AtomicU64,
+    /// What others have spent, as last read; it only grows.
+    spent: AtomicU64,
     /// Told when rights came or the account was read.
     changed: Notify,
     /// Wakes the task that claims.
@@ -99,8 +95,7 @@
             need: AtomicU64::new(0),
             short: AtomicU64::new(0),
             lenders: ArcSwap::default(),
-            rest: AtomicU64::new(UNBOUNDED),
-            readings: AtomicU64::new(0),
+            spent: AtomicU64::new(0),
             changed: Notify::new(),
             wanted,
             lacking,
@@ -191,10 +186,15 @@
         self.prepaid.load(Relaxed)
     }
 
-    /// What is left in the whole fleet, as last read from the account.
+    /// The most that is left in the whole fleet: others may have spent more since the
+    /// account was read, but not less.
     #[must_use]
     pub fn rest(&self) -> Tokens {
-        self.rest.load(Relaxed)
+        let loans = self.loans();
+        let charged = self.grant.counters().charged;
+        // What was borrowed is among the spendings of others.
+        let spent = self.spent.load(Relaxed) + charged + loans.lent;
+        (self.prepaid() + loans.borrowed).saturating_sub(spent)
     }
 
     /// Takes the largest waiting request; it is forgotten.
@@ -202,12 +202,11 @@
         self.need.swap(0, Relaxed)
     }
 
-    /// Notes that the account was read and what it leaves.
-    pub(super) fn on_reading(&self, rest: Tokens, mut lenders: Vec<Lender>) {
+    /// Notes that the account was read: what others have spent, and what they hold.
+    pub(super) fn on_reading(&self, spent: Tokens, mut lenders: Vec<Lender>) {
         lenders.sort_by_key(|lender| std::cmp::Reverse(lender.unspent));
         self.lenders.store(Arc::new(lenders));
-        self.rest.store(rest, Relaxed);
-        self.readings.fetch_add(1, Relaxed);
+        self.spent.store(spent, Relaxed);
         self.changed.notify_waiters();
     }
 
@@ -225,10 +224,13 @@
             return Ok(spend);
         }
         let until = Instant::now() + wait;
-        let readings = self.readings.load(Relaxed);
         self.grant.miss(cost);
         loop {
             let changed = self.changed.notified();
+            let rest = self.rest();
+            if rest < cost {
+                return Err(NoRights::Spent { rest });
+            }
             self.need.fetch_max(cost, Relaxed);
             self.short.fetch_max(cost, Relaxed);
             self.wanted.notify_one();
@@ -237,11 +239,6 @@
             if let Some(spend) = self.try_reserve(usage, cost) {
                 return Ok(spend);
             }
-            let rest = self.rest.load(Relaxed);
-            let is_fresh = self.readings.load(Relaxed) != readings;
-            if is_fresh && rest < cost {
-                return Err(NoRights::Spent { rest });
-            }
             if is_over {
                 return Err(NoRights::Elsewhere);
             }
--- a/crates/gateway/src/rights/claim.rs
+++ b/crates/gateway/src/rights/claim.rs
@@ -115,6 +115,7 @@
 impl Part {
     async fn run(mut self, wanted: Arc<Notify>, stop: CancellationToken) {
         let mut backoff = BACKOFF;
+        let mut away: Option<Instant> = None;
         loop {
             tokio::select! {
                 () = stop.cancelled() => break,
@@ -123,11 +124,18 @@
             }
             let pause = match self.round().await {
                 Ok(()) => {
+                    if let Some(since) = away.take() {
+                        let secs = since.elapsed().as_secs_f32();
+                        event!(info, "store.regained", feed = self.feed, away_secs = secs);
+                    }
                     backoff = BACKOFF;
                     PAUSE
                 }
                 Err(error) => {
-                    event!(warn, "rights.unchanged", feed = self.feed, error = error);
+                    if away.is_none() {
+                        event!(warn, "store.lost", feed = self.feed, error = error);
+                        away = Some(Instant::now());
+                    }
                     let pause = backoff;
                     backoff = (backoff * 2).min(BACKOFF_MAX);
                     pause
@@ -263,7 +271,7 @@
                 lenders.push(Lender { vm, unspent });
             }
         }
-        book.on_reading(account::rest(account, book.prepaid()), lenders);
+        book.on_reading(account::spent_by_others(account, self.process), lenders);
     }
 
     async fn read_all(&mut self, books: &[Arc<Book>]) -> Result<(), StoreError> {
--- a/crates/gateway/src/rights/mod.rs
+++ b/crates/gateway/src/rights/mod.rs
@@ -3,7 +3,7 @@
 //! What a workspace prepaid is shared out between routers. An [`account`] on the store
 //! says how much each may spend; it changes only by appends on condition, so two routers
 //! never get the same tokens. A router spends from its own part without a message
-//! ([`book`]), and the [`claim`] tasks change the accounts: more rights where they run
+//! ([`Book`]), and the tasks of [`Claims`] change the accounts: more rights where they run
 //! short, fewer where others need them, and what was spent.
 //!
 //! Where the store can't be reached or all is held, routers [`lend`] to each other: what
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -1,6 +1,6 @@
 //! A running router process.
 
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -107,6 +107,18 @@
         })
     }
 
+    /// Where callers connect, as bound.
+    #[must_use]
+    pub fn callers(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Where the balancer asks, as bound.
+    #[must_use]
+    pub fn readiness(&self) -> SocketAddr {
+        self.readiness.address()
+    }
+
     /// What its parts share.
     #[must_use]
     pub fn node(&self) -> &Arc<Node> {
--- a/crates/gateway/src/serve/journey.rs
+++ b/crates/gateway/src/serve/journey.rs
@@ -141,7 +141,10 @@
                 left_ms = self.left().as_millis(),
             );
             if !self.may_retry(trail, outcome) {
-                return Err(trail.give_up());
+                return Err(match outcome {
+                    Outcome::Silent => Refusal::Timeout,
+                    _ => trail.give_up(),
+                });
             }
         }
     }
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -1,6 +1,6 @@
 //! The way of a request.
 //!
-//! [`surface`](self) reads the request, finds route, workspace and rights; `attempt` sends it
+//! `surface` reads the request, finds route, workspace and rights; `attempt` sends it
 //! to one server; `journey` sends it on as the outcome allows; `relay` hands the answer
 //! to the caller; `refuse` makes the answers that the router gives by itself.
 
--- a/crates/gateway/tests/testsuite/rights.rs
+++ b/crates/gateway/tests/testsuite/rights.rs
@@ -162,3 +162,40 @@
     router.books.set_config(&config(Some(20_000)));
     assert!(router.book.reserve(usage, wait).await.is_ok());
 }
+
+/// A return whose append had no answer may still be done: until the feed has moved on, the
+/// returned rights must not be used again.
+#[tokio::test(start_paused = true)]
+async fn rights_of_a_return_without_an_answer_are_not_used_again() {
+    let wait = Duration::from_millis(500);
+    let large = Usage {
+        prompt: 60_000,
+        output: 0,
+    };
+    let store = Arc::new(MemStore::new());
+    let first = start(&store, 0, 1, 100_000);
+    let idle = first.book.reserve(large, wait).await.expect("rights");
+    drop(idle);
+
+    store.set_fault(StoreFault::Late);
+    sleep(Duration::from_secs(2)).await;
+    let mut spent = 0;
+    if let Ok(mut spend) = first.book.reserve(large, wait).await {
+        spend.ran();
+        spent += spend.spent();
+    }
+    store.release();
+    store.set_fault(StoreFault::None);
+
+    let second = start(&store, 1, 2, 100_000);
+    let rest = Usage {
+        prompt: 90_000,
+        output: 0,
+    };
+    if let Ok(mut spend) = second.book.reserve(rest, wait).await {
+        spend.ran();
+        spent += spend.spent();
+    }
+    assert!(spent <= 100_000, "{spent} of 100000");
+    assert!(spent >= 60_000, "someone was served");
+}
--- a/crates/ledger/src/service.rs
+++ b/crates/ledger/src/service.rs
@@ -54,6 +54,7 @@
             }
             request::Kind::GetPending(ask) => self.pending(&ask),
             request::Kind::Ping(_) => Ok(reply::Kind::Pong(self.pong())),
+            request::Kind::Borrow(_) => Err(failure(FailureKind::NotServed, NO_RIGHTS)),
         };
         let last = answer.unwrap_or_else(reply::Kind::Failure);
         // A caller that has gone needs no answer.
@@ -61,6 +62,9 @@
     }
 }
 
+/// Answer to who wants to borrow: routers of the gateway lend, ledgers hold no rights.
+const NO_RIGHTS: &str = "a ledger holds no rights";
+
 type Answer = Result<reply::Kind, Failure>;
 
 impl Service {
