--- a/crates/gateway/tests/testsuite/rights.rs
+++ b/crates/gateway/tests/testsuite/rights.rs
@@ -192,9 +192,15 @@
         prompt: 90_000,
         output: 0,
     };
-    if let Ok(mut spend) = second.book.reserve(rest, wait).await {
+    // Which of the late appends is done depends on when the rounds fell; whoever lacks
+    // rights at first has them once the routers have talked about it.
+    for _attempt in 0..20 {
+        let Ok(mut spend) = second.book.reserve(rest, wait).await else {
+            continue;
+        };
         spend.ran();
         spent += spend.spent();
+        break;
     }
     assert!(spent <= 100_000, "{spent} of 100000");
     assert!(spent >= 60_000, "someone was served");
