telemetry: log to standard output, bounded and without blocking

Change: a bounded queue and a thread that writes in batches; lines over it are dropped and told. Its processor time isn't measured yet.

--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -185,6 +185,7 @@
     });
     metrics.flush();
     event!(info, "process.stopped", ok = result.is_ok());
+    swiftlink_telemetry::flush();
     result
 }
 
@@ -206,6 +207,7 @@
         };
         let reason = info.payload_as_str().unwrap_or("no message");
         event!(error, "process.panicked", at = place, reason = reason);
+        swiftlink_telemetry::flush();
         std::process::abort();
     }));
 }
--- a/crates/shell/src/shell.rs
+++ b/crates/shell/src/shell.rs
@@ -78,6 +78,7 @@
                 };
                 if stop.is_cancelled() {
                     event!(warn, "process.forced", signal = name);
+                    swiftlink_telemetry::flush();
                     std::process::exit(FORCED);
                 }
                 event!(info, "process.stopping", signal = name);
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,6 +1,7 @@
 //! Key=value logs and StatsD metrics.
 //!
-//! An event is one line of `key=value` pairs on the standard error stream:
+//! An event is one line of `key=value` pairs on the standard output stream. Logging never
+//! blocks: see [`Background`].
 //!
 //! ```
 //! use swiftlink_telemetry::event;
@@ -11,16 +12,18 @@
 //!
 //! writes `ts=2026-01-01T00:00:00.000Z level=info event=grant.claimed budget=crossword granted=500`.
 //!
-//! Reading order: [`event!`] below, `line` (how a value is written), `log` (where the
-//! line goes), `metrics`.
+//! Reading order: [`event!`] below, `line` (how a value is written), `log` and `background`
+//! (where the line goes), `metrics`.
 
+mod background;
 mod line;
 mod log;
 mod metrics;
 mod time;
 
+pub use background::Background;
 pub use line::{Line, split};
-pub use log::{Level, LevelError, capture, enabled, init, level, set_level, write};
+pub use log::{Level, LevelError, capture, enabled, flush, init, level, set_level, write};
 pub use metrics::{Metrics, Tag};
 pub use time::utc;
 
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -3,25 +3,29 @@
 use std::io;
 use std::str::FromStr;
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 use spdlog::formatter::{Formatter, FormatterContext};
-use spdlog::sink::{Sink, StdStreamSink, WriteSink};
-use spdlog::terminal_style::StyleMode;
+use spdlog::sink::{Sink, WriteSink};
 use spdlog::{ErrorHandler, LevelFilter, Logger, Record, StringBuf};
 
-use crate::Line;
 use crate::time::utc;
+use crate::{Background, Line};
 
 pub use spdlog::Level;
 
 static LOGGER: OnceLock<Arc<Logger>> = OnceLock::new();
+static OUTPUT: OnceLock<Background> = OnceLock::new();
+
+/// Longest wait for a slow reader at the process's end.
+const FLUSH: Duration = Duration::from_millis(300);
 
 /// A text that names no log level.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("no log level {0:?}; use off, critical, error, warn, info, debug or trace")]
 pub struct LevelError(pub String);
 
-/// Opens the log on the standard error stream at `level`.
+/// Opens the log on the standard output stream at `level`.
 ///
 /// Without it the first event opens the log at `info`.
 ///
@@ -60,7 +64,15 @@
     spdlog::log!(logger: logger(), level, "{}", line.as_str());
 }
 
-/// Sends the log to `target` in place of the standard error stream, for tests.
+/// Waits a moment until all events so far are written; for the process's end.
+pub fn flush() {
+    if let Some(output) = OUTPUT.get() {
+        // What a reader doesn't take in time is lost with the process.
+        let _late = output.flush_within(FLUSH);
+    }
+}
+
+/// Sends the log to `target` in place of the standard output stream, for tests.
 ///
 /// Gives `false` when the process's log is already open.
 pub fn capture<W: io::Write + Send + Sync + 'static>(target: W) -> bool {
@@ -74,13 +86,15 @@
 
 fn logger() -> &'static Arc<Logger> {
     LOGGER.get_or_init(|| {
-        let sink = StdStreamSink::builder()
-            .stderr()
-            .style_mode(StyleMode::Never)
+        let output = OUTPUT.get_or_init(|| {
+            Background::spawn(io::stdout()).expect("a process can start its first threads")
+        });
+        let sink = WriteSink::builder()
+            .target(output.clone())
             .formatter(PairFormatter)
             .error_handler(ErrorHandler::new(|_error| {}))
             .build_arc()
-            .expect("a sink on a standard stream can be built");
+            .expect("a sink without options can be built");
         build(sink)
     })
 }
