gateway: hand long answers on as they come

Cause: an answer over 256 KiB that isn't a stream was taken for a truncated one and refused with 502. Change: what was read goes out and the rest follows; it ends as broken where it breaks. Test: a_long_answer_passes_as_it_comes_and_ends_as_broken_where_it_breaks.

--- a/crates/gateway/src/serve/journey.rs
+++ b/crates/gateway/src/serve/journey.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::CONNECTION;
 use http::{HeaderMap, Method, Uri};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use swiftlink_routing::{ErrorKind, ServerIdx};
 use swiftlink_shell::web::{Body, Response};
 use swiftlink_telemetry::event;
@@ -26,7 +27,7 @@
 const OFFERS: usize = 4;
 /// Longest answer that is read whole before it is handed on, in bytes: one that breaks
 /// off can then be replaced by another or by an honest failure.
-const WHOLE: u64 = 256 * 1024;
+const WHOLE: usize = 256 * 1024;
 /// How long an idle connection is kept when the server doesn't say.
 const KEEP: Duration = Duration::from_secs(4);
 
@@ -53,6 +54,22 @@
     pub(super) deadline: Instant,
 }
 
+/// What follows where an answer isn't there as a whole.
+enum Step {
+    /// The request is sent again.
+    Again,
+    /// The caller gets the router's own answer.
+    Refuse(Refusal),
+    /// The answer is long: its start is there, the rest is handed on as it comes.
+    Relay(Bytes, Box<Reply>),
+}
+
+/// The body of an answer that isn't a stream, as far as it was read.
+enum Short {
+    Whole(Bytes),
+    Long { start: Bytes, rest: Incoming },
+}
+
 /// Sends so far.
 #[derive(Debug, Default)]
 pub(super) struct Trail {
@@ -99,8 +116,9 @@
             }
             match self.whole(&mut trail, reply).await {
                 Ok(response) => return response,
-                Err(Some(refusal)) => return self.refuse(refusal, &trail),
-                Err(None) => {}
+                Err(Step::Refuse(refusal)) => return self.refuse(refusal, &trail),
+                Err(Step::Relay(start, reply)) => return relay::long(self, start, *reply, guard),
+                Err(Step::Again) => {}
             }
         }
     }
@@ -181,9 +199,8 @@
         Instant::now() + self.left() / 2
     }
 
-    /// Reads an answer that isn't a stream and makes the caller's answer of it. `None`:
-    /// send it again.
-    async fn whole(&self, trail: &mut Trail, reply: Reply) -> Result<Response, Option<Refusal>> {
+    /// Reads an answer that isn't a stream and makes the caller's answer of it.
+    async fn whole(&self, trail: &mut Trail, reply: Reply) -> Result<Response, Step> {
         let Reply {
             head,
             body,
@@ -202,11 +219,21 @@
                 next = "another server",
             );
             ticket.fail(ErrorKind::Status);
-            return Err(None);
+            return Err(Step::Again);
         }
-        let whole = Limited::new(body, WHOLE as usize).collect();
-        let body = match timeout_at(self.deadline, whole).await {
-            Ok(Ok(body)) => body.to_bytes(),
+        let body = match timeout_at(self.deadline, read_short(body)).await {
+            Ok(Ok(Short::Whole(body))) => body,
+            Ok(Ok(Short::Long { start, rest })) => {
+                let reply = Reply {
+                    head,
+                    body: rest,
+                    lease,
+                    ticket,
+                    server,
+                    outcome,
+                };
+                return Err(Step::Relay(start, Box::new(reply)));
+            }
             Ok(Err(error)) => {
                 event!(
                     info,
@@ -217,11 +244,11 @@
                 );
                 ticket.fail(ErrorKind::Broken);
                 if self.may_retry(trail, Outcome::Truncated) {
-                    return Err(None);
+                    return Err(Step::Again);
                 }
-                return Err(Some(Refusal::Lost));
+                return Err(Step::Refuse(Refusal::Lost));
             }
-            Err(_elapsed) => return Err(Some(Refusal::Timeout)),
+            Err(_elapsed) => return Err(Step::Refuse(Refusal::Timeout)),
         };
         if let Some(keep) = self.keep(&head.headers) {
             lease.recycle_for(keep);
@@ -263,6 +290,22 @@
     }
 }
 
+/// Reads a body up to [`WHOLE`] bytes.
+async fn read_short(mut body: Incoming) -> Result<Short, hyper::Error> {
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(piece) = frame?.into_data() else {
+            continue;
+        };
+        read.extend_from_slice(&piece);
+        if read.len() > WHOLE {
+            let start = read.freeze();
+            return Ok(Short::Long { start, rest: body });
+        }
+    }
+    Ok(Short::Whole(read.freeze()))
+}
+
 impl Trail {
     /// Number of sends.
     pub(super) fn sends(&self) -> usize {
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -45,6 +45,38 @@
     response
 }
 
+/// A long answer that isn't a stream of events: `start` was read, the rest follows.
+pub(super) fn long(journey: Journey, start: Bytes, reply: Reply, guard: InFlight) -> Response {
+    let status = reply.head.status;
+    let headers = journey.node.dialect.response_headers(&reply.head.headers);
+    let body = async_stream::stream! {
+        let _guard = guard;
+        let mut reply = reply;
+        yield Ok(start);
+        let end = loop {
+            match timeout_at(journey.deadline, reply.body.frame()).await {
+                Err(_elapsed) => break End::Timeout,
+                Ok(None) => break End::Whole,
+                Ok(Some(Err(_error))) => break End::Broken,
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(piece) = frame.into_data() {
+                        yield Ok(piece);
+                    }
+                }
+            }
+        };
+        let cutter = EventCutter::new();
+        finish(&journey, &Trail::default(), &cutter, reply, end);
+        if end != End::Whole {
+            yield Err(io::Error::other(end.as_str()));
+        }
+    };
+    let mut response = Response::new(Body::stream(body));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
 fn pieces(
     mut journey: Journey,
     mut trail: Trail,
