gateway: share the retries by the routers that there are; come back later to an away store

Cause: a router's part of the fleet-wide retries was the same however many routers there are: 73 of them could have sent 679 where 186 are allowed. A caller without rights while the store is out of reach was told to come back after half a second, refused again and gone.

Change: the members' feed gives the number of routers; the time to come back is three seconds while the store is away, one second while others hold the rights.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -25,7 +25,7 @@
 const RETRY_PART: f64 = 0.6;
 /// Routers that the retries of one window are shared between, until more show: seven and
 /// eight are the users' smaller deployments, which may grow by half.
-const ROUTERS: f64 = 12.0;
+const ROUTERS: usize = 12;
 
 /// One pool.
 #[derive(Debug)]
@@ -40,6 +40,12 @@
     clock: Instant,
 }
 
+/// Retries that one router may have saved up, among as many routers as are known.
+fn retry_burst(settings: &RouterSettings, routers: usize) -> u32 {
+    let routers = routers.max(ROUTERS) as f64;
+    (settings.retries.slack * RETRY_PART / routers).max(1.0) as u32
+}
+
 /// A chosen server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Chosen {
@@ -53,11 +59,10 @@
     fn new(spec: Arc<PoolSpec>, settings: &RouterSettings, clock: Instant) -> Self {
         let mut policy = FleetPolicy::new(settings.domain.clone());
         policy.seed = xxh3_64(settings.vm.as_str().as_bytes());
-        let burst = (settings.retries.slack * RETRY_PART / ROUTERS).max(1.0);
         let share = settings.retries.ratio * RETRY_PART;
         Self {
             name: spec.name.clone(),
-            retries: RetryBudget::new(share, burst as u32),
+            retries: RetryBudget::new(share, retry_burst(settings, 0)),
             spec: ArcSwap::new(spec),
             fleet: Mutex::new(Fleet::new(policy, Box::new(Rendezvous::default()))),
             addresses: ArcSwap::default(),
@@ -221,6 +226,14 @@
         self.pools.store(Arc::new(pools));
     }
 
+    /// Takes the number of routers that the fleet-wide retries are shared between.
+    pub fn set_routers(&self, routers: usize, settings: &RouterSettings) {
+        let burst = retry_burst(settings, routers);
+        for pool in self.pools.load().values() {
+            pool.retries.set_burst(burst);
+        }
+    }
+
     /// Takes all servers that there are.
     pub fn set_servers(&self, entries: HashMap<ServerName, ServerEntry>) {
         let entries = Arc::new(entries);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -18,6 +18,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::node::Node;
 use crate::settings::RouterSettings;
 use crate::store::{Feed, Store, StoreError};
 use crate::watch::{Follow, News};
@@ -122,20 +123,34 @@
 
 /// Takes news of the members' feed.
 #[derive(Debug)]
-pub(crate) struct Follower(pub(crate) Arc<Peers>);
+pub(crate) struct Follower {
+    pub(crate) peers: Arc<Peers>,
+    pub(crate) node: Arc<Node>,
+}
 
 impl Follow for Follower {
     fn take(&mut self, news: News) {
         for change in &news.changes {
             if let Some(value) = &change.value {
-                self.0.learn(&change.key, value);
+                self.peers.learn(&change.key, value);
             }
         }
+        self.tell();
     }
 
     fn regained(&mut self) {}
 
-    fn tick(&mut self) {}
+    fn tick(&mut self) {
+        // Pools that were declared since the last member came need it too.
+        self.tell();
+    }
+}
+
+impl Follower {
+    fn tell(&self) {
+        let routers = lock(&self.peers.addresses).len() + 1;
+        self.node.pools.set_routers(routers, &self.node.settings);
+    }
 }
 
 /// Writes this router into the members' feed, and the secret if there is none.
--- a/crates/gateway/src/rights/book.rs
+++ b/crates/gateway/src/rights/book.rs
@@ -1,7 +1,7 @@
 //! A router's rights on each workspace, in memory.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -38,6 +38,8 @@
     lenders: ArcSwap<Vec<Lender>>,
     /// What others have spent, as last read; it only grows.
     spent: AtomicU64,
+    /// Whether the last look at the account failed.
+    away: AtomicBool,
     /// Told when rights came or the account was read.
     changed: Notify,
     /// Wakes the task that claims.
@@ -81,8 +83,10 @@
         /// Tokens left.
         rest: Tokens,
     },
-    /// Other routers hold what is left, or the store can't be reached.
+    /// Other routers hold what is left.
     Elsewhere,
+    /// The store can't be reached, and peers lend nothing.
+    Away,
 }
 
 impl Book {
@@ -96,6 +100,7 @@
             short: AtomicU64::new(0),
             lenders: ArcSwap::default(),
             spent: AtomicU64::new(0),
+            away: AtomicBool::new(false),
             changed: Notify::new(),
             wanted,
             lacking,
@@ -197,6 +202,11 @@
         (self.prepaid() + loans.borrowed).saturating_sub(spent)
     }
 
+    /// Notes whether the account could be looked at.
+    pub(super) fn set_away(&self, away: bool) {
+        self.away.store(away, Relaxed);
+    }
+
     /// Takes the largest waiting request; it is forgotten.
     pub(super) fn take_need(&self) -> Tokens {
         self.need.swap(0, Relaxed)
@@ -239,6 +249,9 @@
             if let Some(spend) = self.try_reserve(usage, cost) {
                 return Ok(spend);
             }
+            if is_over && self.away.load(Relaxed) {
+                return Err(NoRights::Away);
+            }
             if is_over {
                 return Err(NoRights::Elsewhere);
             }
--- a/crates/gateway/src/rights/claim.rs
+++ b/crates/gateway/src/rights/claim.rs
@@ -122,7 +122,11 @@
                 () = wanted.notified() => {}
                 () = sleep(self.period()) => {}
             }
-            let pause = match self.round().await {
+            let round = self.round().await;
+            for book in self.books.in_part(self.part) {
+                book.set_away(round.is_err());
+            }
+            let pause = match round {
                 Ok(()) => {
                     if let Some(since) = away.take() {
                         let secs = since.elapsed().as_secs_f32();
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -145,7 +145,11 @@
     let registered = peers::register(Arc::clone(store), settings.clone(), process);
     tasks.spawn(registered);
     let reader = watch::Reader::new(Feed::Members, Arc::clone(store));
-    tasks.spawn(watch::follow(reader, peers::Follower(Arc::clone(&peers))));
+    let follower = peers::Follower {
+        peers: Arc::clone(&peers),
+        node: Arc::clone(node),
+    };
+    tasks.spawn(watch::follow(reader, follower));
     tasks.spawn(lend::run(Arc::clone(&node.books), Arc::clone(&peers)));
     let handler = Arc::new(LendHandler(Arc::clone(&node.books)));
     let name = settings.vm.to_string();
--- a/crates/gateway/src/serve/refuse.rs
+++ b/crates/gateway/src/serve/refuse.rs
@@ -25,6 +25,8 @@
     Spent,
     /// Other routers hold the rights that are left.
     NoRights,
+    /// The rights that are left can't be claimed: the store is out of reach.
+    StoreAway,
     /// No server takes it now; it has not run.
     NoServer,
     /// It may have run, and there is no answer.
@@ -33,8 +35,12 @@
     Timeout,
 }
 
-/// When rights that others hold may be back: a round of claims takes about a second.
-const RIGHTS_WAIT: Duration = Duration::from_millis(500);
+/// When rights that others hold may be back: they give them back in their next round of
+/// claims, half a second or more from now, and the round after that brings them here.
+const RIGHTS_WAIT: Duration = Duration::from_millis(1_000);
+/// When the store may be back: outages on the users' deployments last four to nine
+/// seconds, so half of that is left on average.
+const STORE_WAIT: Duration = Duration::from_secs(3);
 /// When a server may take work again: a few steps of a batch, or a new server.
 const SERVER_WAIT: Duration = Duration::from_millis(250);
 /// When a starting router may be ready.
@@ -52,7 +58,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Slow => StatusCode::REQUEST_TIMEOUT,
             Self::Spent => StatusCode::PAYMENT_REQUIRED,
-            Self::NoRights => StatusCode::TOO_MANY_REQUESTS,
+            Self::NoRights | Self::StoreAway => StatusCode::TOO_MANY_REQUESTS,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -64,6 +70,7 @@
             Self::NotReady => Some(START_WAIT),
             Self::NoServer => Some(SERVER_WAIT),
             Self::NoRights => Some(RIGHTS_WAIT),
+            Self::StoreAway => Some(STORE_WAIT),
             _ => None,
         }
     }
@@ -79,6 +86,7 @@
             Self::Slow => "slow_body",
             Self::Spent => "budget_spent",
             Self::NoRights => "no_rights",
+            Self::StoreAway => "store_away",
             Self::NoServer => "no_server",
             Self::Lost => "lost",
             Self::Timeout => "timeout",
--- a/crates/gateway/src/serve/surface.rs
+++ b/crates/gateway/src/serve/surface.rs
@@ -101,6 +101,7 @@
             Ok(spend) => return Ok(Some(spend)),
             Err(NoRights::Spent { .. }) => Refusal::Spent,
             Err(NoRights::Elsewhere) => Refusal::NoRights,
+            Err(NoRights::Away) => Refusal::StoreAway,
         };
         let counters = book.grant.counters();
         event!(
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -12,7 +12,7 @@
 pub struct RetryBudget {
     level: AtomicU64,
     share: u64,
-    burst: u64,
+    burst: AtomicU64,
 }
 
 impl RetryBudget {
@@ -23,13 +23,21 @@
         Self {
             level: AtomicU64::new(burst),
             share: (share.clamp(0.0, 1.0) * UNIT as f64) as u64,
-            burst,
+            burst: AtomicU64::new(burst),
         }
     }
 
+    /// Changes the size of the bucket; what is in it beyond that is gone.
+    pub fn set_burst(&self, burst: u32) {
+        let burst = u64::from(burst) * UNIT;
+        self.burst.store(burst, Relaxed);
+        self.level.fetch_min(burst, Relaxed);
+    }
+
     /// Counts a request that succeeded.
     pub fn on_success(&self) {
-        let fill = |level: u64| (level < self.burst).then(|| (level + self.share).min(self.burst));
+        let burst = self.burst.load(Relaxed);
+        let fill = |level: u64| (level < burst).then(|| (level + self.share).min(burst));
         // A full bucket stays as it is.
         let _full = self.level.fetch_update(Relaxed, Relaxed, fill);
     }
--- a/crates/routing/tests/retry.rs
+++ b/crates/routing/tests/retry.rs
@@ -44,3 +44,16 @@
     assert_eq!(budget.left(), 2);
     assert_eq!((0..10).filter(|_| budget.take()).count(), 2);
 }
+
+#[test]
+fn a_smaller_bucket_takes_effect_at_once_and_a_larger_one_fills() {
+    let budget = RetryBudget::new(1.0, 10);
+    budget.set_burst(2);
+    assert_eq!(budget.left(), 2);
+    budget.set_burst(4);
+    assert_eq!(budget.left(), 2);
+    for _ in 0..10 {
+        budget.on_success();
+    }
+    assert_eq!(budget.left(), 4);
+}
--- a/crates/telemetry/src/background.rs
+++ b/crates/telemetry/src/background.rs
@@ -22,6 +22,7 @@
 /// Most bytes of one write.
 const BATCH: usize = 64 * 1024;
 
+#[derive(Debug)]
 enum Item {
     Line(Vec<u8>),
     /// Asks for a word once all lines before it are written.
@@ -29,7 +30,7 @@
 }
 
 /// A target for lines that never blocks. A clone writes to the same queue.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Background {
     items: SyncSender<Item>,
     dropped: Arc<AtomicU64>,
