--- a/crates/gateway/src/rights/account.rs
+++ b/crates/gateway/src/rights/account.rs
@@ -5,13 +5,13 @@
 
 /// Part of what is left that routers hold at most; the rest is free for those who run
 /// short, and is there after a loss of all machines.
-const HELD_MOST: f64 = 0.5;
+const HELD_MOST: f64 = 0.35;
 /// Part of what is left that routers hold in any case: use may rise while the store is out
 /// of reach.
-const HELD_LEAST: f64 = 0.4;
+const HELD_LEAST: f64 = 0.25;
 /// Between the two, rights are held for so many seconds of use: a cut from the store lasts
 /// about nine on the users' deployments.
-const AHEAD_SECS: f64 = 12.0;
+const AHEAD_SECS: f64 = 10.0;
 /// Routers that an account is shared between at least, until they show: the users'
 /// smaller deployments have seven and eight.
 const ROUTERS: usize = 8;
