--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod catalog;
 pub mod dialect;
 pub mod fleet;
+pub mod metrics;
 pub mod model;
 mod node;
 pub mod peers;
--- a/crates/gateway/src/model/route.rs
+++ b/crates/gateway/src/model/route.rs
@@ -16,6 +16,18 @@
     Streaming,
 }
 
+impl RouteKind {
+    /// Its name in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Idempotent => "idempotent",
+            Self::NonIdempotent => "non_idempotent",
+            Self::Streaming => "streaming",
+        }
+    }
+}
+
 /// Whether a request may be sent again after it may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Replay {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -7,6 +7,7 @@
 
 use crate::dialect::Dialect;
 use crate::fleet::Pools;
+use crate::metrics::Metrics;
 use crate::model::Config;
 use crate::rights::Books;
 use crate::settings::RouterSettings;
@@ -24,6 +25,8 @@
     pub pools: Pools,
     /// Rights of the workspaces.
     pub books: Arc<Books>,
+    /// What the router counts.
+    pub metrics: Metrics,
     /// Whether the directory of backend servers was read.
     pub has_servers: AtomicBool,
     /// Whether the router was told to stop.
@@ -41,6 +44,7 @@
             dialect,
             config: ArcSwapOption::empty(),
             pools: Pools::new(),
+            metrics: Metrics::new(),
             has_servers: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -13,6 +13,7 @@
 
 use crate::catalog::Catalog;
 use crate::dialect::Dialect;
+use crate::metrics::{Counted, Exposition};
 use crate::node::Node;
 use crate::peers::{self, Peers};
 use crate::ready::Readiness;
@@ -48,6 +49,7 @@
     pub(crate) node: Arc<Node>,
     pub(crate) callers: WebServer,
     pub(crate) readiness: WebServer,
+    pub(crate) metrics: Option<WebServer>,
     pub(crate) claims: Claims,
     pub(crate) tasks: JoinSet<()>,
 }
@@ -82,11 +84,15 @@
             .with_context(|| format!("binding the readiness address {}", settings.readiness))?;
         let limits = limits(&settings);
         let node = Arc::new(Node::new(settings, adapter.dialect));
+        let store: Arc<dyn Store> = Arc::new(Counted {
+            store: adapter.store,
+            node: Arc::clone(&node),
+        });
         let mut tasks = JoinSet::new();
-        watch::spawn(&mut tasks, &node, &adapter.store, &adapter.catalog);
+        watch::spawn(&mut tasks, &node, &store, &adapter.catalog);
         let process = rand::random();
-        spawn_peers(&mut tasks, &node, &adapter.store, process)?;
-        let claims = Claims::spawn(&node.books, &adapter.store, &node.settings.vm, process);
+        spawn_peers(&mut tasks, &node, &store, process)?;
+        let claims = Claims::spawn(&node.books, &store, &node.settings.vm, process);
         let surface = Arc::new(Surface(Arc::clone(&node)));
         let callers =
             WebServer::bind(callers, limits, surface).context("starting the callers' listener")?;
@@ -98,10 +104,12 @@
         let ready = Arc::new(Readiness(Arc::clone(&node)));
         let readiness =
             WebServer::bind(readiness, limits, ready).context("starting the readiness listener")?;
+        let metrics = bind_metrics(&node)?;
         Ok(Self {
             node,
             callers,
             readiness,
+            metrics,
             claims,
             tasks,
         })
@@ -119,6 +127,12 @@
         self.readiness.address()
     }
 
+    /// Where metrics are served, as bound.
+    #[must_use]
+    pub fn metrics(&self) -> Option<SocketAddr> {
+        self.metrics.as_ref().map(WebServer::address)
+    }
+
     /// What its parts share.
     #[must_use]
     pub fn node(&self) -> &Arc<Node> {
@@ -131,6 +145,24 @@
     }
 }
 
+/// Starts the listener for metrics, where the settings have an address for it.
+fn bind_metrics(node: &Arc<Node>) -> anyhow::Result<Option<WebServer>> {
+    let Some(address) = node.settings.metrics else {
+        return Ok(None);
+    };
+    let listener = TcpListener::bind(address)
+        .with_context(|| format!("binding the metrics address {address}"))?;
+    let limits = Limits {
+        workers: 1,
+        connections: 16,
+        ..Limits::default()
+    };
+    let service = Arc::new(Exposition(Arc::clone(node)));
+    WebServer::bind(listener, limits, service)
+        .context("starting the metrics listener")
+        .map(Some)
+}
+
 /// Starts what lends to other routers and borrows from them.
 fn spawn_peers(
     tasks: &mut JoinSet<()>,
--- a/crates/gateway/src/serve/journey.rs
+++ b/crates/gateway/src/serve/journey.rs
@@ -141,6 +141,7 @@
             let name = server.name.clone();
             let outcome = match attempt(self, server, ticket, resume, until).await {
                 Ok(reply) => {
+                    self.node.metrics.sent(reply.outcome.as_str());
                     trail.tried.push(idx);
                     trail.runs += 1;
                     return Ok(reply);
@@ -148,6 +149,7 @@
                 Err(outcome) => outcome,
             };
             trail.tried.push(idx);
+            self.node.metrics.sent(outcome.as_str());
             self.note(trail, outcome);
             event!(
                 info,
@@ -267,6 +269,10 @@
             attempts = trail.tried.len(),
             ms = self.start.elapsed().as_millis(),
         );
+        let kind = self.route.kind.as_str();
+        self.node
+            .metrics
+            .answered(kind, outcome.as_str(), self.start.elapsed());
         let mut response = Response::new(Body::full(body));
         *response.status_mut() = head.status;
         *response.headers_mut() = self.node.dialect.response_headers(&head.headers);
@@ -286,6 +292,7 @@
             open = self.pool.open(),
             ms = self.start.elapsed().as_millis(),
         );
+        self.node.metrics.refused(refusal.as_str());
         refusal.response()
     }
 }
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -86,6 +86,7 @@
     async_stream::stream! {
         let _guard = guard;
         let mut cutter = EventCutter::new();
+        let mut is_first = true;
         let stride = journey.pool.spec().stride.unwrap_or(1);
         loop {
             let end = loop {
@@ -102,6 +103,10 @@
                     continue;
                 };
                 reply.ticket.first();
+                if is_first {
+                    is_first = false;
+                    journey.node.metrics.first_event(journey.start.elapsed());
+                }
                 if let Some(spend) = &mut journey.spend {
                     spend.delivered(cutter.events() * stride);
                 }
@@ -163,6 +168,11 @@
         attempts = trail.sends(),
         ms = journey.start.elapsed().as_millis(),
     );
+    let kind = journey.route.kind.as_str();
+    journey
+        .node
+        .metrics
+        .answered(kind, end.as_str(), journey.start.elapsed());
     let Reply {
         head,
         mut lease,
--- a/crates/gateway/src/serve/surface.rs
+++ b/crates/gateway/src/serve/surface.rs
@@ -41,6 +41,7 @@
                 let ms = start.elapsed().as_millis();
                 let reason = refusal.as_str();
                 event!(info, "request.refused", id = id, reason = reason, ms = ms);
+                self.0.metrics.refused(reason);
                 refusal.response()
             }
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -16,6 +16,8 @@
     pub callers: SocketAddr,
     /// Where the balancer asks whether it is ready.
     pub readiness: SocketAddr,
+    /// Where metrics are served; nowhere without an address.
+    pub metrics: Option<SocketAddr>,
     /// Where other routers connect.
     pub peers: SocketAddr,
     /// Worker threads that serve callers.
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -23,6 +23,7 @@
         node,
         callers,
         readiness,
+        metrics,
         claims,
         mut tasks,
     } = router;
@@ -36,5 +37,8 @@
     claims.stop(left.max(RIGHTS_TIME)).await;
     tasks.shutdown().await;
     readiness.stop(Duration::ZERO).await;
+    if let Some(metrics) = metrics {
+        metrics.stop(Duration::ZERO).await;
+    }
     event!(info, "router.stopped", in_flight = node.in_flight());
 }
