rights: hold a fifth to a quarter of what is left; tell what a dead process held

A clock from the servers' heartbeats or the store's group timers, which would tell a router that died in touch from one that had been cut off: neither is promised to run on while the store is down (docs/design/platform.md).

--- a/crates/gateway/src/rights/account.rs
+++ b/crates/gateway/src/rights/account.rs
@@ -5,20 +5,20 @@
 
 /// Part of what is left that routers hold at most; the rest is free for those who run
 /// short, and is there after a loss of all machines.
-const HELD_MOST: f64 = 0.35;
+const HELD_MOST: f64 = 0.25;
 /// Part of what is left that routers hold in any case: use may rise while the store is out
 /// of reach.
-const HELD_LEAST: f64 = 0.25;
+const HELD_LEAST: f64 = 0.2;
 /// Between the two, rights are held for so many seconds of use: a cut from the store lasts
 /// about nine on the users' deployments.
-const AHEAD_SECS: f64 = 10.0;
+const AHEAD_SECS: f64 = 8.0;
 /// Routers that an account is shared between at least, until they show: the users'
 /// smaller deployments have seven and eight.
 const ROUTERS: usize = 8;
 /// Part of the shares that is dealt evenly, for callers who come to another router; the
 /// rest goes by the rate of use. Callers mostly stay at their router: the largest
 /// workspace of the users' sites uses one alone.
-const EVEN_PART: f64 = 0.1;
+const EVEN_PART: f64 = 0.05;
 /// A router gives rights back from this multiple of its target on.
 const EXCESS: f64 = 1.3;
 /// A router asks for more below this part of its target.
--- a/crates/gateway/src/rights/claim.rs
+++ b/crates/gateway/src/rights/claim.rs
@@ -8,7 +8,7 @@
 use prost::Message;
 use swiftlink_telemetry::event;
 use swiftlink_types::{Tokens, VmName, WorkspaceName};
-use swiftlink_wire::rights::Account;
+use swiftlink_wire::rights::{Account, Holder};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
@@ -203,6 +203,7 @@
         };
         let mut records = Vec::new();
         let mut changes = Vec::new();
+        let mut closed = Vec::new();
         for book in books {
             let account = seen
                 .accounts
@@ -219,6 +220,7 @@
             if change.granted < stake.granted {
                 give_back(book, &stake, &mut change, self.process);
             }
+            closed.extend(self.predecessors(book, &account));
             records.push(record(&book.workspace, &change.account));
             changes.push((Arc::clone(book), change));
         }
@@ -241,12 +243,40 @@
             }
         }
         for (book, change) in changes {
+            self.log_closed(&book, &closed);
             self.accept(&book, change.granted);
             self.tell(&book, &change.account);
         }
         Ok(())
     }
 
+    /// Earlier processes on this VM that the account still has.
+    fn predecessors(&self, book: &Book, account: &Account) -> Vec<(WorkspaceName, Holder)> {
+        let is_earlier =
+            |holder: &&Holder| holder.vm == self.vm.as_str() && holder.process != self.process;
+        let earlier = account.holders.iter().filter(is_earlier);
+        earlier
+            .map(|holder| (book.workspace.clone(), holder.clone()))
+            .collect()
+    }
+
+    fn log_closed(&self, book: &Book, closed: &[(WorkspaceName, Holder)]) {
+        for (workspace, holder) in closed {
+            if *workspace != book.workspace {
+                continue;
+            }
+            event!(
+                warn,
+                "rights.closed",
+                workspace = workspace,
+                reason = "an earlier process on this VM held them",
+                granted = holder.granted,
+                charged = holder.charged,
+                lost = holder.granted.saturating_sub(holder.charged),
+            );
+        }
+    }
+
     /// The router may spend `granted` from now on.
     fn accept(&self, book: &Book, granted: Tokens) {
         let held = book.accept(granted);
