docs: from a failed request to its cause; the age of what decided is in the lines

Lines of refusals for want of rights say how old the account's reading was; lines of answers say the version of the configuration and what was charged. A test that rebuilds causes from lines isn't written.

--- a/crates/gateway/src/rights/book.rs
+++ b/crates/gateway/src/rights/book.rs
@@ -40,6 +40,9 @@
     spent: AtomicU64,
     /// Whether the last look at the account failed.
     away: AtomicBool,
+    /// When the account was last read, in milliseconds since `opened`; 0 before.
+    read_at: AtomicU64,
+    opened: Instant,
     /// Told when rights came or the account was read.
     changed: Notify,
     /// Wakes the task that claims.
@@ -101,6 +104,8 @@
             lenders: ArcSwap::default(),
             spent: AtomicU64::new(0),
             away: AtomicBool::new(false),
+            read_at: AtomicU64::new(0),
+            opened: Instant::now(),
             changed: Notify::new(),
             wanted,
             lacking,
@@ -202,6 +207,16 @@
         (self.prepaid() + loans.borrowed).saturating_sub(spent)
     }
 
+    /// Milliseconds since the account was last read, or since the start.
+    #[must_use]
+    pub fn read_age_ms(&self) -> u64 {
+        self.age_ms().saturating_sub(self.read_at.load(Relaxed))
+    }
+
+    fn age_ms(&self) -> u64 {
+        u64::try_from(self.opened.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Notes whether the account could be looked at.
     pub(super) fn set_away(&self, away: bool) {
         self.away.store(away, Relaxed);
@@ -217,6 +232,7 @@
         lenders.sort_by_key(|lender| std::cmp::Reverse(lender.unspent));
         self.lenders.store(Arc::new(lenders));
         self.spent.store(spent, Relaxed);
+        self.read_at.store(self.age_ms(), Relaxed);
         self.changed.notify_waiters();
     }
 
--- a/crates/gateway/src/serve/journey.rs
+++ b/crates/gateway/src/serve/journey.rs
@@ -11,6 +11,7 @@
 use swiftlink_routing::{ErrorKind, ServerIdx};
 use swiftlink_shell::web::{Body, Response};
 use swiftlink_telemetry::event;
+use swiftlink_types::Tokens;
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{Reply, attempt};
@@ -50,6 +51,8 @@
     pub(super) parcel: Parcel,
     pub(super) ask: Ask,
     pub(super) spend: Option<Spend>,
+    /// Version of the configuration that it was admitted under.
+    pub(super) version: u64,
     pub(super) start: Instant,
     pub(super) deadline: Instant,
 }
@@ -89,6 +92,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Tokens that it has spent.
+    pub(super) fn spent(&self) -> Tokens {
+        self.spend.as_ref().map_or(0, Spend::spent)
+    }
+
     /// Id of the request, for logs.
     pub(super) fn id(&self) -> &str {
         self.ask.id()
@@ -267,6 +275,7 @@
             server = server.name,
             status = head.status.as_u16(),
             attempts = trail.tried.len(),
+            config = self.version,
             ms = self.start.elapsed().as_millis(),
         );
         let kind = self.route.kind.as_str();
@@ -290,6 +299,7 @@
             attempts = trail.tried.len(),
             runs = trail.runs,
             open = self.pool.open(),
+            config = self.version,
             ms = self.start.elapsed().as_millis(),
         );
         self.node.metrics.refused(refusal.as_str());
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -166,6 +166,8 @@
         end = end.as_str(),
         events = cutter.events(),
         attempts = trail.sends(),
+        charged = journey.spent(),
+        config = journey.version,
         ms = journey.start.elapsed().as_millis(),
     );
     let kind = journey.route.kind.as_str();
--- a/crates/gateway/src/serve/surface.rs
+++ b/crates/gateway/src/serve/surface.rs
@@ -79,6 +79,7 @@
             },
             ask,
             spend,
+            version: config.version,
             start,
             deadline: start + time,
         })
@@ -115,6 +116,8 @@
             reserved = counters.reserved,
             rest = book.rest(),
             prepaid = book.prepaid(),
+            read_age_ms = book.read_age_ms(),
+            refusal = refusal.as_str(),
         );
         Err(refusal)
     }
