gateway: a pool has its servers however configuration and directory come in

Change: both changes take a lock. The new test (3,000 rounds of two threads) failed on the code before and passes; the adapter's suite passed three times in a row.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -190,6 +190,8 @@
 pub struct Pools {
     pools: ArcSwap<HashMap<PoolName, Arc<Pool>>>,
     entries: ArcSwap<HashMap<ServerName, ServerEntry>>,
+    /// Held while either changes: each must see the other's last state.
+    changing: Mutex<()>,
     clock: Instant,
 }
 
@@ -200,6 +202,7 @@
         Self {
             pools: ArcSwap::default(),
             entries: ArcSwap::default(),
+            changing: Mutex::default(),
             clock: Instant::now(),
         }
     }
@@ -213,6 +216,7 @@
     /// Takes the pools of a configuration. One that is no longer declared stays for the
     /// requests that it has.
     pub fn set_config(&self, config: &Config, settings: &RouterSettings) {
+        let _changing = self.changing();
         let mut pools = HashMap::clone(&self.pools.load());
         for (name, spec) in &config.pools {
             if let Some(pool) = pools.get(name) {
@@ -236,12 +240,17 @@
 
     /// Takes all servers that there are.
     pub fn set_servers(&self, entries: HashMap<ServerName, ServerEntry>) {
+        let _changing = self.changing();
         let entries = Arc::new(entries);
         self.entries.store(Arc::clone(&entries));
         for (name, pool) in self.pools.load().iter() {
             pool.set_servers(&members(&entries, name));
         }
     }
+
+    fn changing(&self) -> MutexGuard<'_, ()> {
+        self.changing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// The servers of one pool.
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 
 mod accounts;
 mod book;
+mod pools;
 mod proof;
 mod rights;
 mod sse;
--- /dev/null
+++ b/crates/gateway/tests/testsuite/pools.rs
@@ -0,0 +1,82 @@
+//! Pools and their servers.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Barrier};
+use std::time::Duration;
+
+use swiftlink_gateway::catalog::ServerEntry;
+use swiftlink_gateway::fleet::Pools;
+use swiftlink_gateway::model::{Config, PoolSpec};
+use swiftlink_gateway::{RetryTerms, RouterSettings};
+use swiftlink_types::{DomainName, PoolName, ServerName, VmName};
+
+use crate::book;
+
+fn settings() -> RouterSettings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    RouterSettings {
+        vm: VmName::from("vm"),
+        domain: DomainName::from("a"),
+        callers: any,
+        readiness: any,
+        metrics: None,
+        peers: any,
+        workers: 1,
+        connections: 10,
+        grace: Duration::from_secs(1),
+        retries: RetryTerms {
+            ratio: 0.2,
+            slack: 10.0,
+        },
+        parts: 1,
+        lapse: Duration::from_secs(2),
+    }
+}
+
+fn config() -> Config {
+    let mut config = book::config(None);
+    let pool = PoolSpec {
+        name: PoolName::from("pool"),
+        connections: None,
+        stride: None,
+    };
+    config.pools.insert(pool.name.clone(), Arc::new(pool));
+    config
+}
+
+fn servers() -> HashMap<ServerName, ServerEntry> {
+    let entry = ServerEntry {
+        name: ServerName::from("s"),
+        pool: PoolName::from("pool"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        domain: DomainName::from("a"),
+        slots: 4,
+        draining: false,
+    };
+    HashMap::from([(entry.name.clone(), entry)])
+}
+
+/// The configuration and the servers come from two feeds, which two threads follow. A pool
+/// that was declared while its servers were read once stayed without them.
+#[test]
+fn a_pool_has_its_servers_however_both_come_in() {
+    for _round in 0..3_000 {
+        let pools = Pools::new();
+        let (settings, config) = (settings(), config());
+        let start = Barrier::new(2);
+        std::thread::scope(|scope| {
+            scope.spawn(|| {
+                start.wait();
+                pools.set_config(&config, &settings);
+            });
+            scope.spawn(|| {
+                let servers = servers();
+                start.wait();
+                pools.set_servers(servers);
+            });
+        });
+        let pool = pools.get(&PoolName::from("pool")).expect("a pool");
+        assert_eq!(pool.open(), 1);
+    }
+}
