router: count a charge as stuck before its answer is released

It was the promise, not the count: after settle_wait_ms the answer's end went out, but that nothing more may be admitted was noted by the charge's background job, between two tries of a ledger; a caller's next request could come before.

Ruled out: a charge that reached a ledger through the cut links (the checker of the test counts charges; they were right).

Change: whoever sees the wait's end first, answer or job, marks the charge; the answer does so before it goes on.

Its like elsewhere was looked for (flags that a job sets for a request): none found in charge.rs, claim.rs, keys.rs.

--- a/crates/router/src/charge.rs
+++ b/crates/router/src/charge.rs
@@ -5,7 +5,7 @@
 //! and hands it to another ledger when one is silent; copies are harmless.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use swiftlink_budget::stream_of;
@@ -123,6 +123,8 @@
         cost: Cost,
         hold: KeyHold,
     ) -> (Option<Tokens>, Carrier) {
+        let progress = Arc::new(Progress::default());
+        let key = cost.key;
         let job = Job {
             settler: Arc::clone(self),
             seat: seat.stay(),
@@ -132,7 +134,7 @@
             start: Instant::now(),
             is_stored: false,
             told: None,
-            stuck: false,
+            progress: Arc::clone(&progress),
         };
         self.counts.pending.fetch_add(1, Ordering::Relaxed);
         let mut carrier = Carrier {
@@ -153,9 +155,22 @@
         let left = self.wait.saturating_sub(carrier.job().start.elapsed());
         carrier.depart();
         let told = timeout(left, stored).await;
+        if told.is_err() {
+            // Before the answer's end goes out: its caller's next request must find it.
+            self.note_stuck(&progress, key);
+        }
         (told.ok().and_then(Result::ok).flatten(), carrier)
     }
 
+    /// Notes that no ledger stored the charge of `key` within the wait.
+    fn note_stuck(&self, progress: &Progress, key: RequestKey) {
+        if !progress.get_stuck() {
+            return;
+        }
+        self.counts.stuck.fetch_add(1, Ordering::Relaxed);
+        event!(error, "charge.stuck", key = key);
+    }
+
     /// Waits until no charge is pending; false when `limit` comes first.
     pub async fn drain(&self, limit: Instant) -> bool {
         while self.counts.pending.load(Ordering::Relaxed) > 0 {
@@ -211,7 +226,31 @@
     is_stored: bool,
     /// Who waits for the storing.
     told: Option<oneshot::Sender<Option<Tokens>>>,
-    stuck: bool,
+    progress: Arc<Progress>,
+}
+
+/// How far a charge is, for the answer that waits for it and for the job that goes on.
+#[derive(Debug, Default)]
+struct Progress(AtomicU8);
+
+impl Progress {
+    const WAITING: u8 = 0;
+    const STUCK: u8 = 1;
+    const STORED: u8 = 2;
+
+    /// The wait is over. Says whether that is news.
+    fn get_stuck(&self) -> bool {
+        let (old, new) = (Self::WAITING, Self::STUCK);
+        let changed = self
+            .0
+            .compare_exchange(old, new, Ordering::AcqRel, Ordering::Acquire);
+        changed.is_ok()
+    }
+
+    /// A ledger has it. Says whether it was stuck.
+    fn get_stored(&self) -> bool {
+        self.0.swap(Self::STORED, Ordering::AcqRel) == Self::STUCK
+    }
 }
 
 impl Job {
@@ -297,25 +336,17 @@
         }
         let us = u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX);
         self.settler.metrics.time_us("charge.stored", us);
-        if self.stuck {
-            self.stuck = false;
+        if self.progress.get_stored() {
             self.settler.counts.stuck.fetch_sub(1, Ordering::Relaxed);
             event!(info, "charge.unstuck", key = self.cost.key);
         }
     }
 
     fn note_stuck(&mut self) {
-        if self.stuck || self.is_stored || self.start.elapsed() < self.settler.wait {
+        if self.is_stored || self.start.elapsed() < self.settler.wait {
             return;
         }
-        self.stuck = true;
-        self.settler.counts.stuck.fetch_add(1, Ordering::Relaxed);
-        event!(
-            error,
-            "charge.stuck",
-            key = self.cost.key,
-            cost = self.cost.cost
-        );
+        self.settler.note_stuck(&self.progress, self.cost.key);
     }
 
     fn finish(self, fate: ChargeFate) {
