gateway: clear names for outcomes and refusals; nothing unused in the configuration

Read as a newcomer: an outcome that no code gave (NotWritten), fields that nothing used (the connection cap, the idle time), and "malformed" for a body that ended early.

--- a/crates/gateway/src/model/config.rs
+++ b/crates/gateway/src/model/config.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use swiftlink_types::{PoolName, Tokens, WorkspaceName};
 
@@ -30,8 +29,6 @@
 pub struct PoolSpec {
     /// Its name.
     pub name: PoolName,
-    /// Most connections that one of its servers takes from all callers together.
-    pub connections: Option<u32>,
     /// Most output tokens that one event of a stream holds; `None` where the servers are
     /// no model engines.
     pub stride: Option<u64>,
@@ -42,8 +39,6 @@
 pub struct RequestLimits {
     /// Longest body, in bytes.
     pub body: usize,
-    /// How long a connection may be idle between requests.
-    pub idle: Duration,
 }
 
 /// A workspace: who prepays and is charged.
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -8,10 +8,8 @@
 /// How one send to a backend server ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Outcome {
-    /// No connection could be made.
-    NotConnected,
-    /// The connection was closed before a byte of the request was written.
-    NotWritten,
+    /// No byte of the request left: no connection could be made, or it was closed before.
+    NotSent,
     /// The server refused, and says that it did not run the request.
     Shed,
     /// Another server has the address by now.
@@ -46,7 +44,7 @@
     #[must_use]
     pub fn ran(self) -> Ran {
         match self {
-            Self::NotConnected | Self::NotWritten | Self::Shed | Self::Misdirected => Ran::No,
+            Self::NotSent | Self::Shed | Self::Misdirected => Ran::No,
             Self::Lost | Self::Silent | Self::Stray => Ran::Maybe,
             Self::Truncated | Self::Failed | Self::Served => Ran::Yes,
         }
@@ -69,8 +67,7 @@
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::NotConnected => "not_connected",
-            Self::NotWritten => "not_written",
+            Self::NotSent => "not_sent",
             Self::Shed => "shed",
             Self::Misdirected => "misdirected",
             Self::Lost => "lost",
--- a/crates/gateway/src/rights/lend.rs
+++ b/crates/gateway/src/rights/lend.rs
@@ -5,7 +5,7 @@
 
 use async_trait::async_trait;
 use swiftlink_link::{Handler, Replies};
-use swiftlink_telemetry::event;
+use swiftlink_telemetry::{Level, event};
 use swiftlink_types::{Tokens, WorkspaceName};
 use swiftlink_wire::link::{Borrow, Failure, FailureKind, Lent, reply, request};
 use tokio::time::sleep;
@@ -47,8 +47,14 @@
         let workspace = WorkspaceName::from(ask.workspace.as_str());
         let book = self.0.get(&workspace);
         let amount = book.map_or(0, |book| book.lend(ask.amount, ask.need));
+        // Routers that run short ask again and again; only what moves is told.
+        let level = if amount == 0 {
+            Level::Debug
+        } else {
+            Level::Info
+        };
         event!(
-            info,
+            level,
             "rights.lent",
             workspace = workspace,
             peer = peer,
@@ -93,8 +99,13 @@
                     book.is_drained(&lender.vm);
                 }
                 got += amount;
+                let level = if amount == 0 {
+                    Level::Debug
+                } else {
+                    Level::Info
+                };
                 event!(
-                    info,
+                    level,
                     "rights.borrowed",
                     workspace = book.workspace,
                     peer = lender.vm,
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -48,7 +48,7 @@
         Ok(answer) => answer,
         Err(error) => {
             let (outcome, kind) = match error {
-                SendError::NotSent(_) => (Outcome::NotConnected, ErrorKind::Connect),
+                SendError::NotSent(_) => (Outcome::NotSent, ErrorKind::Connect),
                 SendError::Lost(_) => (Outcome::Lost, ErrorKind::Broken),
                 SendError::Silent => (Outcome::Silent, ErrorKind::Timeout),
             };
--- a/crates/gateway/src/serve/refuse.rs
+++ b/crates/gateway/src/serve/refuse.rs
@@ -21,6 +21,8 @@
     TooLarge,
     /// The caller sent its body too slowly.
     Slow,
+    /// The body ended early; mostly the caller has left.
+    BrokenBody,
     /// What the workspace has left doesn't cover it.
     Spent,
     /// Other routers hold the rights that are left.
@@ -52,7 +54,7 @@
     pub(super) fn status(self) -> StatusCode {
         match self {
             Self::NotReady | Self::NoServer => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::Malformed | Self::BrokenBody => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -84,6 +86,7 @@
             Self::NoKey => "no_key",
             Self::TooLarge => "too_large",
             Self::Slow => "slow_body",
+            Self::BrokenBody => "broken_body",
             Self::Spent => "budget_spent",
             Self::NoRights => "no_rights",
             Self::StoreAway => "store_away",
--- a/crates/gateway/src/serve/surface.rs
+++ b/crates/gateway/src/serve/surface.rs
@@ -55,7 +55,10 @@
         let config = node.config.load_full().ok_or(Refusal::NotReady)?;
         let route = find_route(&config, &request).ok_or(Refusal::NoRoute)?;
         let ask = node.dialect.ask(request.headers());
-        let ask = ask.map_err(|_reason| Refusal::Malformed)?;
+        let ask = ask.map_err(|reason| {
+            event!(info, "request.malformed", reason = reason);
+            Refusal::Malformed
+        })?;
         let workspace = find_workspace(&config, &route, &ask)?;
         let body = request
             .body(config.limits.body)
@@ -146,6 +149,6 @@
     match error {
         BodyError::TooLarge => Refusal::TooLarge,
         BodyError::Timeout => Refusal::Slow,
-        BodyError::Broken => Refusal::Malformed,
+        BodyError::Broken => Refusal::BrokenBody,
     }
 }
--- a/crates/gateway/tests/testsuite/book.rs
+++ b/crates/gateway/tests/testsuite/book.rs
@@ -20,10 +20,7 @@
         version: 1,
         routes: RouteTable::default(),
         pools: HashMap::new(),
-        limits: RequestLimits {
-            body: 1_000,
-            idle: Duration::from_secs(10),
-        },
+        limits: RequestLimits { body: 1_000 },
         workspaces: HashMap::from([(workspace.name.clone(), workspace)]),
         keys: HashMap::new(),
     }
--- a/crates/gateway/tests/testsuite/pools.rs
+++ b/crates/gateway/tests/testsuite/pools.rs
@@ -37,7 +37,6 @@
     let mut config = book::config(None);
     let pool = PoolSpec {
         name: PoolName::from("pool"),
-        connections: None,
         stride: None,
     };
     config.pools.insert(pool.name.clone(), Arc::new(pool));
--- a/crates/gateway/tests/testsuite/proof.rs
+++ b/crates/gateway/tests/testsuite/proof.rs
@@ -3,12 +3,7 @@
 use swiftlink_gateway::model::Replay;
 use swiftlink_gateway::proof::{Outcome, Ran};
 
-const NOT_RUN: [Outcome; 4] = [
-    Outcome::NotConnected,
-    Outcome::NotWritten,
-    Outcome::Shed,
-    Outcome::Misdirected,
-];
+const NOT_RUN: [Outcome; 3] = [Outcome::NotSent, Outcome::Shed, Outcome::Misdirected];
 const MAYBE: [Outcome; 3] = [Outcome::Lost, Outcome::Silent, Outcome::Stray];
 const RAN: [Outcome; 3] = [Outcome::Truncated, Outcome::Failed, Outcome::Served];
 
