--- a/crates/telemetry/src/background.rs
+++ b/crates/telemetry/src/background.rs
@@ -7,9 +7,9 @@
 use std::io::{self, Write};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
-use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
 use std::thread;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use crate::Line;
 use crate::time::utc;
@@ -19,6 +19,8 @@
 const QUEUE: usize = 8_192;
 /// Pause between two writes, so that a busy process writes many lines at a time.
 const PAUSE: Duration = Duration::from_millis(20);
+/// Time between two looks whether a full queue has room.
+const FULL_PAUSE: Duration = Duration::from_millis(1);
 /// Most bytes of one write.
 const BATCH: usize = 64 * 1024;
 
@@ -58,11 +60,19 @@
 
     /// Waits up to `time` until all lines so far are written. Says whether they are.
     pub fn flush_within(&self, time: Duration) -> bool {
+        let end = Instant::now() + time;
         let (done, heard) = sync_channel(1);
-        if self.items.try_send(Item::Flush(done)).is_err() {
-            return false;
+        let mut item = Item::Flush(done);
+        // A full queue has room again once the writer has written.
+        while let Err(TrySendError::Full(back)) = self.items.try_send(item) {
+            if Instant::now() >= end {
+                return false;
+            }
+            item = back;
+            thread::sleep(FULL_PAUSE);
         }
-        !matches!(heard.recv_timeout(time), Err(RecvTimeoutError::Timeout))
+        let left = end.saturating_duration_since(Instant::now());
+        !matches!(heard.recv_timeout(left), Err(RecvTimeoutError::Timeout))
     }
 }
 
