--- a/crates/gateway/src/serve/journey.rs
+++ b/crates/gateway/src/serve/journey.rs
@@ -125,7 +125,9 @@
             match self.whole(&mut trail, reply).await {
                 Ok(response) => return response,
                 Err(Step::Refuse(refusal)) => return self.refuse(refusal, &trail),
-                Err(Step::Relay(start, reply)) => return relay::long(self, start, *reply, guard),
+                Err(Step::Relay(start, reply)) => {
+                    return relay::long(self, trail, start, *reply, guard);
+                }
                 Err(Step::Again) => {}
             }
         }
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -35,20 +35,28 @@
 
 /// The answer to the caller; its body goes on while the server's does.
 pub(super) fn stream(journey: Journey, trail: Trail, reply: Reply, guard: InFlight) -> Response {
-    let status = reply.head.status;
-    let headers = journey.node.dialect.response_headers(&reply.head.headers);
-    let body = pieces(journey, trail, reply, guard);
-    let mut response = Response::new(Body::stream(body));
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
+    let response = head(&journey, &reply);
+    response.map(|()| Body::stream(pieces(journey, trail, reply, guard)))
+}
+
+/// The head of the caller's answer. Its body goes out in pieces, so its length isn't told.
+fn head(journey: &Journey, reply: &Reply) -> http::Response<()> {
+    let mut response = http::Response::new(());
+    *response.status_mut() = reply.head.status;
+    *response.headers_mut() = journey.node.dialect.response_headers(&reply.head.headers);
     response.headers_mut().remove(http::header::CONTENT_LENGTH);
     response
 }
 
 /// A long answer that isn't a stream of events: `start` was read, the rest follows.
-pub(super) fn long(journey: Journey, start: Bytes, reply: Reply, guard: InFlight) -> Response {
-    let status = reply.head.status;
-    let headers = journey.node.dialect.response_headers(&reply.head.headers);
+pub(super) fn long(
+    journey: Journey,
+    trail: Trail,
+    start: Bytes,
+    reply: Reply,
+    guard: InFlight,
+) -> Response {
+    let response = head(&journey, &reply);
     let body = async_stream::stream! {
         let _guard = guard;
         let mut reply = reply;
@@ -66,15 +74,12 @@
             }
         };
         let cutter = EventCutter::new();
-        finish(&journey, &Trail::default(), &cutter, reply, end);
+        finish(&journey, &trail, &cutter, reply, end);
         if end != End::Whole {
             yield Err(io::Error::other(end.as_str()));
         }
     };
-    let mut response = Response::new(Body::stream(body));
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    response
+    response.map(|()| Body::stream(body))
 }
 
 fn pieces(
