ledger: a test waits for a withdrawal itself, not for an offset

Cause: joins_on_a_retired_vm_are_refused_until_it_is_withdrawn (known red) took the configuration stream's offset 3 for the withdrawal. Ruled out: an offset that shows before the view that joins are checked by; the stream tells its offset after the state has changed, under one lock. Change: the test waits until the retirement is out of the configuration in force, and takes the version to delete from there. It still asserts that a join is refused before and taken after.

--- a/crates/ledger/tests/retirement.rs
+++ b/crates/ledger/tests/retirement.rs
@@ -15,6 +15,7 @@
 use swiftlink_budget::Fold;
 use swiftlink_link::LinkError;
 use swiftlink_log::{Log, MemLog};
+use swiftlink_resource::Kind;
 use swiftlink_wire::log::{Batch, Change, Record};
 
 /// Several times the wait before a retirement or release.
@@ -30,14 +31,24 @@
     .await;
 }
 
-/// Withdraws the retirement that stands at `version`.
-async fn withdraw(log: &MemLog, vm: &str, version: u64) {
+/// Version of the VM's retirement, as `node` has it in force. A version is an offset, and
+/// a snapshot of the stream takes an offset too, so it isn't known beforehand.
+fn retirement(node: &Node, vm: &str) -> Option<u64> {
+    let state = node.ledger.config().state();
+    let config = state.get()?.config();
+    Some(config.get(Kind::Retirement, vm)?.version)
+}
+
+/// Withdraws the retirement that stands; returns once `node` has that in force.
+async fn withdraw(log: &MemLog, node: &Node, vm: &str) {
+    let version = retirement(node, vm).expect("a retirement");
     let delete = Change {
         base: version,
         delete: true,
         ..change("retirement", vm, "")
     };
     apply(log, &format!("withdraw-{vm}"), vec![delete]).await;
+    common::eventually("withdrawal", || retirement(node, vm).is_none()).await;
 }
 
 async fn open(nodes: &[Node], log: &MemLog, release: &str) {
@@ -161,8 +172,7 @@
     })
     .await;
 
-    withdraw(&log, "router-vm", 2).await;
-    common::eventually("withdrawal", || node.ledger.config().next() == 3).await;
+    withdraw(&log, &node, "router-vm").await;
     node.one(join(4)).await;
     node.one(claim(4, 1, 10)).await;
     tokio::time::sleep(SETTLED).await;
@@ -185,8 +195,7 @@
     retire(&log, "router-vm").await;
     node.until("retirement", |fold| fold.active().is_empty())
         .await;
-    withdraw(&log, "router-vm", 2).await;
-    common::eventually("withdrawal", || node.ledger.config().next() == 3).await;
+    withdraw(&log, &node, "router-vm").await;
     let peer = spawn(settings("vm-1", &[]), late, &log);
     peer.up().await;
     tokio::time::sleep(SETTLED).await;
