rights: store caps on spending, so that nine tenths can be held at little loss

Ruled out: servers' heartbeats as a clock (their entries are written at changes only), the store's answers (no time in them), the boot id alone (a VM that lost power may keep it). Seen: the steady clock goes on over a kill and starts elsewhere after a loss of power. Change: before it spends, a process has a cap stored (Caps feed): a base close to what is spent, and a growth that is small at first and that of its use in a cut. Rights that the cap doesn't cover are locked. The next process on the VM works out what its predecessor spent at most from the time in between: by the steady clock; after a loss of power by the time of day, with 3 s for a jump of one clock, 0.4 s where most of the fleet started anew and the middle one of their clocks tells. Appends that are numbered by their producer (append_next) are never done late or twice. A router's registration uses them too, so that a start of all doesn't race. Also: the time to come back tells an away store also before the first cap is stored.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! [`Catalog`]. Decisions (`proof`, `rights::account`, `model`, `sse`) do no I/O.
 
 pub mod catalog;
+pub mod clock;
 pub mod dialect;
 pub mod fleet;
 pub mod metrics;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -266,4 +266,17 @@
         self.count("append", &result);
         result
     }
+
+    async fn append_next(
+        &self,
+        feed: Feed,
+        producer: &str,
+        sequence: u64,
+        record: (String, Bytes),
+    ) -> Result<(), StoreError> {
+        let result = self.store.append_next(feed, producer, sequence, record);
+        let result = result.await;
+        self.count("append", &result);
+        result
+    }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -5,6 +5,7 @@
 
 use arc_swap::ArcSwapOption;
 
+use crate::clock::SystemClock;
 use crate::dialect::Dialect;
 use crate::fleet::Pools;
 use crate::metrics::Metrics;
@@ -39,7 +40,7 @@
     #[must_use]
     pub fn new(settings: RouterSettings, dialect: Arc<dyn Dialect>) -> Self {
         Self {
-            books: Arc::new(Books::new(settings.parts)),
+            books: Arc::new(Books::new(settings.parts, Arc::new(SystemClock::open()))),
             settings,
             dialect,
             config: ArcSwapOption::empty(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -20,7 +20,7 @@
 
 use crate::node::Node;
 use crate::settings::RouterSettings;
-use crate::store::{Feed, Store, StoreError};
+use crate::store::{Feed, Record, Store, StoreError};
 use crate::watch::{Follow, News};
 
 /// Key of the links' secret; no VM's name has a slash.
@@ -153,11 +153,31 @@
     }
 }
 
+/// When the routers on other VMs than `own` started last, by the members' records.
+pub(crate) fn starts(records: &[Record], own: &VmName) -> Vec<u64> {
+    let others = records
+        .iter()
+        .filter(|record| record.key != own.as_str() && record.key != SECRET_KEY);
+    let members = others.filter_map(|record| Member::decode(record.value.clone()?).ok());
+    members.map(|member| member.started_ms).collect()
+}
+
 /// Writes this router into the members' feed, and the secret if there is none.
-pub(crate) async fn register(store: Arc<dyn Store>, settings: RouterSettings, process: u64) {
+pub(crate) async fn register(
+    store: Arc<dyn Store>,
+    settings: RouterSettings,
+    process: u64,
+    started: u64,
+) {
+    let member = Member {
+        process,
+        address: settings.peers.to_string(),
+        domain: settings.domain.to_string(),
+        started_ms: started,
+    };
     let mut backoff = BACKOFF;
     loop {
-        match try_register(&*store, &settings, process).await {
+        match try_register(&*store, &settings.vm, &member).await {
             Ok(()) => return,
             Err(error) => event!(info, "peer.not_registered", error = error),
         }
@@ -166,23 +186,18 @@
     }
 }
 
-async fn try_register(
-    store: &dyn Store,
-    settings: &RouterSettings,
-    process: u64,
-) -> Result<(), StoreError> {
+async fn try_register(store: &dyn Store, vm: &VmName, member: &Member) -> Result<(), StoreError> {
+    let record = (vm.to_string(), Bytes::from(member.encode_to_vec()));
+    let producer = format!("{vm}/{:016x}", member.process);
+    store
+        .append_next(Feed::Members, &producer, 1, record)
+        .await?;
     let page = store.newest(Feed::Members).await?;
-    let member = Member {
-        process,
-        address: settings.peers.to_string(),
-        domain: settings.domain.to_string(),
-    };
-    let value = Bytes::from(member.encode_to_vec());
-    let mut records = vec![(settings.vm.to_string(), value)];
-    if !page.records.iter().any(|record| record.key == SECRET_KEY) {
-        records.push((SECRET_KEY.to_owned(), draw_secret()));
+    if page.records.iter().any(|record| record.key == SECRET_KEY) {
+        return Ok(());
     }
-    store.append_at(Feed::Members, page.end, &records).await?;
+    let secret = (SECRET_KEY.to_owned(), draw_secret());
+    store.append_at(Feed::Members, page.end, &[secret]).await?;
     Ok(())
 }
 
--- a/crates/gateway/src/rights/account.rs
+++ b/crates/gateway/src/rights/account.rs
@@ -1,14 +1,16 @@
 //! The account of one workspace, and how a router changes it. No I/O.
 
+use std::collections::HashMap;
+
 use swiftlink_types::Tokens;
 use swiftlink_wire::rights::{Account, Holder};
 
 /// Part of what is left that routers hold at most; the rest is free for those who run
 /// short, and is there after a loss of all machines.
-const HELD_MOST: f64 = 0.25;
+const HELD_MOST: f64 = 0.9;
 /// Part of what is left that routers hold in any case: use may rise while the store is out
 /// of reach.
-const HELD_LEAST: f64 = 0.2;
+const HELD_LEAST: f64 = 0.9;
 /// Between the two, rights are held for so many seconds of use: a cut from the store lasts
 /// about nine on the users' deployments.
 const AHEAD_SECS: f64 = 8.0;
@@ -43,6 +45,8 @@
     pub rate: u64,
     /// Tokens that the largest waiting request lacks rights for; 0 when none waits.
     pub need: Tokens,
+    /// Earlier processes on this VM, and the most that each has spent of this account.
+    pub ended: HashMap<u64, Tokens>,
 }
 
 /// What to write, and what the router may spend once it is written.
@@ -138,7 +142,7 @@
             continue;
         }
         if holder.vm == stake.vm {
-            base.closed += holder.granted;
+            base.closed += spent_at_most(holder, stake);
             continue;
         }
         base.holders.push(holder.clone());
@@ -146,6 +150,15 @@
     base
 }
 
+/// What an earlier process on this VM has spent at most. One that left no cap may have
+/// spent all that it held.
+#[must_use]
+pub fn spent_at_most(holder: &Holder, stake: &Stake) -> Tokens {
+    let most = stake.ended.get(&holder.process).copied();
+    let most = most.unwrap_or(Tokens::MAX).max(holder.charged);
+    most.min(holder.granted)
+}
+
 /// Unspent tokens that the router should hold.
 fn target(others: &Account, prepaid: Tokens, stake: &Stake) -> Tokens {
     let most = free(others, prepaid, stake.charged);
--- a/crates/gateway/src/rights/book.rs
+++ b/crates/gateway/src/rights/book.rs
@@ -12,9 +12,15 @@
 use tokio::time::{Instant, timeout_at};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::cap::{self, Cap};
+use crate::clock::Clock;
 use crate::dialect::Usage;
 use crate::model::Config;
 
+/// How often a waiting request looks whether the growth of a cap covers it. A tenth of the
+/// users' shortest wait.
+const RECHECK: Duration = Duration::from_millis(10);
+
 /// Partitions that accounts are spread over. All accounts of a partition are read and
 /// written in one call, so few partitions mean few calls; more of them mean that appends
 /// of different routers meet less often.
@@ -29,7 +35,13 @@
     pub grant: Arc<Grant>,
     prepaid: AtomicU64,
     /// Held while rights move in or out, so that both sides of a move are seen or none.
-    loans: Mutex<Loans>,
+    moves: Mutex<Moves>,
+    /// Tokens a second that callers lately asked for.
+    rate: AtomicU64,
+    /// Below so many free tokens a new cap is due.
+    low: AtomicU64,
+    /// The largest request that waits for a new cap.
+    lack: AtomicU64,
     /// The largest request that waits for rights.
     need: AtomicU64,
     /// The same, for the task that borrows.
@@ -45,17 +57,59 @@
     opened: Instant,
     /// Told when rights came or the account was read.
     changed: Notify,
-    /// Wakes the task that claims.
-    wanted: Arc<Notify>,
-    /// Wakes the task that borrows.
-    lacking: Arc<Notify>,
+    wakers: Wakers,
+    clock: Arc<dyn Clock>,
 }
 
-/// Rights that went to other routers and came from them, ever.
+/// Wakes the tasks that move rights.
+#[derive(Clone, Debug)]
+struct Wakers {
+    /// The one that claims.
+    claim: Arc<Notify>,
+    /// The one that borrows.
+    borrow: Arc<Notify>,
+    /// The one that stores caps.
+    cap: Arc<Notify>,
+}
+
+/// Rights that aren't simply granted, free, reserved or spent.
 #[derive(Debug, Default)]
-struct Loans {
+struct Moves {
+    /// Went to other routers, ever.
     lent: Tokens,
+    /// Came from them, ever.
     borrowed: Tokens,
+    /// Granted, but not covered by a cap yet.
+    locked: Tokens,
+    /// The cap that the store certainly has.
+    stored: Option<Bound>,
+    /// One that it may have or get.
+    sent: Option<Bound>,
+}
+
+/// A cap, and when it was made by the steady clock in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct Bound {
+    cap: Cap,
+    since: u64,
+}
+
+impl Bound {
+    fn at(&self, now: u64) -> Tokens {
+        self.cap
+            .after(Duration::from_millis(now.saturating_sub(self.since)))
+    }
+}
+
+impl Moves {
+    /// The most that may have left `locked` by `now`, whichever cap the store has.
+    fn limit(&self, now: u64) -> Tokens {
+        let Some(stored) = self.stored else {
+            return 0;
+        };
+        let sent = self.sent.map_or(Tokens::MAX, |sent| sent.at(now));
+        stored.at(now).min(sent)
+    }
 }
 
 /// A router that may lend rights.
@@ -93,12 +147,15 @@
 }
 
 impl Book {
-    fn new(workspace: WorkspaceName, wanted: Arc<Notify>, lacking: Arc<Notify>) -> Self {
+    fn new(workspace: WorkspaceName, wakers: Wakers, clock: Arc<dyn Clock>) -> Self {
         Self {
             workspace,
             grant: Arc::new(Grant::new()),
             prepaid: AtomicU64::new(0),
-            loans: Mutex::default(),
+            moves: Mutex::default(),
+            rate: AtomicU64::new(0),
+            low: AtomicU64::new(0),
+            lack: AtomicU64::new(0),
             need: AtomicU64::new(0),
             short: AtomicU64::new(0),
             lenders: ArcSwap::default(),
@@ -107,8 +164,8 @@
             read_at: AtomicU64::new(0),
             opened: Instant::now(),
             changed: Notify::new(),
-            wanted,
-            lacking,
+            wakers,
+            clock,
         }
     }
 
@@ -118,35 +175,106 @@
     /// are given back only as far as the account gave them, so `granted` isn't negative.
     #[must_use]
     pub fn standing(&self) -> Standing {
-        let loans = self.loans();
-        self.standing_with(&loans)
+        let moves = self.moves();
+        self.standing_with(&moves)
     }
 
-    fn standing_with(&self, loans: &Loans) -> Standing {
+    fn standing_with(&self, moves: &Moves) -> Standing {
         let counters = self.grant.counters();
-        let Loans { lent, borrowed } = *loans;
+        let held = counters.granted + moves.lent + moves.locked;
         Standing {
-            granted: (counters.granted + lent).saturating_sub(counters.returned + borrowed),
-            charged: (counters.charged + lent).saturating_sub(borrowed),
+            granted: held.saturating_sub(counters.returned + moves.borrowed),
+            charged: (counters.charged + moves.lent).saturating_sub(moves.borrowed),
             reserved: counters.reserved,
         }
     }
 
-    /// Takes what the account grants this router; gives what it held before.
+    /// What is spent, lent, reserved or free here, but for what was borrowed: what a cap
+    /// bounds. It is below zero when more was borrowed than that.
+    fn used_with(&self, moves: &Moves) -> i64 {
+        let counters = self.grant.counters();
+        let into = (counters.granted + moves.lent) as i64;
+        into - (counters.returned + moves.borrowed) as i64
+    }
+
+    /// Takes what the account grants this router; gives what it held before. More rights
+    /// can be used once a cap covers them.
     pub(super) fn accept(&self, granted: Tokens) -> Tokens {
-        let loans = self.loans();
-        let held = self.standing_with(&loans).granted;
+        let mut moves = self.moves();
+        let held = self.standing_with(&moves).granted;
         if granted > held {
-            self.grant.credit(granted - held);
+            moves.locked += granted - held;
+            self.unlock_with(&mut moves);
+            self.wakers.cap.notify_one();
         }
         held
     }
 
+    /// Takes up to `amount` out of use, to be given back; gives what was taken.
+    pub(super) fn give_back(&self, amount: Tokens) -> Tokens {
+        let mut moves = self.moves();
+        let locked = amount.min(moves.locked);
+        moves.locked -= locked;
+        locked + self.grant.shrink(amount - locked)
+    }
+
+    /// Takes all that no request holds out of use, for good.
+    pub(super) fn close(&self) {
+        let mut moves = self.moves();
+        moves.locked = 0;
+        moves.stored = None;
+        self.grant.shrink(Tokens::MAX);
+    }
+
+    /// A new cap from `now` on, in milliseconds of the steady clock, to be stored. Until [`Self::cap_stored`] no more is spent than
+    /// both this and the one before allow.
+    pub(super) fn make_cap(&self, now: u64) -> Cap {
+        let mut moves = self.moves();
+        let free = self.grant.available();
+        let unspent = free + moves.locked;
+        let rate = self.rate();
+        let wanted = cap::base(unspent, rate, self.lack.swap(0, Relaxed));
+        moves.locked += self.grant.shrink(free.saturating_sub(wanted));
+        let more = wanted.saturating_sub(free).min(moves.locked);
+        self.low.store(wanted / 2, Relaxed);
+        let base = self.used_with(&moves).saturating_add_unsigned(more);
+        let cap = Cap {
+            base: Tokens::try_from(base).unwrap_or(0),
+            ..cap::draw(unspent, rate)
+        };
+        moves.sent = Some(Bound { cap, since: now });
+        cap
+    }
+
+    /// The store has the cap made last.
+    pub(super) fn cap_stored(&self) {
+        let mut moves = self.moves();
+        if let Some(sent) = moves.sent.take() {
+            moves.stored = Some(sent);
+        }
+        self.unlock_with(&mut moves);
+        drop(moves);
+        self.changed.notify_waiters();
+    }
+
+    /// Frees what caps allow by now.
+    fn unlock_with(&self, moves: &mut Moves) {
+        let limit = moves.limit(self.clock.steady());
+        let used = self.used_with(moves);
+        let room = i128::from(limit) - i128::from(used);
+        let freed = Tokens::try_from(room).unwrap_or(0).min(moves.locked);
+        moves.locked -= freed;
+        if freed > 0 {
+            self.grant.credit(freed);
+        }
+    }
+
     /// Takes up to `amount` out of use for another router; gives what was taken. A router
     /// with callers of its own keeps half of what is free, but for the `need` of a request
     /// that waits.
     pub fn lend(&self, amount: Tokens, need: Tokens) -> Tokens {
-        let mut loans = self.loans();
+        let mut moves = self.moves();
+        self.unlock_with(&mut moves);
         let counters = self.grant.counters();
         let spare = if counters.charged + counters.reserved == 0 {
             counters.available
@@ -154,22 +282,36 @@
             (counters.available / 2).max(need.min(counters.available))
         };
         let taken = self.grant.shrink(amount.min(spare));
-        loans.lent += taken;
+        moves.lent += taken;
+        if taken < amount && moves.locked > 0 {
+            self.lack.fetch_max(amount, Relaxed);
+            self.wakers.cap.notify_one();
+        }
         taken
     }
 
     /// Takes tokens that another router lent.
     pub fn borrow(&self, amount: Tokens) {
-        let mut loans = self.loans();
-        loans.borrowed += amount;
+        let mut moves = self.moves();
+        moves.borrowed += amount;
         self.grant.credit(amount);
-        drop(loans);
+        drop(moves);
         self.changed.notify_waiters();
     }
 
-    fn loans(&self) -> MutexGuard<'_, Loans> {
-        // The two sums are whole between any two statements.
-        self.loans.lock().unwrap_or_else(PoisonError::into_inner)
+    fn moves(&self) -> MutexGuard<'_, Moves> {
+        // The sums are whole between any two statements.
+        self.moves.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tokens a second that callers lately asked for.
+    #[must_use]
+    pub fn rate(&self) -> u64 {
+        self.rate.load(Relaxed)
+    }
+
+    pub(super) fn set_rate(&self, rate: u64) {
+        self.rate.store(rate, Relaxed);
     }
 
     /// The largest request that waits for borrowed rights; it is forgotten.
@@ -200,11 +342,11 @@
     /// account was read, but not less.
     #[must_use]
     pub fn rest(&self) -> Tokens {
-        let loans = self.loans();
+        let moves = self.moves();
         let charged = self.grant.counters().charged;
         // What was borrowed is among the spendings of others.
-        let spent = self.spent.load(Relaxed) + charged + loans.lent;
-        (self.prepaid() + loans.borrowed).saturating_sub(spent)
+        let spent = self.spent.load(Relaxed) + charged + moves.lent;
+        (self.prepaid() + moves.borrowed).saturating_sub(spent)
     }
 
     /// Milliseconds since the account was last read, or since the start.
@@ -257,25 +399,46 @@
             if rest < cost {
                 return Err(NoRights::Spent { rest });
             }
-            self.need.fetch_max(cost, Relaxed);
-            self.short.fetch_max(cost, Relaxed);
-            self.wanted.notify_one();
-            self.lacking.notify_one();
-            let is_over = timeout_at(until, changed).await.is_err();
+            self.ask_for(cost);
+            let pause = until.min(Instant::now() + RECHECK);
+            let news = timeout_at(pause, changed).await;
             if let Some(spend) = self.try_reserve(usage, cost) {
                 return Ok(spend);
             }
-            if is_over && self.away.load(Relaxed) {
-                return Err(NoRights::Away);
+            if news.is_ok() || pause < until {
+                continue;
             }
-            if is_over {
-                return Err(NoRights::Elsewhere);
+            if self.away.load(Relaxed) {
+                return Err(NoRights::Away);
             }
+            return Err(NoRights::Elsewhere);
         }
     }
 
+    /// Wakes whoever may bring rights for a request of `cost`.
+    fn ask_for(&self, cost: Tokens) {
+        let locked = self.moves().locked;
+        if locked > 0 {
+            self.lack.fetch_max(cost, Relaxed);
+            self.wakers.cap.notify_one();
+        }
+        if self.grant.available() + locked < cost {
+            self.need.fetch_max(cost, Relaxed);
+            self.wakers.claim.notify_one();
+        }
+        // In a cut a cap grows slowly, and others may have more than they use.
+        self.short.fetch_max(cost, Relaxed);
+        self.wakers.borrow.notify_one();
+    }
+
     fn try_reserve(self: &Arc<Self>, usage: Usage, cost: Tokens) -> Option<Spend> {
-        self.grant.reserve(cost)?;
+        if self.grant.reserve(cost).is_none() {
+            self.unlock_with(&mut self.moves());
+            self.grant.reserve(cost)?;
+        }
+        if self.grant.available() < self.low.load(Relaxed) {
+            self.wakers.cap.notify_one();
+        }
         Some(Spend {
             book: Arc::clone(self),
             usage,
@@ -330,21 +493,29 @@
 #[derive(Debug)]
 pub struct Books {
     books: ArcSwap<HashMap<WorkspaceName, Arc<Book>>>,
-    /// By partition: wakes its claim task.
+    /// By partition of the accounts: wakes its claim task.
     wanted: Vec<Arc<Notify>>,
     /// Wakes the task that borrows.
     lacking: Arc<Notify>,
+    /// Wakes the task that stores caps.
+    uncapped: Arc<Notify>,
+    /// Partitions that a feed may have.
+    feed_parts: u32,
+    clock: Arc<dyn Clock>,
 }
 
 impl Books {
-    /// No books; accounts are spread over at most `parts` partitions.
+    /// No books; feeds have `parts` partitions.
     #[must_use]
-    pub fn new(parts: u32) -> Self {
+    pub fn new(parts: u32, clock: Arc<dyn Clock>) -> Self {
         let wanted = (0..parts.clamp(1, PARTS)).map(|_| Arc::new(Notify::new()));
         Self {
             books: ArcSwap::default(),
             wanted: wanted.collect(),
             lacking: Arc::default(),
+            uncapped: Arc::default(),
+            feed_parts: parts.max(1),
+            clock,
         }
     }
 
@@ -364,10 +535,9 @@
                 books.remove(name);
                 continue;
             };
-            let wanted = &self.wanted[self.part(name) as usize];
             let book = books.entry(name.clone()).or_insert_with(|| {
-                let lacking = Arc::clone(&self.lacking);
-                Arc::new(Book::new(name.clone(), Arc::clone(wanted), lacking))
+                let clock = Arc::clone(&self.clock);
+                Arc::new(Book::new(name.clone(), self.wakers(name), clock))
             });
             book.prepaid.store(prepaid, Relaxed);
         }
@@ -393,6 +563,29 @@
         books.cloned().collect()
     }
 
+    fn wakers(&self, workspace: &WorkspaceName) -> Wakers {
+        Wakers {
+            claim: self.wanted(self.part(workspace)),
+            borrow: self.lacking(),
+            cap: self.uncapped(),
+        }
+    }
+
+    pub(super) fn uncapped(&self) -> Arc<Notify> {
+        Arc::clone(&self.uncapped)
+    }
+
+    /// Where the time comes from.
+    #[must_use]
+    pub fn clock(&self) -> &Arc<dyn Clock> {
+        &self.clock
+    }
+
+    /// Partitions that a feed may have.
+    pub(super) fn feed_parts(&self) -> u32 {
+        self.feed_parts
+    }
+
     pub(super) fn wanted(&self, part: u32) -> Arc<Notify> {
         Arc::clone(&self.wanted[part as usize])
     }
@@ -407,7 +600,7 @@
         Arc::clone(&self.lacking)
     }
 
-    /// Number of partitions.
+    /// Number of partitions that accounts are spread over.
     #[must_use]
     pub fn parts(&self) -> u32 {
         self.wanted.len() as u32
--- /dev/null
+++ b/crates/gateway/src/rights/cap.rs
@@ -0,0 +1,154 @@
+//! Caps on what a router process has spent by some time. No I/O.
+//!
+//! Before a process spends, it has a [`Cap`] stored: a base, and what is added to it in each
+//! second. While the store answers, caps follow each other at short intervals and stay
+//! close to what was spent. In a cut the last one grows, up to all that the process holds.
+//! The next process on the VM works out from it what its predecessor spent at most, and the
+//! rest of what that held is free again: see [`elapsed`] for the time in between.
+
+use std::time::Duration;
+
+use swiftlink_types::Tokens;
+
+use crate::clock::Reading;
+
+/// How far the time of day of one VM may jump between two readings of it. The users'
+/// platform says "by seconds"; its deployments have 2.4.
+const JUMP_ALONE: Duration = Duration::from_secs(3);
+/// How much earlier than this VM the middle one of the others may have started after a loss
+/// of power of all. On the users' deployments they start within 0.3 seconds.
+const JUMP_FLEET: Duration = Duration::from_millis(400);
+/// Seconds of use that a process may spend at once under a fresh cap.
+const BASE_SECS: f64 = 0.6;
+/// Part of what a process holds that it may spend at once in any case.
+const BASE_PART: f64 = 0.005;
+/// Growth of a cap, as a multiple of the rate of use: use may rise in a cut.
+const GROWTH: f64 = 0.5;
+/// Part of what it holds by which a cap grows in each second in any case.
+const GROWTH_PART: f64 = 0.005;
+
+/// Age of a cap from which on a process takes the store to be out of reach: longer than it
+/// takes to be back after a loss of power, which is up to 1.3 seconds on the users'
+/// deployments, with the age of the last cap before it and [`JUMP_FLEET`].
+const CUT: Duration = Duration::from_millis(2_200);
+/// Seconds of use that are added then: requests come in lumps.
+const CUT_STEP_SECS: f64 = 2.0;
+/// Part of what a process holds that is added then in any case.
+const CUT_STEP_PART: f64 = 0.05;
+/// Growth of a cap in a cut, as a multiple of the rate of use: use may rise in it.
+const CUT_GROWTH: f64 = 1.5;
+/// Part of what it holds by which a cap grows in each second of a cut in any case.
+const CUT_GROWTH_PART: f64 = 0.02;
+
+/// What a process has spent at most, from some time on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Cap {
+    /// Tokens at that time.
+    pub base: Tokens,
+    /// Tokens more in each second after it.
+    pub rate: Tokens,
+    /// When the store is taken to be out of reach.
+    pub cut: Duration,
+    /// Tokens more from then on.
+    pub step: Tokens,
+    /// Tokens more in each second from then on.
+    pub cut_rate: Tokens,
+}
+
+impl Cap {
+    /// Tokens after `time`.
+    #[must_use]
+    pub fn after(&self, time: Duration) -> Tokens {
+        let early = grown(self.rate, time.min(self.cut));
+        let mut tokens = self.base.saturating_add(early);
+        if time >= self.cut {
+            let late = grown(self.cut_rate, time - self.cut);
+            tokens = tokens.saturating_add(self.step).saturating_add(late);
+        }
+        tokens
+    }
+}
+
+/// What `rate` tokens a second make in `time`.
+fn grown(rate: Tokens, time: Duration) -> Tokens {
+    let millis = time.as_millis();
+    let tokens = u128::from(rate).saturating_mul(millis) / 1_000;
+    Tokens::try_from(tokens).unwrap_or(Tokens::MAX)
+}
+
+/// Tokens that should be free for requests under a new cap.
+#[must_use]
+pub fn base(unspent: Tokens, rate: u64, need: Tokens) -> Tokens {
+    let wanted = (rate as f64 * BASE_SECS).max(unspent as f64 * BASE_PART) as Tokens;
+    wanted.max(need)
+}
+
+/// How a new cap grows, for a process with `unspent` tokens of which `rate` are used in a
+/// second.
+#[must_use]
+pub fn draw(unspent: Tokens, rate: u64) -> Cap {
+    let (unspent, rate) = (unspent as f64, rate as f64);
+    Cap {
+        base: 0,
+        rate: (rate * GROWTH).max(unspent * GROWTH_PART) as Tokens,
+        cut: CUT,
+        step: (rate * CUT_STEP_SECS).max(unspent * CUT_STEP_PART) as Tokens,
+        cut_rate: (rate * CUT_GROWTH).max(unspent * CUT_GROWTH_PART) as Tokens,
+    }
+}
+
+/// The longest time that may have passed on one VM from `stamp` to `now`, the start of the
+/// next process there; `None` when nothing is certain. `starts` has the times of day at
+/// which the routers on other VMs started last.
+///
+/// Within one start of the kernel the steady clock says it exactly; [`is_same_boot`] tells.
+/// After a loss of power there is only the time of day, which may have jumped on this VM:
+/// by [`JUMP_ALONE`] at most. Where most of the other VMs started after `stamp` too, it
+/// was the whole fleet that lost power, and the middle one of their clocks is trusted.
+#[must_use]
+pub fn elapsed(stamp: &Reading, now: &Reading, starts: &[u64]) -> Option<Duration> {
+    if is_same_boot(stamp, now) {
+        return now
+            .steady
+            .checked_sub(stamp.steady)
+            .map(Duration::from_millis);
+    }
+    let (wall, jump) = match middle_start(stamp, starts) {
+        Some(middle) => (now.wall.max(middle), JUMP_FLEET),
+        None => (now.wall, JUMP_ALONE),
+    };
+    let time = wall.saturating_add(jump.as_millis() as u64);
+    time.checked_sub(stamp.wall).map(Duration::from_millis)
+}
+
+/// Whether the VM's steady clock went on from `stamp` to `now`.
+///
+/// The name of the kernel's start alone isn't trusted: where it comes from the machine
+/// below, a VM may be back under it with another steady clock. The time of day, with the
+/// most that it jumps, has to agree.
+#[must_use]
+pub fn is_same_boot(stamp: &Reading, now: &Reading) -> bool {
+    if stamp.boot.is_empty() || stamp.boot != now.boot {
+        return false;
+    }
+    let Some(steady) = now.steady.checked_sub(stamp.steady) else {
+        return false;
+    };
+    let jump = JUMP_ALONE.as_millis() as u64;
+    let latest = now.wall.saturating_add(jump);
+    latest
+        .checked_sub(stamp.wall)
+        .is_some_and(|wall| steady <= wall)
+}
+
+/// The middle one of the starts of other VMs, if more than half of them are after `stamp`.
+#[must_use]
+pub fn middle_start(stamp: &Reading, starts: &[u64]) -> Option<u64> {
+    let later = starts.iter().filter(|start| **start > stamp.wall).count();
+    if later * 2 <= starts.len() {
+        return None;
+    }
+    let mut sorted = starts.to_vec();
+    sorted.sort_unstable();
+    sorted.get(sorted.len() / 2).copied()
+}
--- /dev/null
+++ b/crates/gateway/src/rights/caps.rs
@@ -0,0 +1,288 @@
+//! The task that stores this process's caps, and reads those of its predecessors.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message;
+use swiftlink_telemetry::event;
+use swiftlink_types::{Tokens, VmName, WorkspaceName};
+use swiftlink_wire::rights::{Cap as CapRecord, Caps as CapsRecord};
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::book::{Book, Books};
+use super::cap::{self, Cap};
+use crate::clock::Reading;
+use crate::peers;
+use crate::store::{Feed, Record, Store, StoreError};
+
+/// Longest time between caps that nobody waits for. A process that is killed loses what its
+/// cap has grown by since then.
+const PERIOD: Duration = Duration::from_millis(500);
+/// Shortest time between caps: a call takes about 5 ms.
+const PAUSE_MIN: Duration = Duration::from_millis(20);
+/// First pause after the store failed; doubles up to [`BACKOFF_MAX`].
+const BACKOFF: Duration = Duration::from_millis(50);
+/// Longest pause after the store failed.
+const BACKOFF_MAX: Duration = Duration::from_millis(400);
+
+/// How long a router that lost power waits for others that may have too: they start within
+/// 0.3 seconds on the users' deployments.
+const GATHER: Duration = Duration::from_millis(600);
+
+/// What ended processes on this VM have spent at most, by process and workspace.
+#[derive(Debug, Default)]
+pub(super) struct Ended(HashMap<u64, HashMap<WorkspaceName, Tokens>>);
+
+impl Ended {
+    /// What each of them has spent of one workspace.
+    pub(super) fn of(&self, workspace: &WorkspaceName) -> HashMap<u64, Tokens> {
+        let spent = |caps: &HashMap<WorkspaceName, Tokens>| caps.get(workspace).copied();
+        let all = self.0.iter();
+        all.map(|(process, caps)| (*process, spent(caps).unwrap_or(0)))
+            .collect()
+    }
+
+    /// Works out what the records of ended processes say at `now`, a time after their end.
+    fn at(records: &[CapsRecord], now: &Reading, starts: &[u64]) -> Self {
+        let all = records.iter();
+        Self(
+            all.map(|caps| (caps.process, spent_by(caps, now, starts)))
+                .collect(),
+        )
+    }
+}
+
+/// The records of earlier processes, whose keys begin with `prefix`.
+fn earlier(records: &[Record], prefix: &str) -> Vec<CapsRecord> {
+    let mut earlier = Vec::new();
+    for record in records {
+        let (true, Some(value)) = (record.key.starts_with(prefix), &record.value) else {
+            continue;
+        };
+        match CapsRecord::decode(value.clone()) {
+            Ok(caps) => earlier.push(caps),
+            // Without its caps it counts as having spent all that it held.
+            Err(error) => event!(error, "cap.unreadable", key = record.key, error = error),
+        }
+    }
+    earlier
+}
+
+fn stamp(caps: &CapsRecord) -> Reading {
+    Reading {
+        boot: Arc::from(caps.boot.as_str()),
+        steady: caps.steady_ms,
+        wall: caps.wall_ms,
+    }
+}
+
+/// What a process has spent at most by `now`.
+fn spent_by(caps: &CapsRecord, now: &Reading, starts: &[u64]) -> HashMap<WorkspaceName, Tokens> {
+    let stamp = stamp(caps);
+    let time = cap::elapsed(&stamp, now, starts);
+    event!(
+        info,
+        "cap.read",
+        process = format!("{:016x}", caps.process),
+        age_ms = time.map_or(-1, |time| time.as_millis() as i64),
+        same_boot = cap::is_same_boot(&stamp, now),
+        fleet_started = cap::middle_start(&stamp, starts).is_some(),
+        workspaces = caps.caps.len(),
+    );
+    let most = |record: &CapRecord| {
+        let cap = Cap {
+            base: record.base,
+            rate: record.rate,
+            cut: Duration::from_millis(record.cut_ms),
+            step: record.step,
+            cut_rate: record.cut_rate,
+        };
+        time.map_or(Tokens::MAX, |time| cap.after(time))
+    };
+    let caps = caps.caps.iter();
+    caps.map(|cap| (WorkspaceName::from(cap.workspace.as_str()), most(cap)))
+        .collect()
+}
+
+/// Stores caps until it is told to stop.
+pub(super) struct Caps {
+    feed: Feed,
+    books: Arc<Books>,
+    store: Arc<dyn Store>,
+    process: u64,
+    vm: VmName,
+    /// Number of the next record.
+    sequence: u64,
+    /// When this process began, which is after its predecessors' end.
+    began: Reading,
+    ended: watch::Sender<Option<Arc<Ended>>>,
+}
+
+impl Caps {
+    /// A task for `process` on `vm`.
+    pub(super) fn new(
+        books: &Arc<Books>,
+        store: &Arc<dyn Store>,
+        vm: &VmName,
+        process: u64,
+    ) -> Self {
+        let part = xxh3_64(vm.as_str().as_bytes()) % u64::from(books.feed_parts());
+        Self {
+            feed: Feed::Caps(part as u32),
+            books: Arc::clone(books),
+            store: Arc::clone(store),
+            process,
+            vm: vm.clone(),
+            sequence: 1,
+            began: books.clock().read(),
+            ended: watch::Sender::new(None),
+        }
+    }
+
+    /// Tells what predecessors have spent, once it is known.
+    pub(super) fn ended(&self) -> watch::Receiver<Option<Arc<Ended>>> {
+        self.ended.subscribe()
+    }
+
+    /// Runs until `stop`.
+    pub(super) async fn run(mut self, wanted: Arc<Notify>, stop: CancellationToken) {
+        let _stopped = stop.run_until_cancelled(self.follow(&wanted)).await;
+    }
+
+    async fn follow(&mut self, wanted: &Notify) {
+        self.open().await;
+        loop {
+            let books = self.books.all();
+            if !books.is_empty() {
+                self.store_caps(&books).await;
+            }
+            sleep(PAUSE_MIN).await;
+            tokio::select! {
+                () = wanted.notified() => {}
+                () = sleep(PERIOD) => {}
+            }
+        }
+    }
+
+    /// Reads predecessors' caps, and writes a first record that proves that they were the
+    /// newest ones.
+    async fn open(&mut self) {
+        let mut backoff = BACKOFF;
+        loop {
+            match self.try_open().await {
+                Ok(ended) => {
+                    self.ended.send_replace(Some(Arc::new(ended)));
+                    return;
+                }
+                Err(error) => {
+                    let is_away = !matches!(error, StoreError::Conflict { .. });
+                    for book in self.books.all() {
+                        book.set_away(is_away);
+                    }
+                    event!(info, "cap.not_opened", feed = self.feed, error = error);
+                }
+            }
+            sleep(backoff.mul_f64(rand::random())).await;
+            backoff = (backoff * 2).min(BACKOFF_MAX);
+        }
+    }
+
+    async fn try_open(&self) -> Result<Ended, StoreError> {
+        let page = self.store.newest(self.feed).await?;
+        let earlier = earlier(&page.records, &prefix(&self.vm));
+        let starts = self.starts(&earlier).await?;
+        let ended = Ended::at(&earlier, &self.began, &starts);
+        let record = self.record(Vec::new());
+        self.store.append_at(self.feed, page.end, &[record]).await?;
+        Ok(ended)
+    }
+
+    /// When the routers on other VMs started last. After a loss of power, it waits a while
+    /// for those who may be starting too.
+    async fn starts(&self, earlier: &[CapsRecord]) -> Result<Vec<u64>, StoreError> {
+        let unsure = |caps: &&CapsRecord| !cap::is_same_boot(&stamp(caps), &self.began);
+        let Some(newest) = earlier
+            .iter()
+            .filter(unsure)
+            .max_by_key(|caps| caps.wall_ms)
+        else {
+            return Ok(Vec::new());
+        };
+        let newest = stamp(newest);
+        let until = Instant::now() + GATHER;
+        loop {
+            let page = self.store.newest(Feed::Members).await?;
+            let starts = peers::starts(&page.records, &self.vm);
+            if cap::middle_start(&newest, &starts).is_some() || Instant::now() >= until {
+                return Ok(starts);
+            }
+            sleep(GATHER / 6).await;
+        }
+    }
+
+    /// Stores a new cap for each book. It is tried until it succeeds: in a cut it is this
+    /// record that grows.
+    async fn store_caps(&mut self, books: &[Arc<Book>]) {
+        let stamp = self.books.clock().read();
+        let mut caps = Vec::with_capacity(books.len());
+        for book in books {
+            let cap = book.make_cap(stamp.steady);
+            caps.push(CapRecord {
+                workspace: book.workspace.to_string(),
+                base: cap.base,
+                rate: cap.rate,
+                cut_ms: cap.cut.as_millis() as u64,
+                step: cap.step,
+                cut_rate: cap.cut_rate,
+            });
+        }
+        let record = self.stamped(caps, &stamp);
+        let mut backoff = BACKOFF;
+        let mut away = false;
+        loop {
+            let stored =
+                self.store
+                    .append_next(self.feed, &record.0, self.sequence, record.clone());
+            match stored.await {
+                Ok(()) => break,
+                Err(error) if !away => {
+                    event!(warn, "cap.not_stored", feed = self.feed, error = error);
+                    away = true;
+                }
+                Err(_) => {}
+            }
+            sleep(backoff).await;
+            backoff = (backoff * 2).min(BACKOFF_MAX);
+        }
+        self.sequence += 1;
+        for book in books {
+            book.cap_stored();
+        }
+    }
+
+    fn record(&self, caps: Vec<CapRecord>) -> (String, Bytes) {
+        self.stamped(caps, &self.books.clock().read())
+    }
+
+    fn stamped(&self, caps: Vec<CapRecord>, stamp: &Reading) -> (String, Bytes) {
+        let record = CapsRecord {
+            process: self.process,
+            boot: stamp.boot.to_string(),
+            steady_ms: stamp.steady,
+            wall_ms: stamp.wall,
+            caps,
+        };
+        let key = format!("{}{:016x}", prefix(&self.vm), self.process);
+        (key, Bytes::from(record.encode_to_vec()))
+    }
+}
+
+/// Start of the keys of all processes on a VM.
+fn prefix(vm: &VmName) -> String {
+    format!("{vm}/")
+}
--- a/crates/gateway/src/rights/claim.rs
+++ b/crates/gateway/src/rights/claim.rs
@@ -9,13 +9,14 @@
 use swiftlink_telemetry::event;
 use swiftlink_types::{Tokens, VmName, WorkspaceName};
 use swiftlink_wire::rights::{Account, Holder};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::account::{self, Stake};
 use super::book::{Book, Books, Lender};
+use super::caps::{Caps, Ended};
 use crate::store::{Feed, Store, StoreError};
 
 /// Time between looks at the accounts of a partition for each router, so that appends of
@@ -57,6 +58,9 @@
     pub fn spawn(books: &Arc<Books>, store: &Arc<dyn Store>, vm: &VmName, process: u64) -> Self {
         let stop = CancellationToken::new();
         let mut tasks = JoinSet::new();
+        let caps = Caps::new(books, store, vm, process);
+        let ended = caps.ended();
+        tasks.spawn(caps.run(books.uncapped(), stop.clone()));
         for part in 0..books.parts() {
             let task = Part {
                 feed: Feed::Rights(part),
@@ -68,13 +72,19 @@
                 seen: None,
                 unresolved: None,
                 rates: HashMap::new(),
+                ended: Arc::default(),
             };
             let wanted = books.wanted(part);
-            tasks.spawn(task.run(wanted, stop.clone()));
+            tasks.spawn(task.run(ended.clone(), wanted, stop.clone()));
         }
         Self { tasks, stop }
     }
 
+    /// Ends the tasks at once and gives nothing back, as the end of the process would.
+    pub fn abort(&mut self) {
+        self.tasks.abort_all();
+    }
+
     /// Gives all rights back and ends the tasks, within `grace`.
     pub async fn stop(mut self, grace: Duration) {
         self.stop.cancel();
@@ -113,10 +123,26 @@
     /// be done, and rights that it gives back must not be used.
     unresolved: Option<u64>,
     rates: HashMap<WorkspaceName, Rate>,
+    /// What earlier processes on this VM have spent at most.
+    ended: Arc<Ended>,
 }
 
 impl Part {
-    async fn run(mut self, wanted: Arc<Notify>, stop: CancellationToken) {
+    async fn run(
+        mut self,
+        mut ended: watch::Receiver<Option<Arc<Ended>>>,
+        wanted: Arc<Notify>,
+        stop: CancellationToken,
+    ) {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            known = ended.wait_for(Option::is_some) => {
+                let Some(known) = known.ok().and_then(|known| known.clone()) else {
+                    return;
+                };
+                self.ended = known;
+            }
+        }
         let mut backoff = BACKOFF;
         let mut away: Option<Instant> = None;
         loop {
@@ -281,7 +307,7 @@
                 reason = "an earlier process on this VM held them",
                 granted = holder.granted,
                 charged = holder.charged,
-                lost = holder.granted.saturating_sub(holder.charged),
+                counted = account::spent_at_most(holder, &self.stake(book, 0)),
             );
         }
     }
@@ -398,8 +424,7 @@
             };
             let mut records = Vec::new();
             for book in &books {
-                let counters = book.grant.counters();
-                book.grant.shrink(counters.available);
+                book.close();
                 let Some(account) = seen.accounts.get(&book.workspace) else {
                     continue;
                 };
@@ -424,10 +449,6 @@
 
     fn stake(&self, book: &Book, need: Tokens) -> Stake {
         let standing = book.standing();
-        let rate = self
-            .rates
-            .get(&book.workspace)
-            .map_or(0.0, |rate| rate.value);
         Stake {
             vm: self.vm.to_string(),
             process: self.process,
@@ -436,8 +457,9 @@
             reserved: standing
                 .reserved
                 .min(standing.granted.saturating_sub(standing.charged)),
-            rate: rate as u64,
+            rate: book.rate(),
             need,
+            ended: self.ended.of(&book.workspace),
         }
     }
 
@@ -458,6 +480,7 @@
         rate.value += (1.0 - (-time / AVERAGE_SECS).exp()) * (sample - rate.value);
         rate.asked = asked;
         rate.at = now;
+        book.set_rate(rate.value as u64);
     }
 }
 
@@ -465,7 +488,7 @@
 /// the meantime; the change is made to fit.
 fn give_back(book: &Book, stake: &Stake, change: &mut account::Change, process: u64) {
     let excess = stake.granted - change.granted;
-    let taken = book.grant.shrink(excess);
+    let taken = book.give_back(excess);
     change.granted = stake.granted - taken;
     for holder in &mut change.account.holders {
         if holder.process == process {
--- a/crates/gateway/src/rights/mod.rs
+++ b/crates/gateway/src/rights/mod.rs
@@ -16,6 +16,8 @@
 
 pub mod account;
 mod book;
+pub mod cap;
+mod caps;
 mod claim;
 pub mod lend;
 
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -174,7 +174,8 @@
     let listener = TcpListener::bind(settings.peers)
         .with_context(|| format!("binding the routers' address {}", settings.peers))?;
     let peers = Arc::new(Peers::new(settings.vm.clone()));
-    let registered = peers::register(Arc::clone(store), settings.clone(), process);
+    let started = node.books.clock().read().wall;
+    let registered = peers::register(Arc::clone(store), settings.clone(), process, started);
     tasks.spawn(registered);
     let reader = watch::Reader::new(Feed::Members, Arc::clone(store));
     let follower = peers::Follower {
--- a/crates/gateway/src/store/mem.rs
+++ b/crates/gateway/src/store/mem.rs
@@ -43,6 +43,9 @@
     feeds: HashMap<Feed, Records>,
     stale: HashMap<Feed, Records>,
     late: Vec<Append>,
+    late_next: Vec<Numbered>,
+    /// The newest number of each producer in a feed.
+    sequences: HashMap<(Feed, String), u64>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -60,6 +63,14 @@
     records: Vec<(String, Bytes)>,
 }
 
+#[derive(Clone, Debug)]
+struct Numbered {
+    feed: Feed,
+    producer: String,
+    sequence: u64,
+    record: (String, Bytes),
+}
+
 impl MemStore {
     /// A store without records.
     #[must_use]
@@ -103,6 +114,9 @@
             // One whose condition fails is lost, as its caller must expect.
             let _lost = inner.append(append.feed, append.at, &append.records);
         }
+        for append in std::mem::take(&mut inner.late_next) {
+            inner.append_next(append);
+        }
         drop(inner);
         self.changed.send_replace(());
     }
@@ -171,6 +185,21 @@
     }
 }
 
+impl Inner {
+    /// Does an append whose number is the next one of its producer, and no other.
+    fn append_next(&mut self, append: Numbered) {
+        let place = (append.feed, append.producer);
+        let next = self.sequences.get(&place).map(|sequence| sequence + 1);
+        if next.is_some_and(|next| next != append.sequence) {
+            return;
+        }
+        self.sequences.insert(place, append.sequence);
+        let (key, value) = append.record;
+        let known = self.feeds.entry(append.feed).or_default();
+        known.push(key, Some(value));
+    }
+}
+
 impl Records {
     fn push(&mut self, key: String, value: Option<Bytes>) {
         let record = Record {
@@ -242,4 +271,39 @@
             appended => appended,
         }
     }
+
+    async fn append_next(
+        &self,
+        feed: Feed,
+        producer: &str,
+        sequence: u64,
+        record: (String, Bytes),
+    ) -> Result<(), StoreError> {
+        let append = Numbered {
+            feed,
+            producer: producer.to_owned(),
+            sequence,
+            record,
+        };
+        let mut inner = self.lock();
+        match inner.fault {
+            StoreFault::Away => return Err(StoreError::Refused("away".to_owned())),
+            StoreFault::Late => {
+                inner.late_next.push(append);
+                return Err(StoreError::Unknown("no answer".to_owned()));
+            }
+            StoreFault::None
+            | StoreFault::LoseAnswers
+            | StoreFault::Stale
+            | StoreFault::Contended => {}
+        }
+        let lost = inner.fault == StoreFault::LoseAnswers;
+        inner.append_next(append);
+        drop(inner);
+        self.changed.send_replace(());
+        if lost {
+            return Err(StoreError::Unknown("no answer".to_owned()));
+        }
+        Ok(())
+    }
 }
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -23,6 +23,8 @@
     Members,
     /// Accounts of budgets, in one of several partitions.
     Rights(u32),
+    /// What router processes have spent at most, in one of several partitions.
+    Caps(u32),
 }
 
 impl fmt::Display for Feed {
@@ -32,6 +34,7 @@
             Self::Servers => f.write_str("servers"),
             Self::Members => f.write_str("members"),
             Self::Rights(part) => write!(f, "rights-{part}"),
+            Self::Caps(part) => write!(f, "caps-{part}"),
         }
     }
 }
@@ -110,4 +113,18 @@
         at: u64,
         records: &[(String, Bytes)],
     ) -> Result<u64, StoreError>;
+
+    /// Appends a record, wherever the feed ends, as number `sequence` of `producer`. The
+    /// numbers of a producer follow each other. One that was done isn't done again, so an
+    /// append without an answer may be repeated, and none is done late.
+    ///
+    /// # Errors
+    /// When there is no answer or it was refused: the same number may be tried again.
+    async fn append_next(
+        &self,
+        feed: Feed,
+        producer: &str,
+        sequence: u64,
+        record: (String, Bytes),
+    ) -> Result<(), StoreError>;
 }
--- a/crates/gateway/src/watch/follow.rs
+++ b/crates/gateway/src/watch/follow.rs
@@ -136,7 +136,7 @@
     let mut away: Option<Instant> = None;
     let wait = match reader.feed {
         Feed::Members => LONG_POLL,
-        Feed::Config | Feed::Servers | Feed::Rights(_) => POLL,
+        Feed::Config | Feed::Servers | Feed::Rights(_) | Feed::Caps(_) => POLL,
     };
     loop {
         // A store that was away is asked for a quick answer, to notice when it is back.
--- /dev/null
+++ b/crates/gateway/tests/testsuite/cap.rs
@@ -0,0 +1,116 @@
+//! Caps on what a process has spent by some time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use swiftlink_gateway::clock::Reading;
+use swiftlink_gateway::rights::cap::{Cap, draw, elapsed, middle_start};
+
+fn reading(boot: &str, steady: u64, wall: u64) -> Reading {
+    Reading {
+        boot: Arc::from(boot),
+        steady,
+        wall,
+    }
+}
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+#[test]
+fn a_cap_grows_slowly_at_first_and_more_in_a_cut() {
+    let cap = Cap {
+        base: 1_000,
+        rate: 100,
+        cut: millis(2_000),
+        step: 500,
+        cut_rate: 300,
+    };
+    assert_eq!(cap.after(Duration::ZERO), 1_000);
+    assert_eq!(cap.after(millis(1_999)), 1_199);
+    assert_eq!(cap.after(millis(2_000)), 1_700);
+    assert_eq!(cap.after(millis(4_000)), 2_300);
+}
+
+#[test]
+fn within_one_boot_the_steady_clock_tells() {
+    let stamp = reading("a", 5_000, 1_000_000);
+    let later = reading("a", 5_700, 1_002_000);
+    assert_eq!(elapsed(&stamp, &later, &[]), Some(millis(700)));
+    // Also where the time of day jumped back meanwhile.
+    let jumped = reading("a", 5_700, 998_300);
+    assert_eq!(elapsed(&stamp, &jumped, &[]), Some(millis(700)));
+}
+
+#[test]
+fn after_a_loss_of_power_a_jump_of_the_clock_is_allowed_for() {
+    let stamp = reading("a", 5_000, 1_000_000);
+    for later in [
+        reading("b", 10, 1_001_000),
+        // A VM whose kernel has the name of the one below it.
+        reading("a", 900_000, 1_001_000),
+        reading("a", 10, 1_001_000),
+        reading("", 5_100, 1_001_000),
+    ] {
+        assert_eq!(elapsed(&stamp, &later, &[]), Some(millis(4_000)));
+    }
+}
+
+#[test]
+fn a_clock_that_went_back_too_far_proves_nothing() {
+    let stamp = reading("a", 5_000, 1_000_000);
+    assert_eq!(elapsed(&stamp, &reading("b", 10, 990_000), &[]), None);
+}
+
+#[test]
+fn when_most_of_the_fleet_started_anew_its_middle_clock_is_trusted() {
+    let stamp = reading("a", 5_000, 1_000_000);
+    let back = reading("b", 10, 999_000);
+    // This VM's clock jumped back by 2.4 seconds; those of five of the six others did not.
+    let starts = [
+        1_001_300, 1_001_350, 1_001_400, 1_001_420, 1_001_500, 998_900,
+    ];
+    assert_eq!(middle_start(&stamp, &starts), Some(1_001_400));
+    assert_eq!(elapsed(&stamp, &back, &starts), Some(millis(1_800)));
+    // Half of them are not enough.
+    let starts = [1_001_300, 1_001_350, 900_000, 900_000];
+    assert_eq!(middle_start(&stamp, &starts), None);
+    assert_eq!(middle_start(&stamp, &[]), None);
+}
+
+proptest! {
+    #[test]
+    fn a_cap_never_shrinks(
+        unspent in 0_u64..10_000_000,
+        rate in 0_u64..1_000_000,
+        base in 0_u64..10_000_000,
+        first in 0_u64..20_000,
+        more in 0_u64..20_000,
+    ) {
+        let cap = Cap { base, ..draw(unspent, rate) };
+        prop_assert!(cap.after(millis(first)) <= cap.after(millis(first + more)));
+        prop_assert!(cap.after(Duration::ZERO) == base);
+    }
+
+    /// However the one clock jumps by less than is allowed for, the time since the stamp
+    /// isn't underestimated.
+    #[test]
+    fn the_time_since_a_stamp_is_never_underestimated(
+        age in 0_u64..30_000,
+        jump in -2_999_i64..3_000,
+        same_boot in any::<bool>(),
+        steady in 0_u64..200_000,
+    ) {
+        let stamp = reading("a", 50_000, 1_000_000);
+        let wall = (1_000_000 + age).saturating_add_signed(jump);
+        let now = if same_boot {
+            reading("a", 50_000 + age, wall)
+        } else {
+            reading("b", steady, wall)
+        };
+        let most = elapsed(&stamp, &now, &[]);
+        prop_assert!(most.is_none_or(|most| most >= millis(age)));
+    }
+}
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -3,6 +3,8 @@
 
 mod accounts;
 mod book;
+mod cap;
+mod clock;
 mod pools;
 mod proof;
 mod rights;
--- a/crates/gateway/tests/testsuite/watch.rs
+++ b/crates/gateway/tests/testsuite/watch.rs
@@ -160,6 +160,17 @@
     ) -> Result<u64, StoreError> {
         self.store.append_at(feed, at, records).await
     }
+
+    async fn append_next(
+        &self,
+        feed: Feed,
+        producer: &str,
+        sequence: u64,
+        record: (String, Bytes),
+    ) -> Result<(), StoreError> {
+        let appended = self.store.append_next(feed, producer, sequence, record);
+        appended.await
+    }
 }
 
 /// A long poll that was sent into a cut is answered by nobody when the cut ends; the next
