rights: caps closer to what is spent

Change: a cap's base is 0.3 s of use (0.6 before), its early growth a fifth of the use (a half), nothing beyond; a lender asks for a cap by the need of its borrower, not by six times that.

--- a/crates/gateway/src/rights/book.rs
+++ b/crates/gateway/src/rights/book.rs
@@ -284,7 +284,7 @@
         let taken = self.grant.shrink(amount.min(spare));
         moves.lent += taken;
         if taken < amount && moves.locked > 0 {
-            self.lack.fetch_max(amount, Relaxed);
+            self.lack.fetch_max(need, Relaxed);
             self.wakers.cap.notify_one();
         }
         taken
--- a/crates/gateway/src/rights/cap.rs
+++ b/crates/gateway/src/rights/cap.rs
@@ -19,13 +19,12 @@
 /// of power of all. On the users' deployments they start within 0.3 seconds.
 const JUMP_FLEET: Duration = Duration::from_millis(400);
 /// Seconds of use that a process may spend at once under a fresh cap.
-const BASE_SECS: f64 = 0.6;
+const BASE_SECS: f64 = 0.3;
 /// Part of what a process holds that it may spend at once in any case.
 const BASE_PART: f64 = 0.005;
-/// Growth of a cap, as a multiple of the rate of use: use may rise in a cut.
-const GROWTH: f64 = 0.5;
-/// Part of what it holds by which a cap grows in each second in any case.
-const GROWTH_PART: f64 = 0.005;
+/// Growth of a cap before a cut is certain, as a multiple of the rate of use. It is lost with
+/// a process that is killed, so it is less than the use: 0 to 1 measured about the same.
+const GROWTH: f64 = 0.2;
 
 /// Age of a cap from which on a process takes the store to be out of reach: longer than it
 /// takes to be back after a loss of power, which is up to 1.3 seconds on the users'
@@ -90,7 +89,7 @@
     let (unspent, rate) = (unspent as f64, rate as f64);
     Cap {
         base: 0,
-        rate: (rate * GROWTH).max(unspent * GROWTH_PART) as Tokens,
+        rate: (rate * GROWTH) as Tokens,
         cut: CUT,
         step: (rate * CUT_STEP_SECS).max(unspent * CUT_STEP_PART) as Tokens,
         cut_rate: (rate * CUT_GROWTH).max(unspent * CUT_GROWTH_PART) as Tokens,
