rights: a caller who gets nothing of an answer pays nothing

So workspaces were told that they had spent their budget while they were owed more. Ruled out: output counted by events of several tokens (whole answers match to the token). Change: the prompt is spent with the first piece of the answer that goes to the caller. A request holds its whole reservation until it has ended, so nothing is promised twice. Also: an answer that isn't a stream pays its most, since nobody says how long it is; before, it paid its prompt alone.

--- a/crates/gateway/src/rights/book.rs
+++ b/crates/gateway/src/rights/book.rs
@@ -443,49 +443,45 @@
             book: Arc::clone(self),
             usage,
             reserved: cost,
-            prompt: 0,
-            output: 0,
+            spent: 0,
         })
     }
 }
 
 /// Rights that one request holds. When it is dropped, what was not spent is free again.
+///
+/// A caller who gets nothing of an answer pays nothing, whatever ran: the users' platform
+/// counts what a workspace gets.
 #[derive(Debug)]
 pub struct Spend {
     book: Arc<Book>,
     usage: Usage,
     reserved: Tokens,
-    prompt: Tokens,
-    output: Tokens,
+    spent: Tokens,
 }
 
 impl Spend {
-    /// The request may run: its prompt is spent.
-    pub fn ran(&mut self) {
-        self.prompt = self.usage.prompt;
+    /// The answer reaches the caller, `output` tokens of it so far. The prompt is spent with
+    /// its first piece.
+    pub fn deliver(&mut self, output: Tokens) {
+        self.spent = self.usage.prompt + output.min(self.usage.output);
     }
 
-    /// It certainly hasn't run after all.
-    pub fn not_run(&mut self) {
-        self.prompt = 0;
-    }
-
-    /// Output tokens that the caller may have by now.
-    pub fn delivered(&mut self, output: Tokens) {
-        self.output = output.min(self.usage.output);
+    /// The whole answer reaches the caller, and nobody says how many tokens it has.
+    pub fn deliver_all(&mut self) {
+        self.deliver(self.usage.output);
     }
 
     /// Tokens spent so far.
     #[must_use]
     pub fn spent(&self) -> Tokens {
-        self.prompt + self.output
+        self.spent
     }
 }
 
 impl Drop for Spend {
     fn drop(&mut self) {
-        let spent = self.spent();
-        self.book.grant.settle(self.reserved, spent);
+        self.book.grant.settle(self.reserved, self.spent);
     }
 }
 
--- a/crates/gateway/src/serve/journey.rs
+++ b/crates/gateway/src/serve/journey.rs
@@ -97,6 +97,13 @@
         self.spend.as_ref().map_or(0, Spend::spent)
     }
 
+    /// A whole answer goes out.
+    fn deliver_all(&mut self) {
+        if let Some(spend) = &mut self.spend {
+            spend.deliver_all();
+        }
+    }
+
     /// Id of the request, for logs.
     pub(super) fn id(&self) -> &str {
         self.ask.id()
@@ -126,6 +133,7 @@
                 Ok(response) => return response,
                 Err(Step::Refuse(refusal)) => return self.refuse(refusal, &trail),
                 Err(Step::Relay(start, reply)) => {
+                    self.deliver_all();
                     return relay::long(self, trail, start, *reply, guard);
                 }
                 Err(Step::Again) => {}
@@ -145,9 +153,6 @@
             };
             let idx = ticket.idx;
             let until = self.until(trail);
-            if let Some(spend) = &mut self.spend {
-                spend.ran();
-            }
             let name = server.name.clone();
             let outcome = match attempt(self, server, ticket, resume, until).await {
                 Ok(reply) => {
@@ -160,7 +165,7 @@
             };
             trail.tried.push(idx);
             self.node.metrics.sent(outcome.as_str());
-            self.note(trail, outcome);
+            trail.note(outcome);
             event!(
                 info,
                 "request.send_failed",
@@ -179,19 +184,6 @@
         }
     }
 
-    /// Keeps count of a failed send.
-    fn note(&mut self, trail: &mut Trail, outcome: Outcome) {
-        if outcome.ran() != Ran::No {
-            trail.runs += 1;
-        }
-        if trail.runs > 0 {
-            return;
-        }
-        if let Some(spend) = &mut self.spend {
-            spend.not_run();
-        }
-    }
-
     /// Whether the request may be sent once more, and the fleet's retries allow it.
     pub(super) fn may_retry(&self, trail: &Trail, outcome: Outcome) -> bool {
         let may = outcome.may_retry(self.route.replay())
@@ -212,7 +204,7 @@
     }
 
     /// Reads an answer that isn't a stream and makes the caller's answer of it.
-    async fn whole(&self, trail: &mut Trail, reply: Reply) -> Result<Response, Step> {
+    async fn whole(&mut self, trail: &mut Trail, reply: Reply) -> Result<Response, Step> {
         let Reply {
             head,
             body,
@@ -267,7 +259,10 @@
         }
         match outcome {
             Outcome::Failed => ticket.fail(ErrorKind::Status),
-            _ => ticket.end(),
+            _ => {
+                ticket.end();
+                self.deliver_all();
+            }
         }
         event!(
             info,
@@ -331,6 +326,13 @@
         self.tried.len()
     }
 
+    /// Keeps count of a failed send.
+    fn note(&mut self, outcome: Outcome) {
+        if outcome.ran() != Ran::No {
+            self.runs += 1;
+        }
+    }
+
     /// What the caller hears when the request isn't sent again.
     fn give_up(&self) -> Refusal {
         if self.runs == 0 {
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -113,7 +113,7 @@
                     journey.node.metrics.first_event(journey.start.elapsed());
                 }
                 if let Some(spend) = &mut journey.spend {
-                    spend.delivered(cutter.events() * stride);
+                    spend.deliver(cutter.events() * stride);
                 }
                 yield Ok(events);
             };
