rights: accounts that 73 routers can claim from

Most parts were smaller than a request. A large workspace's router on a slow link lost each race, and its caps, stored in half a second each, covered 0.3 s of use. Ruled out: the cut itself; processor time (0.03 of a core at most). Change: in fleets of more than 16 routers those without callers hold nothing and don't look at the account; accounts are spread over 12 partitions; a change that no request waits for isn't tried again after a conflict; a cap covers all waiting requests and the time that storing it takes; nothing is stored while nothing is held, and less often while nothing is spent.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -150,6 +150,7 @@
     fn tell(&self) {
         let routers = lock(&self.peers.addresses).len() + 1;
         self.node.pools.set_routers(routers, &self.node.settings);
+        self.node.books.set_fleet(routers);
     }
 }
 
--- a/crates/gateway/src/rights/account.rs
+++ b/crates/gateway/src/rights/account.rs
@@ -21,6 +21,9 @@
 /// rest goes by the rate of use. Callers mostly stay at their router: the largest
 /// workspace of the users' sites uses one alone.
 const EVEN_PART: f64 = 0.05;
+/// Largest fleet whose routers hold rights that they don't use yet. In larger ones such parts
+/// are smaller than a request, and the claims of all at a start take the store seconds.
+const IDLE_FLEET: usize = 16;
 /// A router gives rights back from this multiple of its target on.
 const EXCESS: f64 = 1.3;
 /// A router asks for more below this part of its target.
@@ -45,6 +48,8 @@
     pub rate: u64,
     /// Tokens that the largest waiting request lacks rights for; 0 when none waits.
     pub need: Tokens,
+    /// Routers in the fleet, this one among them.
+    pub fleet: usize,
     /// Earlier processes on this VM, and the most that each has spent of this account.
     pub ended: HashMap<u64, Tokens>,
 }
@@ -98,7 +103,7 @@
         .iter()
         .find(|holder| holder.process == stake.process);
     let is_due = match known {
-        None => true,
+        None => granted > 0 || stake.need > 0,
         Some(known) => {
             let unsaid = stake.charged.saturating_sub(known.charged);
             granted != known.granted
@@ -150,6 +155,12 @@
     base
 }
 
+/// Whether routers of such a fleet hold rights that they don't use yet.
+#[must_use]
+pub fn holds_idle(fleet: usize) -> bool {
+    fleet <= IDLE_FLEET
+}
+
 /// What an earlier process on this VM has spent at most. One that left no cap may have
 /// spent all that it held.
 #[must_use]
@@ -169,7 +180,9 @@
     let left = left as f64;
     let all = (rate * AHEAD_SECS).clamp(left * HELD_LEAST, left * HELD_MOST);
     let even = all / count;
-    let wanted = if rate == 0.0 {
+    let wanted = if stake.rate == 0 && !holds_idle(stake.fleet) {
+        0.0
+    } else if rate == 0.0 {
         even
     } else {
         let by_rate = all * stake.rate as f64 / rate;
--- a/crates/gateway/src/rights/book.rs
+++ b/crates/gateway/src/rights/book.rs
@@ -1,7 +1,7 @@
 //! A router's rights on each workspace, in memory.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, timeout_at};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::account;
 use super::cap::{self, Cap};
 use crate::clock::Clock;
 use crate::dialect::Usage;
@@ -24,7 +25,7 @@
 /// Partitions that accounts are spread over. All accounts of a partition are read and
 /// written in one call, so few partitions mean few calls; more of them mean that appends
 /// of different routers meet less often.
-const PARTS: u32 = 2;
+const PARTS: u32 = 12;
 
 /// One workspace's rights at this router.
 #[derive(Debug)]
@@ -40,7 +41,7 @@
     rate: AtomicU64,
     /// Below so many free tokens a new cap is due.
     low: AtomicU64,
-    /// The largest request that waits for a new cap.
+    /// Tokens of requests that wait for a new cap.
     lack: AtomicU64,
     /// The largest request that waits for rights.
     need: AtomicU64,
@@ -197,6 +198,12 @@
         into - (counters.returned + moves.borrowed) as i64
     }
 
+    /// Tokens charged or held by requests.
+    pub(super) fn used(&self) -> Tokens {
+        let counters = self.grant.counters();
+        counters.charged + counters.reserved
+    }
+
     /// Takes what the account grants this router; gives what it held before. More rights
     /// can be used once a cap covers them.
     pub(super) fn accept(&self, granted: Tokens) -> Tokens {
@@ -226,14 +233,15 @@
         self.grant.shrink(Tokens::MAX);
     }
 
-    /// A new cap from `now` on, in milliseconds of the steady clock, to be stored. Until [`Self::cap_stored`] no more is spent than
+    /// A new cap from `now` on, in milliseconds of the steady clock, to be stored, which lately took
+    /// `lag`. Until [`Self::cap_stored`] no more is spent than
     /// both this and the one before allow.
-    pub(super) fn make_cap(&self, now: u64) -> Cap {
+    pub(super) fn make_cap(&self, now: u64, lag: Duration) -> Cap {
         let mut moves = self.moves();
         let free = self.grant.available();
         let unspent = free + moves.locked;
         let rate = self.rate();
-        let wanted = cap::base(unspent, rate, self.lack.swap(0, Relaxed));
+        let wanted = cap::base(unspent, rate, lag) + self.lack.swap(0, Relaxed);
         moves.locked += self.grant.shrink(free.saturating_sub(wanted));
         let more = wanted.saturating_sub(free).min(moves.locked);
         self.low.store(wanted / 2, Relaxed);
@@ -284,7 +292,7 @@
         let taken = self.grant.shrink(amount.min(spare));
         moves.lent += taken;
         if taken < amount && moves.locked > 0 {
-            self.lack.fetch_max(need, Relaxed);
+            self.lack.fetch_add(need, Relaxed);
             self.wakers.cap.notify_one();
         }
         taken
@@ -304,6 +312,12 @@
         self.moves.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether this router has to look at the account: it has or may want a part of it.
+    pub(super) fn is_active(&self, fleet: usize) -> bool {
+        let wants = self.rate() > 0 || self.need.load(Relaxed) > 0;
+        wants || account::holds_idle(fleet) || self.standing().granted > 0
+    }
+
     /// Tokens a second that callers lately asked for.
     #[must_use]
     pub fn rate(&self) -> u64 {
@@ -393,6 +407,7 @@
         }
         let until = Instant::now() + wait;
         self.grant.miss(cost);
+        self.lack.fetch_add(cost, Relaxed);
         loop {
             let changed = self.changed.notified();
             let rest = self.rest();
@@ -405,7 +420,12 @@
             if let Some(spend) = self.try_reserve(usage, cost) {
                 return Ok(spend);
             }
-            if news.is_ok() || pause < until {
+            if news.is_ok() {
+                // A cap was stored and others were faster: the next one is to cover it.
+                self.lack.fetch_add(cost, Relaxed);
+                continue;
+            }
+            if pause < until {
                 continue;
             }
             if self.away.load(Relaxed) {
@@ -419,7 +439,6 @@
     fn ask_for(&self, cost: Tokens) {
         let locked = self.moves().locked;
         if locked > 0 {
-            self.lack.fetch_max(cost, Relaxed);
             self.wakers.cap.notify_one();
         }
         if self.grant.available() + locked < cost {
@@ -497,6 +516,8 @@
     uncapped: Arc<Notify>,
     /// Partitions that a feed may have.
     feed_parts: u32,
+    /// Routers in the fleet.
+    fleet: AtomicUsize,
     clock: Arc<dyn Clock>,
 }
 
@@ -511,6 +532,7 @@
             lacking: Arc::default(),
             uncapped: Arc::default(),
             feed_parts: parts.max(1),
+            fleet: AtomicUsize::new(1),
             clock,
         }
     }
@@ -577,6 +599,17 @@
         &self.clock
     }
 
+    /// Routers in the fleet, this one among them.
+    #[must_use]
+    pub fn fleet(&self) -> usize {
+        self.fleet.load(Relaxed)
+    }
+
+    /// Notes how many routers there are.
+    pub fn set_fleet(&self, routers: usize) {
+        self.fleet.store(routers, Relaxed);
+    }
+
     /// Partitions that a feed may have.
     pub(super) fn feed_parts(&self) -> u32 {
         self.feed_parts
--- a/crates/gateway/src/rights/cap.rs
+++ b/crates/gateway/src/rights/cap.rs
@@ -20,6 +20,8 @@
 const JUMP_FLEET: Duration = Duration::from_millis(400);
 /// Seconds of use that a process may spend at once under a fresh cap.
 const BASE_SECS: f64 = 0.3;
+/// The same for the time that it takes to store the next one, as a multiple of that.
+const BASE_LAGS: f64 = 2.0;
 /// Part of what a process holds that it may spend at once in any case.
 const BASE_PART: f64 = 0.005;
 /// Growth of a cap before a cut is certain, as a multiple of the rate of use. It is lost with
@@ -75,11 +77,12 @@
     Tokens::try_from(tokens).unwrap_or(Tokens::MAX)
 }
 
-/// Tokens that should be free for requests under a new cap.
+/// Tokens that should be free for requests under a new cap, where storing one takes `lag`:
+/// the next one is stored when half of them are used.
 #[must_use]
-pub fn base(unspent: Tokens, rate: u64, need: Tokens) -> Tokens {
-    let wanted = (rate as f64 * BASE_SECS).max(unspent as f64 * BASE_PART) as Tokens;
-    wanted.max(need)
+pub fn base(unspent: Tokens, rate: u64, lag: Duration) -> Tokens {
+    let secs = BASE_SECS + BASE_LAGS * lag.as_secs_f64();
+    (rate as f64 * secs).max(unspent as f64 * BASE_PART) as Tokens
 }
 
 /// How a new cap grows, for a process with `unspent` tokens of which `rate` are used in a
--- a/crates/gateway/src/rights/caps.rs
+++ b/crates/gateway/src/rights/caps.rs
@@ -23,6 +23,9 @@
 /// Longest time between caps that nobody waits for. A process that is killed loses what its
 /// cap has grown by since then.
 const PERIOD: Duration = Duration::from_millis(500);
+/// The same while nothing is spent. Well below the age from which on a cap takes the store
+/// to be out of reach.
+const PERIOD_IDLE: Duration = Duration::from_millis(1_500);
 /// Shortest time between caps: a call takes about 5 ms.
 const PAUSE_MIN: Duration = Duration::from_millis(20);
 /// First pause after the store failed; doubles up to [`BACKOFF_MAX`].
@@ -118,6 +121,11 @@
     vm: VmName,
     /// Number of the next record.
     sequence: u64,
+    /// When the last one was stored, and what was spent by then.
+    stored: Instant,
+    used: Tokens,
+    /// How long it lately took to store one, while the store answered.
+    lag: Duration,
     /// When this process began, which is after its predecessors' end.
     began: Reading,
     ended: watch::Sender<Option<Arc<Ended>>>,
@@ -139,6 +147,9 @@
             process,
             vm: vm.clone(),
             sequence: 1,
+            lag: Duration::ZERO,
+            stored: Instant::now(),
+            used: 0,
             began: books.clock().read(),
             ended: watch::Sender::new(None),
         }
@@ -156,16 +167,22 @@
 
     async fn follow(&mut self, wanted: &Notify) {
         self.open().await;
+        let mut is_wanted = true;
         loop {
-            let books = self.books.all();
-            if !books.is_empty() {
+            let mut books = self.books.all();
+            books.retain(|book| book.standing().granted > 0);
+            let used = books.iter().map(|book| book.used()).sum();
+            let is_idle = used == self.used && self.stored.elapsed() < PERIOD_IDLE;
+            if !books.is_empty() && (is_wanted || !is_idle) {
                 self.store_caps(&books).await;
+                self.used = used;
+                self.stored = Instant::now();
             }
             sleep(PAUSE_MIN).await;
-            tokio::select! {
-                () = wanted.notified() => {}
-                () = sleep(PERIOD) => {}
-            }
+            is_wanted = tokio::select! {
+                () = wanted.notified() => true,
+                () = sleep(PERIOD) => false,
+            };
         }
     }
 
@@ -231,7 +248,7 @@
         let stamp = self.books.clock().read();
         let mut caps = Vec::with_capacity(books.len());
         for book in books {
-            let cap = book.make_cap(stamp.steady);
+            let cap = book.make_cap(stamp.steady, self.lag);
             caps.push(CapRecord {
                 workspace: book.workspace.to_string(),
                 base: cap.base,
@@ -244,6 +261,7 @@
         let record = self.stamped(caps, &stamp);
         let mut backoff = BACKOFF;
         let mut away = false;
+        let sent = Instant::now();
         loop {
             let stored =
                 self.store
@@ -260,6 +278,9 @@
             backoff = (backoff * 2).min(BACKOFF_MAX);
         }
         self.sequence += 1;
+        if !away {
+            self.lag = (self.lag + sent.elapsed()) / 2;
+        }
         for book in books {
             book.cap_stored();
         }
--- a/crates/gateway/src/rights/claim.rs
+++ b/crates/gateway/src/rights/claim.rs
@@ -202,12 +202,13 @@
     /// Brings the accounts of this partition up to date.
     async fn round(&mut self) -> Result<(), StoreError> {
         let books = self.books.in_part(self.part);
-        if books.is_empty() {
-            return Ok(());
-        }
         for book in &books {
             self.follow_rate(book);
         }
+        let fleet = self.books.fleet();
+        if !books.iter().any(|book| book.is_active(fleet)) {
+            return Ok(());
+        }
         let mut needs: HashMap<WorkspaceName, Tokens> = HashMap::new();
         self.read_news(&books).await?;
         for attempt in 0..TRIES {
@@ -216,6 +217,10 @@
                 *need = (*need).max(book.take_need());
             }
             match self.write(&books, &needs).await {
+                // What nobody waits for is left to the next round.
+                Err(StoreError::Conflict { .. }) if needs.values().all(|need| *need == 0) => {
+                    return self.read_news(&books).await;
+                }
                 Err(StoreError::Conflict { .. }) => {
                     let most = CONTEND * 2_u32.pow(attempt.min(4));
                     sleep(most.mul_f64(rand::random())).await;
@@ -459,6 +464,7 @@
                 .min(standing.granted.saturating_sub(standing.charged)),
             rate: book.rate(),
             need,
+            fleet: self.books.fleet(),
             ended: self.ended.of(&book.workspace),
         }
     }
--- a/crates/gateway/tests/testsuite/accounts.rs
+++ b/crates/gateway/tests/testsuite/accounts.rs
@@ -15,6 +15,7 @@
         reserved: 0,
         rate: 0,
         need: 0,
+        fleet: 7,
         ended: HashMap::new(),
     }
 }
