--- a/crates/fetch/src/client.rs
+++ b/crates/fetch/src/client.rs
@@ -116,17 +116,24 @@
     ) -> Result<Answer, HttpError> {
         let work = async {
             let response = self.send(call).await?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), limits.bytes);
-            let whole = body.collect().await;
-            let whole = whole.map_err(|error| HttpError::Lost(error.to_string()))?;
-            Ok(Answer {
-                status,
-                body: whole.to_bytes(),
-            })
+            whole(response, limits.bytes).await
         };
-        let limited = tokio::time::timeout(limits.time, work).await;
-        limited.map_err(|_elapsed| HttpError::Timeout(limits.time))?
+        within(limits.time, work).await
+    }
+
+    /// Makes a call whose answer begins within `head`; its body has `body` more. For answers
+    /// that may be large and links that may be slow, where silence is to be noticed soon.
+    ///
+    /// # Errors
+    /// When no whole answer came in time.
+    pub async fn fetch_large(
+        &self,
+        call: &Call<'_>,
+        head: Duration,
+        body: Duration,
+    ) -> Result<Answer, HttpError> {
+        let response = within(head, self.send(call)).await?;
+        within(body, whole(response, MAX_ANSWER)).await
     }
 
     /// Makes a call and returns once the head of the answer is there.
@@ -167,6 +174,25 @@
     }
 }
 
+/// Reads the whole answer, if it has no more than `most` bytes.
+async fn whole(response: Response<Incoming>, most: usize) -> Result<Answer, HttpError> {
+    let status = response.status();
+    let body = Limited::new(response.into_body(), most).collect().await;
+    let body = body.map_err(|error| HttpError::Lost(error.to_string()))?;
+    Ok(Answer {
+        status,
+        body: body.to_bytes(),
+    })
+}
+
+async fn within<T>(
+    time: Duration,
+    work: impl Future<Output = Result<T, HttpError>>,
+) -> Result<T, HttpError> {
+    let limited = tokio::time::timeout(time, work).await;
+    limited.map_err(|_elapsed| HttpError::Timeout(time))?
+}
+
 /// The error and its causes on one line.
 #[must_use]
 pub fn on_one_line(error: &dyn std::error::Error) -> String {
--- a/crates/fetch/tests/json.rs
+++ b/crates/fetch/tests/json.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use serde_json::Value;
-use swiftlink_fetch::{Http, HttpError, JsonError, Limits, Vm, VmList, VmState};
+use swiftlink_fetch::{Call, Http, HttpError, JsonError, Limits, Vm, VmList, VmState};
 
 /// Far longer than anything here takes.
 const LONG: Duration = Duration::from_secs(30);
@@ -82,3 +82,50 @@
     };
     assert_eq!((list.version, list.vms), (3, vec![leaving]));
 }
+
+/// Answers with a head and half of a body; the other half follows when the sender is used,
+/// never when it is dropped.
+fn serve_halves() -> (SocketAddr, std::sync::mpsc::Sender<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (release, released) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let (mut socket, _peer) = listener.accept().unwrap();
+        let _read = socket.read(&mut [0; 4096]).unwrap();
+        let half = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nab";
+        socket.write_all(half.as_bytes()).unwrap();
+        if released.recv().is_ok() {
+            socket.write_all(b"cd").unwrap();
+        }
+        // Held open until the caller has gone.
+        let _closed = socket.read(&mut [0; 1]);
+    });
+    (address, release)
+}
+
+/// On a slow link an answer that has begun is worth waiting for.
+#[tokio::test]
+async fn a_large_answer_has_time_beyond_its_head() {
+    let head = Duration::from_secs(2);
+    let (address, release) = serve_halves();
+    let http = Http::open("test");
+    let call = Call::get(address, "/x");
+    let (answer, ()) = tokio::join!(http.fetch_large(&call, head, LONG), async {
+        tokio::time::sleep(head + Duration::from_millis(200)).await;
+        release.send(()).unwrap();
+    });
+    assert_eq!(&answer.unwrap().body[..], b"abcd");
+}
+
+#[tokio::test]
+async fn a_large_answer_that_stays_away_is_given_up() {
+    let short = Duration::from_millis(50);
+    let http = Http::open("test");
+    let (half, _held) = serve_halves();
+    let silent = serve("", None);
+    for (address, head, body) in [(half, LONG, short), (silent, short, LONG)] {
+        let call = Call::get(address, "/x");
+        let answer = http.fetch_large(&call, head, body).await;
+        assert!(matches!(answer, Err(HttpError::Timeout(_))), "{answer:?}");
+    }
+}
