rights: after an outage read how accounts stand, not their history

At 26 to 31 s, right after a cut of 27 routers, 427 reads of accounts and 84 of the configuration had no answer in time, on nearly all routers: those who came back read eight seconds of history, about a megabyte a partition (worked out from 4 KB an account and some 30 appends a second), and the store's reads share 80 MB/s. Ruled out: one slow VM (the whole fleet lost the store at once). Change: after a failed read the newest record of each account is read. A trial without the guard against an older state in read_all failed no test: what could be undone by it is the router's own last change only, which it makes again.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -79,6 +79,7 @@
     available: Gauge<u64, AtomicU64>,
     reserved: Gauge<u64, AtomicU64>,
     charged: Gauge<u64, AtomicU64>,
+    locked: Gauge<u64, AtomicU64>,
     ready: Gauge,
 }
 
@@ -133,6 +134,8 @@
         registry.register("rights_reserved_tokens", reserved, gauges.reserved.clone());
         let charged = "Tokens spent since the start, of all workspaces";
         registry.register("rights_charged_tokens", charged, gauges.charged.clone());
+        let locked = "Rights that no stored cap covers yet, of all workspaces";
+        registry.register("rights_locked_tokens", locked, gauges.locked.clone());
         let ready = "Whether new connections should come here";
         registry.register("ready", ready, gauges.ready.clone());
     }
@@ -193,13 +196,15 @@
         let config = node.config.load();
         self.config
             .set(config.as_ref().map_or(0, |config| config.version));
-        let (mut available, mut reserved, mut charged) = (0, 0, 0);
+        let (mut available, mut reserved, mut charged, mut locked) = (0, 0, 0, 0);
         for book in node.books.all() {
             let counters = book.grant.counters();
             available += counters.available;
             reserved += counters.reserved;
             charged += counters.charged;
+            locked += book.standing().locked;
         }
+        self.locked.set(locked);
         self.available.set(available);
         self.reserved.set(reserved);
         self.charged.set(charged);
--- a/crates/gateway/src/rights/book.rs
+++ b/crates/gateway/src/rights/book.rs
@@ -1,7 +1,6 @@
 //! A router's rights on each workspace, in memory.
 
-use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -10,23 +9,17 @@
 use swiftlink_types::{Tokens, VmName, WorkspaceName};
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::account;
 use super::cap::{self, Cap};
+use super::spend::Spend;
 use crate::clock::Clock;
 use crate::dialect::Usage;
-use crate::model::Config;
 
 /// How often a waiting request looks whether the growth of a cap covers it. A tenth of the
 /// users' shortest wait.
 const RECHECK: Duration = Duration::from_millis(10);
 
-/// Partitions that accounts are spread over. All accounts of a partition are read and
-/// written in one call, so few partitions mean few calls; more of them mean that appends
-/// of different routers meet less often.
-const PARTS: u32 = 12;
-
 /// One workspace's rights at this router.
 #[derive(Debug)]
 pub struct Book {
@@ -64,13 +57,13 @@
 
 /// Wakes the tasks that move rights.
 #[derive(Clone, Debug)]
-struct Wakers {
+pub(super) struct Wakers {
     /// The one that claims.
-    claim: Arc<Notify>,
+    pub(super) claim: Arc<Notify>,
     /// The one that borrows.
-    borrow: Arc<Notify>,
+    pub(super) borrow: Arc<Notify>,
     /// The one that stores caps.
-    cap: Arc<Notify>,
+    pub(super) cap: Arc<Notify>,
 }
 
 /// Rights that aren't simply granted, free, reserved or spent.
@@ -97,8 +90,11 @@
 
 impl Bound {
     fn at(&self, now: u64) -> Tokens {
-        self.cap
-            .after(Duration::from_millis(now.saturating_sub(self.since)))
+        self.cap.after(Duration::from_millis(self.age(now)))
+    }
+
+    fn age(&self, now: u64) -> u64 {
+        now.saturating_sub(self.since)
     }
 }
 
@@ -131,6 +127,10 @@
     pub charged: Tokens,
     /// Tokens that running requests hold.
     pub reserved: Tokens,
+    /// Tokens that no stored cap covers yet; they can't be used.
+    pub locked: Tokens,
+    /// Age of the cap that the store has, in milliseconds; `None` before the first one.
+    pub cap_age: Option<u64>,
 }
 
 /// Why a request gets no rights.
@@ -148,7 +148,7 @@
 }
 
 impl Book {
-    fn new(workspace: WorkspaceName, wakers: Wakers, clock: Arc<dyn Clock>) -> Self {
+    pub(super) fn new(workspace: WorkspaceName, wakers: Wakers, clock: Arc<dyn Clock>) -> Self {
         Self {
             workspace,
             grant: Arc::new(Grant::new()),
@@ -187,6 +187,8 @@
             granted: held.saturating_sub(counters.returned + moves.borrowed),
             charged: (counters.charged + moves.lent).saturating_sub(moves.borrowed),
             reserved: counters.reserved,
+            locked: moves.locked,
+            cap_age: moves.stored.map(|cap| cap.age(self.clock.steady())),
         }
     }
 
@@ -346,6 +348,10 @@
         self.lenders.load_full()
     }
 
+    pub(super) fn set_prepaid(&self, prepaid: Tokens) {
+        self.prepaid.store(prepaid, Relaxed);
+    }
+
     /// Tokens that the workspace may spend in all.
     #[must_use]
     pub fn prepaid(&self) -> Tokens {
@@ -458,180 +464,6 @@
         if self.grant.available() < self.low.load(Relaxed) {
             self.wakers.cap.notify_one();
         }
-        Some(Spend {
-            book: Arc::clone(self),
-            usage,
-            reserved: cost,
-            spent: 0,
-        })
-    }
-}
-
-/// Rights that one request holds. When it is dropped, what was not spent is free again.
-///
-/// A caller who gets nothing of an answer pays nothing, whatever ran: the users' platform
-/// counts what a workspace gets.
-#[derive(Debug)]
-pub struct Spend {
-    book: Arc<Book>,
-    usage: Usage,
-    reserved: Tokens,
-    spent: Tokens,
-}
-
-impl Spend {
-    /// The answer reaches the caller, `output` tokens of it so far. The prompt is spent with
-    /// its first piece.
-    pub fn deliver(&mut self, output: Tokens) {
-        self.spent = self.usage.prompt + output.min(self.usage.output);
-    }
-
-    /// The whole answer reaches the caller, and nobody says how many tokens it has.
-    pub fn deliver_all(&mut self) {
-        self.deliver(self.usage.output);
-    }
-
-    /// Tokens spent so far.
-    #[must_use]
-    pub fn spent(&self) -> Tokens {
-        self.spent
-    }
-}
-
-impl Drop for Spend {
-    fn drop(&mut self) {
-        self.book.grant.settle(self.reserved, self.spent);
-    }
-}
-
-/// All books of a router.
-#[derive(Debug)]
-pub struct Books {
-    books: ArcSwap<HashMap<WorkspaceName, Arc<Book>>>,
-    /// By partition of the accounts: wakes its claim task.
-    wanted: Vec<Arc<Notify>>,
-    /// Wakes the task that borrows.
-    lacking: Arc<Notify>,
-    /// Wakes the task that stores caps.
-    uncapped: Arc<Notify>,
-    /// Partitions that a feed may have.
-    feed_parts: u32,
-    /// Routers in the fleet.
-    fleet: AtomicUsize,
-    clock: Arc<dyn Clock>,
-}
-
-impl Books {
-    /// No books; feeds have `parts` partitions.
-    #[must_use]
-    pub fn new(parts: u32, clock: Arc<dyn Clock>) -> Self {
-        let wanted = (0..parts.clamp(1, PARTS)).map(|_| Arc::new(Notify::new()));
-        Self {
-            books: ArcSwap::default(),
-            wanted: wanted.collect(),
-            lacking: Arc::default(),
-            uncapped: Arc::default(),
-            feed_parts: parts.max(1),
-            fleet: AtomicUsize::new(1),
-            clock,
-        }
-    }
-
-    /// Partition that holds the account of a workspace.
-    #[must_use]
-    pub fn part(&self, workspace: &WorkspaceName) -> u32 {
-        let hash = xxh3_64(workspace.as_str().as_bytes());
-        (hash % self.wanted.len() as u64) as u32
-    }
-
-    /// Takes the workspaces of a configuration. Books of workspaces that are gone stay:
-    /// what was spent on them may have to be told.
-    pub fn set_config(&self, config: &Config) {
-        let mut books = HashMap::clone(&self.books.load());
-        for (name, workspace) in &config.workspaces {
-            let Some(prepaid) = workspace.prepaid else {
-                books.remove(name);
-                continue;
-            };
-            let book = books.entry(name.clone()).or_insert_with(|| {
-                let clock = Arc::clone(&self.clock);
-                Arc::new(Book::new(name.clone(), self.wakers(name), clock))
-            });
-            book.prepaid.store(prepaid, Relaxed);
-        }
-        self.books.store(Arc::new(books));
-        for wanted in &self.wanted {
-            wanted.notify_one();
-        }
-    }
-
-    /// The book of a workspace; `None` when it may spend as much as it likes.
-    #[must_use]
-    pub fn get(&self, workspace: &WorkspaceName) -> Option<Arc<Book>> {
-        self.books.load().get(workspace).cloned()
-    }
-
-    /// Books whose accounts are in `part`.
-    #[must_use]
-    pub fn in_part(&self, part: u32) -> Vec<Arc<Book>> {
-        let books = self.books.load();
-        let books = books
-            .values()
-            .filter(|book| self.part(&book.workspace) == part);
-        books.cloned().collect()
-    }
-
-    fn wakers(&self, workspace: &WorkspaceName) -> Wakers {
-        Wakers {
-            claim: self.wanted(self.part(workspace)),
-            borrow: self.lacking(),
-            cap: self.uncapped(),
-        }
-    }
-
-    pub(super) fn uncapped(&self) -> Arc<Notify> {
-        Arc::clone(&self.uncapped)
-    }
-
-    /// Where the time comes from.
-    #[must_use]
-    pub fn clock(&self) -> &Arc<dyn Clock> {
-        &self.clock
-    }
-
-    /// Routers in the fleet, this one among them.
-    #[must_use]
-    pub fn fleet(&self) -> usize {
-        self.fleet.load(Relaxed)
-    }
-
-    /// Notes how many routers there are.
-    pub fn set_fleet(&self, routers: usize) {
-        self.fleet.store(routers, Relaxed);
-    }
-
-    /// Partitions that a feed may have.
-    pub(super) fn feed_parts(&self) -> u32 {
-        self.feed_parts
-    }
-
-    pub(super) fn wanted(&self, part: u32) -> Arc<Notify> {
-        Arc::clone(&self.wanted[part as usize])
-    }
-
-    /// All books.
-    #[must_use]
-    pub fn all(&self) -> Vec<Arc<Book>> {
-        self.books.load().values().cloned().collect()
-    }
-
-    pub(super) fn lacking(&self) -> Arc<Notify> {
-        Arc::clone(&self.lacking)
-    }
-
-    /// Number of partitions that accounts are spread over.
-    #[must_use]
-    pub fn parts(&self) -> u32 {
-        self.wanted.len() as u32
+        Some(Spend::new(Arc::clone(self), usage, cost))
     }
 }
--- a/crates/gateway/src/rights/caps.rs
+++ b/crates/gateway/src/rights/caps.rs
@@ -14,7 +14,8 @@
 use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::book::{Book, Books};
+use super::book::Book;
+use super::books::Books;
 use super::cap::{self, Cap};
 use crate::clock::Reading;
 use crate::peers;
--- a/crates/gateway/src/rights/claim.rs
+++ b/crates/gateway/src/rights/claim.rs
@@ -15,8 +15,10 @@
 use tokio_util::sync::CancellationToken;
 
 use super::account::{self, Stake};
-use super::book::{Book, Books, Lender};
+use super::book::{Book, Lender};
+use super::books::Books;
 use super::caps::{Caps, Ended};
+use super::rate::Rates;
 use crate::store::{Feed, Store, StoreError};
 
 /// Time between looks at the accounts of a partition for each router, so that appends of
@@ -35,14 +37,10 @@
 const BACKOFF: Duration = Duration::from_millis(100);
 /// Longest pause after the store failed.
 const BACKOFF_MAX: Duration = Duration::from_millis(400);
-/// Shortest time over which the rate of use is taken.
-const RATE_TIME: Duration = Duration::from_millis(400);
 /// Longest random pause after another router was faster; doubles with each time.
 const CONTEND: Duration = Duration::from_millis(8);
 /// Times that a round starts anew because another router was faster.
 const TRIES: u32 = 10;
-/// Time over which the rate of use is averaged, in seconds.
-const AVERAGE_SECS: f64 = 3.0;
 
 /// The running tasks.
 #[derive(Debug)]
@@ -70,8 +68,9 @@
                 vm: vm.clone(),
                 process,
                 seen: None,
+                is_behind: false,
                 unresolved: None,
-                rates: HashMap::new(),
+                rates: Rates::default(),
                 ended: Arc::default(),
             };
             let wanted = books.wanted(part);
@@ -103,14 +102,6 @@
     accounts: HashMap<WorkspaceName, Account>,
 }
 
-/// Use of one workspace's rights.
-#[derive(Debug)]
-struct Rate {
-    asked: Tokens,
-    at: Instant,
-    value: f64,
-}
-
 struct Part {
     feed: Feed,
     books: Arc<Books>,
@@ -119,10 +110,12 @@
     vm: VmName,
     process: u64,
     seen: Option<Seen>,
+    /// Whether it may be much that others wrote since.
+    is_behind: bool,
     /// Condition of an append that had no answer: while the feed ends there, it may still
     /// be done, and rights that it gives back must not be used.
     unresolved: Option<u64>,
-    rates: HashMap<WorkspaceName, Rate>,
+    rates: Rates,
     /// What earlier processes on this VM have spent at most.
     ended: Arc<Ended>,
 }
@@ -203,7 +196,7 @@
     async fn round(&mut self) -> Result<(), StoreError> {
         let books = self.books.in_part(self.part);
         for book in &books {
-            self.follow_rate(book);
+            self.rates.follow(book);
         }
         let fleet = self.books.fleet();
         if !books.iter().any(|book| book.is_active(fleet)) {
@@ -351,21 +344,28 @@
     async fn read_all(&mut self, books: &[Arc<Book>]) -> Result<(), StoreError> {
         let page = self.store.newest(self.feed).await?;
         let known = self.seen.take().unwrap_or_default();
+        if page.end < known.end {
+            // An older state than the one known: an append on top of it would undo others'.
+            self.seen = Some(known);
+            return Ok(());
+        }
         if self.unresolved.is_some_and(|at| page.end > at) {
             self.unresolved = None;
         }
         self.seen = Some(Seen {
-            end: page.end.max(known.end),
+            end: page.end,
             accounts: known.accounts,
         });
+        self.is_behind = false;
         self.take(page.records, books);
         Ok(())
     }
 
-    /// Reads what others wrote since. Once the feed has moved on, an append of ours that
+    /// Reads what others wrote since; after an outage only how accounts stand now, since the
+    /// history of a large fleet is a megabyte a partition and second. Once the feed has moved on, an append of ours that
     /// had no answer is in it or never will be.
     async fn read_news(&mut self, books: &[Arc<Book>]) -> Result<(), StoreError> {
-        let Some(seen) = &self.seen else {
+        let Some(seen) = self.seen.as_ref().filter(|_| !self.is_behind) else {
             return self.read_all(books).await;
         };
         let from = seen.end;
@@ -382,7 +382,10 @@
                 Ok(())
             }
             Err(StoreError::Trimmed { .. }) => self.read_all(books).await,
-            Err(error) => Err(error),
+            Err(error) => {
+                self.is_behind = true;
+                Err(error)
+            }
         }
     }
 
@@ -468,26 +471,6 @@
             ended: self.ended.of(&book.workspace),
         }
     }
-
-    fn follow_rate(&mut self, book: &Book) {
-        let demand = book.grant.demand();
-        let asked = (demand.taken + demand.missed).saturating_sub(demand.unspent);
-        let now = Instant::now();
-        let rate = self.rates.entry(book.workspace.clone()).or_insert(Rate {
-            asked,
-            at: now,
-            value: 0.0,
-        });
-        let time = now.duration_since(rate.at).as_secs_f64();
-        if time < RATE_TIME.as_secs_f64() {
-            return;
-        }
-        let sample = asked.saturating_sub(rate.asked) as f64 / time;
-        rate.value += (1.0 - (-time / AVERAGE_SECS).exp()) * (sample - rate.value);
-        rate.asked = asked;
-        rate.at = now;
-        book.set_rate(rate.value as u64);
-    }
 }
 
 /// Takes rights out of use before they are given back. Requests may have taken some in
--- a/crates/gateway/src/rights/lend.rs
+++ b/crates/gateway/src/rights/lend.rs
@@ -10,7 +10,8 @@
 use swiftlink_wire::link::{Borrow, Failure, FailureKind, Lent, reply, request};
 use tokio::time::sleep;
 
-use super::book::{Book, Books};
+use super::book::Book;
+use super::books::Books;
 use crate::peers::Peers;
 
 /// Time that a claim has before a peer is asked: it takes 10 ms while the store answers.
--- a/crates/gateway/src/rights/mod.rs
+++ b/crates/gateway/src/rights/mod.rs
@@ -10,16 +10,21 @@
 //! is lent counts as spent on the lender's side at once, so that the accounts stay right
 //! whatever becomes of the message.
 //!
-//! Rights don't lapse with time, so no clock is trusted and a router that was frozen or
-//! cut off may go on with what it has. They end when their process does: the next
-//! process on the same VM counts all that its predecessor held as spent.
+//! Rights don't lapse with time: a router that was frozen or cut off may go on with what it
+//! has. They end when their process does. The next process on the same VM counts as spent
+//! what the stored [`cap`] of its predecessor allowed for the time in between.
 
 pub mod account;
 mod book;
+mod books;
 pub mod cap;
 mod caps;
 mod claim;
 pub mod lend;
+mod rate;
+mod spend;
 
-pub use book::{Book, Books, NoRights, Spend};
+pub use book::{Book, NoRights};
+pub use books::Books;
 pub use claim::Claims;
+pub use spend::Spend;
--- a/crates/gateway/src/serve/journey.rs
+++ b/crates/gateway/src/serve/journey.rs
@@ -1,5 +1,6 @@
 //! A request from its first send to the head of its answer.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -55,6 +56,30 @@
     pub(super) version: u64,
     pub(super) start: Instant,
     pub(super) deadline: Instant,
+    /// Whether its end was logged.
+    pub(super) is_told: Cell<bool>,
+}
+
+/// A caller that leaves drops the request wherever it is.
+impl Drop for Journey {
+    fn drop(&mut self) {
+        if self.is_told.get() {
+            return;
+        }
+        event!(
+            info,
+            "request.left",
+            id = self.id(),
+            route = self.route.name,
+            charged = self.spent(),
+            config = self.version,
+            ms = self.start.elapsed().as_millis(),
+        );
+        let kind = self.route.kind.as_str();
+        self.node
+            .metrics
+            .answered(kind, "left", self.start.elapsed());
+    }
 }
 
 /// What follows where an answer isn't there as a whole.
@@ -275,6 +300,7 @@
             config = self.version,
             ms = self.start.elapsed().as_millis(),
         );
+        self.is_told.set(true);
         let kind = self.route.kind.as_str();
         self.node
             .metrics
@@ -299,6 +325,7 @@
             config = self.version,
             ms = self.start.elapsed().as_millis(),
         );
+        self.is_told.set(true);
         self.node.metrics.refused(refusal.as_str());
         refusal.response()
     }
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -175,6 +175,7 @@
         config = journey.version,
         ms = journey.start.elapsed().as_millis(),
     );
+    journey.is_told.set(true);
     let kind = journey.route.kind.as_str();
     journey
         .node
--- a/crates/gateway/src/serve/surface.rs
+++ b/crates/gateway/src/serve/surface.rs
@@ -1,5 +1,6 @@
 //! Takes callers' requests.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -85,6 +86,7 @@
             version: config.version,
             start,
             deadline: start + time,
+            is_told: Cell::new(false),
         })
     }
 
@@ -108,15 +110,17 @@
             Err(NoRights::Elsewhere) => Refusal::NoRights,
             Err(NoRights::Away) => Refusal::StoreAway,
         };
-        let counters = book.grant.counters();
+        let standing = book.standing();
         event!(
             info,
             "rights.missing",
             id = ask.id(),
             workspace = workspace.name,
             cost = usage.prompt + usage.output,
-            available = counters.available,
-            reserved = counters.reserved,
+            available = book.grant.available(),
+            reserved = standing.reserved,
+            locked = standing.locked,
+            cap_age_ms = standing.cap_age.unwrap_or(0),
             rest = book.rest(),
             prepaid = book.prepaid(),
             read_age_ms = book.read_age_ms(),
--- a/crates/gateway/tests/testsuite/rights.rs
+++ b/crates/gateway/tests/testsuite/rights.rs
@@ -160,7 +160,8 @@
                 routers.insert(vm, next);
             }
             4..8 => store.set_fault(draw_fault(&mut rng)),
-            8..12 => store.release(),
+            8..11 => store.release(),
+            11 => (0..12).for_each(|part| store.compact(Feed::Rights(part))),
             12..16 => {
                 let lender = rng.random_range(0..ROUTERS);
                 let lent = routers[lender].book.lend(rng.random_range(0..5_000), 0);
