--- a/crates/gateway/src/rights/cap.rs
+++ b/crates/gateway/src/rights/cap.rs
@@ -30,7 +30,7 @@
 
 /// Age of a cap from which on a process takes the store to be out of reach: longer than it
 /// takes to be back after a loss of power, which is up to 1.3 seconds on the users'
-/// deployments, with the age of the last cap before it and [`JUMP_FLEET`].
+/// deployments, with the age of the last cap before it and `JUMP_FLEET`.
 const CUT: Duration = Duration::from_millis(2_200);
 /// Seconds of use that are added then: requests come in lumps.
 const CUT_STEP_SECS: f64 = 2.0;
@@ -105,7 +105,7 @@
 ///
 /// Within one start of the kernel the steady clock says it exactly; [`is_same_boot`] tells.
 /// After a loss of power there is only the time of day, which may have jumped on this VM:
-/// by [`JUMP_ALONE`] at most. Where most of the other VMs started after `stamp` too, it
+/// by `JUMP_ALONE` at most. Where most of the other VMs started after `stamp` too, it
 /// was the whole fleet that lost power, and the middle one of their clocks is trusted.
 #[must_use]
 pub fn elapsed(stamp: &Reading, now: &Reading, starts: &[u64]) -> Option<Duration> {
