rights: what is left out of a cap is bound by that

Cause: found when reading the change. A workspace of which a router holds nothing is left out of its next cap, and its successor counts it as unspent. The router itself still went by the cap before, so rights that came right after could be spent under it: 300000 of 200000 in the test, if it died before its next cap was stored. Ruled out: a cap without any workspace (nothing is stored then, the older one stands). Change: a workspace that is left out loses the cap that it had; what comes later is locked until a cap covers it.

--- a/crates/gateway/src/rights/book.rs
+++ b/crates/gateway/src/rights/book.rs
@@ -235,9 +235,20 @@
         self.grant.shrink(Tokens::MAX);
     }
 
-    /// A new cap from `now` on, in milliseconds of the steady clock, to be stored, which lately took
-    /// `lag`. Until [`Self::cap_stored`] no more is spent than
-    /// both this and the one before allow.
+    /// Whether the router holds rights of this workspace. If not, it is left out of the next
+    /// cap, and what the one before allowed is over.
+    pub(super) fn is_held(&self) -> bool {
+        let mut moves = self.moves();
+        let is_held = self.standing_with(&moves).granted > 0;
+        if !is_held {
+            moves.stored = None;
+        }
+        is_held
+    }
+
+    /// A new cap from `now` on, in milliseconds of the steady clock, to be stored, which
+    /// lately took `lag`. Until [`Self::cap_stored`] no more is spent than both this and the
+    /// one before allow.
     pub(super) fn make_cap(&self, now: u64, lag: Duration) -> Cap {
         let mut moves = self.moves();
         let free = self.grant.available();
--- a/crates/gateway/src/rights/caps.rs
+++ b/crates/gateway/src/rights/caps.rs
@@ -171,7 +171,7 @@
         let mut is_wanted = true;
         loop {
             let mut books = self.books.all();
-            books.retain(|book| book.standing().granted > 0);
+            books.retain(|book| book.is_held());
             let used = books.iter().map(|book| book.used()).sum();
             let is_idle = used == self.used && self.stored.elapsed() < PERIOD_IDLE;
             if !books.is_empty() && (is_wanted || !is_idle) {
--- a/crates/gateway/src/store/mem.rs
+++ b/crates/gateway/src/store/mem.rs
@@ -26,6 +26,8 @@
     Late,
     /// Appends always find that another router was faster.
     Contended,
+    /// Numbered appends are refused without effect; all else works.
+    NoNumbered,
     /// Reads answer with the state at the time of [`MemStore::set_fault`].
     Stale,
 }
@@ -260,7 +262,10 @@
                 return Err(unknown());
             }
             StoreFault::Contended => return Err(StoreError::Conflict { end: at + 1 }),
-            StoreFault::None | StoreFault::LoseAnswers | StoreFault::Stale => {}
+            StoreFault::None
+            | StoreFault::LoseAnswers
+            | StoreFault::NoNumbered
+            | StoreFault::Stale => {}
         }
         let lost = inner.fault == StoreFault::LoseAnswers;
         let appended = inner.append(feed, at, records);
@@ -287,7 +292,9 @@
         };
         let mut inner = self.lock();
         match inner.fault {
-            StoreFault::Away => return Err(StoreError::Refused("away".to_owned())),
+            StoreFault::Away | StoreFault::NoNumbered => {
+                return Err(StoreError::Refused("away".to_owned()));
+            }
             StoreFault::Late => {
                 inner.late_next.push(append);
                 return Err(StoreError::Unknown("no answer".to_owned()));
--- a/crates/gateway/tests/testsuite/rights.rs
+++ b/crates/gateway/tests/testsuite/rights.rs
@@ -12,6 +12,7 @@
 use rand_pcg::Pcg64;
 use swiftlink_gateway::clock::Clock;
 use swiftlink_gateway::dialect::Usage;
+use swiftlink_gateway::model::Workspace;
 use swiftlink_gateway::rights::{Book, Books, Claims, NoRights};
 use swiftlink_gateway::store::{Feed, MemStore, Store, StoreFault};
 use swiftlink_types::{VmName, WorkspaceName};
@@ -414,3 +415,53 @@
     }
     assert!(spent <= PREPAID, "{spent} of {PREPAID}");
 }
+
+/// A workspace that holds nothing isn't in a new cap, and what an older cap allowed it must
+/// not count any more: its successor takes a workspace that isn't there as unspent.
+#[tokio::test(start_paused = true)]
+async fn a_workspace_that_is_left_out_of_a_cap_is_bound_by_that() {
+    let store = Arc::new(MemStore::new());
+    let clock = TestClock::new();
+    let mut router = start_at(&store, 0, 1, PREPAID, Arc::clone(&clock));
+    router.books.set_fleet(100);
+    let mut both = config(Some(PREPAID));
+    let other = Arc::new(Workspace {
+        name: WorkspaceName::from("other"),
+        priority: None,
+        prepaid: Some(PREPAID),
+    });
+    both.workspaces.insert(other.name.clone(), other);
+    router.books.set_config(&both);
+    let large = Usage {
+        prompt: 100_000,
+        output: 0,
+    };
+    let wait = Duration::from_millis(500);
+    drop(router.book.reserve(large, wait).await.expect("rights"));
+    let other = router.books.get(&WorkspaceName::from("other"));
+    let held = other.expect("a book").reserve(large, wait).await;
+    // Without callers it gives all back; the other workspace's request goes on.
+    sleep(Duration::from_secs(120)).await;
+    assert!(held.is_ok());
+    assert_eq!(router.book.standing().granted, 0);
+    store.set_fault(StoreFault::NoNumbered);
+    let mut spent = 0;
+    if let Ok(mut spend) = router.book.reserve(large, wait).await {
+        spend.deliver(0);
+        spent += spend.spent();
+    }
+    router.claims.abort();
+    store.set_fault(StoreFault::None);
+    let next = start_at(&store, 0, 2, PREPAID, clock);
+    let rest = Usage {
+        prompt: 1_000,
+        output: 0,
+    };
+    for _step in 0..400 {
+        if let Ok(mut spend) = next.book.reserve(rest, wait).await {
+            spend.deliver(0);
+            spent += spend.spent();
+        }
+    }
+    assert!(spent <= PREPAID, "{spent} of {PREPAID}");
+}
