--- a/crates/gateway/src/rights/caps.rs
+++ b/crates/gateway/src/rights/caps.rs
@@ -215,7 +215,7 @@
         let earlier = earlier(&page.records, &prefix(&self.vm));
         let starts = self.starts(&earlier).await?;
         let ended = Ended::at(&earlier, &self.began, &starts);
-        let record = self.record(Vec::new());
+        let record = self.stamped(Vec::new(), &self.books.clock().read());
         self.store.append_at(self.feed, page.end, &[record]).await?;
         Ok(ended)
     }
@@ -287,10 +287,6 @@
         }
     }
 
-    fn record(&self, caps: Vec<CapRecord>) -> (String, Bytes) {
-        self.stamped(caps, &self.books.clock().read())
-    }
-
     fn stamped(&self, caps: Vec<CapRecord>, stamp: &Reading) -> (String, Bytes) {
         let record = CapsRecord {
             process: self.process,
--- a/crates/gateway/tests/testsuite/rights.rs
+++ b/crates/gateway/tests/testsuite/rights.rs
@@ -342,6 +342,22 @@
     all_end_at_once(true).await;
 }
 
+/// Spends what is left of the budget, a thousand tokens at a time.
+async fn spend_rest(book: &Arc<Book>, wait: Duration) -> u64 {
+    let usage = Usage {
+        prompt: 1_000,
+        output: 0,
+    };
+    let mut spent = 0;
+    for _step in 0..400 {
+        if let Ok(mut spend) = book.reserve(usage, wait).await {
+            spend.deliver(0);
+            spent += spend.spent();
+        }
+    }
+    spent
+}
+
 /// In a cut a router may spend more and more of what it holds, and its successor counts
 /// that as spent.
 #[tokio::test(start_paused = true)]
@@ -367,12 +383,7 @@
     router.claims.abort();
     store.set_fault(StoreFault::None);
     let next = start_at(&store, 0, 2, PREPAID, clock);
-    for _step in 0..400 {
-        if let Ok(mut spend) = next.book.reserve(usage, Duration::from_millis(100)).await {
-            spend.deliver(0);
-            spent += spend.spent();
-        }
-    }
+    spent += spend_rest(&next.book, Duration::from_millis(100)).await;
     assert!(spent <= PREPAID, "{spent} of {PREPAID}");
     assert!(spent > PREPAID / 2, "{spent} of {PREPAID}");
 }
@@ -403,16 +414,7 @@
     store.release();
     store.set_fault(StoreFault::None);
     let next = start_at(&store, 0, 2, PREPAID, clock);
-    let rest = Usage {
-        prompt: 1_000,
-        output: 0,
-    };
-    for _step in 0..400 {
-        if let Ok(mut spend) = next.book.reserve(rest, wait).await {
-            spend.deliver(0);
-            spent += spend.spent();
-        }
-    }
+    spent += spend_rest(&next.book, wait).await;
     assert!(spent <= PREPAID, "{spent} of {PREPAID}");
 }
 
@@ -453,15 +455,6 @@
     router.claims.abort();
     store.set_fault(StoreFault::None);
     let next = start_at(&store, 0, 2, PREPAID, clock);
-    let rest = Usage {
-        prompt: 1_000,
-        output: 0,
-    };
-    for _step in 0..400 {
-        if let Ok(mut spend) = next.book.reserve(rest, wait).await {
-            spend.deliver(0);
-            spent += spend.spent();
-        }
-    }
+    spent += spend_rest(&next.book, wait).await;
     assert!(spent <= PREPAID, "{spent} of {PREPAID}");
 }
