--- a/crates/bench/src/cost/decisions.rs
+++ b/crates/bench/src/cost/decisions.rs
@@ -174,8 +174,8 @@
         let pick = Pick {
             now,
             prefix: 1 + below(&mut rng, 200),
-            exclude: &[],
             may_probe: true,
+            ..Pick::default()
         };
         let sent = fleet.send(&pick, &mut rng).expect("all are able");
         fleet.on_unused(sent, now);
--- a/crates/bench/src/routing/world.rs
+++ b/crates/bench/src/routing/world.rs
@@ -175,6 +175,7 @@
             prefix: request.prefix,
             exclude: &request.tried,
             may_probe: true,
+            ..Pick::default()
         };
         let Some(sent) = router.fleet.send(&pick, &mut self.chance) else {
             if counts {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -18,6 +18,8 @@
     pub usage: Option<Usage>,
     /// Hash of the prompt's last part that other requests share; 0 without one.
     pub prefix: u64,
+    /// Tokens of the parts that other requests share.
+    pub shared: Tokens,
     /// The caller's key.
     pub key: Option<String>,
     /// The event after which the answer goes on, if the caller has a part of it.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,14 +6,16 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use swiftlink_routing::{
-    ErrorKind, Fleet, FleetPolicy, LoadReport, Pick, Rendezvous, RetryBudget, Sent, ServerIdx,
-    ServerSpec,
+    ErrorKind, Fleet, FleetPolicy, Flow, LoadReport, Note, Pick, Prompt, RetryBudget, Sent,
+    ServerIdx, ServerSpec, Unmixed,
 };
+use swiftlink_telemetry::event;
 use swiftlink_types::{Micros, PoolName, ServerName};
+use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::catalog::ServerEntry;
@@ -38,6 +40,8 @@
     fleet: Mutex<Fleet>,
     addresses: ArcSwap<HashMap<ServerName, SocketAddr>>,
     clock: Instant,
+    /// Told when there is something that peers should know.
+    changed: Arc<Notify>,
 }
 
 /// Retries that one router may have saved up, among as many routers as are known.
@@ -56,17 +60,56 @@
 }
 
 impl Pool {
-    fn new(spec: Arc<PoolSpec>, settings: &RouterSettings, clock: Instant) -> Self {
+    fn new(
+        spec: Arc<PoolSpec>,
+        settings: &RouterSettings,
+        clock: Instant,
+        changed: Arc<Notify>,
+    ) -> Self {
         let mut policy = FleetPolicy::new(settings.domain.clone());
         policy.seed = xxh3_64(settings.vm.as_str().as_bytes());
         let share = settings.retries.ratio * RETRY_PART;
+        let mut fleet = Fleet::new(policy, Box::new(Unmixed::default()));
+        fleet.set_pause(spec.pause);
         Self {
             name: spec.name.clone(),
             retries: RetryBudget::new(share, retry_burst(settings, 0)),
             spec: ArcSwap::new(spec),
-            fleet: Mutex::new(Fleet::new(policy, Box::new(Rendezvous::default()))),
+            fleet: Mutex::new(fleet),
             addresses: ArcSwap::default(),
             clock,
+            changed,
+        }
+    }
+
+    /// What peers should know and were not told yet.
+    pub(crate) fn take_notes(&self) -> Vec<Note> {
+        self.fleet().take_notes()
+    }
+
+    /// Takes what a peer tells of a server.
+    pub(crate) fn on_note(&self, peer: u64, note: &Note) {
+        let now = self.now();
+        self.with_speeds(|fleet| fleet.on_note(peer, now, note));
+    }
+
+    /// Changes the fleet, and logs when long prompts are kept away from other servers then.
+    fn with_speeds(&self, change: impl FnOnce(&mut Fleet)) {
+        let mut fleet = self.fleet();
+        let before = fleet.quiet_len();
+        change(&mut fleet);
+        let after = fleet.quiet_len();
+        let stall = fleet.stall();
+        drop(fleet);
+        if before != after {
+            event!(
+                info,
+                "pool.quiet_servers",
+                pool = self.name,
+                servers = after,
+                before = before,
+                stall_ms = stall.as_millis(),
+            );
         }
     }
 
@@ -76,15 +119,23 @@
         self.spec.load_full()
     }
 
-    /// Chooses a server for a request with a prompt that begins like others with the
+    /// Chooses a server for a request with a `prompt` that begins like others with the
     /// same `prefix` (0: none), and counts the request as sent. `None` when no server
     /// can take it.
     #[must_use]
-    pub fn send(self: &Arc<Self>, prefix: u64, tried: &[ServerIdx]) -> Option<(Chosen, Ticket)> {
+    pub fn send(
+        self: &Arc<Self>,
+        prefix: u64,
+        prompt: Prompt,
+        aim: Duration,
+        tried: &[ServerIdx],
+    ) -> Option<(Chosen, Ticket)> {
         let now = self.now();
         let pick = Pick {
             now,
             prefix,
+            prompt,
+            aim: aim.as_micros() as Micros,
             exclude: tried,
             may_probe: true,
         };
@@ -92,6 +143,7 @@
         let sent = fleet.send(&pick, &mut rand::rng())?;
         let name = fleet.get(sent.idx)?.name().clone();
         drop(fleet);
+        self.changed.notify_one();
         let idx = sent.idx;
         let ticket = Ticket {
             pool: Arc::clone(self),
@@ -102,6 +154,11 @@
         Some((Chosen { name, address }, ticket))
     }
 
+    fn set_spec(&self, spec: Arc<PoolSpec>) {
+        self.fleet().set_pause(spec.pause);
+        self.spec.store(spec);
+    }
+
     /// Servers that may get work.
     #[must_use]
     pub fn open(&self) -> usize {
@@ -157,6 +214,12 @@
         if let Some(sent) = &mut self.sent {
             self.pool.fleet().on_first_token(sent, now);
         }
+        self.pool.changed.notify_one();
+    }
+
+    /// How the events of the answer followed each other.
+    pub fn flow(&self, flow: Flow) {
+        self.pool.with_speeds(|fleet| fleet.on_flow(self.idx, flow));
     }
 
     /// The answer has come to its end.
@@ -193,6 +256,8 @@
     /// Held while either changes: each must see the other's last state.
     changing: Mutex<()>,
     clock: Instant,
+    /// Told when there is something that peers should know.
+    changed: Arc<Notify>,
 }
 
 impl Pools {
@@ -204,9 +269,20 @@
             entries: ArcSwap::default(),
             changing: Mutex::default(),
             clock: Instant::now(),
+            changed: Arc::default(),
         }
     }
 
+    /// Told when there is something that peers should know.
+    pub(crate) fn changed(&self) -> Arc<Notify> {
+        Arc::clone(&self.changed)
+    }
+
+    /// All pools.
+    pub(crate) fn all(&self) -> Vec<Arc<Pool>> {
+        self.pools.load().values().cloned().collect()
+    }
+
     /// A pool.
     #[must_use]
     pub fn get(&self, name: &PoolName) -> Option<Arc<Pool>> {
@@ -220,10 +296,11 @@
         let mut pools = HashMap::clone(&self.pools.load());
         for (name, spec) in &config.pools {
             if let Some(pool) = pools.get(name) {
-                pool.spec.store(Arc::clone(spec));
+                pool.set_spec(Arc::clone(spec));
                 continue;
             }
-            let pool = Pool::new(Arc::clone(spec), settings, self.clock);
+            let changed = Arc::clone(&self.changed);
+            let pool = Pool::new(Arc::clone(spec), settings, self.clock, changed);
             pool.set_servers(&members(&self.entries.load(), name));
             pools.insert(name.clone(), Arc::new(pool));
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! What differs between deployments stands behind traits: [`Dialect`], [`Store`] and
 //! [`Catalog`]. Decisions (`proof`, `rights::account`, `model`, `sse`) do no I/O.
 
+mod answer;
 pub mod catalog;
 pub mod clock;
 pub mod dialect;
@@ -17,6 +18,7 @@
 pub mod metrics;
 pub mod model;
 mod node;
+mod notes;
 pub mod peers;
 pub mod proof;
 mod ready;
--- a/crates/gateway/src/model/config.rs
+++ b/crates/gateway/src/model/config.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use swiftlink_types::{PoolName, Tokens, WorkspaceName};
 
@@ -32,6 +33,8 @@
     /// Most output tokens that one event of a stream holds; `None` where the servers are
     /// no model engines.
     pub stride: Option<u64>,
+    /// Longest pause between two events that callers of all its routes accept.
+    pub pause: Option<Duration>,
 }
 
 /// What a caller's request may measure.
--- a/crates/gateway/src/model/route.rs
+++ b/crates/gateway/src/model/route.rs
@@ -65,6 +65,8 @@
     pub timeout: Duration,
     /// Time to the answer, or to its first event, that callers hope for.
     pub aim: Duration,
+    /// Longest pause between two events of an answer that callers accept.
+    pub pause: Option<Duration>,
     /// Rank of its requests; 0 is the most urgent.
     pub priority: u8,
     /// Most backend servers that one request may run on.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -23,7 +23,7 @@
     /// The configuration in force; `None` until one was read.
     pub config: ArcSwapOption<Config>,
     /// The backend servers.
-    pub pools: Pools,
+    pub pools: Arc<Pools>,
     /// Rights of the workspaces.
     pub books: Arc<Books>,
     /// What the router counts.
@@ -44,7 +44,7 @@
             settings,
             dialect,
             config: ArcSwapOption::empty(),
-            pools: Pools::new(),
+            pools: Arc::new(Pools::new()),
             metrics: Metrics::new(),
             has_servers: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
--- a/crates/gateway/src/rights/lend.rs
+++ b/crates/gateway/src/rights/lend.rs
@@ -3,11 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_trait::async_trait;
-use swiftlink_link::{Handler, Replies};
 use swiftlink_telemetry::{Level, event};
 use swiftlink_types::{Tokens, WorkspaceName};
-use swiftlink_wire::link::{Borrow, Failure, FailureKind, Lent, reply, request};
+use swiftlink_wire::link::{Borrow, Lent, reply, request};
 use tokio::time::sleep;
 
 use super::book::Book;
@@ -23,47 +21,26 @@
 /// Multiple of what is missing that is asked for: more requests come.
 const AHEAD: Tokens = 6;
 
-/// Lends to other routers.
-#[derive(Debug)]
-pub struct LendHandler(pub Arc<Books>);
-
-#[async_trait]
-impl Handler for LendHandler {
-    async fn handle(&self, peer: &str, request: request::Kind, replies: Replies) {
-        let kind = match request {
-            request::Kind::Borrow(ask) => self.lend(peer, &ask),
-            _ => reply::Kind::Failure(Failure {
-                kind: FailureKind::Unspecified.into(),
-                detail: "routers only lend".to_owned(),
-            }),
-        };
-        if replies.send(kind, true).await.is_err() {
-            event!(info, "rights.loan_lost", peer = peer);
-        }
-    }
-}
-
-impl LendHandler {
-    fn lend(&self, peer: &str, ask: &Borrow) -> reply::Kind {
-        let workspace = WorkspaceName::from(ask.workspace.as_str());
-        let book = self.0.get(&workspace);
-        let amount = book.map_or(0, |book| book.lend(ask.amount, ask.need));
-        // Routers that run short ask again and again; only what moves is told.
-        let level = if amount == 0 {
-            Level::Debug
-        } else {
-            Level::Info
-        };
-        event!(
-            level,
-            "rights.lent",
-            workspace = workspace,
-            peer = peer,
-            asked = ask.amount,
-            amount = amount,
-        );
-        reply::Kind::Lent(Lent { amount })
-    }
+/// Lends to another router.
+pub(crate) fn lend(books: &Books, peer: &str, ask: &Borrow) -> reply::Kind {
+    let workspace = WorkspaceName::from(ask.workspace.as_str());
+    let book = books.get(&workspace);
+    let amount = book.map_or(0, |book| book.lend(ask.amount, ask.need));
+    // Routers that run short ask again and again; only what moves is told.
+    let level = if amount == 0 {
+        Level::Debug
+    } else {
+        Level::Info
+    };
+    event!(
+        level,
+        "rights.lent",
+        workspace = workspace,
+        peer = peer,
+        asked = ask.amount,
+        amount = amount,
+    );
+    reply::Kind::Lent(Lent { amount })
 }
 
 /// Borrows where requests wait, until the task is aborted.
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -11,6 +11,7 @@
 use swiftlink_telemetry::event;
 use tokio::task::JoinSet;
 
+use crate::answer::PeerHandler;
 use crate::catalog::Catalog;
 use crate::dialect::Dialect;
 use crate::metrics::{Counted, Exposition};
@@ -18,11 +19,11 @@
 use crate::peers::{self, Peers};
 use crate::ready::Readiness;
 use crate::rights::Claims;
-use crate::rights::lend::{self, LendHandler};
+use crate::rights::lend;
 use crate::serve::Surface;
 use crate::settings::RouterSettings;
 use crate::store::{Feed, Store};
-use crate::{stop, watch};
+use crate::{notes, stop, watch};
 
 /// How long a connection may be idle. Callers reuse connections for up to four fifths of
 /// the limit in the configuration, which on the users' deployments is 15 s.
@@ -184,7 +185,8 @@
     };
     tasks.spawn(watch::follow(reader, follower));
     tasks.spawn(lend::run(Arc::clone(&node.books), Arc::clone(&peers)));
-    let handler = Arc::new(LendHandler(Arc::clone(&node.books)));
+    tasks.spawn(notes::run(Arc::clone(&node.pools), Arc::clone(&peers)));
+    let handler = Arc::new(PeerHandler(Arc::clone(node)));
     let name = settings.vm.to_string();
     tasks.spawn(async move {
         let Some(secret) = peers.secret().await else {
--- a/crates/gateway/src/serve/journey.rs
+++ b/crates/gateway/src/serve/journey.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, Method, Uri};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use swiftlink_routing::{ErrorKind, ServerIdx};
+use swiftlink_routing::{ErrorKind, Prompt, ServerIdx};
 use swiftlink_shell::web::{Body, Response};
 use swiftlink_telemetry::event;
 use swiftlink_types::Tokens;
@@ -129,6 +129,16 @@
         }
     }
 
+    /// Length of the prompt.
+    fn prompt(&self) -> Prompt {
+        let all = self.ask.usage.map_or(0, |usage| usage.prompt);
+        let shared = self.ask.shared.min(all);
+        Prompt {
+            own: all - shared,
+            shared,
+        }
+    }
+
     /// Id of the request, for logs.
     pub(super) fn id(&self) -> &str {
         self.ask.id()
@@ -173,7 +183,10 @@
         resume: Option<u64>,
     ) -> Result<Reply, Refusal> {
         loop {
-            let Some((server, ticket)) = self.pool.send(self.ask.prefix, &trail.tried) else {
+            let Some((server, ticket)) =
+                self.pool
+                    .send(self.ask.prefix, self.prompt(), self.route.aim, &trail.tried)
+            else {
                 return Err(trail.give_up());
             };
             let idx = ticket.idx;
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -1,13 +1,16 @@
 //! Hands a stream of events on as it comes, at another server where the first one
 //! broke off.
 
+use std::io;
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use std::io;
-use swiftlink_routing::ErrorKind;
+use swiftlink_routing::{ErrorKind, Flow};
 use swiftlink_shell::web::{Body, Response};
 use swiftlink_telemetry::event;
-use tokio::time::timeout_at;
+use swiftlink_types::Micros;
+use tokio::time::{Instant, timeout_at};
 
 use super::attempt::Reply;
 use super::journey::{Journey, Trail};
@@ -33,6 +36,65 @@
     }
 }
 
+/// How a stream kept its caller waiting.
+#[derive(Debug, Default)]
+struct Pauses {
+    /// Time to the first event.
+    first: Duration,
+    /// Longest time between two events.
+    longest: Duration,
+    /// Those that the server's speed wasn't taken from yet.
+    fresh: Vec<Duration>,
+    /// How many it is next taken from.
+    due: usize,
+    /// When the last event came.
+    last: Option<Instant>,
+}
+
+/// Pauses of a stream from which its server's speed is taken first: soon, since a router
+/// that starts knows nothing.
+const FIRST_PAUSES: usize = 8;
+/// The same later on.
+const MORE_PAUSES: usize = 32;
+
+impl Pauses {
+    /// Notes events of a request that began at `start`; says whether they are the first.
+    fn on_event(&mut self, start: Instant, now: Instant) -> bool {
+        let before = self.last.replace(now);
+        let Some(before) = before else {
+            self.first = now - start;
+            return true;
+        };
+        let pause = now - before;
+        self.longest = self.longest.max(pause);
+        self.fresh.push(pause);
+        false
+    }
+
+    /// What the last ones say of the server, once they are enough.
+    fn flow(&mut self) -> Option<Flow> {
+        if self.fresh.len() < self.due.max(FIRST_PAUSES) {
+            return None;
+        }
+        let longest = self.fresh.iter().max().copied().unwrap_or_default();
+        let quick = self.fresh.len() / 8;
+        let (_, gap, _) = self.fresh.select_nth_unstable(quick);
+        let flow = Flow {
+            gap: gap.as_micros() as Micros,
+            longest: longest.as_micros() as Micros,
+        };
+        self.fresh.clear();
+        self.due = MORE_PAUSES;
+        Some(flow)
+    }
+
+    /// The stream goes on at another server.
+    fn turn(&mut self) {
+        self.fresh.clear();
+        self.due = 0;
+    }
+}
+
 /// The answer to the caller; its body goes on while the server's does.
 pub(super) fn stream(journey: Journey, trail: Trail, reply: Reply, guard: InFlight) -> Response {
     let response = head(&journey, &reply);
@@ -74,7 +136,7 @@
             }
         };
         let cutter = EventCutter::new();
-        finish(&journey, &trail, &cutter, reply, end);
+        finish(&journey, &trail, &cutter, &Pauses::default(), reply, end);
         if end != End::Whole {
             yield Err(io::Error::other(end.as_str()));
         }
@@ -91,7 +153,7 @@
     async_stream::stream! {
         let _guard = guard;
         let mut cutter = EventCutter::new();
-        let mut is_first = true;
+        let mut pauses = Pauses::default();
         let stride = journey.pool.spec().stride.unwrap_or(1);
         loop {
             let end = loop {
@@ -108,10 +170,12 @@
                     continue;
                 };
                 reply.ticket.first();
-                if is_first {
-                    is_first = false;
+                if pauses.on_event(journey.start, Instant::now()) {
                     journey.node.metrics.first_event(journey.start.elapsed());
                 }
+                if let Some(flow) = pauses.flow() {
+                    reply.ticket.flow(flow);
+                }
                 if let Some(spend) = &mut journey.spend {
                     spend.deliver(cutter.events() * stride);
                 }
@@ -123,9 +187,10 @@
                 let broken = std::mem::replace(&mut reply, next);
                 broken.ticket.fail(ErrorKind::Broken);
                 cutter.reset();
+                pauses.turn();
                 continue;
             }
-            finish(&journey, &trail, &cutter, reply, end);
+            finish(&journey, &trail, &cutter, &pauses, reply, end);
             if end != End::Whole {
                 yield Err(io::Error::other(end.as_str()));
                 return;
@@ -161,7 +226,14 @@
     (next.outcome == Outcome::Served).then_some(next)
 }
 
-fn finish(journey: &Journey, trail: &Trail, cutter: &EventCutter, reply: Reply, end: End) {
+fn finish(
+    journey: &Journey,
+    trail: &Trail,
+    cutter: &EventCutter,
+    pauses: &Pauses,
+    reply: Reply,
+    end: End,
+) {
     event!(
         info,
         "request.streamed",
@@ -170,6 +242,9 @@
         server = reply.server.name,
         end = end.as_str(),
         events = cutter.events(),
+        prompt = journey.ask.usage.map_or(0, |usage| usage.prompt),
+        first_ms = pauses.first.as_millis(),
+        pause_ms = pauses.longest.as_millis(),
         attempts = trail.sends(),
         charged = journey.spent(),
         config = journey.version,
--- a/crates/gateway/tests/testsuite/pools.rs
+++ b/crates/gateway/tests/testsuite/pools.rs
@@ -38,6 +38,7 @@
     let pool = PoolSpec {
         name: PoolName::from("pool"),
         stride: None,
+        pause: None,
     };
     config.pools.insert(pool.name.clone(), Arc::new(pool));
     config
--- a/crates/gateway/tests/testsuite/table.rs
+++ b/crates/gateway/tests/testsuite/table.rs
@@ -18,6 +18,7 @@
         }],
         timeout: Duration::from_secs(1),
         aim: Duration::from_millis(100),
+        pause: None,
         priority: 0,
         attempts: 2,
         public: false,
--- a/crates/ledger/src/service.rs
+++ b/crates/ledger/src/service.rs
@@ -54,7 +54,9 @@
             }
             request::Kind::GetPending(ask) => self.pending(&ask),
             request::Kind::Ping(_) => Ok(reply::Kind::Pong(self.pong())),
-            request::Kind::Borrow(_) => Err(failure(FailureKind::NotServed, NO_RIGHTS)),
+            request::Kind::Borrow(_) | request::Kind::Notes(_) => {
+                Err(failure(FailureKind::NotServed, NO_RIGHTS))
+            }
         };
         let last = answer.unwrap_or_else(reply::Kind::Failure);
         // A caller that has gone needs no answer.
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -89,6 +89,7 @@
             prefix,
             exclude: tried,
             may_probe,
+            ..Pick::default()
         };
         let mut fleet = self.lock();
         let sent = fleet.send(&pick, &mut rand::rng())?;
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet/mod.rs
@@ -1,4 +1,9 @@
 //! The servers of one pool, as one router knows them.
+//!
+//! `speeds` compares them by their streams, `notes` exchanges what is known with peers.
+
+mod notes;
+mod speeds;
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -7,17 +12,23 @@
 use swiftlink_types::{Micros, ServerName, VmName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::flow::{Pace, ReadTime, Stall};
 use crate::health::{ErrorKind, Health};
 use crate::load::{Load, LoadReport};
+use crate::note::News;
 use crate::policy::{Pick, Policy, PoolTimes, View, draw};
+use crate::seen::Seen;
 use crate::server::{Sent, Server, ServerIdx, ServerView};
 use crate::slowness::Slowness;
 use crate::spec::{FleetPolicy, ListedVm, ServerSpec};
+use crate::unread::Unread;
 
 /// Seed of the servers' own hashes, the same at every router.
 const NAME_SEED: u64 = 0;
 /// Tokens of an answer whose pace is taken.
 const MIN_TOKENS: u64 = 8;
+/// Weight of a prompt in the mean length of those that servers had to read.
+const PROMPT_GAIN: f64 = 1.0 / 64.0;
 /// Thousandths that a load is kept in.
 const MILLI: f64 = 1_000.0;
 
@@ -35,6 +46,24 @@
     /// Ejected servers among the open ones, if any.
     ejected: Vec<u32>,
     pool: PoolTimes,
+    /// Longest pause that streams of the pool may have (µs).
+    pause: Option<Micros>,
+    stall: Stall,
+    /// Time in which a server reads a token of a prompt.
+    read_time: ReadTime,
+    /// Mean length of the prompts that servers had to read, in tokens.
+    prompts: f64,
+    /// Prefixes that servers have read.
+    read: Seen,
+}
+
+/// A chosen server, and the prompt tokens that it has to read.
+struct Choice {
+    idx: ServerIdx,
+    /// Of the request itself.
+    unread: u64,
+    /// Of those before it.
+    ahead: u64,
 }
 
 impl Fleet {
@@ -50,6 +79,11 @@
             hashes: Vec::new(),
             ejected: Vec::new(),
             pool: PoolTimes::new(),
+            pause: None,
+            stall: Stall::default(),
+            read_time: ReadTime::default(),
+            prompts: 0.0,
+            read: Seen::new(),
         }
     }
 
@@ -92,6 +126,10 @@
 
     /// Chooses a server. `None` when none can take the request now.
     pub fn pick(&mut self, pick: &Pick<'_>, rng: &mut impl Rng) -> Option<ServerIdx> {
+        self.choose(pick, rng).map(|choice| choice.idx)
+    }
+
+    fn choose(&mut self, pick: &Pick<'_>, rng: &mut impl Rng) -> Option<Choice> {
         let view = View {
             servers: &self.servers,
             open: &self.open,
@@ -99,19 +137,32 @@
             pick,
             pool: &self.pool,
             seed: self.settings.seed,
+            read: &self.read,
+            read_time: self.read_time.get(),
         };
-        if let Some(slot) = probe(&view, &self.ejected, rng) {
-            return Some(self.idx(slot));
-        }
-        let slot = self.policy.pick(&view, rng)?;
-        debug_assert!(view.can_take(slot), "policies choose among the able");
-        Some(self.idx(slot))
+        let slot = match probe(&view, &self.ejected, rng) {
+            Some(slot) => slot,
+            None => {
+                let slot = self.policy.pick(&view, rng)?;
+                debug_assert!(view.can_take(slot), "policies choose among the able");
+                slot
+            }
+        };
+        Some(Choice {
+            unread: view.unread(slot),
+            ahead: view.ahead(slot),
+            idx: self.idx(slot),
+        })
     }
 
     /// Chooses a server and counts the request as sent to it.
     pub fn send(&mut self, pick: &Pick<'_>, rng: &mut impl Rng) -> Option<Sent> {
-        let idx = self.pick(pick, rng)?;
-        self.on_sent(idx, pick.now)
+        let choice = self.choose(pick, rng)?;
+        let mut sent = self.on_sent(choice.idx, pick.now)?;
+        sent.unread = choice.unread;
+        sent.ahead = choice.ahead;
+        self.on_prompt(pick, &choice);
+        Some(sent)
     }
 
     /// A request is sent to the server. `None` when the server is gone.
@@ -123,6 +174,8 @@
             idx,
             at: now,
             tokens: 0,
+            unread: 0,
+            ahead: 0,
             first_at: None,
             load: (load * MILLI) as u32,
         })
@@ -141,9 +194,16 @@
         };
         server.answered(sent);
         sent.first_at = Some(now);
+        let slower = server.slower;
         server.first.learn(now, time / expected);
         let slowness = server.slowness(now);
         self.pool.learn_first(load, time, slowness.max(1.0));
+        self.prompts += PROMPT_GAIN * (sent.unread as f64 - self.prompts);
+        // Short prompts tell more of the way to the server than of its reading.
+        if sent.unread as f64 > self.prompts {
+            let tokens = sent.unread + sent.ahead;
+            self.read_time.learn(time as Micros, tokens, slower);
+        }
     }
 
     /// The answer came to its end.
@@ -437,6 +497,11 @@
         health: Health::default(),
         first: Slowness::default(),
         pace: Slowness::default(),
+        flow: Pace::default(),
+        slower: 1.0,
+        is_quiet: false,
+        unread: Unread::default(),
+        news: News::default(),
         unanswered: 0,
         sent_sum: 0,
     }
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -5,8 +5,19 @@
 use rand::Rng;
 use swiftlink_types::Micros;
 
+use crate::expected::mix;
+use crate::seen::Seen;
 use crate::server::{Server, ServerIdx};
 
+/// Length of a prompt, in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Tokens of the request's own.
+    pub own: u64,
+    /// Tokens of the parts before, which other requests have too.
+    pub shared: u64,
+}
+
 /// A request that needs a server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pick<'a> {
@@ -14,6 +25,10 @@
     pub now: Micros,
     /// Hash of the prompt's prefix; 0 when there is none.
     pub prefix: u64,
+    /// Length of the prompt; nothing where it isn't told.
+    pub prompt: Prompt,
+    /// Time to the first event that the caller hopes for.
+    pub aim: Micros,
     /// Servers that were tried for this request.
     pub exclude: &'a [ServerIdx],
     /// Whether the request may be the probe of an ejected server; not for one that
@@ -30,6 +45,10 @@
     pub(crate) pick: &'a Pick<'a>,
     pub(crate) pool: &'a PoolTimes,
     pub(crate) seed: u64,
+    /// Prefixes that servers have read.
+    pub(crate) read: &'a Seen,
+    /// Time in which a server of ordinary speed reads a token (µs); 0 when unknown.
+    pub(crate) read_time: f64,
 }
 
 impl<'a> View<'a> {
@@ -71,6 +90,37 @@
         &self.servers[slot as usize]
     }
 
+    /// Whether long prompts should be kept away from the server: they would stall the
+    /// streams there for longer than their callers accept.
+    #[must_use]
+    pub fn is_quiet(&self, slot: u32) -> bool {
+        self.server(slot).is_quiet
+    }
+
+    /// Tokens of the prompt that the server has to read, as far as it is known: the shared
+    /// parts are cached where a request with the same prefix went before.
+    #[must_use]
+    pub fn unread(&self, slot: u32) -> u64 {
+        let pick = self.pick;
+        let place = pair(pick.prefix, self.server(slot).hash());
+        if pick.prefix != 0 && self.read.has(place, self.now()) {
+            return pick.prompt.own;
+        }
+        pick.prompt.own + pick.prompt.shared
+    }
+
+    /// Tokens of other prompts that the server still has to read.
+    #[must_use]
+    pub fn ahead(&self, slot: u32) -> u64 {
+        self.server(slot).unread.all(self.now())
+    }
+
+    /// Time in which the server reads `tokens` of prompts (µs); 0 while that isn't known.
+    #[must_use]
+    pub fn reading(&self, slot: u32, tokens: u64) -> f64 {
+        tokens as f64 * self.read_time * self.server(slot).slower()
+    }
+
     /// Whether the server may be given this request as ordinary work.
     #[must_use]
     pub fn can_take(&self, slot: u32) -> bool {
@@ -111,6 +161,11 @@
     }
 }
 
+/// A prefix at a server.
+pub(crate) fn pair(prefix: u64, server: u64) -> u64 {
+    mix(prefix ^ server.rotate_left(1))
+}
+
 /// Chooses a server for a request.
 pub trait Policy: fmt::Debug + Send {
     /// Name of the policy.
--- a/crates/routing/src/rendezvous.rs
+++ b/crates/routing/src/rendezvous.rs
@@ -31,7 +31,7 @@
         if prefix == 0 {
             return self.plain.pick(view, rng);
         }
-        let bound = bound(view);
+        let bound = bound(view, |_slot| true);
         let mut best = None;
         for (slot, hash) in view.open().iter().copied().zip(view.hashes()) {
             if !view.can_take(slot) {
@@ -47,13 +47,17 @@
     }
 }
 
-/// Own requests up to which a server isn't overloaded.
-fn bound(view: &View<'_>) -> f64 {
-    let open = view.open();
-    let own = open
-        .iter()
-        .map(|slot| view.server(*slot).load().in_flight());
-    let all: u32 = own.sum();
-    let mean = f64::from(all) / open.len().max(1) as f64;
+/// Own requests up to which a server isn't overloaded, beside the servers that `counts`
+/// names.
+pub(crate) fn bound(view: &View<'_>, counts: impl Fn(u32) -> bool) -> f64 {
+    let mut all = 0;
+    let mut servers: u32 = 0;
+    for slot in view.open().iter().copied() {
+        if counts(slot) {
+            all += view.server(slot).load().in_flight();
+            servers += 1;
+        }
+    }
+    let mean = f64::from(all) / f64::from(servers.max(1));
     mean * BOUND + SPARE
 }
--- a/crates/routing/src/seen.rs
+++ b/crates/routing/src/seen.rs
@@ -24,6 +24,12 @@
         }
     }
 
+    /// Whether a prefix came lately.
+    pub(crate) fn has(&self, prefix: u64, now: Micros) -> bool {
+        let (known, at) = self.entries[prefix as usize % ENTRIES];
+        known == prefix && now.saturating_sub(at) < KEPT
+    }
+
     /// Notes a prefix; answers whether it came lately.
     pub(crate) fn see(&mut self, prefix: u64, now: Micros) -> bool {
         let entry = &mut self.entries[prefix as usize % ENTRIES];
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -2,9 +2,12 @@
 
 use swiftlink_types::{DomainName, Micros, ServerName, VmName};
 
+use crate::flow::Pace;
 use crate::health::Health;
 use crate::load::Load;
+use crate::note::News;
 use crate::slowness::Slowness;
+use crate::unread::Unread;
 
 /// Names a server within a [`crate::Fleet`]; never reused for another server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -32,6 +35,10 @@
     pub at: Micros,
     /// Tokens of the answer so far, if the caller of the fleet counts them.
     pub tokens: u64,
+    /// Tokens of the prompt that the server has to read.
+    pub(crate) unread: u64,
+    /// The same of those before it.
+    pub(crate) ahead: u64,
     pub(crate) first_at: Option<Micros>,
     /// Load at the time of sending, in thousandths of the server's slots.
     pub(crate) load: u32,
@@ -58,6 +65,16 @@
     /// Slowness by the time to the first token, and by the pace of tokens after it.
     pub(crate) first: Slowness,
     pub(crate) pace: Slowness,
+    /// Speed by the pauses between events.
+    pub(crate) flow: Pace,
+    /// How many times slower than the pool it is by that; 1 when unknown.
+    pub(crate) slower: f64,
+    /// Whether long prompts are kept away from it.
+    pub(crate) is_quiet: bool,
+    /// Prompts that it has to read.
+    pub(crate) unread: Unread,
+    /// What peers were not told yet.
+    pub(crate) news: News,
     /// Dispatches without a first token yet, and the sum of their send times.
     pub(crate) unanswered: u32,
     pub(crate) sent_sum: u64,
@@ -100,6 +117,13 @@
         &self.load
     }
 
+    /// How many times slower than the pool's usual server it is, by the pauses between
+    /// events; below 1 when it is faster.
+    #[must_use]
+    pub fn slower(&self) -> f64 {
+        self.slower
+    }
+
     /// Its health.
     #[must_use]
     pub fn health(&self) -> &Health {
@@ -144,6 +168,10 @@
         }
         self.unanswered = self.unanswered.saturating_sub(1);
         self.sent_sum = self.sent_sum.saturating_sub(sent.at);
+        if sent.unread > 0 {
+            self.unread.remove(sent.unread);
+            self.news.is_due = true;
+        }
     }
 }
 
