--- a/crates/routing/src/flow.rs
+++ b/crates/routing/src/flow.rs
@@ -19,9 +19,12 @@
     pub longest: Micros,
 }
 
-/// Weight of a stream in what is known of its server's speed. Speeds last; a server that
-/// turns slow shows after a few streams.
-const GAIN: f64 = 0.2;
+/// Least weight of a flow in what is known of its server's speed: the first ones weigh alike.
+/// Speeds last, and routers that disagree on them read the same shared parts at several
+/// servers.
+const GAIN_LEAST: f64 = 0.05;
+/// Flows from which on a speed counts: a single one is off by a tenth or more.
+const FLOWS_LEAST: u32 = 4;
 /// Part of the streams whose longest pauses are below the stall.
 const STALL_PART: f64 = 0.9;
 /// Largest change of the stall by one stream, as a part of it.
@@ -30,19 +33,22 @@
 /// Speed of one server, by the events of its streams.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Pace {
-    /// Time between two events (µs), a geometric mean.
-    gap: Option<f64>,
+    /// Logarithm of the time between two events (µs), averaged.
+    gap: f64,
+    /// Flows that it was taken from.
+    flows: u32,
 }
 
 impl Pace {
+    /// Time between two events (µs), once it is known.
     pub(crate) fn gap(&self) -> Option<f64> {
-        self.gap
+        (self.flows >= FLOWS_LEAST).then(|| self.gap.exp())
     }
 
     pub(crate) fn learn(&mut self, gap: Micros) {
-        let gap = gap.max(1) as f64;
-        let old = self.gap.unwrap_or(gap);
-        self.gap = Some(old * (gap / old).powf(GAIN));
+        self.flows = self.flows.saturating_add(1);
+        let gain = GAIN_LEAST.max(1.0 / f64::from(self.flows));
+        self.gap += gain * ((gap.max(1) as f64).ln() - self.gap);
     }
 }
 
