--- a/crates/gateway/src/rights/book.rs
+++ b/crates/gateway/src/rights/book.rs
@@ -229,15 +229,16 @@
         self.grant.shrink(Tokens::MAX);
     }
 
-    /// Whether the router holds rights of this workspace. If not, it is left out of the next
-    /// cap, and what the one before allowed is over.
-    pub(super) fn is_held(&self) -> bool {
+    /// Leaves the workspace out of the next cap if the router holds no rights of it; says
+    /// whether it did. What the cap before allowed is over in the same step: rights that come
+    /// in between must not be used under it.
+    pub(super) fn leave_cap(&self) -> bool {
         let mut moves = self.moves();
-        let is_held = self.standing_with(&moves).granted > 0;
-        if !is_held {
+        let leaves = self.standing_with(&moves).granted == 0;
+        if leaves {
             moves.stored = None;
         }
-        is_held
+        leaves
     }
 
     /// A new cap from `now` on, in milliseconds of the steady clock, to be stored, which
--- a/crates/gateway/src/rights/caps.rs
+++ b/crates/gateway/src/rights/caps.rs
@@ -165,7 +165,7 @@
         self.open().await;
         loop {
             let mut books = self.books.all();
-            books.retain(|book| book.is_held());
+            books.retain(|book| !book.leave_cap());
             if !books.is_empty() {
                 self.store_caps(&books).await;
             }
--- a/crates/gateway/src/rights/lend.rs
+++ b/crates/gateway/src/rights/lend.rs
@@ -26,14 +26,8 @@
     let workspace = WorkspaceName::from(ask.workspace.as_str());
     let book = books.get(&workspace);
     let amount = book.map_or(0, |book| book.lend(ask.amount, ask.need));
-    // Routers that run short ask again and again; only what moves is told.
-    let level = if amount == 0 {
-        Level::Debug
-    } else {
-        Level::Info
-    };
     event!(
-        level,
+        level(amount),
         "rights.lent",
         workspace = workspace,
         peer = peer,
@@ -43,6 +37,15 @@
     reply::Kind::Lent(Lent { amount })
 }
 
+/// Routers that run short ask again and again; only what moves is told.
+fn level(amount: Tokens) -> Level {
+    if amount == 0 {
+        Level::Debug
+    } else {
+        Level::Info
+    }
+}
+
 /// Borrows where requests wait, until the task is aborted.
 pub async fn run(books: Arc<Books>, peers: Arc<Peers>) {
     let lacking = books.lacking();
@@ -77,13 +80,8 @@
                     book.is_drained(&lender.vm);
                 }
                 got += amount;
-                let level = if amount == 0 {
-                    Level::Debug
-                } else {
-                    Level::Info
-                };
                 event!(
-                    level,
+                    level(amount),
                     "rights.borrowed",
                     workspace = book.workspace,
                     peer = lender.vm,
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -26,7 +26,7 @@
 use crate::{notes, stop, watch};
 
 /// How long a connection may be idle. Callers reuse connections for up to four fifths of
-/// the limit in the configuration, which on the users' deployments is 15 s.
+/// the limit in the configuration.
 const IDLE: Duration = Duration::from_secs(90);
 /// How long the head of a request may take.
 const HEAD: Duration = Duration::from_secs(10);
--- a/crates/gateway/src/serve/refuse.rs
+++ b/crates/gateway/src/serve/refuse.rs
@@ -40,8 +40,8 @@
 /// When rights that others hold may be back: they give them back in their next round of
 /// claims, half a second or more from now, and the round after that brings them here.
 const RIGHTS_WAIT: Duration = Duration::from_millis(1_000);
-/// When the store may be back: outages on the users' deployments last four to nine
-/// seconds, so half of that is left on average.
+/// When the store may be back: an outage that is noticed lasts some seconds. Between 50 ms and
+/// this, callers were served alike, and sooner returns were refused a second time.
 const STORE_WAIT: Duration = Duration::from_secs(3);
 /// When a server may take work again: a few steps of a batch, or a new server.
 const SERVER_WAIT: Duration = Duration::from_millis(250);
--- /dev/null
+++ b/crates/routing/src/fleet/choose.rs
@@ -0,0 +1,70 @@
+//! Picks a server for a request, and counts what is sent to it.
+
+use rand::Rng;
+
+use super::Fleet;
+use crate::policy::{Pick, View, draw};
+use crate::server::{Sent, ServerIdx};
+
+/// A chosen server, and the prompt tokens that it has to read.
+pub(super) struct Choice {
+    pub(super) idx: ServerIdx,
+    /// Of the request itself.
+    pub(super) unread: u64,
+    /// Of those before it.
+    pub(super) ahead: u64,
+}
+
+impl Fleet {
+    /// Chooses a server. `None` when none can take the request now.
+    pub fn pick(&mut self, pick: &Pick<'_>, rng: &mut impl Rng) -> Option<ServerIdx> {
+        self.choose(pick, rng).map(|choice| choice.idx)
+    }
+
+    fn choose(&mut self, pick: &Pick<'_>, rng: &mut impl Rng) -> Option<Choice> {
+        let view = View {
+            servers: &self.servers,
+            open: &self.open,
+            hashes: &self.hashes,
+            pick,
+            pool: &self.pool,
+            seed: self.settings.seed,
+            read: &self.read,
+            read_time: self.speeds.read_time(),
+        };
+        let slot = match probe(&view, &self.ejected, rng) {
+            Some(slot) => slot,
+            None => {
+                let slot = self.policy.pick(&view, rng)?;
+                debug_assert!(view.can_take(slot), "policies choose among the able");
+                slot
+            }
+        };
+        Some(Choice {
+            unread: view.unread(slot),
+            ahead: view.ahead(slot),
+            idx: self.idx(slot),
+        })
+    }
+
+    /// Chooses a server and counts the request as sent to it.
+    pub fn send(&mut self, pick: &Pick<'_>, rng: &mut impl Rng) -> Option<Sent> {
+        let choice = self.choose(pick, rng)?;
+        let mut sent = self.on_sent(choice.idx, pick.now)?;
+        sent.unread = choice.unread;
+        sent.ahead = choice.ahead;
+        self.on_prompt(pick, &choice);
+        Some(sent)
+    }
+}
+
+/// An ejected server that is due for its probe and may get this request as such.
+fn probe(view: &View<'_>, ejected: &[u32], rng: &mut dyn Rng) -> Option<u32> {
+    if ejected.is_empty() {
+        return None;
+    }
+    let start = draw(rng, ejected.len());
+    let (before, after) = ejected.split_at(start);
+    let mut slots = after.iter().chain(before).copied();
+    slots.find(|slot| view.can_probe(*slot))
+}
--- a/crates/routing/src/fleet/mod.rs
+++ b/crates/routing/src/fleet/mod.rs
@@ -1,34 +1,35 @@
 //! The servers of one pool, as one router knows them.
 //!
-//! `speeds` compares them by their streams, `notes` exchanges what is known with peers.
+//! `choose` picks one for a request, `speeds` compares them by their streams, `notes` exchanges
+//! what is known with peers.
 
+mod choose;
 mod notes;
 mod speeds;
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use rand::Rng;
 use swiftlink_types::{Micros, ServerName, VmName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::flow::{Pace, ReadTime, Stall};
+use crate::flow::Pace;
 use crate::health::{ErrorKind, Health};
 use crate::load::{Load, LoadReport};
 use crate::note::News;
-use crate::policy::{Pick, Policy, PoolTimes, View, draw};
+use crate::policy::{Policy, PoolTimes};
 use crate::seen::Seen;
 use crate::server::{Sent, Server, ServerIdx, ServerView};
 use crate::slowness::Slowness;
 use crate::spec::{FleetPolicy, ListedVm, ServerSpec};
 use crate::unread::Unread;
 
+use speeds::Speeds;
+
 /// Seed of the servers' own hashes, the same at every router.
 const NAME_SEED: u64 = 0;
 /// Tokens of an answer whose pace is taken.
 const MIN_TOKENS: u64 = 8;
-/// Weight of a prompt in the mean length of those that servers had to read.
-const PROMPT_GAIN: f64 = 1.0 / 64.0;
 /// Thousandths that a load is kept in.
 const MILLI: f64 = 1_000.0;
 
@@ -46,28 +47,11 @@
     /// Ejected servers among the open ones, if any.
     ejected: Vec<u32>,
     pool: PoolTimes,
-    /// Longest pause that streams of the pool may have (µs).
-    pause: Option<Micros>,
-    stall: Stall,
-    /// Whether long prompts may be kept away from some servers.
-    may_part: bool,
-    /// Time in which a server reads a token of a prompt.
-    read_time: ReadTime,
-    /// Mean length of the prompts that servers had to read, in tokens.
-    prompts: f64,
+    speeds: Speeds,
     /// Prefixes that servers have read.
     read: Seen,
 }
 
-/// A chosen server, and the prompt tokens that it has to read.
-struct Choice {
-    idx: ServerIdx,
-    /// Of the request itself.
-    unread: u64,
-    /// Of those before it.
-    ahead: u64,
-}
-
 impl Fleet {
     /// A fleet without servers.
     #[must_use]
@@ -81,11 +65,7 @@
             hashes: Vec::new(),
             ejected: Vec::new(),
             pool: PoolTimes::new(),
-            pause: None,
-            stall: Stall::default(),
-            may_part: true,
-            read_time: ReadTime::default(),
-            prompts: 0.0,
+            speeds: Speeds::new(),
             read: Seen::new(),
         }
     }
@@ -127,47 +107,6 @@
         self.refresh();
     }
 
-    /// Chooses a server. `None` when none can take the request now.
-    pub fn pick(&mut self, pick: &Pick<'_>, rng: &mut impl Rng) -> Option<ServerIdx> {
-        self.choose(pick, rng).map(|choice| choice.idx)
-    }
-
-    fn choose(&mut self, pick: &Pick<'_>, rng: &mut impl Rng) -> Option<Choice> {
-        let view = View {
-            servers: &self.servers,
-            open: &self.open,
-            hashes: &self.hashes,
-            pick,
-            pool: &self.pool,
-            seed: self.settings.seed,
-            read: &self.read,
-            read_time: self.read_time.get(),
-        };
-        let slot = match probe(&view, &self.ejected, rng) {
-            Some(slot) => slot,
-            None => {
-                let slot = self.policy.pick(&view, rng)?;
-                debug_assert!(view.can_take(slot), "policies choose among the able");
-                slot
-            }
-        };
-        Some(Choice {
-            unread: view.unread(slot),
-            ahead: view.ahead(slot),
-            idx: self.idx(slot),
-        })
-    }
-
-    /// Chooses a server and counts the request as sent to it.
-    pub fn send(&mut self, pick: &Pick<'_>, rng: &mut impl Rng) -> Option<Sent> {
-        let choice = self.choose(pick, rng)?;
-        let mut sent = self.on_sent(choice.idx, pick.now)?;
-        sent.unread = choice.unread;
-        sent.ahead = choice.ahead;
-        self.on_prompt(pick, &choice);
-        Some(sent)
-    }
-
     /// A request is sent to the server. `None` when the server is gone.
     pub fn on_sent(&mut self, idx: ServerIdx, now: Micros) -> Option<Sent> {
         let server = self.get_mut(idx)?;
@@ -201,12 +140,7 @@
         server.first.learn(now, time / expected);
         let slowness = server.slowness(now);
         self.pool.learn_first(load, time, slowness.max(1.0));
-        self.prompts += PROMPT_GAIN * (sent.unread as f64 - self.prompts);
-        // Short prompts tell more of the way to the server than of its reading.
-        if sent.unread as f64 > self.prompts {
-            let tokens = sent.unread + sent.ahead;
-            self.read_time.learn(time as Micros, tokens, slower);
-        }
+        self.speeds.learn_read(sent, time as Micros, slower);
     }
 
     /// The answer came to its end.
@@ -509,14 +443,3 @@
         sent_sum: 0,
     }
 }
-
-/// An ejected server that is due for its probe and may get this request as such.
-fn probe(view: &View<'_>, ejected: &[u32], rng: &mut dyn Rng) -> Option<u32> {
-    if ejected.is_empty() {
-        return None;
-    }
-    let start = draw(rng, ejected.len());
-    let (before, after) = ejected.split_at(start);
-    let mut slots = after.iter().chain(before).copied();
-    slots.find(|slot| view.can_probe(*slot))
-}
--- a/crates/routing/src/fleet/notes.rs
+++ b/crates/routing/src/fleet/notes.rs
@@ -2,7 +2,8 @@
 
 use swiftlink_types::Micros;
 
-use super::{Choice, Fleet};
+use super::Fleet;
+use super::choose::Choice;
 use crate::note::{NEWS_MOST, Note};
 use crate::policy::{Pick, pair};
 
