--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod router;
 pub mod serve;
 mod settings;
+pub mod sightings;
 pub mod sse;
 mod stop;
 pub mod store;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,6 +12,7 @@
 use crate::model::Config;
 use crate::rights::Books;
 use crate::settings::RouterSettings;
+use crate::sightings::Sightings;
 
 /// State that requests read, and the tasks that keep it up to date write.
 #[derive(Debug)]
@@ -26,6 +27,10 @@
     pub pools: Arc<Pools>,
     /// Rights of the workspaces.
     pub books: Arc<Books>,
+    /// When other processes were last seen.
+    pub sightings: Sightings,
+    /// Tells this process from others on its VM.
+    pub process: u64,
     /// What the router counts.
     pub metrics: Metrics,
     /// Whether the directory of backend servers was read.
@@ -45,6 +50,8 @@
             dialect,
             config: ArcSwapOption::empty(),
             pools: Arc::new(Pools::new()),
+            sightings: Sightings::default(),
+            process: rand::random(),
             metrics: Metrics::new(),
             has_servers: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -17,7 +17,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::Pools;
+use crate::node::Node;
 use crate::peers::Peers;
+use crate::sightings::Sighting;
 
 /// Shortest time between two notes. A long prompt is read in some hundred milliseconds, so
 /// one of three times meets news that is older than a quarter of that.
@@ -30,19 +32,19 @@
 const ANSWER_TIME: Duration = Duration::from_millis(500);
 
 /// Tells peers until the task is aborted.
-pub(crate) async fn run(pools: Arc<Pools>, peers: Arc<Peers>) {
-    let changed = pools.changed();
+pub(crate) async fn run(node: Arc<Node>, peers: Arc<Peers>) {
+    let changed = node.pools.changed();
     let mut calls = JoinSet::new();
     loop {
         changed.notified().await;
-        let servers = notes(&pools);
+        let servers = notes(&node.pools);
         let told = peers.all();
         if !servers.is_empty() && told.len() <= TOLD {
             for vm in told {
                 let notes = Notes {
                     servers: servers.clone(),
                 };
-                calls.spawn(tell(Arc::clone(&peers), vm, notes));
+                calls.spawn(tell(Arc::clone(&node), Arc::clone(&peers), vm, notes));
             }
         }
         sleep(PAUSE).await;
@@ -50,10 +52,15 @@
     }
 }
 
-async fn tell(peers: Arc<Peers>, vm: VmName, notes: Notes) {
+async fn tell(node: Arc<Node>, peers: Arc<Peers>, vm: VmName, notes: Notes) {
     let kind = request::Kind::Notes(notes);
+    let asked = node.books.clock().steady();
     match peers.tell(&vm, kind, ANSWER_TIME).await {
-        Ok(reply::Kind::Noted(_)) => {}
+        Ok(reply::Kind::Noted(noted)) => {
+            let steady = noted.steady_ms;
+            node.sightings
+                .note(noted.process, Sighting { steady, asked });
+        }
         Ok(_) => event!(warn, "note.lost", peer = vm, reason = "wrong reply"),
         // The next note has what counts; a link that is down is told of elsewhere.
         Err(LinkError::Down) => {}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,18 +8,21 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use async_trait::async_trait;
 use bytes::Bytes;
 use prost::Message;
 use swiftlink_link::{Client, LinkError, Secret};
 use swiftlink_telemetry::event;
 use swiftlink_types::VmName;
-use swiftlink_wire::link::{reply, request};
+use swiftlink_wire::link::{GetSeen, Seen, reply, request};
 use swiftlink_wire::rights::Member;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::node::Node;
+use crate::rights::Witness;
 use crate::settings::RouterSettings;
+use crate::sightings::Sighting;
 use crate::store::{Feed, Record, Store, StoreError};
 use crate::watch::{Follow, News};
 
@@ -29,6 +32,9 @@
 const SECRET_BYTES: usize = 24;
 /// Links that are kept open at a time.
 const LINKS: usize = 16;
+/// Longest time for a connection to a peer and its answer, each, at the start: peers of a
+/// region answer in a few milliseconds.
+const SEEN_TIME: Duration = Duration::from_millis(100);
 /// First pause after a registration failed.
 const BACKOFF: Duration = Duration::from_millis(20);
 /// Longest pause.
@@ -98,6 +104,22 @@
         lock(&self.addresses).keys().cloned().collect()
     }
 
+    /// What a router on `vm` knows of a process.
+    async fn ask_seen(&self, vm: &VmName, process: u64) -> Option<Seen> {
+        let kind = request::Kind::GetSeen(GetSeen { process });
+        match self.call(vm, kind, SEEN_TIME).await {
+            Ok(reply::Kind::Seen(seen)) => Some(seen),
+            Ok(_) => {
+                event!(warn, "peer.wrong_reply", peer = vm);
+                None
+            }
+            Err(error) => {
+                event!(info, "peer.not_asked", peer = vm, reason = error);
+                None
+            }
+        }
+    }
+
     fn link(&self, vm: &VmName) -> Option<Arc<Client>> {
         let secret = self.secret.borrow().clone()?;
         let address = *lock(&self.addresses).get(vm)?;
@@ -140,6 +162,27 @@
     }
 }
 
+#[async_trait]
+impl Witness for Peers {
+    async fn since(&self, process: u64, stamp: u64) -> Option<Duration> {
+        let vms = self.all();
+        if vms.len() > LINKS {
+            // Routers of large fleets don't see each other.
+            return None;
+        }
+        let asked = vms.iter().map(|vm| self.ask_seen(vm, process));
+        let answers = futures_util::future::join_all(asked).await;
+        let seen = answers.into_iter().flatten().filter_map(|seen| {
+            let sighting = Sighting {
+                steady: seen.steady_ms?,
+                asked: 0,
+            };
+            Some(sighting.since(stamp, seen.age_ms))
+        });
+        seen.min()
+    }
+}
+
 /// Takes news of the members' feed.
 #[derive(Debug)]
 pub(crate) struct Follower {
--- a/crates/gateway/src/rights/cap.rs
+++ b/crates/gateway/src/rights/cap.rs
@@ -110,9 +110,16 @@
 /// Within one start of the kernel the steady clock says it exactly; [`is_same_boot`] tells.
 /// After a loss of power there is only the time of day, which may have jumped on this VM:
 /// by `JUMP_ALONE` at most. Where most of the other VMs started after `stamp` too, it
-/// was the whole fleet that lost power, and the middle one of their clocks is trusted.
+/// was the whole fleet that lost power, and the middle one of their clocks is trusted. What
+/// others have `seen` is an upper bound by their steady clocks: the smaller one holds. It keeps
+/// the three seconds of a jump out of what one VM's loss of power costs.
 #[must_use]
-pub fn elapsed(stamp: &Reading, now: &Reading, starts: &[u64]) -> Option<Duration> {
+pub fn elapsed(
+    stamp: &Reading,
+    now: &Reading,
+    starts: &[u64],
+    seen: Option<Duration>,
+) -> Option<Duration> {
     if is_same_boot(stamp, now) {
         return now
             .steady
@@ -124,7 +131,11 @@
         None => (now.wall, JUMP_ALONE),
     };
     let time = wall.saturating_add(jump.as_millis() as u64);
-    time.checked_sub(stamp.wall).map(Duration::from_millis)
+    let told = time.checked_sub(stamp.wall).map(Duration::from_millis);
+    match (told, seen) {
+        (Some(told), Some(seen)) => Some(told.min(seen)),
+        (told, seen) => told.or(seen),
+    }
 }
 
 /// Whether the VM's steady clock went on from `stamp` to `now`.
--- a/crates/gateway/src/rights/caps.rs
+++ b/crates/gateway/src/rights/caps.rs
@@ -17,6 +17,7 @@
 use super::book::Book;
 use super::books::Books;
 use super::cap::{self, Cap};
+use super::witness::Witness;
 use crate::clock::Reading;
 use crate::peers;
 use crate::store::{Feed, Record, Store, StoreError};
@@ -50,15 +51,6 @@
         all.map(|(process, caps)| (*process, spent(caps).unwrap_or(0)))
             .collect()
     }
-
-    /// Works out what the records of ended processes say at `now`, a time after their end.
-    fn at(records: &[CapsRecord], now: &Reading, starts: &[u64]) -> Self {
-        let all = records.iter();
-        Self(
-            all.map(|caps| (caps.process, spent_by(caps, now, starts)))
-                .collect(),
-        )
-    }
 }
 
 /// The records of earlier processes, whose keys begin with `prefix`.
@@ -85,16 +77,23 @@
     }
 }
 
-/// What a process has spent at most by `now`.
-fn spent_by(caps: &CapsRecord, now: &Reading, starts: &[u64]) -> HashMap<WorkspaceName, Tokens> {
+/// What a process has spent at most by `now`, a time after its end. `seen`: the longest time
+/// since its record as others know.
+fn spent_by(
+    caps: &CapsRecord,
+    now: &Reading,
+    starts: &[u64],
+    seen: Option<Duration>,
+) -> HashMap<WorkspaceName, Tokens> {
     let stamp = stamp(caps);
-    let time = cap::elapsed(&stamp, now, starts);
+    let time = cap::elapsed(&stamp, now, starts, seen);
     event!(
         info,
         "cap.read",
         process = format!("{:016x}", caps.process),
         age_ms = time.map_or(-1, |time| time.as_millis() as i64),
         same_boot = cap::is_same_boot(&stamp, now),
+        seen_ms = seen.map_or(-1, |seen| seen.as_millis() as i64),
         fleet_started = cap::middle_start(&stamp, starts).is_some(),
         workspaces = caps.caps.len(),
     );
@@ -118,6 +117,7 @@
     feed: Feed,
     books: Arc<Books>,
     store: Arc<dyn Store>,
+    witness: Arc<dyn Witness>,
     process: u64,
     vm: VmName,
     /// Number of the next record.
@@ -134,6 +134,7 @@
     pub(super) fn new(
         books: &Arc<Books>,
         store: &Arc<dyn Store>,
+        witness: Arc<dyn Witness>,
         vm: &VmName,
         process: u64,
     ) -> Self {
@@ -142,6 +143,7 @@
             feed: Feed::Caps(part as u32),
             books: Arc::clone(books),
             store: Arc::clone(store),
+            witness,
             process,
             vm: vm.clone(),
             sequence: 1,
@@ -217,7 +219,26 @@
         let mut earlier = earlier(&page.records, &prefix(&self.vm));
         earlier.retain(|caps| caps.process != self.process);
         let starts = self.starts(&earlier).await?;
-        Ok(Ended::at(&earlier, &self.began, &starts))
+        let mut ended = HashMap::new();
+        for caps in &earlier {
+            let seen = self.seen(caps).await;
+            let spent = spent_by(caps, &self.began, &starts, seen);
+            ended.insert(caps.process, spent);
+        }
+        Ok(Ended(ended))
+    }
+
+    /// The longest time from a predecessor's record to the start of this process, as far as
+    /// others know. They aren't asked where this VM's own clock tells.
+    async fn seen(&self, caps: &CapsRecord) -> Option<Duration> {
+        if cap::is_same_boot(&stamp(caps), &self.began) {
+            return None;
+        }
+        let asked = self.books.clock().steady();
+        let since = self.witness.since(caps.process, caps.steady_ms).await?;
+        // What went by between the start and the question isn't part of it.
+        let after = asked.saturating_sub(self.began.steady);
+        Some(since.saturating_sub(Duration::from_millis(after)))
     }
 
     /// When the routers on other VMs started last. After a loss of power, it waits a while
--- a/crates/gateway/src/rights/claim.rs
+++ b/crates/gateway/src/rights/claim.rs
@@ -19,6 +19,7 @@
 use super::books::Books;
 use super::caps::{Caps, Ended};
 use super::rate::Rates;
+use super::witness::Witness;
 use crate::store::{Feed, Store, StoreError};
 
 /// Time between looks at the accounts of a partition for each router, so that appends of
@@ -51,12 +52,18 @@
 
 impl Claims {
     /// Starts a task for each partition; `process` tells this process from others on
-    /// its VM.
+    /// its VM, and `witness` knows of those.
     #[must_use]
-    pub fn spawn(books: &Arc<Books>, store: &Arc<dyn Store>, vm: &VmName, process: u64) -> Self {
+    pub fn spawn(
+        books: &Arc<Books>,
+        store: &Arc<dyn Store>,
+        witness: Arc<dyn Witness>,
+        vm: &VmName,
+        process: u64,
+    ) -> Self {
         let stop = CancellationToken::new();
         let mut tasks = JoinSet::new();
-        let caps = Caps::new(books, store, vm, process);
+        let caps = Caps::new(books, store, witness, vm, process);
         let ended = caps.ended();
         tasks.spawn(caps.run(books.uncapped(), stop.clone()));
         for part in 0..books.parts() {
--- a/crates/gateway/src/rights/mod.rs
+++ b/crates/gateway/src/rights/mod.rs
@@ -23,8 +23,10 @@
 pub mod lend;
 mod rate;
 mod spend;
+mod witness;
 
 pub use book::{Book, NoRights};
 pub use books::Books;
 pub use claim::Claims;
 pub use spend::Spend;
+pub use witness::Witness;
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -91,9 +91,10 @@
         });
         let mut tasks = JoinSet::new();
         watch::spawn(&mut tasks, &node, &store, &adapter.catalog);
-        let process = rand::random();
-        spawn_peers(&mut tasks, &node, &store, process)?;
-        let claims = Claims::spawn(&node.books, &store, &node.settings.vm, process);
+        let peers = Arc::new(Peers::new(node.settings.vm.clone()));
+        spawn_peers(&mut tasks, &node, &store, &peers)?;
+        let vm = &node.settings.vm;
+        let claims = Claims::spawn(&node.books, &store, peers, vm, node.process);
         let surface = Arc::new(Surface(Arc::clone(&node)));
         let callers =
             WebServer::bind(callers, limits, surface).context("starting the callers' listener")?;
@@ -169,25 +170,25 @@
     tasks: &mut JoinSet<()>,
     node: &Arc<Node>,
     store: &Arc<dyn Store>,
-    process: u64,
+    peers: &Arc<Peers>,
 ) -> anyhow::Result<()> {
     let settings = &node.settings;
     let listener = TcpListener::bind(settings.peers)
         .with_context(|| format!("binding the routers' address {}", settings.peers))?;
-    let peers = Arc::new(Peers::new(settings.vm.clone()));
     let started = node.books.clock().read().wall;
-    let registered = peers::register(Arc::clone(store), settings.clone(), process, started);
+    let registered = peers::register(Arc::clone(store), settings.clone(), node.process, started);
     tasks.spawn(registered);
     let reader = watch::Reader::new(Feed::Members, Arc::clone(store));
     let follower = peers::Follower {
-        peers: Arc::clone(&peers),
+        peers: Arc::clone(peers),
         node: Arc::clone(node),
     };
     tasks.spawn(watch::follow(reader, follower));
-    tasks.spawn(lend::run(Arc::clone(&node.books), Arc::clone(&peers)));
-    tasks.spawn(notes::run(Arc::clone(&node.pools), Arc::clone(&peers)));
+    tasks.spawn(lend::run(Arc::clone(&node.books), Arc::clone(peers)));
+    tasks.spawn(notes::run(Arc::clone(node), Arc::clone(peers)));
     let handler = Arc::new(PeerHandler(Arc::clone(node)));
     let name = settings.vm.to_string();
+    let peers = Arc::clone(peers);
     tasks.spawn(async move {
         let Some(secret) = peers.secret().await else {
             return;
--- a/crates/gateway/tests/testsuite/cap.rs
+++ b/crates/gateway/tests/testsuite/cap.rs
@@ -6,6 +6,7 @@
 use proptest::prelude::*;
 use swiftlink_gateway::clock::Reading;
 use swiftlink_gateway::rights::cap::{Cap, base, draw, elapsed, middle_start};
+use swiftlink_gateway::sightings::Sighting;
 
 fn reading(boot: &str, steady: u64, wall: u64) -> Reading {
     Reading {
@@ -34,6 +35,43 @@
     assert_eq!(cap.after(millis(4_000)), 2_300);
 }
 
+/// The pattern: one VM loses power for three and a half seconds while its peers go on.
+#[test]
+fn what_peers_have_seen_keeps_a_jump_of_the_clock_out() {
+    let stamp = reading("a", 5_000, 1_000_000);
+    let back = reading("b", 10, 1_003_500);
+    let seen = Some(millis(3_600));
+    assert_eq!(elapsed(&stamp, &back, &[], None), Some(millis(6_500)));
+    assert_eq!(elapsed(&stamp, &back, &[], seen), seen);
+    // Its own clock went back further than it may; only they know.
+    let jumped = reading("b", 10, 990_000);
+    assert_eq!(elapsed(&stamp, &jumped, &[], None), None);
+    assert_eq!(elapsed(&stamp, &jumped, &[], seen), seen);
+    // Where the clock has not jumped it may say less.
+    let late = Some(millis(9_000));
+    assert_eq!(elapsed(&stamp, &back, &[], late), Some(millis(6_500)));
+}
+
+proptest! {
+    /// A process read its clock after it was asked, so the time since then is never
+    /// underestimated, whenever the answer came.
+    #[test]
+    fn a_sighting_never_underestimates(
+        asked in 0..10_000_u64,
+        way in 0..5_000_u64,
+        stamp in 0..20_000_u64,
+        more in 0..20_000_u64,
+        ahead in 0..1_000_000_u64,
+    ) {
+        // The process's clock is `ahead` of the asking router's.
+        let read = asked + way;
+        let sighting = Sighting { steady: read + ahead, asked };
+        let now = read.max(stamp) + more;
+        let most = sighting.since(stamp + ahead, now);
+        prop_assert!(most >= millis(now - stamp));
+    }
+}
+
 /// The pattern: a router whose workspace has forty seconds of use left is cut off, with others
 /// or alone. It serves most of its callers until the cut is certain; if it is killed instead,
 /// little of what it held is lost.
@@ -54,10 +92,10 @@
 fn within_one_boot_the_steady_clock_tells() {
     let stamp = reading("a", 5_000, 1_000_000);
     let later = reading("a", 5_700, 1_002_000);
-    assert_eq!(elapsed(&stamp, &later, &[]), Some(millis(700)));
+    assert_eq!(elapsed(&stamp, &later, &[], None), Some(millis(700)));
     // Also where the time of day jumped back meanwhile.
     let jumped = reading("a", 5_700, 998_300);
-    assert_eq!(elapsed(&stamp, &jumped, &[]), Some(millis(700)));
+    assert_eq!(elapsed(&stamp, &jumped, &[], None), Some(millis(700)));
 }
 
 #[test]
@@ -70,14 +108,14 @@
         reading("a", 10, 1_001_000),
         reading("", 5_100, 1_001_000),
     ] {
-        assert_eq!(elapsed(&stamp, &later, &[]), Some(millis(4_000)));
+        assert_eq!(elapsed(&stamp, &later, &[], None), Some(millis(4_000)));
     }
 }
 
 #[test]
 fn a_clock_that_went_back_too_far_proves_nothing() {
     let stamp = reading("a", 5_000, 1_000_000);
-    assert_eq!(elapsed(&stamp, &reading("b", 10, 990_000), &[]), None);
+    assert_eq!(elapsed(&stamp, &reading("b", 10, 990_000), &[], None), None);
 }
 
 #[test]
@@ -89,7 +127,7 @@
         1_001_300, 1_001_350, 1_001_400, 1_001_420, 1_001_500, 998_900,
     ];
     assert_eq!(middle_start(&stamp, &starts), Some(1_001_400));
-    assert_eq!(elapsed(&stamp, &back, &starts), Some(millis(1_800)));
+    assert_eq!(elapsed(&stamp, &back, &starts, None), Some(millis(1_800)));
     // Half of them are not enough.
     let starts = [1_001_300, 1_001_350, 900_000, 900_000];
     assert_eq!(middle_start(&stamp, &starts), None);
@@ -126,7 +164,7 @@
         } else {
             reading("b", steady, wall)
         };
-        let most = elapsed(&stamp, &now, &[]);
+        let most = elapsed(&stamp, &now, &[], None);
         prop_assert!(most.is_none_or(|most| most >= millis(age)));
     }
 }
--- a/crates/gateway/tests/testsuite/rights.rs
+++ b/crates/gateway/tests/testsuite/rights.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_trait::async_trait;
 use bytes::Bytes;
 use prost::Message;
 use rand::{RngExt, SeedableRng};
@@ -13,11 +14,12 @@
 use swiftlink_gateway::clock::Clock;
 use swiftlink_gateway::dialect::Usage;
 use swiftlink_gateway::model::Workspace;
-use swiftlink_gateway::rights::{Book, Books, Claims, NoRights};
+use swiftlink_gateway::rights::{Book, Books, Claims, NoRights, Witness};
+use swiftlink_gateway::sightings::Sighting;
 use swiftlink_gateway::store::{Feed, MemStore, Store, StoreFault};
 use swiftlink_types::{VmName, WorkspaceName};
 use swiftlink_wire::rights::Member;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::book::config;
 use crate::clock::TestClock;
@@ -42,6 +44,48 @@
     process: u64,
     prepaid: u64,
     clock: Arc<TestClock>,
+) -> Router {
+    start_seen(store, vm, process, prepaid, clock, Arc::new(Nobody))
+}
+
+/// Nobody has seen anything.
+#[derive(Debug)]
+struct Nobody;
+
+#[async_trait]
+impl Witness for Nobody {
+    async fn since(&self, _process: u64, _stamp: u64) -> Option<Duration> {
+        None
+    }
+}
+
+/// A peer that saw each process a tenth of a second before its end, which was at `ended` by the
+/// steady clock of its VM.
+#[derive(Debug)]
+struct Peer {
+    ended: u64,
+    at: Instant,
+}
+
+#[async_trait]
+impl Witness for Peer {
+    async fn since(&self, _process: u64, stamp: u64) -> Option<Duration> {
+        let sighting = Sighting {
+            steady: self.ended - 100,
+            asked: 0,
+        };
+        let age = self.at.elapsed().as_millis() as u64 + 100;
+        Some(sighting.since(stamp, age))
+    }
+}
+
+fn start_seen(
+    store: &Arc<MemStore>,
+    vm: usize,
+    process: u64,
+    prepaid: u64,
+    clock: Arc<TestClock>,
+    witness: Arc<dyn Witness>,
 ) -> Router {
     let member = Member {
         started_ms: clock.read().wall,
@@ -53,7 +97,7 @@
     books.set_config(&config(Some(prepaid)));
     let store: Arc<dyn Store> = Arc::clone(store) as Arc<dyn Store>;
     let vm = VmName::from(format!("vm{vm}"));
-    let claims = Claims::spawn(&books, &store, &vm, process);
+    let claims = Claims::spawn(&books, &store, witness, &vm, process);
     let book = books.get(&WorkspaceName::from("acme")).expect("a book");
     Router {
         claims,
@@ -421,6 +465,38 @@
     assert!(spent > PREPAID / 2, "{spent} of {PREPAID}");
 }
 
+/// What one VM's loss of power costs, without peers that saw it and with one: the use of some
+/// seconds more is lost for a clock that may have jumped.
+#[tokio::test(start_paused = true)]
+async fn a_peer_that_saw_a_router_spares_what_a_jump_of_the_clock_would_cost() {
+    let mut left = Vec::new();
+    for is_seen in [false, true] {
+        let store = Arc::new(MemStore::new());
+        let clock = TestClock::new();
+        let mut router = start_at(&store, 0, 1, PREPAID, Arc::clone(&clock));
+        for vm in 1..5 {
+            let other = start(&store, vm, vm as u64 + 10, 0);
+            drop(other.claims);
+        }
+        spend_some(&router.book).await;
+        router.claims.abort();
+        let witness: Arc<dyn Witness> = if is_seen {
+            Arc::new(Peer {
+                ended: clock.steady(),
+                at: Instant::now(),
+            })
+        } else {
+            Arc::new(Nobody)
+        };
+        clock.lose_power(0);
+        sleep(Duration::from_millis(1_000)).await;
+        let next = start_seen(&store, 0, 2, PREPAID, clock, witness);
+        sleep(Duration::from_secs(2)).await;
+        left.push(next.book.rest());
+    }
+    assert!(left[1] >= left[0] + PREPAID / 20, "{left:?}");
+}
+
 /// Other routers write to the feed of caps all the time; a router that starts after a loss of
 /// power, and waits a while to see who else did, has its rights all the same.
 #[tokio::test(start_paused = true)]
--- a/crates/ledger/src/service.rs
+++ b/crates/ledger/src/service.rs
@@ -54,7 +54,7 @@
             }
             request::Kind::GetPending(ask) => self.pending(&ask),
             request::Kind::Ping(_) => Ok(reply::Kind::Pong(self.pong())),
-            request::Kind::Borrow(_) | request::Kind::Notes(_) => {
+            request::Kind::Borrow(_) | request::Kind::Notes(_) | request::Kind::GetSeen(_) => {
                 Err(failure(FailureKind::NotServed, NO_RIGHTS))
             }
         };
--- a/crates/link/tests/common/mod.rs
+++ b/crates/link/tests/common/mod.rs
@@ -49,9 +49,10 @@
                 let stored = reply::Kind::Stored(Stored::default());
                 let _gone = replies.send(stored, submit.wait_ms == 0).await;
             }
-            request::Kind::GetPending(_) | request::Kind::Borrow(_) | request::Kind::Notes(_) => {
-                drop(replies)
-            }
+            request::Kind::GetPending(_)
+            | request::Kind::Borrow(_)
+            | request::Kind::Notes(_)
+            | request::Kind::GetSeen(_) => drop(replies),
             request::Kind::Settle(_) => panic!("as the test wants"),
         }
     }
