--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -1,27 +1,68 @@
 //! What this router answers to its peers.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
 
 use async_trait::async_trait;
 use swiftlink_link::{Handler, Replies};
 use swiftlink_telemetry::event;
-use swiftlink_wire::link::{Failure, FailureKind, Noted, Seen, reply, request};
+use swiftlink_wire::link::{
+    Ended, Failure, FailureKind, Noted, Refusal, Release, Released, Reserve, Reserved, Seen, reply,
+    request,
+};
 
 use crate::node::Node;
 use crate::notes;
-use crate::rights::lend;
+use crate::rights::Reservations;
 
 /// Answers other routers.
 #[derive(Debug)]
-pub(crate) struct PeerHandler(pub(crate) Arc<Node>);
+pub(crate) struct PeerHandler {
+    pub(crate) node: Arc<Node>,
+    pub(crate) reservations: Arc<Reservations>,
+}
 
 impl PeerHandler {
     fn steady(&self) -> u64 {
-        self.0.books.clock().steady()
+        self.node.books.clock().steady()
+    }
+
+    /// A router that stops gives its rights back soon: others grant.
+    async fn reserve(&self, ask: &Reserve) -> Reserved {
+        if self.node.is_stopping.load(Relaxed) {
+            return Reserved {
+                refusal: Refusal::Elsewhere.into(),
+                ..Reserved::default()
+            };
+        }
+        self.reservations.reserve(&self.node.books, ask).await
+    }
+
+    async fn answer_reserve(&self, ask: &Reserve, replies: &Replies) {
+        let mut reserved = self.reserve(ask).await;
+        reserved.process = self.node.process;
+        reserved.steady_ms = self.steady();
+        let kind = reply::Kind::Reserved(reserved);
+        if replies.send(kind, true).await.is_err() {
+            // The asker has given up; it will not use what was set aside.
+            let ended = Ended {
+                number: ask.number,
+                spent: 0,
+            };
+            self.reservations.release(ask.process, &[ended]);
+        }
+    }
+
+    fn release(&self, release: &Release) -> Released {
+        self.reservations.release(release.process, &release.ended);
+        Released {
+            process: self.node.process,
+            steady_ms: self.steady(),
+        }
     }
 
     fn seen(&self, process: u64) -> Seen {
-        let Some(sighting) = self.0.sightings.get(process) else {
+        let Some(sighting) = self.node.sightings.get(process) else {
             return Seen::default();
         };
         Seen {
@@ -35,18 +76,20 @@
 impl Handler for PeerHandler {
     async fn handle(&self, peer: &str, request: request::Kind, replies: Replies) {
         let kind = match request {
-            request::Kind::Borrow(ask) => lend::lend(&self.0.books, peer, &ask),
             request::Kind::Notes(notes) => {
-                notes::take(&self.0.pools, peer, notes);
+                notes::take(&self.node.pools, peer, notes);
                 reply::Kind::Noted(Noted {
-                    process: self.0.process,
+                    process: self.node.process,
                     steady_ms: self.steady(),
                 })
             }
             request::Kind::GetSeen(ask) => reply::Kind::Seen(self.seen(ask.process)),
+            request::Kind::Reserve(ask) => return self.answer_reserve(&ask, &replies).await,
+            request::Kind::Release(release) => reply::Kind::Released(self.release(&release)),
             _ => reply::Kind::Failure(Failure {
                 kind: FailureKind::Unspecified.into(),
-                detail: "routers lend, take notes and tell of others, nothing else".to_owned(),
+                detail: "routers reserve rights, take notes and tell of others, nothing else"
+                    .to_owned(),
             }),
         };
         if replies.send(kind, true).await.is_err() {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -44,6 +44,14 @@
     pub output: Tokens,
 }
 
+impl Usage {
+    /// The most that the request can cost.
+    #[must_use]
+    pub fn most(&self) -> Tokens {
+        self.prompt + self.output
+    }
+}
+
 /// What the router adds to a request that it sends to a backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct Order<'a> {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -11,6 +11,7 @@
 use crate::metrics::Metrics;
 use crate::model::Config;
 use crate::rights::Books;
+use crate::rights::holders::Placement;
 use crate::settings::RouterSettings;
 use crate::sightings::Sightings;
 
@@ -28,7 +29,7 @@
     /// Rights of the workspaces.
     pub books: Arc<Books>,
     /// When other processes were last seen.
-    pub sightings: Sightings,
+    pub sightings: Arc<Sightings>,
     /// Tells this process from others on its VM.
     pub process: u64,
     /// What the router counts.
@@ -44,13 +45,15 @@
     /// A node that knows nothing yet.
     #[must_use]
     pub fn new(settings: RouterSettings, dialect: Arc<dyn Dialect>) -> Self {
+        let placement = Placement::unknown(settings.vm.clone());
+        let clock = Arc::new(SystemClock::open());
         Self {
-            books: Arc::new(Books::new(settings.parts, Arc::new(SystemClock::open()))),
+            books: Arc::new(Books::new(placement, settings.parts, clock)),
             settings,
             dialect,
             config: ArcSwapOption::empty(),
             pools: Arc::new(Pools::new()),
-            sightings: Sightings::default(),
+            sightings: Arc::default(),
             process: rand::random(),
             metrics: Metrics::new(),
             has_servers: AtomicBool::new(false),
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -19,7 +19,7 @@
 use crate::fleet::Pools;
 use crate::node::Node;
 use crate::peers::Peers;
-use crate::sightings::Sighting;
+use crate::rights::Calls;
 
 /// Shortest time between two notes. Long prompts are read in a few hundred milliseconds, so most
 /// news comes while it is of use.
@@ -44,7 +44,7 @@
                 let notes = Notes {
                     servers: servers.clone(),
                 };
-                calls.spawn(tell(Arc::clone(&node), Arc::clone(&peers), vm, notes));
+                calls.spawn(tell(Arc::clone(&peers), vm, notes));
             }
         }
         sleep(PAUSE).await;
@@ -52,15 +52,10 @@
     }
 }
 
-async fn tell(node: Arc<Node>, peers: Arc<Peers>, vm: VmName, notes: Notes) {
+async fn tell(peers: Arc<Peers>, vm: VmName, notes: Notes) {
     let kind = request::Kind::Notes(notes);
-    let asked = node.books.clock().steady();
-    match peers.tell(&vm, kind, ANSWER_TIME).await {
-        Ok(reply::Kind::Noted(noted)) => {
-            let steady = noted.steady_ms;
-            node.sightings
-                .note(noted.process, Sighting { steady, asked });
-        }
+    match peers.call(&vm, kind, ANSWER_TIME).await {
+        Ok(reply::Kind::Noted(_)) => {}
         Ok(_) => event!(warn, "note.lost", peer = vm, reason = "wrong reply"),
         // The next note has what counts; a link that is down is told of elsewhere.
         Err(LinkError::Down) => {}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,17 +14,19 @@
 use prost::Message;
 use swiftlink_link::{Client, LinkError, Secret};
 use swiftlink_telemetry::event;
-use swiftlink_types::VmName;
+use swiftlink_types::{DomainName, VmName};
 use swiftlink_wire::link::{GetSeen, Seen, reply, request};
-use swiftlink_wire::rights::Member;
+use swiftlink_wire::rights::Member as MemberRecord;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, timeout};
 
+use crate::clock::Clock;
 use crate::node::Node;
 use crate::notes;
-use crate::rights::Witness;
+use crate::rights::holders::{Member, Placement};
+use crate::rights::{Calls, Witness};
 use crate::settings::RouterSettings;
-use crate::sightings::Sighting;
+use crate::sightings::{Sighting, Sightings};
 use crate::store::{Feed, Record, Store, StoreError};
 use crate::watch::{Follow, News};
 
@@ -32,11 +34,17 @@
 const SECRET_KEY: &str = "links/secret";
 /// Bytes of the secret before its hexadecimal form.
 const SECRET_BYTES: usize = 24;
-/// Links that are kept open at a time.
-const LINKS: usize = 16;
+/// Links that are kept open at a time: those to the routers that hold accounts, and some more.
+/// A link takes a descriptor at each end and a few kilobytes.
+const LINKS: usize = 64;
+/// How long after the last new member a fleet that starts for the first time is taken as
+/// complete: its VMs start within a few tenths of a second and need some more to register.
+const SETTLE: Duration = Duration::from_secs(1);
 /// Longest time for a connection to a peer and its answer, each, at the start: peers of a
 /// region answer in a few milliseconds.
 const SEEN_TIME: Duration = Duration::from_millis(100);
+/// Longest time at the start until the members of the fleet are known: two calls of the store.
+const KNOWN_TIME: Duration = Duration::from_millis(300);
 /// First pause after a registration failed.
 const BACKOFF: Duration = Duration::from_millis(20);
 /// Longest pause.
@@ -47,17 +55,27 @@
 pub struct Peers {
     vm: VmName,
     addresses: Mutex<HashMap<VmName, SocketAddr>>,
+    members: Mutex<HashMap<VmName, Member>>,
     links: Mutex<HashMap<SocketAddr, Arc<Client>>>,
     secret: watch::Sender<Option<Secret>>,
+    /// Routers that hold accounts for others; empty in a small fleet.
+    holders: Mutex<Vec<VmName>>,
+    clock: Arc<dyn Clock>,
+    sightings: Arc<Sightings>,
 }
 
 impl Peers {
-    /// A router on `vm` that knows no others.
+    /// A router on `vm` that knows no others. What their answers tell of their clocks goes to
+    /// `sightings`.
     #[must_use]
-    pub fn new(vm: VmName) -> Self {
+    pub fn new(vm: VmName, clock: Arc<dyn Clock>, sightings: Arc<Sightings>) -> Self {
         Self {
             vm,
+            holders: Mutex::default(),
+            clock,
+            sightings,
             addresses: Mutex::default(),
+            members: Mutex::default(),
             links: Mutex::default(),
             secret: watch::Sender::new(None),
         }
@@ -70,11 +88,11 @@
         known.clone()
     }
 
-    /// Calls the router on `vm`.
+    /// Calls the router on `vm`, and waits for a connection to it for the same time.
     ///
     /// # Errors
     /// [`LinkError::Down`] when it isn't known or can't be reached: nothing was sent.
-    pub async fn call(
+    async fn call_up(
         &self,
         vm: &VmName,
         kind: request::Kind,
@@ -87,20 +105,6 @@
         client.call(kind, time).await
     }
 
-    /// Calls the router on `vm` if there is a connection to it; opens one else.
-    ///
-    /// # Errors
-    /// [`LinkError::Down`] when there is none: nothing was sent.
-    pub(crate) async fn tell(
-        &self,
-        vm: &VmName,
-        kind: request::Kind,
-        time: Duration,
-    ) -> Result<reply::Kind, LinkError> {
-        let client = self.link(vm).ok_or(LinkError::Down)?;
-        client.call(kind, time).await
-    }
-
     /// All other routers that are known.
     pub(crate) fn all(&self) -> Vec<VmName> {
         lock(&self.addresses).keys().cloned().collect()
@@ -109,7 +113,7 @@
     /// What a router on `vm` knows of a process.
     async fn ask_seen(&self, vm: &VmName, process: u64) -> Option<Seen> {
         let kind = request::Kind::GetSeen(GetSeen { process });
-        match self.call(vm, kind, SEEN_TIME).await {
+        match self.call_up(vm, kind, SEEN_TIME).await {
             Ok(reply::Kind::Seen(seen)) => Some(seen),
             Ok(_) => {
                 event!(warn, "peer.wrong_reply", peer = vm);
@@ -145,33 +149,85 @@
             self.secret.send_replace(Some(Secret::new(text)));
             return;
         }
-        let address = match Member::decode(value.clone()) {
-            Ok(member) => member.address.parse().ok(),
+        let record = match MemberRecord::decode(value.clone()) {
+            Ok(record) => record,
             Err(error) => {
                 event!(error, "peer.unreadable", key = key, error = error);
-                None
+                return;
             }
         };
         let vm = VmName::from(key);
-        let Some(address) = address else {
-            return;
-        };
         if vm == self.vm {
             return;
         }
-        event!(info, "peer.listed", vm = vm, address = address);
+        let Ok(address) = record.address.parse() else {
+            event!(
+                error,
+                "peer.unreadable",
+                key = key,
+                address = record.address
+            );
+            return;
+        };
+        // Only their number is told at a start: there are hundreds in a large fleet.
+        event!(debug, "peer.listed", vm = vm, address = address);
+        let member = Member {
+            vm: vm.clone(),
+            domain: DomainName::from(record.domain),
+            strength: record.strength.max(1),
+        };
+        lock(&self.members).insert(vm.clone(), member);
         lock(&self.addresses).insert(vm, address);
     }
+
+    /// All members of the fleet that are known, this router among them.
+    fn members(&self, own: Member) -> Vec<Member> {
+        let members = lock(&self.members);
+        let others = members.values().cloned();
+        others.chain([own]).collect()
+    }
+}
+
+#[async_trait]
+impl Calls for Peers {
+    async fn call(
+        &self,
+        vm: &VmName,
+        kind: request::Kind,
+        time: Duration,
+    ) -> Result<reply::Kind, LinkError> {
+        let client = self.link(vm).ok_or(LinkError::Down)?;
+        let asked = self.clock.steady();
+        let reply = client.call(kind, time).await?;
+        if let Some((process, steady)) = told_clock(&reply) {
+            self.sightings.note(process, Sighting { steady, asked });
+        }
+        Ok(reply)
+    }
+}
+
+/// The process that replied, and its steady clock, where the reply tells.
+fn told_clock(reply: &reply::Kind) -> Option<(u64, u64)> {
+    match reply {
+        reply::Kind::Noted(noted) => Some((noted.process, noted.steady_ms)),
+        reply::Kind::Reserved(reserved) => Some((reserved.process, reserved.steady_ms)),
+        reply::Kind::Released(released) => Some((released.process, released.steady_ms)),
+        _ => None,
+    }
 }
 
 #[async_trait]
 impl Witness for Peers {
     async fn since(&self, process: u64, stamp: u64) -> Option<Duration> {
-        let vms = self.all();
-        if vms.len() > notes::TOLD {
-            // Routers of large fleets don't see each other.
+        // The routers to ask are known with the secret of their links.
+        if timeout(KNOWN_TIME, self.secret()).await.is_err() {
             return None;
         }
+        let mut vms = lock(&self.holders).clone();
+        if vms.is_empty() {
+            vms = self.all();
+            vms.truncate(notes::TOLD);
+        }
         let asked = vms.iter().map(|vm| self.ask_seen(vm, process));
         let answers = join_all(asked).await;
         let seen = answers.into_iter().flatten().filter_map(|seen| {
@@ -188,8 +244,10 @@
 /// Takes news of the members' feed.
 #[derive(Debug)]
 pub(crate) struct Follower {
-    pub(crate) peers: Arc<Peers>,
-    pub(crate) node: Arc<Node>,
+    peers: Arc<Peers>,
+    node: Arc<Node>,
+    /// Members that the placement of accounts is made from.
+    placed: Vec<Member>,
 }
 
 impl Follow for Follower {
@@ -211,10 +269,51 @@
 }
 
 impl Follower {
-    fn tell(&self) {
-        let routers = lock(&self.peers.addresses).len() + 1;
-        self.node.pools.set_routers(routers, &self.node.settings);
-        self.node.books.set_fleet(routers);
+    /// Tells `node` of the members that `peers` knows.
+    pub(crate) fn new(peers: &Arc<Peers>, node: &Arc<Node>) -> Self {
+        Self {
+            peers: Arc::clone(peers),
+            node: Arc::clone(node),
+            placed: Vec::new(),
+        }
+    }
+
+    fn tell(&mut self) {
+        let settings = &self.node.settings;
+        let own = Member {
+            vm: settings.vm.clone(),
+            domain: settings.domain.clone(),
+            strength: settings.strength,
+        };
+        let mut members = self.peers.members(own);
+        self.node.pools.set_routers(members.len(), settings);
+        members.sort_by(|one, other| one.vm.cmp(&other.vm));
+        if members != self.placed {
+            self.place(members);
+        }
+        // Opened now, and once the secret is known: a request that needs one doesn't wait.
+        for vm in lock(&self.peers.holders).iter() {
+            self.peers.link(vm);
+        }
+    }
+
+    fn place(&mut self, members: Vec<Member>) {
+        let settings = &self.node.settings;
+        let mut from = Instant::now();
+        if settings.bootstrap {
+            from += SETTLE;
+        }
+        self.placed.clone_from(&members);
+        let placement = Placement::new(settings.vm.clone(), members, from);
+        let holders = placement.linked();
+        event!(
+            info,
+            "rights.placed",
+            fleet = self.placed.len(),
+            holders = holders.len(),
+        );
+        *lock(&self.peers.holders) = holders;
+        self.node.books.set_placement(placement);
     }
 }
 
@@ -223,7 +322,7 @@
     let others = records
         .iter()
         .filter(|record| record.key != own.as_str() && record.key != SECRET_KEY);
-    let members = others.filter_map(|record| Member::decode(record.value.clone()?).ok());
+    let members = others.filter_map(|record| MemberRecord::decode(record.value.clone()?).ok());
     members.map(|member| member.started_ms).collect()
 }
 
@@ -234,11 +333,12 @@
     process: u64,
     started: u64,
 ) {
-    let member = Member {
+    let member = MemberRecord {
         process,
         address: settings.peers.to_string(),
         domain: settings.domain.to_string(),
         started_ms: started,
+        strength: settings.strength,
     };
     let mut backoff = BACKOFF;
     loop {
@@ -251,7 +351,11 @@
     }
 }
 
-async fn try_register(store: &dyn Store, vm: &VmName, member: &Member) -> Result<(), StoreError> {
+async fn try_register(
+    store: &dyn Store,
+    vm: &VmName,
+    member: &MemberRecord,
+) -> Result<(), StoreError> {
     let record = (vm.to_string(), Bytes::from(member.encode_to_vec()));
     let producer = format!("{vm}/{:016x}", member.process);
     store
--- a/crates/gateway/src/rights/account.rs
+++ b/crates/gateway/src/rights/account.rs
@@ -8,16 +8,16 @@
 /// Part of what is left that routers hold: use may rise while the store is out of reach. The
 /// rest is free for those who run short, and is there after a loss of all machines.
 const HELD: f64 = 0.9;
-/// Routers that an account is shared between at least, until they show: the first ones of a
-/// small fleet must not take all. Larger fleets show within a round or two.
-const ROUTERS: usize = 8;
 /// Part of the shares that is dealt evenly, for callers who come to another router; the
 /// rest goes by the rate of use, since callers mostly stay at their router. Even shares alone
 /// measured 0.03 to 0.05 of worth less, 0.13 to 0.21 on quiet days.
 const EVEN_PART: f64 = 0.05;
-/// Largest fleet whose routers hold rights that they don't use yet. In larger ones such parts
-/// are smaller than a request, and the claims of all at a start take the store seconds.
-const IDLE_FLEET: usize = 16;
+/// Requests of the largest kind that a router's part should cover. When less is left, fewer
+/// routers share it: parts of a request's size serve nobody.
+const PART_REQUESTS: Tokens = 16;
+/// Seconds of its use that a router holds of an account that isn't placed on it: it stands in
+/// for holders that are gone, and more rights come within a tenth of a second.
+const STAND_IN_SECS: f64 = 2.0;
 /// A router gives rights back from this multiple of its target on.
 const EXCESS: f64 = 1.3;
 /// A router asks for more below this part of its target.
@@ -40,10 +40,17 @@
     pub reserved: Tokens,
     /// Tokens a second that are asked for.
     pub rate: u64,
-    /// Tokens that the largest waiting request lacks rights for; 0 when none waits.
+    /// Tokens that waiting requests lack rights for; 0 when none waits.
     pub need: Tokens,
-    /// Routers in the fleet, this one among them.
-    pub fleet: usize,
+    /// Whether it should hold a part also while it doesn't use it.
+    pub is_holder: bool,
+    /// Routers that the account is meant to be shared between.
+    pub sharers: usize,
+    /// Its place among them; the last ones leave what is left to the others first. `None`
+    /// where all share alike, however little is left.
+    pub rank: Option<usize>,
+    /// Tokens of the largest request that it has seen.
+    pub largest: Tokens,
     /// Earlier processes on this VM, and the most that each has spent of this account.
     pub ended: HashMap<u64, Tokens>,
 }
@@ -161,12 +168,6 @@
     base
 }
 
-/// Whether routers of such a fleet hold rights that they don't use yet.
-#[must_use]
-pub fn holds_idle(fleet: usize) -> bool {
-    fleet <= IDLE_FLEET
-}
-
 /// What an earlier process on this VM has spent at most. One that left no cap may have
 /// spent all that it held.
 #[must_use]
@@ -176,18 +177,51 @@
     most.min(holder.granted)
 }
 
+/// Whether so little is left that the router leaves it to others.
+#[must_use]
+pub fn is_withdrawn(account: &Account, prepaid: Tokens, stake: &Stake) -> bool {
+    let others = without(account, stake);
+    let left = rest(&others, prepaid).saturating_sub(stake.charged);
+    is_left_out(sharers(left, stake), stake)
+}
+
+/// Whether the router isn't among the `sharers` that are fewer than there might be.
+fn is_left_out(sharers: usize, stake: &Stake) -> bool {
+    sharers < stake.sharers && stake.rank.is_some_and(|rank| rank >= sharers)
+}
+
+/// Routers that share what is left.
+fn sharers(left: Tokens, stake: &Stake) -> usize {
+    let least = stake.largest * PART_REQUESTS;
+    if least == 0 || stake.rank.is_none() {
+        return stake.sharers;
+    }
+    let parts = (left as f64 * HELD) as Tokens / least;
+    usize::try_from(parts)
+        .unwrap_or(usize::MAX)
+        .clamp(1, stake.sharers.max(1))
+}
+
 /// Unspent tokens that the router should hold.
 fn target(others: &Account, prepaid: Tokens, stake: &Stake) -> Tokens {
     let most = free(others, prepaid, stake.charged);
     let left = rest(others, prepaid).saturating_sub(stake.charged);
-    let count = (others.holders.len() + 1).max(ROUTERS) as f64;
+    let count = (others.holders.len() + 1).max(stake.sharers) as f64;
     let rates: u64 = others.holders.iter().map(|holder| holder.rate).sum();
     let rate = (stake.rate + rates) as f64;
+    let sharers = sharers(left, stake);
     let left = left as f64;
     let all = left * HELD;
     let even = all / count;
-    let wanted = if stake.rate == 0 && !holds_idle(stake.fleet) {
+    let wanted = if is_left_out(sharers, stake) || (stake.rate == 0 && !stake.is_holder) {
         0.0
+    } else if let Some(rank) = stake.rank {
+        // Others ask all holders alike, so their parts are alike.
+        if rank < sharers {
+            all / sharers as f64
+        } else {
+            stake.rate as f64 * STAND_IN_SECS
+        }
     } else if rate == 0.0 {
         even
     } else {
--- a/crates/gateway/src/rights/book.rs
+++ b/crates/gateway/src/rights/book.rs
@@ -5,14 +5,13 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use swiftlink_admission::Grant;
+use swiftlink_admission::{Grant, GrantCounters};
 use swiftlink_types::{Tokens, VmName, WorkspaceName};
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
-use super::account;
 use super::cap::{self, Cap};
-use super::spend::Spend;
+use super::spend::{Source, Spend};
 use crate::clock::Clock;
 use crate::dialect::Usage;
 
@@ -34,14 +33,14 @@
     rate: AtomicU64,
     /// Below so many free tokens a new cap is due.
     low: AtomicU64,
-    /// Tokens of requests that wait for a new cap.
-    lack: AtomicU64,
-    /// The largest request that waits for rights.
-    need: AtomicU64,
-    /// The same, for the task that borrows.
-    short: AtomicU64,
-    /// Unspent rights of other routers, as last read; the largest first.
-    lenders: ArcSwap<Vec<Lender>>,
+    /// Tokens of requests that wait for rights.
+    waiting: AtomicU64,
+    /// Tokens of the largest request so far.
+    largest: AtomicU64,
+    /// Whether what is left of the account is left to other routers.
+    withdrawn: AtomicBool,
+    /// Other routers with unspent rights, as last read; the one with most first.
+    holders: ArcSwap<Vec<VmName>>,
     /// What others have spent, as last read; it only grows.
     spent: AtomicU64,
     /// Whether the last look at the account failed.
@@ -60,8 +59,6 @@
 pub(super) struct Wakers {
     /// The one that claims.
     pub(super) claim: Arc<Notify>,
-    /// The one that borrows.
-    pub(super) borrow: Arc<Notify>,
     /// The one that stores caps.
     pub(super) cap: Arc<Notify>,
 }
@@ -69,10 +66,6 @@
 /// Rights that aren't simply granted, free, reserved or spent.
 #[derive(Debug, Default)]
 struct Moves {
-    /// Went to other routers, ever.
-    lent: Tokens,
-    /// Came from them, ever.
-    borrowed: Tokens,
     /// Granted, but not covered by a cap yet.
     locked: Tokens,
     /// The cap that the store certainly has.
@@ -109,21 +102,12 @@
     }
 }
 
-/// A router that may lend rights.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Lender {
-    /// Its VM.
-    pub vm: VmName,
-    /// What it had not spent, as last read.
-    pub unspent: Tokens,
-}
-
 /// A router's side of an account.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Standing {
     /// The most that it spends, as the account has it.
     pub granted: Tokens,
-    /// What it has spent or lent, but for what it has borrowed.
+    /// What it has spent.
     pub charged: Tokens,
     /// Tokens that running requests hold.
     pub reserved: Tokens,
@@ -143,7 +127,7 @@
     },
     /// Other routers hold what is left.
     Elsewhere,
-    /// The store can't be reached, and peers lend nothing.
+    /// The store can't be reached, and what is held here doesn't cover it.
     Away,
 }
 
@@ -156,10 +140,10 @@
             moves: Mutex::default(),
             rate: AtomicU64::new(0),
             low: AtomicU64::new(0),
-            lack: AtomicU64::new(0),
-            need: AtomicU64::new(0),
-            short: AtomicU64::new(0),
-            lenders: ArcSwap::default(),
+            waiting: AtomicU64::new(0),
+            largest: AtomicU64::new(0),
+            withdrawn: AtomicBool::new(false),
+            holders: ArcSwap::default(),
             spent: AtomicU64::new(0),
             away: AtomicBool::new(false),
             read_at: AtomicU64::new(0),
@@ -171,9 +155,6 @@
     }
 
     /// The router's side of the account.
-    ///
-    /// Borrowed tokens were spent by their lender as far as accounts are concerned. Rights
-    /// are given back only as far as the account gave them, so `granted` isn't negative.
     #[must_use]
     pub fn standing(&self) -> Standing {
         let moves = self.moves();
@@ -182,24 +163,15 @@
 
     fn standing_with(&self, moves: &Moves) -> Standing {
         let counters = self.grant.counters();
-        let held = counters.granted + moves.lent + moves.locked;
         Standing {
-            granted: held.saturating_sub(counters.returned + moves.borrowed),
-            charged: (counters.charged + moves.lent).saturating_sub(moves.borrowed),
+            granted: used(&counters) + moves.locked,
+            charged: counters.charged,
             reserved: counters.reserved,
             locked: moves.locked,
             cap_age: moves.stored.map(|cap| cap.age(self.clock.steady())),
         }
     }
 
-    /// What is spent, lent, reserved or free here, but for what was borrowed: what a cap
-    /// bounds. It is below zero when more was borrowed than that.
-    fn used_with(&self, moves: &Moves) -> i64 {
-        let counters = self.grant.counters();
-        let into = (counters.granted + moves.lent) as i64;
-        into - (counters.returned + moves.borrowed) as i64
-    }
-
     /// Takes what the account grants this router; gives what it held before. More rights
     /// can be used once a cap covers them.
     pub(super) fn accept(&self, granted: Tokens) -> Tokens {
@@ -249,13 +221,12 @@
         let free = self.grant.available();
         let unspent = free + moves.locked;
         let rate = self.rate();
-        let wanted = cap::base(unspent, rate, lag) + self.lack.swap(0, Relaxed);
+        let wanted = cap::base(unspent, rate, lag) + self.waiting.load(Relaxed);
         moves.locked += self.grant.shrink(free.saturating_sub(wanted));
         let more = wanted.saturating_sub(free).min(moves.locked);
         self.low.store(wanted / 2, Relaxed);
-        let base = self.used_with(&moves).saturating_add_unsigned(more);
         let cap = Cap {
-            base: Tokens::try_from(base).unwrap_or(0),
+            base: used(&self.grant.counters()) + more,
             ..cap::draw(unspent, rate)
         };
         moves.sent = Some(Bound { cap, since: now });
@@ -276,54 +247,24 @@
     /// Frees what caps allow by now.
     fn unlock_with(&self, moves: &mut Moves) {
         let limit = moves.limit(self.clock.steady());
-        let used = self.used_with(moves);
-        let room = i128::from(limit) - i128::from(used);
-        let freed = Tokens::try_from(room).unwrap_or(0).min(moves.locked);
+        let room = limit.saturating_sub(used(&self.grant.counters()));
+        let freed = room.min(moves.locked);
         moves.locked -= freed;
         if freed > 0 {
             self.grant.credit(freed);
         }
     }
 
-    /// Takes up to `amount` out of use for another router; gives what was taken. A router
-    /// with callers of its own keeps half of what is free, but for the `need` of a request
-    /// that waits.
-    pub fn lend(&self, amount: Tokens, need: Tokens) -> Tokens {
-        let mut moves = self.moves();
-        self.unlock_with(&mut moves);
-        let counters = self.grant.counters();
-        let spare = if counters.charged + counters.reserved == 0 {
-            counters.available
-        } else {
-            (counters.available / 2).max(need.min(counters.available))
-        };
-        let taken = self.grant.shrink(amount.min(spare));
-        moves.lent += taken;
-        if taken < amount && moves.locked > 0 {
-            self.lack.fetch_add(need, Relaxed);
-            self.wakers.cap.notify_one();
-        }
-        taken
-    }
-
-    /// Takes tokens that another router lent.
-    pub fn borrow(&self, amount: Tokens) {
-        let mut moves = self.moves();
-        moves.borrowed += amount;
-        self.grant.credit(amount);
-        drop(moves);
-        self.changed.notify_waiters();
-    }
-
     fn moves(&self) -> MutexGuard<'_, Moves> {
         // The sums are whole between any two statements.
         self.moves.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether this router has to look at the account: it has or may want a part of it.
-    pub(super) fn is_active(&self, fleet: usize) -> bool {
-        let wants = self.rate() > 0 || self.need.load(Relaxed) > 0;
-        wants || account::holds_idle(fleet) || self.standing().granted > 0
+    /// Whether this router has to look at the account, where it `is_holder` of a part of it or
+    /// not: it has or may want a part of it.
+    pub(super) fn is_active(&self, is_holder: bool) -> bool {
+        let wants = self.rate() > 0 || self.waiting.load(Relaxed) > 0;
+        wants || is_holder || self.standing().granted > 0
     }
 
     /// Tokens a second that callers lately asked for.
@@ -336,22 +277,10 @@
         self.rate.store(rate, Relaxed);
     }
 
-    /// The largest request that waits for borrowed rights; it is forgotten.
-    pub(super) fn take_short(&self) -> Tokens {
-        self.short.swap(0, Relaxed)
-    }
-
-    /// The router on `vm` has no more to lend.
-    pub(super) fn is_drained(&self, vm: &VmName) {
-        let mut lenders = Vec::clone(&self.lenders.load());
-        lenders.retain(|lender| lender.vm != *vm);
-        self.lenders.store(Arc::new(lenders));
-    }
-
-    /// Routers that may lend, the best first.
+    /// Other routers with unspent rights, the one with most first.
     #[must_use]
-    pub fn lenders(&self) -> Arc<Vec<Lender>> {
-        self.lenders.load_full()
+    pub fn holders(&self) -> Arc<Vec<VmName>> {
+        self.holders.load_full()
     }
 
     pub(super) fn set_prepaid(&self, prepaid: Tokens) {
@@ -368,11 +297,9 @@
     /// account was read, but not less.
     #[must_use]
     pub fn rest(&self) -> Tokens {
-        let moves = self.moves();
         let charged = self.grant.counters().charged;
-        // What was borrowed is among the spendings of others.
-        let spent = self.spent.load(Relaxed) + charged + moves.lent;
-        (self.prepaid() + moves.borrowed).saturating_sub(spent)
+        self.prepaid()
+            .saturating_sub(self.spent.load(Relaxed) + charged)
     }
 
     /// Milliseconds since the account was last read, or since the start.
@@ -390,21 +317,46 @@
         self.away.store(away, Relaxed);
     }
 
-    /// Takes the largest waiting request; it is forgotten.
-    pub(super) fn take_need(&self) -> Tokens {
-        self.need.swap(0, Relaxed)
+    /// Tokens of waiting requests, if the rights held here don't cover them also once caps
+    /// allow for all; those of one request at most, so that others give back no more at a
+    /// time.
+    pub(super) fn need(&self) -> Tokens {
+        let locked = self.moves().locked;
+        let held = self.grant.available() + locked;
+        let waiting = self.waiting.load(Relaxed);
+        if waiting > held {
+            waiting.min(self.largest())
+        } else {
+            0
+        }
+    }
+
+    /// Tokens of the largest request so far.
+    pub(super) fn largest(&self) -> Tokens {
+        self.largest.load(Relaxed)
+    }
+
+    /// Leaves what is left of the account to other routers, or takes part in it again.
+    pub(super) fn set_withdrawn(&self, withdrawn: bool) {
+        self.withdrawn.store(withdrawn, Relaxed);
     }
 
-    /// Notes that the account was read: what others have spent, and what they hold.
-    pub(super) fn on_reading(&self, spent: Tokens, mut lenders: Vec<Lender>) {
-        lenders.sort_by_key(|lender| std::cmp::Reverse(lender.unspent));
-        self.lenders.store(Arc::new(lenders));
+    /// Whether what is left of the account is left to other routers.
+    pub(super) fn is_withdrawn(&self) -> bool {
+        self.withdrawn.load(Relaxed)
+    }
+
+    /// Notes that the account was read: what others have spent, and who has unspent rights,
+    /// the one with most first.
+    pub(super) fn on_reading(&self, spent: Tokens, holders: Vec<VmName>) {
+        self.holders.store(Arc::new(holders));
         self.spent.store(spent, Relaxed);
         self.read_at.store(self.age_ms(), Relaxed);
         self.changed.notify_waiters();
     }
 
-    /// Reserves the most that `usage` can cost, waiting up to `wait` for rights.
+    /// Reserves the most that `usage` can cost, waiting up to `wait` for rights. Where others
+    /// hold what is left it doesn't wait.
     ///
     /// # Errors
     /// When there are none.
@@ -413,31 +365,43 @@
         usage: Usage,
         wait: Duration,
     ) -> Result<Spend, NoRights> {
-        let cost = usage.prompt + usage.output;
-        if let Some(spend) = self.try_reserve(usage, cost) {
+        if let Some(spend) = self.try_reserve(usage) {
             return Ok(spend);
         }
+        let rest = self.rest();
+        if rest < usage.most() {
+            return Err(NoRights::Spent { rest });
+        }
+        if self.is_withdrawn() {
+            return Err(NoRights::Elsewhere);
+        }
+        self.claim(usage, wait).await
+    }
+
+    /// Waits up to `wait` for rights, and claims them where they are missing.
+    pub(super) async fn claim(
+        self: &Arc<Self>,
+        usage: Usage,
+        wait: Duration,
+    ) -> Result<Spend, NoRights> {
+        let cost = usage.most();
         let until = Instant::now() + wait;
         self.grant.miss(cost);
-        self.lack.fetch_add(cost, Relaxed);
+        let _waiting = Waiting::enter(&self.waiting, cost);
         loop {
             let changed = self.changed.notified();
             let rest = self.rest();
             if rest < cost {
                 return Err(NoRights::Spent { rest });
             }
-            self.ask_for(cost);
+            self.ask_for();
             let pause = until.min(Instant::now() + RECHECK);
             let news = timeout_at(pause, changed).await;
-            if let Some(spend) = self.try_reserve(usage, cost) {
+            if let Some(spend) = self.try_reserve(usage) {
                 return Ok(spend);
             }
-            if news.is_ok() {
-                // A cap was stored and others were faster: the next one is to cover it.
-                self.lack.fetch_add(cost, Relaxed);
-                continue;
-            }
-            if pause < until {
+            // After news others were faster.
+            if news.is_ok() || pause < until {
                 continue;
             }
             if self.away.load(Relaxed) {
@@ -447,22 +411,20 @@
         }
     }
 
-    /// Wakes whoever may bring rights for a request of `cost`.
-    fn ask_for(&self, cost: Tokens) {
-        let locked = self.moves().locked;
-        if locked > 0 {
+    /// Wakes whoever may bring rights for the requests that wait.
+    fn ask_for(&self) {
+        if self.moves().locked > 0 {
             self.wakers.cap.notify_one();
         }
-        if self.grant.available() + locked < cost {
-            self.need.fetch_max(cost, Relaxed);
+        if self.need() > 0 {
             self.wakers.claim.notify_one();
         }
-        // In a cut a cap grows slowly, and others may have more than they use.
-        self.short.fetch_max(cost, Relaxed);
-        self.wakers.borrow.notify_one();
     }
 
-    fn try_reserve(self: &Arc<Self>, usage: Usage, cost: Tokens) -> Option<Spend> {
+    /// Reserves the most that `usage` can cost, if there are rights for it now.
+    pub(super) fn try_reserve(self: &Arc<Self>, usage: Usage) -> Option<Spend> {
+        let cost = usage.most();
+        self.largest.fetch_max(cost, Relaxed);
         if self.grant.reserve(cost).is_none() {
             self.unlock_with(&mut self.moves());
             self.grant.reserve(cost)?;
@@ -470,6 +432,31 @@
         if self.grant.available() < self.low.load(Relaxed) {
             self.wakers.cap.notify_one();
         }
-        Some(Spend::new(Arc::clone(self), usage, cost))
+        let source = Source::Here(Arc::clone(self));
+        Some(Spend::new(source, usage, cost))
+    }
+}
+
+/// What is spent, reserved or free: what a cap bounds.
+fn used(counters: &GrantCounters) -> Tokens {
+    counters.granted.saturating_sub(counters.returned)
+}
+
+/// A request that waits for rights, among the tokens of all that do.
+struct Waiting<'a> {
+    all: &'a AtomicU64,
+    cost: Tokens,
+}
+
+impl<'a> Waiting<'a> {
+    fn enter(all: &'a AtomicU64, cost: Tokens) -> Self {
+        all.fetch_add(cost, Relaxed);
+        Self { all, cost }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.all.fetch_sub(self.cost, Relaxed);
     }
 }
--- a/crates/gateway/src/rights/books.rs
+++ b/crates/gateway/src/rights/books.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 
 use arc_swap::ArcSwap;
 use swiftlink_types::WorkspaceName;
@@ -10,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::book::{Book, Wakers};
+use super::holders::Placement;
 use crate::clock::Clock;
 use crate::model::Config;
 
@@ -24,29 +24,25 @@
     books: ArcSwap<HashMap<WorkspaceName, Arc<Book>>>,
     /// By partition of the accounts: wakes its claim task.
     wanted: Vec<Arc<Notify>>,
-    /// Wakes the task that borrows.
-    lacking: Arc<Notify>,
     /// Wakes the task that stores caps.
     uncapped: Arc<Notify>,
     /// Partitions that a feed may have.
     feed_parts: u32,
-    /// Routers in the fleet.
-    fleet: AtomicUsize,
+    placement: ArcSwap<Placement>,
     clock: Arc<dyn Clock>,
 }
 
 impl Books {
-    /// No books; feeds have `parts` partitions.
+    /// No books; accounts are held as `placement` says, and feeds have `parts` partitions.
     #[must_use]
-    pub fn new(parts: u32, clock: Arc<dyn Clock>) -> Self {
+    pub fn new(placement: Placement, parts: u32, clock: Arc<dyn Clock>) -> Self {
         let wanted = (0..parts.clamp(1, PARTS)).map(|_| Arc::new(Notify::new()));
         Self {
             books: ArcSwap::default(),
             wanted: wanted.collect(),
-            lacking: Arc::default(),
             uncapped: Arc::default(),
             feed_parts: parts.max(1),
-            fleet: AtomicUsize::new(1),
+            placement: ArcSwap::from_pointee(placement),
             clock,
         }
     }
@@ -98,7 +94,6 @@
     fn wakers(&self, workspace: &WorkspaceName) -> Wakers {
         Wakers {
             claim: self.wanted(self.part(workspace)),
-            borrow: self.lacking(),
             cap: self.uncapped(),
         }
     }
@@ -113,15 +108,18 @@
         &self.clock
     }
 
-    /// Routers in the fleet, this one among them.
+    /// Which routers hold accounts.
     #[must_use]
-    pub fn fleet(&self) -> usize {
-        self.fleet.load(Relaxed)
+    pub fn placement(&self) -> Arc<Placement> {
+        self.placement.load_full()
     }
 
-    /// Notes how many routers there are.
-    pub fn set_fleet(&self, routers: usize) {
-        self.fleet.store(routers, Relaxed);
+    /// Takes what is known of the members now.
+    pub fn set_placement(&self, placement: Placement) {
+        self.placement.store(Arc::new(placement));
+        for wanted in &self.wanted {
+            wanted.notify_one();
+        }
     }
 
     /// Partitions that a feed may have.
@@ -139,10 +137,6 @@
         self.books.load().values().cloned().collect()
     }
 
-    pub(super) fn lacking(&self) -> Arc<Notify> {
-        Arc::clone(&self.lacking)
-    }
-
     /// Number of partitions that accounts are spread over.
     #[must_use]
     pub fn parts(&self) -> u32 {
--- a/crates/gateway/src/rights/claim.rs
+++ b/crates/gateway/src/rights/claim.rs
@@ -15,7 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::account::{self, Stake};
-use super::book::{Book, Lender};
+use super::book::Book;
 use super::books::Books;
 use super::caps::{Caps, Ended};
 use super::rate::Rates;
@@ -78,6 +78,7 @@
                 is_behind: false,
                 unresolved: None,
                 rates: Rates::default(),
+                is_idle: false,
                 ended: Arc::default(),
             };
             let wanted = books.wanted(part);
@@ -123,6 +124,8 @@
     /// be done, and rights that it gives back must not be used.
     unresolved: Option<u64>,
     rates: Rates,
+    /// Whether this router had nothing to do with the accounts at the last look.
+    is_idle: bool,
     /// What earlier processes on this VM have spent at most.
     ended: Arc<Ended>,
 }
@@ -185,10 +188,14 @@
         }
     }
 
-    /// Time until the next look, drawn so that routers don't meet again and again.
+    /// Time until the next look, drawn so that routers don't meet again and again. A router
+    /// that neither holds nor wants anything is woken when that changes.
     fn period(&self) -> Duration {
-        let period = PERIOD_EACH * self.routers();
-        let period = period.clamp(PERIOD_MIN, PERIOD_MAX);
+        let period = if self.is_idle {
+            PERIOD_MAX
+        } else {
+            (PERIOD_EACH * self.routers()).clamp(PERIOD_MIN, PERIOD_MAX)
+        };
         period.mul_f64(0.8 + 0.4 * rand::random::<f64>())
     }
 
@@ -205,20 +212,17 @@
         for book in &books {
             self.rates.follow(book);
         }
-        let fleet = self.books.fleet();
-        if !books.iter().any(|book| book.is_active(fleet)) {
+        let placement = self.books.placement();
+        let is_active = |book: &Arc<Book>| book.is_active(placement.is_holder(&book.workspace));
+        self.is_idle = !books.iter().any(is_active);
+        if self.is_idle {
             return Ok(());
         }
-        let mut needs: HashMap<WorkspaceName, Tokens> = HashMap::new();
         self.read_news(&books).await?;
         for attempt in 0..TRIES {
-            for book in &books {
-                let need = needs.entry(book.workspace.clone()).or_default();
-                *need = (*need).max(book.take_need());
-            }
-            match self.write(&books, &needs).await {
+            match self.write(&books).await {
                 // What nobody waits for is left to the next round.
-                Err(StoreError::Conflict { .. }) if needs.values().all(|need| *need == 0) => {
+                Err(StoreError::Conflict { .. }) if books.iter().all(|book| book.need() == 0) => {
                     return self.read_news(&books).await;
                 }
                 Err(StoreError::Conflict { .. }) => {
@@ -233,11 +237,7 @@
     }
 
     /// Writes what should change. Rights that are given back are out of use before.
-    async fn write(
-        &mut self,
-        books: &[Arc<Book>],
-        needs: &HashMap<WorkspaceName, Tokens>,
-    ) -> Result<(), StoreError> {
+    async fn write(&mut self, books: &[Arc<Book>]) -> Result<(), StoreError> {
         let Some(seen) = &self.seen else {
             return Ok(());
         };
@@ -250,8 +250,9 @@
                 .get(&book.workspace)
                 .cloned()
                 .unwrap_or_default();
-            let need = needs.get(&book.workspace).copied().unwrap_or(0);
-            let stake = self.stake(book, need);
+            let stake = self.stake(book);
+            let withdrawn = account::is_withdrawn(&account, book.prepaid(), &stake);
+            book.set_withdrawn(withdrawn);
             let Some(mut change) = account::adjust(&account, book.prepaid(), &stake) else {
                 self.tell(book, &account);
                 continue;
@@ -311,7 +312,7 @@
                 reason = "an earlier process on this VM held them",
                 granted = holder.granted,
                 charged = holder.charged,
-                counted = account::spent_at_most(holder, &self.stake(book, 0)),
+                counted = account::spent_at_most(holder, &self.stake(book)),
             );
         }
     }
@@ -336,15 +337,17 @@
 
     /// Tells the book what the account says of the whole fleet.
     fn tell(&self, book: &Book, account: &Account) {
-        let mut lenders = Vec::new();
+        let mut holders = Vec::new();
         for holder in &account.holders {
             let unspent = holder.granted.saturating_sub(holder.charged);
             if holder.process != self.process && unspent > 0 {
-                let vm = VmName::from(holder.vm.as_str());
-                lenders.push(Lender { vm, unspent });
+                holders.push((unspent, VmName::from(holder.vm.as_str())));
             }
         }
-        book.on_reading(account::spent_by_others(account, self.process), lenders);
+        holders.sort_by_key(|(unspent, _)| std::cmp::Reverse(*unspent));
+        let holders = holders.into_iter().map(|(_, vm)| vm);
+        let spent = account::spent_by_others(account, self.process);
+        book.on_reading(spent, holders.collect());
     }
 
     async fn read_all(&mut self, books: &[Arc<Book>]) -> Result<(), StoreError> {
@@ -445,7 +448,7 @@
                 if account::granted(account, self.process).is_none() {
                     continue;
                 }
-                let mut stake = self.stake(book, 0);
+                let mut stake = self.stake(book);
                 // What a request still holds is counted as spent.
                 stake.charged = (stake.charged + stake.reserved).min(stake.granted);
                 records.push(record(&book.workspace, &account::close(account, &stake)));
@@ -461,8 +464,9 @@
         Err(contended())
     }
 
-    fn stake(&self, book: &Book, need: Tokens) -> Stake {
+    fn stake(&self, book: &Book) -> Stake {
         let standing = book.standing();
+        let placement = self.books.placement();
         Stake {
             vm: self.vm.to_string(),
             process: self.process,
@@ -472,8 +476,11 @@
                 .reserved
                 .min(standing.granted.saturating_sub(standing.charged)),
             rate: book.rate(),
-            need,
-            fleet: self.books.fleet(),
+            need: book.need(),
+            is_holder: placement.is_holder(&book.workspace),
+            sharers: placement.sharers(),
+            rank: placement.rank(&book.workspace),
+            largest: book.largest(),
             ended: self.ended.of(&book.workspace),
         }
     }
--- a/crates/gateway/src/rights/mod.rs
+++ b/crates/gateway/src/rights/mod.rs
@@ -6,9 +6,10 @@
 //! ([`Book`]), and the tasks of [`Claims`] change the accounts: more rights where they run
 //! short, fewer where others need them, and what was spent.
 //!
-//! Where the store can't be reached or all is held, routers [`lend`] to each other: what
-//! is lent counts as spent on the lender's side at once, so that the accounts stay right
-//! whatever becomes of the message.
+//! A request that finds no rights at its router reserves them with one that holds some
+//! ([`Remote`]); they count as reserved there ([`Reservations`]), so that the accounts stay right
+//! whatever becomes of the messages. [`holders`] says who holds the account of a workspace: all
+//! routers of a small fleet, a few of a large one.
 //!
 //! Rights don't lapse with time: a router that was frozen or cut off may go on with what it
 //! has. They end when their process does. The next process on the same VM counts as spent
@@ -20,13 +21,17 @@
 pub mod cap;
 mod caps;
 mod claim;
-pub mod lend;
+pub mod holders;
 mod rate;
+mod remote;
+mod reservations;
 mod spend;
 mod witness;
 
 pub use book::{Book, NoRights};
 pub use books::Books;
 pub use claim::Claims;
+pub use remote::{Calls, Patience, Remote};
+pub use reservations::Reservations;
 pub use spend::Spend;
 pub use witness::Witness;
--- a/crates/gateway/src/rights/spend.rs
+++ b/crates/gateway/src/rights/spend.rs
@@ -5,6 +5,7 @@
 use swiftlink_types::Tokens;
 
 use super::book::Book;
+use super::remote::Loan;
 use crate::dialect::Usage;
 
 /// Rights that one request holds. When it is dropped, what was not spent is free again.
@@ -13,17 +14,26 @@
 /// counts what a workspace gets.
 #[derive(Debug)]
 pub struct Spend {
-    book: Arc<Book>,
+    source: Source,
     usage: Usage,
     reserved: Tokens,
     spent: Tokens,
 }
 
+/// Where the tokens are set aside.
+#[derive(Debug)]
+pub(super) enum Source {
+    /// In this router's own rights.
+    Here(Arc<Book>),
+    /// At another router.
+    There(Loan),
+}
+
 impl Spend {
-    /// Of `reserved` tokens that `book` has set aside for a request.
-    pub(super) fn new(book: Arc<Book>, usage: Usage, reserved: Tokens) -> Self {
+    /// Of `reserved` tokens that are set aside for a request.
+    pub(super) fn new(source: Source, usage: Usage, reserved: Tokens) -> Self {
         Self {
-            book,
+            source,
             usage,
             reserved,
             spent: 0,
@@ -41,6 +51,18 @@
         self.deliver(self.usage.output);
     }
 
+    /// The request has ended elsewhere, with so many tokens spent.
+    pub(super) fn settle(mut self, spent: Tokens) {
+        self.spent = spent.min(self.reserved);
+    }
+
+    /// The request may have spent all that was set aside; gives how much that is.
+    pub(super) fn settle_all(self) -> Tokens {
+        let reserved = self.reserved;
+        self.settle(reserved);
+        reserved
+    }
+
     /// Tokens spent so far.
     #[must_use]
     pub fn spent(&self) -> Tokens {
@@ -50,6 +72,11 @@
 
 impl Drop for Spend {
     fn drop(&mut self) {
-        self.book.grant.settle(self.reserved, self.spent);
+        match &mut self.source {
+            Source::Here(book) => {
+                book.grant.settle(self.reserved, self.spent);
+            }
+            Source::There(loan) => loan.end(self.spent),
+        }
     }
 }
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -10,6 +10,7 @@
 use swiftlink_shell::web::{Limits, WebServer};
 use swiftlink_telemetry::event;
 use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 use crate::answer::PeerHandler;
 use crate::catalog::Catalog;
@@ -18,8 +19,7 @@
 use crate::node::Node;
 use crate::peers::{self, Peers};
 use crate::ready::Readiness;
-use crate::rights::Claims;
-use crate::rights::lend;
+use crate::rights::{Calls, Claims, Remote, Reservations};
 use crate::serve::Surface;
 use crate::settings::RouterSettings;
 use crate::store::{Feed, Store};
@@ -30,6 +30,8 @@
 const IDLE: Duration = Duration::from_secs(90);
 /// How long the head of a request may take.
 const HEAD: Duration = Duration::from_secs(10);
+/// How often reservations that should have been released are looked for.
+const EXPIRE_PERIOD: Duration = Duration::from_secs(5);
 /// How long a caller may take no data.
 const STALL: Duration = Duration::from_secs(10);
 
@@ -91,11 +93,21 @@
         });
         let mut tasks = JoinSet::new();
         watch::spawn(&mut tasks, &node, &store, &adapter.catalog);
-        let peers = Arc::new(Peers::new(node.settings.vm.clone()));
+        let peers = Arc::new(Peers::new(
+            node.settings.vm.clone(),
+            Arc::clone(node.books.clock()),
+            Arc::clone(&node.sightings),
+        ));
         spawn_peers(&mut tasks, &node, &store, &peers)?;
+        let calls = Arc::clone(&peers) as Arc<dyn Calls>;
+        let remote = Remote::new(Arc::clone(&node.books), calls, node.process);
+        tasks.spawn(Arc::clone(&remote).run());
         let vm = &node.settings.vm;
         let claims = Claims::spawn(&node.books, &store, peers, vm, node.process);
-        let surface = Arc::new(Surface(Arc::clone(&node)));
+        let surface = Arc::new(Surface {
+            node: Arc::clone(&node),
+            remote,
+        });
         let callers =
             WebServer::bind(callers, limits, surface).context("starting the callers' listener")?;
         let limits = Limits {
@@ -165,7 +177,7 @@
         .map(Some)
 }
 
-/// Starts what lends to other routers and borrows from them.
+/// Starts what finds other routers, tells them of this one and answers them.
 fn spawn_peers(
     tasks: &mut JoinSet<()>,
     node: &Arc<Node>,
@@ -179,14 +191,15 @@
     let registered = peers::register(Arc::clone(store), settings.clone(), node.process, started);
     tasks.spawn(registered);
     let reader = watch::Reader::new(Feed::Members, Arc::clone(store));
-    let follower = peers::Follower {
-        peers: Arc::clone(peers),
-        node: Arc::clone(node),
-    };
+    let follower = peers::Follower::new(peers, node);
     tasks.spawn(watch::follow(reader, follower));
-    tasks.spawn(lend::run(Arc::clone(&node.books), Arc::clone(peers)));
     tasks.spawn(notes::run(Arc::clone(node), Arc::clone(peers)));
-    let handler = Arc::new(PeerHandler(Arc::clone(node)));
+    let reservations = Arc::new(Reservations::default());
+    tasks.spawn(expire(Arc::clone(&reservations)));
+    let handler = Arc::new(PeerHandler {
+        node: Arc::clone(node),
+        reservations,
+    });
     let name = settings.vm.to_string();
     let peers = Arc::clone(peers);
     tasks.spawn(async move {
@@ -202,6 +215,17 @@
     Ok(())
 }
 
+/// Ends reservations that other routers have not released, until the task is aborted.
+async fn expire(reservations: Arc<Reservations>) {
+    loop {
+        sleep(EXPIRE_PERIOD).await;
+        let tokens = reservations.expire();
+        if tokens > 0 {
+            event!(warn, "rights.expired", tokens = tokens);
+        }
+    }
+}
+
 fn limits(settings: &RouterSettings) -> Limits {
     Limits {
         workers: settings.workers,
--- a/crates/gateway/src/serve/surface.rs
+++ b/crates/gateway/src/serve/surface.rs
@@ -15,7 +15,7 @@
 use crate::dialect::Ask;
 use crate::model::{Config, Route, Workspace};
 use crate::node::Node;
-use crate::rights::{NoRights, Spend};
+use crate::rights::{NoRights, Patience, Remote, Spend};
 
 /// Longest wait for rights, as a part of the time to the answer that the caller hopes for: a
 /// claim or a loan takes 10 to 40 ms, and what has not come by then seldom comes. A fifth and
@@ -29,15 +29,20 @@
 
 /// Serves callers.
 #[derive(Debug)]
-pub struct Surface(pub Arc<Node>);
+pub struct Surface {
+    /// What the router knows.
+    pub node: Arc<Node>,
+    /// Where rights are reserved.
+    pub remote: Arc<Remote>,
+}
 
 #[async_trait(?Send)]
 impl Service for Surface {
     async fn call(&self, request: Incoming) -> Response {
         let start = Instant::now();
-        let guard = self.0.enter();
+        let guard = self.node.enter();
         let id = request
-            .header(self.0.dialect.id_header())
+            .header(self.node.dialect.id_header())
             .map(str::to_owned);
         match self.serve(request, start).await {
             Ok(journey) => journey.run(guard).await,
@@ -46,7 +51,7 @@
                 let ms = start.elapsed().as_millis();
                 let reason = refusal.as_str();
                 event!(info, "request.refused", id = id, reason = reason, ms = ms);
-                self.0.metrics.refused(reason);
+                self.node.metrics.refused(reason);
                 refusal.response()
             }
         }
@@ -56,7 +61,7 @@
 impl Surface {
     /// All that is decided before a request is sent.
     async fn serve(&self, mut request: Incoming, start: Instant) -> Result<Journey, Refusal> {
-        let node = &self.0;
+        let node = &self.node;
         let config = node.config.load_full().ok_or(Refusal::NotReady)?;
         let route = find_route(&config, &request).ok_or(Refusal::NoRoute)?;
         let ask = node.dialect.ask(request.headers());
@@ -70,7 +75,8 @@
             .await
             .map_err(refuse_body)?;
         let time = ask.deadline.unwrap_or(TIME).min(route.timeout);
-        let spend = self.reserve(&route, workspace.as_deref(), &ask).await?;
+        let spend = self.reserve(&route, workspace.as_deref(), &ask, time);
+        let spend = spend.await?;
         let target = route.target(rand::random()).ok_or(Refusal::NoServer)?;
         let pool = node.pools.get(&target.pool).ok_or(Refusal::NoServer)?;
         pool.retries.on_success();
@@ -100,15 +106,17 @@
         route: &Route,
         workspace: Option<&Workspace>,
         ask: &Ask,
+        time: Duration,
     ) -> Result<Option<Spend>, Refusal> {
         let (Some(workspace), Some(usage)) = (workspace, ask.usage) else {
             return Ok(None);
         };
-        let Some(book) = self.0.books.get(&workspace.name) else {
+        let Some(book) = self.node.books.get(&workspace.name) else {
             return Ok(None);
         };
         let wait = (route.aim / RIGHTS_PART).max(RIGHTS_LEAST);
-        let refusal = match book.reserve(usage, wait).await {
+        let patience = Patience { wait, time };
+        let refusal = match self.remote.reserve(&book, usage, patience).await {
             Ok(spend) => return Ok(Some(spend)),
             Err(NoRights::Spent { .. }) => Refusal::Spent,
             Err(NoRights::Elsewhere) => Refusal::NoRights,
@@ -120,7 +128,7 @@
             "rights.missing",
             id = ask.id(),
             workspace = workspace.name,
-            cost = usage.prompt + usage.output,
+            cost = usage.most(),
             available = book.grant.available(),
             reserved = standing.reserved,
             locked = standing.locked,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -20,6 +20,10 @@
     pub metrics: Option<SocketAddr>,
     /// Where other routers connect.
     pub peers: SocketAddr,
+    /// Processor time of the VM, in thousandths of a core.
+    pub strength: u32,
+    /// Whether the whole fleet starts for the first time.
+    pub bootstrap: bool,
     /// Worker threads that serve callers.
     pub workers: usize,
     /// Most open connections of callers.
--- /dev/null
+++ b/crates/gateway/tests/testsuite/large.rs
@@ -0,0 +1,271 @@
+//! Loads of large fleets: many routers, few requests of a workspace at each.
+//!
+//! The patterns are those of fleets of some hundred routers in six failure domains, whose
+//! workspaces have budgets of a minute of use and requests of thousands of tokens. What a
+//! router would get as its even part is smaller than a request.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use swiftlink_gateway::dialect::Usage;
+use swiftlink_gateway::rights::Spend;
+use swiftlink_gateway::store::StoreFault;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+use crate::net::{Fleet, workspaces};
+
+const ROUTERS: usize = 300;
+const WORKSPACES: usize = 40;
+/// A long prompt and its answer, in tokens.
+const LARGE: u64 = 9_240;
+
+/// Requests that were served and refused.
+#[derive(Debug, Default)]
+struct Served {
+    served: u64,
+    refused: u64,
+    spent: Vec<u64>,
+}
+
+impl Served {
+    fn take(&mut self, (workspace, spent): (usize, Option<u64>)) {
+        self.spent.resize(WORKSPACES, 0);
+        match spent {
+            Some(spent) => {
+                self.served += 1;
+                self.spent[workspace] += spent;
+            }
+            None => self.refused += 1,
+        }
+    }
+
+    fn part_refused(&self) -> f64 {
+        self.refused as f64 / (self.served + self.refused).max(1) as f64
+    }
+}
+
+/// Holds its tokens for as long as a request takes, and spends what it was given for.
+async fn run(mut spend: Spend, output: u64) -> u64 {
+    sleep(Duration::from_millis(300)).await;
+    spend.deliver(output);
+    spend.spent()
+}
+
+/// A workspace by its part of the requests: the first one has a fifth of them.
+fn draw_workspace(rng: &mut Pcg64) -> usize {
+    if rng.random_bool(0.2) {
+        return 0;
+    }
+    rng.random_range(1..WORKSPACES)
+}
+
+/// Plays requests for `time`, four hundred a second, from all routers that `from` allows.
+async fn play(
+    fleet: &Arc<tokio::sync::RwLock<Fleet>>,
+    rng: &mut Pcg64,
+    time: Duration,
+    from: std::ops::Range<usize>,
+) -> Served {
+    let until = Instant::now() + time;
+    let mut requests = JoinSet::new();
+    let mut served = Served::default();
+    while Instant::now() < until {
+        let (vm, workspace) = (rng.random_range(from.clone()), draw_workspace(rng));
+        let usage = Usage {
+            prompt: rng.random_range(LARGE / 10..LARGE),
+            output: 50,
+        };
+        let output = rng.random_range(0..50);
+        let fleet = Arc::clone(fleet);
+        requests.spawn(async move {
+            let fleet = fleet.read().await;
+            let spend = fleet.vms[vm].reserve(workspace, usage).await;
+            drop(fleet);
+            let Ok(spend) = spend else {
+                return (workspace, None);
+            };
+            (workspace, Some(run(spend, output).await))
+        });
+        sleep(Duration::from_micros(2_500)).await;
+        while let Some(done) = requests.try_join_next() {
+            served.take(done.expect("a request"));
+        }
+    }
+    while let Some(done) = requests.join_next().await {
+        served.take(done.expect("a request"));
+    }
+    served
+}
+
+async fn start(prepaid: u64) -> Arc<tokio::sync::RwLock<Fleet>> {
+    let fleet = Fleet::start(ROUTERS, workspaces(WORKSPACES, prepaid));
+    sleep(Duration::from_secs(2)).await;
+    Arc::new(tokio::sync::RwLock::new(fleet))
+}
+
+/// Tokens that a minute of the busiest workspace's requests takes.
+const MINUTE: u64 = 60 * 80 * LARGE / 2;
+
+#[tokio::test(start_paused = true)]
+async fn many_routers_with_few_requests_each_find_rights_for_all() {
+    let mut rng = Pcg64::seed_from_u64(1);
+    let fleet = start(MINUTE).await;
+    let served = play(&fleet, &mut rng, Duration::from_secs(5), 0..ROUTERS).await;
+    assert_eq!(served.refused, 0, "{} served", served.served);
+}
+
+/// Budgets that are nearly used up: what is left covers only a hundred requests.
+#[tokio::test(start_paused = true)]
+async fn a_small_budget_is_spent_to_its_end() {
+    let mut rng = Pcg64::seed_from_u64(2);
+    let prepaid = 60 * LARGE;
+    let fleet = start(prepaid).await;
+    let served = play(&fleet, &mut rng, Duration::from_secs(8), 0..ROUTERS).await;
+    for spent in &served.spent {
+        assert!(*spent <= prepaid, "{spent} of {prepaid}");
+    }
+    // The busiest workspace asks for eight times what it has.
+    let busiest = served.spent[0];
+    assert!(busiest >= prepaid * 95 / 100, "{busiest} of {prepaid}");
+}
+
+/// Callers move from one failure domain to another within a second.
+#[tokio::test(start_paused = true)]
+async fn a_swing_of_traffic_to_other_routers_finds_rights() {
+    let mut rng = Pcg64::seed_from_u64(3);
+    let fleet = start(MINUTE).await;
+    play(&fleet, &mut rng, Duration::from_secs(3), 100..200).await;
+    let served = play(&fleet, &mut rng, Duration::from_secs(2), 200..300).await;
+    assert_eq!(served.refused, 0, "{} served", served.served);
+}
+
+/// All routers lose the store for eight seconds and go on reaching each other.
+#[tokio::test(start_paused = true)]
+async fn a_cut_of_all_from_the_store_is_served_from_what_holders_hold() {
+    let mut rng = Pcg64::seed_from_u64(4);
+    let fleet = start(MINUTE).await;
+    play(&fleet, &mut rng, Duration::from_secs(4), 0..ROUTERS).await;
+    fleet.read().await.store.set_fault(StoreFault::Away);
+    let served = play(&fleet, &mut rng, Duration::from_secs(8), 0..ROUTERS).await;
+    let refused = served.part_refused();
+    assert!(refused < 0.05, "{refused} of {}", served.served);
+}
+
+/// Half of the VMs lose power, holders among them.
+#[tokio::test(start_paused = true)]
+async fn the_loss_of_half_the_vms_leaves_rights_for_the_others() {
+    let mut rng = Pcg64::seed_from_u64(5);
+    let fleet = start(MINUTE).await;
+    play(&fleet, &mut rng, Duration::from_secs(3), 150..ROUTERS).await;
+    for vm in (0..150).filter(|vm| vm % 2 == 0) {
+        fleet.write().await.kill(vm, true);
+    }
+    let served = play(&fleet, &mut rng, Duration::from_secs(4), 150..ROUTERS).await;
+    let refused = served.part_refused();
+    assert!(refused < 0.02, "{refused} of {}", served.served);
+}
+
+/// A holder is silent for five seconds and wakes; the others grant in the meantime.
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_freezes_costs_no_request() {
+    let mut rng = Pcg64::seed_from_u64(6);
+    let fleet = start(MINUTE).await;
+    play(&fleet, &mut rng, Duration::from_secs(3), 100..ROUTERS).await;
+    let frozen = fleet.read().await.holders(0)[0];
+    fleet.read().await.net.set_silent(frozen, true);
+    let silent = play(&fleet, &mut rng, Duration::from_secs(5), 100..ROUTERS).await;
+    fleet.read().await.net.set_silent(frozen, false);
+    let after = play(&fleet, &mut rng, Duration::from_secs(2), 100..ROUTERS).await;
+    assert_eq!(silent.refused + after.refused, 0);
+}
+
+/// All holders of a workspace lose power at once and come back a second later.
+#[tokio::test(start_paused = true)]
+async fn the_loss_of_all_holders_of_a_workspace_strands_little() {
+    let mut rng = Pcg64::seed_from_u64(7);
+    let prepaid = MINUTE / 2;
+    let fleet = start(prepaid).await;
+    let before = play(&fleet, &mut rng, Duration::from_secs(4), 100..ROUTERS).await;
+    let holders = fleet.read().await.holders(0);
+    for vm in &holders {
+        fleet.write().await.kill(*vm, true);
+    }
+    sleep(Duration::from_secs(1)).await;
+    for vm in &holders {
+        fleet.write().await.restart(*vm);
+    }
+    sleep(Duration::from_secs(3)).await;
+    let mut spent = before.spent[0];
+    let after = play(&fleet, &mut rng, Duration::from_secs(40), 100..ROUTERS).await;
+    spent += after.spent[0];
+    assert!(spent <= prepaid, "{spent} of {prepaid}");
+    assert!(spent >= prepaid * 90 / 100, "{spent} of {prepaid}");
+}
+
+/// One history: routers ask and spend while holders and askers are killed, answers are lost,
+/// routers fall silent and the store fails.
+async fn history(seed: u64) {
+    const VMS: usize = 20;
+    const PREPAID: u64 = 400_000;
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let mut fleet = Fleet::start(VMS, workspaces(2, PREPAID));
+    let mut spent = [0; 2];
+    for _step in 0..250 {
+        let vm = rng.random_range(0..VMS);
+        match rng.random_range(0..100) {
+            0..3 => {
+                fleet.kill(vm, rng.random_bool(0.5));
+                sleep(Duration::from_millis(rng.random_range(0..1_500))).await;
+                fleet.restart(vm);
+            }
+            3 => {
+                for vm in 0..VMS {
+                    fleet.kill(vm, rng.random_bool(0.9));
+                }
+                sleep(Duration::from_millis(rng.random_range(0..1_500))).await;
+                for vm in 0..VMS {
+                    fleet.restart(vm);
+                }
+            }
+            4..8 => {
+                let fault = match rng.random_range(0..6) {
+                    0 => StoreFault::Away,
+                    1 => StoreFault::LoseAnswers,
+                    2 => StoreFault::Late,
+                    3 => StoreFault::Stale,
+                    _ => StoreFault::None,
+                };
+                fleet.store.set_fault(fault);
+            }
+            8..11 => fleet.store.release(),
+            11..16 => fleet.net.set_silent(vm, rng.random_bool(0.4)),
+            16..20 => fleet.net.loses.store(rng.random_bool(0.3), Relaxed),
+            20..40 => sleep(Duration::from_millis(rng.random_range(0..800))).await,
+            _ => {
+                let usage = Usage {
+                    prompt: rng.random_range(1..8_000),
+                    output: rng.random_range(0..500),
+                };
+                let workspace = rng.random_range(0..2);
+                if let Ok(mut spend) = fleet.vms[vm].reserve(workspace, usage).await {
+                    spend.deliver(rng.random_range(0..=usage.output));
+                    spent[workspace] += spend.spent();
+                }
+            }
+        }
+        for spent in spent {
+            assert!(spent <= PREPAID, "seed {seed}: {spent} of {PREPAID} spent");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_history_of_a_large_fleet_spends_more_than_was_prepaid() {
+    for seed in 0..30 {
+        history(seed).await;
+    }
+}
--- a/crates/gateway/tests/testsuite/pools.rs
+++ b/crates/gateway/tests/testsuite/pools.rs
@@ -22,6 +22,8 @@
         readiness: any,
         metrics: None,
         peers: any,
+        strength: 1_000,
+        bootstrap: false,
         workers: 1,
         connections: 10,
         grace: Duration::from_secs(1),
--- a/crates/ledger/src/service.rs
+++ b/crates/ledger/src/service.rs
@@ -54,9 +54,10 @@
             }
             request::Kind::GetPending(ask) => self.pending(&ask),
             request::Kind::Ping(_) => Ok(reply::Kind::Pong(self.pong())),
-            request::Kind::Borrow(_) | request::Kind::Notes(_) | request::Kind::GetSeen(_) => {
-                Err(failure(FailureKind::NotServed, NO_RIGHTS))
-            }
+            request::Kind::Reserve(_)
+            | request::Kind::Release(_)
+            | request::Kind::Notes(_)
+            | request::Kind::GetSeen(_) => Err(failure(FailureKind::NotServed, NO_RIGHTS)),
         };
         let last = answer.unwrap_or_else(reply::Kind::Failure);
         // A caller that has gone needs no answer.
@@ -64,7 +65,7 @@
     }
 }
 
-/// Answer to who wants to borrow: routers of the gateway lend, ledgers hold no rights.
+/// Answer to who wants to reserve rights: routers of the gateway grant them, ledgers hold none.
 const NO_RIGHTS: &str = "a ledger holds no rights";
 
 type Answer = Result<reply::Kind, Failure>;
