rights: a stop tells holders of its last requests; closed holders in one place

Cause: a router that stopped gave up the releases of its last 200 ms, which then counted as spent in full at their holders.

Tried beside it and reverted: requests refused at once by the lag of their thread, `Connection: close` and unreadiness while it lasts. The refusals came 0.7 s late all the same, so the lag isn't in the thread that serves.

--- a/crates/gateway/src/rights/account.rs
+++ b/crates/gateway/src/rights/account.rs
@@ -156,22 +156,39 @@
         holders: Vec::with_capacity(account.holders.len() + 1),
     };
     for holder in &account.holders {
-        if holder.process == stake.process {
-            continue;
+        if holder.vm != stake.vm && holder.process != stake.process {
+            base.holders.push(holder.clone());
         }
-        if holder.vm == stake.vm {
-            base.closed += spent_at_most(holder, stake);
-            continue;
-        }
-        base.holders.push(holder.clone());
     }
+    let closed = closed(account, stake);
+    base.closed += closed.iter().map(|closed| closed.counted).sum::<Tokens>();
     base
 }
 
+/// What an earlier process on the VM held, and what counts as spent of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Closed {
+    /// Its entry in the account.
+    pub holder: Holder,
+    /// What it has spent at most.
+    pub counted: Tokens,
+}
+
+/// Earlier processes on the VM that the account still has; any change closes them.
+#[must_use]
+pub fn closed(account: &Account, stake: &Stake) -> Vec<Closed> {
+    let is_earlier = |holder: &&Holder| holder.vm == stake.vm && holder.process != stake.process;
+    let earlier = account.holders.iter().filter(is_earlier);
+    let closed = earlier.map(|holder| Closed {
+        holder: holder.clone(),
+        counted: spent_at_most(holder, stake),
+    });
+    closed.collect()
+}
+
 /// What an earlier process on this VM has spent at most. One that left no cap may have
 /// spent all that it held.
-#[must_use]
-pub fn spent_at_most(holder: &Holder, stake: &Stake) -> Tokens {
+fn spent_at_most(holder: &Holder, stake: &Stake) -> Tokens {
     let most = stake.ended.get(&holder.process).copied();
     let most = most.unwrap_or(Tokens::MAX).max(holder.charged);
     most.min(holder.granted)
--- a/crates/gateway/src/rights/claim.rs
+++ b/crates/gateway/src/rights/claim.rs
@@ -8,13 +8,13 @@
 use prost::Message;
 use swiftlink_telemetry::event;
 use swiftlink_types::{Tokens, VmName, WorkspaceName};
-use swiftlink_wire::rights::{Account, Holder};
+use swiftlink_wire::rights::Account;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-use super::account::{self, Stake};
+use super::account::{self, Closed, Stake};
 use super::book::Book;
 use super::books::Books;
 use super::caps::{Caps, Ended};
@@ -243,7 +243,6 @@
         };
         let mut records = Vec::new();
         let mut changes = Vec::new();
-        let mut closed = Vec::new();
         for book in books {
             let account = seen
                 .accounts
@@ -260,9 +259,9 @@
             if change.granted < stake.granted {
                 give_back(book, &stake, &mut change, self.process);
             }
-            closed.extend(self.predecessors(book, &account));
+            let closed = account::closed(&account, &stake);
             records.push(record(&book.workspace, &change.account));
-            changes.push((Arc::clone(book), change));
+            changes.push((Arc::clone(book), change, closed));
         }
         if records.is_empty() {
             return Ok(());
@@ -277,46 +276,19 @@
         let end = appended?;
         if let Some(seen) = &mut self.seen {
             seen.end = end;
-            for (book, change) in &changes {
+            for (book, change, _) in &changes {
                 let account = change.account.clone();
                 seen.accounts.insert(book.workspace.clone(), account);
             }
         }
-        for (book, change) in changes {
-            self.log_closed(&book, &closed);
+        for (book, change, closed) in changes {
+            log_closed(&book, &closed);
             self.accept(&book, change.granted);
             self.tell(&book, &change.account);
         }
         Ok(())
     }
 
-    /// Earlier processes on this VM that the account still has.
-    fn predecessors(&self, book: &Book, account: &Account) -> Vec<(WorkspaceName, Holder)> {
-        let is_earlier =
-            |holder: &&Holder| holder.vm == self.vm.as_str() && holder.process != self.process;
-        let earlier = account.holders.iter().filter(is_earlier);
-        earlier
-            .map(|holder| (book.workspace.clone(), holder.clone()))
-            .collect()
-    }
-
-    fn log_closed(&self, book: &Book, closed: &[(WorkspaceName, Holder)]) {
-        for (workspace, holder) in closed {
-            if *workspace != book.workspace {
-                continue;
-            }
-            event!(
-                warn,
-                "rights.closed",
-                workspace = workspace,
-                reason = "an earlier process on this VM held them",
-                granted = holder.granted,
-                charged = holder.charged,
-                counted = account::spent_at_most(holder, &self.stake(book)),
-            );
-        }
-    }
-
     /// The router may spend `granted` from now on.
     fn accept(&self, book: &Book, granted: Tokens) {
         let held = book.accept(granted);
@@ -494,6 +466,20 @@
     change.set_granted(process, stake.granted - taken);
 }
 
+fn log_closed(book: &Book, closed: &[Closed]) {
+    for Closed { holder, counted } in closed {
+        event!(
+            warn,
+            "rights.closed",
+            workspace = book.workspace,
+            reason = "an earlier process on this VM held them",
+            granted = holder.granted,
+            charged = holder.charged,
+            counted = counted,
+        );
+    }
+}
+
 /// The outcome of a round in which other routers were faster each time.
 fn contended() -> StoreError {
     StoreError::Refused("other routers were faster".to_owned())
--- a/crates/gateway/src/rights/remote.rs
+++ b/crates/gateway/src/rights/remote.rs
@@ -295,13 +295,42 @@
         }
     }
 
+    /// Tells holders at once of all requests that have ended, each within `time`.
+    pub async fn flush(self: &Arc<Self>, time: Duration) {
+        let ended = std::mem::take(&mut *self.lock());
+        let mut calls = JoinSet::new();
+        for (vm, ended) in ended {
+            let remote = Arc::clone(self);
+            calls.spawn(async move { remote.tell(&vm, ended, time).await });
+        }
+        while calls.join_next().await.is_some() {}
+    }
+
+    /// Tells a holder, and keeps what it didn't hear for the next time.
     async fn release(self: Arc<Self>, vm: VmName, ended: Vec<Ended>) {
+        if self.tell(&vm, ended.clone(), SILENCE).await {
+            return;
+        }
+        sleep(SILENCE).await;
+        let mut waiting = self.lock();
+        let kept = waiting.entry(vm.clone()).or_default();
+        kept.splice(..0, ended);
+        let excess = kept.len().saturating_sub(KEPT);
+        kept.drain(..excess);
+        if excess > 0 {
+            event!(warn, "rights.release_dropped", peer = vm, count = excess);
+        }
+    }
+
+    /// Tells a holder of requests that have ended; says whether it has heard.
+    async fn tell(&self, vm: &VmName, ended: Vec<Ended>, time: Duration) -> bool {
+        let count = ended.len();
         let kind = request::Kind::Release(Release {
             process: self.process,
-            ended: ended.clone(),
+            ended,
         });
-        let error = match self.calls.call(&vm, kind, SILENCE).await {
-            Ok(reply::Kind::Released(_)) => return,
+        let error = match self.calls.call(vm, kind, time).await {
+            Ok(reply::Kind::Released(_)) => return true,
             Ok(_) => "wrong reply".to_owned(),
             Err(error) => error.to_string(),
         };
@@ -309,18 +338,10 @@
             debug,
             "rights.not_released",
             peer = vm,
-            count = ended.len(),
+            count = count,
             reason = error,
         );
-        sleep(SILENCE).await;
-        let mut waiting = self.lock();
-        let kept = waiting.entry(vm.clone()).or_default();
-        kept.splice(..0, ended);
-        let excess = kept.len().saturating_sub(KEPT);
-        kept.drain(..excess);
-        if excess > 0 {
-            event!(warn, "rights.release_dropped", peer = vm, count = excess);
-        }
+        false
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<VmName, Vec<Ended>>> {
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -54,6 +54,7 @@
     pub(crate) readiness: WebServer,
     pub(crate) metrics: Option<WebServer>,
     pub(crate) claims: Claims,
+    pub(crate) remote: Arc<Remote>,
     pub(crate) tasks: JoinSet<()>,
 }
 
@@ -106,7 +107,7 @@
         let claims = Claims::spawn(&node.books, &store, peers, vm, node.process);
         let surface = Arc::new(Surface {
             node: Arc::clone(&node),
-            remote,
+            remote: Arc::clone(&remote),
         });
         let callers =
             WebServer::bind(callers, limits, surface).context("starting the callers' listener")?;
@@ -125,6 +126,7 @@
             readiness,
             metrics,
             claims,
+            remote,
             tasks,
         })
     }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -11,7 +11,8 @@
 /// How long new connections may still come after the balancer can have noticed: it asks
 /// once a second and believes the second miss.
 const NOTICE: Duration = Duration::from_millis(2_200);
-/// What is left of the grace for giving rights back.
+/// What is left of the grace for giving rights back, and how long holders may take to hear of
+/// the last requests.
 const RIGHTS_TIME: Duration = Duration::from_millis(500);
 /// What is left of the grace when everything should be done.
 const MARGIN: Duration = Duration::from_millis(300);
@@ -25,6 +26,7 @@
         readiness,
         metrics,
         claims,
+        remote,
         mut tasks,
     } = router;
     let end = Instant::now() + node.settings.grace.saturating_sub(MARGIN);
@@ -33,6 +35,8 @@
     sleep(NOTICE.min(node.settings.grace / 3)).await;
     let left = end.saturating_duration_since(Instant::now());
     callers.stop(left.saturating_sub(RIGHTS_TIME)).await;
+    // What holders hear later counts as spent.
+    remote.flush(RIGHTS_TIME).await;
     let left = end.saturating_duration_since(Instant::now());
     claims.stop(left.max(RIGHTS_TIME)).await;
     tasks.shutdown().await;
