rights: a holder that knows less of a budget can't call it spent

Cause (found by reading): a holder that is cut from the store may not have heard of a top-up that the asking router, in touch, has. Its "spent" became a 402 for a request that the configuration in force allows.

Change: the reply says what was prepaid as far as the holder knows; where that is less than the router knows, others are asked and the caller may come back. Test: `a_holder_that_has_not_heard_of_a_top_up_does_not_say_that_all_is_spent`.

--- a/crates/gateway/src/rights/remote.rs
+++ b/crates/gateway/src/rights/remote.rs
@@ -251,7 +251,7 @@
         // Given up early, the link isn't taken as silent: the release that follows tells.
         let call = self.calls.call(vm, kind, SILENCE.max(wait + WAY_TIME));
         let (answer, reason) = match timeout(wait + WAY_TIME, call).await {
-            Ok(Ok(reply::Kind::Reserved(reserved))) => match refusal(reserved) {
+            Ok(Ok(reply::Kind::Reserved(reserved))) => match refusal(reserved, book.prepaid()) {
                 None => return Answer::Granted(Spend::new(Source::There(loan), usage, tokens)),
                 Some(refusal) => {
                     loan.forget();
@@ -350,10 +350,12 @@
     }
 }
 
-/// Why the holder didn't grant it; `None` when it did.
-fn refusal(reserved: Reserved) -> Option<NoRights> {
+/// Why the holder didn't grant it; `None` when it did. One that doesn't know of all that was
+/// `prepaid` can't say that it is spent.
+fn refusal(reserved: Reserved, prepaid: Tokens) -> Option<NoRights> {
     match reserved.refusal() {
         Refusal::Unspecified => None,
+        Refusal::Spent if reserved.prepaid < prepaid => Some(NoRights::Elsewhere),
         Refusal::Spent => Some(NoRights::Spent {
             rest: reserved.rest,
         }),
--- a/crates/gateway/src/rights/reservations.rs
+++ b/crates/gateway/src/rights/reservations.rs
@@ -43,7 +43,10 @@
         let workspace = WorkspaceName::from(ask.workspace.as_str());
         let Some(book) = books.get(&workspace) else {
             // This router's configuration is older than the other one's, or newer.
-            return refused(Refusal::Elsewhere, 0);
+            return Reserved {
+                refusal: Refusal::Elsewhere.into(),
+                ..Reserved::default()
+            };
         };
         let key = (ask.process, ask.number);
         self.lock().insert(key, State::Waiting);
@@ -57,17 +60,23 @@
         let mut known = self.lock();
         // One that was released in the meantime isn't wanted any more.
         let wanted = known.remove(&key).is_some();
-        match reserved {
+        let refusal = match reserved {
             Ok(spend) => {
                 if wanted {
                     let until = Instant::now() + time + RELEASE_TIME;
                     known.insert(key, State::Held { spend, until });
                 }
-                Reserved::default()
+                Refusal::Unspecified
             }
-            Err(NoRights::Spent { rest }) => refused(Refusal::Spent, rest),
-            Err(NoRights::Elsewhere) => refused(Refusal::Elsewhere, book.rest()),
-            Err(NoRights::Away) => refused(Refusal::Away, book.rest()),
+            Err(NoRights::Spent { .. }) => Refusal::Spent,
+            Err(NoRights::Elsewhere) => Refusal::Elsewhere,
+            Err(NoRights::Away) => Refusal::Away,
+        };
+        Reserved {
+            refusal: refusal.into(),
+            rest: book.rest(),
+            prepaid: book.prepaid(),
+            ..Reserved::default()
         }
     }
 
@@ -114,11 +123,3 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn refused(refusal: Refusal, rest: Tokens) -> Reserved {
-    Reserved {
-        refusal: refusal.into(),
-        rest,
-        ..Reserved::default()
-    }
-}
--- a/crates/gateway/tests/testsuite/large.rs
+++ b/crates/gateway/tests/testsuite/large.rs
@@ -11,7 +11,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use swiftlink_gateway::dialect::Usage;
-use swiftlink_gateway::rights::Spend;
+use swiftlink_gateway::rights::{NoRights, Spend};
 use swiftlink_gateway::store::StoreFault;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
@@ -206,6 +206,29 @@
     assert!(spent >= prepaid * 90 / 100, "{spent} of {prepaid}");
 }
 
+/// A router has heard of a top-up, and the holders haven't yet: that isn't a spent budget.
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_has_not_heard_of_a_top_up_does_not_say_that_all_is_spent() {
+    let fleet = Fleet::start(30, workspaces(1, 1_000));
+    sleep(Duration::from_secs(2)).await;
+    let asker = &fleet.vms[29];
+    let usage = Usage {
+        prompt: 5_000,
+        output: 0,
+    };
+    let refused = asker
+        .reserve(0, usage)
+        .await
+        .expect_err("too little is left");
+    assert!(matches!(refused, NoRights::Spent { .. }), "{refused:?}");
+    asker.books.set_config(&workspaces(1, 100_000));
+    let refused = asker
+        .reserve(0, usage)
+        .await
+        .expect_err("holders know less");
+    assert_eq!(refused, NoRights::Elsewhere);
+}
+
 /// One history: routers ask and spend while holders and askers are killed, answers are lost,
 /// routers fall silent and the store fails.
 async fn history(seed: u64) {
