logs: one line says whom a refused request asked for rights, and their answers

Change: `rights.missing` has `asked` with the routers and their answers; `rights.not_reserved` is gone.

--- a/crates/gateway/src/rights/mod.rs
+++ b/crates/gateway/src/rights/mod.rs
@@ -31,7 +31,7 @@
 pub use book::{Book, NoRights};
 pub use books::Books;
 pub use claim::Claims;
-pub use remote::{Calls, Patience, Remote};
+pub use remote::{Calls, Missing, Patience, Remote};
 pub use reservations::Reservations;
 pub use spend::Spend;
 pub use witness::Witness;
--- a/crates/gateway/src/rights/remote.rs
+++ b/crates/gateway/src/rights/remote.rs
@@ -19,7 +19,7 @@
 use swiftlink_wire::link::{Ended, Refusal, Release, Reserve, Reserved, reply, request};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
 use super::book::{Book, NoRights};
 use super::books::Books;
@@ -81,6 +81,15 @@
     wanted: Notify,
 }
 
+/// Why a request gets no rights.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Missing {
+    /// What the request is refused for.
+    pub refusal: NoRights,
+    /// The routers that were asked and what they said, for logs.
+    pub asked: String,
+}
+
 /// What a holder said.
 enum Answer {
     Granted(Spend),
@@ -91,6 +100,19 @@
     Down,
 }
 
+impl fmt::Display for Answer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Granted(_) => "granted",
+            Self::Refused(NoRights::Spent { .. }) => "spent",
+            Self::Refused(NoRights::Elsewhere) => "elsewhere",
+            Self::Refused(NoRights::Away) => "store away",
+            Self::Silent => "no answer",
+            Self::Down => "no connection",
+        })
+    }
+}
+
 /// Why no holder granted a reservation.
 enum Refused {
     /// The last one said so, and all were reached.
@@ -122,20 +144,26 @@
         book: &Arc<Book>,
         usage: Usage,
         patience: Patience,
-    ) -> Result<Spend, NoRights> {
+    ) -> Result<Spend, Missing> {
         if let Some(spend) = book.try_reserve(usage) {
             return Ok(spend);
         }
+        let mut asked = Vec::new();
         let placement = self.books.placement();
-        if placement.is_placed(&book.workspace) {
-            return self.reserve_both(book, usage, patience).await;
-        }
-        match self.ask_all(book, usage, patience).await {
-            // The holder with the rights may be gone, and the store may be in reach.
-            Err(Refused::Unreached) => book.claim(usage, patience.wait).await,
-            Err(Refused::By(refusal)) => Err(refusal),
-            Ok(spend) => Ok(spend),
-        }
+        let reserved = if placement.is_placed(&book.workspace) {
+            self.reserve_both(book, usage, patience, &mut asked).await
+        } else {
+            match self.ask_all(book, usage, patience, &mut asked).await {
+                // The holder with the rights may be gone, and the store may be in reach.
+                Err(Refused::Unreached) => book.claim(usage, patience.wait).await,
+                Err(Refused::By(refusal)) => Err(refusal),
+                Ok(spend) => Ok(spend),
+            }
+        };
+        reserved.map_err(|refusal| Missing {
+            refusal,
+            asked: asked.join(", "),
+        })
     }
 
     /// Waits for this router's own rights, and asks others when they don't come at once.
@@ -144,13 +172,14 @@
         book: &Arc<Book>,
         usage: Usage,
         patience: Patience,
+        asked: &mut Vec<String>,
     ) -> Result<Spend, NoRights> {
         let here = book.reserve(usage, patience.wait);
         let there = async {
             if !book.is_withdrawn() {
                 sleep(CLAIM_TIME).await;
             }
-            self.ask_all(book, usage, patience).await
+            self.ask_all(book, usage, patience, asked).await
         };
         tokio::pin!(here, there);
         tokio::select! {
@@ -173,12 +202,13 @@
         }
     }
 
-    /// Asks holders until one grants it.
+    /// Asks holders until one grants it; `asked` takes who they were and what they said.
     async fn ask_all(
         self: &Arc<Self>,
         book: &Arc<Book>,
         usage: Usage,
         patience: Patience,
+        asked: &mut Vec<String>,
     ) -> Result<Spend, Refused> {
         let mut refused = Refused::Unreached;
         let mut unreached = false;
@@ -186,7 +216,9 @@
         // All together let it wait no longer than one might.
         let mut wait = patience.wait / 2;
         for vm in self.order(book) {
-            match self.ask(&vm, book, usage, patience.time, wait).await {
+            let answer = self.ask(&vm, book, usage, patience.time, wait).await;
+            asked.push(format!("{vm}: {answer}"));
+            match answer {
                 Answer::Granted(spend) => return Ok(spend),
                 Answer::Refused(spent @ NoRights::Spent { .. }) => return Err(Refused::By(spent)),
                 Answer::Refused(refusal) => {
@@ -246,36 +278,28 @@
             wait_ms: millis(wait),
             time_ms: millis(time),
         };
-        let began = Instant::now();
         let kind = request::Kind::Reserve(ask);
         // Given up early, the link isn't taken as silent: the release that follows tells.
         let call = self.calls.call(vm, kind, SILENCE.max(wait + WAY_TIME));
-        let (answer, reason) = match timeout(wait + WAY_TIME, call).await {
+        match timeout(wait + WAY_TIME, call).await {
             Ok(Ok(reply::Kind::Reserved(reserved))) => match refusal(reserved, book.prepaid()) {
-                None => return Answer::Granted(Spend::new(Source::There(loan), usage, tokens)),
+                None => Answer::Granted(Spend::new(Source::There(loan), usage, tokens)),
                 Some(refusal) => {
                     loan.forget();
-                    (Answer::Refused(refusal), format!("{refusal:?}"))
+                    Answer::Refused(refusal)
                 }
             },
-            Ok(Ok(_)) => (Answer::Silent, "wrong reply".to_owned()),
+            Ok(Ok(_)) => {
+                event!(warn, "rights.wrong_reply", peer = vm);
+                Answer::Silent
+            }
             Ok(Err(LinkError::Down)) => {
                 loan.forget();
-                (Answer::Down, LinkError::Down.to_string())
+                Answer::Down
             }
-            Ok(Err(error)) => (Answer::Silent, error.to_string()),
-            Err(_elapsed) => (Answer::Silent, "no answer in time".to_owned()),
-        };
-        event!(
-            info,
-            "rights.not_reserved",
-            peer = vm,
-            workspace = book.workspace,
-            tokens = tokens,
-            ms = began.elapsed().as_millis(),
-            reason = reason,
-        );
-        answer
+            // The release that follows undoes what may have been granted.
+            Ok(Err(_)) | Err(_) => Answer::Silent,
+        }
     }
 
     /// Tells holders of requests that have ended, until the task is aborted.
--- a/crates/gateway/src/serve/surface.rs
+++ b/crates/gateway/src/serve/surface.rs
@@ -18,7 +18,7 @@
 use crate::rights::{NoRights, Patience, Remote, Spend};
 
 /// Longest wait for rights, as a part of the time to the answer that the caller hopes for: a
-/// claim or a loan takes 10 to 40 ms, and what has not come by then seldom comes. A fifth and
+/// claim or a reservation takes 2 to 40 ms, and what has not come by then seldom comes. A fifth and
 /// an eighth served as many; the shorter one refuses earlier.
 const RIGHTS_PART: u32 = 8;
 /// The shortest wait, also of callers in a hurry: a claim begins up to 50 ms after the one
@@ -116,11 +116,14 @@
         };
         let wait = (route.aim / RIGHTS_PART).max(RIGHTS_LEAST);
         let patience = Patience { wait, time };
-        let refusal = match self.remote.reserve(&book, usage, patience).await {
+        let missing = match self.remote.reserve(&book, usage, patience).await {
             Ok(spend) => return Ok(Some(spend)),
-            Err(NoRights::Spent { .. }) => Refusal::Spent,
-            Err(NoRights::Elsewhere) => Refusal::NoRights,
-            Err(NoRights::Away) => Refusal::StoreAway,
+            Err(missing) => missing,
+        };
+        let refusal = match missing.refusal {
+            NoRights::Spent { .. } => Refusal::Spent,
+            NoRights::Elsewhere => Refusal::NoRights,
+            NoRights::Away => Refusal::StoreAway,
         };
         let standing = book.standing();
         event!(
@@ -136,6 +139,7 @@
             rest = book.rest(),
             prepaid = book.prepaid(),
             read_age_ms = book.read_age_ms(),
+            asked = missing.asked,
             refusal = refusal.as_str(),
         );
         Err(refusal)
--- a/crates/gateway/tests/testsuite/net.rs
+++ b/crates/gateway/tests/testsuite/net.rs
@@ -274,6 +274,7 @@
             time: Duration::from_secs(6),
         };
         let book = self.book(workspace);
-        self.remote.reserve(&book, usage, patience).await
+        let reserved = self.remote.reserve(&book, usage, patience).await;
+        reserved.map_err(|missing| missing.refusal)
     }
 }
