--- a/crates/gateway/src/rights/holders.rs
+++ b/crates/gateway/src/rights/holders.rs
@@ -81,12 +81,6 @@
         }
     }
 
-    /// Whether the members are known.
-    #[must_use]
-    pub fn is_known(&self) -> bool {
-        self.from.is_some()
-    }
-
     /// Whether this router should hold a part of the account, also while it doesn't use it.
     #[must_use]
     pub fn is_holder(&self, workspace: &WorkspaceName) -> bool {
--- a/crates/gateway/src/rights/remote.rs
+++ b/crates/gateway/src/rights/remote.rs
@@ -66,7 +66,7 @@
 pub struct Patience {
     /// How long it may wait for rights.
     pub wait: Duration,
-    /// The longest time until it has ended.
+    /// The longest time until it has ended; a holder keeps its tokens for that long.
     pub time: Duration,
 }
 
@@ -264,7 +264,7 @@
         wait: Duration,
     ) -> Answer {
         let tokens = usage.most();
-        let mut loan = Loan {
+        let mut reservation = Reservation {
             remote: Arc::clone(self),
             vm: vm.clone(),
             number: self.next.fetch_add(1, Relaxed),
@@ -272,7 +272,7 @@
         };
         let ask = Reserve {
             process: self.process,
-            number: loan.number,
+            number: reservation.number,
             workspace: book.workspace.to_string(),
             tokens,
             wait_ms: millis(wait),
@@ -283,9 +283,9 @@
         let call = self.calls.call(vm, kind, SILENCE.max(wait + WAY_TIME));
         match timeout(wait + WAY_TIME, call).await {
             Ok(Ok(reply::Kind::Reserved(reserved))) => match refusal(reserved, book.prepaid()) {
-                None => Answer::Granted(Spend::new(Source::There(loan), usage, tokens)),
+                None => Answer::Granted(Spend::new(Source::There(reservation), usage, tokens)),
                 Some(refusal) => {
-                    loan.forget();
+                    reservation.forget();
                     Answer::Refused(refusal)
                 }
             },
@@ -294,7 +294,7 @@
                 Answer::Silent
             }
             Ok(Err(LinkError::Down)) => {
-                loan.forget();
+                reservation.forget();
                 Answer::Down
             }
             // The release that follows undoes what may have been granted.
@@ -395,14 +395,14 @@
 /// Tokens that another router may have set aside for a request. When it ends, or is dropped
 /// before the answer is known, the other router is told.
 #[derive(Debug)]
-pub(super) struct Loan {
+pub(super) struct Reservation {
     remote: Arc<Remote>,
     vm: VmName,
     number: u64,
     open: bool,
 }
 
-impl Loan {
+impl Reservation {
     /// The request has ended and has spent so many tokens.
     pub(super) fn end(&mut self, spent: Tokens) {
         if !std::mem::take(&mut self.open) {
@@ -424,7 +424,7 @@
     }
 }
 
-impl Drop for Loan {
+impl Drop for Reservation {
     fn drop(&mut self) {
         self.end(0);
     }
--- a/crates/gateway/src/rights/spend.rs
+++ b/crates/gateway/src/rights/spend.rs
@@ -5,7 +5,7 @@
 use swiftlink_types::Tokens;
 
 use super::book::Book;
-use super::remote::Loan;
+use super::remote::Reservation;
 use crate::dialect::Usage;
 
 /// Rights that one request holds. When it is dropped, what was not spent is free again.
@@ -26,7 +26,7 @@
     /// In this router's own rights.
     Here(Arc<Book>),
     /// At another router.
-    There(Loan),
+    There(Reservation),
 }
 
 impl Spend {
@@ -76,7 +76,7 @@
             Source::Here(book) => {
                 book.grant.settle(self.reserved, self.spent);
             }
-            Source::There(loan) => loan.end(self.spent),
+            Source::There(reservation) => reservation.end(self.spent),
         }
     }
 }
