--- a/crates/ledger/src/snapshots.rs
+++ b/crates/ledger/src/snapshots.rs
@@ -34,7 +34,8 @@
     every: u64,
     period: Micros,
     newest: Option<u64>,
-    seen: Micros,
+    /// When the newest one was first seen, or the first look at a stream without one.
+    seen: Option<Micros>,
     duty: Duty<Option<u64>>,
 }
 
@@ -46,7 +47,7 @@
             every,
             period,
             newest: None,
-            seen: 0,
+            seen: None,
             duty: Duty::new(SPREAD, AGAIN),
         }
     }
@@ -55,10 +56,12 @@
     pub fn step(&mut self, now: Micros, progress: &Progress, draw: impl FnMut() -> u64) -> bool {
         if progress.snapshot != self.newest {
             self.newest = progress.snapshot;
-            self.seen = now;
+            self.seen = Some(now);
         }
+        // The clock's start says nothing: it may be the VM's, hours ago.
+        let seen = *self.seen.get_or_insert(now);
         let many = progress.since_snapshot >= self.every;
-        let old = progress.next > 0 && now.saturating_sub(self.seen) >= self.period;
+        let old = progress.next > 0 && now.saturating_sub(seen) >= self.period;
         let due = progress.ready && (many || old);
         let open = due.then_some(self.newest);
         !self.duty.step(now, open, draw).is_empty()
--- a/crates/ledger/tests/decisions.rs
+++ b/crates/ledger/tests/decisions.rs
@@ -366,6 +366,27 @@
     assert!(!plan.step(200 * second, &unread, || 0));
 }
 
+/// A clock's reading at a ledger's start says nothing of the age of a stream's records.
+#[test]
+fn a_stream_without_a_snapshot_gets_one_a_period_after_the_first_look() {
+    let progress = Progress {
+        next: 1,
+        ready: true,
+        since_snapshot: 1,
+        snapshot: None,
+        first: 0,
+        tail_bytes: 0,
+        malformed: 0,
+        gaps: 0,
+    };
+    let second = 1_000_000;
+    let start = 10_000 * second;
+    let mut plan = SnapshotPlan::new(50, 60 * second);
+    assert!(!plan.step(start, &progress, || 0));
+    assert!(!plan.step(start + 59 * second, &progress, || 0));
+    assert!(plan.step(start + 60 * second, &progress, || 0));
+}
+
 /// A ledger that has just started must not take a peer's old knowledge for new.
 #[test]
 fn an_age_told_by_a_peer_reaches_back_before_the_start() {
