rights: what a change closes and whom to ask are worked out once

Cause (read, not measured): an account's change and the processes that it closes were worked out by two functions that a round called one after the other; each remote reservation placed its account three times; the routers' addresses and their members' entries were two maps of the same keys; two ways to call a peer repeated each other.

Change: `Change` has what it closes; `without` gives both. `is_withdrawn` works nothing out in small fleets, where it can't be. `Remote` asks in an order that its caller gives. One map of peers; the call that waits for a connection goes on as the other one. A length that nobody asked for is gone. Two comments of tests had wrong numbers; no assertion is changed. No behaviour is meant to change.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -54,8 +54,8 @@
 #[derive(Debug)]
 pub struct Peers {
     vm: VmName,
-    addresses: Mutex<HashMap<VmName, SocketAddr>>,
-    members: Mutex<HashMap<VmName, Member>>,
+    /// Other routers, and where each listens.
+    members: Mutex<HashMap<VmName, (Member, SocketAddr)>>,
     links: Mutex<HashMap<SocketAddr, Arc<Client>>>,
     secret: watch::Sender<Option<Secret>>,
     /// Routers that hold accounts for others; empty in a small fleet.
@@ -74,7 +74,6 @@
             holders: Mutex::default(),
             clock,
             sightings,
-            addresses: Mutex::default(),
             members: Mutex::default(),
             links: Mutex::default(),
             secret: watch::Sender::new(None),
@@ -102,12 +101,12 @@
         if !client.wait_up(time).await {
             return Err(LinkError::Down);
         }
-        client.call(kind, time).await
+        self.call(vm, kind, time).await
     }
 
     /// All other routers that are known.
     pub(crate) fn all(&self) -> Vec<VmName> {
-        lock(&self.addresses).keys().cloned().collect()
+        lock(&self.members).keys().cloned().collect()
     }
 
     /// What a router on `vm` knows of a process.
@@ -128,7 +127,7 @@
 
     fn link(&self, vm: &VmName) -> Option<Arc<Client>> {
         let secret = self.secret.borrow().clone()?;
-        let address = *lock(&self.addresses).get(vm)?;
+        let address = lock(&self.members).get(vm)?.1;
         let mut links = lock(&self.links);
         if let Some(client) = links.get(&address) {
             return Some(Arc::clone(client));
@@ -176,14 +175,13 @@
             domain: DomainName::from(record.domain),
             strength: record.strength.max(1),
         };
-        lock(&self.members).insert(vm.clone(), member);
-        lock(&self.addresses).insert(vm, address);
+        lock(&self.members).insert(vm, (member, address));
     }
 
     /// All members of the fleet that are known, this router among them.
     fn members(&self, own: Member) -> Vec<Member> {
         let members = lock(&self.members);
-        let others = members.values().cloned();
+        let others = members.values().map(|(member, _)| member.clone());
         others.chain([own]).collect()
     }
 }
--- a/crates/gateway/src/rights/account.rs
+++ b/crates/gateway/src/rights/account.rs
@@ -62,6 +62,8 @@
     pub account: Account,
     /// The router's rights in it.
     pub granted: Tokens,
+    /// Earlier processes on its VM that it closes.
+    pub closed: Vec<Closed>,
 }
 
 impl Change {
@@ -107,7 +109,7 @@
 /// How `stake` changes the account, if it should.
 #[must_use]
 pub fn adjust(account: &Account, prepaid: Tokens, stake: &Stake) -> Option<Change> {
-    let mut base = without(account, stake);
+    let (mut base, closed) = without(account, stake);
     let target = target(&base, prepaid, stake);
     let unspent = stake.granted.saturating_sub(stake.charged);
     let granted = stake.charged + resize(unspent, target, stake);
@@ -138,31 +140,40 @@
     Some(Change {
         account: base,
         granted,
+        closed,
     })
 }
 
 /// The account without this router, which has ended its work.
 #[must_use]
 pub fn close(account: &Account, stake: &Stake) -> Account {
-    let mut base = without(account, stake);
+    let (mut base, _) = without(account, stake);
     base.closed += stake.charged;
     base
 }
 
-/// The account without this VM: what an earlier process on it held counts as spent.
-fn without(account: &Account, stake: &Stake) -> Account {
+/// The account without this VM, and the earlier processes on it that are closed: what each has
+/// spent at most counts as spent.
+fn without(account: &Account, stake: &Stake) -> (Account, Vec<Closed>) {
     let mut base = Account {
         closed: account.closed,
         holders: Vec::with_capacity(account.holders.len() + 1),
     };
+    let mut closed = Vec::new();
     for holder in &account.holders {
-        if holder.vm != stake.vm && holder.process != stake.process {
-            base.holders.push(holder.clone());
+        if holder.process == stake.process {
+            continue;
         }
+        let holder = holder.clone();
+        if holder.vm != stake.vm {
+            base.holders.push(holder);
+            continue;
+        }
+        let counted = spent_at_most(&holder, stake);
+        base.closed += counted;
+        closed.push(Closed { holder, counted });
     }
-    let closed = closed(account, stake);
-    base.closed += closed.iter().map(|closed| closed.counted).sum::<Tokens>();
-    base
+    (base, closed)
 }
 
 /// What an earlier process on the VM held, and what counts as spent of it.
@@ -174,18 +185,6 @@
     pub counted: Tokens,
 }
 
-/// Earlier processes on the VM that the account still has; any change closes them.
-#[must_use]
-pub fn closed(account: &Account, stake: &Stake) -> Vec<Closed> {
-    let is_earlier = |holder: &&Holder| holder.vm == stake.vm && holder.process != stake.process;
-    let earlier = account.holders.iter().filter(is_earlier);
-    let closed = earlier.map(|holder| Closed {
-        holder: holder.clone(),
-        counted: spent_at_most(holder, stake),
-    });
-    closed.collect()
-}
-
 /// What an earlier process on this VM has spent at most. One that left no cap may have
 /// spent all that it held.
 fn spent_at_most(holder: &Holder, stake: &Stake) -> Tokens {
@@ -197,11 +196,19 @@
 /// Whether so little is left that the router leaves it to others.
 #[must_use]
 pub fn is_withdrawn(account: &Account, prepaid: Tokens, stake: &Stake) -> bool {
-    let others = without(account, stake);
-    let left = rest(&others, prepaid).saturating_sub(stake.charged);
+    if stake.rank.is_none() {
+        return false;
+    }
+    let (others, _) = without(account, stake);
+    let left = left(&others, prepaid, stake);
     is_left_out(sharers(left, stake), stake)
 }
 
+/// What is left when this router has spent what it says.
+fn left(others: &Account, prepaid: Tokens, stake: &Stake) -> Tokens {
+    rest(others, prepaid).saturating_sub(stake.charged)
+}
+
 /// Whether the router isn't among the `sharers` that are fewer than there might be.
 fn is_left_out(sharers: usize, stake: &Stake) -> bool {
     sharers < stake.sharers && stake.rank.is_some_and(|rank| rank >= sharers)
@@ -222,7 +229,7 @@
 /// Unspent tokens that the router should hold.
 fn target(others: &Account, prepaid: Tokens, stake: &Stake) -> Tokens {
     let most = free(others, prepaid, stake.charged);
-    let left = rest(others, prepaid).saturating_sub(stake.charged);
+    let left = left(others, prepaid, stake);
     let count = (others.holders.len() + 1).max(stake.sharers) as f64;
     let rates: u64 = others.holders.iter().map(|holder| holder.rate).sum();
     let rate = (stake.rate + rates) as f64;
--- a/crates/gateway/src/rights/claim.rs
+++ b/crates/gateway/src/rights/claim.rs
@@ -259,9 +259,8 @@
             if change.granted < stake.granted {
                 give_back(book, &stake, &mut change, self.process);
             }
-            let closed = account::closed(&account, &stake);
             records.push(record(&book.workspace, &change.account));
-            changes.push((Arc::clone(book), change, closed));
+            changes.push((Arc::clone(book), change));
         }
         if records.is_empty() {
             return Ok(());
@@ -276,13 +275,13 @@
         let end = appended?;
         if let Some(seen) = &mut self.seen {
             seen.end = end;
-            for (book, change, _) in &changes {
+            for (book, change) in &changes {
                 let account = change.account.clone();
                 seen.accounts.insert(book.workspace.clone(), account);
             }
         }
-        for (book, change, closed) in changes {
-            log_closed(&book, &closed);
+        for (book, change) in changes {
+            log_closed(&book, &change.closed);
             self.accept(&book, change.granted);
             self.tell(&book, &change.account);
         }
--- a/crates/gateway/src/rights/remote.rs
+++ b/crates/gateway/src/rights/remote.rs
@@ -153,7 +153,8 @@
         let reserved = if placement.is_placed(&book.workspace) {
             self.reserve_both(book, usage, patience, &mut asked).await
         } else {
-            match self.ask_all(book, usage, patience, &mut asked).await {
+            let order = self.holders(book);
+            match self.ask_all(order, book, usage, patience, &mut asked).await {
                 // The holder with the rights may be gone, and the store may be in reach.
                 Err(Refused::Unreached) => book.claim(usage, patience.wait).await,
                 Err(Refused::By(refusal)) => Err(refusal),
@@ -179,7 +180,8 @@
             if !book.is_withdrawn() {
                 sleep(CLAIM_TIME).await;
             }
-            self.ask_all(book, usage, patience, asked).await
+            let order = self.most_first(book);
+            self.ask_all(order, book, usage, patience, asked).await
         };
         tokio::pin!(here, there);
         tokio::select! {
@@ -202,52 +204,58 @@
         }
     }
 
-    /// Asks holders until one grants it; `asked` takes who they were and what they said.
+    /// Asks holders in this order until one grants it; `asked` takes who they were and what
+    /// they said.
     async fn ask_all(
         self: &Arc<Self>,
+        order: Vec<VmName>,
         book: &Arc<Book>,
         usage: Usage,
         patience: Patience,
         asked: &mut Vec<String>,
     ) -> Result<Spend, Refused> {
-        let mut refused = Refused::Unreached;
+        let mut refused = None;
         let mut unreached = false;
         let (mut answers, mut silent) = (0, 0);
         // All together let it wait no longer than one might.
         let mut wait = patience.wait / 2;
-        for vm in self.order(book) {
+        for vm in order {
             let answer = self.ask(&vm, book, usage, patience.time, wait).await;
             asked.push(format!("{vm}: {answer}"));
             match answer {
                 Answer::Granted(spend) => return Ok(spend),
                 Answer::Refused(spent @ NoRights::Spent { .. }) => return Err(Refused::By(spent)),
                 Answer::Refused(refusal) => {
-                    refused = Refused::By(refusal);
+                    refused = Some(refusal);
                     answers += 1;
                     wait /= 2;
                 }
-                Answer::Silent => silent += 1,
+                Answer::Silent => {
+                    unreached = true;
+                    silent += 1;
+                }
                 Answer::Down => unreached = true,
             }
             if answers == ANSWERS || silent == SILENT {
                 break;
             }
         }
-        if unreached || silent > 0 {
-            return Err(Refused::Unreached);
+        match refused {
+            Some(refusal) if !unreached => Err(Refused::By(refusal)),
+            _ => Err(Refused::Unreached),
         }
-        Err(refused)
     }
 
-    /// Whom to ask: where this router reads the account, those who hold most first.
-    fn order(&self, book: &Book) -> Vec<VmName> {
-        let placement = self.books.placement();
-        let mut order = Vec::new();
-        if placement.is_placed(&book.workspace) {
-            order.clone_from(&book.holders());
-        }
+    /// Those that the account is placed on, and others that may stand in for them.
+    fn holders(&self, book: &Book) -> Vec<VmName> {
         let turn = self.next.load(Relaxed);
-        for vm in placement.ask(&book.workspace, turn) {
+        self.books.placement().ask(&book.workspace, turn)
+    }
+
+    /// The same for a router that reads the account: those that hold most first.
+    fn most_first(&self, book: &Book) -> Vec<VmName> {
+        let mut order = Vec::clone(&book.holders());
+        for vm in self.holders(book) {
             if !order.contains(&vm) {
                 order.push(vm);
             }
--- a/crates/gateway/src/rights/reservations.rs
+++ b/crates/gateway/src/rights/reservations.rs
@@ -106,12 +106,6 @@
         tokens
     }
 
-    /// Reservations that are held.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.lock().len()
-    }
-
     /// Whether none is held.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/gateway/tests/testsuite/large.rs
+++ b/crates/gateway/tests/testsuite/large.rs
@@ -118,7 +118,7 @@
     assert_eq!(served.refused, 0, "{} served", served.served);
 }
 
-/// Budgets that are nearly used up: what is left covers only a hundred requests.
+/// Budgets that are nearly used up: what is left covers only sixty of the largest requests.
 #[tokio::test(start_paused = true)]
 async fn a_small_budget_is_spent_to_its_end() {
     let mut rng = Pcg64::seed_from_u64(2);
@@ -128,7 +128,7 @@
     for spent in &served.spent {
         assert!(*spent <= prepaid, "{spent} of {prepaid}");
     }
-    // The busiest workspace asks for eight times what it has.
+    // The busiest workspace asks for some six times what it has.
     let busiest = served.spent[0];
     assert!(busiest >= prepaid * 95 / 100, "{busiest} of {prepaid}");
 }
