gateway: a router whose link is full says so, and refuses connections while it is over

Cause: all callers of a workspace in a failure domain come to one VM of the balancer's choice.

Change: a router counts what it receives, sends and relays against the rate of its link (from the settings file). Over 0.7 of it in a second it isn't ready until 0.45; over 0.75 in 0.3 s its port refuses connections until 0.65, so that callers go elsewhere before they have sent a body. Open connections stay.

A 503 would have to be sent after the body came in over the full link.

Tests first to last: the load without network in `headroom.rs` (a silent link loses more than 0.6 of the hot seconds, one that tells less than half of that), the gate in `web.rs`, the router over sockets in `serving.rs`, the setting.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,13 +8,14 @@
 //! [`watch`] follows the configuration and the servers' entries on the store.
 //!
 //! What differs between deployments stands behind traits: [`Dialect`], [`Store`] and
-//! [`Catalog`]. Decisions (`proof`, `rights::account`, `model`, `sse`) do no I/O.
+//! [`Catalog`]. Decisions (`proof`, `headroom`, `rights::account`, `model`, `sse`) do no I/O.
 
 mod answer;
 pub mod catalog;
 pub mod clock;
 pub mod dialect;
 pub mod fleet;
+pub mod headroom;
 pub mod metrics;
 pub mod model;
 mod node;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,6 +8,7 @@
 use crate::clock::SystemClock;
 use crate::dialect::Dialect;
 use crate::fleet::Pools;
+use crate::headroom::Traffic;
 use crate::metrics::Metrics;
 use crate::model::Config;
 use crate::rights::Books;
@@ -34,6 +35,10 @@
     pub process: u64,
     /// What the router counts.
     pub metrics: Metrics,
+    /// What passed over the VM's link lately.
+    pub traffic: Traffic,
+    /// Whether the VM's link has no room for more callers.
+    pub is_full: AtomicBool,
     /// Whether the directory of backend servers was read.
     pub has_servers: AtomicBool,
     /// Whether the router was told to stop.
@@ -56,6 +61,8 @@
             sightings: Arc::default(),
             process: rand::random(),
             metrics: Metrics::new(),
+            traffic: Traffic::default(),
+            is_full: AtomicBool::new(false),
             has_servers: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
@@ -66,7 +73,7 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let knows = self.config.load().is_some() && self.has_servers.load(Relaxed);
-        knows && !self.is_stopping.load(Relaxed)
+        knows && !self.is_stopping.load(Relaxed) && !self.is_full.load(Relaxed)
     }
 
     /// Requests that are being served.
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -1,11 +1,15 @@
 //! What the balancer hears when it asks whether the router is ready.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
 
 use async_trait::async_trait;
 use http::StatusCode;
-use swiftlink_shell::web::{Incoming, Response, Service, text};
+use swiftlink_shell::web::{Gate, Incoming, Response, Service, text};
+use swiftlink_telemetry::event;
+use tokio::time::{Instant, interval_at};
 
+use crate::headroom::{Headroom, SAMPLE};
 use crate::node::Node;
 
 /// Answers the balancer.
@@ -20,3 +24,28 @@
         text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
     }
 }
+
+/// Keeps up whether the VM's link, which carries `rate` bytes a second each way, has room for
+/// more callers, and closes their `gate` while it is over, until the task is aborted.
+pub(crate) async fn watch_link(node: Arc<Node>, gate: Arc<Gate>, rate: u64) {
+    let mut headroom = Headroom::new(rate);
+    let mut looks = interval_at(Instant::now() + SAMPLE, SAMPLE);
+    loop {
+        looks.tick().await;
+        if !headroom.look(node.traffic.take()) {
+            continue;
+        }
+        let is_full = headroom.is_full();
+        node.is_full.store(is_full, Relaxed);
+        gate.set(!headroom.is_over());
+        event!(
+            info,
+            "link.room",
+            full = is_full,
+            refusing = headroom.is_over(),
+            used = format_args!("{:.2}", headroom.used()),
+            bytes_per_s = rate,
+            in_flight = node.in_flight(),
+        );
+    }
+}
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -18,7 +18,7 @@
 use crate::metrics::{Counted, Exposition};
 use crate::node::Node;
 use crate::peers::{self, Peers};
-use crate::ready::Readiness;
+use crate::ready::{self, Readiness};
 use crate::rights::{Calls, Claims, Remote, Reservations};
 use crate::serve::Surface;
 use crate::settings::RouterSettings;
@@ -111,6 +111,9 @@
         });
         let callers =
             WebServer::bind(callers, limits, surface).context("starting the callers' listener")?;
+        if let Some(rate) = node.settings.link {
+            tasks.spawn(ready::watch_link(Arc::clone(&node), callers.gate(), rate));
+        }
         let limits = Limits {
             workers: 1,
             connections: 16,
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -12,6 +12,7 @@
 use super::journey::Journey;
 use crate::dialect::{Order, Verdict};
 use crate::fleet::{Chosen, Ticket};
+use crate::headroom::head_bytes;
 use crate::proof::{Outcome, Ran};
 use crate::upstream::{Lease, SendError, SendOptions, send};
 
@@ -57,6 +58,7 @@
     };
     let (response, mut lease) = answer.split();
     let (head, body) = response.into_parts();
+    journey.node.traffic.relayed(head_bytes(&head.headers));
     let dialect = &journey.node.dialect;
     if let Some(report) = dialect.load(&head.headers) {
         journey.pool.on_report(ticket.idx, report);
@@ -123,6 +125,8 @@
         .node
         .dialect
         .request_headers(&parcel.headers, &order);
+    let bytes = head_bytes(&headers) + parcel.body.len();
+    journey.node.traffic.sent(bytes);
     let mut request = Request::new(Full::new(parcel.body.clone()));
     *request.method_mut() = parcel.method.clone();
     *request.uri_mut() = parcel.uri.clone();
--- a/crates/gateway/src/serve/journey.rs
+++ b/crates/gateway/src/serve/journey.rs
@@ -264,7 +264,10 @@
             return Err(Step::Again);
         }
         let body = match timeout_at(self.deadline, read_short(body)).await {
-            Ok(Ok(Short::Whole(body))) => body,
+            Ok(Ok(Short::Whole(body))) => {
+                self.node.traffic.relayed(body.len());
+                body
+            }
             Ok(Ok(Short::Long { start, rest })) => {
                 let reply = Reply {
                     head,
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -122,6 +122,7 @@
     let body = async_stream::stream! {
         let _guard = guard;
         let mut reply = reply;
+        journey.node.traffic.relayed(start.len());
         yield Ok(start);
         let end = loop {
             match timeout_at(journey.deadline, reply.body.frame()).await {
@@ -130,6 +131,7 @@
                 Ok(Some(Err(_error))) => break End::Broken,
                 Ok(Some(Ok(frame))) => {
                     if let Ok(piece) = frame.into_data() {
+                        journey.node.traffic.relayed(piece.len());
                         yield Ok(piece);
                     }
                 }
@@ -166,6 +168,7 @@
                 let Ok(piece) = frame.into_data() else {
                     continue;
                 };
+                journey.node.traffic.relayed(piece.len());
                 let Some(events) = cutter.push(&piece) else {
                     continue;
                 };
--- a/crates/gateway/src/serve/surface.rs
+++ b/crates/gateway/src/serve/surface.rs
@@ -13,6 +13,7 @@
 use super::journey::{Journey, Parcel};
 use super::refuse::Refusal;
 use crate::dialect::Ask;
+use crate::headroom::head_bytes;
 use crate::model::{Config, Route, Workspace};
 use crate::node::Node;
 use crate::rights::{NoRights, Patience, Remote, Spend};
@@ -74,6 +75,8 @@
             .body(config.limits.body)
             .await
             .map_err(refuse_body)?;
+        node.traffic
+            .received(head_bytes(request.headers()) + body.len());
         let time = ask.deadline.unwrap_or(TIME).min(route.timeout);
         let spend = self.reserve(&route, workspace.as_deref(), &ask, time);
         let spend = spend.await?;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -22,6 +22,8 @@
     pub peers: SocketAddr,
     /// Processor time of the VM, in thousandths of a core.
     pub strength: u32,
+    /// Bytes a second that the VM's link carries each way; `None` where that isn't known.
+    pub link: Option<u64>,
     /// Whether the whole fleet starts for the first time.
     pub bootstrap: bool,
     /// Worker threads that serve callers.
--- a/crates/gateway/tests/testsuite/pools.rs
+++ b/crates/gateway/tests/testsuite/pools.rs
@@ -23,6 +23,7 @@
         metrics: None,
         peers: any,
         strength: 1_000,
+        link: None,
         bootstrap: false,
         workers: 1,
         connections: 10,
--- a/crates/shell/src/web/connection.rs
+++ b/crates/shell/src/web/connection.rs
@@ -20,6 +20,8 @@
 use xitca_web::service::Service;
 use xitca_web::service::ready::ReadyService;
 
+use super::gate::Gate;
+
 const FULL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
     connection: close\r\ncontent-length: 0\r\n\r\n";
 /// How long a refused connection is kept, so that its client can read why.
@@ -43,6 +45,8 @@
     pub(super) permits: Arc<Semaphore>,
     /// One permit for each refused connection that may be told so.
     pub(super) refusals: Semaphore,
+    /// Whether new connections are taken.
+    pub(super) gate: Arc<Gate>,
     /// Cancelled when the server stops: no new requests.
     pub(super) stop: CancellationToken,
     /// Cancelled when the listener is closed: nobody waits to be accepted any more.
--- a/crates/shell/src/web/mod.rs
+++ b/crates/shell/src/web/mod.rs
@@ -12,6 +12,7 @@
 mod acceptor;
 mod body;
 mod connection;
+mod gate;
 mod incoming;
 mod limits;
 mod output;
@@ -21,6 +22,7 @@
 mod service;
 
 pub use body::Body;
+pub use gate::Gate;
 pub use incoming::{BodyError, Incoming};
 pub use limits::{HEADER_BYTES, HEADER_FIELDS, Limits};
 pub use respond::{json, problem, text};
--- a/crates/shell/src/web/server.rs
+++ b/crates/shell/src/web/server.rs
@@ -17,6 +17,7 @@
 
 use super::acceptor::Bound;
 use super::connection::{Layer, REFUSALS, Shared};
+use super::gate::Gate;
 use super::limits::{HEADER_BYTES, HEADER_FIELDS, Limits};
 use super::request::Factory;
 use super::service::Service;
@@ -52,6 +53,7 @@
         let shared = Arc::new(Shared {
             permits: Arc::new(Semaphore::new(connections as usize)),
             refusals: Semaphore::new(REFUSALS),
+            gate: Arc::new(Gate::open()),
             stop: CancellationToken::new(),
             closed: CancellationToken::new(),
             arriving: AtomicUsize::new(0),
@@ -82,6 +84,12 @@
         self.address
     }
 
+    /// Opens and closes it to new connections.
+    #[must_use]
+    pub fn gate(&self) -> Arc<Gate> {
+        Arc::clone(&self.shared.gate)
+    }
+
     /// Accepts who waits and no more, closes idle connections, lets requests in flight end within
     /// `grace`, cuts the rest, and joins the workers.
     pub async fn stop(mut self, grace: Duration) {
