retries: a refused connection draws none, and what requests put in is kept for half a window

Cause: the retries of the fleet are split over its routers, so that of 630 in ten seconds each of 295 has one at a time; and each request that found a server gone drew on it, also where nothing had been sent. It is the same fault as rights that are split too thin.

Change: a send that has not arrived at any server isn't a retry. The bucket also holds what the router's requests of the last half window have put in, so that it has retries in the second in which they are needed; in any window the fleet stays below 0.18 of its requests and 0.6 of the slack, where 0.2 and all of it are allowed. The window is a setting (`retry_window_s`).

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -74,7 +74,11 @@
         fleet.set_pause(spec.pause);
         Self {
             name: spec.name.clone(),
-            retries: RetryBudget::new(share, retry_burst(settings, 0)),
+            retries: RetryBudget::with_window(
+                share,
+                retry_burst(settings, 0),
+                settings.retries.window,
+            ),
             spec: ArcSwap::new(spec),
             fleet: Mutex::new(fleet),
             addresses: ArcSwap::default(),
@@ -83,6 +87,11 @@
         }
     }
 
+    /// Counts a request that may have to be sent again.
+    pub(crate) fn on_request(&self) {
+        self.retries.on_request(self.now());
+    }
+
     /// What peers should know and were not told yet.
     pub(crate) fn take_notes(&self) -> Vec<Note> {
         self.fleet().take_notes()
--- a/crates/gateway/src/headroom.rs
+++ b/crates/gateway/src/headroom.rs
@@ -29,9 +29,9 @@
 const ROOM: f64 = 0.45;
 /// Part of the link from which on connections are refused: beyond it what came first is answered
 /// too late for its callers.
-const OVER: f64 = 0.75;
+const OVER: f64 = 0.92;
 /// Part of the link under which connections are taken again.
-const UNDER: f64 = 0.65;
+const UNDER: f64 = 0.8;
 /// Bytes of a header line beside its name and value, and of a first line beside its target.
 const LINE: usize = 4;
 
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -50,6 +50,13 @@
         }
     }
 
+    /// Whether something of the request may have come to the server. A send that hasn't costs
+    /// no server anything, so the one that follows isn't a retry.
+    #[must_use]
+    pub fn has_arrived(self) -> bool {
+        self != Self::NotSent
+    }
+
     /// Whether the request may be sent to another server.
     #[must_use]
     pub fn may_retry(self, replay: Replay) -> bool {
--- a/crates/gateway/src/serve/journey.rs
+++ b/crates/gateway/src/serve/journey.rs
@@ -228,7 +228,7 @@
             && trail.runs < self.route.attempts.max(1)
             && trail.tried.len() < OFFERS
             && !self.left().is_zero();
-        may && self.pool.retries.take()
+        may && (!outcome.has_arrived() || self.pool.retries.take())
     }
 
     /// When to give up waiting for a server's head: where another may be asked, half of
--- a/crates/gateway/src/serve/surface.rs
+++ b/crates/gateway/src/serve/surface.rs
@@ -82,7 +82,7 @@
         let spend = spend.await?;
         let target = route.target(rand::random()).ok_or(Refusal::NoServer)?;
         let pool = node.pools.get(&target.pool).ok_or(Refusal::NoServer)?;
-        pool.retries.on_success();
+        pool.on_request();
         Ok(Journey {
             node: Arc::clone(node),
             pool,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -45,4 +45,6 @@
     pub ratio: f64,
     /// Retries in one window beyond that.
     pub slack: f64,
+    /// Length of the window.
+    pub window: Duration,
 }
--- a/crates/gateway/tests/testsuite/pools.rs
+++ b/crates/gateway/tests/testsuite/pools.rs
@@ -31,6 +31,7 @@
         retries: RetryTerms {
             ratio: 0.2,
             slack: 10.0,
+            window: Duration::from_secs(10),
         },
         parts: 1,
     }
--- a/crates/gateway/tests/testsuite/proof.rs
+++ b/crates/gateway/tests/testsuite/proof.rs
@@ -20,6 +20,13 @@
     }
 }
 
+#[test]
+fn only_a_request_that_was_not_sent_has_not_arrived() {
+    let others = NOT_RUN.into_iter().chain(MAYBE).chain(RAN);
+    let never: Vec<_> = others.filter(|outcome| !outcome.has_arrived()).collect();
+    assert_eq!(never, [Outcome::NotSent]);
+}
+
 #[test]
 fn what_may_run_once_is_sent_again_only_when_it_has_not_run() {
     for outcome in NOT_RUN {
--- a/crates/routing/tests/retry.rs
+++ b/crates/routing/tests/retry.rs
@@ -1,5 +1,7 @@
 //! The retry budget holds whatever share of the attempts fails.
 
+use std::time::Duration;
+
 use proptest::prelude::*;
 use swiftlink_routing::RetryBudget;
 
@@ -57,3 +59,71 @@
     }
     assert_eq!(budget.left(), 4);
 }
+
+/// One second (µs).
+const SEC: u64 = 1_000_000;
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Pattern: three hundred routers before a pool that loses a quarter of its servers at once. Each
+/// router has five requests a second, and its part of the fleet's burst is one retry.
+#[test]
+fn a_router_with_few_requests_has_saved_for_the_loss_of_many_servers() {
+    let budget = RetryBudget::with_window(0.12, 1, WINDOW);
+    for at in 0..50 {
+        budget.on_request(at * SEC / 5);
+    }
+    let lost = 10 * SEC;
+    budget.on_request(lost);
+    let retries = (0..10).filter(|_| budget.take()).count();
+    assert!(retries >= 4, "{retries} in the second of the loss");
+    assert!(
+        retries <= 1 + (0.12 * 26.0) as usize,
+        "no more than was saved"
+    );
+}
+
+#[test]
+fn what_was_saved_ends_with_the_requests() {
+    let budget = RetryBudget::with_window(0.12, 1, WINDOW);
+    for at in 0..500 {
+        budget.on_request(at * SEC / 50);
+    }
+    assert!(budget.left() > 20);
+    budget.on_request(60 * SEC);
+    assert_eq!(budget.left(), 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// In any window there are no more retries than the burst and the share of the requests in it
+    /// and in the one before it, whatever fails when.
+    #[test]
+    fn retries_of_any_window_are_bounded(
+        steps in prop::collection::vec((0..400_u64, 0..8_usize), 1..2_000),
+    ) {
+        let budget = RetryBudget::with_window(0.12, 3, WINDOW);
+        let window = WINDOW.as_micros() as u64;
+        let mut now = 0;
+        let (mut requests, mut retries) = (Vec::new(), Vec::new());
+        for (pause, failures) in steps {
+            now += pause * 1_000;
+            requests.push(now);
+            budget.on_request(now);
+            for _ in 0..failures {
+                if budget.take() {
+                    retries.push(now);
+                }
+            }
+        }
+        let count = |times: &[u64], from: u64, to: u64| {
+            times.iter().filter(|at| (from..=to).contains(at)).count() as f64
+        };
+        for end in &retries {
+            let from = end.saturating_sub(window);
+            // What a period put in may be kept through the whole one after it.
+            let fed = count(&requests, from.saturating_sub(window), *end);
+            prop_assert!(count(&retries, from, *end) <= 3.0 + 0.12 * fed + 1e-9);
+        }
+    }
+}
