routing: a server whose address another one has is left alone

Change: `ErrorKind::Misdirected` ejects for the longest time at once. A start of a server has a name of its own, so one that is gone doesn't come back under it; if it was told wrongly, a probe finds out after 30 s.

Test: `a_server_whose_address_another_one_has_gets_no_probes`, fails without (200 picks after a second).

--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -73,7 +73,7 @@
     };
     match outcome {
         Outcome::Stray => ticket.fail(ErrorKind::Broken),
-        Outcome::Misdirected => ticket.fail(ErrorKind::Unreachable),
+        Outcome::Misdirected => ticket.fail(ErrorKind::Misdirected),
         Outcome::Shed => {
             if let Some(keep) = dialect.keep(&head.headers) {
                 finish(body, &mut lease, keep).await;
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -9,9 +9,10 @@
 pub enum ErrorKind {
     /// The connection was refused or reset at once: nothing was sent.
     Connect,
-    /// No connection within the time for it, or another server at its address: nothing was
-    /// sent that it ran.
+    /// No connection within the time for it: nothing was sent.
     Unreachable,
+    /// Another server has its address and ran nothing: it is gone.
+    Misdirected,
     /// The server answered that it failed.
     Status,
     /// No first token in time.
@@ -163,7 +164,7 @@
         self.errors += GAIN * (1.0 - self.errors);
         self.results = self.results.saturating_add(1);
         self.streak = self.streak.saturating_add(match kind {
-            ErrorKind::Connect | ErrorKind::Unreachable => policy.streak,
+            ErrorKind::Connect | ErrorKind::Unreachable | ErrorKind::Misdirected => policy.streak,
             ErrorKind::Status | ErrorKind::Timeout | ErrorKind::Broken => 1,
         });
         let was_probe = std::mem::take(&mut self.probing);
@@ -177,14 +178,22 @@
         };
         if policy.is_on && ejects {
             self.refused = kind == ErrorKind::Connect;
-            self.eject(now, policy);
+            self.eject(now, kind, policy);
         }
     }
 
-    fn eject(&mut self, now: Micros, policy: &HealthPolicy) {
+    fn eject(&mut self, now: Micros, kind: ErrorKind, policy: &HealthPolicy) {
         let base = policy.base.as_micros() as Micros;
-        let max = policy.max.as_micros() as Micros;
-        self.term = (self.term * 2).clamp(base, max.max(base));
+        let max = base.max(policy.max.as_micros() as Micros);
+        // A server that is gone doesn't come back under its name. Routers that can't hear of it
+        // probed such servers with callers' requests: 814 of 1,397 misdirected sends in twelve
+        // seconds of 295 routers.
+        let least = if kind == ErrorKind::Misdirected {
+            max
+        } else {
+            base
+        };
+        self.term = (self.term * 2).clamp(least, max);
         self.until = Some(now + self.term);
         self.ejections = self.ejections.saturating_add(1);
         self.streak = 0;
--- a/crates/routing/tests/fleet.rs
+++ b/crates/routing/tests/fleet.rs
@@ -204,6 +204,22 @@
     assert_eq!(fleet.pick(&spent, &mut rng()), None, "each once a request");
 }
 
+/// Pattern: servers crash while the router can't follow their entries, and other services get
+/// their addresses. Each is asked once, not with a caller's request every second.
+#[test]
+fn a_server_whose_address_another_one_has_gets_no_probes() {
+    let mut fleet = fleet(4);
+    let idx = named(&fleet, 1);
+    let sent = fleet.on_sent(idx, 0).expect("configured");
+    fleet.on_error(sent, 0, ErrorKind::Misdirected);
+    for secs in [0, 1, 2, 5, 15, 29] {
+        assert_eq!(picks_of(&mut fleet, idx, secs * SEC), 0, "after {secs} s");
+    }
+    let due = 30 * SEC;
+    let probe = fleet.send(&at(due), &mut rng()).expect("a probe");
+    assert_eq!(probe.idx, idx, "it may have been told wrongly");
+}
+
 #[test]
 fn slow_server_gets_little() {
     let mut fleet = fleet(4);
