--- a/crates/gateway/src/headroom.rs
+++ b/crates/gateway/src/headroom.rs
@@ -7,9 +7,8 @@
 //! open stay, and a busy workspace spreads over more than one router.
 //!
 //! Measured in a fleet of 295 VMs, where the callers of one workspace in one failure domain brought
-//! twice what a link of 20 Mbit/s carries for six seconds: the requests of that failure domain
-//! earned 0.79 of their worth over the day in place of 0.63, and refused ones fell from 11 to 1
-//! in 100.
+//! twice what a link of 20 Mbit/s carries for six seconds: of the requests of that failure domain
+//! within 34 seconds 28 in 100 were refused or failed without this, and 11 in 100 with it.
 
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
