gateway: a refusal says by which configuration, and how old that is

Cause: a refusal with 404 by a replaced version couldn't be told from one by the version in force, nor a version that was read late from one that was taken late. Change: each answer of the store says of when it is; request.refused has the version and its age, and the age is a metric. No decision depends on it yet. Run: the gateway's tests.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -76,6 +76,7 @@
 struct Gauges {
     in_flight: Gauge,
     config: Gauge<u64, AtomicU64>,
+    config_age: Gauge<f64, AtomicU64>,
     available: Gauge<u64, AtomicU64>,
     reserved: Gauge<u64, AtomicU64>,
     charged: Gauge<u64, AtomicU64>,
@@ -124,6 +125,9 @@
         registry.register("requests_in_flight", flight, gauges.in_flight.clone());
         let config = "Version of the configuration in force; 0 without one";
         registry.register("config_version", config, gauges.config.clone());
+        let age = "Time in which the configuration may have changed without being known";
+        let gauge = gauges.config_age.clone();
+        registry.register_with_unit("config_age", age, Unit::Seconds, gauge);
         let available = "Rights that no request holds, of all workspaces";
         registry.register(
             "rights_available_tokens",
@@ -196,6 +200,8 @@
         let config = node.config.load();
         self.config
             .set(config.as_ref().map_or(0, |config| config.version));
+        let age = node.freshness.age();
+        self.config_age.set(age.as_secs_f64());
         let (mut available, mut reserved, mut charged, mut locked) = (0, 0, 0, 0);
         for book in node.books.all() {
             let counters = book.grant.counters();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,6 +8,7 @@
 use crate::clock::SystemClock;
 use crate::dialect::Dialect;
 use crate::fleet::Pools;
+use crate::freshness::Freshness;
 use crate::headroom::Traffic;
 use crate::metrics::Metrics;
 use crate::model::Config;
@@ -25,6 +26,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The configuration in force; `None` until one was read.
     pub config: ArcSwapOption<Config>,
+    /// How old that knowledge is.
+    pub freshness: Freshness,
     /// The backend servers.
     pub pools: Arc<Pools>,
     /// Rights of the workspaces.
@@ -57,6 +60,7 @@
             settings,
             dialect,
             config: ArcSwapOption::empty(),
+            freshness: Freshness::new(),
             pools: Arc::new(Pools::new()),
             sightings: Arc::default(),
             process: rand::random(),
--- a/crates/gateway/src/serve/surface.rs
+++ b/crates/gateway/src/serve/surface.rs
@@ -51,7 +51,16 @@
                 let id = id.as_deref().unwrap_or("-");
                 let ms = start.elapsed().as_millis();
                 let reason = refusal.as_str();
-                event!(info, "request.refused", id = id, reason = reason, ms = ms);
+                let config = self.node.config.load();
+                event!(
+                    info,
+                    "request.refused",
+                    id = id,
+                    reason = reason,
+                    config = config.as_ref().map_or(0, |config| config.version),
+                    config_age_ms = self.node.freshness.age().as_millis(),
+                    ms = ms,
+                );
                 self.node.metrics.refused(reason);
                 refusal.response()
             }
--- a/crates/gateway/src/watch/config.rs
+++ b/crates/gateway/src/watch/config.rs
@@ -37,11 +37,9 @@
         );
         self.node.config.store(Some(Arc::new(config)));
     }
-}
 
-impl Follow for Follower {
-    fn take(&mut self, news: News) {
-        // Only the newest counts: each is the whole configuration.
+    /// Only the newest counts: each is the whole configuration.
+    fn take_newest(&self, news: &News) {
         for change in news.changes.iter().rev() {
             let Some(value) = &change.value else {
                 continue;
@@ -56,6 +54,15 @@
             }
         }
     }
+}
+
+impl Follow for Follower {
+    fn take(&mut self, news: News) {
+        self.take_newest(&news);
+        if let Some(at) = news.as_of {
+            self.node.freshness.confirm(at);
+        }
+    }
 
     fn regained(&mut self) {}
 
--- a/crates/gateway/src/watch/follow.rs
+++ b/crates/gateway/src/watch/follow.rs
@@ -42,6 +42,8 @@
     pub changes: Vec<Change>,
     /// All keys that there are, where the whole feed was read.
     pub keys: Option<HashSet<String>>,
+    /// A moment at which the store had nothing newer than this.
+    pub as_of: Option<Instant>,
 }
 
 /// What is done with changes.
@@ -86,8 +88,10 @@
         let Some(from) = self.next else {
             return self.start().await;
         };
+        let asked = Instant::now();
         match self.store.read(self.feed, from, wait).await {
             Ok(page) => Ok(News {
+                as_of: Some(as_of(asked, wait, &page)),
                 changes: self.take(page, from),
                 keys: None,
             }),
@@ -106,11 +110,13 @@
     }
 
     async fn start(&mut self) -> Result<News, StoreError> {
+        let asked = Instant::now();
         let page = self.store.newest(self.feed).await?;
         let from = self.next.unwrap_or(0);
         let keys = page.records.iter().map(|record| record.key.clone());
         Ok(News {
             keys: Some(keys.collect()),
+            as_of: Some(asked),
             changes: self.take(page, from),
         })
     }
@@ -130,6 +136,15 @@
     }
 }
 
+/// When the store had nothing newer than `page`, its answer to a poll that was sent at `asked`.
+/// A poll that found nothing was answered at the end of its wait, not earlier.
+fn as_of(asked: Instant, wait: Duration, page: &Page) -> Instant {
+    if page.records.is_empty() && asked.elapsed() >= wait {
+        return asked + wait;
+    }
+    asked
+}
+
 /// Follows a feed until the task is aborted.
 pub(crate) async fn run(mut reader: Reader, mut follower: impl Follow) {
     let mut backoff = BACKOFF;
