gateway: no route or key is called unknown by an old configuration

Cause: a router that had heard nothing for seconds refused requests with 404 and 401 as if it knew that there is no such route or key. That is final for the caller; the version that added the route had been confirmed 3.9 s before. Change: such a refusal needs a configuration that the store has confirmed within the time that a change may take (a setting, of the platform's file). Otherwise the answer is 503, with a time to come back: the request has not run, and another router may know. Not changed: requests on known routes are served by the last configuration, as before.

--- a/crates/gateway/src/serve/refuse.rs
+++ b/crates/gateway/src/serve/refuse.rs
@@ -11,6 +11,9 @@
 pub(super) enum Refusal {
     /// The router has no configuration yet.
     NotReady,
+    /// Changes of the configuration weren't heard of for longer than one may take: the request's
+    /// route or key may have been added.
+    Behind,
     /// The headers make no sense.
     Malformed,
     /// No route takes it.
@@ -45,7 +48,8 @@
 const STORE_WAIT: Duration = Duration::from_secs(3);
 /// When a server may take work again: a few steps of a batch, or a new server.
 const SERVER_WAIT: Duration = Duration::from_millis(250);
-/// When a starting router may be ready.
+/// When a starting router may be ready, or one that hears of no changes may hear of them again:
+/// both ask the store a few times within it. Other routers may know already.
 const START_WAIT: Duration = Duration::from_millis(500);
 
 impl Refusal {
@@ -53,7 +57,7 @@
     /// are among 408, 429 and 503.
     pub(super) fn status(self) -> StatusCode {
         match self {
-            Self::NotReady | Self::NoServer => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::Behind | Self::NoServer => StatusCode::SERVICE_UNAVAILABLE,
             Self::Malformed | Self::BrokenBody => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
@@ -69,7 +73,7 @@
     /// When the caller may come back.
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NotReady => Some(START_WAIT),
+            Self::NotReady | Self::Behind => Some(START_WAIT),
             Self::NoServer => Some(SERVER_WAIT),
             Self::NoRights => Some(RIGHTS_WAIT),
             Self::StoreAway => Some(STORE_WAIT),
@@ -81,6 +85,7 @@
     pub(super) fn as_str(self) -> &'static str {
         match self {
             Self::NotReady => "not_ready",
+            Self::Behind => "config_behind",
             Self::Malformed => "malformed",
             Self::NoRoute => "no_route",
             Self::NoKey => "no_key",
--- a/crates/gateway/src/serve/surface.rs
+++ b/crates/gateway/src/serve/surface.rs
@@ -73,13 +73,14 @@
     async fn serve(&self, mut request: Incoming, start: Instant) -> Result<Journey, Refusal> {
         let node = &self.node;
         let config = node.config.load_full().ok_or(Refusal::NotReady)?;
-        let route = find_route(&config, &request).ok_or(Refusal::NoRoute)?;
+        let route = find_route(&config, &request).ok_or_else(|| self.unknown(Refusal::NoRoute))?;
         let ask = node.dialect.ask(request.headers());
         let ask = ask.map_err(|reason| {
             event!(info, "request.malformed", reason = reason);
             Refusal::Malformed
         })?;
-        let workspace = find_workspace(&config, &route, &ask)?;
+        let workspace = find_workspace(&config, &route, &ask);
+        let workspace = workspace.map_err(|refusal| self.unknown(refusal))?;
         let body = request
             .body(config.limits.body)
             .await
@@ -112,6 +113,15 @@
         })
     }
 
+    /// How a request is refused whose route or key isn't in the configuration. Neither was there
+    /// when it was last confirmed; longer ago than a change may take that says nothing of now.
+    fn unknown(&self, refusal: Refusal) -> Refusal {
+        if self.node.freshness.age() > self.node.settings.apply {
+            return Refusal::Behind;
+        }
+        refusal
+    }
+
     /// Reserves the most that the request can cost.
     async fn reserve(
         &self,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -30,6 +30,8 @@
     pub workers: usize,
     /// Most open connections of callers.
     pub connections: usize,
+    /// Time within which a confirmed change of the configuration must be in force.
+    pub apply: Duration,
     /// Time between SIGTERM and the forced end.
     pub grace: Duration,
     /// How many retries the whole fleet may send.
--- a/crates/gateway/tests/testsuite/pools.rs
+++ b/crates/gateway/tests/testsuite/pools.rs
@@ -27,6 +27,7 @@
         bootstrap: false,
         workers: 1,
         connections: 10,
+        apply: Duration::from_secs(2),
         grace: Duration::from_secs(1),
         retries: RetryTerms {
             ratio: 0.2,
