routing, watch: a start of a server is its name and its time of birth

Cause: what was learned of a server went on under its name when it started again: it stayed ejected for up to 30 s though it lived, requests were sent on connections to the start before, late entries and notes of that start counted. Entries of other writers left the older entry in use, and a record without a whole key made the feed unreadable for ever. Change: Start (name and time of birth) says which start something was learned of. The directory takes no entry of a start before the newest known; a new start has a new index, so that health, speed, load, prompts and late answers of the one before don't reach it; notes say which start they are of; idle connections are kept by start, and those that are over are dropped. A malformed record keeps its place and hides none beside it. The tests of routing and of the gateway came with the change and can't be compiled on the code before.

--- a/crates/bench/src/cost/decisions.rs
+++ b/crates/bench/src/cost/decisions.rs
@@ -11,7 +11,9 @@
 use swiftlink_routing::{
     ExpectedWait, Fleet, FleetPolicy, LoadReport, Pick, Policy, ServerSpec, TwoChoices,
 };
-use swiftlink_types::{BudgetName, ClassName, DomainName, Micros, ServerName, WorkspaceName};
+use swiftlink_types::{
+    BudgetName, ClassName, DomainName, Micros, ServerName, Start, WorkspaceName,
+};
 
 use super::meter::{Cost, cost};
 use crate::draw::{below, generator};
@@ -150,7 +152,7 @@
     settings.seed = seed;
     let specs: Vec<ServerSpec> = (0..RUNNERS)
         .map(|index| ServerSpec {
-            name: ServerName::from(format!("runner-{index}")),
+            start: Start::from(ServerName::from(format!("runner-{index}"))),
             domain: domain(index),
             vm: None,
             slots: 16,
--- a/crates/bench/src/routing/world.rs
+++ b/crates/bench/src/routing/world.rs
@@ -4,7 +4,7 @@
 use swiftlink_routing::{
     ErrorKind, Fleet, FleetPolicy, Pick, RetryBudget, Sent, ServerIdx, ServerSpec,
 };
-use swiftlink_types::{DomainName, Micros, ServerName};
+use swiftlink_types::{DomainName, Micros, ServerName, Start};
 
 use super::outcome::Outcome;
 use super::runner::{Runner, STEP};
@@ -291,7 +291,7 @@
     settings.health = choice.health();
     let mut fleet = Fleet::new(settings, choice.policy());
     fleet.set_config(specs);
-    let number = |name: &ServerName| specs.iter().position(|spec| spec.name == *name);
+    let number = |name: &ServerName| specs.iter().position(|spec| spec.start.name == *name);
     let members = fleet.members().into_iter();
     let members = members.map(|(idx, name)| (idx, number(&name).expect("it is configured")));
     Router {
@@ -303,7 +303,7 @@
 
 fn spec(index: usize) -> ServerSpec {
     ServerSpec {
-        name: ServerName::from(format!("runner-{index}")),
+        start: Start::from(ServerName::from(format!("runner-{index}"))),
         domain: domain(index),
         vm: None,
         slots: SLOTS as u32,
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-use swiftlink_types::{DomainName, PoolName, ServerName};
+use swiftlink_types::{DomainName, PoolName, Start};
 
 use crate::model::Config;
 
@@ -19,7 +19,7 @@
     /// The backend server in a record of the server feed.
     ///
     /// # Errors
-    /// When the record can't be read.
+    /// When the record can't be read: it names no server then.
     fn server(&self, key: &str, value: &[u8]) -> Result<ServerEntry, CatalogError>;
 }
 
@@ -36,8 +36,8 @@
 /// A backend server, as it describes itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerEntry {
-    /// Its name; a server that starts anew has a new one.
-    pub name: ServerName,
+    /// Its name, and when it started.
+    pub start: Start,
     /// Pool that it serves.
     pub pool: PoolName,
     /// Where it listens.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -14,7 +14,7 @@
     ServerIdx, ServerSpec, Unmixed,
 };
 use swiftlink_telemetry::event;
-use swiftlink_types::{Micros, PoolName, ServerName};
+use swiftlink_types::{Micros, PoolName, ServerName, Start};
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -54,8 +54,8 @@
 /// A chosen server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Chosen {
-    /// Its name.
-    pub name: ServerName,
+    /// Its name, and when it started.
+    pub start: Start,
     /// Where it listens.
     pub address: SocketAddr,
 }
@@ -151,7 +151,8 @@
         };
         let mut fleet = self.fleet();
         let sent = fleet.send(&pick, &mut rand::rng())?;
-        let name = fleet.get(sent.idx)?.name().clone();
+        let start = fleet.get(sent.idx)?.start().clone();
+        let address = self.addresses.load().get(&start.name).copied();
         drop(fleet);
         self.changed.notify_one();
         let idx = sent.idx;
@@ -160,8 +161,8 @@
             sent: Some(sent),
             idx,
         };
-        let address = self.addresses.load().get(&name).copied()?;
-        Some((Chosen { name, address }, ticket))
+        let address = address?;
+        Some((Chosen { start, address }, ticket))
     }
 
     fn set_spec(&self, spec: Arc<PoolSpec>) {
@@ -186,16 +187,18 @@
         let mut addresses = HashMap::with_capacity(entries.len());
         for entry in entries {
             specs.push(ServerSpec {
-                name: entry.name.clone(),
+                start: entry.start.clone(),
                 domain: entry.domain.clone(),
                 vm: None,
                 slots: entry.slots,
                 drain: entry.draining,
             });
-            addresses.insert(entry.name.clone(), entry.address);
+            addresses.insert(entry.start.name.clone(), entry.address);
         }
+        // Whoever chooses a server finds the address of that start.
+        let mut fleet = self.fleet();
+        fleet.set_config(&specs);
         self.addresses.store(Arc::new(addresses));
-        self.fleet().set_config(&specs);
     }
 
     fn now(&self) -> Micros {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -58,6 +58,11 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct FeedLabels {
+    feed: &'static str,
+}
+
 /// The counters and histograms of a router.
 #[derive(Debug)]
 pub struct Metrics {
@@ -68,6 +73,7 @@
     times: Family<KindOnly, Histogram, fn() -> Histogram>,
     first: Histogram,
     calls: Family<CallLabels, Counter>,
+    unreadable: Family<FeedLabels, Counter>,
     gauges: Gauges,
 }
 
@@ -100,6 +106,7 @@
             times: Family::new_with_constructor(histogram),
             first: histogram(),
             calls: Family::default(),
+            unreadable: Family::default(),
             gauges: Gauges::default(),
         };
         metrics.register();
@@ -120,6 +127,8 @@
         registry.register_with_unit("first_event", first, Unit::Seconds, self.first.clone());
         let calls = "Calls of the store by outcome";
         registry.register("store_calls", calls, self.calls.clone());
+        let unreadable = "Records of the store that can't be read, by feed";
+        registry.register("unreadable_records", unreadable, self.unreadable.clone());
         let gauges = &self.gauges;
         let flight = "Requests that are being served";
         registry.register("requests_in_flight", flight, gauges.in_flight.clone());
@@ -174,6 +183,12 @@
             .inc();
     }
 
+    /// A record of a feed can't be read.
+    pub fn unreadable(&self, feed: Feed) {
+        let feed = feed.kind();
+        self.unreadable.get_or_create(&FeedLabels { feed }).inc();
+    }
+
     /// All metrics as text.
     #[must_use]
     pub fn render(&self, node: &Node) -> String {
--- a/crates/gateway/src/notes.rs
+++ b/crates/gateway/src/notes.rs
@@ -10,7 +10,7 @@
 use swiftlink_link::LinkError;
 use swiftlink_routing::{Flow, Note};
 use swiftlink_telemetry::event;
-use swiftlink_types::{PoolName, ServerName, VmName};
+use swiftlink_types::{PoolName, ServerName, Start, VmName};
 use swiftlink_wire::link::{Flow as FlowMessage, Notes, ServerNote, reply, request};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -81,7 +81,8 @@
     });
     ServerNote {
         pool: pool.to_string(),
-        server: note.server.to_string(),
+        server: note.server.name.to_string(),
+        born: note.server.born,
         unread: note.unread,
         flows: flows.collect(),
         prefixes: note.prefixes,
@@ -101,7 +102,7 @@
             longest: flow.longest,
         });
         let note = Note {
-            server: ServerName::from(note.server.as_str()),
+            server: Start::new(ServerName::from(note.server.as_str()), note.born),
             unread: note.unread,
             flows: flows.collect(),
             prefixes: note.prefixes,
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -14,7 +14,7 @@
 use crate::fleet::{Chosen, Ticket};
 use crate::headroom::head_bytes;
 use crate::proof::{Outcome, Ran};
-use crate::upstream::{Lease, SendError, SendOptions, send};
+use crate::upstream::{Endpoint, Lease, SendError, SendOptions, send};
 
 /// Longest time for a new connection; within a region it takes a millisecond or two.
 const CONNECT: Duration = Duration::from_millis(400);
@@ -45,7 +45,8 @@
         head: until.saturating_duration_since(now),
         fresh: false,
     };
-    let answer = match send(server.address, request, options).await {
+    let endpoint = Endpoint::of(server.address, &server.start);
+    let answer = match send(endpoint, request, options).await {
         Ok(answer) => answer,
         Err(error) => {
             ticket.fail(error.kind());
@@ -115,7 +116,7 @@
     let workspace = journey.workspace.as_deref();
     let priority = workspace.and_then(|workspace| workspace.priority);
     let order = Order {
-        server: &server.name,
+        server: &server.start.name,
         workspace: workspace.map(|workspace| &workspace.name),
         left: journey.left(),
         priority: Some(priority.unwrap_or(journey.route.priority)),
--- a/crates/gateway/src/serve/journey.rs
+++ b/crates/gateway/src/serve/journey.rs
@@ -191,7 +191,7 @@
             };
             let idx = ticket.idx;
             let until = self.until(trail);
-            let name = server.name.clone();
+            let name = server.start.name.clone();
             let outcome = match attempt(self, server, ticket, resume, until).await {
                 Ok(reply) => {
                     self.node.metrics.sent(reply.outcome.as_str());
@@ -256,7 +256,7 @@
                 info,
                 "request.failed",
                 id = self.id(),
-                server = server.name,
+                server = server.start.name,
                 status = head.status.as_u16(),
                 next = "another server",
             );
@@ -284,7 +284,7 @@
                     info,
                     "request.truncated",
                     id = self.id(),
-                    server = server.name,
+                    server = server.start.name,
                     error = error,
                 );
                 ticket.fail(ErrorKind::Broken);
@@ -310,7 +310,7 @@
             "request.answered",
             id = self.id(),
             route = self.route.name,
-            server = server.name,
+            server = server.start.name,
             status = head.status.as_u16(),
             attempts = trail.tried.len(),
             config = self.version,
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -222,7 +222,7 @@
         info,
         "request.resumed",
         id = journey.id(),
-        broken = broken.server.name,
+        broken = broken.server.start.name,
         after = last.unwrap_or(0),
     );
     let next = journey.dispatch(trail, last).await.ok()?;
@@ -242,7 +242,7 @@
         "request.streamed",
         id = journey.id(),
         route = journey.route.name,
-        server = reply.server.name,
+        server = reply.server.start.name,
         end = end.as_str(),
         events = cutter.events(),
         prompt = journey.ask.usage.map_or(0, |usage| usage.prompt),
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -31,14 +31,25 @@
     Caps(u32),
 }
 
+impl Feed {
+    /// What it carries.
+    #[must_use]
+    pub fn kind(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Servers => "servers",
+            Self::Members => "members",
+            Self::Rights(_) => "rights",
+            Self::Caps(_) => "caps",
+        }
+    }
+}
+
 impl fmt::Display for Feed {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Config => f.write_str("config"),
-            Self::Servers => f.write_str("servers"),
-            Self::Members => f.write_str("members"),
-            Self::Rights(part) => write!(f, "rights-{part}"),
-            Self::Caps(part) => write!(f, "caps-{part}"),
+            Self::Config | Self::Servers | Self::Members => f.write_str(self.kind()),
+            Self::Rights(part) | Self::Caps(part) => write!(f, "{}-{part}", self.kind()),
         }
     }
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -17,14 +17,18 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use swiftlink_routing::ErrorKind;
+use swiftlink_types::Start;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Idle connections kept per thread and address.
+/// Idle connections kept per thread and endpoint.
 const IDLE_MAX: usize = 64;
 /// How long an idle connection is kept when the other side doesn't say how long it
 /// keeps it.
 const IDLE_TIME: Duration = Duration::from_secs(60);
+/// Time between two looks for idle connections that are over: each is a descriptor.
+const PRUNE_PERIOD: Duration = Duration::from_secs(5);
 
 /// Why no answer head came back.
 #[derive(Debug, thiserror::Error)]
@@ -66,6 +70,35 @@
     }
 }
 
+/// Who is reached at an address. A connection is used for the start of the server that it was
+/// opened to and no other: one to a start that ended behind a cut looks open, and a request
+/// sent on it is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Endpoint {
+    address: SocketAddr,
+    /// Hash of the name and the start of the server; 0: whoever listens.
+    start: u64,
+}
+
+impl Endpoint {
+    /// A start of a server.
+    #[must_use]
+    pub fn of(address: SocketAddr, start: &Start) -> Self {
+        let name = start.name.as_str().as_bytes();
+        Self {
+            address,
+            start: xxh3_64_with_seed(name, start.born),
+        }
+    }
+}
+
+/// Whoever listens at an address.
+impl From<SocketAddr> for Endpoint {
+    fn from(address: SocketAddr) -> Self {
+        Self { address, start: 0 }
+    }
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// A connection that no request uses.
@@ -75,8 +108,61 @@
     until: Instant,
 }
 
+impl Idle {
+    fn is_usable(&self, now: Instant) -> bool {
+        !self.sender.is_closed() && now < self.until
+    }
+}
+
+/// The idle connections of a thread.
+struct IdlePool {
+    lists: HashMap<Endpoint, Vec<Idle>>,
+    pruned_at: Instant,
+}
+
+impl IdlePool {
+    fn new() -> Self {
+        Self {
+            lists: HashMap::new(),
+            pruned_at: Instant::now(),
+        }
+    }
+
+    fn put(&mut self, endpoint: Endpoint, idle: Idle) {
+        self.prune();
+        let list = self.lists.entry(endpoint).or_default();
+        if list.len() < IDLE_MAX {
+            list.push(idle);
+        }
+    }
+
+    fn take(&mut self, endpoint: Endpoint) -> Option<Sender> {
+        let list = self.lists.get_mut(&endpoint)?;
+        let now = Instant::now();
+        while let Some(idle) = list.pop() {
+            if idle.is_usable(now) {
+                return Some(idle.sender);
+            }
+        }
+        None
+    }
+
+    /// Drops what can't be used any more, with the endpoints that are gone.
+    fn prune(&mut self) {
+        let now = Instant::now();
+        if now < self.pruned_at + PRUNE_PERIOD {
+            return;
+        }
+        self.pruned_at = now;
+        self.lists.retain(|_, list| {
+            list.retain(|idle| idle.is_usable(now));
+            !list.is_empty()
+        });
+    }
+}
+
 thread_local! {
-    static IDLE: RefCell<HashMap<SocketAddr, Vec<Idle>>> = RefCell::new(HashMap::new());
+    static IDLE: RefCell<IdlePool> = RefCell::new(IdlePool::new());
 }
 
 /// An answer whose body is still to be read.
@@ -86,7 +172,7 @@
 pub struct Answer {
     /// Head and body.
     pub response: Response<Incoming>,
-    address: SocketAddr,
+    endpoint: Endpoint,
     sender: Option<Sender>,
 }
 
@@ -95,7 +181,7 @@
     #[must_use]
     pub fn split(self) -> (Response<Incoming>, Lease) {
         let lease = Lease {
-            address: self.address,
+            endpoint: self.endpoint,
             sender: self.sender,
         };
         (self.response, lease)
@@ -105,7 +191,7 @@
 /// A connection in use by an answer.
 #[derive(Debug)]
 pub struct Lease {
-    address: SocketAddr,
+    endpoint: Endpoint,
     sender: Option<Sender>,
 }
 
@@ -123,13 +209,9 @@
         if sender.is_closed() {
             return;
         }
-        IDLE.with_borrow_mut(|idle| {
-            let list = idle.entry(self.address).or_default();
-            if list.len() < IDLE_MAX {
-                let until = Instant::now() + keep;
-                list.push(Idle { sender, until });
-            }
-        });
+        let until = Instant::now() + keep;
+        let idle = Idle { sender, until };
+        IDLE.with_borrow_mut(|pool| pool.put(self.endpoint, idle));
     }
 }
 
@@ -145,22 +227,23 @@
     pub fresh: bool,
 }
 
-/// Sends `request` to `address` and waits for the answer's head.
+/// Sends `request` to `endpoint` and waits for the answer's head.
 ///
 /// # Errors
 /// See [`SendError`].
 pub async fn send(
-    address: SocketAddr,
+    endpoint: impl Into<Endpoint>,
     request: Request<Full<Bytes>>,
     options: SendOptions,
 ) -> Result<Answer, SendError> {
+    let endpoint = endpoint.into();
     let mut request = request;
     if !options.fresh {
-        while let Some(mut sender) = take_idle(address) {
+        while let Some(mut sender) = IDLE.with_borrow_mut(|pool| pool.take(endpoint)) {
             if sender.ready().await.is_err() {
                 continue;
             }
-            match attempt(sender, request, address, options.head).await {
+            match attempt(sender, request, endpoint, options.head).await {
                 Ok(answer) => return Ok(answer),
                 Err(Failed::Returned(back)) => request = *back,
                 Err(Failed::Gone(error)) => return Err(SendError::Lost(error)),
@@ -168,8 +251,8 @@
             }
         }
     }
-    let sender = connect(address, options.connect).await?;
-    match attempt(sender, request, address, options.head).await {
+    let sender = connect(endpoint.address, options.connect).await?;
+    match attempt(sender, request, endpoint, options.head).await {
         Ok(answer) => Ok(answer),
         Err(Failed::Returned(_)) => Err(SendError::NotSent("connection closed".to_owned())),
         Err(Failed::Gone(error)) => Err(SendError::Lost(error)),
@@ -186,7 +269,7 @@
 async fn attempt(
     mut sender: Sender,
     request: Request<Full<Bytes>>,
-    address: SocketAddr,
+    endpoint: Endpoint,
     head: Duration,
 ) -> Result<Answer, Failed> {
     let sent = timeout(head, sender.try_send_request(request)).await;
@@ -196,7 +279,7 @@
     match sent {
         Ok(response) => Ok(Answer {
             response,
-            address,
+            endpoint,
             sender: Some(sender),
         }),
         Err(mut error) => match error.take_message() {
@@ -206,19 +289,6 @@
     }
 }
 
-fn take_idle(address: SocketAddr) -> Option<Sender> {
-    IDLE.with_borrow_mut(|idle| {
-        let list = idle.get_mut(&address)?;
-        let now = Instant::now();
-        while let Some(idle) = list.pop() {
-            if !idle.sender.is_closed() && now < idle.until {
-                return Some(idle.sender);
-            }
-        }
-        None
-    })
-}
-
 async fn connect(address: SocketAddr, limit: Duration) -> Result<Sender, SendError> {
     let stream = timeout(limit, TcpStream::connect(address))
         .await
--- a/crates/gateway/src/watch/config.rs
+++ b/crates/gateway/src/watch/config.rs
@@ -9,6 +9,7 @@
 use crate::catalog::Catalog;
 use crate::model::Config;
 use crate::node::Node;
+use crate::store::Feed;
 
 pub(super) struct Follower {
     node: Arc<Node>,
@@ -51,7 +52,10 @@
                     return;
                 }
                 Ok(None) => {}
-                Err(error) => event!(error, "config.unreadable", error = error),
+                Err(error) => {
+                    self.node.metrics.unreadable(Feed::Config);
+                    event!(error, "config.unreadable", error = error);
+                }
             }
         }
     }
--- a/crates/gateway/src/watch/directory.rs
+++ b/crates/gateway/src/watch/directory.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use swiftlink_telemetry::event;
-use swiftlink_types::ServerName;
+use swiftlink_types::{ServerName, Start, WallMs};
 use tokio::time::Instant;
 
 use super::follow::Follow;
 use super::reader::{Change, News};
 use crate::catalog::{Catalog, ServerEntry};
 use crate::node::Node;
+use crate::store::Feed;
 
 /// Time that a server whose entry lapsed has to be back after the store's return. The
 /// users' letter says about two seconds, and a server that really left must get no work
@@ -22,10 +23,26 @@
 /// one that is removed later was removed by its server.
 const LAPSE_TIME: Duration = Duration::from_millis(300);
 
+/// What a server's entry changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    /// Nothing: it says what was known.
+    Known,
+    /// Nothing: it is of a start before the newest one known.
+    Outdated,
+    /// The server is new, or says something else of itself.
+    Changed,
+    /// The server started again.
+    StartedAgain,
+}
+
 /// Servers that there are, and those whose entries may only have lapsed.
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: HashMap<ServerName, ServerEntry>,
+    /// When each server started last that ever had an entry, where it said so: a record of the
+    /// start before may come late, also once the newer one is gone.
+    born: HashMap<ServerName, WallMs>,
     /// Servers without an entry, until they are taken as gone.
     lapsed: HashMap<ServerName, Instant>,
     /// When the store was last found to be back.
@@ -33,14 +50,32 @@
 }
 
 impl Directory {
-    /// A server wrote its entry. Says whether that changes anything.
-    pub fn put(&mut self, entry: ServerEntry) -> bool {
-        self.lapsed.remove(&entry.name);
-        if self.entries.get(&entry.name) == Some(&entry) {
-            return false;
+    /// A server wrote its entry. Says what that changes.
+    pub fn put(&mut self, entry: ServerEntry) -> Listing {
+        let Start { name, born } = entry.start.clone();
+        let newest = self.born.get(&name).copied().unwrap_or(0);
+        if born < newest {
+            return Listing::Outdated;
         }
-        self.entries.insert(entry.name.clone(), entry);
-        true
+        if born > newest {
+            self.born.insert(name.clone(), born);
+        }
+        self.lapsed.remove(&name);
+        if self.entries.get(&name) == Some(&entry) {
+            return Listing::Known;
+        }
+        self.entries.insert(name, entry);
+        if newest > 0 && born > newest {
+            return Listing::StartedAgain;
+        }
+        Listing::Changed
+    }
+
+    /// The newest entry under a name can't be read, so it names no server to use. Says whether
+    /// that changes anything.
+    pub fn spoil(&mut self, name: &ServerName) -> bool {
+        self.lapsed.remove(name);
+        self.entries.remove(name).is_some()
     }
 
     /// An entry is gone. Says whether that changes anything at once.
@@ -107,27 +142,52 @@
             return self.directory.remove(&name, Instant::now());
         };
         match self.catalog.server(&change.key, value) {
-            Ok(entry) => {
-                let line = (entry.pool.clone(), entry.address, entry.draining);
-                let changed = self.directory.put(entry);
-                if changed {
-                    event!(
-                        info,
-                        "server.listed",
-                        server = name,
-                        pool = line.0,
-                        address = line.1,
-                        draining = line.2,
-                        offset = change.offset,
-                    );
-                }
+            Ok(entry) => self.list(entry, change.offset),
+            Err(error) => {
+                self.node.metrics.unreadable(Feed::Servers);
+                let changed = self.directory.spoil(&name);
+                event!(
+                    error,
+                    "server.unreadable",
+                    error = error,
+                    was_used = changed,
+                    offset = change.offset,
+                );
                 changed
             }
-            Err(error) => {
-                event!(error, "server.unreadable", error = error);
-                false
+        }
+    }
+
+    /// Takes an entry that could be read.
+    fn list(&mut self, entry: ServerEntry, offset: u64) -> bool {
+        let listing = self.directory.put(entry.clone());
+        let Start { name, born } = entry.start;
+        match listing {
+            Listing::Known => return false,
+            Listing::Outdated => {
+                event!(
+                    info,
+                    "server.outdated",
+                    server = name,
+                    born = born,
+                    offset = offset,
+                );
+                return false;
             }
+            Listing::Changed | Listing::StartedAgain => {}
         }
+        event!(
+            info,
+            "server.listed",
+            server = name,
+            pool = entry.pool,
+            address = entry.address,
+            draining = entry.draining,
+            born = born,
+            started_again = listing == Listing::StartedAgain,
+            offset = offset,
+        );
+        true
     }
 
     fn publish(&self) {
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -17,7 +17,7 @@
 use crate::node::Node;
 use crate::store::{Feed, Store};
 
-pub use directory::Directory;
+pub use directory::{Directory, Listing};
 pub(crate) use follow::{Follow, run as follow};
 pub use reader::{Answer, Change, News, Reader};
 
--- a/crates/gateway/tests/testsuite/freshness.rs
+++ b/crates/gateway/tests/testsuite/freshness.rs
@@ -12,7 +12,7 @@
 use swiftlink_gateway::store::{Feed, MemStore, Page, Store, StoreError};
 use swiftlink_gateway::watch::{self, Reader};
 use swiftlink_gateway::{Catalog, Node};
-use swiftlink_types::{DomainName, PoolName, ServerName};
+use swiftlink_types::{DomainName, PoolName, ServerName, Start};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, advance, sleep};
 
@@ -177,7 +177,7 @@
 
     fn server(&self, key: &str, _value: &[u8]) -> Result<ServerEntry, CatalogError> {
         Ok(ServerEntry {
-            name: ServerName::from(key),
+            start: Start::from(ServerName::from(key)),
             pool: PoolName::from("pool"),
             address: SocketAddr::from(([127, 0, 0, 1], 9)),
             domain: DomainName::from("a"),
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -15,5 +15,6 @@
 mod proof;
 mod rights;
 mod sse;
+mod starts;
 mod table;
 mod watch;
--- a/crates/gateway/tests/testsuite/pools.rs
+++ b/crates/gateway/tests/testsuite/pools.rs
@@ -9,7 +9,7 @@
 use swiftlink_gateway::fleet::Pools;
 use swiftlink_gateway::model::{Config, PoolSpec};
 use swiftlink_gateway::{RetryTerms, RouterSettings};
-use swiftlink_types::{DomainName, PoolName, ServerName, VmName};
+use swiftlink_types::{DomainName, PoolName, ServerName, Start, VmName};
 
 use crate::book;
 
@@ -51,14 +51,14 @@
 
 fn servers() -> HashMap<ServerName, ServerEntry> {
     let entry = ServerEntry {
-        name: ServerName::from("s"),
+        start: Start::from(ServerName::from("s")),
         pool: PoolName::from("pool"),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         domain: DomainName::from("a"),
         slots: 4,
         draining: false,
     };
-    HashMap::from([(entry.name.clone(), entry)])
+    HashMap::from([(entry.start.name.clone(), entry)])
 }
 
 /// The configuration and the servers come from two feeds, which two threads follow. A pool
--- /dev/null
+++ b/crates/gateway/tests/testsuite/starts.rs
@@ -0,0 +1,178 @@
+//! The directory over histories of starts, restarts, removals and entries of other writers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use swiftlink_gateway::catalog::{CatalogError, ServerEntry};
+use swiftlink_gateway::fleet::Pool;
+use swiftlink_gateway::model::Config;
+use swiftlink_gateway::store::{Feed, MemStore, Store, StoreFault};
+use swiftlink_gateway::{Catalog, Node, watch};
+use swiftlink_routing::Prompt;
+use swiftlink_types::{DomainName, PoolName, ServerName, Start, WallMs};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::watch::NoDialect;
+
+/// Names of servers in a history.
+const NAMES: u8 = 3;
+/// Time in which all that was written is known, and what lapsed is gone: the longest poll, a pause
+/// and the time that lapsed entries have to come back.
+const SETTLE: Duration = Duration::from_secs(5);
+
+/// What happens.
+#[derive(Clone, Debug)]
+enum Event {
+    /// A start of a server writes its entry.
+    Put { name: u8, born: WallMs, port: u16 },
+    /// Something else is written under its name.
+    Garbage { name: u8 },
+    /// Its entry goes.
+    Remove { name: u8 },
+    /// The store goes away or comes back.
+    Away(bool),
+    /// Nothing for a while (ms).
+    Pause(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let put = (0..NAMES, 1..4_u64, 1..3_u16);
+    prop_oneof![
+        4 => put.prop_map(|(name, born, port)| Event::Put { name, born, port }),
+        1 => (0..NAMES).prop_map(|name| Event::Garbage { name }),
+        1 => (0..NAMES).prop_map(|name| Event::Remove { name }),
+        1 => any::<bool>().prop_map(Event::Away),
+        2 => (0..4_000_u64).prop_map(Event::Pause),
+    ]
+}
+
+/// Entries of the form `born port`.
+#[derive(Debug)]
+struct Entries;
+
+impl Catalog for Entries {
+    fn config(&self, _key: &str, _value: &[u8]) -> Result<Option<Config>, CatalogError> {
+        Ok(None)
+    }
+
+    fn server(&self, key: &str, value: &[u8]) -> Result<ServerEntry, CatalogError> {
+        let text = String::from_utf8_lossy(value);
+        let fields = text.split_once(' ').and_then(|(born, port)| {
+            let fields = (born.parse().ok()?, port.parse().ok()?);
+            Some(fields)
+        });
+        let (born, port) = fields.ok_or_else(|| CatalogError {
+            key: key.to_owned(),
+            reason: "something else".to_owned(),
+        })?;
+        Ok(ServerEntry {
+            start: Start::new(ServerName::from(key), born),
+            pool: PoolName::from("pool"),
+            address: SocketAddr::from(([127, 0, 0, 1], port)),
+            domain: DomainName::from("a"),
+            slots: 4,
+            draining: false,
+        })
+    }
+}
+
+/// What the newest readable entries say: of each name the newest start, unless its entry has gone
+/// or something else was written since.
+#[derive(Debug, Default)]
+struct Model {
+    used: BTreeMap<String, (WallMs, u16)>,
+    newest: BTreeMap<String, WallMs>,
+}
+
+impl Model {
+    fn take(&mut self, event: &Event) {
+        match *event {
+            Event::Put { name, born, port } => {
+                let newest = self.newest.entry(key(name)).or_default();
+                if born >= *newest {
+                    *newest = born;
+                    self.used.insert(key(name), (born, port));
+                }
+            }
+            Event::Garbage { name } | Event::Remove { name } => {
+                self.used.remove(&key(name));
+            }
+            Event::Away(_) | Event::Pause(_) => {}
+        }
+    }
+}
+
+fn key(name: u8) -> String {
+    format!("s{name}")
+}
+
+async fn apply(store: &MemStore, event: &Event) {
+    let put = |name: u8, value: Option<String>| {
+        store.put(Feed::Servers, &key(name), value.map(Bytes::from));
+    };
+    match *event {
+        Event::Put { name, born, port } => put(name, Some(format!("{born} {port}"))),
+        Event::Garbage { name } => put(name, Some("garbage".to_owned())),
+        Event::Remove { name } => put(name, None),
+        Event::Away(true) => store.set_fault(StoreFault::Away),
+        Event::Away(false) => store.set_fault(StoreFault::None),
+        Event::Pause(ms) => sleep(Duration::from_millis(ms)).await,
+    }
+}
+
+/// All servers that the pool gives work to.
+fn used(pool: &Arc<Pool>) -> BTreeMap<String, (WallMs, u16)> {
+    let mut used = BTreeMap::new();
+    let mut tried = Vec::new();
+    while let Some((server, ticket)) =
+        pool.send(0, Prompt::default(), Duration::from_secs(1), &tried)
+    {
+        let place = (server.start.born, server.address.port());
+        used.insert(server.start.name.to_string(), place);
+        tried.push(ticket.idx);
+    }
+    used
+}
+
+async fn follow(events: &[Event]) -> (BTreeMap<String, (WallMs, u16)>, Model) {
+    let store = Arc::new(MemStore::new());
+    let node = Arc::new(Node::new(crate::pools::settings(), Arc::new(NoDialect)));
+    node.pools
+        .set_config(&crate::pools::config(), &node.settings);
+    let mut tasks = JoinSet::new();
+    let shared = Arc::clone(&store) as Arc<dyn Store>;
+    watch::spawn(&mut tasks, &node, &shared, &(Arc::new(Entries) as _));
+    sleep(Duration::from_millis(10)).await;
+    let mut model = Model::default();
+    for event in events {
+        apply(&store, event).await;
+        model.take(event);
+    }
+    store.set_fault(StoreFault::None);
+    sleep(SETTLE).await;
+    let pool = node.pools.get(&"pool".into()).expect("a pool");
+    (used(&pool), model)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(300))]
+
+    /// Whatever is written under the servers' names, in whatever order, work goes to the servers
+    /// that the newest readable entries name, where these say that they are.
+    #[test]
+    fn work_goes_where_the_newest_readable_entries_say(events in vec(event(), 1..30)) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime");
+        let (used, model) = runtime.block_on(follow(&events));
+        prop_assert_eq!(used, model.used);
+    }
+}
--- a/crates/gateway/tests/testsuite/watch.rs
+++ b/crates/gateway/tests/testsuite/watch.rs
@@ -9,8 +9,8 @@
 use swiftlink_gateway::catalog::{CatalogError, ServerEntry};
 use swiftlink_gateway::dialect::{Ask, Order, Verdict};
 use swiftlink_gateway::store::{Feed, MemStore, Page, Store, StoreError, StoreFault};
-use swiftlink_gateway::watch::{self, Directory, News, Reader};
-use swiftlink_types::{DomainName, PoolName, ServerName};
+use swiftlink_gateway::watch::{self, Directory, Listing, News, Reader};
+use swiftlink_types::{DomainName, PoolName, ServerName, Start};
 use tokio::time::Instant;
 
 const NO_WAIT: Duration = Duration::ZERO;
@@ -78,7 +78,7 @@
 
 fn server(name: &str) -> ServerEntry {
     ServerEntry {
-        name: ServerName::from(name),
+        start: Start::from(ServerName::from(name)),
         pool: PoolName::from("pool"),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         domain: DomainName::from("a"),
@@ -90,8 +90,8 @@
 #[tokio::test]
 async fn a_server_whose_entry_is_removed_is_gone_at_once() {
     let mut directory = Directory::default();
-    assert!(directory.put(server("s")));
-    assert!(!directory.put(server("s")), "nothing new");
+    assert_eq!(directory.put(server("s")), Listing::Changed);
+    assert_eq!(directory.put(server("s")), Listing::Known);
     assert!(directory.remove(&ServerName::from("s"), Instant::now()));
     assert!(directory.entries().is_empty());
 }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -13,7 +13,7 @@
     ErrorKind, ExpectedWait, Fleet, FleetPolicy, ListedVm, LoadReport, Pick, RetryBudget, Sent,
     ServerIdx, ServerSpec, ServerView,
 };
-use swiftlink_types::{DomainName, Micros, PoolName, ServerName};
+use swiftlink_types::{DomainName, Micros, PoolName, ServerName, Start};
 use tokio::time::Instant;
 
 use crate::queue::PoolQueue;
@@ -169,7 +169,7 @@
             let spec = &server.spec;
             addresses.insert(server.name.clone(), spec.address);
             specs.push(ServerSpec {
-                name: server.name.clone(),
+                start: Start::from(server.name.clone()),
                 domain: spec.domain.clone(),
                 vm: spec.vm.clone(),
                 slots: spec.slots,
--- a/crates/routing/src/fleet/mod.rs
+++ b/crates/routing/src/fleet/mod.rs
@@ -70,14 +70,16 @@
         }
     }
 
-    /// Takes the pool's servers from the configuration in force. What is known of a
-    /// server that stays is kept.
+    /// Takes the pool's servers from the configuration in force. What is known of a server that
+    /// stays is kept; nothing of one that started again: it holds no prompt, runs no request,
+    /// and isn't ejected for what ended with the start before.
     pub fn set_config(&mut self, specs: &[ServerSpec]) {
-        let kept: HashSet<&ServerName> = specs.iter().map(|spec| &spec.name).collect();
+        let kept: HashSet<&ServerName> = specs.iter().map(|spec| &spec.start.name).collect();
         self.by_name.retain(|name, _| kept.contains(name));
         for spec in specs {
-            let slot = match self.by_name.get(&spec.name) {
-                Some(slot) => *slot,
+            let slot = match self.by_name.get(&spec.start.name) {
+                Some(slot) if self.servers[*slot as usize].start == spec.start => *slot,
+                Some(slot) => self.replace(*slot, spec),
                 None => self.add(spec),
             };
             self.update(slot, spec);
@@ -248,7 +250,7 @@
         let slots = self.by_name.values().copied();
         let mut members: Vec<_> = slots
             .filter(|slot| self.servers[*slot as usize].is_member)
-            .map(|slot| (self.idx(slot), self.servers[slot as usize].name.clone()))
+            .map(|slot| (self.idx(slot), self.servers[slot as usize].name().clone()))
             .collect();
         members.sort_by_key(|(idx, _)| *idx);
         members
@@ -305,7 +307,7 @@
         let server = &self.servers[slot as usize];
         ServerView {
             idx: self.idx(slot),
-            name: server.name.clone(),
+            name: server.name().clone(),
             domain: server.domain.clone(),
             leaving: server.is_leaving(),
             member: server.is_member,
@@ -340,7 +342,14 @@
             Some(place) => *place = server,
             None => self.servers.push(server),
         }
-        self.by_name.insert(spec.name.clone(), slot);
+        self.by_name.insert(spec.start.name.clone(), slot);
+        slot
+    }
+
+    /// Puts a new start of a server in the place of the one before.
+    fn replace(&mut self, slot: u32, spec: &ServerSpec) -> u32 {
+        let place = &mut self.servers[slot as usize];
+        *place = new_server(spec, place.generation + 1);
         slot
     }
 
@@ -422,11 +431,13 @@
 }
 
 fn new_server(spec: &ServerSpec, generation: u32) -> Server {
+    let name = spec.start.name.as_str().as_bytes();
     Server {
-        name: spec.name.clone(),
+        start: spec.start.clone(),
         domain: spec.domain.clone(),
         vm: spec.vm.clone(),
-        hash: xxh3_64_with_seed(spec.name.as_str().as_bytes(), NAME_SEED),
+        hash: xxh3_64_with_seed(name, NAME_SEED),
+        start_hash: xxh3_64_with_seed(name, spec.start.born),
         generation,
         slots: spec.slots,
         is_home: false,
--- a/crates/routing/src/fleet/notes.rs
+++ b/crates/routing/src/fleet/notes.rs
@@ -23,7 +23,7 @@
         if server.news.prefixes.len() < NEWS_MOST {
             server.news.prefixes.push(pick.prefix);
         }
-        let place = pair(pick.prefix, server.hash);
+        let place = pair(pick.prefix, server.start_hash);
         self.read.see(place, pick.now);
     }
 
@@ -37,7 +37,7 @@
             }
             let news = std::mem::take(&mut server.news);
             notes.push(Note {
-                server: server.name.clone(),
+                server: server.start.clone(),
                 unread: server.unread.own(),
                 flows: news.flows,
                 prefixes: news.prefixes,
@@ -46,11 +46,18 @@
         notes
     }
 
-    /// Takes what a peer tells of a server.
+    /// Takes what a peer tells of a server. What it tells of another start than the one known
+    /// here is of no use: that one is over, or its entry is on its way.
     pub fn on_note(&mut self, peer: u64, now: Micros, note: &Note) {
-        let Some(idx) = self.find(&note.server) else {
+        let Some(idx) = self.find(&note.server.name) else {
             return;
         };
+        if self
+            .get(idx)
+            .is_none_or(|server| *server.start() != note.server)
+        {
+            return;
+        }
         for flow in &note.flows {
             self.learn_flow(idx, *flow);
         }
@@ -58,7 +65,7 @@
             return;
         };
         server.unread.set_peer(now, peer, note.unread);
-        let hash = server.hash;
+        let hash = server.start_hash;
         for prefix in &note.prefixes {
             self.read.see(pair(*prefix, hash), now);
         }
--- a/crates/routing/src/note.rs
+++ b/crates/routing/src/note.rs
@@ -1,14 +1,14 @@
 //! What routers tell each other of the servers.
 
-use swiftlink_types::ServerName;
+use swiftlink_types::Start;
 
 use crate::flow::Flow;
 
 /// News of one server, from one router.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Note {
-    /// The server.
-    pub server: ServerName,
+    /// The start of the server that they are of.
+    pub server: Start,
     /// Tokens of the router's prompts that the server still has to read.
     pub unread: u64,
     /// How the events of its streams lately followed each other.
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -102,7 +102,7 @@
     #[must_use]
     pub fn unread(&self, slot: u32) -> u64 {
         let pick = self.pick;
-        let place = pair(pick.prefix, self.server(slot).hash());
+        let place = pair(pick.prefix, self.server(slot).start_hash());
         if pick.prefix != 0 && self.read.has(place, self.now()) {
             return pick.prompt.own;
         }
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -1,6 +1,6 @@
 //! What a router knows of one backend server.
 
-use swiftlink_types::{DomainName, Micros, ServerName, VmName};
+use swiftlink_types::{DomainName, Micros, ServerName, Start, VmName};
 
 use crate::flow::Pace;
 use crate::health::Health;
@@ -9,7 +9,7 @@
 use crate::slowness::Slowness;
 use crate::unread::Unread;
 
-/// Names a server within a [`crate::Fleet`]; never reused for another server.
+/// Names a start of a server within a [`crate::Fleet`]; never reused for another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ServerIdx {
     pub(crate) slot: u32,
@@ -44,13 +44,14 @@
     pub(crate) load: u32,
 }
 
-/// State of one server, as policies see it.
+/// State of one start of a server, as policies see it.
 #[derive(Clone, Debug)]
 pub struct Server {
-    pub(crate) name: ServerName,
+    pub(crate) start: Start,
     pub(crate) domain: DomainName,
     pub(crate) vm: Option<VmName>,
     pub(crate) hash: u64,
+    pub(crate) start_hash: u64,
     pub(crate) generation: u32,
     pub(crate) slots: u32,
     pub(crate) is_home: bool,
@@ -84,7 +85,13 @@
     /// Its name.
     #[must_use]
     pub fn name(&self) -> &ServerName {
-        &self.name
+        &self.start.name
+    }
+
+    /// Its name, and when it started.
+    #[must_use]
+    pub fn start(&self) -> &Start {
+        &self.start
     }
 
     /// Its failure domain.
@@ -111,6 +118,12 @@
         self.hash
     }
 
+    /// Hash of its name and of its start: what it has read is kept by it.
+    #[must_use]
+    pub fn start_hash(&self) -> u64 {
+        self.start_hash
+    }
+
     /// Its load.
     #[must_use]
     pub fn load(&self) -> &Load {
--- a/crates/routing/src/spec.rs
+++ b/crates/routing/src/spec.rs
@@ -1,6 +1,6 @@
 //! What a fleet is told: its settings, the configured servers, the VM list.
 
-use swiftlink_types::{DomainName, ServerName, VmName};
+use swiftlink_types::{DomainName, Start, VmName};
 
 use crate::health::HealthPolicy;
 
@@ -35,8 +35,8 @@
 /// A backend server as configured.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerSpec {
-    /// Its name.
-    pub name: ServerName,
+    /// Its name, and when it started.
+    pub start: Start,
     /// Its failure domain.
     pub domain: DomainName,
     /// Its VM, if the VM list knows it.
--- a/crates/routing/tests/fleet.rs
+++ b/crates/routing/tests/fleet.rs
@@ -8,7 +8,7 @@
     ErrorKind, ExpectedWait, Fleet, FleetPolicy, LeastReported, ListedVm, LoadReport, Pick, Policy,
     Random, RoundRobin, ServerIdx, ServerSpec, TwoChoices,
 };
-use swiftlink_types::{DomainName, ServerName, VmName};
+use swiftlink_types::{DomainName, ServerName, Start, VmName};
 
 const MS: u64 = 1_000;
 const SEC: u64 = 1_000_000;
@@ -19,7 +19,7 @@
 
 fn specs(count: usize) -> Vec<ServerSpec> {
     let spec = |number| ServerSpec {
-        name: ServerName::from(format!("runner-{number}")),
+        start: Start::from(ServerName::from(format!("runner-{number}"))),
         domain: DomainName::from(["rennes-a", "brest"][number % 2]),
         vm: Some(VmName::from(format!("vm-{number}"))),
         slots: 8,
@@ -392,7 +392,7 @@
                     fleet.set_config(kept);
                 }
                 _ => {
-                    let exclude: Vec<_> = fleet.find(&drained[number % 8].name).into_iter().collect();
+                    let exclude: Vec<_> = fleet.find(&drained[number % 8].start.name).into_iter().collect();
                     let pick = Pick { prefix, exclude: &exclude, ..at(now) };
                     let sent = fleet.send(&pick, &mut rng);
                     let able = fleet.views(now).iter().any(|view| {
--- /dev/null
+++ b/crates/routing/tests/starts.rs
@@ -0,0 +1,101 @@
+//! Servers that start again under their name.
+
+use rand_pcg::Pcg64Mcg;
+use swiftlink_routing::{
+    ErrorKind, ExpectedWait, Fleet, FleetPolicy, LoadReport, Pick, ServerSpec,
+};
+use swiftlink_types::{DomainName, ServerName, Start};
+
+const SEC: u64 = 1_000_000;
+/// What a busy server reports.
+const LOADED: LoadReport = LoadReport {
+    running: 8,
+    waiting: 20,
+    slots: 8,
+    draining: false,
+    age: std::time::Duration::ZERO,
+};
+
+fn rng() -> Pcg64Mcg {
+    Pcg64Mcg::new(42)
+}
+
+fn specs(count: usize) -> Vec<ServerSpec> {
+    let spec = |number| ServerSpec {
+        start: Start::from(ServerName::from(format!("runner-{number}"))),
+        domain: DomainName::from("rennes-a"),
+        vm: None,
+        slots: 8,
+        drain: false,
+    };
+    (0..count).map(spec).collect()
+}
+
+fn fleet(count: usize) -> Fleet {
+    let settings = FleetPolicy::new(DomainName::from("rennes-a"));
+    let mut fleet = Fleet::new(settings, Box::new(ExpectedWait::default()));
+    fleet.set_config(&specs(count));
+    fleet
+}
+
+fn at(now: u64) -> Pick<'static> {
+    Pick {
+        now,
+        may_probe: true,
+        ..Pick::default()
+    }
+}
+
+/// A server that started again under its name: its next start.
+fn started_again(specs: &[ServerSpec], place: usize, born: u64) -> Vec<ServerSpec> {
+    let mut specs = specs.to_vec();
+    specs[place].start.born = born;
+    specs
+}
+
+/// The address of a server had been given to another one, so 300 routers had ejected it for the
+/// longest time. It starts again elsewhere, and each router sends it work as soon as it hears of
+/// that; one that is told the same start again keeps what it knows.
+#[test]
+fn a_server_that_starts_again_takes_work_from_all_routers_at_once() {
+    let mut rng = rng();
+    let specs = specs(1);
+    for _router in 0..300 {
+        let mut fleet = fleet(1);
+        let idx = fleet.find(&specs[0].start.name).expect("known");
+        let sent = fleet.on_sent(idx, 0).expect("known");
+        fleet.on_error(sent, SEC, ErrorKind::Misdirected);
+        assert_eq!(fleet.pick(&at(2 * SEC), &mut rng), None);
+        let again = started_again(&specs, 0, 5);
+        fleet.set_config(&again);
+        let picked = fleet.pick(&at(2 * SEC), &mut rng);
+        assert!(picked.is_some_and(|picked| picked != idx), "{picked:?}");
+        fleet.set_config(&again);
+        assert_eq!(fleet.pick(&at(2 * SEC), &mut rng), picked);
+    }
+}
+
+/// Answers that come after the new start's entry are of the start before.
+#[test]
+fn what_ends_late_says_nothing_of_the_next_start() {
+    let specs = specs(1);
+    let mut fleet = fleet(1);
+    let name = &specs[0].start.name;
+    let old = fleet.find(name).expect("known");
+    let mut late: Vec<_> = (0..5).filter_map(|_| fleet.on_sent(old, 0)).collect();
+    fleet.on_report(old, 1, LOADED);
+    fleet.set_config(&started_again(&specs, 0, 5));
+    let new = fleet.find(name).expect("known");
+    assert_ne!(new, old);
+    fleet.on_error(late.pop().expect("one"), SEC, ErrorKind::Connect);
+    fleet.on_end(late.pop().expect("one"), SEC);
+    fleet.on_unused(late.pop().expect("one"), SEC);
+    fleet.on_report(old, SEC, LOADED);
+    fleet.on_draining(old, SEC);
+    assert!(fleet.on_sent(old, SEC).is_none());
+    let server = fleet.get(new).expect("known");
+    assert!(server.health().is_open());
+    assert!(!server.is_leaving());
+    assert_eq!(server.load().in_flight(), 0);
+    assert_eq!(server.load().reported(), 0);
+}
--- a/crates/routing/tests/unmixed.rs
+++ b/crates/routing/tests/unmixed.rs
@@ -9,7 +9,7 @@
     Fleet, FleetPolicy, Flow, Note, Pick, Policy, Prompt, Rendezvous, Sent, ServerIdx, ServerSpec,
     Unmixed,
 };
-use swiftlink_types::{DomainName, ServerName};
+use swiftlink_types::{DomainName, ServerName, Start};
 
 const MS: u64 = 1_000;
 const SEC: u64 = 1_000_000;
@@ -28,7 +28,7 @@
     let settings = FleetPolicy::new(DomainName::from("rennes-a"));
     let mut fleet = Fleet::new(settings, policy);
     let spec = |number| ServerSpec {
-        name: name(number),
+        start: Start::from(name(number)),
         domain: DomainName::from("rennes-a"),
         vm: None,
         slots: 64,
@@ -170,7 +170,7 @@
     let now = 30 * SEC;
     let home = fleet.pick(&pick(77, LONG, now), &mut rng).expect("one");
     let note = Note {
-        server: fleet.get(home).expect("known").name().clone(),
+        server: fleet.get(home).expect("known").start().clone(),
         unread: 60_000,
         flows: Vec::new(),
         prefixes: Vec::new(),
@@ -207,7 +207,7 @@
     };
     one.on_flow(sent.idx, flow);
     let note = Note {
-        server: one.get(sent.idx).expect("known").name().clone(),
+        server: one.get(sent.idx).expect("known").start().clone(),
         unread: 9_000,
         flows: vec![flow],
         prefixes: vec![9],
@@ -339,3 +339,45 @@
     assert!(letters < plain * 0.7, "{letters} {plain}");
     assert!(jobs <= plain_jobs, "{jobs} {plain_jobs}");
 }
+
+/// What peers tell of a server crosses its next start: notes of the one before change nothing,
+/// and its prompts count as not read.
+#[test]
+fn notes_of_another_start_change_nothing() {
+    let specs = |born| {
+        let start = Start::new(name(0), born);
+        [ServerSpec {
+            start,
+            domain: DomainName::from("rennes-a"),
+            vm: None,
+            slots: 64,
+            drain: false,
+        }]
+    };
+    let mut fleet = fleet(1);
+    fleet.set_config(&specs(5));
+    let mut rng = Pcg64Mcg::new(1);
+    let unread = |fleet: &mut Fleet, rng: &mut Pcg64Mcg, now| {
+        let mut sent = fleet.send(&pick(9, LONG, now), rng).expect("one");
+        let notes = fleet.take_notes();
+        fleet.on_first_token(&mut sent, now + 100 * MS);
+        fleet.on_end(sent, now + 200 * MS);
+        notes[0].unread
+    };
+    let all = unread(&mut fleet, &mut rng, 0);
+    let known = unread(&mut fleet, &mut rng, SEC);
+    assert!(known < all, "{known} of {all}");
+    fleet.set_config(&specs(6));
+    let note = |born| Note {
+        server: Start::new(name(0), born),
+        unread: 0,
+        flows: Vec::new(),
+        prefixes: vec![9],
+    };
+    fleet.on_note(1, 2 * SEC, &note(5));
+    fleet.on_note(1, 2 * SEC, &note(7));
+    assert_eq!(unread(&mut fleet, &mut rng, 3 * SEC), all);
+    fleet.set_config(&specs(8));
+    fleet.on_note(1, 4 * SEC, &note(8));
+    assert_eq!(unread(&mut fleet, &mut rng, 5 * SEC), known);
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,13 +5,14 @@
 //! [`Outcome`] tells the caller what is known of the run.
 //!
 //! Reading order: `name` (what is declared), `amount` (what a request costs), `id`
-//! (the key of a request, and [`Incarnation`], one start of a router), `time`, and
-//! `refusal`.
+//! (the key of a request, and [`Incarnation`], one start of a router), `start` (one start of a
+//! backend server), `time`, and `refusal`.
 
 mod amount;
 mod id;
 mod name;
 mod refusal;
+mod start;
 mod time;
 
 pub use amount::{PRICE_UNIT, Tokens, cost};
@@ -21,4 +22,5 @@
     WorkspaceName,
 };
 pub use refusal::{OUTCOME_HEADER, Outcome, Problem, Refusal, RefusalKind};
+pub use start::Start;
 pub use time::{MICROS_PER_MS, Micros, WallMs, wall_ms};
