watch: an entry without the time of birth that its server told is somebody else's

An entry that lacks it names no server to use, as one that can't be read. The property over histories has such entries now. Routing: one method says which failures mean that a server is away.

--- a/crates/gateway/src/watch/directory.rs
+++ b/crates/gateway/src/watch/directory.rs
@@ -11,7 +11,7 @@
 
 use super::follow::Follow;
 use super::reader::{Change, News};
-use crate::catalog::{Catalog, ServerEntry};
+use crate::catalog::{Catalog, CatalogError, ServerEntry};
 use crate::node::Node;
 use crate::store::Feed;
 
@@ -30,6 +30,9 @@
     Known,
     /// Nothing: it is of a start before the newest one known.
     Outdated,
+    /// The server is out of use: the entry lacks the time of birth that this server tells, so somebody
+    /// else wrote it.
+    Foreign,
     /// The server is new, or says something else of itself.
     Changed,
     /// The server started again.
@@ -54,6 +57,10 @@
     pub fn put(&mut self, entry: ServerEntry) -> Listing {
         let Start { name, born } = entry.start.clone();
         let newest = self.born.get(&name).copied().unwrap_or(0);
+        if born == 0 && newest > 0 {
+            self.spoil(&name);
+            return Listing::Foreign;
+        }
         if born < newest {
             return Listing::Outdated;
         }
@@ -144,20 +151,18 @@
         match self.catalog.server(&change.key, value) {
             Ok(entry) => self.list(entry, change.offset),
             Err(error) => {
-                self.node.metrics.unreadable(Feed::Servers);
-                let changed = self.directory.spoil(&name);
-                event!(
-                    error,
-                    "server.unreadable",
-                    error = error,
-                    was_used = changed,
-                    offset = change.offset,
-                );
-                changed
+                self.refuse(&error, change.offset);
+                self.directory.spoil(&name)
             }
         }
     }
 
+    /// Tells of an entry that names no server.
+    fn refuse(&self, error: &CatalogError, offset: u64) {
+        self.node.metrics.unreadable(Feed::Servers);
+        event!(error, "server.unreadable", error = error, offset = offset);
+    }
+
     /// Takes an entry that could be read.
     fn list(&mut self, entry: ServerEntry, offset: u64) -> bool {
         let listing = self.directory.put(entry.clone());
@@ -174,6 +179,14 @@
                 );
                 return false;
             }
+            Listing::Foreign => {
+                let error = CatalogError {
+                    key: name.to_string(),
+                    reason: "no time of birth".to_owned(),
+                };
+                self.refuse(&error, offset);
+                return true;
+            }
             Listing::Changed | Listing::StartedAgain => {}
         }
         event!(
--- a/crates/gateway/tests/testsuite/starts.rs
+++ b/crates/gateway/tests/testsuite/starts.rs
@@ -29,7 +29,7 @@
 /// What happens.
 #[derive(Clone, Debug)]
 enum Event {
-    /// A start of a server writes its entry.
+    /// A start of a server writes its entry; at 0 it doesn't say when it started.
     Put { name: u8, born: WallMs, port: u16 },
     /// Something else is written under its name.
     Garbage { name: u8 },
@@ -42,7 +42,7 @@
 }
 
 fn event() -> impl Strategy<Value = Event> {
-    let put = (0..NAMES, 1..4_u64, 1..3_u16);
+    let put = (0..NAMES, 0..4_u64, 1..3_u16);
     prop_oneof![
         4 => put.prop_map(|(name, born, port)| Event::Put { name, born, port }),
         1 => (0..NAMES).prop_map(|name| Event::Garbage { name }),
@@ -83,7 +83,8 @@
 }
 
 /// What the newest readable entries say: of each name the newest start, unless its entry has gone
-/// or something else was written since.
+/// or something else was written since. An entry without a time of birth is something else where
+/// the server told one.
 #[derive(Debug, Default)]
 struct Model {
     used: BTreeMap<String, (WallMs, u16)>,
@@ -95,6 +96,10 @@
         match *event {
             Event::Put { name, born, port } => {
                 let newest = self.newest.entry(key(name)).or_default();
+                if born == 0 && *newest > 0 {
+                    self.used.remove(&key(name));
+                    return;
+                }
                 if born >= *newest {
                     *newest = born;
                     self.used.insert(key(name), (born, port));
--- a/crates/routing/src/fleet/mod.rs
+++ b/crates/routing/src/fleet/mod.rs
@@ -165,12 +165,7 @@
     /// The dispatch failed.
     pub fn on_error(&mut self, sent: Sent, now: Micros, kind: ErrorKind) {
         let policy = self.settings.health;
-        // Overload causes none of these.
-        let is_away = matches!(
-            kind,
-            ErrorKind::Connect | ErrorKind::Unreachable | ErrorKind::Misdirected
-        );
-        let may_eject = is_away || self.may_eject();
+        let may_eject = kind.is_away() || self.may_eject();
         let Some(server) = self.get_mut(sent.idx) else {
             return;
         };
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -21,6 +21,17 @@
     Broken,
 }
 
+impl ErrorKind {
+    /// Whether the server isn't where it was said to be. Overload causes none of these.
+    #[must_use]
+    pub fn is_away(self) -> bool {
+        match self {
+            Self::Connect | Self::Unreachable | Self::Misdirected => true,
+            Self::Status | Self::Timeout | Self::Broken => false,
+        }
+    }
+}
+
 /// Settings of [`Health`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HealthPolicy {
@@ -163,10 +174,8 @@
     ) {
         self.errors += GAIN * (1.0 - self.errors);
         self.results = self.results.saturating_add(1);
-        self.streak = self.streak.saturating_add(match kind {
-            ErrorKind::Connect | ErrorKind::Unreachable | ErrorKind::Misdirected => policy.streak,
-            ErrorKind::Status | ErrorKind::Timeout | ErrorKind::Broken => 1,
-        });
+        let step = if kind.is_away() { policy.streak } else { 1 };
+        self.streak = self.streak.saturating_add(step);
         let was_probe = std::mem::take(&mut self.probing);
         let is_failing = self.results >= MIN_RESULTS && self.errors > policy.share;
         let is_ejected = self.until.is_some();
