watch: a router that lost the store hears from others of servers and configurations

Change: each router keeps the newest record of each key of both feeds; who has lost the store asks another one, drawn anew each time, for what is newer, and takes it by offset like an answer of the store. Its own place in the feed stays, so that what the other lacks is read later. Tests: gateway copies::*; three of four fail when nobody is asked. Run: tests of gateway, adapter, link and ledger.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -14,6 +14,7 @@
 use crate::node::Node;
 use crate::notes;
 use crate::rights::Reservations;
+use crate::watch::copies;
 
 /// Answers other routers.
 #[derive(Debug)]
@@ -84,12 +85,16 @@
                 })
             }
             request::Kind::GetSeen(ask) => reply::Kind::Seen(self.seen(ask.process)),
+            request::Kind::GetFeed(ask) => {
+                reply::Kind::FeedRecords(copies::answer(&self.node.copies, &ask))
+            }
             request::Kind::Reserve(ask) => return self.answer_reserve(&ask, &replies).await,
             request::Kind::Release(release) => reply::Kind::Released(self.release(&release)),
             _ => reply::Kind::Failure(Failure {
                 kind: FailureKind::Unspecified.into(),
-                detail: "routers reserve rights, take notes and tell of others, nothing else"
-                    .to_owned(),
+                detail:
+                    "routers reserve rights, take notes, tell of others and of feeds, nothing else"
+                        .to_owned(),
             }),
         };
         if replies.send(kind, true).await.is_err() {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,6 +16,7 @@
 use crate::rights::holders::Placement;
 use crate::settings::RouterSettings;
 use crate::sightings::Sightings;
+use crate::watch::Copies;
 
 /// State that requests read, and the tasks that keep it up to date write.
 #[derive(Debug)]
@@ -28,6 +29,8 @@
     pub config: ArcSwapOption<Config>,
     /// How old that knowledge is.
     pub freshness: Freshness,
+    /// What was read of the configuration and of the servers' entries.
+    pub copies: Copies,
     /// The backend servers.
     pub pools: Arc<Pools>,
     /// Rights of the workspaces.
@@ -61,6 +64,7 @@
             dialect,
             config: ArcSwapOption::empty(),
             freshness: Freshness::new(),
+            copies: Copies::default(),
             pools: Arc::new(Pools::new()),
             sightings: Arc::default(),
             process: rand::random(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -28,7 +28,7 @@
 use crate::settings::RouterSettings;
 use crate::sightings::{Sighting, Sightings};
 use crate::store::{ANSWER_TIME, Feed, Record, Store, StoreError};
-use crate::watch::{Follow, News};
+use crate::watch::{Follow, News, Others, Told, copies};
 
 /// Key of the links' secret; no VM's name has a slash.
 const SECRET_KEY: &str = "links/secret";
@@ -43,6 +43,9 @@
 /// Longest time for a connection to a peer and its answer, each, at the start: peers of a
 /// region answer in a few milliseconds.
 const SEEN_TIME: Duration = Duration::from_millis(100);
+/// Longest time for a connection to a peer and for its answer, each, about a feed: peers of a region
+/// answer in a few milliseconds, and the store is asked next.
+const TELL_TIME: Duration = Duration::from_millis(100);
 /// Longest time at the start until the members of the fleet are known: two calls of the store.
 const KNOWN_TIME: Duration = Duration::from_millis(300);
 /// First pause after a registration failed.
@@ -109,6 +112,18 @@
         lock(&self.members).keys().cloned().collect()
     }
 
+    /// One of the other routers, drawn anew each time; in a large fleet one of those that hold
+    /// accounts, to which there are links.
+    fn any(&self) -> Option<VmName> {
+        let mut vms = lock(&self.holders).clone();
+        if vms.is_empty() {
+            vms = self.all();
+        }
+        vms.retain(|vm| *vm != self.vm);
+        let drawn = rand::random_range(0..vms.len().max(1));
+        vms.into_iter().nth(drawn)
+    }
+
     /// What a router on `vm` knows of a process.
     async fn ask_seen(&self, vm: &VmName, process: u64) -> Option<Seen> {
         let kind = request::Kind::GetSeen(GetSeen { process });
@@ -239,6 +254,26 @@
     }
 }
 
+#[async_trait]
+impl Others for Peers {
+    async fn tell(&self, feed: Feed, from: u64) -> Option<Told> {
+        let question = copies::question(feed, from)?;
+        let vm = self.any()?;
+        let kind = request::Kind::GetFeed(question);
+        match self.call_up(&vm, kind, TELL_TIME).await {
+            Ok(reply::Kind::FeedRecords(answer)) => Some(copies::told(answer)),
+            Ok(_) => {
+                event!(warn, "peer.wrong_reply", peer = vm);
+                None
+            }
+            Err(error) => {
+                event!(debug, "feed.not_told", peer = vm, reason = error);
+                None
+            }
+        }
+    }
+}
+
 /// Takes news of the members' feed.
 #[derive(Debug)]
 pub(crate) struct Follower {
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -23,6 +23,7 @@
 use crate::serve::Surface;
 use crate::settings::RouterSettings;
 use crate::store::{Feed, Store};
+use crate::watch::Others;
 use crate::{notes, stop, watch};
 
 /// How long a connection may be idle. Callers reuse connections for up to four fifths of
@@ -93,12 +94,13 @@
             node: Arc::clone(&node),
         });
         let mut tasks = JoinSet::new();
-        watch::spawn(&mut tasks, &node, &store, &adapter.catalog);
         let peers = Arc::new(Peers::new(
             node.settings.vm.clone(),
             Arc::clone(node.books.clock()),
             Arc::clone(&node.sightings),
         ));
+        let others = Arc::clone(&peers) as Arc<dyn Others>;
+        watch::spawn(&mut tasks, &node, &store, &adapter.catalog, &others);
         spawn_peers(&mut tasks, &node, &store, &peers)?;
         let calls = Arc::clone(&peers) as Arc<dyn Calls>;
         let remote = Remote::new(Arc::clone(&node.books), calls, node.process);
@@ -197,7 +199,7 @@
     tasks.spawn(registered);
     let reader = watch::Reader::new(Feed::Members, Arc::clone(store));
     let follower = peers::Follower::new(peers, node);
-    tasks.spawn(watch::follow(reader, follower));
+    tasks.spawn(watch::follow(reader, follower, None));
     tasks.spawn(notes::run(Arc::clone(node), Arc::clone(peers)));
     let reservations = Arc::new(Reservations::default());
     tasks.spawn(expire(Arc::clone(&reservations)));
--- a/crates/gateway/src/watch/follow.rs
+++ b/crates/gateway/src/watch/follow.rs
@@ -1,5 +1,6 @@
 //! Reads one feed for ever.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -7,7 +8,9 @@
 use swiftlink_telemetry::event;
 use tokio::time::{Instant, sleep, timeout};
 
+use super::copies::Others;
 use super::reader::{Answer, News, Reader};
+use crate::node::Node;
 use crate::store::{Feed, StoreError};
 
 /// How long the store keeps a poll that finds nothing new, and so how long it takes to
@@ -42,13 +45,35 @@
     fn tick(&mut self);
 }
 
-/// Follows a feed until the task is aborted.
+/// Where a feed is kept for other routers, and who may know what this one can't read.
+#[derive(Clone, Debug)]
+pub(crate) struct Relay {
+    pub(crate) node: Arc<Node>,
+    pub(crate) others: Arc<dyn Others>,
+}
+
+impl Relay {
+    /// What another router knows that is newer.
+    async fn ask(&self, reader: &mut Reader) -> Option<News> {
+        let asked = Instant::now();
+        let told = self.others.tell(reader.feed(), reader.known()).await?;
+        let news = reader.take_told(told, asked);
+        if !news.changes.is_empty() {
+            let records = news.changes.len();
+            event!(info, "feed.told", feed = reader.feed(), records = records);
+        }
+        Some(news)
+    }
+}
+
+/// Follows a feed until the task is aborted; by way of other routers while the store is lost,
+/// where there is a `relay`.
 ///
 /// A poll without an answer is joined by another, not replaced: where a link is full, the answer
 /// of each comes after [`SILENCE`], and who gives them up reads none. In a fleet of 89 VMs the one
 /// with the fullest link heard nothing of the configuration for 5.3 s of an ordinary day, by the
 /// lines of its routers.
-pub(crate) async fn run(mut reader: Reader, mut follower: impl Follow) {
+pub(crate) async fn run(mut reader: Reader, mut follower: impl Follow, relay: Option<Relay>) {
     let mut backoff = BACKOFF;
     let mut away: Option<Instant> = None;
     let mut polls = FuturesUnordered::new();
@@ -82,7 +107,7 @@
                 let news = reader.take(answer);
                 backoff = BACKOFF;
                 let found = !news.changes.is_empty();
-                follower.take(news);
+                take(news, &reader, &mut follower, relay.as_ref());
                 follower.tick();
                 if found {
                     sleep(PAUSE).await;
@@ -93,6 +118,11 @@
                     event!(warn, "store.lost", feed = reader.feed(), error = error);
                     away = Some(Instant::now());
                 }
+                if let Some(relay) = &relay
+                    && let Some(news) = relay.ask(&mut reader).await
+                {
+                    take(news, &reader, &mut follower, Some(relay));
+                }
                 follower.tick();
                 sleep(backoff.mul_f64(0.5 + rand::random::<f64>())).await;
                 backoff = (backoff * 2).min(BACKOFF_MAX);
@@ -101,6 +131,14 @@
     }
 }
 
+/// Keeps news for other routers and has them taken.
+fn take(news: News, reader: &Reader, follower: &mut impl Follow, relay: Option<&Relay>) {
+    if let Some(relay) = relay {
+        relay.node.copies.keep(reader.feed(), &news);
+    }
+    follower.take(news);
+}
+
 /// How long the store may keep a poll of `feed`.
 fn longest_wait(feed: Feed) -> Duration {
     match feed {
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! `reader` polls a feed and finds its way back after lost history, `follow` decides when to poll;
 //! `config` and `directory` say what a record changes. Nothing ever goes back to an
-//! older version or an older entry.
+//! older version or an older entry. `copies` has what routers tell each other of the feeds.
 
 mod config;
+pub(crate) mod copies;
 mod directory;
 mod follow;
 mod reader;
@@ -17,21 +18,28 @@
 use crate::node::Node;
 use crate::store::{Feed, Store};
 
+pub use copies::{Copies, Others, Told};
 pub use directory::{Directory, Listing};
-pub(crate) use follow::{Follow, run as follow};
+pub(crate) use follow::{Follow, Relay, run as follow};
 pub use reader::{Answer, Change, News, Reader};
 
-/// Starts the tasks that follow the feeds, in `tasks`.
+/// Starts the tasks that follow the feeds, in `tasks`. While the store is lost, `others` are
+/// asked.
 pub fn spawn(
     tasks: &mut JoinSet<()>,
     node: &Arc<Node>,
     store: &Arc<dyn Store>,
     catalog: &Arc<dyn Catalog>,
+    others: &Arc<dyn Others>,
 ) {
+    let relay = Relay {
+        node: Arc::clone(node),
+        others: Arc::clone(others),
+    };
     let config = config::Follower::new(Arc::clone(node), Arc::clone(catalog));
     let reader = Reader::new(Feed::Config, Arc::clone(store));
-    tasks.spawn(follow::run(reader, config));
+    tasks.spawn(follow::run(reader, config, Some(relay.clone())));
     let servers = directory::Follower::new(Arc::clone(node), Arc::clone(catalog));
     let reader = Reader::new(Feed::Servers, Arc::clone(store));
-    tasks.spawn(follow::run(reader, servers));
+    tasks.spawn(follow::run(reader, servers, Some(relay)));
 }
--- a/crates/gateway/src/watch/reader.rs
+++ b/crates/gateway/src/watch/reader.rs
@@ -8,6 +8,7 @@
 use swiftlink_telemetry::event;
 use tokio::time::Instant;
 
+use super::copies::Told;
 use crate::store::{Feed, Page, Record, Store, StoreError};
 
 /// Longest time for an answer beyond the wait that was asked for. A link that callers have filled
@@ -63,6 +64,8 @@
     feed: Feed,
     store: Arc<dyn Store>,
     next: Option<u64>,
+    /// The offset after the newest record that another router told of.
+    told: u64,
     /// Offset of the newest record seen of each key.
     seen: HashMap<String, u64>,
 }
@@ -75,6 +78,7 @@
             feed,
             store,
             next: None,
+            told: 0,
             seen: HashMap::new(),
         }
     }
@@ -138,19 +142,43 @@
             let keys = page.records.iter().map(|record| record.key.clone());
             keys.collect()
         });
+        News {
+            changes: self.newer(page.records),
+            keys,
+            as_of: Some(answer.as_of),
+        }
+    }
+
+    /// Offset from which on another router may know more.
+    #[must_use]
+    pub fn known(&self) -> u64 {
+        self.next.unwrap_or(0).max(self.told)
+    }
+
+    /// Takes what another router told when it was asked at `asked`. It may lack records that the
+    /// store has, so the place in the feed stays.
+    pub fn take_told(&mut self, told: Told, asked: Instant) -> News {
+        if let Some(last) = told.records.last() {
+            self.told = self.told.max(last.offset + 1);
+        }
+        News {
+            changes: self.newer(told.records),
+            keys: None,
+            as_of: told.age.and_then(|age| asked.checked_sub(age)),
+        }
+    }
+
+    /// The records that are newer than what was seen of their keys, or the same.
+    fn newer(&mut self, records: Vec<Record>) -> Vec<Change> {
         let mut changes = Vec::new();
-        for Record { offset, key, value } in page.records {
+        for Record { offset, key, value } in records {
             if self.seen.get(&key).is_some_and(|seen| *seen > offset) {
                 continue;
             }
             self.seen.insert(key.clone(), offset);
             changes.push(Change { key, value, offset });
         }
-        News {
-            changes,
-            keys,
-            as_of: Some(answer.as_of),
-        }
+        changes
     }
 }
 
--- a/crates/gateway/tests/testsuite/freshness.rs
+++ b/crates/gateway/tests/testsuite/freshness.rs
@@ -16,7 +16,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, advance, sleep};
 
-use crate::watch::{NoCatalog, NoDialect};
+use crate::watch::{NoCatalog, NoDialect, Nobody};
 
 #[tokio::test(start_paused = true)]
 async fn knowledge_ages_until_the_store_confirms_it_and_never_gets_older_by_that() {
@@ -142,7 +142,14 @@
     let node = Arc::new(Node::new(crate::pools::settings(), Arc::new(NoDialect)));
     let mut tasks = JoinSet::new();
     let shared = Arc::clone(&store) as Arc<dyn Store>;
-    watch::spawn(&mut tasks, &node, &shared, &(Arc::new(NoCatalog) as _));
+    let others = Arc::new(Nobody) as _;
+    watch::spawn(
+        &mut tasks,
+        &node,
+        &shared,
+        &(Arc::new(NoCatalog) as _),
+        &others,
+    );
     sleep(Duration::from_secs(10)).await;
     let mut longest = Duration::ZERO;
     for _ in 0..2_000 {
@@ -198,7 +205,14 @@
         .set_config(&crate::pools::config(), &node.settings);
     let mut tasks = JoinSet::new();
     let shared = Arc::clone(&store) as Arc<dyn Store>;
-    watch::spawn(&mut tasks, &node, &shared, &(Arc::new(AnyServer) as _));
+    let others = Arc::new(Nobody) as _;
+    watch::spawn(
+        &mut tasks,
+        &node,
+        &shared,
+        &(Arc::new(AnyServer) as _),
+        &others,
+    );
     let pool = node.pools.get(&"pool".into()).expect("a pool");
     for round in 0..28 {
         let entry = Some(Bytes::from_static(b"1"));
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod book;
 mod cap;
 mod clock;
+mod copies;
 mod freshness;
 mod headroom;
 mod holders;
--- a/crates/gateway/tests/testsuite/starts.rs
+++ b/crates/gateway/tests/testsuite/starts.rs
@@ -18,7 +18,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::watch::NoDialect;
+use crate::watch::{NoDialect, Nobody};
 
 /// Names of servers in a history.
 const NAMES: u8 = 3;
@@ -54,7 +54,7 @@
 
 /// Entries of the form `born port`.
 #[derive(Debug)]
-struct Entries;
+pub(crate) struct Entries;
 
 impl Catalog for Entries {
     fn config(&self, _key: &str, _value: &[u8]) -> Result<Option<Config>, CatalogError> {
@@ -132,7 +132,7 @@
 }
 
 /// All servers that the pool gives work to.
-fn used(pool: &Arc<Pool>) -> BTreeMap<String, (WallMs, u16)> {
+pub(crate) fn used(pool: &Arc<Pool>) -> BTreeMap<String, (WallMs, u16)> {
     let mut used = BTreeMap::new();
     let mut tried = Vec::new();
     while let Some((server, ticket)) =
@@ -152,7 +152,14 @@
         .set_config(&crate::pools::config(), &node.settings);
     let mut tasks = JoinSet::new();
     let shared = Arc::clone(&store) as Arc<dyn Store>;
-    watch::spawn(&mut tasks, &node, &shared, &(Arc::new(Entries) as _));
+    let others = Arc::new(Nobody) as _;
+    watch::spawn(
+        &mut tasks,
+        &node,
+        &shared,
+        &(Arc::new(Entries) as _),
+        &others,
+    );
     sleep(Duration::from_millis(10)).await;
     let mut model = Model::default();
     for event in events {
--- a/crates/gateway/tests/testsuite/watch.rs
+++ b/crates/gateway/tests/testsuite/watch.rs
@@ -9,7 +9,7 @@
 use swiftlink_gateway::catalog::{CatalogError, ServerEntry};
 use swiftlink_gateway::dialect::{Ask, Order, Verdict};
 use swiftlink_gateway::store::{Feed, MemStore, Page, Store, StoreError, StoreFault};
-use swiftlink_gateway::watch::{self, Directory, Listing, News, Reader};
+use swiftlink_gateway::watch::{self, Directory, Listing, News, Others, Reader, Told};
 use swiftlink_types::{DomainName, PoolName, ServerName, Start};
 use tokio::time::Instant;
 
@@ -191,7 +191,14 @@
     let node = Arc::new(node());
     let mut tasks = tokio::task::JoinSet::new();
     let shared = Arc::clone(&store) as Arc<dyn Store>;
-    watch::spawn(&mut tasks, &node, &shared, &(Arc::new(NoCatalog) as _));
+    let others = Arc::new(Nobody) as _;
+    watch::spawn(
+        &mut tasks,
+        &node,
+        &shared,
+        &(Arc::new(NoCatalog) as _),
+        &others,
+    );
     tokio::time::sleep(Duration::from_secs(3)).await;
     store.store.set_fault(StoreFault::Away);
     tokio::time::sleep(Duration::from_secs(3)).await;
@@ -206,6 +213,17 @@
     swiftlink_gateway::Node::new(crate::pools::settings(), Arc::new(NoDialect))
 }
 
+/// The other routers of a router that is alone.
+#[derive(Debug)]
+pub(crate) struct Nobody;
+
+#[async_trait::async_trait]
+impl Others for Nobody {
+    async fn tell(&self, _feed: Feed, _from: u64) -> Option<Told> {
+        None
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct NoCatalog;
 
--- a/crates/ledger/src/service.rs
+++ b/crates/ledger/src/service.rs
@@ -57,6 +57,7 @@
             request::Kind::Reserve(_)
             | request::Kind::Release(_)
             | request::Kind::Notes(_)
+            | request::Kind::GetFeed(_)
             | request::Kind::GetSeen(_) => Err(failure(FailureKind::NotServed, NO_RIGHTS)),
         };
         let last = answer.unwrap_or_else(reply::Kind::Failure);
@@ -65,8 +66,8 @@
     }
 }
 
-/// Answer to who wants to reserve rights: routers of the gateway grant them, ledgers hold none.
-const NO_RIGHTS: &str = "a ledger holds no rights";
+/// Answer to who asks what routers of the gateway answer each other.
+const NO_RIGHTS: &str = "a ledger holds no rights and follows no platform";
 
 type Answer = Result<reply::Kind, Failure>;
 
