watch, rights: a whole list judges nothing newer; accounts beyond any budget are refused

Two faults found by reading. A list of the whole feed took servers out of use of which something newer was known, from another router or an earlier answer: such keys are left alone. Sums over an account with arbitrary figures overflowed, and a wrapped sum would have shown rights that nobody prepaid: such an account is unreadable, and what a configuration prepays is bounded so that no true one is. Tests: both fail without the change; accounts of any bytes and any figures, 10,000 cases each.

--- a/crates/gateway/src/rights/account.rs
+++ b/crates/gateway/src/rights/account.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 
+use bytes::Bytes;
+use prost::Message;
 use swiftlink_types::Tokens;
 use swiftlink_wire::rights::{Account, Holder};
 
@@ -25,6 +27,42 @@
 /// Part of what it holds that a router may spend before it says so.
 const STALE_PART: f64 = 0.1;
 
+/// Most tokens that a workspace may have prepaid. Sums over all that an account says stay far
+/// below what the figures can hold, and no budget comes near it.
+pub const MOST_PREPAID: Tokens = 1 << 60;
+/// Most that all figures of an account may come to: each token is held, spent and needed at most,
+/// and rates of use are below all three.
+const MOST_SUM: u64 = 4 * MOST_PREPAID;
+
+/// Why an account can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum AccountError {
+    /// Its bytes say something else.
+    #[error(transparent)]
+    Form(#[from] prost::DecodeError),
+    /// Its figures are beyond any budget.
+    #[error("its figures come to more than {MOST_SUM}")]
+    TooLarge,
+}
+
+/// Reads an account.
+///
+/// # Errors
+/// When it is something else, or its sums can't be worked out.
+pub fn decode(value: Bytes) -> Result<Account, AccountError> {
+    let account = Account::decode(value)?;
+    let mut sum = Some(account.closed);
+    for holder in &account.holders {
+        for figure in [holder.granted, holder.charged, holder.rate, holder.need] {
+            sum = sum.and_then(|sum| sum.checked_add(figure));
+        }
+    }
+    match sum {
+        Some(sum) if sum <= MOST_SUM => Ok(account),
+        _ => Err(AccountError::TooLarge),
+    }
+}
+
 /// A router's side of an account.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Stake {
--- a/crates/gateway/src/rights/claim.rs
+++ b/crates/gateway/src/rights/claim.rs
@@ -380,7 +380,7 @@
             let Some(value) = record.value else {
                 continue;
             };
-            match Account::decode(value) {
+            match account::decode(value) {
                 Ok(account) => {
                     let workspace = WorkspaceName::from(record.key);
                     seen.accounts.insert(workspace, account);
--- a/crates/gateway/src/watch/reader.rs
+++ b/crates/gateway/src/watch/reader.rs
@@ -32,7 +32,7 @@
 pub struct News {
     /// Records that are new, by offset.
     pub changes: Vec<Change>,
-    /// All keys that there are, where the whole feed was read.
+    /// All keys that there may be, where the whole feed was read.
     pub keys: Option<HashSet<String>>,
     /// A moment at which the store had nothing newer than this.
     pub as_of: Option<Instant>,
@@ -138,10 +138,7 @@
     pub fn take(&mut self, answer: Answer) -> News {
         let page = answer.page;
         self.next = Some(page.end.max(self.next.unwrap_or(0)));
-        let keys = answer.is_whole.then(|| {
-            let keys = page.records.iter().map(|record| record.key.clone());
-            keys.collect()
-        });
+        let keys = answer.is_whole.then(|| self.keys(&page));
         News {
             changes: self.newer(page.records),
             keys,
@@ -149,6 +146,15 @@
         }
     }
 
+    /// The keys that there are by a page of the whole feed. It says nothing of a key of which
+    /// something newer is known: another router may have told it, or the page is of an older state.
+    fn keys(&self, page: &Page) -> HashSet<String> {
+        let listed = page.records.iter().map(|record| &record.key);
+        let newer = self.seen.iter().filter(|(_, at)| **at >= page.end);
+        let newer = newer.map(|(key, _)| key);
+        listed.chain(newer).cloned().collect()
+    }
+
     /// Offset from which on another router may know more.
     #[must_use]
     pub fn known(&self) -> u64 {
--- a/crates/gateway/tests/testsuite/accounts.rs
+++ b/crates/gateway/tests/testsuite/accounts.rs
@@ -2,8 +2,13 @@
 
 use std::collections::HashMap;
 
+use bytes::Bytes;
+use proptest::collection::vec;
 use proptest::prelude::*;
-use swiftlink_gateway::rights::account::{Stake, adjust, close, granted, rest};
+use prost::Message;
+use swiftlink_gateway::rights::account::{
+    MOST_PREPAID, Stake, adjust, close, decode, granted, rest, spent_by_others,
+};
 use swiftlink_wire::rights::{Account, Holder};
 
 fn stake(vm: &str, process: u64) -> Stake {
@@ -170,3 +175,70 @@
         }
     }
 }
+
+/// An account with any figures.
+fn any_account() -> impl Strategy<Value = Account> {
+    let figure = || prop_oneof![any::<u64>(), 0..1_000_000_u64];
+    let holder = (0..6_u64, figure(), figure(), figure(), figure());
+    let holder = holder.prop_map(|(process, granted, charged, rate, need)| Holder {
+        vm: format!("vm{process}"),
+        process,
+        granted,
+        charged,
+        rate,
+        need,
+    });
+    let account = (figure(), vec(holder, 0..5));
+    account.prop_map(|(closed, holders)| Account { closed, holders })
+}
+
+/// Works out all that a router does with an account.
+fn work_out(account: &Account, prepaid: u64) {
+    let mut own = stake("vm1", 1);
+    own.granted = 1_000;
+    own.charged = 500;
+    own.need = 2_000;
+    let _left = rest(account, prepaid);
+    let _spent = spent_by_others(account, 1);
+    let _change = adjust(account, prepaid, &own);
+    let _closed = close(account, &own);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(10_000))]
+
+    /// Sums of figures beyond any budget came to little where they didn't fit, and so to rights
+    /// that nobody had prepaid.
+    #[test]
+    fn any_account_is_refused_or_can_be_worked_out(account in any_account(), prepaid in 0..=MOST_PREPAID) {
+        let value = Bytes::from(account.encode_to_vec());
+        if let Ok(account) = decode(value) {
+            work_out(&account, prepaid);
+        }
+    }
+
+    #[test]
+    fn any_bytes_are_an_account_or_an_error(bytes in vec(any::<u8>(), 0..200)) {
+        if let Ok(account) = decode(Bytes::from(bytes)) {
+            work_out(&account, 1_000_000);
+        }
+    }
+}
+
+#[test]
+fn an_account_of_the_largest_budget_can_be_read() {
+    let holder = |process| Holder {
+        vm: format!("vm{process}"),
+        process,
+        granted: MOST_PREPAID / 2,
+        charged: MOST_PREPAID / 2,
+        rate: 1_000_000,
+        need: 1_000_000,
+    };
+    let account = Account {
+        closed: 0,
+        holders: vec![holder(1), holder(2)],
+    };
+    let read = decode(Bytes::from(account.encode_to_vec()));
+    assert_eq!(read.expect("an account"), account);
+}
--- a/crates/gateway/tests/testsuite/copies.rs
+++ b/crates/gateway/tests/testsuite/copies.rs
@@ -7,11 +7,11 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use swiftlink_gateway::store::{Feed, MemStore, Page, Store, StoreError};
-use swiftlink_gateway::watch::{self, Others, Told};
+use swiftlink_gateway::store::{Feed, MemStore, Page, Record, Store, StoreError};
+use swiftlink_gateway::watch::{self, Others, Reader, Told};
 use swiftlink_gateway::{Catalog, Node};
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::starts::{Entries, used};
 use crate::watch::NoDialect;
@@ -213,6 +213,36 @@
     assert_eq!(pair.used(1), now);
 }
 
+/// A list of the whole feed that is older than what another router told hid the servers that are
+/// newer than it.
+#[tokio::test]
+async fn a_list_of_the_whole_feed_hides_nothing_that_is_newer() {
+    let store = Arc::new(MemStore::new());
+    let put = |key: &str| store.put(Feed::Servers, key, Some(Bytes::from_static(b"1 1")));
+    put("a");
+    let shared = Arc::clone(&store) as Arc<dyn Store>;
+    let mut reader = Reader::new(Feed::Servers, shared);
+    reader.poll(Duration::ZERO).await.expect("news");
+    let told = |key: &str, offset| Record {
+        offset,
+        key: key.to_owned(),
+        value: Some(Bytes::from_static(b"1 1")),
+    };
+    let told = Told {
+        records: vec![told("b", 1), told("c", 9)],
+        age: None,
+    };
+    reader.take_told(told, Instant::now());
+    put("b");
+    store.put(Feed::Servers, "b", None);
+    put("d");
+    store.compact(Feed::Servers);
+    let news = reader.poll(Duration::ZERO).await.expect("news");
+    let mut keys: Vec<String> = news.keys.expect("the whole feed").into_iter().collect();
+    keys.sort();
+    assert_eq!(keys, ["a", "c", "d"]);
+}
+
 /// What doesn't fit into one answer comes with the next, and only the last one says of when it is.
 #[tokio::test(start_paused = true)]
 async fn a_long_copy_comes_in_parts() {
