rights: an earlier process that spent all it held is closed also where nothing can be claimed

Cause: found by following ten failed requests to their causes. After a loss of power of all VMs a router whose earlier process counts as having spent all that it held claimed nothing and left the account unchanged. There that process looked as if it held the rest, so 1,014 requests of one workspace were told that others hold rights (429, to come back in a second) where the budget was spent. Change: an earlier process to be closed is reason enough to write. What processes of this VM have spent at most is known before a router looks at any account, so it is closed no earlier than is true. Test: fails without the change. Run: tests of the gateway.

--- a/crates/gateway/src/rights/account.rs
+++ b/crates/gateway/src/rights/account.rs
@@ -155,7 +155,10 @@
         .holders
         .iter()
         .find(|holder| holder.process == stake.process);
+    // What an earlier process here held and has spent looks held until it is closed, and callers
+    // of the other routers are told to come back for it.
     let is_due = match known {
+        _ if !closed.is_empty() => true,
         None => granted > 0 || stake.need > 0,
         Some(known) => {
             let unsaid = stake.charged.saturating_sub(known.charged);
--- a/crates/gateway/tests/testsuite/accounts.rs
+++ b/crates/gateway/tests/testsuite/accounts.rs
@@ -242,3 +242,30 @@
     let read = decode(Bytes::from(account.encode_to_vec()));
     assert_eq!(read.expect("an account"), account);
 }
+
+/// After a loss of power of all VMs a router found that its earlier process had spent all that it
+/// held, so there was nothing to claim, and it left the account as it was. There that process still
+/// held a third of the budget: 1,000 callers of one workspace were told to come back, for others
+/// would hold rights, in place of being told once that the budget is spent.
+#[test]
+fn an_earlier_process_that_spent_all_is_closed_also_where_nothing_can_be_claimed() {
+    let earlier = Holder {
+        vm: "a".to_owned(),
+        process: 1,
+        granted: 100_000,
+        charged: 60_000,
+        rate: 10_000,
+        need: 0,
+    };
+    let account = Account {
+        closed: 0,
+        holders: vec![earlier],
+    };
+    let mut next = stake("a", 2);
+    next.ended.insert(1, 100_000);
+    let change = adjust(&account, 100_000, &next).expect("the earlier process is closed");
+    assert_eq!(change.closed.len(), 1);
+    assert_eq!(change.granted, 0);
+    assert_eq!(rest(&change.account, 100_000), 0);
+    assert!(adjust(&change.account, 100_000, &next).is_none(), "once");
+}
