watch: two polls at most, none beside an answer that has begun; large records aren't told

A configuration of 300 kB was written while all routers were cut from the store. Up to five polls of each read it beside each other when the cut ended, on links of 10 Mbit/s; and routers in the cut asked others for it, gave up after 0.1 s and asked again. Change: one poll is kept for three seconds and one more probes, which is sent anew each time; none is sent while an answer comes, which a read tells by Late. Records beyond 16 kB aren't told.

--- a/crates/fetch/src/client.rs
+++ b/crates/fetch/src/client.rs
@@ -121,8 +121,9 @@
         within(limits.time, work).await
     }
 
-    /// Makes a call whose answer begins within `head`; its body has `body` more. For answers
-    /// that may be large and links that may be slow, where silence is to be noticed soon.
+    /// Makes a call whose answer begins within `head`, and tells by `begun` that it has; its body
+    /// has `body` more. For answers that may be large and links that may be slow, where silence
+    /// is to be noticed soon.
     ///
     /// # Errors
     /// When no whole answer came in time.
@@ -131,8 +132,10 @@
         call: &Call<'_>,
         head: Duration,
         body: Duration,
+        begun: impl FnOnce(),
     ) -> Result<Answer, HttpError> {
         let response = within(head, self.send(call)).await?;
+        begun();
         within(body, whole(response, MAX_ANSWER)).await
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,7 +21,7 @@
 use swiftlink_shell::web::{Body, Incoming, Response, Service};
 
 use crate::node::Node;
-use crate::store::{Feed, Page, Store, StoreError};
+use crate::store::{Feed, Late, Page, Store, StoreError};
 
 /// Bounds of the latency histograms in seconds: from a call within a zone to the longest
 /// deadline of the users' sheets.
@@ -275,14 +275,14 @@
         feed: Feed,
         from: u64,
         wait: Duration,
-        late: Duration,
+        late: Late,
     ) -> Result<Page, StoreError> {
         let result = self.store.read(feed, from, wait, late).await;
         self.count("read", &result);
         result
     }
 
-    async fn newest(&self, feed: Feed, late: Duration) -> Result<Page, StoreError> {
+    async fn newest(&self, feed: Feed, late: Late) -> Result<Page, StoreError> {
         let result = self.store.newest(feed, late).await;
         self.count("newest", &result);
         result
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -394,7 +394,7 @@
     store
         .append_next(Feed::Members, &producer, 1, record)
         .await?;
-    let page = store.newest(Feed::Members, ANSWER_TIME).await?;
+    let page = store.newest(Feed::Members, ANSWER_TIME.into()).await?;
     if page.records.iter().any(|record| record.key == SECRET_KEY) {
         return Ok(());
     }
--- a/crates/gateway/src/rights/caps.rs
+++ b/crates/gateway/src/rights/caps.rs
@@ -213,7 +213,7 @@
             .store
             .append_next(self.feed, &first.0, self.sequence, first.clone());
         let end = append.await?;
-        let page = self.store.newest(self.feed, ANSWER_TIME).await?;
+        let page = self.store.newest(self.feed, ANSWER_TIME.into()).await?;
         if page.end < end {
             return Err(StoreError::Conflict { end: page.end });
         }
@@ -257,7 +257,7 @@
         let newest = stamp(newest);
         let until = Instant::now() + GATHER;
         loop {
-            let page = self.store.newest(Feed::Members, ANSWER_TIME).await?;
+            let page = self.store.newest(Feed::Members, ANSWER_TIME.into()).await?;
             let starts = peers::starts(&page.records, &self.vm);
             if cap::middle_start(&newest, &starts).is_some() || Instant::now() >= until {
                 return Ok(starts);
--- a/crates/gateway/src/rights/claim.rs
+++ b/crates/gateway/src/rights/claim.rs
@@ -322,7 +322,7 @@
     }
 
     async fn read_all(&mut self, books: &[Arc<Book>]) -> Result<(), StoreError> {
-        let page = self.store.newest(self.feed, ANSWER_TIME).await?;
+        let page = self.store.newest(self.feed, ANSWER_TIME.into()).await?;
         let known = self.seen.take().unwrap_or_default();
         if page.end < known.end {
             // An older state than the one known: an append on top of it would undo others'.
@@ -351,7 +351,7 @@
         let from = seen.end;
         let read = self
             .store
-            .read(self.feed, from, Duration::ZERO, ANSWER_TIME);
+            .read(self.feed, from, Duration::ZERO, ANSWER_TIME.into());
         match read.await {
             Ok(page) => {
                 let end = page.end.max(from);
--- a/crates/gateway/src/store/mem.rs
+++ b/crates/gateway/src/store/mem.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
-use super::{Feed, Page, Record, Store, StoreError};
+use super::{Feed, Late, Page, Record, Store, StoreError};
 
 /// How a [`MemStore`] fails.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -230,7 +230,7 @@
         feed: Feed,
         from: u64,
         wait: Duration,
-        _late: Duration,
+        _late: Late,
     ) -> Result<Page, StoreError> {
         let deadline = Instant::now() + wait;
         let mut changes = self.changed.subscribe();
@@ -245,7 +245,7 @@
         }
     }
 
-    async fn newest(&self, feed: Feed, _late: Duration) -> Result<Page, StoreError> {
+    async fn newest(&self, feed: Feed, _late: Late) -> Result<Page, StoreError> {
         let inner = self.lock();
         let Some(records) = inner.seen(feed)? else {
             return Ok(Page::default());
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -5,6 +5,8 @@
 mod mem;
 
 use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -16,6 +18,44 @@
 /// late one is worth little. The store answers in 4 ms; its slow days take 60 times as long.
 pub const ANSWER_TIME: Duration = Duration::from_millis(600);
 
+/// How late an answer may be, and whether it has begun.
+#[derive(Clone, Debug)]
+pub struct Late {
+    /// Time until it has to begin, beyond the wait that was asked for.
+    pub time: Duration,
+    /// Shared by all that wait for the answer.
+    begun: Arc<AtomicBool>,
+}
+
+impl Late {
+    /// The same after a wait.
+    #[must_use]
+    pub fn after(mut self, wait: Duration) -> Self {
+        self.time += wait;
+        self
+    }
+
+    /// The answer begins: the rest is on its way.
+    pub fn begin(&self) {
+        self.begun.store(true, Relaxed);
+    }
+
+    /// Whether the answer has begun.
+    #[must_use]
+    pub fn has_begun(&self) -> bool {
+        self.begun.load(Relaxed)
+    }
+}
+
+impl From<Duration> for Late {
+    fn from(time: Duration) -> Self {
+        Self {
+            time,
+            begun: Arc::default(),
+        }
+    }
+}
+
 /// A sequence of keyed records on the store; the newest record of each key is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Feed {
@@ -105,7 +145,7 @@
 #[async_trait]
 pub trait Store: fmt::Debug + Send + Sync {
     /// Records from `from` on. The store waits up to `wait` for the first one, and its answer may
-    /// take `late` more.
+    /// begin `late` after that.
     ///
     /// # Errors
     /// [`StoreError::Trimmed`] when `from` is no longer kept; else when it can't be read.
@@ -114,16 +154,16 @@
         feed: Feed,
         from: u64,
         wait: Duration,
-        late: Duration,
+        late: Late,
     ) -> Result<Page, StoreError>;
 
     /// The newest record of each key. Records from the page's end on may be missing, others
     /// may be newer than it. The page may be older than what was acknowledged. The answer may
-    /// take `late`.
+    /// begin `late`.
     ///
     /// # Errors
     /// When it can't be read.
-    async fn newest(&self, feed: Feed, late: Duration) -> Result<Page, StoreError>;
+    async fn newest(&self, feed: Feed, late: Late) -> Result<Page, StoreError>;
 
     /// Appends all of `records` (key and value), if the feed ends at `at`. Gives the new end.
     ///
--- a/crates/gateway/src/watch/copies.rs
+++ b/crates/gateway/src/watch/copies.rs
@@ -17,9 +17,11 @@
 use super::reader::News;
 use crate::store::{Feed, Record};
 
-/// Most bytes of records in one answer, beyond the first record: a tenth of a second of the
-/// smallest links. The rest comes with the next one.
-const MOST: usize = 128 * 1024;
+/// Most bytes of records in one answer: a hundredth of a second of the smallest links, of which a
+/// router is asked by many while they can't reach the store. The rest comes with the next one. A
+/// record that is longer is told by nobody: told to a fleet of 86, a configuration of 300 kB
+/// kept the links of a few routers full for as long as the others asked, ten seconds.
+const MOST: usize = 16 * 1024;
 
 /// Records that another router knows.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -102,13 +104,13 @@
     }
 }
 
-/// Leaves the first record, and those after it up to [`MOST`] bytes.
+/// Leaves the first records, up to [`MOST`] bytes.
 fn shorten(records: &mut Vec<Record>) {
     let mut bytes = 0;
     let mut count = 0;
     for record in records.iter() {
         bytes += record.key.len() + record.value.as_ref().map_or(0, Bytes::len);
-        if bytes > MOST && count > 0 {
+        if bytes > MOST {
             break;
         }
         count += 1;
--- a/crates/gateway/src/watch/follow.rs
+++ b/crates/gateway/src/watch/follow.rs
@@ -1,17 +1,16 @@
 //! Reads one feed for ever.
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
 use swiftlink_telemetry::event;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use super::copies::Others;
-use super::reader::{Answer, News, Reader};
+use super::reader::{Answer, LATE, News, Reader};
 use crate::node::Node;
-use crate::store::{Feed, StoreError};
+use crate::store::{Feed, Late, StoreError};
 
 /// How long the store keeps a poll that finds nothing new, and so how long it takes to
 /// notice that it fell silent.
@@ -22,8 +21,6 @@
 /// asked once more. The store answers in 4 ms; its slow days take 60 times as long. What was sent
 /// into a cut isn't answered when the cut ends, so this is also how late its end is noticed.
 const SILENCE: Duration = Duration::from_millis(600);
-/// Most polls under way at a time: as many as are sent before the first of them is given up.
-const POLLS: usize = 5;
 /// Pause between polls that found something: entries of servers come all the time, and
 /// each call has its price. Well below the shortest bound, two seconds.
 const PAUSE: Duration = Duration::from_millis(250);
@@ -66,30 +63,88 @@
     }
 }
 
+/// A question to the store that is under way.
+struct Poll {
+    late: Late,
+    answer: Pin<Box<dyn Future<Output = Result<Answer, StoreError>> + Send>>,
+}
+
+impl Poll {
+    fn ask(reader: &Reader, wait: Duration) -> Self {
+        let late = Late::from(LATE);
+        let answer = Box::pin(reader.ask(wait, late.clone()));
+        Self { late, answer }
+    }
+}
+
+/// The polls of one feed that are under way: one that is waited for, and one that probes whether
+/// the store answers by now.
+///
+/// Where a link is full, each answer comes after [`SILENCE`], and who gives all polls up reads none.
+/// In a fleet of 89 VMs the one with the fullest link heard nothing of the configuration for 5.3 s
+/// of an ordinary day, by the lines of its routers. More than two polls would read a large
+/// configuration that often when a cut ends.
+#[derive(Default)]
+struct Polls {
+    kept: Option<Poll>,
+    probe: Option<Poll>,
+}
+
+impl Polls {
+    /// Whether an answer has begun: the rest is on its way, and another poll would read it again.
+    fn is_coming(&self) -> bool {
+        let mut all = self.kept.iter().chain(&self.probe);
+        all.any(|poll| poll.late.has_begun())
+    }
+
+    /// Asks, once more beside a poll that was silent so far.
+    fn ask(&mut self, reader: &Reader, wait: Duration) {
+        if self.is_coming() {
+            return;
+        }
+        match self.kept {
+            None => self.kept = Some(Poll::ask(reader, wait)),
+            Some(_) => self.probe = Some(Poll::ask(reader, Duration::ZERO)),
+        }
+    }
+
+    /// The first answer, if one comes within `time`.
+    async fn first(&mut self, time: Duration) -> Result<Answer, StoreError> {
+        tokio::select! {
+            answer = answer_of(&mut self.kept) => answer,
+            answer = answer_of(&mut self.probe) => answer,
+            () = sleep(time) => Err(StoreError::Unknown(format!("no answer within {time:?}"))),
+        }
+    }
+}
+
+/// Waits for the answer to a poll, which is over then; for ever without one.
+async fn answer_of(poll: &mut Option<Poll>) -> Result<Answer, StoreError> {
+    let Some(asked) = poll else {
+        return std::future::pending().await;
+    };
+    let answer = asked.answer.as_mut().await;
+    *poll = None;
+    answer
+}
+
 /// Follows a feed until the task is aborted; by way of other routers while the store is lost,
 /// where there is a `relay`.
-///
-/// A poll without an answer is joined by another, not replaced: where a link is full, the answer
-/// of each comes after [`SILENCE`], and who gives them up reads none. In a fleet of 89 VMs the one
-/// with the fullest link heard nothing of the configuration for 5.3 s of an ordinary day, by the
-/// lines of its routers.
 pub(crate) async fn run(mut reader: Reader, mut follower: impl Follow, relay: Option<Relay>) {
     let mut backoff = BACKOFF;
     let mut away: Option<Instant> = None;
-    let mut polls = FuturesUnordered::new();
+    let mut polls = Polls::default();
     loop {
         // A store that was away is asked for a quick answer, to notice when it is back.
         let wait = match away {
             Some(_) => Duration::ZERO,
             None => longest_wait(reader.feed()),
         };
-        if polls.len() < POLLS {
-            polls.push(reader.ask(wait));
-        }
-        match first_answer(&mut polls, wait + SILENCE).await {
+        polls.ask(&reader, wait);
+        match polls.first(wait + SILENCE).await {
             Ok(answer) => {
-                // The others would tell no more than the next one does.
-                polls.clear();
+                // The other would tell no more than the next one does.
+                polls = Polls::default();
                 if let Some(since) = away.take() {
                     // What answers late was there all the while.
                     let is_late = answer.lateness() > SILENCE;
@@ -113,6 +168,7 @@
                     sleep(PAUSE).await;
                 }
             }
+            Err(_silent) if polls.is_coming() => follower.tick(),
             Err(error) => {
                 if away.is_none() {
                     event!(warn, "store.lost", feed = reader.feed(), error = error);
@@ -146,17 +202,3 @@
         Feed::Config | Feed::Servers | Feed::Rights(_) | Feed::Caps(_) => POLL,
     }
 }
-
-/// The first answer to any of `polls`, if one comes within `time`.
-async fn first_answer<P>(
-    polls: &mut FuturesUnordered<P>,
-    time: Duration,
-) -> Result<Answer, StoreError>
-where
-    P: Future<Output = Result<Answer, StoreError>>,
-{
-    match timeout(time, polls.select_next_some()).await {
-        Ok(answer) => answer,
-        Err(_elapsed) => Err(StoreError::Unknown(format!("no answer within {time:?}"))),
-    }
-}
--- a/crates/gateway/src/watch/reader.rs
+++ b/crates/gateway/src/watch/reader.rs
@@ -9,12 +9,12 @@
 use tokio::time::Instant;
 
 use super::copies::Told;
-use crate::store::{Feed, Page, Record, Store, StoreError};
+use crate::store::{Feed, Late, Page, Record, Store, StoreError};
 
 /// Longest time for an answer beyond the wait that was asked for. A link that callers have filled
 /// holds packets back for up to a second or two, and an answer that comes so late still tells
 /// of a change in time; one that takes longer was lost.
-const LATE: Duration = Duration::from_secs(3);
+pub(super) const LATE: Duration = Duration::from_secs(3);
 
 /// What a poll found.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -94,25 +94,26 @@
     /// # Errors
     /// When the store gives no answer.
     pub async fn poll(&mut self, wait: Duration) -> Result<News, StoreError> {
-        let answer = self.ask(wait).await?;
+        let answer = self.ask(wait, LATE.into()).await?;
         Ok(self.take(answer))
     }
 
-    /// Asks for what is new now, waiting up to `wait`. The answer is for [`Self::take`], unless
+    /// Asks for what is new now, waiting up to `wait`. The answer may be `late`, and is for [`Self::take`], unless
     /// another one that was asked for later was taken before.
     pub fn ask(
         &self,
         wait: Duration,
+        late: Late,
     ) -> impl Future<Output = Result<Answer, StoreError>> + Send + use<> {
         let feed = self.feed;
         let store = Arc::clone(&self.store);
         let next = self.next;
         async move {
             let Some(from) = next else {
-                return newest(&*store, feed).await;
+                return newest(&*store, feed, late).await;
             };
             let asked = Instant::now();
-            match store.read(feed, from, wait, LATE).await {
+            match store.read(feed, from, wait, late.clone()).await {
                 Ok(page) => Ok(Answer {
                     as_of: as_of(asked, wait, &page),
                     page,
@@ -127,7 +128,7 @@
                         wanted = from,
                         first = first
                     );
-                    newest(&*store, feed).await
+                    newest(&*store, feed, late).await
                 }
                 Err(error) => Err(error),
             }
@@ -188,9 +189,9 @@
     }
 }
 
-async fn newest(store: &dyn Store, feed: Feed) -> Result<Answer, StoreError> {
+async fn newest(store: &dyn Store, feed: Feed, late: Late) -> Result<Answer, StoreError> {
     let asked = Instant::now();
-    let page = store.newest(feed, LATE).await?;
+    let page = store.newest(feed, late).await?;
     Ok(Answer {
         page,
         is_whole: true,
