--- a/crates/bench/src/cost/decisions.rs
+++ b/crates/bench/src/cost/decisions.rs
@@ -157,6 +157,7 @@
             vm: None,
             slots: 16,
             drain: false,
+            cold_until: 0,
         })
         .collect();
     let mut fleet = Fleet::new(settings, policy);
--- a/crates/bench/src/routing/world.rs
+++ b/crates/bench/src/routing/world.rs
@@ -174,6 +174,7 @@
             now,
             prefix: request.prefix,
             exclude: &request.tried,
+            domains: None,
             may_probe: true,
             ..Pick::default()
         };
@@ -308,6 +309,7 @@
         vm: None,
         slots: SLOTS as u32,
         drain: false,
+        cold_until: 0,
     }
 }
 
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use swiftlink_types::{DomainName, PoolName, Start};
 
@@ -16,6 +17,19 @@
     /// When the record is a configuration that can't be read.
     fn config(&self, key: &str, value: &[u8]) -> Result<Option<Config>, CatalogError>;
 
+    /// What a record of the configuration feed, or the removal of its key, says of a failure
+    /// domain; `None` when it is about something else.
+    ///
+    /// # Errors
+    /// When the record is about a failure domain and can't be read.
+    fn domain(
+        &self,
+        _key: &str,
+        _value: Option<&[u8]>,
+    ) -> Result<Option<DomainChange>, CatalogError> {
+        Ok(None)
+    }
+
     /// The backend server in a record of the server feed.
     ///
     /// # Errors
@@ -23,6 +37,15 @@
     fn server(&self, key: &str, value: &[u8]) -> Result<ServerEntry, CatalogError>;
 }
 
+/// What operators do with a failure domain.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DomainChange {
+    /// The domain.
+    pub domain: DomainName,
+    /// Whether its servers are to get no more requests; if not, it is taken back.
+    pub is_emptied: bool,
+}
+
 /// A document that can't be read.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{key}: {reason}")]
@@ -48,4 +71,6 @@
     pub slots: u32,
     /// Whether it is leaving and takes no new work.
     pub draining: bool,
+    /// How much longer it is cold; zero when it is warm.
+    pub warmup: Duration,
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -105,6 +105,11 @@
     /// The server's load, where the answer tells it.
     fn load(&self, head: &HeaderMap) -> Option<LoadReport>;
 
+    /// How much longer the server is cold, where the answer tells it.
+    fn warmup(&self, _head: &HeaderMap) -> Option<Duration> {
+        None
+    }
+
     /// How long the server keeps the connection of this answer when it is idle.
     fn keep(&self, head: &HeaderMap) -> Option<Duration>;
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -3,8 +3,9 @@
 //! [`Pools`] follows the configuration and the directory; [`Pool::send`] chooses a server
 //! and gives a [`Ticket`], which tells the pool's [`Fleet`] how the request ended.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -14,11 +15,12 @@
     ServerIdx, ServerSpec, Unmixed,
 };
 use swiftlink_telemetry::event;
-use swiftlink_types::{Micros, PoolName, ServerName, Start};
+use swiftlink_types::{DomainName, Micros, PoolName, ServerName, Start};
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::catalog::ServerEntry;
+use crate::domains::{Domain, Domains};
 use crate::model::{Config, PoolSpec};
 use crate::notes;
 use crate::settings::RouterSettings;
@@ -26,6 +28,9 @@
 /// Part of the fleet-wide retries that routers use in all: each counts by itself, and
 /// requests are not spread evenly over them.
 const RETRY_PART: f64 = 0.6;
+/// When callers may come back to a pool whose servers are all in emptied failure domains. When
+/// operators take one back isn't told; work on a domain takes longer than this.
+const EMPTIED_WAIT: Duration = Duration::from_secs(2);
 /// Routers that the retries of one window are shared between, until more show: members are
 /// read at the start and may be added, and together they must not retry too much before.
 const ROUTERS: usize = 12;
@@ -39,7 +44,8 @@
     pub retries: RetryBudget,
     spec: ArcSwap<PoolSpec>,
     fleet: Mutex<Fleet>,
-    addresses: ArcSwap<HashMap<ServerName, SocketAddr>>,
+    places: ArcSwap<HashMap<ServerName, Place>>,
+    domains: Arc<Domains>,
     clock: Instant,
     /// Told when there is something that peers should know.
     changed: Arc<Notify>,
@@ -51,27 +57,49 @@
     (settings.retries.slack * RETRY_PART / routers).max(1.0) as u32
 }
 
+/// Where a server is.
+#[derive(Clone, Debug)]
+struct Place {
+    address: SocketAddr,
+    domain: Arc<Domain>,
+}
+
 /// A chosen server.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct Chosen {
     /// Its name, and when it started.
     pub start: Start,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: Arc<Domain>,
+}
+
+/// What a request asks of the server that it is sent to.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Wish<'a> {
+    /// Hash of the prompt's prefix, which other requests have too; 0: none.
+    pub prefix: u64,
+    /// Length of its prompt.
+    pub prompt: Prompt,
+    /// Time to the first event that the caller hopes for.
+    pub aim: Duration,
+    /// Failure domains that it may go to; all where there is nothing.
+    pub domains: Option<&'a HashSet<DomainName>>,
+    /// Servers that it isn't to be sent to.
+    pub exclude: &'a [ServerIdx],
 }
 
 impl Pool {
-    fn new(
-        spec: Arc<PoolSpec>,
-        settings: &RouterSettings,
-        clock: Instant,
-        changed: Arc<Notify>,
-    ) -> Self {
+    fn new(spec: Arc<PoolSpec>, settings: &RouterSettings, shared: &Shared) -> Self {
         let mut policy = FleetPolicy::new(settings.domain.clone());
         policy.seed = xxh3_64(settings.vm.as_str().as_bytes());
         let share = settings.retries.ratio * RETRY_PART;
         let mut fleet = Fleet::new(policy, Box::new(Unmixed::default()));
         fleet.set_pause(spec.pause);
+        fleet.set_warmup(spec.warmup);
+        fleet.set_emptied(&shared.domains.emptied(), 0);
+        fleet.set_routers(shared.routers.load(Relaxed));
         Self {
             name: spec.name.clone(),
             retries: RetryBudget::with_window(
@@ -81,9 +109,10 @@
             ),
             spec: ArcSwap::new(spec),
             fleet: Mutex::new(fleet),
-            addresses: ArcSwap::default(),
-            clock,
-            changed,
+            places: ArcSwap::default(),
+            domains: Arc::clone(&shared.domains),
+            clock: shared.clock,
+            changed: Arc::clone(&shared.changed),
         }
     }
 
@@ -129,30 +158,24 @@
         self.spec.load_full()
     }
 
-    /// Chooses a server for a request with a `prompt` that begins like others with the
-    /// same `prefix` (0: none), and counts the request as sent. `None` when no server
+    /// Chooses a server for a request, and counts the request as sent. `None` when no server
     /// can take it.
     #[must_use]
-    pub fn send(
-        self: &Arc<Self>,
-        prefix: u64,
-        prompt: Prompt,
-        aim: Duration,
-        tried: &[ServerIdx],
-    ) -> Option<(Chosen, Ticket)> {
+    pub fn send(self: &Arc<Self>, wish: &Wish<'_>) -> Option<(Chosen, Ticket)> {
         let now = self.now();
         let pick = Pick {
             now,
-            prefix,
-            prompt,
-            aim: aim.as_micros() as Micros,
-            exclude: tried,
+            prefix: wish.prefix,
+            prompt: wish.prompt,
+            aim: wish.aim.as_micros() as Micros,
+            exclude: wish.exclude,
+            domains: wish.domains,
             may_probe: true,
         };
         let mut fleet = self.fleet();
         let sent = fleet.send(&pick, &mut rand::rng())?;
         let start = fleet.get(sent.idx)?.start().clone();
-        let address = self.addresses.load().get(&start.name).copied();
+        let place = self.places.load().get(&start.name).cloned();
         drop(fleet);
         self.changed.notify_one();
         let idx = sent.idx;
@@ -161,12 +184,20 @@
             sent: Some(sent),
             idx,
         };
-        let address = address?;
-        Some((Chosen { start, address }, ticket))
+        let Place { address, domain } = place?;
+        let chosen = Chosen {
+            start,
+            address,
+            domain,
+        };
+        Some((chosen, ticket))
     }
 
     fn set_spec(&self, spec: Arc<PoolSpec>) {
-        self.fleet().set_pause(spec.pause);
+        let mut fleet = self.fleet();
+        fleet.set_pause(spec.pause);
+        fleet.set_warmup(spec.warmup);
+        drop(fleet);
         self.spec.store(spec);
     }
 
@@ -176,6 +207,35 @@
         self.fleet().open_len()
     }
 
+    /// Servers that are cold and may get work.
+    #[must_use]
+    pub fn cold(&self) -> usize {
+        self.fleet().cold_len()
+    }
+
+    /// When a server may take work again, where none does since all are cold or in emptied failure
+    /// domains. `None` where some are open: when one of those has room isn't known.
+    #[must_use]
+    pub fn back_in(&self) -> Option<Duration> {
+        let fleet = self.fleet();
+        if fleet.open_len() > fleet.cold_len() {
+            return None;
+        }
+        let warm = fleet.warm_in(self.now());
+        warm.or_else(|| fleet.has_emptied().then_some(EMPTIED_WAIT))
+    }
+
+    /// A server's answer says how much longer it is cold.
+    pub fn on_cold(&self, idx: ServerIdx, left: Duration) {
+        let now = self.now();
+        self.fleet().on_cold(idx, now, left.as_micros() as Micros);
+    }
+
+    fn set_emptied(&self, emptied: &HashSet<DomainName>) {
+        let now = self.now();
+        self.fleet().set_emptied(emptied, now);
+    }
+
     /// A server's report of its load.
     pub fn on_report(&self, idx: ServerIdx, report: LoadReport) {
         let now = self.now();
@@ -184,7 +244,8 @@
 
     fn set_servers(&self, entries: &[&ServerEntry]) {
         let mut specs = Vec::with_capacity(entries.len());
-        let mut addresses = HashMap::with_capacity(entries.len());
+        let mut places = HashMap::with_capacity(entries.len());
+        let now = self.now();
         for entry in entries {
             specs.push(ServerSpec {
                 start: entry.start.clone(),
@@ -192,13 +253,18 @@
                 vm: None,
                 slots: entry.slots,
                 drain: entry.draining,
+                cold_until: cold_until(now, entry.warmup),
             });
-            addresses.insert(entry.start.name.clone(), entry.address);
+            let place = Place {
+                address: entry.address,
+                domain: self.domains.get(&entry.domain),
+            };
+            places.insert(entry.start.name.clone(), place);
         }
-        // Whoever chooses a server finds the address of that start.
+        // Whoever chooses a server finds the place of that start.
         let mut fleet = self.fleet();
         fleet.set_config(&specs);
-        self.addresses.store(Arc::new(addresses));
+        self.places.store(Arc::new(places));
     }
 
     fn now(&self) -> Micros {
@@ -211,6 +277,14 @@
     }
 }
 
+/// Until when a server is cold that is so for `left` longer; 0 when it is warm.
+fn cold_until(now: Micros, left: Duration) -> Micros {
+    if left.is_zero() {
+        return 0;
+    }
+    now + left.as_micros() as Micros
+}
+
 /// A request that was sent to a server. Dropped, it says nothing of the server.
 #[derive(Debug)]
 pub struct Ticket {
@@ -266,11 +340,20 @@
 pub struct Pools {
     pools: ArcSwap<HashMap<PoolName, Arc<Pool>>>,
     entries: ArcSwap<HashMap<ServerName, ServerEntry>>,
-    /// Held while either changes: each must see the other's last state.
+    /// Held while any of them changes: each must see the others' last state.
     changing: Mutex<()>,
+    shared: Shared,
+}
+
+/// What all pools share.
+#[derive(Debug)]
+struct Shared {
     clock: Instant,
     /// Told when there is something that peers should know.
     changed: Arc<Notify>,
+    domains: Arc<Domains>,
+    /// Routers of the fleet; 0 while they aren't known.
+    routers: AtomicUsize,
 }
 
 impl Pools {
@@ -281,14 +364,24 @@
             pools: ArcSwap::default(),
             entries: ArcSwap::default(),
             changing: Mutex::default(),
-            clock: Instant::now(),
-            changed: Arc::default(),
+            shared: Shared {
+                clock: Instant::now(),
+                changed: Arc::default(),
+                domains: Arc::default(),
+                routers: AtomicUsize::new(0),
+            },
         }
     }
 
     /// Told when there is something that peers should know.
     pub(crate) fn changed(&self) -> Arc<Notify> {
-        Arc::clone(&self.changed)
+        Arc::clone(&self.shared.changed)
+    }
+
+    /// The failure domains.
+    #[must_use]
+    pub fn domains(&self) -> &Domains {
+        &self.shared.domains
     }
 
     /// All pools.
@@ -312,8 +405,7 @@
                 pool.set_spec(Arc::clone(spec));
                 continue;
             }
-            let changed = Arc::clone(&self.changed);
-            let pool = Pool::new(Arc::clone(spec), settings, self.clock, changed);
+            let pool = Pool::new(Arc::clone(spec), settings, &self.shared);
             pool.set_servers(&members(&self.entries.load(), name));
             pools.insert(name.clone(), Arc::new(pool));
         }
@@ -323,9 +415,22 @@
     /// Takes the number of routers that the fleet-wide retries are shared between.
     pub fn set_routers(&self, routers: usize, settings: &RouterSettings) {
         let burst = retry_burst(settings, routers);
+        self.shared.routers.store(routers, Relaxed);
         for pool in self.pools.load().values() {
             pool.retries.set_burst(burst);
-            pool.fleet().set_apart(routers <= notes::TOLD + 1);
+            let mut fleet = pool.fleet();
+            fleet.set_apart(routers <= notes::TOLD + 1);
+            fleet.set_routers(routers);
+        }
+    }
+
+    /// Takes the failure domains whose servers get no requests; all others do.
+    pub fn set_emptied(&self, emptied: HashSet<DomainName>) {
+        let _changing = self.changing();
+        self.shared.domains.set_emptied(emptied);
+        let emptied = self.shared.domains.emptied();
+        for pool in self.pools.load().values() {
+            pool.set_emptied(&emptied);
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod catalog;
 pub mod clock;
 pub mod dialect;
+pub mod domains;
 pub mod fleet;
 pub mod freshness;
 pub mod headroom;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -58,6 +58,11 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct DomainLabels {
+    domain: String,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct FeedLabels {
     feed: &'static str,
@@ -88,6 +93,8 @@
     charged: Gauge<u64, AtomicU64>,
     locked: Gauge<u64, AtomicU64>,
     ready: Gauge,
+    emptied: Family<DomainLabels, Gauge>,
+    cold: Gauge,
 }
 
 fn histogram() -> Histogram {
@@ -149,6 +156,10 @@
         registry.register("rights_charged_tokens", charged, gauges.charged.clone());
         let locked = "Rights that no stored cap covers yet, of all workspaces";
         registry.register("rights_locked_tokens", locked, gauges.locked.clone());
+        let emptied = "Whether operators have emptied the failure domain";
+        registry.register("domain_emptied", emptied, gauges.emptied.clone());
+        let cold = "Backend servers that are cold and may get work";
+        registry.register("cold_servers", cold, gauges.cold.clone());
         let ready = "Whether new connections should come here";
         registry.register("ready", ready, gauges.ready.clone());
     }
@@ -230,6 +241,19 @@
         self.reserved.set(reserved);
         self.charged.set(charged);
         self.ready.set(i64::from(node.is_ready()));
+        self.set_servers(node);
+    }
+
+    fn set_servers(&self, node: &Node) {
+        let cold: usize = node.pools.all().iter().map(|pool| pool.cold()).sum();
+        self.cold.set(i64::try_from(cold).unwrap_or(i64::MAX));
+        for domain in node.pools.domains().all() {
+            let labels = DomainLabels {
+                domain: domain.name.to_string(),
+            };
+            let gauge = self.emptied.get_or_create(&labels);
+            gauge.set(i64::from(domain.is_emptied()));
+        }
     }
 }
 
--- a/crates/gateway/src/model/config.rs
+++ b/crates/gateway/src/model/config.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use swiftlink_types::{PoolName, Tokens, WorkspaceName};
+use swiftlink_routing::Warmup;
+use swiftlink_types::{PoolName, RegionName, Tokens, WorkspaceName};
 
 use super::table::RouteTable;
 
@@ -35,6 +36,8 @@
     pub stride: Option<u64>,
     /// Longest pause between two events that callers of all its routes accept.
     pub pause: Option<Duration>,
+    /// What a server bears after its start; `None` where a start makes no difference.
+    pub warmup: Option<Warmup>,
 }
 
 /// What a caller's request may measure.
@@ -51,6 +54,8 @@
     pub name: WorkspaceName,
     /// Rank of its requests, which goes before that of the route; 0 is the most urgent.
     pub priority: Option<u8>,
+    /// Regions whose servers may get its requests; all where there are none.
+    pub homes: Vec<RegionName>,
     /// Tokens that it may spend in all; `None`: as many as it likes.
     pub prepaid: Option<Tokens>,
 }
--- a/crates/gateway/src/model/route.rs
+++ b/crates/gateway/src/model/route.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use swiftlink_types::PoolName;
+use swiftlink_types::{PoolName, RegionName};
 
 /// What kind of work a route carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,6 +71,8 @@
     pub priority: u8,
     /// Most backend servers that one request may run on.
     pub attempts: u32,
+    /// Regions whose servers may get its requests; all where there are none.
+    pub homes: Vec<RegionName>,
     /// Whether requests need no key.
     pub public: bool,
     /// Whether an answer that broke off may go on at another server.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -80,10 +80,17 @@
     /// Whether new connections should come here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let knows = self.config.load().is_some() && self.has_servers.load(Relaxed);
+        let knows = self.knows_config() && self.has_servers.load(Relaxed);
         knows && !self.is_stopping.load(Relaxed) && !self.is_full.load(Relaxed)
     }
 
+    /// Whether a configuration is in force, and all that the store had beside it was told once:
+    /// which failure domains are emptied stands there too.
+    #[must_use]
+    pub fn knows_config(&self) -> bool {
+        self.config.load().is_some() && self.freshness.is_confirmed()
+    }
+
     /// Requests that are being served.
     #[must_use]
     pub fn in_flight(&self) -> usize {
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -10,6 +10,8 @@
 pub enum Outcome {
     /// No byte of the request left: no connection could be made, or it was closed before.
     NotSent,
+    /// No byte of the request left: operators emptied the server's failure domain meanwhile.
+    Withheld,
     /// The server refused, and says that it did not run the request.
     Shed,
     /// Another server has the address by now.
@@ -44,7 +46,7 @@
     #[must_use]
     pub fn ran(self) -> Ran {
         match self {
-            Self::NotSent | Self::Shed | Self::Misdirected => Ran::No,
+            Self::NotSent | Self::Withheld | Self::Shed | Self::Misdirected => Ran::No,
             Self::Lost | Self::Silent | Self::Stray => Ran::Maybe,
             Self::Truncated | Self::Failed | Self::Served => Ran::Yes,
         }
@@ -54,7 +56,7 @@
     /// no server anything, so the one that follows isn't a retry.
     #[must_use]
     pub fn has_arrived(self) -> bool {
-        self != Self::NotSent
+        !matches!(self, Self::NotSent | Self::Withheld)
     }
 
     /// Whether the request may be sent to another server.
@@ -75,6 +77,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NotSent => "not_sent",
+            Self::Withheld => "withheld",
             Self::Shed => "shed",
             Self::Misdirected => "misdirected",
             Self::Lost => "lost",
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -1,5 +1,6 @@
 //! One send of a request to one backend server.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,7 +15,7 @@
 use crate::fleet::{Chosen, Ticket};
 use crate::headroom::head_bytes;
 use crate::proof::{Outcome, Ran};
-use crate::upstream::{Endpoint, Lease, SendError, SendOptions, send};
+use crate::upstream::{Endpoint, Lease, SendError, SendOptions, send_into};
 
 /// Longest time for a new connection; within a region it takes a millisecond or two.
 const CONNECT: Duration = Duration::from_millis(400);
@@ -46,11 +47,15 @@
         fresh: false,
     };
     let endpoint = Endpoint::of(server.address, &server.start);
-    let answer = match send(endpoint, request, options).await {
+    let domain = Arc::clone(&server.domain);
+    let answer = match send_into(domain, endpoint, request, options).await {
         Ok(answer) => answer,
         Err(error) => {
-            ticket.fail(error.kind());
+            if let Some(kind) = error.kind() {
+                ticket.fail(kind);
+            }
             return Err(match error {
+                SendError::Withheld => Outcome::Withheld,
                 SendError::NotSent(_) | SendError::Unreachable => Outcome::NotSent,
                 SendError::Lost(_) => Outcome::Lost,
                 SendError::Silent => Outcome::Silent,
@@ -64,6 +69,9 @@
     if let Some(report) = dialect.load(&head.headers) {
         journey.pool.on_report(ticket.idx, report);
     }
+    if let Some(left) = dialect.warmup(&head.headers) {
+        journey.pool.on_cold(ticket.idx, left);
+    }
     let verdict = dialect.verdict(journey.ask.id.as_ref(), head.status, &head.headers);
     let outcome = match verdict {
         Verdict::Shed => Outcome::Shed,
--- a/crates/gateway/src/serve/journey.rs
+++ b/crates/gateway/src/serve/journey.rs
@@ -1,6 +1,7 @@
 //! A request from its first send to the head of its answer.
 
 use std::cell::Cell;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,14 +13,14 @@
 use swiftlink_routing::{ErrorKind, Prompt, ServerIdx};
 use swiftlink_shell::web::{Body, Response};
 use swiftlink_telemetry::event;
-use swiftlink_types::Tokens;
+use swiftlink_types::{DomainName, Tokens};
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{Reply, attempt};
-use super::refuse::Refusal;
+use super::refuse::{Refusal, SERVER_WAIT};
 use super::relay;
 use crate::dialect::Ask;
-use crate::fleet::Pool;
+use crate::fleet::{Pool, Wish};
 use crate::model::{Replay, Route, RouteKind, Workspace};
 use crate::node::{InFlight, Node};
 use crate::proof::{Outcome, Ran};
@@ -52,6 +53,8 @@
     pub(super) parcel: Parcel,
     pub(super) ask: Ask,
     pub(super) spend: Option<Spend>,
+    /// Failure domains that it may go to; all where there is nothing.
+    pub(super) domains: Option<HashSet<DomainName>>,
     /// Version of the configuration that it was admitted under.
     pub(super) version: u64,
     pub(super) start: Instant,
@@ -104,6 +107,8 @@
     tried: Vec<ServerIdx>,
     /// Servers that may have run it.
     runs: u32,
+    /// Sends that were given up before anything left, since the failure domain was emptied.
+    withheld: usize,
 }
 
 impl Journey {
@@ -183,11 +188,8 @@
         resume: Option<u64>,
     ) -> Result<Reply, Refusal> {
         loop {
-            let Some((server, ticket)) =
-                self.pool
-                    .send(self.ask.prefix, self.prompt(), self.route.aim, &trail.tried)
-            else {
-                return Err(trail.give_up());
+            let Some((server, ticket)) = self.pool.send(&self.wish(trail)) else {
+                return Err(self.give_up(trail));
             };
             let idx = ticket.idx;
             let until = self.until(trail);
@@ -210,23 +212,42 @@
                 id = self.id(),
                 server = name,
                 outcome = outcome.as_str(),
-                attempt = trail.tried.len(),
+                attempt = trail.sends(),
                 left_ms = self.left().as_millis(),
             );
             if !self.may_retry(trail, outcome) {
                 return Err(match outcome {
                     Outcome::Silent => Refusal::Timeout,
-                    _ => trail.give_up(),
+                    _ => self.give_up(trail),
                 });
             }
         }
     }
 
+    /// What it asks of the server that is to get it next.
+    fn wish<'a>(&'a self, trail: &'a Trail) -> Wish<'a> {
+        Wish {
+            prefix: self.ask.prefix,
+            prompt: self.prompt(),
+            aim: self.route.aim,
+            domains: self.domains.as_ref(),
+            exclude: &trail.tried,
+        }
+    }
+
+    /// What the caller hears when the request isn't sent again.
+    fn give_up(&self, trail: &Trail) -> Refusal {
+        if trail.runs == 0 {
+            return Refusal::NoServer(self.pool.back_in().unwrap_or(SERVER_WAIT));
+        }
+        Refusal::Lost
+    }
+
     /// Whether the request may be sent once more, and the fleet's retries allow it.
     pub(super) fn may_retry(&self, trail: &Trail, outcome: Outcome) -> bool {
         let may = outcome.may_retry(self.route.replay())
             && trail.runs < self.route.attempts.max(1)
-            && trail.tried.len() < OFFERS
+            && trail.sends() < OFFERS
             && !self.left().is_zero();
         may && (!outcome.has_arrived() || self.pool.retries.take())
     }
@@ -312,7 +333,7 @@
             route = self.route.name,
             server = server.start.name,
             status = head.status.as_u16(),
-            attempts = trail.tried.len(),
+            attempts = trail.sends(),
             config = self.version,
             ms = self.start.elapsed().as_millis(),
         );
@@ -335,7 +356,7 @@
             id = self.id(),
             route = self.route.name,
             reason = refusal.as_str(),
-            attempts = trail.tried.len(),
+            attempts = trail.sends(),
             runs = trail.runs,
             open = self.pool.open(),
             config = self.version,
@@ -366,7 +387,7 @@
 impl Trail {
     /// Number of sends.
     pub(super) fn sends(&self) -> usize {
-        self.tried.len()
+        self.tried.len() - self.withheld
     }
 
     /// Keeps count of a failed send.
@@ -374,13 +395,8 @@
         if outcome.ran() != Ran::No {
             self.runs += 1;
         }
-    }
-
-    /// What the caller hears when the request isn't sent again.
-    fn give_up(&self) -> Refusal {
-        if self.runs == 0 {
-            return Refusal::NoServer;
+        if outcome == Outcome::Withheld {
+            self.withheld += 1;
         }
-        Refusal::Lost
     }
 }
--- a/crates/gateway/src/serve/refuse.rs
+++ b/crates/gateway/src/serve/refuse.rs
@@ -32,8 +32,8 @@
     NoRights,
     /// The rights that are left can't be claimed: the store is out of reach.
     StoreAway,
-    /// No server takes it now; it has not run.
-    NoServer,
+    /// No server takes it now; it has not run. One may after this time.
+    NoServer(Duration),
     /// It may have run, and there is no answer.
     Lost,
     /// It may have run, and no answer came in time.
@@ -47,7 +47,7 @@
 /// this, callers were served alike, and sooner returns were refused a second time.
 const STORE_WAIT: Duration = Duration::from_secs(3);
 /// When a server may take work again: a few steps of a batch, or a new server.
-const SERVER_WAIT: Duration = Duration::from_millis(250);
+pub(super) const SERVER_WAIT: Duration = Duration::from_millis(250);
 /// When a starting router may be ready, or one that hears of no changes may hear of them again:
 /// both ask the store a few times within it. Other routers may know already.
 const START_WAIT: Duration = Duration::from_millis(500);
@@ -57,7 +57,7 @@
     /// are among 408, 429 and 503.
     pub(super) fn status(self) -> StatusCode {
         match self {
-            Self::NotReady | Self::Behind | Self::NoServer => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::Behind | Self::NoServer(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Malformed | Self::BrokenBody => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
@@ -74,7 +74,7 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NotReady | Self::Behind => Some(START_WAIT),
-            Self::NoServer => Some(SERVER_WAIT),
+            Self::NoServer(wait) => Some(wait),
             Self::NoRights => Some(RIGHTS_WAIT),
             Self::StoreAway => Some(STORE_WAIT),
             _ => None,
@@ -95,7 +95,7 @@
             Self::Spent => "budget_spent",
             Self::NoRights => "no_rights",
             Self::StoreAway => "store_away",
-            Self::NoServer => "no_server",
+            Self::NoServer(_) => "no_server",
             Self::Lost => "lost",
             Self::Timeout => "timeout",
         }
--- a/crates/gateway/src/serve/surface.rs
+++ b/crates/gateway/src/serve/surface.rs
@@ -11,8 +11,9 @@
 use tokio::time::Instant;
 
 use super::journey::{Journey, Parcel};
-use super::refuse::Refusal;
+use super::refuse::{Refusal, SERVER_WAIT};
 use crate::dialect::Ask;
+use crate::domains::at_home;
 use crate::headroom::head_bytes;
 use crate::model::{Config, Route, Workspace};
 use crate::node::Node;
@@ -25,6 +26,9 @@
 /// The shortest wait, also of callers in a hurry: a claim begins up to 50 ms after the one
 /// before it and takes 10 ms while the store answers.
 const RIGHTS_LEAST: Duration = Duration::from_millis(60);
+/// Longest wait for news in a process that stood still: the store answers in a few milliseconds,
+/// other routers in ten.
+const STANDSTILL_WAIT: Duration = Duration::from_millis(60);
 /// Time that a request has when neither its caller nor its route says.
 const TIME: Duration = Duration::from_secs(60);
 
@@ -72,6 +76,10 @@
     /// All that is decided before a request is sent.
     async fn serve(&self, mut request: Incoming, start: Instant) -> Result<Journey, Refusal> {
         let node = &self.node;
+        node.freshness.after_standstill(STANDSTILL_WAIT).await;
+        if !node.freshness.is_confirmed() {
+            return Err(Refusal::NotReady);
+        }
         let config = node.config.load_full().ok_or(Refusal::NotReady)?;
         let route = find_route(&config, &request).ok_or_else(|| self.unknown(Refusal::NoRoute))?;
         let ask = node.dialect.ask(request.headers());
@@ -90,9 +98,15 @@
         let time = ask.deadline.unwrap_or(TIME).min(route.timeout);
         let spend = self.reserve(&route, workspace.as_deref(), &ask, time);
         let spend = spend.await?;
-        let target = route.target(rand::random()).ok_or(Refusal::NoServer)?;
-        let pool = node.pools.get(&target.pool).ok_or(Refusal::NoServer)?;
+        let target = route.target(rand::random());
+        let target = target.ok_or(Refusal::NoServer(SERVER_WAIT))?;
+        let pool = node.pools.get(&target.pool);
+        let pool = pool.ok_or(Refusal::NoServer(SERVER_WAIT))?;
         pool.on_request();
+        let homes = workspace
+            .as_ref()
+            .map_or(&[][..], |workspace| &workspace.homes);
+        let domains = at_home(&route.homes, homes, &node.settings.regions);
         Ok(Journey {
             node: Arc::clone(node),
             pool,
@@ -106,6 +120,7 @@
             },
             ask,
             spend,
+            domains,
             version: config.version,
             start,
             deadline: start + time,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,9 +1,10 @@
 //! What a router is told at its start.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use swiftlink_types::{DomainName, VmName};
+use swiftlink_types::{DomainName, RegionName, VmName};
 
 /// Settings of a router, as the adapter found them.
 #[derive(Clone, Debug)]
@@ -12,6 +13,8 @@
     pub vm: VmName,
     /// Failure domain of the VM.
     pub domain: DomainName,
+    /// Failure domains that there are, and the region of each; empty where that isn't told.
+    pub regions: HashMap<DomainName, RegionName>,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks whether it is ready.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -8,6 +8,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,6 +23,8 @@
 use tokio::time::{Instant, timeout};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::domains::Domain;
+
 /// Idle connections kept per thread and endpoint.
 const IDLE_MAX: usize = 64;
 /// How long an idle connection is kept when the other side doesn't say how long it
@@ -39,6 +42,9 @@
     /// There was no connection in time, and no byte of the request left this process.
     #[error("not sent: no connection in time")]
     Unreachable,
+    /// Operators emptied the server's failure domain, and no byte of the request left this process.
+    #[error("not sent: the failure domain is emptied")]
+    Withheld,
     /// The request was sent, in part or in whole, and no answer came back.
     #[error("lost after sending: {0}")]
     Lost(String),
@@ -54,18 +60,20 @@
         match self {
             Self::NotSent(why) | Self::Lost(why) => why,
             Self::Unreachable => "no connection in time",
+            Self::Withheld => "the failure domain is emptied",
             Self::Silent => "no answer in time",
         }
     }
 
-    /// What it says of the server.
+    /// What it says of the server; `None` where that is nothing.
     #[must_use]
-    pub fn kind(&self) -> ErrorKind {
+    pub fn kind(&self) -> Option<ErrorKind> {
         match self {
-            Self::NotSent(_) => ErrorKind::Connect,
-            Self::Unreachable => ErrorKind::Unreachable,
-            Self::Lost(_) => ErrorKind::Broken,
-            Self::Silent => ErrorKind::Timeout,
+            Self::NotSent(_) => Some(ErrorKind::Connect),
+            Self::Unreachable => Some(ErrorKind::Unreachable),
+            Self::Withheld => None,
+            Self::Lost(_) => Some(ErrorKind::Broken),
+            Self::Silent => Some(ErrorKind::Timeout),
         }
     }
 }
@@ -104,16 +112,22 @@
 /// A connection that no request uses.
 struct Idle {
     sender: Sender,
+    domain: Option<Arc<Domain>>,
     /// The other side may close it from then on.
     until: Instant,
 }
 
 impl Idle {
     fn is_usable(&self, now: Instant) -> bool {
-        !self.sender.is_closed() && now < self.until
+        !self.sender.is_closed() && now < self.until && !is_emptied(self.domain.as_ref())
     }
 }
 
+/// Whether requests to a server in that domain have to stay here.
+fn is_emptied(domain: Option<&Arc<Domain>>) -> bool {
+    domain.is_some_and(|domain| domain.is_emptied())
+}
+
 /// The idle connections of a thread.
 struct IdlePool {
     lists: HashMap<Endpoint, Vec<Idle>>,
@@ -173,6 +187,7 @@
     /// Head and body.
     pub response: Response<Incoming>,
     endpoint: Endpoint,
+    domain: Option<Arc<Domain>>,
     sender: Option<Sender>,
 }
 
@@ -182,6 +197,7 @@
     pub fn split(self) -> (Response<Incoming>, Lease) {
         let lease = Lease {
             endpoint: self.endpoint,
+            domain: self.domain,
             sender: self.sender,
         };
         (self.response, lease)
@@ -192,6 +208,7 @@
 #[derive(Debug)]
 pub struct Lease {
     endpoint: Endpoint,
+    domain: Option<Arc<Domain>>,
     sender: Option<Sender>,
 }
 
@@ -210,7 +227,15 @@
             return;
         }
         let until = Instant::now() + keep;
-        let idle = Idle { sender, until };
+        let domain = self.domain.take();
+        if is_emptied(domain.as_ref()) {
+            return;
+        }
+        let idle = Idle {
+            sender,
+            domain,
+            until,
+        };
         IDLE.with_borrow_mut(|pool| pool.put(self.endpoint, idle));
     }
 }
@@ -236,24 +261,50 @@
     request: Request<Full<Bytes>>,
     options: SendOptions,
 ) -> Result<Answer, SendError> {
-    let endpoint = endpoint.into();
+    send_within(endpoint.into(), None, request, options).await
+}
+
+/// The same to a server in `domain`, unless operators have emptied that when the request would leave.
+///
+/// # Errors
+/// See [`SendError`].
+pub async fn send_into(
+    domain: Arc<Domain>,
+    endpoint: Endpoint,
+    request: Request<Full<Bytes>>,
+    options: SendOptions,
+) -> Result<Answer, SendError> {
+    send_within(endpoint, Some(domain), request, options).await
+}
+
+async fn send_within(
+    endpoint: Endpoint,
+    domain: Option<Arc<Domain>>,
+    request: Request<Full<Bytes>>,
+    options: SendOptions,
+) -> Result<Answer, SendError> {
     let mut request = request;
     if !options.fresh {
         while let Some(mut sender) = IDLE.with_borrow_mut(|pool| pool.take(endpoint)) {
             if sender.ready().await.is_err() {
                 continue;
             }
-            match attempt(sender, request, endpoint, options.head).await {
+            match attempt(sender, request, endpoint, &domain, options.head).await {
                 Ok(answer) => return Ok(answer),
+                Err(Failed::Withheld) => return Err(SendError::Withheld),
                 Err(Failed::Returned(back)) => request = *back,
                 Err(Failed::Gone(error)) => return Err(SendError::Lost(error)),
                 Err(Failed::Silent) => return Err(SendError::Silent),
             }
         }
     }
+    if is_emptied(domain.as_ref()) {
+        return Err(SendError::Withheld);
+    }
     let sender = connect(endpoint.address, options.connect).await?;
-    match attempt(sender, request, endpoint, options.head).await {
+    match attempt(sender, request, endpoint, &domain, options.head).await {
         Ok(answer) => Ok(answer),
+        Err(Failed::Withheld) => Err(SendError::Withheld),
         Err(Failed::Returned(_)) => Err(SendError::NotSent("connection closed".to_owned())),
         Err(Failed::Gone(error)) => Err(SendError::Lost(error)),
         Err(Failed::Silent) => Err(SendError::Silent),
@@ -261,6 +312,7 @@
 }
 
 enum Failed {
+    Withheld,
     Returned(Box<Request<Full<Bytes>>>),
     Gone(String),
     Silent,
@@ -270,8 +322,13 @@
     mut sender: Sender,
     request: Request<Full<Bytes>>,
     endpoint: Endpoint,
+    domain: &Option<Arc<Domain>>,
     head: Duration,
 ) -> Result<Answer, Failed> {
+    // The bytes leave now, whenever the server was chosen.
+    if is_emptied(domain.as_ref()) {
+        return Err(Failed::Withheld);
+    }
     let sent = timeout(head, sender.try_send_request(request)).await;
     let Ok(sent) = sent else {
         return Err(Failed::Silent);
@@ -280,6 +337,7 @@
         Ok(response) => Ok(Answer {
             response,
             endpoint,
+            domain: domain.clone(),
             sender: Some(sender),
         }),
         Err(mut error) => match error.take_message() {
--- a/crates/gateway/src/watch/config.rs
+++ b/crates/gateway/src/watch/config.rs
@@ -1,12 +1,13 @@
-//! Takes new versions of the configuration.
+//! Takes new versions of the configuration, and what operators do with failure domains.
 
 use std::sync::Arc;
 
 use swiftlink_telemetry::event;
 
+use super::emptied::Emptied;
 use super::follow::Follow;
-use super::reader::News;
-use crate::catalog::Catalog;
+use super::reader::{Change, News};
+use crate::catalog::{Catalog, CatalogError};
 use crate::model::Config;
 use crate::node::Node;
 use crate::store::Feed;
@@ -14,11 +15,16 @@
 pub(super) struct Follower {
     node: Arc<Node>,
     catalog: Arc<dyn Catalog>,
+    emptied: Emptied,
 }
 
 impl Follower {
     pub(super) fn new(node: Arc<Node>, catalog: Arc<dyn Catalog>) -> Self {
-        Self { node, catalog }
+        Self {
+            node,
+            catalog,
+            emptied: Emptied::default(),
+        }
     }
 
     fn apply(&self, config: Config) {
@@ -52,17 +58,77 @@
                     return;
                 }
                 Ok(None) => {}
-                Err(error) => {
-                    self.node.metrics.unreadable(Feed::Config);
-                    event!(error, "config.unreadable", error = error);
-                }
+                Err(error) => self.refuse(&error, change.offset),
             }
         }
     }
+
+    /// Tells of a record that can't be used.
+    fn refuse(&self, error: &CatalogError, offset: u64) {
+        self.node.metrics.unreadable(Feed::Config);
+        event!(error, "config.unreadable", error = error, offset = offset);
+    }
+
+    /// Takes what the news say of failure domains.
+    fn take_domains(&mut self, news: &News) {
+        let mut changed = false;
+        if let Some(keys) = &news.keys {
+            for domain in self.emptied.retain(keys) {
+                changed = true;
+                event!(
+                    info,
+                    "domain.taken_back",
+                    domain = domain,
+                    reason = "not listed"
+                );
+            }
+        }
+        for change in &news.changes {
+            match self.take_domain(change) {
+                Ok(is_new) => changed |= is_new,
+                Err(error) => self.refuse(&error, change.offset),
+            }
+        }
+        if changed {
+            self.node.pools.set_emptied(self.emptied.domains());
+        }
+    }
+
+    /// Takes one record; says whether it changes anything.
+    fn take_domain(&mut self, change: &Change) -> Result<bool, CatalogError> {
+        let told = self.catalog.domain(&change.key, change.value.as_deref())?;
+        let Some(told) = told else {
+            return Ok(false);
+        };
+        let known = &self.node.settings.regions;
+        if !known.is_empty() && !known.contains_key(&told.domain) {
+            return Err(CatalogError {
+                key: change.key.clone(),
+                reason: "no such failure domain".to_owned(),
+            });
+        }
+        if !self.emptied.take(&change.key, &told) {
+            return Ok(false);
+        }
+        let name = if told.is_emptied {
+            "domain.emptied"
+        } else {
+            "domain.taken_back"
+        };
+        event!(
+            info,
+            name,
+            domain = told.domain,
+            offset = change.offset,
+            age_ms = self.node.freshness.age().as_millis(),
+        );
+        Ok(true)
+    }
 }
 
 impl Follow for Follower {
     fn take(&mut self, news: News) {
+        self.take_domains(&news);
         self.take_newest(&news);
         if let Some(at) = news.as_of {
             self.node.freshness.confirm(at);
@@ -71,5 +137,7 @@
 
     fn regained(&mut self) {}
 
-    fn tick(&mut self) {}
+    fn tick(&mut self) {
+        self.node.freshness.look();
+    }
 }
--- a/crates/gateway/src/watch/copies.rs
+++ b/crates/gateway/src/watch/copies.rs
@@ -4,7 +4,7 @@
 //! ([`Others`]), and takes it like an answer of the store: by offset, never backwards. Where all
 //! have lost it, nobody has anything newer, and all go on with what they know.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -47,6 +47,19 @@
     as_of: Option<Instant>,
 }
 
+impl Copy {
+    /// Keys that weren't there at `end` were removed before. Others are told so: they may know them.
+    fn remove_all_but(&mut self, keys: &HashSet<String>, end: u64) {
+        // The removal's own offset isn't known; it is after the record, and before this.
+        let removed = (end.saturating_sub(1), None);
+        for (key, record) in &mut self.records {
+            if !keys.contains(key) && record.1.is_some() {
+                *record = removed.clone();
+            }
+        }
+    }
+}
+
 /// The newest records of the feeds that routers tell each other of.
 #[derive(Debug, Default)]
 pub struct Copies {
@@ -62,8 +75,7 @@
         let mut feeds = self.feeds();
         let copy = feeds.entry(feed).or_default();
         if let Some(keys) = &news.keys {
-            // Their removal has no offset that is known.
-            copy.records.retain(|key, _| keys.contains(key));
+            copy.remove_all_but(keys, news.end);
         }
         for change in &news.changes {
             // A copy of its own: a value is a part of a whole answer, which it would keep.
--- a/crates/gateway/src/watch/directory.rs
+++ b/crates/gateway/src/watch/directory.rs
@@ -23,6 +23,10 @@
 /// one that is removed later was removed by its server.
 const LAPSE_TIME: Duration = Duration::from_millis(300);
 
+/// Part of the time for which a server says that it is cold by which its entries differ: they are
+/// written once in a second or two and read a moment later.
+const COLD_JITTER: Duration = Duration::from_millis(500);
+
 /// What a server's entry changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listing {
@@ -33,6 +37,8 @@
     /// The server is out of use: the entry lacks the time of birth that this server tells, so
     /// somebody else wrote it.
     Foreign,
+    /// The server is cold, or is so for longer than was known.
+    Cold,
     /// The server is new, or says something else of itself.
     Changed,
     /// The server started again.
@@ -48,6 +54,8 @@
     born: HashMap<ServerName, WallMs>,
     /// Servers without an entry, until they are taken as gone.
     lapsed: HashMap<ServerName, Instant>,
+    /// Until when servers are cold that said so.
+    cold: HashMap<ServerName, Instant>,
     /// When the store was last found to be back.
     back: Option<Instant>,
 }
@@ -55,6 +63,12 @@
 impl Directory {
     /// A server wrote its entry. Says what that changes.
     pub fn put(&mut self, entry: ServerEntry) -> Listing {
+        let warmup = entry.warmup;
+        // When it will be warm is kept apart: what is left of it changes all the time.
+        let entry = ServerEntry {
+            warmup: Duration::ZERO,
+            ..entry
+        };
         let Start { name, born } = entry.start.clone();
         let newest = self.born.get(&name).copied().unwrap_or(0);
         if born == 0 && newest > 0 {
@@ -68,8 +82,13 @@
             self.born.insert(name.clone(), born);
         }
         self.lapsed.remove(&name);
+        let is_colder = self.note_cold(&name, warmup);
         if self.entries.get(&name) == Some(&entry) {
-            return Listing::Known;
+            return if is_colder {
+                Listing::Cold
+            } else {
+                Listing::Known
+            };
         }
         self.entries.insert(name, entry);
         if newest > 0 && born > newest {
@@ -78,6 +97,17 @@
         Listing::Changed
     }
 
+    /// Notes for how much longer a server is cold; says whether that is longer than was known.
+    fn note_cold(&mut self, name: &ServerName, left: Duration) -> bool {
+        if left.is_zero() {
+            self.cold.remove(name);
+            return false;
+        }
+        let until = Instant::now() + left;
+        let known = self.cold.insert(name.clone(), until);
+        known.is_none_or(|known| known + COLD_JITTER < until)
+    }
+
     /// The newest entry under a name can't be read, so it names no server to use. Says whether
     /// that changes anything.
     pub fn spoil(&mut self, name: &ServerName) -> bool {
@@ -120,6 +150,20 @@
     pub fn entries(&self) -> &HashMap<ServerName, ServerEntry> {
         &self.entries
     }
+
+    /// The servers, each with the time that it is cold from now on.
+    #[must_use]
+    pub fn listed(&mut self) -> HashMap<ServerName, ServerEntry> {
+        let now = Instant::now();
+        self.cold.retain(|_, until| *until > now);
+        let mut listed = self.entries.clone();
+        for (name, until) in &self.cold {
+            if let Some(entry) = listed.get_mut(name) {
+                entry.warmup = *until - now;
+            }
+        }
+        listed
+    }
 }
 
 pub(super) struct Follower {
@@ -187,7 +231,7 @@
                 self.refuse(&error, offset);
                 return true;
             }
-            Listing::Changed | Listing::StartedAgain => {}
+            Listing::Cold | Listing::Changed | Listing::StartedAgain => {}
         }
         event!(
             info,
@@ -196,6 +240,7 @@
             pool = entry.pool,
             address = entry.address,
             draining = entry.draining,
+            cold_ms = entry.warmup.as_millis(),
             born = born,
             started_again = listing == Listing::StartedAgain,
             offset = offset,
@@ -203,10 +248,8 @@
         true
     }
 
-    fn publish(&self) {
-        self.node
-            .pools
-            .set_servers(self.directory.entries().clone());
+    fn publish(&mut self) {
+        self.node.pools.set_servers(self.directory.listed());
     }
 }
 
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -1,12 +1,13 @@
 //! Follows the feeds of the store: the configuration, and the backend servers' entries.
 //!
 //! `reader` polls a feed and finds its way back after lost history, `follow` decides when to poll;
-//! `config` and `directory` say what a record changes. Nothing ever goes back to an
+//! `config`, `emptied` and `directory` say what a record changes. Nothing ever goes back to an
 //! older version or an older entry. `copies` has what routers tell each other of the feeds.
 
 mod config;
 pub(crate) mod copies;
 mod directory;
+mod emptied;
 mod follow;
 mod reader;
 
@@ -20,6 +21,7 @@
 
 pub use copies::{Copies, Others, Told};
 pub use directory::{Directory, Listing};
+pub use emptied::Emptied;
 pub(crate) use follow::{Follow, Relay, run as follow};
 pub use reader::{Answer, Change, News, Reader};
 
--- a/crates/gateway/src/watch/reader.rs
+++ b/crates/gateway/src/watch/reader.rs
@@ -34,6 +34,8 @@
     pub changes: Vec<Change>,
     /// All keys that there may be, where the whole feed was read.
     pub keys: Option<HashSet<String>>,
+    /// The offset after the last record that this tells of.
+    pub end: u64,
     /// A moment at which the store had nothing newer than this.
     pub as_of: Option<Instant>,
 }
@@ -66,8 +68,11 @@
     next: Option<u64>,
     /// The offset after the newest record that another router told of.
     told: u64,
-    /// Offset of the newest record seen of each key.
+    /// Offset of the newest record seen of each key; of one that was missing in a page of the whole
+    /// feed, the end of that.
     seen: HashMap<String, u64>,
+    /// End of the newest page of the whole feed: what is older and wasn't in it is over.
+    floor: u64,
 }
 
 impl Reader {
@@ -80,6 +85,7 @@
             next: None,
             told: 0,
             seen: HashMap::new(),
+            floor: 0,
         }
     }
 
@@ -140,9 +146,15 @@
         let page = answer.page;
         self.next = Some(page.end.max(self.next.unwrap_or(0)));
         let keys = answer.is_whole.then(|| self.keys(&page));
+        let end = page.end;
+        let changes = self.newer(page.records);
+        if let Some(keys) = &keys {
+            self.close(keys, end);
+        }
         News {
-            changes: self.newer(page.records),
+            changes,
             keys,
+            end,
             as_of: Some(answer.as_of),
         }
     }
@@ -156,6 +168,17 @@
         listed.chain(newer).cloned().collect()
     }
 
+    /// Keys that aren't there at `end` were removed before: no record of them from before counts
+    /// any more, whoever tells it.
+    fn close(&mut self, keys: &HashSet<String>, end: u64) {
+        self.floor = self.floor.max(end);
+        for (key, seen) in &mut self.seen {
+            if !keys.contains(key) {
+                *seen = end.max(*seen);
+            }
+        }
+    }
+
     /// Offset from which on another router may know more.
     #[must_use]
     pub fn known(&self) -> u64 {
@@ -168,9 +191,11 @@
         if let Some(last) = told.records.last() {
             self.told = self.told.max(last.offset + 1);
         }
+        let end = self.told;
         News {
             changes: self.newer(told.records),
             keys: None,
+            end,
             as_of: told.age.and_then(|age| asked.checked_sub(age)),
         }
     }
@@ -179,7 +204,8 @@
     fn newer(&mut self, records: Vec<Record>) -> Vec<Change> {
         let mut changes = Vec::new();
         for Record { offset, key, value } in records {
-            if self.seen.get(&key).is_some_and(|seen| *seen > offset) {
+            let seen = self.seen.get(&key).copied();
+            if seen.map_or(offset < self.floor, |seen| seen > offset) {
                 continue;
             }
             self.seen.insert(key.clone(), offset);
--- a/crates/gateway/tests/testsuite/book.rs
+++ b/crates/gateway/tests/testsuite/book.rs
@@ -20,6 +20,7 @@
     let workspace = Arc::new(Workspace {
         name: WorkspaceName::from("acme"),
         priority: None,
+        homes: Vec::new(),
         prepaid,
     });
     Config {
--- a/crates/gateway/tests/testsuite/freshness.rs
+++ b/crates/gateway/tests/testsuite/freshness.rs
@@ -202,6 +202,7 @@
             domain: DomainName::from("a"),
             slots: 4,
             draining: false,
+            warmup: Duration::ZERO,
         })
     }
 }
--- a/crates/gateway/tests/testsuite/losses.rs
+++ b/crates/gateway/tests/testsuite/losses.rs
@@ -287,6 +287,7 @@
     let other = Arc::new(Workspace {
         name: WorkspaceName::from("other"),
         priority: None,
+        homes: Vec::new(),
         prepaid: Some(PREPAID),
     });
     both.workspaces.insert(other.name.clone(), other);
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod cap;
 mod clock;
 mod copies;
+mod emptied;
 mod freshness;
 mod headroom;
 mod holders;
--- a/crates/gateway/tests/testsuite/net.rs
+++ b/crates/gateway/tests/testsuite/net.rs
@@ -59,6 +59,7 @@
         let workspace = Workspace {
             name: WorkspaceName::from(format!("w{index}")),
             priority: None,
+            homes: Vec::new(),
             prepaid: Some(prepaid),
         };
         all.workspaces
--- a/crates/gateway/tests/testsuite/pools.rs
+++ b/crates/gateway/tests/testsuite/pools.rs
@@ -18,6 +18,7 @@
     RouterSettings {
         vm: VmName::from("vm"),
         domain: DomainName::from("a"),
+        regions: HashMap::new(),
         callers: any,
         readiness: any,
         metrics: None,
@@ -44,6 +45,7 @@
         name: PoolName::from("pool"),
         stride: None,
         pause: None,
+        warmup: None,
     };
     config.pools.insert(pool.name.clone(), Arc::new(pool));
     config
@@ -57,6 +59,7 @@
         domain: DomainName::from("a"),
         slots: 4,
         draining: false,
+        warmup: Duration::ZERO,
     };
     HashMap::from([(entry.start.name.clone(), entry)])
 }
--- a/crates/gateway/tests/testsuite/starts.rs
+++ b/crates/gateway/tests/testsuite/starts.rs
@@ -9,11 +9,10 @@
 use proptest::collection::vec;
 use proptest::prelude::*;
 use swiftlink_gateway::catalog::{CatalogError, ServerEntry};
-use swiftlink_gateway::fleet::Pool;
+use swiftlink_gateway::fleet::{Pool, Wish};
 use swiftlink_gateway::model::Config;
 use swiftlink_gateway::store::{Feed, MemStore, StoreFault};
 use swiftlink_gateway::{Catalog, Node};
-use swiftlink_routing::Prompt;
 use swiftlink_types::{DomainName, PoolName, ServerName, Start, WallMs};
 use tokio::time::sleep;
 
@@ -77,6 +76,7 @@
             domain: DomainName::from("a"),
             slots: 4,
             draining: false,
+            warmup: Duration::ZERO,
         })
     }
 }
@@ -134,9 +134,15 @@
 pub(crate) fn used(pool: &Arc<Pool>) -> BTreeMap<String, (WallMs, u16)> {
     let mut used = BTreeMap::new();
     let mut tried = Vec::new();
-    while let Some((server, ticket)) =
-        pool.send(0, Prompt::default(), Duration::from_secs(1), &tried)
-    {
+    loop {
+        let wish = Wish {
+            aim: Duration::from_secs(1),
+            exclude: &tried,
+            ..Wish::default()
+        };
+        let Some((server, ticket)) = pool.send(&wish) else {
+            break;
+        };
         let place = (server.start.born, server.address.port());
         used.insert(server.start.name.to_string(), place);
         tried.push(ticket.idx);
--- a/crates/gateway/tests/testsuite/table.rs
+++ b/crates/gateway/tests/testsuite/table.rs
@@ -21,6 +21,7 @@
         pause: None,
         priority: 0,
         attempts: 2,
+        homes: Vec::new(),
         public: false,
         resumable: false,
     }
--- a/crates/gateway/tests/testsuite/watch.rs
+++ b/crates/gateway/tests/testsuite/watch.rs
@@ -84,6 +84,7 @@
         domain: DomainName::from("a"),
         slots: 4,
         draining: false,
+        warmup: Duration::ZERO,
     }
 }
 
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -153,11 +153,13 @@
                 }
                 failed_status(call, attempt, target, answer).await?;
             }
-            Err(error @ (SendError::NotSent(_) | SendError::Unreachable)) => {
+            Err(error @ (SendError::NotSent(_) | SendError::Unreachable | SendError::Withheld)) => {
                 attempt.recall();
                 let why = error.why();
                 event!(debug, "dispatch.not-sent", server = target.name, why = why);
-                target.failed(error.kind());
+                if let Some(kind) = error.kind() {
+                    target.failed(kind);
+                }
             }
             Err(error @ (SendError::Lost(_) | SendError::Silent)) => {
                 let why = error.why();
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -88,6 +88,7 @@
             now: self.now(),
             prefix,
             exclude: tried,
+            domains: None,
             may_probe,
             ..Pick::default()
         };
@@ -174,6 +175,7 @@
                 vm: spec.vm.clone(),
                 slots: spec.slots,
                 drain: spec.drain,
+                cold_until: 0,
             });
         }
         self.addresses.store(Arc::new(addresses));
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -142,7 +142,7 @@
         };
         let answer = match sent {
             Ok(answer) => answer,
-            Err(error @ (SendError::NotSent(_) | SendError::Unreachable)) => {
+            Err(error @ (SendError::NotSent(_) | SendError::Unreachable | SendError::Withheld)) => {
                 event!(debug, "relay.not-sent", peer = address, why = error.why());
                 self.node.peers.note_down(address);
                 return Tried::NotRun;
--- a/crates/routing/src/fleet/choose.rs
+++ b/crates/routing/src/fleet/choose.rs
@@ -22,6 +22,10 @@
     }
 
     fn choose(&mut self, pick: &Pick<'_>, rng: &mut impl Rng) -> Option<Choice> {
+        if self.cold.is_due(pick.now) {
+            self.cold.note(pick.now);
+            self.refresh();
+        }
         let view = View {
             servers: &self.servers,
             open: &self.open,
@@ -33,7 +37,10 @@
             read_time: self.speeds.read_time(),
         };
         let probed = probe(&view, &self.ejected, rng);
-        let chosen = probed.or_else(|| self.policy.pick(&view, rng));
+        let is_short = self.cold.is_needed(self.open.len());
+        let spared = probed.or_else(|| is_short.then(|| self.cold.pick(&view, rng))?);
+        let chosen = spared.or_else(|| self.policy.pick(&view, rng));
+        let chosen = chosen.or_else(|| self.cold.pick(&view, rng));
         let slot = chosen.or_else(|| last_resort(&view, &self.ejected))?;
         debug_assert!(
             chosen.is_none() || chosen == probed || view.can_take(slot),
--- a/crates/routing/src/fleet/mod.rs
+++ b/crates/routing/src/fleet/mod.rs
@@ -1,16 +1,18 @@
 //! The servers of one pool, as one router knows them.
 //!
-//! `choose` picks one for a request, `speeds` compares them by their streams, `notes` exchanges
+//! `choose` picks one for a request, `cold` keeps most work from those that have just started,
+//! `speeds` compares them by their streams, `notes` exchanges
 //! what is known with peers.
 
 mod choose;
+mod cold;
 mod notes;
 mod speeds;
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use swiftlink_types::{Micros, ServerName, VmName};
+use swiftlink_types::{DomainName, Micros, ServerName, VmName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::flow::Pace;
@@ -24,6 +26,8 @@
 use crate::spec::{FleetPolicy, ListedVm, ServerSpec};
 use crate::unread::Unread;
 
+use cold::Cold;
+pub use cold::Warmup;
 use speeds::Speeds;
 
 /// Seed of the servers' own hashes, the same at every router.
@@ -40,12 +44,16 @@
     policy: Box<dyn Policy>,
     servers: Vec<Server>,
     by_name: HashMap<ServerName, u32>,
-    /// Members that are not leaving.
+    /// Members that may work and are warm.
     open: Vec<u32>,
     /// Hashes of the names of `open`.
     hashes: Vec<u64>,
     /// Ejected servers among the open ones, if any.
     ejected: Vec<u32>,
+    /// Members that may work and are cold.
+    cold: Cold,
+    /// Failure domains that operators have emptied.
+    emptied: HashSet<DomainName>,
     pool: PoolTimes,
     speeds: Speeds,
     /// Prefixes that servers have read.
@@ -64,6 +72,8 @@
             open: Vec::new(),
             hashes: Vec::new(),
             ejected: Vec::new(),
+            cold: Cold::default(),
+            emptied: HashSet::new(),
             pool: PoolTimes::new(),
             speeds: Speeds::new(),
             read: Seen::new(),
@@ -109,6 +119,64 @@
         self.refresh();
     }
 
+    /// Takes the failure domains whose servers get no work now. The servers of one that isn't
+    /// among them any more may be cold: they are taken as such from `now` for as long as a
+    /// start makes them.
+    pub fn set_emptied(&mut self, domains: &HashSet<DomainName>, now: Micros) {
+        let cold_until = now + self.cold.time();
+        for slot in self.by_name.values() {
+            let server = &mut self.servers[*slot as usize];
+            let is_emptied = domains.contains(&server.domain);
+            if server.is_emptied && !is_emptied {
+                server.cold_until = server.cold_until.max(cold_until);
+            }
+            server.is_emptied = is_emptied;
+        }
+        self.emptied.clone_from(domains);
+        self.cold.note(now);
+        self.refresh();
+    }
+
+    /// Takes what cold servers of the pool bear; `None` where they bear as much as others.
+    pub fn set_warmup(&mut self, warmup: Option<Warmup>) {
+        self.cold.set_warmup(warmup);
+    }
+
+    /// Takes the number of routers that use the pool's cold servers; 0 while it isn't known.
+    pub fn set_routers(&mut self, routers: usize) {
+        self.cold.set_routers(routers);
+    }
+
+    /// A server said that it is cold for so much longer.
+    pub fn on_cold(&mut self, idx: ServerIdx, now: Micros, left: Micros) {
+        let Some(server) = self.get_mut(idx) else {
+            return;
+        };
+        server.cold_until = server.cold_until.max(now + left);
+        self.cold.note(now);
+        self.refresh();
+    }
+
+    /// Whether servers get no work since their failure domains are emptied.
+    #[must_use]
+    pub fn has_emptied(&self) -> bool {
+        let mut servers = self.by_name.values();
+        servers.any(|slot| self.servers[*slot as usize].is_emptied)
+    }
+
+    /// Cold servers that may get work.
+    #[must_use]
+    pub fn cold_len(&self) -> usize {
+        self.cold.len()
+    }
+
+    /// Time until a cold server is warm; `None` without one.
+    #[must_use]
+    pub fn warm_in(&self, now: Micros) -> Option<Duration> {
+        let until = self.cold.next_warm()?;
+        Some(Duration::from_micros(until.saturating_sub(now)))
+    }
+
     /// A request is sent to the server. `None` when the server is gone.
     pub fn on_sent(&mut self, idx: ServerIdx, now: Micros) -> Option<Sent> {
         let server = self.get_mut(idx)?;
@@ -258,10 +326,10 @@
         servers.map(|server| server.slots() as usize).sum()
     }
 
-    /// Number of servers that may get work: members that are not leaving.
+    /// Number of servers that may get work: members that are not leaving, cold ones among them.
     #[must_use]
     pub fn open_len(&self) -> usize {
-        self.open.len()
+        self.open.len() + self.cold.len()
     }
 
     /// Time until an ejected server may be probed, when all open ones are ejected.
@@ -359,6 +427,8 @@
         server.vm = spec.vm.clone();
         server.slots = spec.slots;
         server.is_drained = spec.drain;
+        server.is_emptied = self.emptied.contains(&spec.domain);
+        server.cold_until = server.cold_until.max(spec.cold_until);
         server.is_home = is_home;
     }
 
@@ -407,11 +477,9 @@
 
     fn refresh(&mut self) {
         let mut open: Vec<u32> = self.by_name.values().copied().collect();
-        open.retain(|slot| {
-            let server = &self.servers[*slot as usize];
-            server.is_member && !server.is_leaving()
-        });
+        open.retain(|slot| self.servers[*slot as usize].may_work());
         open.sort_unstable();
+        self.cold.part(&mut open, &self.servers);
         let hashes = open.iter().map(|slot| self.servers[*slot as usize].hash);
         self.hashes = hashes.collect();
         self.open = open;
@@ -439,6 +507,8 @@
         is_member: false,
         is_drained: spec.drain,
         is_listed_out: false,
+        is_emptied: false,
+        cold_until: spec.cold_until,
         was_listed: false,
         draining_at: None,
         load: Load::default(),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -31,7 +31,7 @@
 
 pub use baseline::{LeastReported, Random, RoundRobin, TwoChoices};
 pub use expected::{ExpectedWait, ScorePolicy};
-pub use fleet::Fleet;
+pub use fleet::{Fleet, Warmup};
 pub use flow::Flow;
 pub use health::{ErrorKind, Health, HealthPolicy};
 pub use load::{Load, LoadReport};
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -1,9 +1,10 @@
 //! What a routing policy sees and decides.
 
+use std::collections::HashSet;
 use std::fmt;
 
 use rand::Rng;
-use swiftlink_types::Micros;
+use swiftlink_types::{DomainName, Micros};
 
 use crate::expected::mix;
 use crate::seen::Seen;
@@ -31,6 +32,8 @@
     pub aim: Micros,
     /// Servers that were tried for this request.
     pub exclude: &'a [ServerIdx],
+    /// Failure domains that the request may go to; all where there is nothing.
+    pub domains: Option<&'a HashSet<DomainName>>,
     /// Whether the request may be the probe of an ejected server; not for one that
     /// may run at most once.
     pub may_probe: bool,
@@ -162,7 +165,16 @@
         self.pool.expected(load)
     }
 
-    fn is_excluded(&self, slot: u32) -> bool {
+    /// Whether the request was tried there, or may not go to the server's failure domain.
+    pub(crate) fn is_excluded(&self, slot: u32) -> bool {
+        let domain = self.server(slot).domain();
+        if self
+            .pick
+            .domains
+            .is_some_and(|allowed| !allowed.contains(domain))
+        {
+            return true;
+        }
         let mut exclude = self.pick.exclude.iter();
         exclude.any(|idx| idx.slot == slot)
     }
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -58,6 +58,10 @@
     pub(crate) is_member: bool,
     pub(crate) is_drained: bool,
     pub(crate) is_listed_out: bool,
+    /// Whether operators have emptied its failure domain.
+    pub(crate) is_emptied: bool,
+    /// Until when it is cold; 0 when it never was.
+    pub(crate) cold_until: Micros,
     pub(crate) was_listed: bool,
     /// When its own answer said that it is leaving.
     pub(crate) draining_at: Option<Micros>,
@@ -150,6 +154,11 @@
         self.is_drained || self.is_listed_out || self.draining_at.is_some()
     }
 
+    /// Whether it may get work: this router uses it, and nobody wants it to get none.
+    pub(crate) fn may_work(&self) -> bool {
+        self.is_member && !self.is_emptied && !self.is_leaving()
+    }
+
     /// How many times slower it is than the pool, by the time to the first token at
     /// equal load or by the pace of tokens; 1 when unknown or not much slower.
     #[must_use]
--- a/crates/routing/src/spec.rs
+++ b/crates/routing/src/spec.rs
@@ -1,6 +1,6 @@
 //! What a fleet is told: its settings, the configured servers, the VM list.
 
-use swiftlink_types::{DomainName, Start, VmName};
+use swiftlink_types::{DomainName, Micros, Start, VmName};
 
 use crate::health::HealthPolicy;
 
@@ -45,6 +45,8 @@
     pub slots: u32,
     /// Whether the operators want it to leave.
     pub drain: bool,
+    /// Until when it is cold, in the clock of the fleet's calls; 0: it is warm.
+    pub cold_until: Micros,
 }
 
 /// An entry of the platform's VM list.
--- a/crates/routing/tests/fleet.rs
+++ b/crates/routing/tests/fleet.rs
@@ -24,6 +24,7 @@
         vm: Some(VmName::from(format!("vm-{number}"))),
         slots: 8,
         drain: false,
+        cold_until: 0,
     };
     (0..count).map(spec).collect()
 }
@@ -189,6 +190,7 @@
     let tried = [first.idx];
     let next = Pick {
         exclude: &tried,
+        domains: None,
         ..at(now)
     };
     let second = fleet.send(&next, &mut rng()).expect("another is tried");
@@ -199,6 +201,7 @@
     let all: Vec<_> = (0..3).map(|number| named(&fleet, number)).collect();
     let spent = Pick {
         exclude: &all,
+        domains: None,
         ..at(now)
     };
     assert_eq!(fleet.pick(&spent, &mut rng()), None, "each once a request");
--- a/crates/routing/tests/starts.rs
+++ b/crates/routing/tests/starts.rs
@@ -27,6 +27,7 @@
         vm: None,
         slots: 8,
         drain: false,
+        cold_until: 0,
     };
     (0..count).map(spec).collect()
 }
--- a/crates/routing/tests/unmixed.rs
+++ b/crates/routing/tests/unmixed.rs
@@ -33,6 +33,7 @@
         vm: None,
         slots: 64,
         drain: false,
+        cold_until: 0,
     };
     let specs: Vec<ServerSpec> = (0..count).map(spec).collect();
     fleet.set_config(&specs);
@@ -352,6 +353,7 @@
             vm: None,
             slots: 64,
             drain: false,
+            cold_until: 0,
         }]
     };
     let mut fleet = fleet(1);
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -18,8 +18,8 @@
 pub use amount::{PRICE_UNIT, Tokens, cost};
 pub use id::{Incarnation, KeyError, RequestKey};
 pub use name::{
-    BudgetName, ClassName, DomainName, KeyName, PoolName, ServerName, StreamName, VmName,
-    WorkspaceName,
+    BudgetName, ClassName, DomainName, KeyName, PoolName, RegionName, ServerName, StreamName,
+    VmName, WorkspaceName,
 };
 pub use refusal::{OUTCOME_HEADER, Outcome, Problem, Refusal, RefusalKind};
 pub use start::Start;
--- a/crates/types/src/name.rs
+++ b/crates/types/src/name.rs
@@ -91,6 +91,11 @@
     /// Name of a failure domain.
     DomainName
 }
+name_type! {
+    /// Name of a region, which has one or more failure domains.
+    RegionName
+}
+
 name_type! {
     /// Name of a stream on the platform's log.
     StreamName
