--- a/crates/gateway/src/serve/journey.rs
+++ b/crates/gateway/src/serve/journey.rs
@@ -74,6 +74,7 @@
             "request.left",
             id = self.id(),
             route = self.route.name,
+            workspace = self.workspace(),
             charged = self.spent(),
             config = self.version,
             ms = self.start.elapsed().as_millis(),
@@ -144,6 +145,12 @@
         }
     }
 
+    /// Name of the workspace that is charged, for logs.
+    pub(super) fn workspace(&self) -> &str {
+        let workspace = self.workspace.as_ref();
+        workspace.map_or("-", |workspace| workspace.name.as_str())
+    }
+
     /// Id of the request, for logs.
     pub(super) fn id(&self) -> &str {
         self.ask.id()
@@ -331,6 +338,7 @@
             "request.answered",
             id = self.id(),
             route = self.route.name,
+            workspace = self.workspace(),
             server = server.start.name,
             status = head.status.as_u16(),
             attempts = trail.sends(),
@@ -355,6 +363,7 @@
             "request.refused",
             id = self.id(),
             route = self.route.name,
+            workspace = self.workspace(),
             reason = refusal.as_str(),
             attempts = trail.sends(),
             runs = trail.runs,
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -242,6 +242,7 @@
         "request.streamed",
         id = journey.id(),
         route = journey.route.name,
+        workspace = journey.workspace(),
         server = reply.server.start.name,
         end = end.as_str(),
         events = cutter.events(),
