--- a/crates/gateway/src/rights/account.rs
+++ b/crates/gateway/src/rights/account.rs
@@ -126,22 +126,19 @@
 /// What all but `process` have spent, as far as they say.
 #[must_use]
 pub fn spent_by_others(account: &Account, process: u64) -> Tokens {
-    let others = account
-        .holders
-        .iter()
-        .filter(|holder| holder.process != process);
-    let charged: Tokens = others.map(|holder| holder.charged).sum();
+    let charged: Tokens = others(account, process).map(|holder| holder.charged).sum();
     account.closed + charged
 }
 
 /// Tokens a second that all but `process` use, as far as they say.
 #[must_use]
 pub fn rate_of_others(account: &Account, process: u64) -> u64 {
-    let others = account
-        .holders
-        .iter()
-        .filter(|holder| holder.process != process);
-    others.map(|holder| holder.rate).sum()
+    others(account, process).map(|holder| holder.rate).sum()
+}
+
+fn others(account: &Account, process: u64) -> impl Iterator<Item = &Holder> {
+    let holders = account.holders.iter();
+    holders.filter(move |holder| holder.process != process)
 }
 
 /// The router's rights as the account has them.
