--- a/crates/gateway/src/rights/cap.rs
+++ b/crates/gateway/src/rights/cap.rs
@@ -120,7 +120,7 @@
 }
 
 /// What the cap of a process may grow by until the next process on its VM reads it, so that the
-/// processes together strand no more than [`STRANDED`] of `prepaid`: its part, by its `share` of the
+/// processes together strand no more than 3 in 100 of `prepaid`: its part, by its `share` of the
 /// use, less what is `bound` already in running requests and as the cap's base.
 ///
 /// Of a fleet of 75 that loses power at once two thirds into a day, workspaces had 3.4 to 5.5 in 100
