--- a/crates/gateway/src/rights/cap.rs
+++ b/crates/gateway/src/rights/cap.rs
@@ -123,12 +123,16 @@
 /// processes together strand no more than 3 in 100 of `prepaid`: its part, by its `share` of the
 /// use, less what is `bound` already in running requests and as the cap's base.
 ///
+/// Where that much is bound in any case, there is no limit: callers would be refused in each cut, and
+/// the bound is passed all the same. With none to grow by there, the quiet day of a deployment of
+/// seven routers, with two cuts of all, was worth 0.70 in place of 0.77.
+///
 /// Of a fleet of 75 that loses power at once two thirds into a day, workspaces had 3.4 to 5.5 in 100
 /// left at the end, which nobody could spend, with caps that grow by 0.6 of the use in any case.
 #[must_use]
 pub fn room(prepaid: Tokens, share: f64, bound: Tokens) -> Tokens {
     let part = prepaid as f64 * STRANDED * share;
-    (part as Tokens).saturating_sub(bound)
+    (part as Tokens).checked_sub(bound).unwrap_or(Tokens::MAX)
 }
 
 /// How a new cap grows, for a process with `unspent` tokens of which `rate` are used in a
--- a/crates/gateway/tests/testsuite/cap.rs
+++ b/crates/gateway/tests/testsuite/cap.rs
@@ -217,6 +217,12 @@
     assert!(stranded <= prepaid * 3 / 100, "{stranded}");
     let unbound = 3 * (free + reserved + rate * 3 / 2);
     assert!(unbound > prepaid * 3 / 100, "{unbound}: the load shows");
+    // Where running requests alone hold more than that, caps grow as ever.
+    let crowded = swiftlink_gateway::rights::cap::room(prepaid, share, 2 * prepaid / 100);
+    assert_eq!(
+        draw(unspent, rate, crowded),
+        draw(unspent, rate, Tokens::MAX)
+    );
     // Where a budget is large against its use, caps grow as fast as ever.
     let plenty = swiftlink_gateway::rights::cap::room(10 * prepaid, share, free + reserved);
     assert_eq!(
