--- a/crates/routing/src/fleet/cold.rs
+++ b/crates/routing/src/fleet/cold.rs
@@ -27,8 +27,8 @@
 /// second is spread like draws: with a mean of half of 7.7, more than 16 come in one second of
 /// half a million, and in one of fifty thousand where a third of the routers isn't known yet.
 const PART: f64 = 0.5;
-/// Part of the servers that has to be warm for cold ones to get nothing. Half of a fleet bears
-/// its load for the seconds that a start takes, if later; a quarter doesn't.
+/// Part of the servers that has to be warm for cold ones to get nothing. An assumption: half of a
+/// fleet bears its load for the seconds that a start takes.
 const ENOUGH: f64 = 0.5;
 /// Time for which a router saves up, beyond one request (seconds): requests come in bunches, and
 /// what all routers have saved may come at once. Of 30 requests a second before 12 cold servers a
