gateway: lines of broken answers tell a fingerprint of the request

What told the hypotheses apart was missing: whether the requests that were in flight at each server that ended are one and the same, sent again. The fingerprint is taken from method, host, path, workspace and body, and only where an answer broke off.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod clock;
 pub mod dialect;
 pub mod domains;
+pub mod fingerprint;
 pub mod fleet;
 pub mod freshness;
 pub mod headroom;
--- a/crates/gateway/src/serve/journey.rs
+++ b/crates/gateway/src/serve/journey.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::header::CONNECTION;
+use http::header::{CONNECTION, HOST};
 use http::{HeaderMap, Method, Uri};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -20,6 +20,7 @@
 use super::refuse::{Refusal, SERVER_WAIT};
 use super::relay;
 use crate::dialect::Ask;
+use crate::fingerprint::{Content, Fingerprint};
 use crate::fleet::{Pool, Wish};
 use crate::model::{Replay, Route, RouteKind, Workspace};
 use crate::node::{InFlight, Node};
@@ -145,6 +146,27 @@
         }
     }
 
+    /// What its other attempts have in common with it.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        let host = self.parcel.headers.get(HOST);
+        Fingerprint::of(&Content {
+            workspace: self.workspace.as_ref().map(|workspace| &workspace.name),
+            method: &self.parcel.method,
+            host: host.and_then(|host| host.to_str().ok()).unwrap_or(""),
+            uri: &self.parcel.uri,
+            body: &self.parcel.body,
+        })
+    }
+
+    /// Its fingerprint for the line of an answer that broke off, and nothing for others.
+    pub(super) fn shown_print(&self, is_broken: bool) -> String {
+        if is_broken {
+            self.fingerprint().to_string()
+        } else {
+            "-".to_owned()
+        }
+    }
+
     /// Name of the workspace that is charged, for logs.
     pub(super) fn workspace(&self) -> &str {
         let workspace = self.workspace.as_ref();
@@ -213,6 +235,7 @@
             trail.tried.push(idx);
             self.node.metrics.sent(outcome.as_str());
             trail.note(outcome);
+            let is_broken = outcome == Outcome::Lost;
             event!(
                 info,
                 "request.send_failed",
@@ -220,6 +243,7 @@
                 server = name,
                 outcome = outcome.as_str(),
                 attempt = trail.sends(),
+                print = self.shown_print(is_broken),
                 left_ms = self.left().as_millis(),
             );
             if !self.may_retry(trail, outcome) {
@@ -313,6 +337,7 @@
                     "request.truncated",
                     id = self.id(),
                     server = server.start.name,
+                    print = self.fingerprint(),
                     error = error,
                 );
                 ticket.fail(ErrorKind::Broken);
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -223,6 +223,7 @@
         "request.resumed",
         id = journey.id(),
         broken = broken.server.start.name,
+        print = journey.fingerprint(),
         after = last.unwrap_or(0),
     );
     let next = journey.dispatch(trail, last).await.ok()?;
@@ -250,6 +251,7 @@
         first_ms = pauses.first.as_millis(),
         pause_ms = pauses.longest.as_millis(),
         attempts = trail.sends(),
+        print = journey.shown_print(end == End::Broken),
         charged = journey.spent(),
         config = journey.version,
         ms = journey.start.elapsed().as_millis(),
