--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -359,23 +359,27 @@
     members.map(|member| member.started_ms).collect()
 }
 
-/// Writes this router into the members' feed, and the secret if there is none.
-pub(crate) async fn register(
-    store: Arc<dyn Store>,
-    settings: RouterSettings,
+/// What the members' feed says of this router, which other routers reach at `address`.
+pub(crate) fn member(
+    settings: &RouterSettings,
+    address: SocketAddr,
     process: u64,
     started: u64,
-) {
-    let member = MemberRecord {
+) -> MemberRecord {
+    MemberRecord {
         process,
-        address: settings.peers.to_string(),
+        address: address.to_string(),
         domain: settings.domain.to_string(),
         started_ms: started,
         strength: settings.strength,
-    };
+    }
+}
+
+/// Writes this router into the members' feed, and the secret if there is none.
+pub(crate) async fn register(store: Arc<dyn Store>, vm: VmName, member: MemberRecord) {
     let mut backoff = BACKOFF;
     loop {
-        match try_register(&*store, &settings.vm, &member).await {
+        match try_register(&*store, &vm, &member).await {
             Ok(()) => return,
             Err(error) => event!(info, "peer.not_registered", error = error),
         }
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -194,8 +194,12 @@
     let settings = &node.settings;
     let listener = TcpListener::bind(settings.peers)
         .with_context(|| format!("binding the routers' address {}", settings.peers))?;
+    let address = listener
+        .local_addr()
+        .context("reading the address that other routers reach")?;
     let started = node.books.clock().read().wall;
-    let registered = peers::register(Arc::clone(store), settings.clone(), node.process, started);
+    let member = peers::member(settings, address, node.process, started);
+    let registered = peers::register(Arc::clone(store), settings.vm.clone(), member);
     tasks.spawn(registered);
     let reader = watch::Reader::new(Feed::Members, Arc::clone(store));
     let follower = peers::Follower::new(peers, node);
