gateway: a request that ended three servers is held by all routers

Callers saw servers end under each return of one request, and with them up to seventeen requests of others each time. The cause: what a router learned from a broken answer didn't outlive the attempt, and nothing of it reached other routers.

The change: a send that breaks off asks whether its server has ended. If so, what was sent there is told to all routers of a small fleet, to three of a large one. The request that three ends of different moments have in common is held: refused at once with 503 and the time to come back, before rights are reserved; sends that wait at servers are cut. Holds are told on two ways, the members' feed of the store and from router to router. Ends that a held request explains count for nobody else; who ran to a good end is cleared; state is bounded and ages.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -13,6 +13,7 @@
 
 use crate::node::Node;
 use crate::notes;
+use crate::quarantine::tell;
 use crate::rights::Reservations;
 use crate::watch::copies;
 
@@ -84,6 +85,13 @@
                     steady_ms: self.steady(),
                 })
             }
+            request::Kind::Ends(ends) => {
+                tell::take(&self.node.quarantine, peer, &ends);
+                reply::Kind::Noted(Noted {
+                    process: self.node.process,
+                    steady_ms: self.steady(),
+                })
+            }
             request::Kind::GetSeen(ask) => reply::Kind::Seen(self.seen(ask.process)),
             request::Kind::GetFeed(ask) => {
                 reply::Kind::FeedRecords(copies::answer(&self.node.copies, &ask))
@@ -93,7 +101,7 @@
             _ => reply::Kind::Failure(Failure {
                 kind: FailureKind::Unspecified.into(),
                 detail:
-                    "routers reserve rights, take notes, tell of others and of feeds, nothing else"
+                    "routers reserve rights, take notes and ends, tell of others and of feeds, nothing else"
                         .to_owned(),
             }),
         };
--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -1,6 +1,7 @@
 //! Tells whether two requests are the same one, sent again.
 
 use std::fmt;
+use std::sync::OnceLock;
 
 use bytes::Bytes;
 use http::{Method, Uri};
@@ -16,30 +17,55 @@
 pub struct Fingerprint([u8; LEN]);
 
 /// What a fingerprint is made from.
-#[derive(Clone, Copy, Debug)]
-pub struct Content<'a> {
+#[derive(Debug)]
+pub struct Content {
     /// Workspace that is charged; `None` on a public route without a key.
-    pub workspace: Option<&'a WorkspaceName>,
+    pub workspace: Option<WorkspaceName>,
     /// Method of the request.
-    pub method: &'a Method,
+    pub method: Method,
     /// Host that the caller named.
-    pub host: &'a str,
+    pub host: String,
     /// Path and query.
-    pub uri: &'a Uri,
+    pub uri: Uri,
     /// The whole body.
-    pub body: &'a Bytes,
+    pub body: Bytes,
+}
+
+/// What a request is known by when its caller sends it again. The fingerprint is worked out when
+/// it is asked for: most requests never need it.
+#[derive(Debug)]
+pub struct Origin {
+    content: Content,
+    print: OnceLock<Fingerprint>,
+}
+
+impl Origin {
+    /// The origin of a request.
+    #[must_use]
+    pub fn new(content: Content) -> Self {
+        Self {
+            content,
+            print: OnceLock::new(),
+        }
+    }
+
+    /// Its fingerprint.
+    #[must_use]
+    pub fn print(&self) -> Fingerprint {
+        *self.print.get_or_init(|| Fingerprint::of(&self.content))
+    }
 }
 
 impl Fingerprint {
     /// The fingerprint of a request.
     #[must_use]
-    pub fn of(content: &Content<'_>) -> Self {
+    pub fn of(content: &Content) -> Self {
         let path = content.uri.path_and_query();
         let path = path.map_or("/", |path| path.as_str());
-        let workspace = content.workspace.map_or("", WorkspaceName::as_str);
+        let workspace = content.workspace.as_ref().map_or("", WorkspaceName::as_str);
         let mut hash = Sha256::new();
         // Each part with its length: what ends one can't begin the next.
-        let parts = [workspace, content.method.as_str(), content.host, path];
+        let parts = [workspace, content.method.as_str(), &content.host, path];
         for part in parts
             .map(str::as_bytes)
             .into_iter()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod notes;
 pub mod peers;
 pub mod proof;
+pub mod quarantine;
 mod ready;
 pub mod rights;
 mod router;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -95,6 +95,7 @@
     ready: Gauge,
     emptied: Family<DomainLabels, Gauge>,
     cold: Gauge,
+    held: Gauge,
 }
 
 fn histogram() -> Histogram {
@@ -160,6 +161,8 @@
         registry.register("domain_emptied", emptied, gauges.emptied.clone());
         let cold = "Backend servers that are cold and may get work";
         registry.register("cold_servers", cold, gauges.cold.clone());
+        let held = "Requests that are kept away from servers since these ended under them";
+        registry.register("held_requests", held, gauges.held.clone());
         let ready = "Whether new connections should come here";
         registry.register("ready", ready, gauges.ready.clone());
     }
@@ -240,6 +243,8 @@
         self.available.set(available);
         self.reserved.set(reserved);
         self.charged.set(charged);
+        let held = node.quarantine.held_len();
+        self.held.set(i64::try_from(held).unwrap_or(i64::MAX));
         self.ready.set(i64::from(node.is_ready()));
         self.set_servers(node);
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,6 +12,7 @@
 use crate::headroom::Traffic;
 use crate::metrics::Metrics;
 use crate::model::Config;
+use crate::quarantine::Quarantine;
 use crate::rights::Books;
 use crate::rights::holders::Placement;
 use crate::settings::RouterSettings;
@@ -35,6 +36,8 @@
     pub pools: Arc<Pools>,
     /// Rights of the workspaces.
     pub books: Arc<Books>,
+    /// Requests that are kept away from the servers.
+    pub quarantine: Arc<Quarantine>,
     /// When other processes were last seen.
     pub sightings: Arc<Sightings>,
     /// Tells this process from others on its VM.
@@ -59,6 +62,10 @@
         let placement = Placement::unknown(settings.vm.clone());
         let clock = Arc::new(SystemClock::open());
         Self {
+            quarantine: Arc::new(Quarantine::new(
+                settings.vm.clone(),
+                Arc::clone(&clock) as _,
+            )),
             books: Arc::new(Books::new(placement, settings.parts, clock)),
             settings,
             dialect,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,7 +3,7 @@
 //! Routers find each other in the members' feed of the store. The secret of their links
 //! is drawn by the first of them and stands there too.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use futures_util::future::join_all;
 use prost::Message;
+use rand::seq::IteratorRandom;
 use swiftlink_link::{Client, LinkError, Secret};
 use swiftlink_telemetry::event;
 use swiftlink_types::{DomainName, VmName};
@@ -19,10 +20,12 @@
 use swiftlink_wire::rights::Member as MemberRecord;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Clock;
 use crate::node::Node;
 use crate::notes;
+use crate::quarantine::tell;
 use crate::rights::holders::{Member, Placement};
 use crate::rights::{Calls, Witness};
 use crate::settings::RouterSettings;
@@ -32,6 +35,9 @@
 
 /// Key of the links' secret; no VM's name has a slash.
 const SECRET_KEY: &str = "links/secret";
+/// Routers of a large fleet that are told of all ends of servers: one may be down and another cut
+/// off.
+const OBSERVERS: usize = 3;
 /// Bytes of the secret before its hexadecimal form.
 const SECRET_BYTES: usize = 24;
 /// Links that are kept open at a time: those to the routers that hold accounts, and some more.
@@ -57,6 +63,8 @@
 #[derive(Debug)]
 pub struct Peers {
     vm: VmName,
+    /// Failure domain of the VM.
+    domain: DomainName,
     /// Other routers, and where each listens.
     members: Mutex<HashMap<VmName, (Member, SocketAddr)>>,
     links: Mutex<HashMap<SocketAddr, Arc<Client>>>,
@@ -68,12 +76,18 @@
 }
 
 impl Peers {
-    /// A router on `vm` that knows no others. What their answers tell of their clocks goes to
+    /// A router on `vm` in `domain` that knows no others. What their answers tell of their clocks goes to
     /// `sightings`.
     #[must_use]
-    pub fn new(vm: VmName, clock: Arc<dyn Clock>, sightings: Arc<Sightings>) -> Self {
+    pub fn new(
+        vm: VmName,
+        domain: DomainName,
+        clock: Arc<dyn Clock>,
+        sightings: Arc<Sightings>,
+    ) -> Self {
         Self {
             vm,
+            domain,
             holders: Mutex::default(),
             clock,
             sightings,
@@ -94,7 +108,7 @@
     ///
     /// # Errors
     /// [`LinkError::Down`] when it isn't known or can't be reached: nothing was sent.
-    async fn call_up(
+    pub(crate) async fn call_up(
         &self,
         vm: &VmName,
         kind: request::Kind,
@@ -112,6 +126,40 @@
         lock(&self.members).keys().cloned().collect()
     }
 
+    /// Whether the fleet is so large that not every router is told everything.
+    pub(crate) fn is_large(&self) -> bool {
+        lock(&self.members).len() > notes::TOLD
+    }
+
+    /// The routers that are told of all ends of servers: all others of a small fleet, and a few
+    /// of a large one, the same for all that know the same members, in different failure domains
+    /// where there are several.
+    pub(crate) fn observers(&self) -> Vec<VmName> {
+        let members = lock(&self.members);
+        if members.len() <= notes::TOLD {
+            return members.keys().cloned().collect();
+        }
+        let all = members
+            .values()
+            .map(|(member, _)| (member.vm.clone(), member.domain.clone()));
+        let own = (self.vm.clone(), self.domain.clone());
+        let mut ranked: Vec<(VmName, DomainName)> = all.chain([own]).collect();
+        ranked.sort_by_cached_key(|(vm, _)| xxh3_64(vm.as_str().as_bytes()));
+        let mut domains = HashSet::new();
+        let (mut first, rest): (Vec<_>, Vec<_>) = ranked
+            .into_iter()
+            .partition(|(_, domain)| domains.insert(domain.clone()));
+        first.extend(rest);
+        let chosen = first.into_iter().take(OBSERVERS).map(|(vm, _)| vm);
+        chosen.filter(|vm| *vm != self.vm).collect()
+    }
+
+    /// So many of the other routers, drawn anew each time.
+    pub(crate) fn some(&self, count: usize) -> Vec<VmName> {
+        let members = lock(&self.members);
+        members.keys().cloned().sample(&mut rand::rng(), count)
+    }
+
     /// One of the other routers, drawn anew each time; in a large fleet one of those that hold
     /// accounts, to which there are links.
     fn any(&self) -> Option<VmName> {
@@ -286,9 +334,14 @@
 impl Follow for Follower {
     fn take(&mut self, news: News) {
         for change in &news.changes {
-            if let Some(value) = &change.value {
-                self.peers.learn(&change.key, value);
+            let Some(value) = &change.value else {
+                continue;
+            };
+            if change.key.starts_with(tell::KEY_START) {
+                tell::take_record(&self.node.quarantine, &change.key, value);
+                continue;
             }
+            self.peers.learn(&change.key, value);
         }
         self.tell();
     }
@@ -354,7 +407,7 @@
 pub(crate) fn starts(records: &[Record], own: &VmName) -> Vec<u64> {
     let others = records
         .iter()
-        .filter(|record| record.key != own.as_str() && record.key != SECRET_KEY);
+        .filter(|record| record.key != own.as_str() && !record.key.contains('/'));
     let members = others.filter_map(|record| MemberRecord::decode(record.value.clone()?).ok());
     members.map(|member| member.started_ms).collect()
 }
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -20,6 +20,8 @@
     Lost,
     /// No answer came in time.
     Silent,
+    /// The request is held from now on, and the send was cut.
+    Cut,
     /// The answer belongs to another request.
     Stray,
     /// The answer's body broke off.
@@ -47,7 +49,7 @@
     pub fn ran(self) -> Ran {
         match self {
             Self::NotSent | Self::Withheld | Self::Shed | Self::Misdirected => Ran::No,
-            Self::Lost | Self::Silent | Self::Stray => Ran::Maybe,
+            Self::Lost | Self::Silent | Self::Cut | Self::Stray => Ran::Maybe,
             Self::Truncated | Self::Failed | Self::Served => Ran::Yes,
         }
     }
@@ -63,7 +65,7 @@
     #[must_use]
     pub fn may_retry(self, replay: Replay) -> bool {
         match (self, replay) {
-            (Self::Served, _) => false,
+            (Self::Served | Self::Cut, _) => false,
             (_, Replay::Whole) => true,
             // A failure that a server made for a stream is its answer.
             (Self::Failed, _) => false,
@@ -82,6 +84,7 @@
             Self::Misdirected => "misdirected",
             Self::Lost => "lost",
             Self::Silent => "silent",
+            Self::Cut => "cut",
             Self::Stray => "stray",
             Self::Truncated => "truncated",
             Self::Failed => "failed",
--- /dev/null
+++ b/crates/gateway/src/quarantine/tell.rs
@@ -0,0 +1,208 @@
+//! What routers tell each other of servers that ended.
+//!
+//! An end is told at once, from router to router: to all others of a small fleet, and in a large
+//! one to a few that are the same for all, so that one place sees all ends under a request. What
+//! these find is told to all, in two ways that don't fail together: on the store, in the feed
+//! that every router follows anyway, and from router to router, each passing it on to a few.
+
+use std::collections::{BTreeSet, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use prost::Message;
+use swiftlink_link::LinkError;
+use swiftlink_telemetry::event;
+use swiftlink_types::{ServerName, Start, VmName};
+use swiftlink_wire::link::{Ends, ServerEnd as EndMessage, reply, request};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use super::{Quarantine, ServerEnd, Untold};
+use crate::clock::Clock;
+use crate::fingerprint::Fingerprint;
+use crate::peers::Peers;
+use crate::store::{Feed, Store, StoreError};
+
+/// What keys of the members' feed with ends begin with; no VM's name has a slash.
+pub(crate) const KEY_START: &str = "ended/";
+/// Routers that each one passes on to that a request is held: with eight each, three rounds reach
+/// 500 routers.
+const PASSED_ON: usize = 8;
+/// Longest time for a peer's answer; a link is opened in a few milliseconds.
+const ANSWER_TIME: Duration = Duration::from_millis(500);
+/// Most ends that are written to the store.
+const WRITTEN_MAX: usize = 32;
+/// Pause after the store took no record.
+const BACKOFF: Duration = Duration::from_millis(250);
+
+/// Tells others until the task is aborted.
+pub(crate) async fn run(quarantine: Arc<Quarantine>, peers: Arc<Peers>, store: Arc<dyn Store>) {
+    let mut calls = JoinSet::new();
+    let written = watch::Sender::new(Vec::new());
+    let writer = Writer {
+        store,
+        key: format!("{KEY_START}{}", quarantine.vm),
+        producer: format!("{}/{:016x}/ended", quarantine.vm, rand::random::<u64>()),
+        sequence: 0,
+    };
+    calls.spawn(writer.run(written.subscribe(), Arc::clone(&quarantine)));
+    loop {
+        let untold = quarantine.untold().await;
+        while calls.try_join_next().is_some() {}
+        if !untold.held.is_empty() {
+            written.send_replace(quarantine.proofs());
+        }
+        calls.spawn(tell(
+            Arc::clone(&quarantine),
+            Arc::clone(&peers),
+            untold,
+            written.clone(),
+        ));
+    }
+}
+
+async fn tell(
+    quarantine: Arc<Quarantine>,
+    peers: Arc<Peers>,
+    untold: Untold,
+    written: watch::Sender<Vec<ServerEnd>>,
+) {
+    let clock = &*quarantine.clock;
+    let seen = message(clock, &untold.ends, &untold.served);
+    let told = if untold.ends.is_empty() && untold.served.is_empty() {
+        0
+    } else {
+        send(&peers, peers.observers(), &seen).await
+    };
+    if told == 0 && !untold.ends.is_empty() {
+        // Nobody hears it directly: the store is what is left.
+        written.send_modify(|ends| ends.extend(untold.ends.iter().cloned()));
+    }
+    if !untold.served.is_empty() && peers.is_large() {
+        send(&peers, peers.some(PASSED_ON), &seen).await;
+    }
+    if !untold.held.is_empty() {
+        let proofs: Vec<ServerEnd> = untold.held.iter().flat_map(|held| held.proofs()).collect();
+        send(&peers, peers.some(PASSED_ON), &message(clock, &proofs, &[])).await;
+    }
+}
+
+/// Sends to each of `vms`; gives how many have taken it.
+async fn send(peers: &Peers, vms: Vec<VmName>, ends: &Ends) -> usize {
+    let calls = vms.iter().map(|vm| call(peers, vm, ends.clone()));
+    let taken = join_all(calls).await;
+    taken.into_iter().filter(|taken| *taken).count()
+}
+
+async fn call(peers: &Peers, vm: &VmName, ends: Ends) -> bool {
+    let kind = request::Kind::Ends(ends);
+    match peers.call_up(vm, kind, ANSWER_TIME).await {
+        Ok(reply::Kind::Noted(_)) => true,
+        Ok(_) => {
+            event!(warn, "ends.not_told", peer = vm, reason = "wrong reply");
+            false
+        }
+        Err(LinkError::Down) => false,
+        Err(error) => {
+            event!(info, "ends.not_told", peer = vm, reason = error);
+            false
+        }
+    }
+}
+
+/// Takes what a router or a record tells.
+pub(crate) fn take(quarantine: &Quarantine, from: &str, told: &Ends) {
+    let now = quarantine.clock.read();
+    // The time of day may have jumped at either side: what seems to come is new.
+    let late = now.wall.saturating_sub(told.wall_ms);
+    for end in &told.ends {
+        match read(end, now.steady.saturating_sub(end.age_ms + late)) {
+            Some(end) => quarantine.learn(&end),
+            None => event!(warn, "ends.unreadable", from = from),
+        }
+    }
+    for bytes in &told.served {
+        let Ok(print) = Fingerprint::try_from(&bytes[..]) else {
+            event!(warn, "ends.unreadable", from = from);
+            continue;
+        };
+        if quarantine.clear(print, now.steady.saturating_sub(late)) {
+            event!(info, "quarantine.cleared", print = print, from = from);
+        }
+    }
+}
+
+/// Takes a record of the members' feed.
+pub(crate) fn take_record(quarantine: &Quarantine, key: &str, value: &Bytes) {
+    match Ends::decode(value.clone()) {
+        Ok(ends) => take(quarantine, key, &ends),
+        Err(error) => event!(error, "ends.unreadable", from = key, error = error),
+    }
+}
+
+fn read(end: &EndMessage, at: u64) -> Option<ServerEnd> {
+    let prints = end.prints.iter().map(|bytes| (&bytes[..]).try_into());
+    let prints: Result<HashSet<Fingerprint>, _> = prints.collect();
+    let seen_by = end.seen_by.iter().map(|vm| VmName::from(vm.as_str()));
+    Some(ServerEnd {
+        start: Start::new(ServerName::from(end.server.as_str()), end.born),
+        at,
+        prints: prints.ok()?,
+        seen_by: seen_by.collect::<BTreeSet<VmName>>(),
+    })
+}
+
+fn message(clock: &dyn Clock, ends: &[ServerEnd], served: &[Fingerprint]) -> Ends {
+    let now = clock.read();
+    let ends = ends.iter().map(|end| EndMessage {
+        server: end.start.name.to_string(),
+        born: end.start.born,
+        age_ms: now.steady.saturating_sub(end.at),
+        prints: end
+            .prints
+            .iter()
+            .map(|one| one.as_bytes().to_vec())
+            .collect(),
+        seen_by: end.seen_by.iter().map(VmName::to_string).collect(),
+    });
+    Ends {
+        ends: ends.collect(),
+        served: served.iter().map(|one| one.as_bytes().to_vec()).collect(),
+        wall_ms: now.wall,
+    }
+}
+
+/// Writes this VM's record of ends.
+struct Writer {
+    store: Arc<dyn Store>,
+    key: String,
+    producer: String,
+    sequence: u64,
+}
+
+impl Writer {
+    /// Writes the newest of what it is given, until the task is aborted.
+    async fn run(mut self, mut ends: watch::Receiver<Vec<ServerEnd>>, quarantine: Arc<Quarantine>) {
+        while ends.changed().await.is_ok() {
+            let mut newest = ends.borrow_and_update().clone();
+            newest.sort_by_key(|end| std::cmp::Reverse(end.at));
+            newest.truncate(WRITTEN_MAX);
+            let record = message(&*quarantine.clock, &newest, &[]).encode_to_vec();
+            self.sequence += 1;
+            while let Err(error) = self.write(&record).await {
+                event!(info, "ends.not_written", error = error);
+                sleep(BACKOFF).await;
+            }
+        }
+    }
+
+    async fn write(&self, record: &[u8]) -> Result<u64, StoreError> {
+        let record = (self.key.clone(), Bytes::copy_from_slice(record));
+        self.store
+            .append_next(Feed::Members, &self.producer, self.sequence, record)
+            .await
+    }
+}
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -18,6 +18,7 @@
 use crate::metrics::{Counted, Exposition};
 use crate::node::Node;
 use crate::peers::{self, Peers};
+use crate::quarantine::{self, tell};
 use crate::ready::{self, Readiness};
 use crate::rights::{Calls, Claims, Remote, Reservations};
 use crate::serve::Surface;
@@ -96,6 +97,7 @@
         let mut tasks = JoinSet::new();
         let peers = Arc::new(Peers::new(
             node.settings.vm.clone(),
+            node.settings.domain.clone(),
             Arc::clone(node.books.clock()),
             Arc::clone(&node.sightings),
         ));
@@ -205,6 +207,10 @@
     let follower = peers::Follower::new(peers, node);
     tasks.spawn(watch::follow(reader, follower, None));
     tasks.spawn(notes::run(Arc::clone(node), Arc::clone(peers)));
+    let quarantine = &node.quarantine;
+    tasks.spawn(quarantine::watch_breaks(Arc::clone(quarantine)));
+    let told = tell::run(Arc::clone(quarantine), Arc::clone(peers), Arc::clone(store));
+    tasks.spawn(told);
     let reservations = Arc::new(Reservations::default());
     tasks.spawn(expire(Arc::clone(&reservations)));
     let handler = Arc::new(PeerHandler {
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -48,7 +48,12 @@
     };
     let endpoint = Endpoint::of(server.address, &server.start);
     let domain = Arc::clone(&server.domain);
-    let answer = match send_into(domain, endpoint, request, options).await {
+    let held = Arc::clone(&journey.node.quarantine).until_held(Arc::clone(&journey.origin));
+    let sent = tokio::select! {
+        sent = send_into(domain, endpoint, request, options) => sent,
+        () = held => return Err(Outcome::Cut),
+    };
+    let answer = match sent {
         Ok(answer) => answer,
         Err(error) => {
             if let Some(kind) = error.kind() {
--- a/crates/gateway/src/serve/journey.rs
+++ b/crates/gateway/src/serve/journey.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::header::{CONNECTION, HOST};
+use http::header::CONNECTION;
 use http::{HeaderMap, Method, Uri};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -20,7 +20,7 @@
 use super::refuse::{Refusal, SERVER_WAIT};
 use super::relay;
 use crate::dialect::Ask;
-use crate::fingerprint::{Content, Fingerprint};
+use crate::fingerprint::Origin;
 use crate::fleet::{Pool, Wish};
 use crate::model::{Replay, Route, RouteKind, Workspace};
 use crate::node::{InFlight, Node};
@@ -52,6 +52,8 @@
     pub(super) route: Arc<Route>,
     pub(super) workspace: Option<Arc<Workspace>>,
     pub(super) parcel: Parcel,
+    /// What it is known by when its caller sends it again.
+    pub(super) origin: Arc<Origin>,
     pub(super) ask: Ask,
     pub(super) spend: Option<Spend>,
     /// Failure domains that it may go to; all where there is nothing.
@@ -146,22 +148,10 @@
         }
     }
 
-    /// What its other attempts have in common with it.
-    pub(super) fn fingerprint(&self) -> Fingerprint {
-        let host = self.parcel.headers.get(HOST);
-        Fingerprint::of(&Content {
-            workspace: self.workspace.as_ref().map(|workspace| &workspace.name),
-            method: &self.parcel.method,
-            host: host.and_then(|host| host.to_str().ok()).unwrap_or(""),
-            uri: &self.parcel.uri,
-            body: &self.parcel.body,
-        })
-    }
-
     /// Its fingerprint for the line of an answer that broke off, and nothing for others.
     pub(super) fn shown_print(&self, is_broken: bool) -> String {
         if is_broken {
-            self.fingerprint().to_string()
+            self.origin.print().to_string()
         } else {
             "-".to_owned()
         }
@@ -217,12 +207,16 @@
         resume: Option<u64>,
     ) -> Result<Reply, Refusal> {
         loop {
+            if let Some(rest) = self.node.quarantine.rest(&self.origin) {
+                return Err(hold(trail, rest));
+            }
             let Some((server, ticket)) = self.pool.send(&self.wish(trail)) else {
                 return Err(self.give_up(trail));
             };
             let idx = ticket.idx;
             let until = self.until(trail);
             let name = server.start.name.clone();
+            let chosen = server.clone();
             let outcome = match attempt(self, server, ticket, resume, until).await {
                 Ok(reply) => {
                     self.node.metrics.sent(reply.outcome.as_str());
@@ -236,6 +230,9 @@
             self.node.metrics.sent(outcome.as_str());
             trail.note(outcome);
             let is_broken = outcome == Outcome::Lost;
+            if is_broken {
+                self.node.quarantine.on_break(&chosen, &self.origin);
+            }
             event!(
                 info,
                 "request.send_failed",
@@ -248,6 +245,7 @@
             );
             if !self.may_retry(trail, outcome) {
                 return Err(match outcome {
+                    Outcome::Cut => Refusal::Lost,
                     Outcome::Silent => Refusal::Timeout,
                     _ => self.give_up(trail),
                 });
@@ -337,10 +335,11 @@
                     "request.truncated",
                     id = self.id(),
                     server = server.start.name,
-                    print = self.fingerprint(),
+                    print = self.origin.print(),
                     error = error,
                 );
                 ticket.fail(ErrorKind::Broken);
+                self.node.quarantine.on_break(&server, &self.origin);
                 if self.may_retry(trail, Outcome::Truncated) {
                     return Err(Step::Again);
                 }
@@ -356,6 +355,7 @@
             _ => {
                 ticket.end();
                 self.deliver_all();
+                self.node.quarantine.on_served(&self.origin);
             }
         }
         event!(
@@ -402,6 +402,14 @@
     }
 }
 
+/// What the caller of a request that is held hears: whether it may have run decides.
+fn hold(trail: &Trail, rest: Duration) -> Refusal {
+    if trail.runs == 0 {
+        return Refusal::Held(rest);
+    }
+    Refusal::Lost
+}
+
 /// Reads a body up to [`WHOLE`] bytes.
 async fn read_short(mut body: Incoming) -> Result<Short, hyper::Error> {
     let mut read = BytesMut::new();
--- a/crates/gateway/src/serve/refuse.rs
+++ b/crates/gateway/src/serve/refuse.rs
@@ -36,6 +36,8 @@
     StoreAway(Option<Duration>),
     /// No server takes it now; it has not run. One may after this time.
     NoServer(Duration),
+    /// Servers ended while they worked on it; it isn't tried again before this time.
+    Held(Duration),
     /// It may have run, and there is no answer.
     Lost,
     /// It may have run, and no answer came in time.
@@ -59,7 +61,9 @@
     /// are among 408, 429 and 503.
     pub(super) fn status(self) -> StatusCode {
         match self {
-            Self::NotReady | Self::Behind | Self::NoServer(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::Behind | Self::NoServer(_) | Self::Held(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Malformed | Self::BrokenBody => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
@@ -76,7 +80,7 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NotReady | Self::Behind => Some(START_WAIT),
-            Self::NoServer(wait) => Some(wait),
+            Self::NoServer(wait) | Self::Held(wait) => Some(wait),
             Self::NoRights(back) => Some(back.unwrap_or(RIGHTS_WAIT)),
             Self::StoreAway(back) => Some(back.unwrap_or(STORE_WAIT)),
             _ => None,
@@ -98,6 +102,7 @@
             Self::NoRights(_) => "no_rights",
             Self::StoreAway(_) => "store_away",
             Self::NoServer(_) => "no_server",
+            Self::Held(_) => "held",
             Self::Lost => "lost",
             Self::Timeout => "timeout",
         }
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -2,6 +2,7 @@
 //! broke off.
 
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,12 +19,18 @@
 use crate::proof::Outcome;
 use crate::sse::EventCutter;
 
+/// A request that ends servers does so when they begin to run it. One whose events come for so
+/// long isn't the cause of an end.
+const LONG_RUN: Duration = Duration::from_secs(1);
+
 /// Why a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum End {
     Whole,
     Broken,
     Timeout,
+    /// The request is held from now on, and the server's answer was cut.
+    Cut,
 }
 
 impl End {
@@ -32,6 +39,7 @@
             Self::Whole => "whole",
             Self::Broken => "broken",
             Self::Timeout => "timeout",
+            Self::Cut => "cut",
         }
     }
 }
@@ -137,6 +145,11 @@
                 }
             }
         };
+        match end {
+            End::Broken => journey.node.quarantine.on_break(&reply.server, &journey.origin),
+            End::Whole => journey.node.quarantine.on_served(&journey.origin),
+            End::Timeout | End::Cut => {}
+        }
         let cutter = EventCutter::new();
         finish(&journey, &trail, &cutter, &Pauses::default(), reply, end);
         if end != End::Whole {
@@ -157,9 +170,18 @@
         let mut cutter = EventCutter::new();
         let mut pauses = Pauses::default();
         let stride = journey.pool.spec().stride.unwrap_or(1);
+        let quarantine = Arc::clone(&journey.node.quarantine);
+        let held = Arc::clone(&quarantine).until_held(Arc::clone(&journey.origin));
+        tokio::pin!(held);
         loop {
+            // When the first event of this server came.
+            let mut began: Option<Instant> = None;
             let end = loop {
-                let frame = match timeout_at(journey.deadline, reply.body.frame()).await {
+                let frame = tokio::select! {
+                    frame = timeout_at(journey.deadline, reply.body.frame()) => frame,
+                    () = &mut held, if began.is_none() => break End::Cut,
+                };
+                let frame = match frame {
                     Err(_elapsed) => break End::Timeout,
                     Ok(None) => break End::Whole,
                     Ok(Some(Err(_error))) => break End::Broken,
@@ -173,6 +195,7 @@
                     continue;
                 };
                 reply.ticket.first();
+                began.get_or_insert_with(Instant::now);
                 if pauses.on_event(journey.start, Instant::now()) {
                     journey.node.metrics.first_event(journey.start.elapsed());
                 }
@@ -184,6 +207,13 @@
                 }
                 yield Ok(events);
             };
+            match end {
+                End::Broken if !runs_well(began) => {
+                    quarantine.on_break(&reply.server, &journey.origin);
+                }
+                End::Whole => quarantine.on_served(&journey.origin),
+                End::Broken | End::Timeout | End::Cut => {}
+            }
             if end == End::Broken
                 && let Some(next) = go_on(&mut journey, &mut trail, &cutter, &reply).await
             {
@@ -207,6 +237,11 @@
     }
 }
 
+/// Whether a server has worked on a request for so long that it won't end under it.
+fn runs_well(began: Option<Instant>) -> bool {
+    began.is_some_and(|at| at.elapsed() >= LONG_RUN)
+}
+
 /// The rest of a broken stream from another server, where the route allows it.
 async fn go_on(
     journey: &mut Journey,
@@ -223,7 +258,7 @@
         "request.resumed",
         id = journey.id(),
         broken = broken.server.start.name,
-        print = journey.fingerprint(),
+        print = journey.origin.print(),
         after = last.unwrap_or(0),
     );
     let next = journey.dispatch(trail, last).await.ok()?;
@@ -276,6 +311,6 @@
             ticket.end();
         }
         End::Broken => ticket.fail(ErrorKind::Broken),
-        End::Timeout => drop(ticket),
+        End::Timeout | End::Cut => drop(ticket),
     }
 }
--- a/crates/gateway/src/serve/surface.rs
+++ b/crates/gateway/src/serve/surface.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use http::header::HOST;
 use swiftlink_shell::web::{BodyError, Incoming, Response, Service};
 use swiftlink_telemetry::event;
@@ -14,6 +15,7 @@
 use super::refuse::{Refusal, SERVER_WAIT};
 use crate::dialect::Ask;
 use crate::domains::at_home;
+use crate::fingerprint::{Content, Origin};
 use crate::headroom::head_bytes;
 use crate::model::{Config, Route, Workspace};
 use crate::node::Node;
@@ -97,6 +99,10 @@
             .map_err(refuse_body)?;
         node.traffic
             .received(head_bytes(request.headers()) + body.len());
+        let origin = Arc::new(origin(workspace.as_deref(), &request, &body));
+        if let Some(rest) = node.quarantine.rest(&origin) {
+            return Err(Refusal::Held(rest));
+        }
         let time = ask.deadline.unwrap_or(TIME).min(route.timeout);
         let spend = self.reserve(&route, workspace.as_deref(), &ask, time);
         let spend = spend.await?;
@@ -120,6 +126,7 @@
                 headers: request.headers().clone(),
                 body,
             },
+            origin,
             ask,
             spend,
             domains,
@@ -191,6 +198,17 @@
     back + SPREAD.mul_f64(rand::random())
 }
 
+/// What a request is known by when its caller sends it again.
+fn origin(workspace: Option<&Workspace>, request: &Incoming, body: &Bytes) -> Origin {
+    Origin::new(Content {
+        workspace: workspace.map(|workspace| workspace.name.clone()),
+        method: request.method().clone(),
+        host: request.header(HOST.as_str()).unwrap_or("").to_owned(),
+        uri: request.uri().clone(),
+        body: body.clone(),
+    })
+}
+
 fn find_route(config: &Config, request: &Incoming) -> Option<Arc<Route>> {
     let host = request.header(HOST.as_str())?;
     let route = config.routes.find(host, request.uri().path())?;
--- a/crates/gateway/tests/testsuite/fingerprint.rs
+++ b/crates/gateway/tests/testsuite/fingerprint.rs
@@ -5,13 +5,12 @@
 use swiftlink_types::WorkspaceName;
 
 fn print(workspace: &str, host: &str, path: &str, body: &'static str) -> Fingerprint {
-    let workspace = WorkspaceName::from(workspace);
     Fingerprint::of(&Content {
-        workspace: Some(&workspace),
-        method: &Method::POST,
-        host,
-        uri: &path.parse::<Uri>().expect("a path"),
-        body: &body.into(),
+        workspace: Some(WorkspaceName::from(workspace)),
+        method: Method::POST,
+        host: host.to_owned(),
+        uri: path.parse::<Uri>().expect("a path"),
+        body: body.into(),
     })
 }
 
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod net;
 mod pools;
 mod proof;
+mod quarantine;
 mod rights;
 mod sse;
 mod starts;
--- a/crates/link/tests/common/mod.rs
+++ b/crates/link/tests/common/mod.rs
@@ -54,6 +54,7 @@
             | request::Kind::Release(_)
             | request::Kind::Notes(_)
             | request::Kind::GetFeed(_)
+            | request::Kind::Ends(_)
             | request::Kind::GetSeen(_) => drop(replies),
             request::Kind::Settle(_) => panic!("as the test wants"),
         }
