clock: ages go on while a VM is suspended

CLOCK_MONOTONIC stands still while a VM is suspended, and so do tokio's times. By reading: a cap's age, from which others work out what a process may have spent, was taken from it, and so was the time of day that readings tell; the age of the configuration and the check for a process that stood still too, so a router that wakes served by what it knew before; and the time for which an idle connection counts as kept by its server.

Timers stay: what they wait for begins anew with the VM.

The test of the configuration's age fails without the change (0 s in place of 14 s).

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -7,7 +7,7 @@
 use std::fs;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, Ordering::Relaxed};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use nix::time::{ClockId, clock_gettime};
 use swiftlink_telemetry::event;
@@ -29,9 +29,13 @@
 /// Where the time comes from.
 pub trait Clock: fmt::Debug + Send + Sync {
     /// Steady time in milliseconds. It is the same for all processes of the VM, and goes on
-    /// while none runs.
+    /// while none runs and while the VM is suspended.
     fn steady(&self) -> u64;
 
+    /// For how long the VM has been suspended since it started. The clock of timers and of
+    /// [`std::time::Instant`] doesn't count that time.
+    fn suspended(&self) -> Duration;
+
     /// All clocks. A time of day that has jumped ahead since the clock was opened is told as
     /// if it had not, so that the time from a reading to a later one isn't underestimated.
     fn read(&self) -> Reading;
@@ -64,11 +68,26 @@
     }
 }
 
+/// Steady time of the VM in milliseconds, as [`Clock::steady`] tells it.
+#[must_use]
+pub fn steady_millis() -> u64 {
+    // Rights, ages and idle times go on for all others while this VM is suspended.
+    kernel_time(ClockId::CLOCK_BOOTTIME).as_millis() as u64
+}
+
+fn kernel_time(clock: ClockId) -> Duration {
+    Duration::from(clock_gettime(clock).expect("the kernel has this clock"))
+}
+
 impl Clock for SystemClock {
     fn steady(&self) -> u64 {
-        let now = clock_gettime(ClockId::CLOCK_MONOTONIC).expect("the kernel has this clock");
-        let millis = now.tv_sec() * 1_000 + now.tv_nsec() / 1_000_000;
-        u64::try_from(millis).unwrap_or(0)
+        steady_millis()
+    }
+
+    fn suspended(&self) -> Duration {
+        // In this order a moment between both readings counts for nothing.
+        let running = kernel_time(ClockId::CLOCK_BOOTTIME);
+        running.saturating_sub(kernel_time(ClockId::CLOCK_MONOTONIC))
     }
 
     fn read(&self) -> Reading {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -24,6 +24,7 @@
 use tokio::time::{Instant, timeout};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::clock::steady_millis;
 use crate::domains::Domain;
 
 /// Idle connections kept per thread and endpoint.
@@ -117,12 +118,13 @@
 struct Idle {
     sender: Sender,
     domain: Option<Arc<Domain>>,
-    /// The other side may close it from then on.
-    until: Instant,
+    /// The other side may close it from then on, also while this VM is suspended, in
+    /// milliseconds of the VM's steady clock.
+    until: u64,
 }
 
 impl Idle {
-    fn is_usable(&self, now: Instant) -> bool {
+    fn is_usable(&self, now: u64) -> bool {
         !self.sender.is_closed() && now < self.until && !is_emptied(self.domain.as_ref())
     }
 }
@@ -156,7 +158,7 @@
 
     fn take(&mut self, endpoint: Endpoint) -> Option<Sender> {
         let list = self.lists.get_mut(&endpoint)?;
-        let now = Instant::now();
+        let now = steady_millis();
         while let Some(idle) = list.pop() {
             if idle.is_usable(now) {
                 return Some(idle.sender);
@@ -172,6 +174,7 @@
             return;
         }
         self.pruned_at = now;
+        let now = steady_millis();
         self.lists.retain(|_, list| {
             list.retain(|idle| idle.is_usable(now));
             !list.is_empty()
@@ -230,7 +233,7 @@
         if sender.is_closed() {
             return;
         }
-        let until = Instant::now() + keep;
+        let until = steady_millis() + keep.as_millis() as u64;
         let domain = self.domain.take();
         if is_emptied(domain.as_ref()) {
             return;
--- a/crates/gateway/tests/testsuite/clock.rs
+++ b/crates/gateway/tests/testsuite/clock.rs
@@ -1,8 +1,10 @@
 //! A VM's clocks that go by tokio's time, lose power and jump as told.
 
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
-use swiftlink_gateway::clock::{Clock, Reading};
+use nix::time::{ClockId, clock_gettime};
+use swiftlink_gateway::clock::{Clock, Reading, SystemClock};
 use tokio::time::Instant;
 
 /// Start of all times of day, in milliseconds.
@@ -21,6 +23,7 @@
     steady: u64,
     /// The same for the time of day, beside [`EPOCH`].
     jump: i64,
+    suspended: Duration,
 }
 
 impl TestClock {
@@ -31,6 +34,7 @@
                 boots: 1,
                 steady: 0,
                 jump: 0,
+                suspended: Duration::ZERO,
             }),
         })
     }
@@ -47,6 +51,14 @@
         self.state.lock().expect("a lock").jump = millis;
     }
 
+    /// The VM was suspended for so long, which tokio's time doesn't count.
+    pub(crate) fn suspend(&self, time: Duration) {
+        let mut state = self.state.lock().expect("a lock");
+        state.steady += time.as_millis() as u64;
+        state.jump += time.as_millis() as i64;
+        state.suspended += time;
+    }
+
     fn age(&self) -> u64 {
         self.began.elapsed().as_millis() as u64
     }
@@ -57,6 +69,10 @@
         self.age() + self.state.lock().expect("a lock").steady
     }
 
+    fn suspended(&self) -> Duration {
+        self.state.lock().expect("a lock").suspended
+    }
+
     fn read(&self) -> Reading {
         let steady = self.steady();
         let state = self.state.lock().expect("a lock");
@@ -67,3 +83,16 @@
         }
     }
 }
+
+/// What a process has spent at most is worked out from the time that has passed. A clock that
+/// stops while the VM is suspended told too little of it.
+#[test]
+fn the_steady_clock_counts_the_time_for_which_the_vm_is_suspended() {
+    let now = || {
+        let now = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("the kernel has this clock");
+        Duration::from(now).as_millis() as u64
+    };
+    let before = now();
+    let steady = SystemClock::open().steady();
+    assert!((before..=now()).contains(&steady));
+}
--- a/crates/gateway/tests/testsuite/emptied.rs
+++ b/crates/gateway/tests/testsuite/emptied.rs
@@ -18,6 +18,7 @@
 use swiftlink_types::{DomainName, RegionName};
 use tokio::time::{Instant, advance, sleep};
 
+use crate::clock::TestClock;
 use crate::starts::Entries;
 use crate::watch::{NoDialect, follow_alone};
 
@@ -343,7 +344,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_request_after_a_standstill_waits_for_news_and_others_dont() {
     let most = Duration::from_millis(60);
-    let fresh = Arc::new(Freshness::new());
+    let fresh = Arc::new(Freshness::new(TestClock::new()));
     fresh.look();
     let before = Instant::now();
     fresh.after_standstill(most).await;
--- a/crates/gateway/tests/testsuite/freshness.rs
+++ b/crates/gateway/tests/testsuite/freshness.rs
@@ -15,11 +15,12 @@
 use swiftlink_types::{DomainName, PoolName, ServerName, Start};
 use tokio::time::{Instant, advance, sleep};
 
+use crate::clock::TestClock;
 use crate::watch::{NoCatalog, NoDialect, follow_alone};
 
 #[tokio::test(start_paused = true)]
 async fn knowledge_ages_until_the_store_confirms_it_and_never_gets_older_by_that() {
-    let fresh = Freshness::new();
+    let fresh = Freshness::new(TestClock::new());
     advance(Duration::from_secs(3)).await;
     assert_eq!(fresh.age(), Duration::from_secs(3));
     fresh.confirm(Instant::now() - Duration::from_secs(1));
@@ -28,6 +29,31 @@
     assert_eq!(fresh.age(), Duration::from_secs(1));
 }
 
+/// A router on a VM that was suspended for some seconds served and refused by what it had known
+/// before: its timers and its ages had stood still too.
+#[tokio::test(start_paused = true)]
+async fn knowledge_ages_while_the_vm_is_suspended() {
+    let clock = TestClock::new();
+    let fresh = Freshness::new(Arc::clone(&clock) as _);
+    fresh.confirm(Instant::now());
+    fresh.look();
+    clock.suspend(Duration::from_secs(14));
+    assert_eq!(fresh.age(), Duration::from_secs(14));
+    let woken = Instant::now();
+    fresh.after_standstill(Duration::from_millis(60)).await;
+    assert_eq!(
+        woken.elapsed(),
+        Duration::from_millis(60),
+        "it waits for news"
+    );
+    fresh.confirm(Instant::now());
+    fresh.look();
+    assert_eq!(fresh.age(), Duration::ZERO);
+    let woken = Instant::now();
+    fresh.after_standstill(Duration::from_millis(60)).await;
+    assert_eq!(woken.elapsed(), Duration::ZERO);
+}
+
 /// A poll that found nothing was held by the store until its wait was over. One that found
 /// something may have been answered at once.
 #[tokio::test(start_paused = true)]
