gateway: what servers say of themselves binds every send

Callers' requests reached a server up to six seconds after its answers had said that it leaves, as the store was silent, and a server that had asked for three seconds of rest got six requests meanwhile. The cause: nothing read what an answer's head says of the server.

The change: a server's word is kept with that start of it, beside whether its failure domain is emptied, and both are judged when a server is chosen and again when the bytes of a request leave (first, repeated, resumed, on a connection that rests, after a wait for one). It outlives an entry that lapses and comes back, and ends with the start. Where all servers rest, callers are refused at once with the time at which the first is back.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -110,6 +110,16 @@
         None
     }
 
+    /// Whether the server says that it leaves.
+    fn is_leaving(&self, _head: &HeaderMap) -> bool {
+        false
+    }
+
+    /// For how long the server wants nothing from this VM, where its refusal says so.
+    fn rest(&self, _status: StatusCode, _head: &HeaderMap) -> Option<Duration> {
+        None
+    }
+
     /// How long the server keeps the connection of this answer when it is idle.
     fn keep(&self, head: &HeaderMap) -> Option<Duration>;
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -20,10 +20,11 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::catalog::ServerEntry;
-use crate::domains::{Domain, Domains};
+use crate::domains::Domains;
 use crate::model::{Config, PoolSpec};
 use crate::notes;
 use crate::settings::RouterSettings;
+use crate::standing::{Standing, Words};
 
 /// Part of the fleet-wide retries that routers use in all: each counts by itself, and
 /// requests are not spread evenly over them.
@@ -46,6 +47,7 @@
     fleet: Mutex<Fleet>,
     places: ArcSwap<HashMap<ServerName, Place>>,
     domains: Arc<Domains>,
+    words: Arc<Words>,
     clock: Instant,
     /// Told when there is something that peers should know.
     changed: Arc<Notify>,
@@ -61,7 +63,7 @@
 #[derive(Clone, Debug)]
 struct Place {
     address: SocketAddr,
-    domain: Arc<Domain>,
+    standing: Standing,
 }
 
 /// A chosen server.
@@ -71,8 +73,8 @@
     pub start: Start,
     /// Where it listens.
     pub address: SocketAddr,
-    /// Its failure domain.
-    pub domain: Arc<Domain>,
+    /// What decides whether requests may go there.
+    pub standing: Standing,
 }
 
 /// What a request asks of the server that it is sent to.
@@ -111,6 +113,7 @@
             fleet: Mutex::new(fleet),
             places: ArcSwap::default(),
             domains: Arc::clone(&shared.domains),
+            words: Arc::clone(&shared.words),
             clock: shared.clock,
             changed: Arc::clone(&shared.changed),
         }
@@ -184,11 +187,11 @@
             sent: Some(sent),
             idx,
         };
-        let Place { address, domain } = place?;
+        let Place { address, standing } = place?;
         let chosen = Chosen {
             start,
             address,
-            domain,
+            standing,
         };
         Some((chosen, ticket))
     }
@@ -213,16 +216,18 @@
         self.fleet().cold_len()
     }
 
-    /// When a server may take work again, where none does since all are cold or in emptied failure
-    /// domains. `None` where some are open: when one of those has room isn't known.
+    /// When a server may take work again, where none does since all are cold, rest or are in emptied
+    /// failure domains. `None` where some are open: when one of those has room isn't known.
     #[must_use]
     pub fn back_in(&self) -> Option<Duration> {
         let fleet = self.fleet();
         if fleet.open_len() > fleet.cold_len() {
             return None;
         }
-        let warm = fleet.warm_in(self.now());
-        warm.or_else(|| fleet.has_emptied().then_some(EMPTIED_WAIT))
+        let now = self.now();
+        let waits = [fleet.warm_in(now), fleet.rest_left(now)];
+        let first = waits.into_iter().flatten().min();
+        first.or_else(|| fleet.has_emptied().then_some(EMPTIED_WAIT))
     }
 
     /// A server's answer says how much longer it is cold.
@@ -231,6 +236,28 @@
         self.fleet().on_cold(idx, now, left.as_micros() as Micros);
     }
 
+    /// A server's answer says that it leaves.
+    pub fn on_leaving(&self, idx: ServerIdx, server: &Chosen) {
+        if !server.standing.word.leave() {
+            return;
+        }
+        event!(info, "server.leaving", server = server.start.name);
+        self.fleet().on_leaving(idx);
+    }
+
+    /// A server's answer asks for so long a rest.
+    pub fn on_rest(&self, idx: ServerIdx, server: &Chosen, time: Duration) {
+        let before = server.standing.word.rest_left();
+        server.standing.word.rest(time);
+        if before.is_zero() {
+            let name = &server.start.name;
+            event!(info, "server.resting", server = name, ms = time.as_millis());
+        }
+        let now = self.now();
+        let until = now.saturating_add(time.as_micros() as Micros);
+        self.fleet().on_rest(idx, now, until);
+    }
+
     fn set_emptied(&self, emptied: &HashSet<DomainName>) {
         let now = self.now();
         self.fleet().set_emptied(emptied, now);
@@ -247,23 +274,28 @@
         let mut places = HashMap::with_capacity(entries.len());
         let now = self.now();
         for entry in entries {
+            let word = self.words.of(&entry.start);
             specs.push(ServerSpec {
                 start: entry.start.clone(),
                 domain: entry.domain.clone(),
                 vm: None,
                 slots: entry.slots,
-                drain: entry.draining,
+                drain: entry.draining || word.is_leaving(),
                 cold_until: cold_until(now, entry.warmup),
             });
             let place = Place {
                 address: entry.address,
-                domain: self.domains.get(&entry.domain),
+                standing: Standing {
+                    domain: self.domains.get(&entry.domain),
+                    word,
+                },
             };
             places.insert(entry.start.name.clone(), place);
         }
         // Whoever chooses a server finds the place of that start.
         let mut fleet = self.fleet();
         fleet.set_config(&specs);
+        rest_on(&mut fleet, &places, now);
         self.places.store(Arc::new(places));
     }
 
@@ -277,6 +309,19 @@
     }
 }
 
+/// Servers that asked for rest go on resting when their entries have come back.
+fn rest_on(fleet: &mut Fleet, places: &HashMap<ServerName, Place>, now: Micros) {
+    for (name, place) in places {
+        let left = place.standing.word.rest_left();
+        if left.is_zero() {
+            continue;
+        }
+        if let Some(idx) = fleet.find(name) {
+            fleet.on_rest(idx, now, now + left.as_micros() as Micros);
+        }
+    }
+}
+
 /// Until when a server is cold that is so for `left` longer; 0 when it is warm.
 fn cold_until(now: Micros, left: Duration) -> Micros {
     if left.is_zero() {
@@ -352,6 +397,7 @@
     /// Told when there is something that peers should know.
     changed: Arc<Notify>,
     domains: Arc<Domains>,
+    words: Arc<Words>,
     /// Routers of the fleet; 0 while they aren't known.
     routers: AtomicUsize,
 }
@@ -368,6 +414,7 @@
                 clock: Instant::now(),
                 changed: Arc::default(),
                 domains: Arc::default(),
+                words: Arc::default(),
                 routers: AtomicUsize::new(0),
             },
         }
@@ -437,6 +484,7 @@
     /// Takes all servers that there are.
     pub fn set_servers(&self, entries: HashMap<ServerName, ServerEntry>) {
         let _changing = self.changing();
+        self.shared.words.prune();
         let entries = Arc::new(entries);
         self.entries.store(Arc::clone(&entries));
         for (name, pool) in self.pools.load().iter() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod settings;
 pub mod sightings;
 pub mod sse;
+pub mod standing;
 mod stop;
 pub mod store;
 pub mod upstream;
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -10,7 +10,8 @@
 pub enum Outcome {
     /// No byte of the request left: no connection could be made, or it was closed before.
     NotSent,
-    /// No byte of the request left: operators emptied the server's failure domain meanwhile.
+    /// No byte of the request left: meanwhile operators emptied the server's failure domain, or the
+    /// server said that it leaves or wants rest.
     Withheld,
     /// The server refused, and says that it did not run the request.
     Shed,
--- a/crates/gateway/src/quarantine/breaks.rs
+++ b/crates/gateway/src/quarantine/breaks.rs
@@ -81,8 +81,7 @@
         .asked
         .insert(start.clone(), HashSet::from([broken.print]));
     let (endpoint, start) = (broken.into(), start.clone());
-    let domain = Arc::clone(&broken.server.domain);
-    asking.spawn(async move { (start, upstream::ask(endpoint, domain).await) });
+    asking.spawn(async move { (start, upstream::ask(endpoint).await) });
 }
 
 fn conclude(quarantine: &Quarantine, servers: &mut Servers, start: Start, presence: Presence) {
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -15,7 +15,7 @@
 use crate::fleet::{Chosen, Ticket};
 use crate::headroom::head_bytes;
 use crate::proof::{Outcome, Ran};
-use crate::upstream::{Endpoint, Lease, SendError, SendOptions, send_into};
+use crate::upstream::{Endpoint, Lease, SendError, SendOptions, send_to};
 
 /// Longest time for a new connection; within a region it takes a millisecond or two.
 const CONNECT: Duration = Duration::from_millis(400);
@@ -47,10 +47,10 @@
         fresh: false,
     };
     let endpoint = Endpoint::of(server.address, &server.start);
-    let domain = Arc::clone(&server.domain);
+    let standing = server.standing.clone();
     let held = Arc::clone(&journey.node.quarantine).until_held(Arc::clone(&journey.origin));
     let sent = tokio::select! {
-        sent = send_into(domain, endpoint, request, options) => sent,
+        sent = send_to(standing, endpoint, request, options) => sent,
         () = held => return Err(Outcome::Cut),
     };
     let answer = match sent {
@@ -60,7 +60,7 @@
                 ticket.fail(kind);
             }
             return Err(match error {
-                SendError::Withheld => Outcome::Withheld,
+                SendError::Withheld(_) => Outcome::Withheld,
                 SendError::NotSent(_) | SendError::Unreachable => Outcome::NotSent,
                 SendError::Lost(_) => Outcome::Lost,
                 SendError::Silent => Outcome::Silent,
@@ -85,6 +85,9 @@
         Verdict::Served => Outcome::Served,
         Verdict::Failed => Outcome::Failed,
     };
+    if !matches!(outcome, Outcome::Stray | Outcome::Misdirected) {
+        hear(journey, &ticket, &server, &head);
+    }
     match outcome {
         Outcome::Stray => ticket.fail(ErrorKind::Broken),
         Outcome::Misdirected => ticket.fail(ErrorKind::Misdirected),
@@ -111,6 +114,17 @@
     Err(outcome)
 }
 
+/// Takes what the server says of itself: it binds all that is sent from here on.
+fn hear(journey: &Journey, ticket: &Ticket, server: &Chosen, head: &response::Parts) {
+    let dialect = &journey.node.dialect;
+    if dialect.is_leaving(&head.headers) {
+        journey.pool.on_leaving(ticket.idx, server);
+    }
+    if let Some(time) = dialect.rest(head.status, &head.headers) {
+        journey.pool.on_rest(ticket.idx, server, time);
+    }
+}
+
 /// Reads the short body of a refusal, so that its connection can be used again.
 async fn finish(body: Body, lease: &mut Lease, keep: Duration) {
     use http_body_util::{BodyExt, Limited};
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -9,7 +9,6 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,7 +24,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::steady_millis;
-use crate::domains::Domain;
+use crate::standing::{Bar, Standing};
 
 /// Idle connections kept per thread and endpoint.
 const IDLE_MAX: usize = 64;
@@ -47,9 +46,9 @@
     /// There was no connection in time, and no byte of the request left this process.
     #[error("not sent: no connection in time")]
     Unreachable,
-    /// Operators emptied the server's failure domain, and no byte of the request left this process.
-    #[error("not sent: the failure domain is emptied")]
-    Withheld,
+    /// The server may get no request now, and no byte of it left this process.
+    #[error("not sent: {0}")]
+    Withheld(Bar),
     /// The request was sent, in part or in whole, and no answer came back.
     #[error("lost after sending: {0}")]
     Lost(String),
@@ -65,7 +64,7 @@
         match self {
             Self::NotSent(why) | Self::Lost(why) => why,
             Self::Unreachable => "no connection in time",
-            Self::Withheld => "the failure domain is emptied",
+            Self::Withheld(bar) => bar.as_str(),
             Self::Silent => "no answer in time",
         }
     }
@@ -76,7 +75,7 @@
         match self {
             Self::NotSent(_) => Some(ErrorKind::Connect),
             Self::Unreachable => Some(ErrorKind::Unreachable),
-            Self::Withheld => None,
+            Self::Withheld(_) => None,
             Self::Lost(_) => Some(ErrorKind::Broken),
             Self::Silent => Some(ErrorKind::Timeout),
         }
@@ -117,7 +116,6 @@
 /// A connection that no request uses.
 struct Idle {
     sender: Sender,
-    domain: Option<Arc<Domain>>,
     /// The other side may close it from then on, also while this VM is suspended, in
     /// milliseconds of the VM's steady clock.
     until: u64,
@@ -125,13 +123,13 @@
 
 impl Idle {
     fn is_usable(&self, now: u64) -> bool {
-        !self.sender.is_closed() && now < self.until && !is_emptied(self.domain.as_ref())
+        !self.sender.is_closed() && now < self.until
     }
 }
 
-/// Whether requests to a server in that domain have to stay here.
-fn is_emptied(domain: Option<&Arc<Domain>>) -> bool {
-    domain.is_some_and(|domain| domain.is_emptied())
+/// Why requests to a server have to stay here; none to whoever listens at an address.
+fn bar(standing: Option<&Standing>) -> Option<Bar> {
+    standing.and_then(Standing::bar)
 }
 
 /// The idle connections of a thread.
@@ -194,7 +192,6 @@
     /// Head and body.
     pub response: Response<Incoming>,
     endpoint: Endpoint,
-    domain: Option<Arc<Domain>>,
     sender: Option<Sender>,
 }
 
@@ -204,7 +201,6 @@
     pub fn split(self) -> (Response<Incoming>, Lease) {
         let lease = Lease {
             endpoint: self.endpoint,
-            domain: self.domain,
             sender: self.sender,
         };
         (self.response, lease)
@@ -215,7 +211,6 @@
 #[derive(Debug)]
 pub struct Lease {
     endpoint: Endpoint,
-    domain: Option<Arc<Domain>>,
     sender: Option<Sender>,
 }
 
@@ -234,15 +229,7 @@
             return;
         }
         let until = steady_millis() + keep.as_millis() as u64;
-        let domain = self.domain.take();
-        if is_emptied(domain.as_ref()) {
-            return;
-        }
-        let idle = Idle {
-            sender,
-            domain,
-            until,
-        };
+        let idle = Idle { sender, until };
         IDLE.with_borrow_mut(|pool| pool.put(self.endpoint, idle));
     }
 }
@@ -271,47 +258,47 @@
     send_within(endpoint.into(), None, request, options).await
 }
 
-/// The same to a server in `domain`, unless operators have emptied that when the request would leave.
+/// The same to a server, unless its `standing` bars that when the request would leave.
 ///
 /// # Errors
 /// See [`SendError`].
-pub async fn send_into(
-    domain: Arc<Domain>,
+pub async fn send_to(
+    standing: Standing,
     endpoint: Endpoint,
     request: Request<Full<Bytes>>,
     options: SendOptions,
 ) -> Result<Answer, SendError> {
-    send_within(endpoint, Some(domain), request, options).await
+    send_within(endpoint, Some(standing), request, options).await
 }
 
 async fn send_within(
     endpoint: Endpoint,
-    domain: Option<Arc<Domain>>,
+    standing: Option<Standing>,
     request: Request<Full<Bytes>>,
     options: SendOptions,
 ) -> Result<Answer, SendError> {
+    if let Some(bar) = bar(standing.as_ref()) {
+        return Err(SendError::Withheld(bar));
+    }
     let mut request = request;
     if !options.fresh {
         while let Some(mut sender) = IDLE.with_borrow_mut(|pool| pool.take(endpoint)) {
             if sender.ready().await.is_err() {
                 continue;
             }
-            match attempt(sender, request, endpoint, &domain, options.head).await {
+            match attempt(sender, request, endpoint, &standing, options.head).await {
                 Ok(answer) => return Ok(answer),
-                Err(Failed::Withheld) => return Err(SendError::Withheld),
+                Err(Failed::Withheld(bar)) => return Err(SendError::Withheld(bar)),
                 Err(Failed::Returned(back)) => request = *back,
                 Err(Failed::Gone(error)) => return Err(SendError::Lost(error)),
                 Err(Failed::Silent) => return Err(SendError::Silent),
             }
         }
     }
-    if is_emptied(domain.as_ref()) {
-        return Err(SendError::Withheld);
-    }
     let sender = connect(endpoint.address, options.connect).await?;
-    match attempt(sender, request, endpoint, &domain, options.head).await {
+    match attempt(sender, request, endpoint, &standing, options.head).await {
         Ok(answer) => Ok(answer),
-        Err(Failed::Withheld) => Err(SendError::Withheld),
+        Err(Failed::Withheld(bar)) => Err(SendError::Withheld(bar)),
         Err(Failed::Returned(_)) => Err(SendError::NotSent("connection closed".to_owned())),
         Err(Failed::Gone(error)) => Err(SendError::Lost(error)),
         Err(Failed::Silent) => Err(SendError::Silent),
@@ -319,7 +306,7 @@
 }
 
 enum Failed {
-    Withheld,
+    Withheld(Bar),
     Returned(Box<Request<Full<Bytes>>>),
     Gone(String),
     Silent,
@@ -329,12 +316,12 @@
     mut sender: Sender,
     request: Request<Full<Bytes>>,
     endpoint: Endpoint,
-    domain: &Option<Arc<Domain>>,
+    standing: &Option<Standing>,
     head: Duration,
 ) -> Result<Answer, Failed> {
     // The bytes leave now, whenever the server was chosen.
-    if is_emptied(domain.as_ref()) {
-        return Err(Failed::Withheld);
+    if let Some(bar) = bar(standing.as_ref()) {
+        return Err(Failed::Withheld(bar));
     }
     let sent = timeout(head, sender.try_send_request(request)).await;
     let Ok(sent) = sent else {
@@ -344,7 +331,6 @@
         Ok(response) => Ok(Answer {
             response,
             endpoint,
-            domain: domain.clone(),
             sender: Some(sender),
         }),
         Err(mut error) => match error.take_message() {
@@ -371,11 +357,11 @@
 
 /// Asks whether the server is still there. The connection to one that is takes the place of the
 /// one that broke.
-pub async fn ask(endpoint: Endpoint, domain: Arc<Domain>) -> Presence {
+pub async fn ask(endpoint: Endpoint) -> Presence {
     match timeout(ASK_TIME, TcpStream::connect(endpoint.address)).await {
         Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Presence::Gone,
         Ok(Ok(stream)) => {
-            keep(endpoint, domain, stream).await;
+            keep(endpoint, stream).await;
             Presence::Here
         }
         Ok(Err(_)) | Err(_) => Presence::Unknown,
@@ -383,14 +369,13 @@
 }
 
 /// Keeps a new connection for the next request.
-async fn keep(endpoint: Endpoint, domain: Arc<Domain>, stream: TcpStream) {
+async fn keep(endpoint: Endpoint, stream: TcpStream) {
     // One that can't be used is closed, and the next request makes its own.
     let Ok(sender) = open(stream).await else {
         return;
     };
     let mut lease = Lease {
         endpoint,
-        domain: Some(domain),
         sender: Some(sender),
     };
     lease.recycle_for(UNUSED_TIME);
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -153,7 +153,9 @@
                 }
                 failed_status(call, attempt, target, answer).await?;
             }
-            Err(error @ (SendError::NotSent(_) | SendError::Unreachable | SendError::Withheld)) => {
+            Err(
+                error @ (SendError::NotSent(_) | SendError::Unreachable | SendError::Withheld(_)),
+            ) => {
                 attempt.recall();
                 let why = error.why();
                 event!(debug, "dispatch.not-sent", server = target.name, why = why);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -142,7 +142,9 @@
         };
         let answer = match sent {
             Ok(answer) => answer,
-            Err(error @ (SendError::NotSent(_) | SendError::Unreachable | SendError::Withheld)) => {
+            Err(
+                error @ (SendError::NotSent(_) | SendError::Unreachable | SendError::Withheld(_)),
+            ) => {
                 event!(debug, "relay.not-sent", peer = address, why = error.why());
                 self.node.peers.note_down(address);
                 return Tried::NotRun;
--- a/crates/routing/src/fleet/choose.rs
+++ b/crates/routing/src/fleet/choose.rs
@@ -22,6 +22,9 @@
     }
 
     fn choose(&mut self, pick: &Pick<'_>, rng: &mut impl Rng) -> Option<Choice> {
+        if self.is_wake_due(pick.now) {
+            self.wake(pick.now);
+        }
         if self.cold.is_due(pick.now) {
             self.cold.note(pick.now);
             self.refresh();
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -60,6 +60,10 @@
     pub(crate) is_listed_out: bool,
     /// Whether operators have emptied its failure domain.
     pub(crate) is_emptied: bool,
+    /// Whether it asked for rest that isn't over.
+    pub(crate) is_resting: bool,
+    /// Until when it asked for rest; 0 when it never did.
+    pub(crate) rests_until: Micros,
     /// Until when it is cold; 0 when it never was.
     pub(crate) cold_until: Micros,
     pub(crate) was_listed: bool,
@@ -156,7 +160,7 @@
 
     /// Whether it may get work: this router uses it, and nobody wants it to get none.
     pub(crate) fn may_work(&self) -> bool {
-        self.is_member && !self.is_emptied && !self.is_leaving()
+        self.is_member && !self.is_emptied && !self.is_resting && !self.is_leaving()
     }
 
     /// How many times slower it is than the pool, by the time to the first token at
