quarantine: an innocent request neither hides the cause nor stays held; holds end one by one

An end is put down to a held request only if that was in as many ends; a held one whose ends all have a better explanation is let go, once.

Besides, from reading: holds run for ten minutes from the last end, at all routers alike whenever they heard of it, and are let go one router after the other, so that one tries; a good end that lifts a hold is passed on to all of a large fleet; ends that some router couldn't be told are written to the store; the time of day counts for the store's records only.

--- a/crates/gateway/src/quarantine/cases.rs
+++ b/crates/gateway/src/quarantine/cases.rs
@@ -2,9 +2,12 @@
 //!
 //! When a server ends, each request that it was working on may be the cause, and all but one are
 //! innocent. A request that ends each server that runs it is the one that they have in common.
-//! So a request is held after [`ENDS`] ends, of which none has a better explanation: an end with a
-//! request in it that is held already is that one's. A request that ran well somewhere is cleared
+//! So a request is held after [`ENDS`] ends, of which none has a better explanation: a request in it
+//! that is held already and was in as many ends. A request that ran well somewhere is cleared
 //! of all ends before.
+//!
+//! An innocent request may meet three ends before the cause of each has met its own third. It is
+//! let go when all its ends have a better explanation, once: one more end without such holds it again.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
@@ -19,8 +22,8 @@
 /// Servers that end within so short a time may have one cause, such as a rack, while many copies
 /// of a request are under way. Routers notice an end up to two tenths of a second late.
 pub const ONE_MOMENT: Duration = Duration::from_millis(250);
-/// How long a request is held the first time. Each end after that doubles it.
-pub const HOLD: Duration = Duration::from_secs(120);
+/// How long a request is held after the last end, the first time. Each end after that doubles it.
+pub const HOLD: Duration = Duration::from_secs(600);
 /// The longest time that one is held without being tried.
 pub const HOLD_MAX: Duration = Duration::from_secs(3_600);
 /// How long an end counts.
@@ -75,8 +78,10 @@
 struct Hold {
     until: Millis,
     term: Duration,
-    /// The newest end that is put down to it.
+    /// When the last end was that is put down to it.
     end_at: Millis,
+    /// Whether it was let go before, since others explained its ends.
+    was_released: bool,
 }
 
 impl Hold {
@@ -87,9 +92,31 @@
     }
 }
 
+/// What an end changes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Verdict {
+    /// Requests that are held from now on.
+    pub held: Vec<Held>,
+    /// Requests that are let go: others explain their ends.
+    pub released: Vec<Fingerprint>,
+}
+
+/// What a good end of a request changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cleared {
+    /// No server had ended under it.
+    Nothing,
+    /// Servers had ended under it, and it wasn't held.
+    Ends,
+    /// It was held.
+    Hold,
+}
+
 /// What is known of servers' ends.
 #[derive(Debug, Default)]
 pub struct Cases {
+    /// How much longer than others this router holds requests.
+    stagger: Duration,
     ends: HashMap<Start, ServerEnd>,
     /// Ends that each request of them was in.
     met: HashMap<Fingerprint, usize>,
@@ -99,53 +126,65 @@
 }
 
 impl Cases {
-    /// Takes what a router saw of a server's end. Gives the requests that are held from now on.
-    pub fn on_end(&mut self, now: Millis, seen: &ServerEnd) -> Vec<Held> {
+    /// Knows of no end. Holds requests for `stagger` longer than others do: when a hold is over,
+    /// one router tries the request, and the others hear how that ended.
+    #[must_use]
+    pub fn with_stagger(stagger: Duration) -> Self {
+        Self {
+            stagger,
+            ..Self::default()
+        }
+    }
+
+    /// Takes what a router saw of a server's end.
+    pub fn on_end(&mut self, now: Millis, seen: &ServerEnd) -> Verdict {
         self.prune(now);
         if now.saturating_sub(seen.at) > millis(MEMORY) {
-            return Vec::new();
+            return Verdict::default();
         }
         let fresh = self.note(seen);
         self.make_room();
-        let again = self.hold_again(now, &fresh);
+        let mut held = self.hold_again(now, &fresh);
         let mut suspects = fresh;
         suspects.retain(|print| !self.held.contains_key(print));
-        let mut held: Vec<Held> = again;
         // Those with most ends first: they may explain the ends of the others.
         loop {
             let worst = self.worst(&suspects);
             if worst.is_empty() {
-                return held;
+                break;
             }
             suspects.retain(|suspect| !worst.contains(suspect));
-            held.extend(worst.iter().map(|print| self.hold(now, *print, HOLD)));
+            held.extend(worst.iter().map(|print| self.hold(*print, HOLD)));
         }
+        let released = self.release(now);
+        Verdict { held, released }
     }
 
-    /// A request ran to a good end at `at`. Says whether servers had ended under it.
-    pub fn on_served(&mut self, print: Fingerprint, at: Millis) -> bool {
-        let mut was_suspect = false;
+    /// A request ran to a good end at `at`.
+    pub fn on_served(&mut self, print: Fingerprint, at: Millis) -> Cleared {
+        let mut cleared = Cleared::Nothing;
         for end in self.ends.values_mut() {
             if end.at <= at && end.prints.remove(&print) {
-                was_suspect = true;
+                cleared = Cleared::Ends;
                 unmeet(&mut self.met, &print);
             }
         }
         if self.held.get(&print).is_some_and(|hold| hold.end_at <= at) {
             self.held.remove(&print);
-            was_suspect = true;
+            cleared = Cleared::Hold;
         }
-        if was_suspect {
+        if cleared != Cleared::Nothing {
             let last = self.cleared.entry(print).or_default();
             *last = at.max(*last);
         }
-        was_suspect
+        cleared
     }
 
     /// How much longer a request is held; `None` where it isn't.
     #[must_use]
     pub fn rest(&self, print: &Fingerprint, now: Millis) -> Option<Duration> {
-        let left = self.held.get(print)?.until.checked_sub(now)?;
+        let until = self.held.get(print)?.until + millis(self.stagger);
+        let left = until.checked_sub(now)?;
         (left > 0).then(|| Duration::from_millis(left))
     }
 
@@ -204,27 +243,66 @@
                 continue;
             };
             // Ends that come while it is held are of sends from before.
-            if now < hold.until {
+            if now < hold.until || self.unexplained(print) == 0 {
                 continue;
             }
-            again.push(self.hold(now, *print, (hold.term * 2).min(HOLD_MAX)));
+            again.push(self.hold(*print, (hold.term * 2).min(HOLD_MAX)));
         }
         again
     }
 
-    fn hold(&mut self, now: Millis, print: Fingerprint, term: Duration) -> Held {
+    /// Holds a request for `term` after its last end, so that all routers let go at one time
+    /// whenever they heard of it.
+    fn hold(&mut self, print: Fingerprint, term: Duration) -> Held {
+        let ends = self.ends.values().filter(|end| end.prints.contains(&print));
+        let ends: Vec<ServerEnd> = ends.cloned().collect();
+        let end_at = ends.iter().map(|end| end.at).max().unwrap_or(0);
+        let before = self.held.get(&print);
         let hold = Hold {
-            until: now + millis(term),
+            until: end_at + millis(term),
             term,
-            end_at: now,
+            end_at,
+            was_released: before.is_some_and(|hold| hold.was_released),
         };
         self.held.insert(print, hold);
         self.drop_shortest_hold();
-        let ends = self.ends.values().filter(|end| end.prints.contains(&print));
-        let ends = ends.cloned().collect();
         Held { print, term, ends }
     }
 
+    /// Lets those go whose ends others explain by now.
+    fn release(&mut self, now: Millis) -> Vec<Fingerprint> {
+        let holds = self.held.iter();
+        let active = holds.filter(|(_, hold)| now < hold.until && !hold.was_released);
+        let prints = active.map(|(print, _)| *print);
+        let released: Vec<Fingerprint> = prints.filter(|print| self.is_explained(print)).collect();
+        for print in &released {
+            if let Some(hold) = self.held.get_mut(print) {
+                hold.until = now;
+                hold.was_released = true;
+            }
+        }
+        released
+    }
+
+    /// Whether each end with a request that is held has another one in it that is, and that was in
+    /// more ends.
+    fn is_explained(&self, print: &Fingerprint) -> bool {
+        let count = self.met(print);
+        if count < ENDS {
+            // What it was held for is forgotten.
+            return false;
+        }
+        let mut ends = self.ends.values().filter(|end| end.prints.contains(print));
+        ends.all(|end| self.explained_by(end, print, count + 1))
+    }
+
+    /// Whether another request in `end` is held and was in so many ends, or more.
+    fn explained_by(&self, end: &ServerEnd, print: &Fingerprint, count: usize) -> bool {
+        let others = end.prints.iter().filter(|one| *one != print);
+        let mut held = others.filter(|one| self.held.contains_key(one));
+        held.any(|one| self.met(one) >= count)
+    }
+
     /// Of `suspects` those under which most servers ended, if they are enough. Nothing tells
     /// requests apart that were on the same servers each time.
     fn worst(&self, suspects: &[Fingerprint]) -> Vec<Fingerprint> {
@@ -246,8 +324,9 @@
 
     /// Ends with the request that no held one explains, those of one moment counted once.
     fn unexplained(&self, print: &Fingerprint) -> usize {
+        let count = self.met(print);
         let ends = self.ends.values().filter(|end| end.prints.contains(print));
-        let is_open = |end: &&ServerEnd| !end.prints.iter().any(|one| self.held.contains_key(one));
+        let is_open = |end: &&ServerEnd| !self.explained_by(end, print, count);
         let mut times: Vec<Millis> = ends.filter(is_open).map(|end| end.at).collect();
         times.sort_unstable();
         let mut count = 0;
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -17,6 +17,7 @@
 use swiftlink_telemetry::event;
 use swiftlink_types::VmName;
 use tokio::sync::{Notify, watch};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Clock;
 use crate::fingerprint::{Fingerprint, Origin};
@@ -25,12 +26,16 @@
 
 pub(crate) use breaks::watch as watch_breaks;
 pub use cases::{
-    Cases, ENDS, ENDS_MAX, HELD_MAX, HOLD, HOLD_MAX, Held, ONE_MOMENT, PRINTS_MAX, ServerEnd,
+    Cases, Cleared, ENDS, ENDS_MAX, HELD_MAX, HOLD, HOLD_MAX, Held, ONE_MOMENT, PRINTS_MAX,
+    ServerEnd, Verdict,
 };
 
 /// Breaks that wait to be looked into; what comes beyond it in one moment tells nothing new.
 const BREAKS_MAX: usize = 4_096;
 
+/// The time over which routers let go of a request, one after the other.
+const STAGGER_MAX: Duration = Duration::from_secs(60);
+
 /// A send that broke off.
 #[derive(Clone, Debug)]
 pub(crate) struct Break {
@@ -79,9 +84,9 @@
     #[must_use]
     pub fn new(vm: VmName, clock: Arc<dyn Clock>) -> Self {
         Self {
-            vm,
             clock,
-            cases: Mutex::default(),
+            cases: Mutex::new(Cases::with_stagger(stagger(&vm))),
+            vm,
             has_ends: AtomicBool::new(false),
             held: AtomicUsize::new(0),
             holds: watch::Sender::new(0),
@@ -140,12 +145,9 @@
             return;
         }
         let print = origin.print();
-        if !self.clear(print, self.clock.steady()) {
-            return;
+        if self.clear(print, self.clock.steady()) != Cleared::Nothing {
+            self.pass_on_good_end(print);
         }
-        event!(info, "quarantine.cleared", print = print);
-        lock(&self.untold).served.push(print);
-        self.changed.notify_one();
     }
 
     /// This router saw a server end while it worked on requests that were sent from here.
@@ -159,9 +161,12 @@
     pub(crate) fn learn(&self, end: &ServerEnd) {
         let now = self.clock.steady();
         let mut cases = lock(&self.cases);
-        let held = cases.on_end(now, end);
+        let Verdict { held, released } = cases.on_end(now, end);
         self.count(&cases);
         drop(cases);
+        for print in released {
+            event!(info, "quarantine.released", print = print);
+        }
         if held.is_empty() {
             return;
         }
@@ -173,12 +178,22 @@
         self.changed.notify_one();
     }
 
-    /// A request ran well at `at`, here or elsewhere. Says whether servers had ended under it.
-    pub(crate) fn clear(&self, print: Fingerprint, at: u64) -> bool {
+    /// A request ran well at `at`, here or elsewhere.
+    pub(crate) fn clear(&self, print: Fingerprint, at: u64) -> Cleared {
         let mut cases = lock(&self.cases);
-        let was_suspect = cases.on_served(print, at);
+        let cleared = cases.on_served(print, at);
         self.count(&cases);
-        was_suspect
+        drop(cases);
+        if cleared == Cleared::Hold {
+            event!(info, "quarantine.cleared", print = print);
+        }
+        cleared
+    }
+
+    /// Tells others that a request ran well under which servers had ended.
+    pub(crate) fn pass_on_good_end(&self, print: Fingerprint) {
+        lock(&self.untold).served.push(print);
+        self.changed.notify_one();
     }
 
     fn count(&self, cases: &Cases) {
@@ -216,6 +231,12 @@
     }
 }
 
+/// How much longer a router holds requests than the first one does: drawn by its VM's name.
+fn stagger(vm: &VmName) -> Duration {
+    let drawn = xxh3_64(vm.as_str().as_bytes()) as f64 / u64::MAX as f64;
+    STAGGER_MAX.mul_f64(drawn)
+}
+
 /// One line says by which ends, seen by whom, a request is held.
 fn tell_held(held: &Held) {
     let ends = held.ends.iter().map(|end| {
--- a/crates/gateway/src/quarantine/tell.rs
+++ b/crates/gateway/src/quarantine/tell.rs
@@ -20,7 +20,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use super::{Quarantine, ServerEnd, Untold};
+use super::{Cleared, Held, Quarantine, ServerEnd, Untold};
 use crate::clock::Clock;
 use crate::fingerprint::Fingerprint;
 use crate::peers::Peers;
@@ -41,26 +41,28 @@
 /// Tells others until the task is aborted.
 pub(crate) async fn run(quarantine: Arc<Quarantine>, peers: Arc<Peers>, store: Arc<dyn Store>) {
     let mut calls = JoinSet::new();
-    let written = watch::Sender::new(Vec::new());
+    let unheard = watch::Sender::new(Vec::new());
     let writer = Writer {
         store,
         key: format!("{KEY_START}{}", quarantine.vm),
         producer: format!("{}/{:016x}/ended", quarantine.vm, rand::random::<u64>()),
         sequence: 0,
     };
-    calls.spawn(writer.run(written.subscribe(), Arc::clone(&quarantine)));
+    calls.spawn(writer.run(unheard.subscribe(), Arc::clone(&quarantine)));
     loop {
         let untold = quarantine.untold().await;
         while calls.try_join_next().is_some() {}
-        if !untold.held.is_empty() {
-            written.send_replace(quarantine.proofs());
+        if !untold.held.is_empty() || !untold.served.is_empty() {
+            // The record says what is held now.
+            unheard.send_modify(|_| {});
         }
-        calls.spawn(tell(
+        let told = tell(
             Arc::clone(&quarantine),
             Arc::clone(&peers),
             untold,
-            written.clone(),
-        ));
+            unheard.clone(),
+        );
+        calls.spawn(told);
     }
 }
 
@@ -68,28 +70,35 @@
     quarantine: Arc<Quarantine>,
     peers: Arc<Peers>,
     untold: Untold,
-    written: watch::Sender<Vec<ServerEnd>>,
+    unheard: watch::Sender<Vec<ServerEnd>>,
 ) {
     let clock = &*quarantine.clock;
-    let seen = message(clock, &untold.ends, &untold.served);
-    let told = if untold.ends.is_empty() && untold.served.is_empty() {
-        0
-    } else {
-        send(&peers, peers.observers(), &seen).await
-    };
-    if told == 0 && !untold.ends.is_empty() {
-        // Nobody hears it directly: the store is what is left.
-        written.send_modify(|ends| ends.extend(untold.ends.iter().cloned()));
-    }
-    if !untold.served.is_empty() && peers.is_large() {
-        send(&peers, peers.some(PASSED_ON), &seen).await;
+    if !untold.ends.is_empty() || !untold.served.is_empty() {
+        let observers = peers.observers();
+        let all = observers.len();
+        let seen = message(clock, &untold.ends, &untold.served);
+        let told = send(&peers, observers, &seen).await;
+        if told < all && !untold.ends.is_empty() {
+            // Who didn't hear it directly may read it on the store.
+            unheard.send_modify(|ends| add(ends, &untold.ends));
+        }
     }
-    if !untold.held.is_empty() {
-        let proofs: Vec<ServerEnd> = untold.held.iter().flat_map(|held| held.proofs()).collect();
-        send(&peers, peers.some(PASSED_ON), &message(clock, &proofs, &[])).await;
+    // Each router passes on what is new to it, so this ends.
+    let proofs: Vec<ServerEnd> = untold.held.iter().flat_map(Held::proofs).collect();
+    let is_news = !proofs.is_empty() || !untold.served.is_empty();
+    if is_news && peers.is_large() {
+        let news = message(clock, &proofs, &untold.served);
+        send(&peers, peers.some(PASSED_ON), &news).await;
     }
 }
 
+/// Adds ends to those that somebody hasn't heard of; the newest ones stay.
+fn add(unheard: &mut Vec<ServerEnd>, ends: &[ServerEnd]) {
+    unheard.extend(ends.iter().cloned());
+    let over = unheard.len().saturating_sub(WRITTEN_MAX);
+    unheard.drain(..over);
+}
+
 /// Sends to each of `vms`; gives how many have taken it.
 async fn send(peers: &Peers, vms: Vec<VmName>, ends: &Ends) -> usize {
     let calls = vms.iter().map(|vm| call(peers, vm, ends.clone()));
@@ -113,13 +122,16 @@
     }
 }
 
-/// Takes what a router or a record tells.
+/// Takes what a router tells.
 pub(crate) fn take(quarantine: &Quarantine, from: &str, told: &Ends) {
-    let now = quarantine.clock.read();
-    // The time of day may have jumped at either side: what seems to come is new.
-    let late = now.wall.saturating_sub(told.wall_ms);
+    take_late(quarantine, from, told, 0);
+}
+
+/// Takes what was told so many milliseconds ago.
+fn take_late(quarantine: &Quarantine, from: &str, told: &Ends, late: u64) {
+    let now = quarantine.clock.steady();
     for end in &told.ends {
-        match read(end, now.steady.saturating_sub(end.age_ms + late)) {
+        match read(end, now.saturating_sub(end.age_ms + late)) {
             Some(end) => quarantine.learn(&end),
             None => event!(warn, "ends.unreadable", from = from),
         }
@@ -129,8 +141,8 @@
             event!(warn, "ends.unreadable", from = from);
             continue;
         };
-        if quarantine.clear(print, now.steady.saturating_sub(late)) {
-            event!(info, "quarantine.cleared", print = print, from = from);
+        if quarantine.clear(print, now.saturating_sub(late)) == Cleared::Hold {
+            quarantine.pass_on_good_end(print);
         }
     }
 }
@@ -138,7 +150,12 @@
 /// Takes a record of the members' feed.
 pub(crate) fn take_record(quarantine: &Quarantine, key: &str, value: &Bytes) {
     match Ends::decode(value.clone()) {
-        Ok(ends) => take(quarantine, key, &ends),
+        Ok(ends) => {
+            // The time of day may have jumped at either side: what seems to come is new.
+            let wall = quarantine.clock.read().wall;
+            let late = wall.saturating_sub(ends.wall_ms);
+            take_late(quarantine, key, &ends, late);
+        }
         Err(error) => event!(error, "ends.unreadable", from = key, error = error),
     }
 }
@@ -184,13 +201,18 @@
 }
 
 impl Writer {
-    /// Writes the newest of what it is given, until the task is aborted.
-    async fn run(mut self, mut ends: watch::Receiver<Vec<ServerEnd>>, quarantine: Arc<Quarantine>) {
-        while ends.changed().await.is_ok() {
-            let mut newest = ends.borrow_and_update().clone();
-            newest.sort_by_key(|end| std::cmp::Reverse(end.at));
-            newest.truncate(WRITTEN_MAX);
-            let record = message(&*quarantine.clock, &newest, &[]).encode_to_vec();
+    /// Writes what is held and what others haven't heard of, whenever that changes, until the
+    /// task is aborted.
+    async fn run(
+        mut self,
+        mut unheard: watch::Receiver<Vec<ServerEnd>>,
+        quarantine: Arc<Quarantine>,
+    ) {
+        while unheard.changed().await.is_ok() {
+            let mut ends = quarantine.proofs();
+            ends.extend(unheard.borrow_and_update().iter().cloned());
+            ends.truncate(WRITTEN_MAX);
+            let record = message(&*quarantine.clock, &ends, &[]).encode_to_vec();
             self.sequence += 1;
             while let Err(error) = self.write(&record).await {
                 event!(info, "ends.not_written", error = error);
--- a/crates/gateway/src/serve/surface.rs
+++ b/crates/gateway/src/serve/surface.rs
@@ -101,6 +101,8 @@
             .received(head_bytes(request.headers()) + body.len());
         let origin = Arc::new(origin(workspace.as_deref(), &request, &body));
         if let Some(rest) = node.quarantine.rest(&origin) {
+            let print = origin.print();
+            event!(info, "request.held", id = ask.id(), print = print);
             return Err(Refusal::Held(rest));
         }
         let time = ask.deadline.unwrap_or(TIME).min(route.timeout);
