--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -3,6 +3,8 @@
 //! [`Pools`] follows the configuration and the directory; [`Pool::send`] chooses a server
 //! and gives a [`Ticket`], which tells the pool's [`Fleet`] how the request ended.
 
+mod ticket;
+
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
@@ -11,8 +13,7 @@
 
 use arc_swap::ArcSwap;
 use swiftlink_routing::{
-    ErrorKind, Fleet, FleetPolicy, Flow, LoadReport, Note, Pick, Prompt, RetryBudget, Sent,
-    ServerIdx, ServerSpec, Unmixed,
+    Fleet, FleetPolicy, LoadReport, Note, Pick, Prompt, RetryBudget, ServerIdx, ServerSpec, Unmixed,
 };
 use swiftlink_telemetry::event;
 use swiftlink_types::{DomainName, Micros, PoolName, ServerName, Start};
@@ -26,6 +27,8 @@
 use crate::settings::RouterSettings;
 use crate::standing::{Standing, Words};
 
+pub use ticket::Ticket;
+
 /// Part of the fleet-wide retries that routers use in all: each counts by itself, and
 /// requests are not spread evenly over them.
 const RETRY_PART: f64 = 0.6;
@@ -330,56 +333,6 @@
     now + left.as_micros() as Micros
 }
 
-/// A request that was sent to a server. Dropped, it says nothing of the server.
-#[derive(Debug)]
-pub struct Ticket {
-    pool: Arc<Pool>,
-    sent: Option<Sent>,
-    /// The server.
-    pub idx: ServerIdx,
-}
-
-impl Ticket {
-    /// The answer's first byte or event is there.
-    pub fn first(&mut self) {
-        let now = self.pool.now();
-        if let Some(sent) = &mut self.sent {
-            self.pool.fleet().on_first_token(sent, now);
-        }
-        self.pool.changed.notify_one();
-    }
-
-    /// How the events of the answer followed each other.
-    pub fn flow(&self, flow: Flow) {
-        self.pool.with_speeds(|fleet| fleet.on_flow(self.idx, flow));
-    }
-
-    /// The answer has come to its end.
-    pub fn end(mut self) {
-        let now = self.pool.now();
-        if let Some(sent) = self.sent.take() {
-            self.pool.fleet().on_end(sent, now);
-        }
-    }
-
-    /// The request failed by the server's fault.
-    pub fn fail(mut self, kind: ErrorKind) {
-        let now = self.pool.now();
-        if let Some(sent) = self.sent.take() {
-            self.pool.fleet().on_error(sent, now, kind);
-        }
-    }
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        let now = self.pool.now();
-        if let Some(sent) = self.sent.take() {
-            self.pool.fleet().on_unused(sent, now);
-        }
-    }
-}
-
 /// All pools.
 #[derive(Debug)]
 pub struct Pools {
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -1,9 +1,9 @@
 //! Requests that end the servers that run them, and how they are kept away from servers.
 //!
-//! A send that breaks off asks whether its server has ended ([`breaks`]). If so, what this router
-//! was sending there is told to other routers ([`tell`]), since the same request comes back to any of them.
-//! [`Cases`] decides which requests are held. One that is held is refused at once, before rights
-//! are reserved and before a server is touched, and sends of it that are under way are cut.
+//! A send that breaks off asks whether its server has ended (`breaks`). If so, what this router was
+//! sending there is told to other routers (`tell`), since the same request comes back to any of
+//! them. [`Cases`] decides which requests are held. One that is held is refused at once, before
+//! rights are reserved and before a server is touched, and sends of it that wait at servers are cut.
 
 mod breaks;
 mod cases;
