quarantine: no router of a large fleet is missed

A router that tells of a request that is held hears so in the answer; holds are passed on in three rounds, to others each time; where an observer is silent the next one is told, since members that are gone stay listed.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -29,6 +29,13 @@
         self.node.books.clock().steady()
     }
 
+    fn noted(&self) -> reply::Kind {
+        reply::Kind::Noted(Noted {
+            process: self.node.process,
+            steady_ms: self.steady(),
+        })
+    }
+
     /// A router that stops gives its rights back soon: others grant.
     async fn reserve(&self, ask: &Reserve) -> Reserved {
         if self.node.is_stopping.load(Relaxed) {
@@ -80,18 +87,12 @@
         let kind = match request {
             request::Kind::Notes(notes) => {
                 notes::take(&self.node.pools, peer, notes);
-                reply::Kind::Noted(Noted {
-                    process: self.node.process,
-                    steady_ms: self.steady(),
-                })
-            }
-            request::Kind::Ends(ends) => {
-                tell::take(&self.node.quarantine, peer, &ends);
-                reply::Kind::Noted(Noted {
-                    process: self.node.process,
-                    steady_ms: self.steady(),
-                })
+                self.noted()
             }
+            request::Kind::Ends(ends) => match tell::answer(&self.node.quarantine, peer, &ends) {
+                Some(known) => reply::Kind::Ends(known),
+                None => self.noted(),
+            },
             request::Kind::GetSeen(ask) => reply::Kind::Seen(self.seen(ask.process)),
             request::Kind::GetFeed(ask) => {
                 reply::Kind::FeedRecords(copies::answer(&self.node.copies, &ask))
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,7 +3,7 @@
 //! Routers find each other in the members' feed of the store. The secret of their links
 //! is drawn by the first of them and stands there too.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -20,12 +20,11 @@
 use swiftlink_wire::rights::Member as MemberRecord;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Clock;
 use crate::node::Node;
 use crate::notes;
-use crate::quarantine::tell;
+use crate::quarantine::{ranking, tell};
 use crate::rights::holders::{Member, Placement};
 use crate::rights::{Calls, Witness};
 use crate::settings::RouterSettings;
@@ -35,9 +34,6 @@
 
 /// Key of the links' secret; no VM's name has a slash.
 const SECRET_KEY: &str = "links/secret";
-/// Routers of a large fleet that are told of all ends of servers: one may be down and another cut
-/// off.
-const OBSERVERS: usize = 3;
 /// Bytes of the secret before its hexadecimal form.
 const SECRET_BYTES: usize = 24;
 /// Links that are kept open at a time: those to the routers that hold accounts, and some more.
@@ -131,27 +127,20 @@
         lock(&self.members).len() > notes::TOLD
     }
 
-    /// The routers that are told of all ends of servers: all others of a small fleet, and a few
-    /// of a large one, the same for all that know the same members, in different failure domains
-    /// where there are several.
+    /// The routers that are told of ends of servers, in this order: all others of a small fleet,
+    /// the candidates of a large one.
     pub(crate) fn observers(&self) -> Vec<VmName> {
         let members = lock(&self.members);
         if members.len() <= notes::TOLD {
             return members.keys().cloned().collect();
         }
-        let all = members
+        let others = members
             .values()
             .map(|(member, _)| (member.vm.clone(), member.domain.clone()));
         let own = (self.vm.clone(), self.domain.clone());
-        let mut ranked: Vec<(VmName, DomainName)> = all.chain([own]).collect();
-        ranked.sort_by_cached_key(|(vm, _)| xxh3_64(vm.as_str().as_bytes()));
-        let mut domains = HashSet::new();
-        let (mut first, rest): (Vec<_>, Vec<_>) = ranked
-            .into_iter()
-            .partition(|(_, domain)| domains.insert(domain.clone()));
-        first.extend(rest);
-        let chosen = first.into_iter().take(OBSERVERS).map(|(vm, _)| vm);
-        chosen.filter(|vm| *vm != self.vm).collect()
+        let mut ranked = ranking(others.chain([own]).collect());
+        ranked.retain(|vm| *vm != self.vm);
+        ranked
     }
 
     /// So many of the other routers, drawn anew each time.
--- a/crates/gateway/src/quarantine/cases.rs
+++ b/crates/gateway/src/quarantine/cases.rs
@@ -20,8 +20,9 @@
 /// sent again after an end can meet a second one, of a rack or in a release.
 pub const ENDS: usize = 3;
 /// Servers that end within so short a time may have one cause, such as a rack, while many copies
-/// of a request are under way. Routers notice an end up to two tenths of a second late.
-pub const ONE_MOMENT: Duration = Duration::from_millis(250);
+/// of a request are under way. What counts is when the first router noticed an end, so the time
+/// is that of a busy router and not of the slowest.
+pub const ONE_MOMENT: Duration = Duration::from_millis(100);
 /// How long a request is held after the last end, the first time. Each end after that doubles it.
 pub const HOLD: Duration = Duration::from_secs(600);
 /// The longest time that one is held without being tried.
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -7,6 +7,7 @@
 
 mod breaks;
 mod cases;
+mod observers;
 pub(crate) mod tell;
 
 use std::fmt;
@@ -25,6 +26,9 @@
 use crate::upstream::Endpoint;
 
 pub(crate) use breaks::watch as watch_breaks;
+pub use observers::{OBSERVERS, ranking};
+pub use tell::{PASSED_ON, ROUNDS};
+
 pub use cases::{
     Cases, Cleared, ENDS, ENDS_MAX, HELD_MAX, HOLD, HOLD_MAX, Held, ONE_MOMENT, PRINTS_MAX,
     ServerEnd, Verdict,
@@ -216,6 +220,17 @@
         }
     }
 
+    /// What requests among those of `ends` are held for.
+    pub(crate) fn proofs_for(&self, ends: &[ServerEnd]) -> Vec<ServerEnd> {
+        let mut proofs = self.proofs();
+        for proof in &mut proofs {
+            let asked = |print: &Fingerprint| ends.iter().any(|end| end.prints.contains(print));
+            proof.prints.retain(asked);
+        }
+        proofs.retain(|proof| !proof.prints.is_empty());
+        proofs
+    }
+
     /// The ends that requests are held for.
     pub(crate) fn proofs(&self) -> Vec<ServerEnd> {
         lock(&self.cases).proofs()
--- a/crates/gateway/src/quarantine/tell.rs
+++ b/crates/gateway/src/quarantine/tell.rs
@@ -20,7 +20,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use super::{Cleared, Held, Quarantine, ServerEnd, Untold};
+use super::{Cleared, Held, OBSERVERS, Quarantine, ServerEnd, Untold};
 use crate::clock::Clock;
 use crate::fingerprint::Fingerprint;
 use crate::peers::Peers;
@@ -28,9 +28,13 @@
 
 /// What keys of the members' feed with ends begin with; no VM's name has a slash.
 pub(crate) const KEY_START: &str = "ended/";
-/// Routers that each one passes on to that a request is held: with eight each, three rounds reach
-/// 500 routers.
-const PASSED_ON: usize = 8;
+/// Routers that each one passes on to that a request is held: after eight of each router one in
+/// 3,000 hasn't heard, and one in fifty where half of the calls fail.
+pub const PASSED_ON: usize = 8;
+/// How often each router does so, to others each time: what one round misses the next one finds.
+pub const ROUNDS: u32 = 3;
+/// Time between the rounds, as often as there were some.
+const ROUND_PAUSE: Duration = Duration::from_millis(250);
 /// Longest time for a peer's answer; a link is opened in a few milliseconds.
 const ANSWER_TIME: Duration = Duration::from_millis(500);
 /// Most ends that are written to the store.
@@ -74,11 +78,9 @@
 ) {
     let clock = &*quarantine.clock;
     if !untold.ends.is_empty() || !untold.served.is_empty() {
-        let observers = peers.observers();
-        let all = observers.len();
         let seen = message(clock, &untold.ends, &untold.served);
-        let told = send(&peers, observers, &seen).await;
-        if told < all && !untold.ends.is_empty() {
+        let all_told = tell_observers(&quarantine, &peers, &seen).await;
+        if !all_told && !untold.ends.is_empty() {
             // Who didn't hear it directly may read it on the store.
             unheard.send_modify(|ends| add(ends, &untold.ends));
         }
@@ -88,10 +90,34 @@
     let is_news = !proofs.is_empty() || !untold.served.is_empty();
     if is_news && peers.is_large() {
         let news = message(clock, &proofs, &untold.served);
-        send(&peers, peers.some(PASSED_ON), &news).await;
+        for round in 0..ROUNDS {
+            sleep(ROUND_PAUSE * round).await;
+            send(&quarantine, &peers, peers.some(PASSED_ON), &news).await;
+        }
     }
 }
 
+/// Tells the observers, and others in the place of those that can't be reached. Says whether as
+/// many were told as have to be.
+async fn tell_observers(quarantine: &Quarantine, peers: &Peers, seen: &Ends) -> bool {
+    let candidates = peers.observers();
+    let wanted = if peers.is_large() {
+        OBSERVERS
+    } else {
+        candidates.len()
+    };
+    let mut candidates = candidates.into_iter();
+    let mut told = 0;
+    while told < wanted {
+        let next: Vec<VmName> = candidates.by_ref().take(wanted - told).collect();
+        if next.is_empty() {
+            return false;
+        }
+        told += send(quarantine, peers, next, seen).await;
+    }
+    true
+}
+
 /// Adds ends to those that somebody hasn't heard of; the newest ones stay.
 fn add(unheard: &mut Vec<ServerEnd>, ends: &[ServerEnd]) {
     unheard.extend(ends.iter().cloned());
@@ -100,16 +126,22 @@
 }
 
 /// Sends to each of `vms`; gives how many have taken it.
-async fn send(peers: &Peers, vms: Vec<VmName>, ends: &Ends) -> usize {
-    let calls = vms.iter().map(|vm| call(peers, vm, ends.clone()));
+async fn send(quarantine: &Quarantine, peers: &Peers, vms: Vec<VmName>, ends: &Ends) -> usize {
+    let calls = vms
+        .iter()
+        .map(|vm| call(quarantine, peers, vm, ends.clone()));
     let taken = join_all(calls).await;
     taken.into_iter().filter(|taken| *taken).count()
 }
 
-async fn call(peers: &Peers, vm: &VmName, ends: Ends) -> bool {
+async fn call(quarantine: &Quarantine, peers: &Peers, vm: &VmName, ends: Ends) -> bool {
     let kind = request::Kind::Ends(ends);
     match peers.call_up(vm, kind, ANSWER_TIME).await {
         Ok(reply::Kind::Noted(_)) => true,
+        Ok(reply::Kind::Ends(known)) => {
+            take(quarantine, vm.as_str(), &known);
+            true
+        }
         Ok(_) => {
             event!(warn, "ends.not_told", peer = vm, reason = "wrong reply");
             false
@@ -147,6 +179,15 @@
     }
 }
 
+/// Takes what a router tells, and answers with what requests of it are held for here: a router that
+/// sends one hasn't heard of that.
+pub(crate) fn answer(quarantine: &Quarantine, from: &str, told: &Ends) -> Option<Ends> {
+    take(quarantine, from, told);
+    let ends: Vec<ServerEnd> = told.ends.iter().filter_map(|end| read(end, 0)).collect();
+    let proofs = quarantine.proofs_for(&ends);
+    (!proofs.is_empty()).then(|| message(&*quarantine.clock, &proofs, &[]))
+}
+
 /// Takes a record of the members' feed.
 pub(crate) fn take_record(quarantine: &Quarantine, key: &str, value: &Bytes) {
     match Ends::decode(value.clone()) {
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod proof;
 mod quarantine;
 mod rights;
+mod spread;
 mod sse;
 mod starts;
 mod table;
--- a/crates/gateway/tests/testsuite/quarantine.rs
+++ b/crates/gateway/tests/testsuite/quarantine.rs
@@ -19,7 +19,7 @@
 /// A second in the unit of [`Cases`].
 const SECOND: u64 = 1_000;
 
-fn print(number: u32) -> Fingerprint {
+pub(crate) fn print(number: u32) -> Fingerprint {
     Fingerprint::of(&Content {
         workspace: None,
         method: Method::POST,
