--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -139,6 +139,7 @@
     pub(crate) fn on_break(&self, server: &Chosen, origin: &Origin) {
         let mut breaks = lock(&self.breaks);
         if breaks.len() >= BREAKS_MAX {
+            event!(warn, "quarantine.break_dropped", server = server.start.name);
             return;
         }
         breaks.push(Break {
@@ -181,7 +182,7 @@
             return;
         }
         for one in &held {
-            tell_held(one);
+            log_held(one);
         }
         self.holds.send_modify(|count| *count += 1);
         lock(&self.untold).held.extend(held);
@@ -259,7 +260,7 @@
 }
 
 /// One line says by which ends, seen by whom, a request is held.
-fn tell_held(held: &Held) {
+fn log_held(held: &Held) {
     let ends = held.ends.iter().map(|end| {
         let seen: Vec<&str> = end.seen_by.iter().map(VmName::as_str).collect();
         format!("{}@{}", end.start.name, seen.join("+"))
--- a/crates/gateway/src/quarantine/tell.rs
+++ b/crates/gateway/src/quarantine/tell.rs
@@ -149,6 +149,7 @@
             event!(warn, "ends.not_told", peer = vm, reason = "wrong reply");
             false
         }
+        // A link that is down is told of elsewhere.
         Err(LinkError::Down) => false,
         Err(error) => {
             event!(info, "ends.not_told", peer = vm, reason = error);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -31,9 +31,6 @@
 /// How long an idle connection is kept when the other side doesn't say how long it
 /// keeps it.
 const IDLE_TIME: Duration = Duration::from_secs(60);
-/// How long a connection is kept that was not used yet: the other side hasn't said how long it
-/// keeps it.
-const UNUSED_TIME: Duration = Duration::from_secs(2);
 /// Time between two looks for idle connections that are over: each is a descriptor.
 const PRUNE_PERIOD: Duration = Duration::from_secs(5);
 
@@ -355,42 +352,20 @@
 /// two.
 const ASK_TIME: Duration = Duration::from_millis(400);
 
-/// Asks whether the server is still there. The connection to one that is takes the place of the
-/// one that broke.
+/// Asks whether somebody still listens at an address.
 pub async fn ask(endpoint: Endpoint) -> Presence {
     match timeout(ASK_TIME, TcpStream::connect(endpoint.address)).await {
+        Ok(Ok(_closed)) => Presence::Here,
         Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Presence::Gone,
-        Ok(Ok(stream)) => {
-            keep(endpoint, stream).await;
-            Presence::Here
-        }
         Ok(Err(_)) | Err(_) => Presence::Unknown,
     }
 }
 
-/// Keeps a new connection for the next request.
-async fn keep(endpoint: Endpoint, stream: TcpStream) {
-    // One that can't be used is closed, and the next request makes its own.
-    let Ok(sender) = open(stream).await else {
-        return;
-    };
-    let mut lease = Lease {
-        endpoint,
-        sender: Some(sender),
-    };
-    lease.recycle_for(UNUSED_TIME);
-}
-
 async fn connect(address: SocketAddr, limit: Duration) -> Result<Sender, SendError> {
     let stream = timeout(limit, TcpStream::connect(address))
         .await
         .map_err(|_elapsed| SendError::Unreachable)?
         .map_err(|error| SendError::NotSent(format!("connect: {error}")))?;
-    open(stream).await
-}
-
-/// Speaks HTTP/1 on a connection.
-async fn open(stream: TcpStream) -> Result<Sender, SendError> {
     if let Err(error) = stream.set_nodelay(true) {
         return Err(SendError::NotSent(format!("set TCP_NODELAY: {error}")));
     }
