--- a/crates/ledger/src/service.rs
+++ b/crates/ledger/src/service.rs
@@ -61,6 +61,8 @@
             | request::Kind::Ends(_)
             | request::Kind::Tally(_)
             | request::Kind::AskPermits(_)
+            | request::Kind::DomainReport(_)
+            | request::Kind::PoolReport(_)
             | request::Kind::GetSeen(_) => Err(failure(FailureKind::NotServed, NOT_A_ROUTER)),
         };
         let last = answer.unwrap_or_else(reply::Kind::Failure);
--- a/crates/link/tests/common/mod.rs
+++ b/crates/link/tests/common/mod.rs
@@ -60,6 +60,8 @@
             | request::Kind::Ends(_)
             | request::Kind::Tally(_)
             | request::Kind::AskPermits(_)
+            | request::Kind::DomainReport(_)
+            | request::Kind::PoolReport(_)
             | request::Kind::GetSeen(_) => drop(replies),
             request::Kind::Settle(_) => panic!("intended by the test"),
         }
