gateway: leases, from which a router that isn't a holder reserves its requests' tokens

Cause: each request at a router of a large fleet that isn't a holder asks one, and on a full link the question waits behind bodies.

Change: a router with a steady rate of a workspace asks a holder in the background for a lease, a reservation for several requests (Reserve.lease, Reserved.leased), and reserves from it without a message. All leases are within 1 in 100 of what their holders hold. A lease is replaced after a second at most and reported when it is closed (Ended.held). A router of an earlier version grants none, since the request for a lease reserves 0 tokens. The sending of releases moves to a module of its own.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,7 @@
 use tokio::sync::watch;
 
 use crate::node::Node;
+use crate::quota::lease::LeaseCounters;
 use crate::store::{Feed, Page, ResponseTimeout, Store, StoreError};
 
 /// Upper bounds of the latency buckets in seconds: from a call within a zone to the longest
@@ -80,6 +81,7 @@
     first_event: Histogram,
     store_calls: Family<CallLabels, Counter>,
     unreadable: Family<FeedLabels, Counter>,
+    leases: LeaseCounters,
     gauges: Gauges,
 }
 
@@ -117,6 +119,7 @@
             first_event: histogram(),
             store_calls: Family::default(),
             unreadable: Family::default(),
+            leases: LeaseCounters::default(),
             gauges: Gauges::default(),
         };
         metrics.register();
@@ -144,6 +147,18 @@
         registry.register("store_calls", calls, self.store_calls.clone());
         let unreadable = "Records of the store that can't be read, by feed";
         registry.register("unreadable_records", unreadable, self.unreadable.clone());
+        let leased = "Requests whose rights were reserved from a lease, without a question";
+        registry.register(
+            "lease_requests",
+            leased,
+            self.leases.leased_requests.clone(),
+        );
+        let questions = "Reservations that holders of rights were asked for while a request waited";
+        registry.register("rights_questions", questions, self.leases.queries.clone());
+        let leases = "Leases that holders of rights granted";
+        registry.register("leases", leases, self.leases.leases.clone());
+        let tokens = "Tokens of the leases in use, reserved and spent ones included";
+        registry.register("leased_tokens", tokens, self.leases.leased_tokens.clone());
         let gauges = &self.gauges;
         let flight = "Requests that are being served";
         registry.register("requests_in_flight", flight, gauges.in_flight.clone());
@@ -214,6 +229,12 @@
         self.unreadable.get_or_create(&FeedLabels { feed }).inc();
     }
 
+    /// Counters for the parts that keep leases.
+    #[must_use]
+    pub fn leases(&self) -> LeaseCounters {
+        self.leases.clone()
+    }
+
     /// Encodes all metrics as text.
     #[must_use]
     pub fn render(&self, node: &Node) -> String {
--- a/crates/gateway/src/peer_handler.rs
+++ b/crates/gateway/src/peer_handler.rs
@@ -63,6 +63,7 @@
             let ended = Ended {
                 number: request.number,
                 spent: 0,
+                held: None,
             };
             self.reservations.release(request.process, &[ended]);
         }
--- a/crates/gateway/src/quota/local.rs
+++ b/crates/gateway/src/quota/local.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::cap::{self, Cap};
+use super::lease::Lessee;
 use crate::clock::Clock;
 
 /// What this router may spend of one workspace's tokens.
@@ -49,6 +50,8 @@
     created: Instant,
     /// Notified when quota arrived or the account was read.
     changed: Notify,
+    /// The lease of a router that isn't a holder, and the demand that sizes it.
+    pub(super) lessee: Lessee,
     wakers: Wakers,
     clock: Arc<dyn Clock>,
 }
@@ -157,6 +160,7 @@
             read_at: AtomicU64::new(0),
             created: Instant::now(),
             changed: Notify::new(),
+            lessee: Lessee::default(),
             wakers,
             clock,
         }
--- a/crates/gateway/src/quota/local/reserve.rs
+++ b/crates/gateway/src/quota/local/reserve.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use swiftlink_types::Tokens;
+use swiftlink_wire::link::LeaseSize;
 use tokio::time::{Instant, timeout_at};
 
 use super::{LocalQuota, QuotaError};
 use crate::dialect::Usage;
+use crate::quota::lease;
 use crate::quota::reservation::{Reservation, Source};
 
 /// How often a waiting request checks whether a growing cap covers it: a tenth of the shortest
@@ -96,6 +98,32 @@
         let source = Source::Local(Arc::clone(self));
         Some(Reservation::new(source, usage, cost))
     }
+
+    /// Reserves tokens for a lease of another router. `lent` tokens are in other leases. Returns
+    /// `None`, with nothing reserved, while requests wait for quota or where the quota doesn't cover
+    /// a lease.
+    pub(crate) fn try_lend(
+        self: &Arc<Self>,
+        size: &LeaseSize,
+        lent: Tokens,
+    ) -> Option<(Reservation, Tokens)> {
+        if self.waiting.load(Relaxed) > 0 || self.is_withdrawn() {
+            return None;
+        }
+        let balance = self.balance();
+        let unspent = balance.granted.saturating_sub(balance.charged);
+        let tokens = lease::grantable(unspent, lent, self.grant.available(), size)?;
+        self.grant.reserve(tokens)?;
+        if self.grant.available() < self.low_watermark.load(Relaxed) {
+            self.wakers.cap.notify_one();
+        }
+        let usage = Usage {
+            prompt: tokens,
+            output: 0,
+        };
+        let source = Source::Local(Arc::clone(self));
+        Some((Reservation::new(source, usage, tokens), tokens))
+    }
 }
 
 /// Counts the tokens of a waiting request in a total for as long as it lives.
--- a/crates/gateway/src/quota/mod.rs
+++ b/crates/gateway/src/quota/mod.rs
@@ -11,6 +11,9 @@
 //! correct whichever messages are lost. [`holders`] says which routers hold the account of a
 //! workspace: all routers of a small fleet, a few of a large one.
 //!
+//! A router of a large fleet that serves many requests of a workspace reserves them from a
+//! [`lease`] instead, which is such a reservation for several requests.
+//!
 //! Quota doesn't expire with time: a router that was frozen or disconnected may continue to spend
 //! its grant. The grant ends with the router's process. The next process on the same VM counts as
 //! spent what the stored [`cap`] of its predecessor allowed for the time in between.
@@ -21,9 +24,11 @@
 mod claim;
 pub mod holders;
 mod last_seen;
+pub mod lease;
 mod local;
 mod peer_reservations;
 mod rate;
+mod releases;
 mod reservation;
 mod reserver;
 mod table;
--- a/crates/gateway/src/quota/reservation.rs
+++ b/crates/gateway/src/quota/reservation.rs
@@ -4,8 +4,9 @@
 
 use swiftlink_types::Tokens;
 
+use super::lease::Lease;
 use super::local::LocalQuota;
-use super::reserver::RemoteReservation;
+use super::releases::RemoteReservation;
 use crate::dialect::Usage;
 
 /// Tokens reserved for one request. Dropping it frees what wasn't spent.
@@ -27,6 +28,8 @@
     Local(Arc<LocalQuota>),
     /// At another router.
     Peer(RemoteReservation),
+    /// In a lease from another router.
+    Lease(Arc<Lease>),
 }
 
 impl Reservation {
@@ -56,6 +59,19 @@
         self.spent = spent.min(self.reserved);
     }
 
+    /// Charges `spent` tokens of a reservation in this router's own quota and frees all but `kept`
+    /// of the others. Returns the number of tokens charged.
+    pub(super) fn settle_part(&mut self, spent: Tokens, kept: Tokens) -> Tokens {
+        let Source::Local(quota) = &self.source else {
+            return 0;
+        };
+        let spent = spent.min(self.reserved);
+        let kept = kept.min(self.reserved - spent);
+        quota.grant.settle(self.reserved - kept, spent);
+        self.reserved = kept;
+        spent
+    }
+
     /// Counts all reserved tokens as spent, and returns their number.
     pub(super) fn settle_all(self) -> Tokens {
         let reserved = self.reserved;
@@ -77,6 +93,7 @@
                 quota.grant.settle(self.reserved, self.spent);
             }
             Source::Peer(reservation) => reservation.end(self.spent),
+            Source::Lease(lease) => lease.settle(self.reserved, self.spent),
         }
     }
 }
--- a/crates/gateway/src/quota/reserver.rs
+++ b/crates/gateway/src/quota/reserver.rs
@@ -5,23 +5,25 @@
 //! refuses. Granted tokens count as reserved there until this router releases them. Releases are
 //! sent until the holder confirms them, so the release after a lost answer undoes the grant that
 //! the answer reported. A reservation carries no body and no prompt, so it may cross regions.
+//!
+//! A router with a steady rate of requests of a workspace reserves from a lease instead
+//! ([`super::lease`]).
 
-use std::collections::HashMap;
 use std::fmt;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use swiftlink_link::LinkError;
 use swiftlink_telemetry::event;
 use swiftlink_types::{Tokens, VmName};
-use swiftlink_wire::link::{Ended, Refusal, Release, Reserve, Reserved, reply, request};
-use tokio::sync::Notify;
-use tokio::task::JoinSet;
+use swiftlink_wire::link::{LeaseSize, Refusal, Reserve, Reserved, reply, request};
 use tokio::time::{sleep, timeout};
 
+use super::lease::{LeaseCounters, Leases, keeper};
 use super::local::{LocalQuota, QuotaError};
+use super::releases::{RELEASE_TIMEOUT, Releases, RemoteReservation};
 use super::reservation::{Reservation, Source};
 use super::table::QuotaTable;
 use crate::dialect::Usage;
@@ -39,14 +41,9 @@
 /// takes 1 ms; a VM that has used up its processor quota for a scheduling period of 100 ms answers
 /// up to that much later.
 const ROUND_TRIP: Duration = Duration::from_millis(60);
-/// How long a holder may take to answer a release before its link is reconnected.
-const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Pause between releases to the same holder, so that several are sent in one message.
-const RELEASE_PAUSE: Duration = Duration::from_millis(200);
-/// Maximum number of releases that are kept for an unreachable holder: some minutes of a busy
-/// router's requests. The oldest are dropped first, and the holder counts them as spent.
-const MAX_PENDING_RELEASES: usize = 10_000;
-
+/// Time for an answer to a request for a lease. No request waits for it, so it covers several
+/// processor scheduling periods of the two VMs.
+const LEASE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Sends calls to other routers.
 #[async_trait]
 pub trait PeerClient: fmt::Debug + Send + Sync {
@@ -79,10 +76,8 @@
     process: u64,
     /// Number of the next reservation.
     next: AtomicU64,
-    /// Releases that are still to be sent.
-    pending_releases: Mutex<HashMap<VmName, Vec<Ended>>>,
-    /// Wakes the task that sends releases.
-    waker: Notify,
+    releases: Arc<Releases>,
+    pub(super) leases: Leases,
 }
 
 /// Why tokens couldn't be reserved.
@@ -142,6 +137,17 @@
     }
 }
 
+/// A holder's answer to a request for a lease.
+pub(super) enum LeaseAnswer {
+    /// The holder has reserved so many tokens.
+    Granted(RemoteReservation, Tokens),
+    Refused,
+    /// The holder doesn't know leases.
+    Unsupported,
+    /// No connection, or no answer in time; the holder may have granted the lease.
+    Unreached,
+}
+
 /// Why no holder granted a reservation.
 enum Refused {
     /// All were reached, and the last one gave this reason.
@@ -151,16 +157,22 @@
 }
 
 impl Reserver {
-    /// Reserves tokens for requests of `process`, through `peers` where `quotas` don't cover them.
+    /// Reserves tokens for requests of `process`, through `peers` where `quotas` don't cover them,
+    /// and counts in `counters` how.
     #[must_use]
-    pub fn new(quotas: Arc<QuotaTable>, peers: Arc<dyn PeerClient>, process: u64) -> Arc<Self> {
+    pub fn new(
+        quotas: Arc<QuotaTable>,
+        peers: Arc<dyn PeerClient>,
+        process: u64,
+        counters: LeaseCounters,
+    ) -> Arc<Self> {
         Arc::new(Self {
             quotas,
+            releases: Arc::new(Releases::new(Arc::clone(&peers), process)),
             peers,
             process,
             next: AtomicU64::new(1),
-            pending_releases: Mutex::default(),
-            waker: Notify::new(),
+            leases: Leases::new(counters),
         })
     }
 
@@ -182,6 +194,9 @@
         let reserved = if placement.is_placed(&quota.workspace) {
             self.reserve_both(quota, usage, timeouts, &mut asked).await
         } else {
+            if let Some(reservation) = self.leases.try_reserve(quota, usage, timeouts.request) {
+                return Ok(reservation);
+            }
             let order = self.holders(quota);
             match self
                 .ask_all(order, quota, usage, timeouts, &mut asked)
@@ -285,8 +300,13 @@
         }
     }
 
+    /// The quota of all workspaces.
+    pub(super) fn quotas(&self) -> &QuotaTable {
+        &self.quotas
+    }
+
     /// The holders of the account, then candidates that may replace them.
-    fn holders(&self, quota: &LocalQuota) -> Vec<VmName> {
+    pub(super) fn holders(&self, quota: &LocalQuota) -> Vec<VmName> {
         let turn = self.next.load(Relaxed);
         self.quotas
             .placement()
@@ -314,19 +334,16 @@
         wait: Duration,
     ) -> Answer {
         let tokens = usage.max_total();
-        let mut reservation = RemoteReservation {
-            reserver: Arc::clone(self),
-            vm: vm.clone(),
-            number: self.next.fetch_add(1, Relaxed),
-            is_open: true,
-        };
+        self.leases.counters.queries.inc();
+        let mut reservation = self.remote(vm);
         let request = Reserve {
             process: self.process,
-            number: reservation.number,
+            number: reservation.number(),
             workspace: quota.workspace.to_string(),
             tokens,
             wait_ms: millis(wait),
             time_ms: millis(time),
+            lease: None,
         };
         let kind = request::Kind::Reserve(request);
         // The call gets a longer timeout than this wait, since a short wait that passes doesn't
@@ -356,77 +373,63 @@
         }
     }
 
-    /// Sends releases to holders until the task is aborted.
-    pub async fn run(self: Arc<Self>) {
-        let mut calls = JoinSet::new();
-        loop {
-            tokio::select! {
-                () = self.waker.notified() => {}
-                // Failed releases are pending again.
-                Some(_) = calls.join_next() => {}
-            }
-            sleep(RELEASE_PAUSE).await;
-            let ended = std::mem::take(&mut *self.lock());
-            for (vm, ended) in ended {
-                calls.spawn(Arc::clone(&self).release(vm, ended));
+    /// Asks the holder on `vm` for a lease that may be used for `time`.
+    pub(super) async fn ask_lease(
+        &self,
+        vm: &VmName,
+        quota: &Arc<LocalQuota>,
+        size: LeaseSize,
+        time: Duration,
+    ) -> LeaseAnswer {
+        let mut reservation = self.remote(vm);
+        let request = Reserve {
+            process: self.process,
+            number: reservation.number(),
+            workspace: quota.workspace.to_string(),
+            tokens: 0,
+            wait_ms: 0,
+            time_ms: millis(time),
+            lease: Some(size),
+        };
+        let kind = request::Kind::Reserve(request);
+        let call = self.peers.call(vm, kind, RELEASE_TIMEOUT);
+        match timeout(LEASE_TIMEOUT, call).await {
+            Ok(Ok(reply::Kind::Reserved(reserved))) => match reserved.leased {
+                Some(tokens) => LeaseAnswer::Granted(reservation, tokens.min(size.most)),
+                None if reserved.refusal() == Refusal::Unspecified => LeaseAnswer::Unsupported,
+                None => {
+                    reservation.forget();
+                    LeaseAnswer::Refused
+                }
+            },
+            Ok(Err(LinkError::Down)) => {
+                reservation.forget();
+                LeaseAnswer::Unreached
             }
+            // The release that follows undoes a grant that this router doesn't know of.
+            Ok(_) | Err(_) => LeaseAnswer::Unreached,
         }
     }
 
-    /// Sends all pending releases at once, each within `time`.
-    pub async fn flush(self: &Arc<Self>, time: Duration) {
-        let ended = std::mem::take(&mut *self.lock());
-        let mut calls = JoinSet::new();
-        for (vm, ended) in ended {
-            let reserver = Arc::clone(self);
-            calls.spawn(async move { reserver.try_release(&vm, ended, time).await });
-        }
-        while calls.join_next().await.is_some() {}
-    }
-
-    /// Sends releases to a holder, and keeps them for the next attempt if that fails.
-    async fn release(self: Arc<Self>, vm: VmName, ended: Vec<Ended>) {
-        if self.try_release(&vm, ended.clone(), RELEASE_TIMEOUT).await {
-            return;
-        }
-        sleep(RELEASE_TIMEOUT).await;
-        let mut pending = self.lock();
-        let kept = pending.entry(vm.clone()).or_default();
-        kept.splice(..0, ended);
-        let excess = kept.len().saturating_sub(MAX_PENDING_RELEASES);
-        kept.drain(..excess);
-        if excess > 0 {
-            event!(warn, "quota.release_dropped", peer = vm, count = excess);
-        }
+    fn remote(&self, vm: &VmName) -> RemoteReservation {
+        let number = self.next.fetch_add(1, Relaxed);
+        RemoteReservation::new(Arc::clone(&self.releases), vm.clone(), number)
     }
 
-    /// Sends releases to a holder once; returns whether it confirmed them.
-    async fn try_release(&self, vm: &VmName, ended: Vec<Ended>, time: Duration) -> bool {
-        let count = ended.len();
-        let kind = request::Kind::Release(Release {
-            process: self.process,
-            ended,
-        });
-        let error = match self.peers.call(vm, kind, time).await {
-            Ok(reply::Kind::Released(_)) => return true,
-            Ok(_) => "unexpected reply".to_owned(),
-            Err(error) => error.to_string(),
-        };
-        event!(
-            debug,
-            "quota.not_released",
-            peer = vm,
-            count = count,
-            reason = error,
-        );
-        false
+    /// Sends releases to holders and keeps leases until the task is aborted.
+    pub async fn run(self: Arc<Self>) {
+        let releases = Arc::clone(&self.releases).run();
+        tokio::join!(releases, keeper::run(self));
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<VmName, Vec<Ended>>> {
-        // No panic can leave the map half changed.
-        self.pending_releases
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    /// Returns all leases and sends all pending releases at once, each within `time`. No lease is
+    /// opened after that.
+    pub async fn flush(self: &Arc<Self>, time: Duration) {
+        self.leases.stop();
+        for quota in self.quotas.all() {
+            keeper::close(&quota, "stopping");
+        }
+        self.releases.flush(time).await;
     }
 }
 
@@ -447,41 +450,3 @@
 pub(super) fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
-
-/// Tokens that another router may have reserved for a request. The other router gets a release
-/// when the request ends, or when this is dropped before the answer is known.
-#[derive(Debug)]
-pub(super) struct RemoteReservation {
-    reserver: Arc<Reserver>,
-    vm: VmName,
-    number: u64,
-    is_open: bool,
-}
-
-impl RemoteReservation {
-    /// Ends the request, which has spent `spent` tokens.
-    pub(super) fn end(&mut self, spent: Tokens) {
-        if !std::mem::take(&mut self.is_open) {
-            return;
-        }
-        let ended = Ended {
-            number: self.number,
-            spent,
-        };
-        let mut pending = self.reserver.lock();
-        pending.entry(self.vm.clone()).or_default().push(ended);
-        drop(pending);
-        self.reserver.waker.notify_one();
-    }
-
-    /// Drops it without a release, since nothing was reserved.
-    fn forget(&mut self) {
-        self.is_open = false;
-    }
-}
-
-impl Drop for RemoteReservation {
-    fn drop(&mut self) {
-        self.end(0);
-    }
-}
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -124,7 +124,12 @@
             ));
         }
         let peer_client = Arc::clone(&peers) as Arc<dyn PeerClient>;
-        let reserver = Reserver::new(Arc::clone(&node.quotas), peer_client, node.process);
+        let reserver = Reserver::new(
+            Arc::clone(&node.quotas),
+            peer_client,
+            node.process,
+            node.metrics.leases(),
+        );
         tasks.spawn(Arc::clone(&reserver).run());
         let vm = &node.settings.vm;
         let claims = Claims::spawn(&node.quotas, &store, peers, vm, node.process);
--- a/crates/gateway/tests/testsuite/book.rs
+++ b/crates/gateway/tests/testsuite/book.rs
@@ -38,7 +38,7 @@
     QuotaTable::new(placement, 2, TestClock::new())
 }
 
-fn quota() -> (QuotaTable, Arc<LocalQuota>) {
+pub(crate) fn quota() -> (QuotaTable, Arc<LocalQuota>) {
     let quotas = quotas();
     quotas.set_config(&config(Some(10_000)));
     let quota = quotas
@@ -110,11 +110,16 @@
         tokens,
         wait_ms: 0,
         time_ms: 1_000,
+        lease: None,
     }
 }
 
 fn ended(number: u64, spent: u64) -> Ended {
-    Ended { number, spent }
+    Ended {
+        number,
+        spent,
+        held: None,
+    }
 }
 
 #[tokio::test]
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod headroom;
 mod holders;
 mod large;
+mod leases;
 mod limits;
 mod losses;
 mod net;
--- a/crates/gateway/tests/testsuite/net.rs
+++ b/crates/gateway/tests/testsuite/net.rs
@@ -14,6 +14,7 @@
 use swiftlink_gateway::model::{Config, Workspace};
 use swiftlink_gateway::peer_clocks::ClockReading;
 use swiftlink_gateway::quota::holders::{Member, Placement};
+use swiftlink_gateway::quota::lease::LeaseCounters;
 use swiftlink_gateway::quota::{
     Claims, LastSeen, LocalQuota, PeerClient, PeerReservations, QuotaError, QuotaTable,
     Reservation, ReserveError, Reserver, Timeouts,
@@ -87,6 +88,8 @@
     seen: Mutex<HashMap<u64, (u64, Instant)>>,
     /// Whether some answers are lost after the work was done.
     pub(crate) loses_answers: AtomicBool,
+    /// Whether routers ignore the fields of leases, as earlier versions do.
+    pub(crate) ignores_leases: AtomicBool,
 }
 
 impl Net {
@@ -127,15 +130,24 @@
             sleep(time).await;
             return Err(LinkError::Timeout);
         }
+        let ignores_leases = self.net.ignores_leases.load(Relaxed);
         // A router completes a request even if the requester gives up.
         let work = tokio::spawn(async move {
             sleep(ONE_WAY_DELAY).await;
             match kind {
-                request::Kind::Reserve(ask) => {
+                request::Kind::Reserve(mut ask) => {
+                    if ignores_leases {
+                        ask.lease = None;
+                    }
                     let reserved = endpoint.reservations.reserve(&endpoint.quotas, &ask).await;
                     reply::Kind::Reserved(reserved)
                 }
                 request::Kind::Release(release) => {
+                    let reports = release.ended.iter().filter(|ended| ended.held.is_some());
+                    assert!(
+                        !ignores_leases || reports.count() == 0,
+                        "a report of a lease"
+                    );
                     endpoint
                         .reservations
                         .release(release.process, &release.ended);
@@ -169,7 +181,9 @@
 pub(crate) struct Vm {
     pub(crate) quotas: Arc<QuotaTable>,
     pub(crate) claims: Claims,
-    reserver: Arc<Reserver>,
+    pub(crate) reserver: Arc<Reserver>,
+    pub(crate) counters: LeaseCounters,
+    reservations: Arc<PeerReservations>,
     releases: JoinHandle<()>,
 }
 
@@ -223,12 +237,19 @@
             net: Arc::clone(&self.net),
             own: name(vm),
         };
-        let reserver = Reserver::new(Arc::clone(&quotas), Arc::new(links), process);
+        let counters = LeaseCounters::default();
+        let reserver = Reserver::new(
+            Arc::clone(&quotas),
+            Arc::new(links),
+            process,
+            counters.clone(),
+        );
         let endpoint = Endpoint {
             process,
             quotas: Arc::clone(&quotas),
             reservations: Arc::default(),
         };
+        let reservations = Arc::clone(&endpoint.reservations);
         let mut all = self.net.endpoints.lock().expect("a lock");
         all.insert(name(vm), Arc::new(endpoint));
         Vm {
@@ -236,6 +257,8 @@
             claims,
             releases: tokio::spawn(Arc::clone(&reserver).run()),
             reserver,
+            counters,
+            reservations,
         }
     }
 
@@ -266,7 +289,12 @@
 }
 
 impl Vm {
-    fn quota(&self, workspace: usize) -> Arc<LocalQuota> {
+    /// Tokens of a workspace that this router lends to others.
+    pub(crate) fn lent(&self, workspace: usize) -> u64 {
+        self.reservations.lent(&self.quota(workspace).workspace)
+    }
+
+    pub(crate) fn quota(&self, workspace: usize) -> Arc<LocalQuota> {
         let workspace = WorkspaceName::from(format!("w{workspace}"));
         self.quotas.get(&workspace).expect("quota of the workspace")
     }
