--- /dev/null
+++ b/crates/gateway/src/ingress/mod.rs
@@ -0,0 +1,56 @@
+//! What this router lets in over its VM's network link, by the decisions of [`swiftlink_ingress`].
+//!
+//! - `watch` samples the traffic, and sets whether the router takes new callers and connections.
+//! - `reports` exchanges reports on the links with the other routers of the failure domain.
+
+mod reports;
+mod watch;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use swiftlink_ingress::{DomainView, Shedder};
+use swiftlink_types::WorkspaceName;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+pub(crate) use reports::{DomainReports, exchange};
+pub(crate) use watch::{LinkState, watch_link};
+
+/// State of the router's link that requests and background tasks share.
+#[derive(Debug)]
+pub struct Ingress {
+    /// Bytes a second that the link carries each way.
+    rate: u64,
+    shedder: Shedder,
+    /// The failure domain, as the last summary shows it.
+    view: ArcSwapOption<DomainView>,
+    start: Instant,
+}
+
+impl Ingress {
+    /// The state of an idle link that carries `rate` bytes a second each way.
+    #[must_use]
+    pub fn new(rate: u64) -> Arc<Self> {
+        Arc::new(Self {
+            rate,
+            shedder: Shedder::default(),
+            view: ArcSwapOption::empty(),
+            start: Instant::now(),
+        })
+    }
+
+    /// Whether a request of `bytes` is refused before its body is read, since the link is too busy
+    /// for all that arrives. Requests without a workspace count as those of one.
+    #[must_use]
+    pub fn sheds(&self, workspace: Option<&WorkspaceName>, priority: u8, bytes: u64) -> bool {
+        let name = workspace.map_or("", |workspace| workspace.as_str());
+        let hash = xxh3_64(name.as_bytes());
+        self.shedder.sheds(hash, priority, bytes, rand::random())
+    }
+
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,7 @@
 //! entries in the store.
 //!
 //! Deployments implement the traits [`Dialect`], [`Store`] and [`Catalog`]. The decisions
-//! (`outcome`, `headroom`, `quota::account`, `model`, `sse`) do no I/O.
+//! (`outcome`, `quota::account`, `model`, `sse`) do no I/O.
 
 pub mod catalog;
 pub mod clock;
@@ -18,7 +18,7 @@
 pub mod fingerprint;
 pub mod fleet;
 pub mod freshness;
-pub mod headroom;
+pub mod ingress;
 pub mod limits;
 pub mod metrics;
 pub mod model;
@@ -38,6 +38,7 @@
 pub mod sse;
 mod stop;
 pub mod store;
+pub mod traffic;
 pub mod upstream;
 pub mod watch;
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -9,7 +9,6 @@
 use crate::dialect::Dialect;
 use crate::fleet::Pools;
 use crate::freshness::Freshness;
-use crate::headroom::Traffic;
 use crate::metrics::Metrics;
 use crate::model::Config;
 use crate::peer_clocks::PeerClocks;
@@ -18,6 +17,7 @@
 use crate::quota::holders::Placement;
 use crate::rollout::Reports;
 use crate::settings::RouterSettings;
+use crate::traffic::Traffic;
 use crate::watch::Replicas;
 
 /// State that requests read and background tasks keep up to date.
--- a/crates/gateway/src/peer_handler.rs
+++ b/crates/gateway/src/peer_handler.rs
@@ -12,6 +12,7 @@
     Reserved, Seen, Tally, reply, request,
 };
 
+use crate::ingress::DomainReports;
 use crate::limits::Coordinator;
 use crate::node::Node;
 use crate::quarantine::gossip;
@@ -27,6 +28,8 @@
     pub(crate) reservations: Arc<PeerReservations>,
     /// Issues permits for servers that limit their rate.
     pub(crate) permits: Arc<Coordinator>,
+    /// Collects the reports on links in this failure domain.
+    pub(crate) links: Arc<DomainReports>,
 }
 
 impl PeerHandler {
@@ -121,6 +124,9 @@
             request::Kind::AskPermits(ask) => {
                 reply::Kind::Permits(self.permits.reply_to(peer, &ask))
             }
+            request::Kind::DomainReport(report) => {
+                reply::Kind::DomainSummary(self.links.reply_to(report))
+            }
             request::Kind::GetSeen(get) => reply::Kind::Seen(self.last_seen(get.process)),
             request::Kind::GetFeed(request) => {
                 reply::Kind::FeedRecords(self.feed_records(&request).await)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -25,7 +25,7 @@
 use swiftlink_wire::rights::Member as MemberRecord;
 use tokio::sync::watch as channel;
 use tokio::time::{Instant, timeout};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::clock::Clock;
 use crate::limits::Allocators;
@@ -217,6 +217,29 @@
         ranking(all.collect())
     }
 
+    /// Number of routers in this router's failure domain, this one included.
+    pub(crate) fn domain_len(&self) -> usize {
+        let members = lock(&self.members);
+        let others = members.values();
+        1 + others
+            .filter(|(member, _)| member.domain == self.domain)
+            .count()
+    }
+
+    /// The first `count` routers of this router's failure domain by rendezvous hashing; this router
+    /// may be one of them.
+    pub(crate) fn domain_ranking(&self, count: usize) -> Vec<VmName> {
+        let seed = xxh3_64(self.domain.as_str().as_bytes());
+        let members = lock(&self.members);
+        let others = members
+            .values()
+            .filter_map(|(member, _)| (member.domain == self.domain).then(|| member.vm.clone()));
+        let mut all: Vec<VmName> = others.chain([self.vm.clone()]).collect();
+        all.sort_by_cached_key(|vm| xxh3_64_with_seed(vm.as_str().as_bytes(), seed));
+        all.truncate(count);
+        all
+    }
+
     /// Returns `count` of the other routers, chosen at random.
     pub(crate) fn sample(&self, count: usize) -> Vec<VmName> {
         let members = lock(&self.members);
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -7,21 +7,23 @@
 use anyhow::Context;
 use swiftlink_link::Server;
 use swiftlink_shell::Shell;
-use swiftlink_shell::web::{Limits, WebServer};
+use swiftlink_shell::web::{Gate, Limits, WebServer};
 use swiftlink_telemetry::event;
+use tokio::sync::watch as channel;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::catalog::Catalog;
 use crate::dialect::Dialect;
+use crate::ingress::{self, DomainReports, Ingress, LinkState};
 use crate::limits::{Allocators, Coordinator, Requester};
 use crate::metrics::{MeteredStore, MetricsService};
 use crate::node::Node;
 use crate::peer_handler::PeerHandler;
 use crate::peers::{self, Peers};
 use crate::quarantine::{self, gossip};
-use crate::quota::{Claims, PeerClient, PeerReservations, Reserver};
-use crate::ready::{self, Readiness};
+use crate::quota::{Claims, LastSeen, PeerClient, PeerReservations, Reserver};
+use crate::ready::Readiness;
 use crate::serve::CallerService;
 use crate::settings::RouterSettings;
 use crate::store::{Feed, Store};
@@ -107,7 +109,7 @@
         );
         let feeds = Arc::clone(&peers) as Arc<dyn PeerFeeds>;
         watch::spawn(&mut tasks, &node, &store, &adapter.catalog, &feeds);
-        spawn_peers(&mut tasks, &node, &store, &peers)?;
+        let links = spawn_peers(&mut tasks, &node, &store, &peers)?;
         if node.settings.rollouts.is_some() {
             let reader = watch::Reader::new(Feed::Rollouts, Arc::clone(&store));
             let follower = rollout::Follower::new(Arc::clone(&node));
@@ -132,15 +134,18 @@
         );
         tasks.spawn(Arc::clone(&reserver).run());
         let vm = &node.settings.vm;
-        let claims = Claims::spawn(&node.quotas, &store, peers, vm, node.process);
+        let last_seen = Arc::clone(&peers) as Arc<dyn LastSeen>;
+        let claims = Claims::spawn(&node.quotas, &store, last_seen, vm, node.process);
+        let ingress = node.settings.link.map(Ingress::new);
         let service = Arc::new(CallerService {
             node: Arc::clone(&node),
             reserver: Arc::clone(&reserver),
+            ingress: ingress.clone(),
         });
         let callers =
             WebServer::bind(callers, limits, service).context("starting the callers' listener")?;
-        if let Some(rate) = node.settings.link {
-            tasks.spawn(ready::watch_link(Arc::clone(&node), callers.gate(), rate));
+        if let Some(ingress) = ingress {
+            spawn_ingress(&mut tasks, &node, &ingress, callers.gate(), peers, links);
         }
         let limits = Limits {
             workers: 1,
@@ -192,6 +197,23 @@
     }
 }
 
+/// Starts the tasks that watch the link and exchange reports on it.
+fn spawn_ingress(
+    tasks: &mut JoinSet<()>,
+    node: &Arc<Node>,
+    ingress: &Arc<Ingress>,
+    gate: Arc<Gate>,
+    peers: Arc<Peers>,
+    links: Arc<DomainReports>,
+) {
+    let (sender, states) = channel::channel(LinkState::default());
+    let watch = ingress::watch_link(Arc::clone(ingress), Arc::clone(node), gate, sender);
+    tasks.spawn(watch);
+    let vm = node.settings.vm.clone();
+    let exchange = ingress::exchange(Arc::clone(ingress), peers, links, vm, node.process, states);
+    tasks.spawn(exchange);
+}
+
 /// Relays feeds between this router and its peers.
 fn feed_relay(node: &Arc<Node>, peers: &Arc<Peers>) -> watch::Relay {
     watch::Relay {
@@ -224,7 +246,7 @@
     node: &Arc<Node>,
     store: &Arc<dyn Store>,
     peers: &Arc<Peers>,
-) -> anyhow::Result<()> {
+) -> anyhow::Result<Arc<DomainReports>> {
     let settings = &node.settings;
     let listener = TcpListener::bind(settings.peers)
         .with_context(|| format!("binding the routers' address {}", settings.peers))?;
@@ -263,10 +285,12 @@
     let reservations = Arc::new(PeerReservations::default());
     tasks.spawn(expire_reservations(Arc::clone(&reservations)));
     let permits = spawn_limits(tasks, node, peers);
+    let links = Arc::<DomainReports>::default();
     let handler = Arc::new(PeerHandler {
         node: Arc::clone(node),
         reservations,
         permits,
+        links: Arc::clone(&links),
     });
     let name = settings.vm.to_string();
     let peers = Arc::clone(peers);
@@ -280,7 +304,7 @@
             Err(error) => event!(error, "peer.not_serving", error = error),
         }
     });
-    Ok(())
+    Ok(links)
 }
 
 /// Starts the task that asks for permits for servers that limit their rate.
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -14,8 +14,9 @@
 use crate::dialect::{ForwardMeta, ResponseKind};
 use crate::eligibility::Admission;
 use crate::fleet::{SelectedServer, Ticket};
-use crate::headroom::head_bytes;
+
 use crate::outcome::{Execution, Outcome};
+use crate::traffic::head_bytes;
 use crate::upstream::{Endpoint, Lease, SendError, SendOptions, send_to};
 
 /// Maximum time for opening a connection; within a region it takes a millisecond or two.
--- /dev/null
+++ b/crates/gateway/src/traffic.rs
@@ -0,0 +1,47 @@
+//! Traffic over the VM's network link.
+
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+
+use http::HeaderMap;
+
+/// Bytes of a header line besides its name and value: a colon, a space and the line's end.
+const LINE_OVERHEAD: usize = 4;
+
+/// Bytes received and sent since the last sample.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    inward: AtomicU64,
+    outward: AtomicU64,
+}
+
+impl Traffic {
+    /// Counts bytes of a request received from a caller.
+    pub fn received(&self, bytes: usize) {
+        self.inward.fetch_add(bytes as u64, Relaxed);
+    }
+
+    /// Counts bytes of a request sent to a backend server.
+    pub fn sent(&self, bytes: usize) {
+        self.outward.fetch_add(bytes as u64, Relaxed);
+    }
+
+    /// Counts bytes of an answer received from a backend server and sent to a caller.
+    pub fn relayed(&self, bytes: usize) {
+        self.inward.fetch_add(bytes as u64, Relaxed);
+        self.outward.fetch_add(bytes as u64, Relaxed);
+    }
+
+    /// Returns the count of the busier direction, and resets both.
+    pub fn take(&self) -> u64 {
+        let inward = self.inward.swap(0, Relaxed);
+        inward.max(self.outward.swap(0, Relaxed))
+    }
+}
+
+/// Bytes of an HTTP head's header lines.
+#[must_use]
+pub fn head_bytes(headers: &HeaderMap) -> usize {
+    let lines = headers.iter();
+    let lines = lines.map(|(name, value)| name.as_str().len() + value.len() + LINE_OVERHEAD);
+    lines.sum()
+}
--- /dev/null
+++ b/crates/gateway/tests/testsuite/traffic.rs
@@ -0,0 +1,26 @@
+//! Traffic over the VM's link.
+
+use http::HeaderMap;
+use http::header::{CONTENT_TYPE, HOST};
+use swiftlink_gateway::traffic::{Traffic, head_bytes};
+
+#[test]
+fn head_bytes_counts_names_and_values() {
+    let mut headers = HeaderMap::new();
+    headers.insert(HOST, "a.example".parse().expect("a value"));
+    headers.insert(CONTENT_TYPE, "text/plain".parse().expect("a value"));
+    assert_eq!(
+        head_bytes(&headers),
+        "host: a.example\r\ncontent-type: text/plain\r\n".len()
+    );
+}
+
+#[test]
+fn traffic_returns_the_busier_direction() {
+    let traffic = Traffic::default();
+    traffic.received(1_000);
+    traffic.sent(400);
+    traffic.relayed(50);
+    assert_eq!(traffic.take(), 1_050);
+    assert_eq!(traffic.take(), 0);
+}
--- a/crates/gateway/src/headroom.rs
+++ b/crates/ingress/src/headroom.rs
@@ -11,11 +11,8 @@
 //! 28 in 100 were refused or failed without this, and 11 in 100 with it.
 
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 
-use http::HeaderMap;
-
 /// Interval between two samples of the link.
 pub const SAMPLE: Duration = Duration::from_millis(100);
 /// Samples that decide whether new callers should go elsewhere: one second, the interval of the
@@ -24,6 +21,8 @@
 /// Samples that decide whether connections are refused: what queues up in this time is still read
 /// before callers time out.
 const SHORT_SAMPLES: usize = 3;
+/// Samples of the recent utilization: one alone shows single long bodies.
+const RECENT_SAMPLES: usize = 2;
 /// Utilization from which on new callers should go elsewhere. The balancer acts on the second
 /// failed health check, so new callers keep coming for one to two seconds, and packets that aren't
 /// counted (acknowledgements, handshakes) take up to a tenth of the link.
@@ -36,47 +35,6 @@
 const OVERLOADED_AT: f64 = 0.92;
 /// Utilization below which connections are accepted again.
 const OVERLOADED_UNTIL: f64 = 0.8;
-/// Bytes of a header line besides its name and value: a colon, a space and the line's end.
-const LINE_OVERHEAD: usize = 4;
-
-/// Bytes received and sent since the last sample.
-#[derive(Debug, Default)]
-pub struct Traffic {
-    inward: AtomicU64,
-    outward: AtomicU64,
-}
-
-impl Traffic {
-    /// Counts bytes of a request received from a caller.
-    pub fn received(&self, bytes: usize) {
-        self.inward.fetch_add(bytes as u64, Relaxed);
-    }
-
-    /// Counts bytes of a request sent to a backend server.
-    pub fn sent(&self, bytes: usize) {
-        self.outward.fetch_add(bytes as u64, Relaxed);
-    }
-
-    /// Counts bytes of an answer received from a backend server and sent to a caller.
-    pub fn relayed(&self, bytes: usize) {
-        self.inward.fetch_add(bytes as u64, Relaxed);
-        self.outward.fetch_add(bytes as u64, Relaxed);
-    }
-
-    /// Returns the count of the busier direction, and resets both.
-    pub fn take(&self) -> u64 {
-        let inward = self.inward.swap(0, Relaxed);
-        inward.max(self.outward.swap(0, Relaxed))
-    }
-}
-
-/// Bytes of an HTTP head's header lines.
-#[must_use]
-pub fn head_bytes(headers: &HeaderMap) -> usize {
-    let lines = headers.iter();
-    let lines = lines.map(|(name, value)| name.as_str().len() + value.len() + LINE_OVERHEAD);
-    lines.sum()
-}
 
 /// Whether the link has capacity for more callers, and for more connections.
 #[derive(Debug)]
@@ -122,6 +80,12 @@
         self.mean(LONG_SAMPLES)
     }
 
+    /// Fraction of the link's capacity that was used in the last samples.
+    #[must_use]
+    pub fn recent_utilization(&self) -> f64 {
+        self.mean(RECENT_SAMPLES)
+    }
+
     /// Whether new callers should go elsewhere.
     #[must_use]
     pub fn is_full(&self) -> bool {
--- /dev/null
+++ b/crates/ingress/tests/testsuite/spread.rs
@@ -0,0 +1,220 @@
+//! How routers' readiness spreads the callers of hot workspaces over a failure domain.
+//!
+//! The model has no network: a balancer with affinity that acts on the second failed check, links
+//! with queues, and callers of whom some keep their connections.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use swiftlink_ingress::{DomainView, Headroom, Readiness, RouterLoad, SAMPLE};
+
+/// Bytes of a request, body included.
+const REQUEST_BYTES: f64 = 6_000.0;
+/// Fraction of the open connections that callers close in the time of a sample.
+const CLOSE_FRACTION: f64 = 0.2;
+/// Seconds of queued bytes from which on callers have timed out before they are answered.
+const CALLER_TIMEOUT: f64 = 0.5;
+/// Steps between two health checks, and between two reports of the routers.
+const SECOND: usize = 10;
+/// Length of a run, in steps.
+const STEPS: usize = 60 * SECOND;
+/// Bytes a second of a link of 10 Mbit/s.
+const SMALL_LINK: u64 = 1_250_000;
+
+/// What routers do about a full link.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Rule {
+    /// Unready while the link is full.
+    OwnLink,
+    /// The same, and held by what the others report.
+    Spread,
+}
+
+struct Vm {
+    name: Arc<str>,
+    rate: u64,
+    headroom: Headroom,
+    readiness: Readiness,
+    /// Requests a second of each workspace on open connections.
+    open: Vec<f64>,
+    queued: f64,
+    failed_checks: u32,
+    is_down: bool,
+}
+
+struct Domain {
+    rule: Rule,
+    vms: Vec<Vm>,
+    /// Order in which the balancer prefers the VMs, for each hot workspace.
+    orders: Vec<Vec<usize>>,
+    view: Option<DomainView>,
+    offered: f64,
+    lost: f64,
+}
+
+impl Domain {
+    fn new(rule: Rule, rates: &[u64], workspaces: usize, rng: &mut Pcg64) -> Self {
+        let vms = rates.iter().enumerate().map(|(number, rate)| {
+            let name = format!("vm-{number:02}");
+            Vm {
+                readiness: Readiness::new(&name),
+                name: Arc::from(name),
+                rate: *rate,
+                headroom: Headroom::new(*rate),
+                open: vec![0.0; workspaces],
+                queued: 0.0,
+                failed_checks: 0,
+                is_down: false,
+            }
+        });
+        let mut order: Vec<usize> = (0..rates.len()).collect();
+        let orders = (0..workspaces).map(|_| {
+            order.shuffle(rng);
+            order.clone()
+        });
+        Self {
+            rule,
+            orders: orders.collect(),
+            vms: vms.collect(),
+            view: None,
+            offered: 0.0,
+            lost: 0.0,
+        }
+    }
+
+    fn check_health(&mut self) {
+        for vm in &mut self.vms {
+            let is_ready = vm.readiness.is_ready() && !vm.is_down;
+            vm.failed_checks = if is_ready { 0 } else { vm.failed_checks + 1 };
+        }
+    }
+
+    fn exchange_reports(&mut self, now: Duration) {
+        let loads = self.vms.iter().filter(|vm| !vm.is_down);
+        let loads = loads.map(|vm| RouterLoad {
+            vm: Arc::clone(&vm.name),
+            utilization: vm.headroom.utilization(),
+            is_ready: vm.readiness.is_ready(),
+        });
+        self.view = Some(DomainView {
+            routers: self.vms.len(),
+            loads: loads.collect(),
+            at: now,
+        });
+    }
+
+    /// The VM that gets the new connections of a workspace.
+    fn target(&self, workspace: usize) -> usize {
+        let in_rotation = self.vms.iter().filter(|vm| vm.failed_checks < 2).count();
+        let uses_all = in_rotation * 2 < self.vms.len();
+        let order = &self.orders[workspace];
+        let mut candidates = order.iter();
+        let found = candidates.find(|vm| uses_all || self.vms[**vm].failed_checks < 2);
+        *found.unwrap_or(&order[0])
+    }
+
+    /// Callers of a workspace send `demand` requests a second, on open connections where they have
+    /// some.
+    fn route(&mut self, workspace: usize, demand: f64) {
+        let time = SAMPLE.as_secs_f64();
+        self.offered += demand * time;
+        for vm in &mut self.vms {
+            vm.open[workspace] *= 1.0 - CLOSE_FRACTION;
+        }
+        let open: f64 = self.vms.iter().map(|vm| vm.open[workspace]).sum();
+        let kept = (demand / open.max(1.0)).min(1.0);
+        for vm in &mut self.vms {
+            vm.open[workspace] *= kept;
+        }
+        let target = self.target(workspace);
+        let vm = &mut self.vms[target];
+        let incoming = (demand - open).max(0.0);
+        if vm.is_down || vm.headroom.is_overloaded() {
+            self.lost += incoming * time;
+        } else {
+            vm.open[workspace] += incoming;
+        }
+    }
+
+    fn carry(&mut self, now: Duration) {
+        let view = match self.rule {
+            Rule::OwnLink => None,
+            Rule::Spread => self.view.as_ref(),
+        };
+        let time = SAMPLE.as_secs_f64();
+        for vm in &mut self.vms {
+            let rate: f64 = vm.open.iter().sum();
+            vm.queued += rate * REQUEST_BYTES * time;
+            let carried = vm.queued.min(vm.rate as f64 * time);
+            vm.queued -= carried;
+            vm.headroom.record(carried as u64);
+            let is_full = vm.headroom.is_full();
+            let utilization = vm.headroom.utilization();
+            vm.readiness.update(now, is_full, utilization, view);
+            let limit = CALLER_TIMEOUT * vm.rate as f64;
+            if vm.queued > limit {
+                self.lost += (vm.queued - limit) / REQUEST_BYTES;
+                vm.queued = limit;
+            }
+        }
+    }
+}
+
+/// Fraction of the demand that is carried: `workspaces` hot ones that together offer half of what
+/// the links of the failure domain carry, in waves of 11 s, while every 15 s a router is killed for
+/// 3 s.
+fn carried(rule: Rule, rates: &[u64], workspaces: usize, seed: u64) -> f64 {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let mut domain = Domain::new(rule, rates, workspaces, &mut rng);
+    let capacity: u64 = rates.iter().sum();
+    let demand = capacity as f64 / 2.0 / REQUEST_BYTES / workspaces as f64;
+    for step in 0..STEPS {
+        let now = SAMPLE * step as u32;
+        if step.is_multiple_of(15 * SECOND) {
+            let killed = rng.random_range(0..rates.len());
+            domain.vms[killed].is_down = true;
+        }
+        if step % (15 * SECOND) == 3 * SECOND {
+            domain.vms.iter_mut().for_each(|vm| vm.is_down = false);
+        }
+        if step.is_multiple_of(SECOND) {
+            domain.check_health();
+            domain.exchange_reports(now);
+        }
+        let wave = 1.0 + 0.3 * (now.as_secs_f64() * std::f64::consts::TAU / 11.0).sin();
+        for workspace in 0..workspaces {
+            domain.route(workspace, demand * wave);
+        }
+        domain.carry(now);
+    }
+    1.0 - domain.lost / domain.offered
+}
+
+fn mean_carried(rule: Rule, rates: &[u64], workspaces: usize) -> f64 {
+    let seeds = 0..10;
+    let all: f64 = seeds
+        .clone()
+        .map(|seed| carried(rule, rates, workspaces, seed))
+        .sum();
+    all / 10.0
+}
+
+#[test]
+fn print_all() {
+    for (routers, large) in [(3, 0), (3, 1), (8, 1), (28, 2), (40, 4)] {
+        for rate in [1, 2] {
+            let mut rates = vec![SMALL_LINK * rate; routers];
+            rates[..large].fill(SMALL_LINK * 20);
+            for workspaces in [1, 3, 5] {
+                let own = mean_carried(Rule::OwnLink, &rates, workspaces);
+                let spread = mean_carried(Rule::Spread, &rates, workspaces);
+                println!(
+                    "{routers} routers, {large} large, {rate}0 Mbit/s, {workspaces} hot: {own:.3} {spread:.3}"
+                );
+            }
+        }
+    }
+}
--- a/crates/shell/src/web/incoming.rs
+++ b/crates/shell/src/web/incoming.rs
@@ -143,7 +143,9 @@
         }
     }
 
-    fn declared_len(&self) -> Option<u64> {
+    /// Length of the body in bytes, if the head declares it.
+    #[must_use]
+    pub fn declared_len(&self) -> Option<u64> {
         self.header(CONTENT_LENGTH.as_str())?.parse().ok()
     }
 }
