--- a/crates/gateway/src/ingress/mod.rs
+++ b/crates/gateway/src/ingress/mod.rs
@@ -10,10 +10,8 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use swiftlink_ingress::{DomainView, Shedder};
-use swiftlink_types::WorkspaceName;
+use swiftlink_ingress::DomainView;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 
 pub(crate) use reports::{DomainReports, exchange};
 pub(crate) use watch::{LinkState, watch_link};
@@ -23,7 +21,6 @@
 pub struct Ingress {
     /// Bytes a second that the link carries each way.
     rate: u64,
-    shedder: Shedder,
     /// The failure domain, as the last summary shows it.
     view: ArcSwapOption<DomainView>,
     start: Instant,
@@ -35,21 +32,11 @@
     pub fn new(rate: u64) -> Arc<Self> {
         Arc::new(Self {
             rate,
-            shedder: Shedder::default(),
             view: ArcSwapOption::empty(),
             start: Instant::now(),
         })
     }
 
-    /// Whether a request of `bytes` is refused before its body is read, since the link is too busy
-    /// for all that arrives. Requests without a workspace count as those of one.
-    #[must_use]
-    pub fn sheds(&self, workspace: Option<&WorkspaceName>, priority: u8, bytes: u64) -> bool {
-        let name = workspace.map_or("", |workspace| workspace.as_str());
-        let hash = xxh3_64(name.as_bytes());
-        self.shedder.sheds(hash, priority, bytes, rand::random())
-    }
-
     fn now(&self) -> Duration {
         self.start.elapsed()
     }
--- a/crates/gateway/src/ingress/watch.rs
+++ b/crates/gateway/src/ingress/watch.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 
-use swiftlink_ingress::{Headroom, Readiness, SAMPLE, ShedderState};
+use swiftlink_ingress::{Headroom, Readiness, SAMPLE};
 use swiftlink_shell::web::Gate;
 use swiftlink_telemetry::event;
 use tokio::sync::watch;
@@ -40,15 +40,11 @@
 ) {
     let mut headroom = Headroom::new(ingress.rate);
     let mut readiness = Readiness::new(node.settings.vm.as_str());
-    let mut shedding = ShedderState::default();
     let mut ticks = interval_at(Instant::now() + SAMPLE, SAMPLE);
     loop {
         ticks.tick().await;
         let has_changed = headroom.record(node.traffic.take());
         let utilization = headroom.utilization();
-        ingress
-            .shedder
-            .update(&mut shedding, headroom.recent_utilization());
         let view = ingress.view.load_full();
         let has_switched = readiness.update(
             ingress.now(),
@@ -72,7 +68,6 @@
             full = headroom.is_full(),
             ready = readiness.is_ready(),
             refusing = headroom.is_overloaded(),
-            shed = format_args!("{:.2}", shedding.fraction()),
             used = format_args!("{utilization:.2}"),
             unready_peers = view.map_or(-1, |view| view.unready_besides(own) as i64),
             bytes_per_s = ingress.rate,
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -140,7 +140,6 @@
         let service = Arc::new(CallerService {
             node: Arc::clone(&node),
             reserver: Arc::clone(&reserver),
-            ingress: ingress.clone(),
         });
         let callers =
             WebServer::bind(callers, limits, service).context("starting the callers' listener")?;
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -35,8 +35,6 @@
     StoreUnavailable(Option<Duration>),
     /// No server takes the request now, and none has executed it. One may take it after this time.
     NoServer(Duration),
-    /// The VM's link is too busy for the request's body; it hasn't been read.
-    LinkBusy,
     /// Servers crashed while they worked on the request; it is quarantined for this time.
     Held(Duration),
     /// The request may have been executed, and there is no response.
@@ -53,9 +51,6 @@
 const STORE_RETRY: Duration = Duration::from_secs(3);
 /// When a server may take work again: after a few steps of a batch, or once a server is added.
 pub(super) const SERVER_RETRY: Duration = Duration::from_millis(250);
-/// When a caller may return whose request the link had no capacity for: other routers of the failure
-/// domain have some now.
-const LINK_RETRY: Duration = Duration::from_millis(30);
 /// When a starting router may be ready, or one with a stale configuration up to date: both read
 /// the store a few times within this time. Other routers may be up to date already.
 const CONFIG_RETRY: Duration = Duration::from_millis(500);
@@ -65,11 +60,9 @@
     /// executed and never will be.
     pub(super) fn status(self) -> StatusCode {
         match self {
-            Self::NotReady
-            | Self::StaleConfig
-            | Self::NoServer(_)
-            | Self::LinkBusy
-            | Self::Held(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::StaleConfig | Self::NoServer(_) | Self::Held(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Malformed | Self::BrokenBody => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
@@ -87,7 +80,6 @@
         match self {
             Self::NotReady | Self::StaleConfig => Some(CONFIG_RETRY),
             Self::NoServer(wait) | Self::Held(wait) => Some(wait),
-            Self::LinkBusy => Some(LINK_RETRY),
             Self::NoQuota(back) => Some(back.unwrap_or(QUOTA_RETRY)),
             Self::StoreUnavailable(back) => Some(back.unwrap_or(STORE_RETRY)),
             _ => None,
@@ -109,7 +101,6 @@
             Self::NoQuota(_) => "no_rights",
             Self::StoreUnavailable(_) => "store_away",
             Self::NoServer(_) => "no_server",
-            Self::LinkBusy => "link_busy",
             Self::Held(_) => "held",
             Self::Lost => "lost",
             Self::Timeout => "timeout",
--- a/crates/gateway/src/serve/service.rs
+++ b/crates/gateway/src/serve/service.rs
@@ -17,7 +17,6 @@
 use crate::domains::allowed_domains;
 use crate::fingerprint::{Content, RequestIdentity};
 
-use crate::ingress::Ingress;
 use crate::model::{Config, Route, Workspace};
 use crate::node::Node;
 use crate::quota::{QuotaError, Reservation, Reserver, Timeouts};
@@ -45,8 +44,6 @@
     pub node: Arc<Node>,
     /// Reserves quota here and at other routers.
     pub reserver: Arc<Reserver>,
-    /// The VM's link; `None` if its rate is unknown.
-    pub ingress: Option<Arc<Ingress>>,
 }
 
 #[async_trait(?Send)]
@@ -102,7 +99,6 @@
         let target = target.ok_or(Refusal::NoServer(SERVER_RETRY))?;
         let pool = node.pools.get(&target.pool);
         let pool = pool.ok_or(Refusal::NoServer(SERVER_RETRY))?;
-        self.shed(&route, workspace.as_deref(), &request)?;
         let time = meta.deadline.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
         let reservation = self.reserve(&route, workspace.as_deref(), &meta, time);
         let reservation = reservation.await?;
@@ -149,26 +145,6 @@
         })
     }
 
-    /// Refuses a request before its body is read if the link is too busy for all that arrives.
-    fn shed(
-        &self,
-        route: &Route,
-        workspace: Option<&Workspace>,
-        request: &Incoming,
-    ) -> Result<(), Refusal> {
-        let Some(ingress) = &self.ingress else {
-            return Ok(());
-        };
-        let priority = workspace.and_then(|workspace| workspace.priority);
-        let priority = priority.unwrap_or(route.priority);
-        let bytes = head_bytes(request.headers()) as u64 + request.declared_len().unwrap_or(0);
-        let workspace = workspace.map(|workspace| &workspace.name);
-        if ingress.sheds(workspace, priority, bytes) {
-            return Err(Refusal::LinkBusy);
-        }
-        Ok(())
-    }
-
     /// Refusal of a request whose route or key isn't in the configuration. If the configuration was
     /// last confirmed longer ago than a change may take, the route or key may exist by now.
     fn unknown_or_stale(&self, refusal: Refusal) -> Refusal {
--- a/crates/ingress/src/headroom.rs
+++ b/crates/ingress/src/headroom.rs
@@ -21,8 +21,6 @@
 /// Samples that decide whether connections are refused: what queues up in this time is still read
 /// before callers time out.
 const SHORT_SAMPLES: usize = 3;
-/// Samples of the recent utilization: one alone shows single long bodies.
-const RECENT_SAMPLES: usize = 2;
 /// Utilization from which on new callers should go elsewhere. The balancer acts on the second
 /// failed health check, so new callers keep coming for one to two seconds, and packets that aren't
 /// counted (acknowledgements, handshakes) take up to a tenth of the link.
@@ -80,12 +78,6 @@
         self.mean(LONG_SAMPLES)
     }
 
-    /// Fraction of the link's capacity that was used in the last samples.
-    #[must_use]
-    pub fn recent_utilization(&self) -> f64 {
-        self.mean(RECENT_SAMPLES)
-    }
-
     /// Whether new callers should go elsewhere.
     #[must_use]
     pub fn is_full(&self) -> bool {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -9,14 +9,11 @@
 //! * [`Readiness`] says whether the router takes new callers, so that a busy workspace is served by
 //!   several routers of the failure domain, one after the other.
 //! * [`DomainView`] is what the router knows of the others in its failure domain.
-//! * [`Shedder`] says which requests are refused before their bodies are read, from their heads.
 
 mod domain;
 mod headroom;
 mod readiness;
-mod shedder;
 
 pub use domain::{DomainView, RouterLoad};
 pub use headroom::{Headroom, SAMPLE};
 pub use readiness::Readiness;
-pub use shedder::{Shedder, ShedderState};
--- a/crates/shell/src/web/incoming.rs
+++ b/crates/shell/src/web/incoming.rs
@@ -143,9 +143,7 @@
         }
     }
 
-    /// Length of the body in bytes, if the head declares it.
-    #[must_use]
-    pub fn declared_len(&self) -> Option<u64> {
+    fn declared_len(&self) -> Option<u64> {
         self.header(CONTENT_LENGTH.as_str())?.parse().ok()
     }
 }
