--- a/crates/ingress/tests/testsuite/spread.rs
+++ b/crates/ingress/tests/testsuite/spread.rs
@@ -163,14 +163,29 @@
     }
 }
 
-/// Fraction of the demand that is carried: `workspaces` hot ones that together offer half of what
-/// the links of the failure domain carry, in waves of 11 s, while every 15 s a router is killed for
-/// 3 s.
-fn carried(rule: Rule, rates: &[u64], workspaces: usize, seed: u64) -> f64 {
+/// Routers of a failure domain, and the callers of hot workspaces there.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    /// Routers with small links.
+    small: usize,
+    /// Routers with links of 200 Mbit/s.
+    large: usize,
+    workspaces: usize,
+    /// Demand of each hot workspace, as a multiple of what a small link carries.
+    demand: f64,
+}
+
+/// Bytes a second of a link of 200 Mbit/s.
+const LARGE_LINK: u64 = 25_000_000;
+
+/// Fraction of the demand that is carried within a minute, in waves of 11 s, while every 15 s a
+/// router is killed for 3 s.
+fn carried(rule: Rule, load: Load, seed: u64) -> f64 {
     let mut rng = Pcg64::seed_from_u64(seed);
-    let mut domain = Domain::new(rule, rates, workspaces, &mut rng);
-    let capacity: u64 = rates.iter().sum();
-    let demand = capacity as f64 / 2.0 / REQUEST_BYTES / workspaces as f64;
+    let mut rates = vec![SMALL_LINK; load.small];
+    rates.resize(load.small + load.large, LARGE_LINK);
+    let mut domain = Domain::new(rule, &rates, load.workspaces, &mut rng);
+    let demand = SMALL_LINK as f64 * load.demand / REQUEST_BYTES;
     for step in 0..STEPS {
         let now = SAMPLE * step as u32;
         if step.is_multiple_of(15 * SECOND) {
@@ -185,7 +200,7 @@
             domain.exchange_reports(now);
         }
         let wave = 1.0 + 0.3 * (now.as_secs_f64() * std::f64::consts::TAU / 11.0).sin();
-        for workspace in 0..workspaces {
+        for workspace in 0..load.workspaces {
             domain.route(workspace, demand * wave);
         }
         domain.carry(now);
@@ -193,27 +208,26 @@
     1.0 - domain.lost / domain.offered
 }
 
-fn mean_carried(rule: Rule, rates: &[u64], workspaces: usize) -> f64 {
-    let seeds = 0..10;
-    let all: f64 = seeds
-        .clone()
-        .map(|seed| carried(rule, rates, workspaces, seed))
-        .sum();
+/// Mean of ten runs.
+fn mean_carried(rule: Rule, load: Load) -> f64 {
+    let all: f64 = (0..10).map(|seed| carried(rule, load, seed)).sum();
     all / 10.0
 }
 
 #[test]
 fn print_all() {
-    for (routers, large) in [(3, 0), (3, 1), (8, 1), (28, 2), (40, 4)] {
-        for rate in [1, 2] {
-            let mut rates = vec![SMALL_LINK * rate; routers];
-            rates[..large].fill(SMALL_LINK * 20);
+    for (small, large) in [(3, 0), (6, 2), (26, 2), (36, 4)] {
+        for demand in [0.6, 0.9, 1.3, 2.0] {
             for workspaces in [1, 3, 5] {
-                let own = mean_carried(Rule::OwnLink, &rates, workspaces);
-                let spread = mean_carried(Rule::Spread, &rates, workspaces);
-                println!(
-                    "{routers} routers, {large} large, {rate}0 Mbit/s, {workspaces} hot: {own:.3} {spread:.3}"
-                );
+                let load = Load {
+                    small,
+                    large,
+                    workspaces,
+                    demand,
+                };
+                let own = mean_carried(Rule::OwnLink, load);
+                let spread = mean_carried(Rule::Spread, load);
+                println!("{load:?} {own:.3} {spread:.3}");
             }
         }
     }
