--- a/crates/gateway/src/quota/lease.rs
+++ b/crates/gateway/src/quota/lease.rs
@@ -44,8 +44,11 @@
 const KEEP_RATE: f64 = 1.0;
 /// Requests before the first lease is opened: the rate of fewer is a guess.
 const MIN_REQUESTS: u64 = 3;
-/// Minimum number of requests that a lease is for.
-const MIN_LEASE_REQUESTS: f64 = 2.0;
+/// Minimum number of requests of the mean size that a lease is for.
+const MIN_REQUESTS_LEASED: f64 = 2.0;
+/// Number of requests of the largest size that a lease is meant to be for at least: at a low rate,
+/// several arrive within the time to replace it.
+const LARGEST_LEASED: f64 = 3.0;
 /// Time constant of the average rate of use.
 const RATE_HORIZON: Duration = Duration::from_secs(1);
 /// Time constant with which the size of the largest request is forgotten.
@@ -121,9 +124,9 @@
     fn size(&self, now: Micros) -> LeaseSize {
         let rate = self.tokens.per_sec(now);
         let mean = rate / self.requests.per_sec(now).max(f64::MIN_POSITIVE);
-        let least = MIN_LEASE_REQUESTS * mean;
+        let least = MIN_REQUESTS_LEASED * mean;
         let covered = rate * COVERED_TIME.as_secs_f64();
-        let most = covered.max(MIN_LEASE_REQUESTS * self.largest).max(least);
+        let most = covered.max(LARGEST_LEASED * self.largest).max(least);
         LeaseSize {
             least: least.ceil() as Tokens,
             most: most.ceil() as Tokens,
--- a/crates/gateway/src/quota/lease/keeper.rs
+++ b/crates/gateway/src/quota/lease/keeper.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use swiftlink_telemetry::event;
-use swiftlink_types::Micros;
+use swiftlink_types::{Micros, VmName};
 use swiftlink_wire::link::LeaseSize;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
-use super::state::{Closed, Lease, Terms};
+use super::state::{Closed, Lease, REPLACED, Terms};
 use super::{Decision, Demand, decide};
 use crate::quota::local::LocalQuota;
 use crate::quota::reserver::{LeaseAnswer, Reserver};
@@ -19,11 +19,15 @@
 /// Shortest time that a sample of the demand covers.
 const MIN_SAMPLE: Duration = Duration::from_millis(50);
 /// Shortest time between two leases of a workspace.
-const MIN_INTERVAL: Duration = Duration::from_millis(100);
-/// Time until a holder is asked again after no lease was granted.
+const MIN_INTERVAL: Duration = Duration::from_millis(50);
+/// Time until holders are asked again after one refused a lease.
 const RETRY_INTERVAL: Duration = Duration::from_secs(2);
+/// The same after none answered.
+const UNREACHED_INTERVAL: Duration = Duration::from_millis(500);
 /// The same where a holder doesn't know leases.
 const UNSUPPORTED_INTERVAL: Duration = Duration::from_secs(10);
+/// Time for which a holder that didn't answer is asked after the others.
+const SILENT_TIME: Duration = Duration::from_secs(15);
 /// Time between two reports on a closed lease whose requests still run.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of holders that are asked for one lease: those that an account is placed on.
@@ -81,6 +85,8 @@
     is_asking: bool,
     /// When a holder may be asked next.
     ask_from: Instant,
+    /// A holder that didn't answer, and when.
+    silent: Option<(VmName, Instant)>,
     closed: Vec<Closed>,
     state: State,
 }
@@ -95,6 +101,7 @@
             sampled: now,
             is_asking: false,
             ask_from: now,
+            silent: None,
             closed: Vec::new(),
             state: State::None,
         }
@@ -141,38 +148,22 @@
     }
 
     fn renewal(&self) -> Renewal {
+        let silent = self.silent.as_ref();
+        let silent = silent.filter(|(_, since)| since.elapsed() < SILENT_TIME);
         Renewal {
             quota: Arc::clone(&self.quota),
             demand: self.demand.clone(),
             now: self.micros(),
+            last: silent.map(|(vm, _)| vm.clone()),
         }
     }
 
     /// Uses a new lease in place of the current one.
     fn set_lease(&mut self, lease: Arc<Lease>) {
-        let remote = lease.remote();
-        if self.state == State::Leased {
-            event!(
-                debug,
-                "lease.granted",
-                workspace = self.quota.workspace,
-                peer = remote.vm(),
-                number = remote.number(),
-                tokens = lease.granted(),
-            );
-        } else {
-            event!(
-                info,
-                "lease.granted",
-                workspace = self.quota.workspace,
-                peer = remote.vm(),
-                number = remote.number(),
-                tokens = lease.granted(),
-            );
-        }
+        lease.log_granted(&self.quota, self.state == State::Leased);
         self.state = State::Leased;
         let replaced = self.quota.lessee.replace(Some(lease));
-        let closed = replaced.and_then(|lease| lease.close(&self.quota, "replaced"));
+        let closed = replaced.and_then(|lease| lease.close(&self.quota, REPLACED));
         self.closed.extend(closed);
     }
 
@@ -182,12 +173,6 @@
         };
         self.closed.extend(lease.close(&self.quota, reason));
         self.state = State::None;
-        event!(
-            info,
-            "lease.ended",
-            workspace = self.quota.workspace,
-            reason = reason,
-        );
     }
 
     fn on_refused(&mut self, reason: &'static str) {
@@ -219,12 +204,16 @@
     quota: Arc<LocalQuota>,
     demand: Demand,
     now: Micros,
+    /// The holder to ask after the others.
+    last: Option<VmName>,
 }
 
 /// What the holders answered.
 struct Answer {
     quota: Arc<LocalQuota>,
     lease: Result<Arc<Lease>, Refused>,
+    /// A holder that didn't answer.
+    silent: Option<VmName>,
 }
 
 /// Why there is no lease, and when to ask again.
@@ -235,15 +224,24 @@
 
 /// Asks holders for a lease until one grants it.
 async fn ask(reserver: Arc<Reserver>, renewal: Renewal, size: LeaseSize) -> Answer {
-    let Renewal { quota, demand, now } = renewal;
+    let Renewal {
+        quota,
+        demand,
+        now,
+        last,
+    } = renewal;
     let request_time = quota.lessee.longest();
     let prepaid = quota.prepaid();
     let mut refusals = 0;
     let mut refused = Refused {
         reason: "no answer",
-        retry: RETRY_INTERVAL,
+        retry: UNREACHED_INTERVAL,
     };
-    for vm in reserver.holders(&quota).into_iter().take(MAX_ASKED) {
+    let mut silent = None;
+    let mut order = reserver.holders(&quota);
+    order.truncate(MAX_ASKED);
+    order.sort_by_key(|vm| Some(vm) == last.as_ref());
+    for vm in order {
         let time = request_time + LEASE_TIME;
         match reserver.ask_lease(&vm, &quota, size, time).await {
             LeaseAnswer::Granted(remote, granted) => {
@@ -257,10 +255,14 @@
                 return Answer {
                     quota,
                     lease: Ok(Arc::new(lease)),
+                    silent,
                 };
             }
             LeaseAnswer::Refused => {
-                refused.reason = "budget";
+                refused = Refused {
+                    reason: "not granted",
+                    retry: RETRY_INTERVAL,
+                };
                 refusals += 1;
             }
             LeaseAnswer::Unsupported => {
@@ -270,7 +272,7 @@
                 };
                 refusals += 1;
             }
-            LeaseAnswer::Unreached => {}
+            LeaseAnswer::Unreached => silent = Some(vm),
         }
         if refusals == MAX_REFUSALS {
             break;
@@ -279,6 +281,7 @@
     Answer {
         quota,
         lease: Err(refused),
+        silent,
     }
 }
 
@@ -288,6 +291,9 @@
         return;
     };
     keeper.is_asking = false;
+    if let Some(vm) = answer.silent {
+        keeper.silent = Some((vm, Instant::now()));
+    }
     match answer.lease {
         Ok(lease) => {
             keeper.ask_from = Instant::now() + MIN_INTERVAL;
--- a/crates/gateway/src/quota/lease/state.rs
+++ b/crates/gateway/src/quota/lease/state.rs
@@ -8,7 +8,7 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use swiftlink_admission::Grant;
-use swiftlink_telemetry::event;
+use swiftlink_telemetry::{Level, event};
 use swiftlink_types::Tokens;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -19,6 +19,9 @@
 use crate::quota::releases::RemoteReservation;
 use crate::quota::reservation::{Reservation, Source};
 
+/// Reason for which a lease with a successor is closed.
+pub(super) const REPLACED: &str = "replaced";
+
 /// Counts how the requests of a router that isn't a holder get their tokens.
 #[derive(Clone, Debug, Default)]
 pub struct LeaseCounters {
@@ -233,18 +236,7 @@
     pub(super) fn close(self: Arc<Self>, quota: &LocalQuota, reason: &str) -> Option<Closed> {
         let standing = self.shrink();
         self.gauge.dec_by(as_gauge(self.terms.granted));
-        event!(
-            debug,
-            "lease.returned",
-            workspace = quota.workspace,
-            peer = self.remote.vm(),
-            number = self.remote.number(),
-            tokens = self.terms.granted,
-            spent = standing.spent,
-            held = standing.held,
-            age_ms = self.opened.elapsed().as_millis(),
-            reason = reason,
-        );
+        self.log_closed(quota, standing, reason);
         if standing.held == 0 {
             return None;
         }
@@ -256,12 +248,42 @@
         })
     }
 
-    pub(super) fn remote(&self) -> &RemoteReservation {
-        &self.remote
+    /// Logs that the lease is closed, at level info if it has no successor.
+    fn log_closed(&self, quota: &LocalQuota, standing: Standing, reason: &str) {
+        let level = if reason == REPLACED {
+            Level::Debug
+        } else {
+            Level::Info
+        };
+        event!(
+            level,
+            "lease.returned",
+            workspace = quota.workspace,
+            peer = self.remote.vm(),
+            number = self.remote.number(),
+            tokens = self.terms.granted,
+            spent = standing.spent,
+            held = standing.held,
+            age_ms = self.opened.elapsed().as_millis(),
+            reason = reason,
+        );
     }
 
-    pub(super) fn granted(&self) -> Tokens {
-        self.terms.granted
+    /// Logs that the lease was opened, at level info if it has no predecessor.
+    pub(super) fn log_granted(&self, quota: &LocalQuota, is_renewal: bool) {
+        let level = if is_renewal {
+            Level::Debug
+        } else {
+            Level::Info
+        };
+        event!(
+            level,
+            "lease.granted",
+            workspace = quota.workspace,
+            peer = self.remote.vm(),
+            number = self.remote.number(),
+            tokens = self.terms.granted,
+        );
     }
 }
 
