--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -231,10 +231,10 @@
     pub(crate) fn domain_ranking(&self, count: usize) -> Vec<VmName> {
         let seed = xxh3_64(self.domain.as_str().as_bytes());
         let members = lock(&self.members);
-        let others = members
-            .values()
-            .filter_map(|(member, _)| (member.domain == self.domain).then(|| member.vm.clone()));
-        let mut all: Vec<VmName> = others.chain([self.vm.clone()]).collect();
+        let others = members.values().map(|(member, _)| member);
+        let others = others.filter(|member| member.domain == self.domain);
+        let vms = others.map(|member| member.vm.clone());
+        let mut all: Vec<VmName> = vms.chain([self.vm.clone()]).collect();
         all.sort_by_cached_key(|vm| xxh3_64_with_seed(vm.as_str().as_bytes(), seed));
         all.truncate(count);
         all
