gateway: on a busy link, quota is reserved beside the request

Change: while the budget is ample and a holder has granted something within 3 s, the request goes to a server at once and its tokens are reserved beside it; nothing of the response is delivered before they are. Only on links of which a third is in use.

--- a/crates/gateway/src/ingress/reports.rs
+++ b/crates/gateway/src/ingress/reports.rs
@@ -16,14 +16,12 @@
 use tokio::time::{Instant, sleep};
 
 use super::Ingress;
-use super::watch::LinkState;
+use super::watch::{BUSY_AT, LinkState};
 use crate::peers::Peers;
 use crate::quota::PeerClient;
 
 /// Time between two reports: the interval of the balancer's health checks.
 const INTERVAL: Duration = Duration::from_secs(1);
-/// Utilization from which on a router reports: half of that at which it takes no new callers.
-const REPORT_AT: f64 = 0.35;
 /// Age at which a report expires.
 const MAX_AGE: Duration = Duration::from_secs(3);
 /// Timeout of a report. Later answers show the past, and the next report follows.
@@ -65,7 +63,7 @@
     loop {
         sleep(INTERVAL).await;
         let state = *states.borrow();
-        if state.is_ready && state.utilization < REPORT_AT {
+        if state.is_ready && state.utilization < BUSY_AT {
             continue;
         }
         let report = DomainReport {
--- a/crates/gateway/src/ingress/watch.rs
+++ b/crates/gateway/src/ingress/watch.rs
@@ -12,6 +12,10 @@
 use super::Ingress;
 use crate::node::Node;
 
+/// Utilization from which on answers of other routers may be late: packets of callers' bodies come in
+/// bursts well before the mean reaches the link's rate.
+pub(super) const BUSY_AT: f64 = 0.35;
+
 /// What other routers are told of this one's link.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct LinkState {
@@ -45,6 +49,7 @@
         ticks.tick().await;
         let has_changed = headroom.record(node.traffic.take());
         let utilization = headroom.utilization();
+        node.traffic.is_busy.store(utilization >= BUSY_AT, Relaxed);
         let view = ingress.view.load_full();
         let has_switched = readiness.update(
             ingress.now(),
--- a/crates/gateway/src/quota/local.rs
+++ b/crates/gateway/src/quota/local.rs
@@ -14,8 +14,12 @@
 
 use super::cap::{self, Cap};
 use super::lease::Lessee;
+use super::pending;
 use crate::clock::Clock;
 
+/// Time for which a grant of a holder shows that holders can be reached.
+const GRANT_MEMORY: Duration = Duration::from_secs(3);
+
 /// What this router may spend of one workspace's tokens.
 #[derive(Debug)]
 pub struct LocalQuota {
@@ -50,6 +54,10 @@
     created: Instant,
     /// Notified when quota arrived or the account was read.
     changed: Notify,
+    /// Tokens that the workspace had left when a holder last granted some to this router.
+    granted_rest: AtomicU64,
+    /// When that was, in milliseconds since `created`; 0 before.
+    granted_at: AtomicU64,
     /// The lease of a router that isn't a holder, and the demand that sizes it.
     pub(super) lessee: Lessee,
     wakers: Wakers,
@@ -160,6 +168,8 @@
             read_at: AtomicU64::new(0),
             created: Instant::now(),
             changed: Notify::new(),
+            granted_rest: AtomicU64::new(0),
+            granted_at: AtomicU64::new(0),
             lessee: Lessee::default(),
             wakers,
             clock,
@@ -352,6 +362,20 @@
         u64::try_from(self.created.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Records that a holder granted tokens while the workspace had `rest` left.
+    pub(super) fn on_granted(&self, rest: Tokens) {
+        self.granted_rest.store(rest, Relaxed);
+        self.granted_at.store(self.age_ms().max(1), Relaxed);
+    }
+
+    /// Whether a holder can be expected to grant `cost` tokens.
+    pub(super) fn is_ample(&self, cost: Tokens) -> bool {
+        let at = self.granted_at.load(Relaxed);
+        let age = Duration::from_millis(self.age_ms().saturating_sub(at));
+        let rest = self.granted_rest.load(Relaxed).min(self.remaining());
+        at > 0 && age <= GRANT_MEMORY && pending::is_ample(rest, self.prepaid(), cost)
+    }
+
     /// Records whether the account on the store could be accessed.
     pub(super) fn set_store_unavailable(&self, unavailable: bool) {
         self.store_unavailable.store(unavailable, Relaxed);
--- a/crates/gateway/src/quota/reserver.rs
+++ b/crates/gateway/src/quota/reserver.rs
@@ -23,6 +23,7 @@
 
 use super::lease::{LeaseCounters, Leases, keeper};
 use super::local::{LocalQuota, QuotaError};
+use super::pending::{PendingReservation, RequestQuota};
 use super::releases::{RELEASE_TIMEOUT, Releases, RemoteReservation};
 use super::reservation::{Reservation, Source};
 use super::table::QuotaTable;
@@ -37,6 +38,8 @@
 /// Time that a router that holds a share of the account itself gives its own claim before it asks
 /// others: a claim takes 10 ms while the store answers.
 const CLAIM_TIME: Duration = Duration::from_millis(25);
+/// Wait for quota of a request that already runs: the queue of a full link is shorter.
+const PENDING_WAIT: Duration = Duration::from_millis(1_500);
 /// Time for the round trip to a holder, in addition to what the request may wait there. The network
 /// takes 1 ms; a VM that has used up its processor quota for a scheduling period of 100 ms answers
 /// up to that much later.
@@ -220,6 +223,32 @@
         })
     }
 
+    /// Like [`Self::reserve`], but returns at once while the budget is ample and holders answer: the
+    /// tokens are reserved in the background then, and may take [`PENDING_WAIT`].
+    ///
+    /// # Errors
+    /// When no reachable router grants them.
+    pub async fn reserve_behind(
+        self: &Arc<Self>,
+        quota: &Arc<LocalQuota>,
+        usage: Usage,
+        timeouts: Timeouts,
+    ) -> Result<RequestQuota, ReserveError> {
+        let is_placed = self.quotas.placement().is_placed(&quota.workspace);
+        if is_placed || !quota.is_ample(usage.max_total()) {
+            let reservation = self.reserve(quota, usage, timeouts).await?;
+            return Ok(RequestQuota::Reserved(reservation));
+        }
+        let (reserver, quota) = (Arc::clone(self), Arc::clone(quota));
+        let timeouts = Timeouts {
+            wait: timeouts.wait.max(PENDING_WAIT),
+            ..timeouts
+        };
+        Ok(RequestQuota::Pending(PendingReservation::spawn(
+            async move { reserver.reserve(&quota, usage, timeouts).await },
+        )))
+    }
+
     /// Waits for this router's own quota, and asks others if it doesn't arrive at once.
     async fn reserve_both(
         self: &Arc<Self>,
@@ -353,7 +382,10 @@
             .call(vm, kind, RELEASE_TIMEOUT.max(wait + ROUND_TRIP));
         match timeout(wait + ROUND_TRIP, call).await {
             Ok(Ok(reply::Kind::Reserved(reserved))) => match refusal(&reserved, quota.prepaid()) {
-                None => Answer::Granted(Reservation::new(Source::Peer(reservation), usage, tokens)),
+                None => {
+                    quota.on_granted(reserved.rest);
+                    Answer::Granted(Reservation::new(Source::Peer(reservation), usage, tokens))
+                }
                 Some(reason) => {
                     reservation.forget();
                     let retry = reserved.back_ms.map(|ms| Duration::from_millis(ms.into()));
@@ -395,7 +427,10 @@
         let call = self.peers.call(vm, kind, RELEASE_TIMEOUT);
         match timeout(LEASE_TIMEOUT, call).await {
             Ok(Ok(reply::Kind::Reserved(reserved))) => match reserved.leased {
-                Some(tokens) => LeaseAnswer::Granted(reservation, tokens.min(size.most)),
+                Some(tokens) => {
+                    quota.on_granted(reserved.rest);
+                    LeaseAnswer::Granted(reservation, tokens.min(size.most))
+                }
                 None if reserved.refusal() == Refusal::Unspecified => LeaseAnswer::Unsupported,
                 None => {
                     reservation.forget();
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -25,7 +25,7 @@
 use crate::model::{Replay, Route, RouteKind, Workspace};
 use crate::node::{InFlight, Node};
 use crate::outcome::{Execution, Outcome};
-use crate::quota::Reservation;
+use crate::quota::RequestQuota;
 
 /// Maximum number of attempts of one request, without those that were withheld, also when no server
 /// executed it.
@@ -56,7 +56,7 @@
     /// Identifies the request when its caller sends it again.
     pub(super) identity: Arc<RequestIdentity>,
     pub(super) meta: RequestMeta,
-    pub(super) reservation: Option<Reservation>,
+    pub(super) quota: RequestQuota,
     /// Failure domains that the request may go to; `None` for all.
     pub(super) domains: Option<HashSet<DomainName>>,
     /// Version of the configuration that the request was admitted under.
@@ -136,12 +136,12 @@
 
     /// Tokens that the request has spent.
     pub(super) fn spent(&self) -> Tokens {
-        self.reservation.as_ref().map_or(0, Reservation::spent)
+        self.quota.spent()
     }
 
     /// Charges a response that is delivered as a whole.
     fn deliver_all(&mut self) {
-        if let Some(reservation) = &mut self.reservation {
+        if let Some(reservation) = self.quota.reservation() {
             reservation.deliver_all();
         }
     }
@@ -198,6 +198,9 @@
                 Ok(response) => response,
                 Err(refusal) => return self.refuse(refusal, &attempts),
             };
+            if !self.is_paid().await {
+                return self.refuse(Refusal::Lost, &attempts);
+            }
             if self.is_stream() && response.outcome == Outcome::Served {
                 return relay::stream(self, attempts, response, guard);
             }
@@ -213,6 +216,24 @@
         }
     }
 
+    /// Waits until the tokens of the request are reserved, before anything of a response is delivered.
+    async fn is_paid(&mut self) -> bool {
+        let deadline = self.deadline;
+        let error = match timeout_at(deadline, self.quota.reserved()).await {
+            Ok(Ok(())) => return true,
+            Ok(Err(error)) => error.map_or_else(|| "shutdown".to_owned(), |error| error.asked),
+            Err(_elapsed) => "timeout".to_owned(),
+        };
+        event!(
+            warn,
+            "quota.not_reserved",
+            id = self.id(),
+            workspace = self.workspace(),
+            asked = error,
+        );
+        false
+    }
+
     /// Sends the request to one server after the other until one responds.
     pub(super) async fn dispatch(
         &mut self,
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -221,7 +221,7 @@
                 if let Some(sample) = gaps.sample() {
                     response.ticket.on_stream_gaps(sample);
                 }
-                if let Some(reservation) = &mut exchange.reservation {
+                if let Some(reservation) = exchange.quota.reservation() {
                     reservation.deliver(splitter.events() * max_event_tokens);
                 }
                 yield Ok(events);
--- a/crates/gateway/src/serve/service.rs
+++ b/crates/gateway/src/serve/service.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -19,7 +20,7 @@
 
 use crate::model::{Config, Route, Workspace};
 use crate::node::Node;
-use crate::quota::{QuotaError, Reservation, Reserver, Timeouts};
+use crate::quota::{QuotaError, RequestQuota, Reserver, Timeouts};
 use crate::traffic::head_bytes;
 
 /// Maximum wait for quota, as a divisor of the route's target latency: a claim or a reservation
@@ -100,8 +101,8 @@
         let pool = node.pools.get(&target.pool);
         let pool = pool.ok_or(Refusal::NoServer(SERVER_RETRY))?;
         let time = meta.deadline.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
-        let reservation = self.reserve(&route, workspace.as_deref(), &meta, time);
-        let reservation = reservation.await?;
+        let quota = self.reserve(&route, workspace.as_deref(), &meta, time);
+        let quota = quota.await?;
         let body = request
             .body(config.limits.max_body)
             .await
@@ -136,7 +137,7 @@
             },
             identity,
             meta,
-            reservation,
+            quota,
             domains,
             version: config.version,
             start,
@@ -161,20 +162,27 @@
         workspace: Option<&Workspace>,
         meta: &RequestMeta,
         time: Duration,
-    ) -> Result<Option<Reservation>, Refusal> {
+    ) -> Result<RequestQuota, Refusal> {
         let (Some(workspace), Some(usage)) = (workspace, meta.usage) else {
-            return Ok(None);
+            return Ok(RequestQuota::Unlimited);
         };
         let Some(quota) = self.node.quotas.get(&workspace.name) else {
-            return Ok(None);
+            return Ok(RequestQuota::Unlimited);
         };
         let wait = (route.latency_target / QUOTA_WAIT_DIVISOR).max(MIN_QUOTA_WAIT);
         let timeouts = Timeouts {
             wait,
             request: time,
         };
-        let error = match self.reserver.reserve(&quota, usage, timeouts).await {
-            Ok(reservation) => return Ok(Some(reservation)),
+        let reserved = if self.node.traffic.is_busy.load(Relaxed) {
+            let behind = self.reserver.reserve_behind(&quota, usage, timeouts);
+            behind.await
+        } else {
+            let reservation = self.reserver.reserve(&quota, usage, timeouts).await;
+            reservation.map(RequestQuota::Reserved)
+        };
+        let error = match reserved {
+            Ok(reserved) => return Ok(reserved),
             Err(error) => error,
         };
         let refusal = match error.reason {
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -1,6 +1,6 @@
 //! Traffic over the VM's network link.
 
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 
 use http::HeaderMap;
 
@@ -10,6 +10,8 @@
 /// Bytes received and sent since the last sample.
 #[derive(Debug, Default)]
 pub struct Traffic {
+    /// Whether so much of the link is in use that answers of other routers may be late.
+    pub is_busy: AtomicBool,
     inward: AtomicU64,
     outward: AtomicU64,
 }
