gateway: leases near the end of a budget are asked for again soon

Change: holders are asked again 0.1 s after a refusal, doubled up to 2 s with each further one; the task wakes when the interval has passed, which is 25 ms now.

--- a/crates/gateway/src/quota/lease/keeper.rs
+++ b/crates/gateway/src/quota/lease/keeper.rs
@@ -7,7 +7,7 @@
 use swiftlink_types::{Micros, VmName};
 use swiftlink_wire::link::LeaseSize;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep_until};
 
 use super::state::{Closed, Lease, REPLACED, Terms};
 use super::{Decision, Demand, decide};
@@ -19,9 +19,12 @@
 /// Shortest time that a sample of the demand covers.
 const MIN_SAMPLE: Duration = Duration::from_millis(50);
 /// Shortest time between two leases of a workspace.
-const MIN_INTERVAL: Duration = Duration::from_millis(50);
-/// Time until holders are asked again after one refused a lease.
-const RETRY_INTERVAL: Duration = Duration::from_secs(2);
+const MIN_INTERVAL: Duration = Duration::from_millis(25);
+/// Time until holders are asked again after they refused a lease. It doubles up to
+/// [`MAX_RETRY_INTERVAL`] with each further refusal: near the end of a budget, there is room again
+/// when other leases have been reported.
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+const MAX_RETRY_INTERVAL: Duration = Duration::from_secs(2);
 /// The same after none answered.
 const UNREACHED_INTERVAL: Duration = Duration::from_millis(500);
 /// The same where a holder doesn't know leases.
@@ -43,9 +46,11 @@
     let mut keepers: Vec<Keeper> = Vec::new();
     let mut asks: JoinSet<Answer> = JoinSet::new();
     loop {
+        let tick = Instant::now() + TICK;
+        let due = keepers.iter().filter_map(|keeper| keeper.due).min();
         tokio::select! {
             () = reserver.leases.changed() => {}
-            () = sleep(TICK), if !keepers.is_empty() => {}
+            () = sleep_until(due.map_or(tick, |due| due.min(tick))), if !keepers.is_empty() => {}
             Some(Ok(answer)) = asks.join_next() => apply(&reserver, &mut keepers, answer),
         }
         for quota in reserver.leases.take_arrived() {
@@ -85,6 +90,10 @@
     is_asking: bool,
     /// When a holder may be asked next.
     ask_from: Instant,
+    /// When a lease that is due will be asked for.
+    due: Option<Instant>,
+    /// Time until holders are asked again after they refuse a lease.
+    retry: Duration,
     /// A holder that didn't answer, and when.
     silent: Option<(VmName, Instant)>,
     closed: Vec<Closed>,
@@ -101,6 +110,8 @@
             sampled: now,
             is_asking: false,
             ask_from: now,
+            due: None,
+            retry: RETRY_INTERVAL,
             silent: None,
             closed: Vec::new(),
             state: State::None,
@@ -113,6 +124,7 @@
 
     /// Carries out what is due; returns the size of a lease to ask for.
     fn step(&mut self, reserver: &Reserver) -> Option<LeaseSize> {
+        self.due = None;
         self.closed
             .retain_mut(|closed| closed.report(REPORT_INTERVAL));
         if self.sampled.elapsed() >= MIN_SAMPLE {
@@ -128,11 +140,9 @@
                 self.close(reason);
                 None
             }
-            Decision::Open(_)
-                if self.is_asking
-                    || Instant::now() < self.ask_from
-                    || reserver.leases.is_stopped() =>
-            {
+            Decision::Open(_) if self.is_asking || reserver.leases.is_stopped() => None,
+            Decision::Open(_) if Instant::now() < self.ask_from => {
+                self.due = Some(self.ask_from);
                 None
             }
             Decision::Open(size) => {
@@ -160,6 +170,8 @@
 
     /// Uses a new lease in place of the current one.
     fn set_lease(&mut self, lease: Arc<Lease>) {
+        self.ask_from = Instant::now() + MIN_INTERVAL;
+        self.retry = RETRY_INTERVAL;
         lease.log_granted(&self.quota, self.state == State::Leased);
         self.state = State::Leased;
         let replaced = self.quota.lessee.replace(Some(lease));
@@ -175,14 +187,24 @@
         self.state = State::None;
     }
 
-    fn on_refused(&mut self, reason: &'static str) {
+    fn on_refused(&mut self, refused: Refused) {
+        let retry = match refused {
+            Refused::Unreached => UNREACHED_INTERVAL,
+            Refused::Unsupported => UNSUPPORTED_INTERVAL,
+            Refused::NotGranted => {
+                let retry = self.retry;
+                self.retry = (retry * 2).min(MAX_RETRY_INTERVAL);
+                retry
+            }
+        };
+        self.ask_from = Instant::now() + retry;
         if self.state == State::None {
             self.state = State::Refused;
             event!(
                 info,
                 "lease.refused",
                 workspace = self.quota.workspace,
-                reason = reason,
+                reason = refused.as_str(),
             );
         }
     }
@@ -216,10 +238,22 @@
     silent: Option<VmName>,
 }
 
-/// Why there is no lease, and when to ask again.
-struct Refused {
-    reason: &'static str,
-    retry: Duration,
+/// Why there is no lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Refused {
+    Unreached,
+    NotGranted,
+    Unsupported,
+}
+
+impl Refused {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Unreached => "no answer",
+            Self::NotGranted => "not granted",
+            Self::Unsupported => "holder without leases",
+        }
+    }
 }
 
 /// Asks holders for a lease until one grants it.
@@ -233,10 +267,7 @@
     let request_time = quota.lessee.longest();
     let prepaid = quota.prepaid();
     let mut refusals = 0;
-    let mut refused = Refused {
-        reason: "no answer",
-        retry: UNREACHED_INTERVAL,
-    };
+    let mut refused = Refused::Unreached;
     let mut silent = None;
     let mut order = reserver.holders(&quota);
     order.truncate(MAX_ASKED);
@@ -259,17 +290,11 @@
                 };
             }
             LeaseAnswer::Refused => {
-                refused = Refused {
-                    reason: "not granted",
-                    retry: RETRY_INTERVAL,
-                };
+                refused = Refused::NotGranted;
                 refusals += 1;
             }
             LeaseAnswer::Unsupported => {
-                refused = Refused {
-                    reason: "holder without leases",
-                    retry: UNSUPPORTED_INTERVAL,
-                };
+                refused = Refused::Unsupported;
                 refusals += 1;
             }
             LeaseAnswer::Unreached => silent = Some(vm),
@@ -295,14 +320,8 @@
         keeper.silent = Some((vm, Instant::now()));
     }
     match answer.lease {
-        Ok(lease) => {
-            keeper.ask_from = Instant::now() + MIN_INTERVAL;
-            keeper.set_lease(lease);
-        }
-        Err(refused) => {
-            keeper.ask_from = Instant::now() + refused.retry;
-            keeper.on_refused(refused.reason);
-        }
+        Ok(lease) => keeper.set_lease(lease),
+        Err(refused) => keeper.on_refused(refused),
     }
     // A shutdown that began in the meantime didn't find this lease.
     if reserver.leases.is_stopped() {
--- a/crates/gateway/tests/testsuite/leases.rs
+++ b/crates/gateway/tests/testsuite/leases.rs
@@ -95,9 +95,17 @@
 /// renewals that wait for a holder that is cut off until the lease is used up.
 #[tokio::test(start_paused = true)]
 async fn nine_of_ten_requests_at_steady_load_need_no_question() {
-    for (rate, is_cut_off) in [(4.0, false), (12.0, false), (40.0, false), (12.0, true)] {
+    // The last budget has three minutes' use when the load begins.
+    let loads = [
+        (4.0, AMPLE, false),
+        (12.0, AMPLE, false),
+        (12.0, AMPLE, true),
+        (40.0, AMPLE, false),
+        (40.0, AMPLE / 10, false),
+    ];
+    for (rate, prepaid, is_cut_off) in loads {
         let mut rng = Pcg64::seed_from_u64(1);
-        let fleet = start(ROUTERS, AMPLE).await;
+        let fleet = start(ROUTERS, prepaid).await;
         let queries = &fleet.vms[ASKER].counters.queries;
         run_load(&fleet, &mut rng, ASKER, rate, 3.0).await;
         fleet.net.set_silent(fleet.holders(0)[0], is_cut_off);
