--- a/crates/gateway/src/quota/lease.rs
+++ b/crates/gateway/src/quota/lease.rs
@@ -30,6 +30,10 @@
 /// A lease is replaced when less than this time of use is left: some calls to a holder, each of
 /// which may take a processor scheduling period on both VMs.
 const RENEW_TIME: Duration = Duration::from_millis(300);
+/// The same two times while the router's link is busy: an answer may wait behind the bodies of
+/// callers' requests for most of a second.
+const BUSY_COVERED_TIME: Duration = Duration::from_millis(2_000);
+const BUSY_RENEW_TIME: Duration = Duration::from_millis(1_000);
 /// Age at which a lease is replaced, so that the holder learns what was spent.
 pub const MAX_AGE: Duration = Duration::from_secs(1);
 /// Age at which a lease that couldn't be replaced is closed.
@@ -56,6 +60,9 @@
 /// A holder lends at most this fraction of the unspent tokens that it holds itself. What all
 /// holders hold is within the budget, so all leases together are within the same fraction of it.
 const LENT_DIVISOR: Tokens = 100;
+/// The same for a router whose link is busy, of which a failure domain has few at a time. They use
+/// such a lease up within seconds.
+const BUSY_LENT_DIVISOR: Tokens = 10;
 /// A lease gets at most this fraction of what the holder may still lend or has available, so that
 /// the first routers that ask leave something for others and for requests.
 const ROOM_DIVISOR: Tokens = 2;
@@ -80,6 +87,8 @@
     count: u64,
     sampled: Micros,
     last_request: Micros,
+    /// Whether answers of holders may be late.
+    is_link_busy: bool,
 }
 
 impl Demand {
@@ -93,9 +102,15 @@
             count: 0,
             sampled: now,
             last_request: now,
+            is_link_busy: false,
         }
     }
 
+    /// Sets whether the router's link is busy.
+    pub fn set_link_busy(&mut self, is_busy: bool) {
+        self.is_link_busy = is_busy;
+    }
+
     /// Adds the requests since the last sample.
     pub fn add(&mut self, sample: &Sample, now: Micros) {
         let step = Duration::from_micros(now.saturating_sub(self.sampled));
@@ -125,18 +140,29 @@
         let rate = self.tokens.per_sec(now);
         let mean = rate / self.requests.per_sec(now).max(f64::MIN_POSITIVE);
         let least = MIN_REQUESTS_LEASED * mean;
-        let covered = rate * COVERED_TIME.as_secs_f64();
+        let time = if self.is_link_busy {
+            BUSY_COVERED_TIME
+        } else {
+            COVERED_TIME
+        };
+        let covered = rate * time.as_secs_f64();
         let most = covered.max(LARGEST_LEASED * self.largest).max(least);
         LeaseSize {
             least: least.ceil() as Tokens,
             most: most.ceil() as Tokens,
+            is_link_busy: self.is_link_busy,
         }
     }
 
     /// Number of free tokens below which a lease of `granted` tokens is replaced.
     #[must_use]
     pub fn renew_below(&self, granted: Tokens, now: Micros) -> Tokens {
-        let needed = self.tokens.per_sec(now) * RENEW_TIME.as_secs_f64();
+        let time = if self.is_link_busy {
+            BUSY_RENEW_TIME
+        } else {
+            RENEW_TIME
+        };
+        let needed = self.tokens.per_sec(now) * time.as_secs_f64();
         (needed.max(self.largest) as Tokens).min(granted / 2)
     }
 }
@@ -205,7 +231,12 @@
     available: Tokens,
     size: &LeaseSize,
 ) -> Option<Tokens> {
-    let room = (unspent / LENT_DIVISOR).saturating_sub(lent);
+    let divisor = if size.is_link_busy {
+        BUSY_LENT_DIVISOR
+    } else {
+        LENT_DIVISOR
+    };
+    let room = (unspent / divisor).saturating_sub(lent);
     let most = room.min(available) / ROOM_DIVISOR;
     let tokens = size.most.min(most);
     (tokens > 0 && tokens >= size.least).then_some(tokens)
--- a/crates/gateway/src/quota/lease/keeper.rs
+++ b/crates/gateway/src/quota/lease/keeper.rs
@@ -132,6 +132,7 @@
             let sample = self.quota.lessee.take_sample();
             self.demand.add(&sample, self.micros());
         }
+        self.demand.set_link_busy(reserver.leases.is_link_busy());
         let lease = self.quota.lessee.current();
         let view = lease.as_ref().map(|lease| lease.view(self.quota.prepaid()));
         match decide(&self.demand, view.as_ref(), self.micros()) {
--- a/crates/gateway/src/quota/lease/state.rs
+++ b/crates/gateway/src/quota/lease/state.rs
@@ -42,6 +42,8 @@
     arrived: Mutex<Vec<Arc<LocalQuota>>>,
     waker: Notify,
     is_stopped: AtomicBool,
+    /// Whether answers of holders may be late, since this router's link is busy.
+    is_link_busy: AtomicBool,
     pub(in crate::quota) counters: LeaseCounters,
 }
 
@@ -51,6 +53,7 @@
             arrived: Mutex::default(),
             waker: Notify::new(),
             is_stopped: AtomicBool::new(false),
+            is_link_busy: AtomicBool::new(false),
             counters,
         }
     }
@@ -85,6 +88,15 @@
         self.is_stopped.store(true, Relaxed);
     }
 
+    /// Sets whether this router's link is busy.
+    pub(in crate::quota) fn set_link_busy(&self, is_busy: bool) {
+        self.is_link_busy.store(is_busy, Relaxed);
+    }
+
+    pub(super) fn is_link_busy(&self) -> bool {
+        self.is_link_busy.load(Relaxed)
+    }
+
     pub(super) fn is_stopped(&self) -> bool {
         self.is_stopped.load(Relaxed)
     }
--- a/crates/gateway/src/quota/local.rs
+++ b/crates/gateway/src/quota/local.rs
@@ -18,7 +18,7 @@
 use crate::clock::Clock;
 
 /// Time for which a grant of a holder shows that holders can be reached.
-const GRANT_MEMORY: Duration = Duration::from_secs(3);
+const GRANT_MEMORY: Duration = Duration::from_secs(10);
 
 /// What this router may spend of one workspace's tokens.
 #[derive(Debug)]
--- a/crates/gateway/src/quota/reserver.rs
+++ b/crates/gateway/src/quota/reserver.rs
@@ -46,7 +46,7 @@
 const ROUND_TRIP: Duration = Duration::from_millis(60);
 /// Time for an answer to a request for a lease. No request waits for it, so it covers several
 /// processor scheduling periods of the two VMs.
-const LEASE_TIMEOUT: Duration = Duration::from_millis(250);
+const LEASE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Sends calls to other routers.
 #[async_trait]
 pub trait PeerClient: fmt::Debug + Send + Sync {
@@ -223,6 +223,12 @@
         })
     }
 
+    /// Sets whether answers of holders may be late, since this router's link is busy. Leases are for
+    /// longer then.
+    pub fn set_link_busy(&self, is_busy: bool) {
+        self.leases.set_link_busy(is_busy);
+    }
+
     /// Like [`Self::reserve`], but returns at once while the budget is ample and holders answer: the
     /// tokens are reserved in the background then, and may take [`PENDING_WAIT`].
     ///
--- a/crates/gateway/src/serve/service.rs
+++ b/crates/gateway/src/serve/service.rs
@@ -174,7 +174,9 @@
             wait,
             request: time,
         };
-        let reserved = if self.node.traffic.is_busy.load(Relaxed) {
+        let is_link_busy = self.node.traffic.is_busy.load(Relaxed);
+        self.reserver.set_link_busy(is_link_busy);
+        let reserved = if is_link_busy {
             let behind = self.reserver.reserve_behind(&quota, usage, timeouts);
             behind.await
         } else {
--- a/crates/gateway/tests/testsuite/leases.rs
+++ b/crates/gateway/tests/testsuite/leases.rs
@@ -231,7 +231,11 @@
         number,
         workspace: "acme".to_owned(),
         time_ms: 1_000,
-        lease: Some(LeaseSize { least, most }),
+        lease: Some(LeaseSize {
+            least,
+            most,
+            is_link_busy: false,
+        }),
         ..Reserve::default()
     }
 }
@@ -300,7 +304,16 @@
 fn a_holder_lends_a_hundredth_of_what_it_holds() {
     let granted = |unspent, lent, available| {
         let (least, most) = (100, 400);
-        grantable(unspent, lent, available, &LeaseSize { least, most })
+        grantable(
+            unspent,
+            lent,
+            available,
+            &LeaseSize {
+                least,
+                most,
+                is_link_busy: false,
+            },
+        )
     };
     assert_eq!(granted(100_000, 0, 50_000), Some(400));
     assert_eq!(granted(100_000, 400, 50_000), Some(300));
