--- a/crates/gateway/src/quota/lease.rs
+++ b/crates/gateway/src/quota/lease.rs
@@ -30,10 +30,13 @@
 /// A lease is replaced when less than this time of use is left: some calls to a holder, each of
 /// which may take a processor scheduling period on both VMs.
 const RENEW_TIME: Duration = Duration::from_millis(300);
-/// The same two times while the router's link is busy: an answer may wait behind the bodies of
-/// callers' requests for most of a second.
+/// The same two times for a router that serves many requests of the workspace, or whose link is
+/// busy: an answer may wait behind the bodies of callers' requests for most of a second then.
 const BUSY_COVERED_TIME: Duration = Duration::from_millis(2_000);
 const BUSY_RENEW_TIME: Duration = Duration::from_millis(1_000);
+/// Requests a second of one workspace from which on its callers may fill the link within a second:
+/// twenty bodies of 17 KB are a quarter of a link of 10 Mbit/s.
+const BUSY_RATE: f64 = 20.0;
 /// Age at which a lease is replaced, so that the holder learns what was spent.
 pub const MAX_AGE: Duration = Duration::from_secs(1);
 /// Age at which a lease that couldn't be replaced is closed.
@@ -60,8 +63,8 @@
 /// A holder lends at most this fraction of the unspent tokens that it holds itself. What all
 /// holders hold is within the budget, so all leases together are within the same fraction of it.
 const LENT_DIVISOR: Tokens = 100;
-/// The same for a router whose link is busy, of which a failure domain has few at a time. They use
-/// such a lease up within seconds.
+/// The same for such a router. A failure domain has few of them at a time, and they use a lease up
+/// within seconds.
 const BUSY_LENT_DIVISOR: Tokens = 10;
 /// A lease gets at most this fraction of what the holder may still lend or has available, so that
 /// the first routers that ask leave something for others and for requests.
@@ -131,6 +134,11 @@
         now.saturating_sub(self.last_request) >= IDLE_TIME.as_micros() as Micros
     }
 
+    /// Whether leases are for longer than others.
+    fn is_busy(&self, now: Micros) -> bool {
+        self.is_link_busy || self.requests.per_sec(now) >= BUSY_RATE
+    }
+
     fn is_steady(&self, now: Micros, min_rate: f64) -> bool {
         self.count >= MIN_REQUESTS && self.requests.per_sec(now) >= min_rate
     }
@@ -140,7 +148,7 @@
         let rate = self.tokens.per_sec(now);
         let mean = rate / self.requests.per_sec(now).max(f64::MIN_POSITIVE);
         let least = MIN_REQUESTS_LEASED * mean;
-        let time = if self.is_link_busy {
+        let time = if self.is_busy(now) {
             BUSY_COVERED_TIME
         } else {
             COVERED_TIME
@@ -150,14 +158,14 @@
         LeaseSize {
             least: least.ceil() as Tokens,
             most: most.ceil() as Tokens,
-            is_link_busy: self.is_link_busy,
+            is_busy: self.is_busy(now),
         }
     }
 
     /// Number of free tokens below which a lease of `granted` tokens is replaced.
     #[must_use]
     pub fn renew_below(&self, granted: Tokens, now: Micros) -> Tokens {
-        let time = if self.is_link_busy {
+        let time = if self.is_busy(now) {
             BUSY_RENEW_TIME
         } else {
             RENEW_TIME
@@ -231,7 +239,7 @@
     available: Tokens,
     size: &LeaseSize,
 ) -> Option<Tokens> {
-    let divisor = if size.is_link_busy {
+    let divisor = if size.is_busy {
         BUSY_LENT_DIVISOR
     } else {
         LENT_DIVISOR
--- a/crates/gateway/tests/testsuite/leases.rs
+++ b/crates/gateway/tests/testsuite/leases.rs
@@ -234,7 +234,7 @@
         lease: Some(LeaseSize {
             least,
             most,
-            is_link_busy: false,
+            is_busy: false,
         }),
         ..Reserve::default()
     }
@@ -311,7 +311,7 @@
             &LeaseSize {
                 least,
                 most,
-                is_link_busy: false,
+                is_busy: false,
             },
         )
     };
