admission: levels and shares of an overloaded pool, carried between routers

Adds to crates/admission the observations of a router, the level of a pool from the sums over all routers, max-min shares by workspace and the decision for one request; to the gateway the state of a pool, the reports to two aggregators and the check before a server is chosen.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -131,6 +131,38 @@
         self.slots = slots;
     }
 
+    /// Sets the mean service time, where it is known and not measured.
+    pub fn set_service_time(&mut self, time: Micros) {
+        self.service.set(time);
+    }
+
+    /// Whether a refused request returns at the time it was given; its place is used up then.
+    pub fn redeem(&mut self, class: &ClassName, now: Micros, key: u64) -> bool {
+        let index = self.class_index(class);
+        self.classes[index].schedule.redeem(now, key)
+    }
+
+    /// Refuses a request that isn't pushed. Returns when it may return, and whether capacity is
+    /// kept for it then: only if that is at `latest` or before.
+    pub fn refuse(
+        &mut self,
+        class: &ClassName,
+        key: u64,
+        now: Micros,
+        latest: Micros,
+    ) -> (Micros, bool) {
+        let index = self.class_index(class);
+        self.classes[index].on_arrival(now);
+        let rate = self.class_rate(index, now);
+        let earliest = now + self.predict_wait(index, false, now);
+        let schedule = &mut self.classes[index].schedule;
+        let due = schedule.next_place(now, key, earliest, rate);
+        if due > latest {
+            return (due, false);
+        }
+        (schedule.assign(now, key, earliest, rate), true)
+    }
+
     /// Admits an entry, or refuses it with a time to retry.
     ///
     /// # Errors
@@ -145,7 +177,7 @@
             self.classes[index].schedule.on_free_slot(now);
         }
         if !self.is_admissible(index, &entry, is_retry, wait, now) {
-            return Err(self.refuse(index, entry.key, now));
+            return Err(self.refusal(index, entry.key, now));
         }
         self.classes[index].schedule.remove_key(entry.key);
         let ticket = Ticket(self.next_ticket);
@@ -391,7 +423,7 @@
         }
     }
 
-    fn refuse(&mut self, index: usize, key: u64, now: Micros) -> Refusal {
+    fn refusal(&mut self, index: usize, key: u64, now: Micros) -> Refusal {
         let rate = self.class_rate(index, now);
         let wait = self.predict_wait(index, false, now);
         let due = self.classes[index]
@@ -406,7 +438,7 @@
         self.classes[index]
             .predictor
             .learn(queued.predicted_wait, waited);
-        let refusal = self.refuse(index, queued.entry.key, now);
+        let refusal = self.refusal(index, queued.entry.key, now);
         self.expired.push(ExpiredEntry {
             ticket: Ticket(queued.ticket),
             entry: queued.entry,
--- a/crates/admission/src/retry.rs
+++ b/crates/admission/src/retry.rs
@@ -78,13 +78,11 @@
     pub fn assign(&mut self, now: Micros, key: u64, earliest: Micros, rate: f64) -> Micros {
         self.remove_missed(now);
         self.last_refusal = now;
-        if let Some(due) = self.due.get(&key) {
-            return (*due).max(now);
+        let due = self.next_place(now, key, earliest, rate);
+        if self.due.contains_key(&key) {
+            return due;
         }
-        let first = earliest.max(now + micros(self.policy.min_wait)) as f64;
-        let interval = MICROS_PER_SEC / (rate * self.policy.share).max(1e-3);
-        self.last_due = (self.last_due + interval).max(first);
-        let due = self.last_due as Micros;
+        self.last_due = due as f64;
         if key != 0 && self.due.len() < self.policy.max_len {
             self.due.insert(key, due);
             self.by_time.insert((due, key));
@@ -92,6 +90,17 @@
         due
     }
 
+    /// When the place would be due that [`Self::assign`] gives.
+    #[must_use]
+    pub fn next_place(&self, now: Micros, key: u64, earliest: Micros, rate: f64) -> Micros {
+        if let Some(due) = self.due.get(&key) {
+            return (*due).max(now);
+        }
+        let first = earliest.max(now + micros(self.policy.min_wait)) as f64;
+        let interval = MICROS_PER_SEC / (rate * self.policy.share).max(1e-3);
+        (self.last_due + interval).max(first) as Micros
+    }
+
     /// Whether `key` comes at its due time; if so, its place is removed.
     pub fn redeem(&mut self, now: Micros, key: u64) -> bool {
         self.remove_missed(now);
--- a/crates/admission/src/service.rs
+++ b/crates/admission/src/service.rs
@@ -35,6 +35,12 @@
         self.mean_time.add(time.max(1) as f64);
     }
 
+    /// Replaces the mean service time.
+    pub fn set(&mut self, time: Micros) {
+        self.mean_time = Mean::new(SERVICE_GAIN);
+        self.add(time);
+    }
+
     /// Mean service time.
     #[must_use]
     pub fn time(&self) -> Micros {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -5,6 +5,7 @@
 
 mod limited;
 mod pools;
+mod speeds;
 mod ticket;
 
 use std::collections::{HashMap, HashSet};
@@ -24,6 +25,7 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::admission::PoolAdmission;
 use crate::catalog::ServerEntry;
 use crate::domains::Domains;
 use crate::eligibility::{Announcements, Eligibility};
@@ -56,6 +58,8 @@
     pub retries: RetryBudget,
     /// Rollout of a new version of its servers.
     pub rollout: PoolRollout,
+    /// Admission of its requests.
+    pub admission: PoolAdmission,
     spec: ArcSwap<PoolSpec>,
     fleet: Mutex<Fleet>,
     servers: ArcSwap<HashMap<ServerName, ServerInfo>>,
@@ -138,6 +142,7 @@
                 settings.retries.window,
             ),
             rollout: PoolRollout::new(settings.rollouts),
+            admission: PoolAdmission::new(spec.name.clone()),
             spec: ArcSwap::new(spec),
             fleet: Mutex::new(fleet),
             servers: ArcSwap::default(),
@@ -361,6 +366,7 @@
     /// Applies a server's load report.
     pub fn on_report(&self, idx: ServerIdx, report: LoadReport) {
         let now = self.now();
+        self.admission.on_load_report();
         self.fleet().on_report(idx, now, report);
     }
 
--- a/crates/gateway/src/fleet/ticket.rs
+++ b/crates/gateway/src/fleet/ticket.rs
@@ -26,6 +26,12 @@
 }
 
 impl Ticket {
+    /// Prompt tokens that the server has to process, as far as is known.
+    #[must_use]
+    pub fn prefill_tokens(&self) -> u64 {
+        self.dispatch.as_ref().map_or(0, Dispatch::prefill_tokens)
+    }
+
     /// Handles the first byte or event of the response.
     pub fn on_first_event(&mut self) {
         let now = self.pool.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! Deployments implement the traits [`Dialect`], [`Store`] and [`Catalog`]. The decisions
 //! (`outcome`, `headroom`, `quota::account`, `model`, `sse`) do no I/O.
 
+pub mod admission;
 pub mod catalog;
 pub mod clock;
 pub mod dialect;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,6 +54,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct PriorityLabels {
+    priority: u8,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct RouteLabels {
     kind: &'static str,
@@ -80,6 +85,8 @@
     first_event: Histogram,
     store_calls: Family<CallLabels, Counter>,
     unreadable: Family<FeedLabels, Counter>,
+    overloaded: Family<PriorityLabels, Counter>,
+    shed: Family<PriorityLabels, Counter>,
     gauges: Gauges,
 }
 
@@ -98,6 +105,8 @@
     cold_servers: Gauge,
     limited_servers: Gauge,
     held_requests: Gauge,
+    admission_level: Gauge,
+    admission_waiting: Gauge,
 }
 
 fn histogram() -> Histogram {
@@ -117,6 +126,8 @@
             first_event: histogram(),
             store_calls: Family::default(),
             unreadable: Family::default(),
+            overloaded: Family::default(),
+            shed: Family::default(),
             gauges: Gauges::default(),
         };
         metrics.register();
@@ -144,7 +155,20 @@
         registry.register("store_calls", calls, self.store_calls.clone());
         let unreadable = "Records of the store that can't be read, by feed";
         registry.register("unreadable_records", unreadable, self.unreadable.clone());
+        let overloaded = "Requests refused at once for lack of capacity, by priority";
+        registry.register("admission_refusals", overloaded, self.overloaded.clone());
+        let shed = "Requests refused for lack of capacity after a wait, by priority";
+        registry.register("admission_sheds", shed, self.shed.clone());
         let gauges = &self.gauges;
+        let level =
+            "Least urgent priority that all pools admit in full; 255 while nothing is refused";
+        registry.register("admission_level", level, gauges.admission_level.clone());
+        let waiting = "Requests that wait for capacity of their pool";
+        registry.register(
+            "admission_waiting",
+            waiting,
+            gauges.admission_waiting.clone(),
+        );
         let flight = "Requests that are being served";
         registry.register("requests_in_flight", flight, gauges.in_flight.clone());
         let config = "Version of the configuration in force; 0 without one";
@@ -194,6 +218,16 @@
         self.refusals.get_or_create(&RefusalLabels { reason }).inc();
     }
 
+    /// Counts a request that was refused for lack of capacity.
+    pub fn overloaded(&self, priority: u8, has_waited: bool) {
+        let family = if has_waited {
+            &self.shed
+        } else {
+            &self.overloaded
+        };
+        family.get_or_create(&PriorityLabels { priority }).inc();
+    }
+
     /// Counts an attempt at a backend server.
     pub fn attempted(&self, outcome: &'static str) {
         self.attempts
@@ -259,6 +293,13 @@
             .set(i64::try_from(held).unwrap_or(i64::MAX));
         self.ready.set(i64::from(node.is_ready()));
         self.set_servers(node);
+        let pools = node.pools.all();
+        let levels = pools.iter().map(|pool| pool.admission.level());
+        self.admission_level
+            .set(levels.min().unwrap_or(u8::MAX).into());
+        let waiting: usize = pools.iter().map(|pool| pool.admission.waiting_len()).sum();
+        self.admission_waiting
+            .set(i64::try_from(waiting).unwrap_or(i64::MAX));
     }
 
     fn set_servers(&self, node: &Node) {
--- a/crates/gateway/src/model/table.rs
+++ b/crates/gateway/src/model/table.rs
@@ -33,6 +33,11 @@
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// All routes.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flatten()
+    }
+
     /// Number of routes.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/gateway/src/peer_handler.rs
+++ b/crates/gateway/src/peer_handler.rs
@@ -8,10 +8,11 @@
 use swiftlink_telemetry::event;
 use swiftlink_types::PoolName;
 use swiftlink_wire::link::{
-    Ended, Failure, FailureKind, FeedRecords, GetFeed, Noted, Refusal, Release, Released, Reserve,
-    Reserved, Seen, Tally, reply, request,
+    Ended, Failure, FailureKind, FeedRecords, GetFeed, Noted, PoolReport, PoolSummary, Refusal,
+    Release, Released, Reserve, Reserved, Seen, Tally, reply, request,
 };
 
+use crate::admission::{self, Aggregates};
 use crate::limits::Coordinator;
 use crate::node::Node;
 use crate::quarantine::gossip;
@@ -27,6 +28,8 @@
     pub(crate) reservations: Arc<PeerReservations>,
     /// Issues permits for servers that limit their rate.
     pub(crate) permits: Arc<Coordinator>,
+    /// Reports on the pools that this router aggregates.
+    pub(crate) aggregates: Arc<Aggregates>,
 }
 
 impl PeerHandler {
@@ -90,6 +93,19 @@
             .insert(&pool, tally.order, tally.process, report);
     }
 
+    fn summarize(&self, report: &PoolReport) -> PoolSummary {
+        let name = PoolName::from(report.pool.as_str());
+        let Some(pool) = self.node.pools.get(&name) else {
+            return PoolSummary::default();
+        };
+        let load = admission::decode_report(report);
+        let targets = pool.admission.targets();
+        let summary = self
+            .aggregates
+            .on_report(&name, report.process, load, &targets);
+        admission::encode_summary(&summary, Vec::new())
+    }
+
     fn last_seen(&self, process: u64) -> Seen {
         let Some(reading) = self.node.peer_clocks.get(process) else {
             return Seen::default();
@@ -120,6 +136,9 @@
             request::Kind::AskPermits(ask) => {
                 reply::Kind::Permits(self.permits.reply_to(peer, &ask))
             }
+            request::Kind::PoolReport(report) => {
+                reply::Kind::PoolSummary(self.summarize(&report))
+            }
             request::Kind::GetSeen(get) => reply::Kind::Seen(self.last_seen(get.process)),
             request::Kind::GetFeed(request) => {
                 reply::Kind::FeedRecords(self.feed_records(&request).await)
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use crate::admission::{self, Aggregates};
 use crate::catalog::Catalog;
 use crate::dialect::Dialect;
 use crate::limits::{Allocators, Coordinator, Requester};
@@ -258,10 +259,17 @@
     let reservations = Arc::new(PeerReservations::default());
     tasks.spawn(expire_reservations(Arc::clone(&reservations)));
     let permits = spawn_limits(tasks, node, peers);
+    let aggregates = Arc::new(Aggregates::default());
+    tasks.spawn(admission::run(
+        Arc::clone(node),
+        Arc::clone(peers),
+        Arc::clone(&aggregates),
+    ));
     let handler = Arc::new(PeerHandler {
         node: Arc::clone(node),
         reservations,
         permits,
+        aggregates,
     });
     let name = settings.vm.to_string();
     let peers = Arc::clone(peers);
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -19,6 +19,7 @@
 use super::attempt::{ServerResponse, attempt};
 use super::refusal::{Refusal, SERVER_RETRY};
 use super::relay;
+use crate::admission::SentRequest;
 use crate::dialect::RequestMeta;
 use crate::fingerprint::RequestIdentity;
 use crate::fleet::{Pool, SelectedServer, ServerCriteria, Ticket};
@@ -114,6 +115,8 @@
     executions: u32,
     /// Attempts that were given up before any byte left, since the server became ineligible.
     withheld: usize,
+    /// The current attempt, until its first event.
+    pub(super) sent: Option<SentRequest>,
 }
 
 impl Exchange {
@@ -147,7 +150,7 @@
     }
 
     /// Length of the prompt, in own and shared tokens.
-    fn prompt(&self) -> Prompt {
+    pub(super) fn prompt(&self) -> Prompt {
         let all = self.meta.usage.map_or(0, |usage| usage.prompt);
         let shared = self.meta.shared.min(all);
         Prompt {
@@ -223,9 +226,11 @@
             if let Some(rest) = self.node.quarantine.remaining_hold(&self.identity) {
                 return Err(quarantine_refusal(attempts, rest));
             }
+            self.admit(attempts).await?;
             let Some((server, ticket)) = self.choose(attempts).await else {
                 return Err(self.unserved(attempts));
             };
+            self.on_sent(attempts, &ticket);
             let idx = ticket.idx;
             let until = self.attempt_deadline(attempts);
             let name = server.instance.name.clone();
@@ -435,7 +440,7 @@
             ms = self.start.elapsed().as_millis(),
         );
         self.is_logged.set(true);
-        self.node.metrics.refused(refusal.as_str());
+        self.on_refused(refusal);
         refusal.response()
     }
 }
@@ -465,6 +470,11 @@
 }
 
 impl Attempts {
+    /// Whether none was made.
+    pub(super) fn is_empty(&self) -> bool {
+        self.tried.is_empty()
+    }
+
     /// Number of attempts, without those that were withheld.
     pub(super) fn count(&self) -> usize {
         self.tried.len() - self.withheld
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -4,6 +4,7 @@
 //! sends it to one server; `exchange` repeats attempts as their outcomes allow; `relay` passes
 //! the response to the caller; `refusal` makes the responses of the router itself.
 
+mod admit;
 mod attempt;
 mod exchange;
 mod refusal;
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -6,6 +6,8 @@
 use http::{HeaderValue, StatusCode};
 use swiftlink_shell::web::{Response, problem};
 
+use crate::admission::Overloaded;
+
 /// Why a request isn't served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Refusal {
@@ -35,6 +37,8 @@
     StoreUnavailable(Option<Duration>),
     /// No server takes the request now, and none has executed it. One may take it after this time.
     NoServer(Duration),
+    /// The pool has no capacity for the request now, and it was sent to no server.
+    Overloaded(Overloaded),
     /// Servers crashed while they worked on the request; it is quarantined for this time.
     Held(Duration),
     /// The request may have been executed, and there is no response.
@@ -60,9 +64,11 @@
     /// executed and never will be.
     pub(super) fn status(self) -> StatusCode {
         match self {
-            Self::NotReady | Self::StaleConfig | Self::NoServer(_) | Self::Held(_) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::StaleConfig
+            | Self::NoServer(_)
+            | Self::Overloaded(_)
+            | Self::Held(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Malformed | Self::BrokenBody => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
@@ -80,6 +86,7 @@
         match self {
             Self::NotReady | Self::StaleConfig => Some(CONFIG_RETRY),
             Self::NoServer(wait) | Self::Held(wait) => Some(wait),
+            Self::Overloaded(overloaded) => Some(overloaded.after),
             Self::NoQuota(back) => Some(back.unwrap_or(QUOTA_RETRY)),
             Self::StoreUnavailable(back) => Some(back.unwrap_or(STORE_RETRY)),
             _ => None,
@@ -101,6 +108,7 @@
             Self::NoQuota(_) => "no_rights",
             Self::StoreUnavailable(_) => "store_away",
             Self::NoServer(_) => "no_server",
+            Self::Overloaded(_) => "overloaded",
             Self::Held(_) => "held",
             Self::Lost => "lost",
             Self::Timeout => "timeout",
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -218,6 +218,9 @@
                 if gaps.on_event(exchange.start, Instant::now()) {
                     exchange.node.metrics.first_event(exchange.start.elapsed());
                 }
+                if let Some(sent) = attempts.sent.take() {
+                    sent.on_first_event();
+                }
                 if let Some(sample) = gaps.sample() {
                     response.ticket.on_stream_gaps(sample);
                 }
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -44,6 +44,14 @@
     pub(crate) load: u32,
 }
 
+impl Dispatch {
+    /// Prompt tokens of this request that the server has to prefill, as far as is known.
+    #[must_use]
+    pub fn prefill_tokens(&self) -> u64 {
+        self.prefill
+    }
+}
+
 /// State of one server instance, as policies see it.
 #[derive(Clone, Debug)]
 pub struct Server {
