--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -1,10 +1,11 @@
 //! Admission of a request to its pool.
 
+use swiftlink_shell::web::Response;
 use swiftlink_telemetry::event;
 
 use super::exchange::{Attempts, Exchange};
 use super::refusal::Refusal;
-use crate::admission::{AdmissionRequest, PoolAdmission};
+use crate::admission::{AdmissionRequest, Overloaded, PoolAdmission};
 use crate::fleet::Ticket;
 
 impl Exchange {
@@ -37,27 +38,31 @@
         }
     }
 
-    /// Counts a refusal, and logs the level of one for lack of capacity.
-    pub(super) fn on_refused(&self, refusal: Refusal) {
-        self.node.metrics.refused(refusal.as_str());
-        let Refusal::Overloaded(overloaded) = refusal else {
-            return;
-        };
+    /// Logs a refusal for lack of capacity and makes its response.
+    pub(super) fn refuse_overloaded(&self, overloaded: &Overloaded) -> Response {
+        let refusal = Refusal::Overloaded(*overloaded);
         let priority = self.priority();
-        self.node
-            .metrics
-            .overloaded(priority, overloaded.has_waited);
         event!(
             info,
-            "admission.refused",
+            "request.refused",
             id = self.id(),
-            pool = self.pool.name,
+            route = self.route.name,
+            workspace = self.workspace(),
+            reason = refusal.as_str(),
             priority = priority,
             level = overloaded.level,
             wait_ms = overloaded.wait.as_millis(),
             back_ms = overloaded.after.as_millis(),
             waited = overloaded.has_waited,
+            config = self.version,
+            ms = self.start.elapsed().as_millis(),
         );
+        self.is_logged.set(true);
+        self.node.metrics.refused(refusal.as_str());
+        self.node
+            .metrics
+            .overloaded(priority, overloaded.has_waited);
+        refusal.response()
     }
 
     /// Identifies the request when it returns.
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -426,6 +426,9 @@
 
     /// Logs the refusal and makes its response.
     pub(super) fn refuse(&self, refusal: Refusal, attempts: &Attempts) -> Response {
+        if let Refusal::Overloaded(overloaded) = refusal {
+            return self.refuse_overloaded(&overloaded);
+        }
         event!(
             info,
             "request.refused",
@@ -440,7 +443,7 @@
             ms = self.start.elapsed().as_millis(),
         );
         self.is_logged.set(true);
-        self.on_refused(refusal);
+        self.node.metrics.refused(refusal.as_str());
         refusal.response()
     }
 }
