--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -24,6 +24,11 @@
 const FLOW_LIMIT: usize = 64;
 /// Weights of flows are rates in thousandths of a request per second.
 const WEIGHT_SCALE: f64 = 1_000.0;
+/// Time after the end of an overload in which the times given to refused requests hold (µs).
+const MAX_PAUSE: Micros = 15_000_000;
+/// Share of the admitted rate that is kept for requests that return. All of them together get no
+/// more than the pool can serve: with a larger share, more new requests are late instead.
+const RETRY_SHARE: f64 = 0.25;
 /// Longest time to return that a refusal names: how long an overload lasts isn't known.
 const MAX_RETURN: Micros = 10_000_000;
 /// Share of the named time over which requests without a place of their own are spread.
@@ -91,6 +96,8 @@
     interval: Micros,
     /// When the slot is free again.
     free_at: Micros,
+    /// When shares were last restricted.
+    used_at: Micros,
 }
 
 impl Gate {
@@ -123,11 +130,15 @@
         self.shares = shares.clone();
         self.wait = wait.as_micros() as Micros;
         if shares.is_open() {
-            let pacing = self.pacing.take();
-            let entries = pacing.map(|mut pacing| pacing.queue.drain());
+            let entries = self.pacing.as_mut().map(|pacing| pacing.queue.drain());
             let entries = entries.unwrap_or_default().into_iter();
             return entries.map(|entry| entry.payload).collect();
         }
+        // Requests that were refused shortly before are still recognized when they return.
+        let is_old = |pacing: &Pacing| now.saturating_sub(pacing.used_at) > MAX_PAUSE;
+        if self.pacing.as_ref().is_some_and(is_old) {
+            self.pacing = None;
+        }
         let mut rates = Vec::new();
         for ((priority, workspace), flow) in &self.flows {
             let share = shares.of(*priority, workspace.as_ref());
@@ -141,6 +152,7 @@
         let pacing = self
             .pacing
             .get_or_insert_with(|| Pacing::new(now, interval));
+        pacing.used_at = now;
         pacing.set_rate(interval, &rates);
         Vec::new()
     }
@@ -154,7 +166,8 @@
     /// Decides about a request that arrives now.
     pub fn decide(&mut self, now: Micros, request: &GateRequest<'_>) -> Decision {
         let share = self.shares.of(request.priority, request.workspace);
-        let Some(pacing) = &mut self.pacing else {
+        let pacing = self.pacing.as_mut();
+        let Some(pacing) = pacing.filter(|_| !self.shares.is_open()) else {
             return Decision::Admit;
         };
         let flow = (request.priority, request.workspace.cloned());
@@ -237,13 +250,17 @@
     fn new(now: Micros, interval: Micros) -> Self {
         let policy = QueuePolicy {
             initial_service: Duration::from_micros(interval),
-            retry: RetryPolicy::default(),
+            retry: RetryPolicy {
+                share: RETRY_SHARE,
+                ..RetryPolicy::default()
+            },
             ..QueuePolicy::default()
         };
         Self {
             queue: Queue::new(policy, 1),
             interval,
             free_at: now,
+            used_at: now,
         }
     }
 
--- a/crates/admission/src/level.rs
+++ b/crates/admission/src/level.rs
@@ -31,7 +31,7 @@
     pub drain: Duration,
     /// Relative growth of the limit per second of calm.
     pub growth: f64,
-    /// Fraction of the limit that the least urgent priority may use in any case.
+    /// Fraction of the capacity that the least urgent priority may use in any case.
     pub floor: f64,
     /// Number of admitted requests that an observation needs at least.
     pub min_samples: f64,
@@ -45,15 +45,15 @@
             raise: 0.3,
             late: 0.1,
             certain: 1.0,
-            hold: 0.2,
+            hold: 0.25,
             early: 0.15,
             imbalance: 0.12,
-            calm: 0.1,
+            calm: 0.12,
             drain: Duration::from_secs(1),
-            growth: 0.04,
+            growth: 0.03,
             floor: 0.1,
             min_samples: 20.0,
-            end_after: Duration::from_secs(3),
+            end_after: Duration::from_secs(4),
         }
     }
 }
@@ -65,7 +65,7 @@
 /// Highest limit, as a multiple of the arrivals: beyond it, a growing limit has no effect.
 const MAX_LIMIT: f64 = 1.5;
 /// Multiple of the arrivals that the limit must exceed for the overload to end.
-const END_LIMIT: f64 = 1.1;
+const END_LIMIT: f64 = 1.15;
 /// Weight of a new measurement of the capacity.
 const CAPACITY_GAIN: f64 = 0.5;
 
@@ -281,9 +281,13 @@
 
     fn allocate(&mut self, load: &PoolLoad) {
         self.shares = match &self.overload {
-            Some(overload) => {
-                Shares::allocate(overload.limit, self.policy.floor, load, &self.weights)
-            }
+            Some(overload) => Shares::allocate(
+                overload.limit,
+                overload.capacity,
+                self.policy.floor,
+                load,
+                &self.weights,
+            ),
             None => Shares::default(),
         };
     }
--- a/crates/admission/src/shares.rs
+++ b/crates/admission/src/shares.rs
@@ -28,35 +28,28 @@
 }
 
 impl Shares {
-    /// Distributes `limit` requests per second over the load.
+    /// Distributes `limit` requests per second over the load of a pool that serves `capacity`.
     ///
-    /// More urgent priorities go first, apart from the fraction `floor` of the limit that the least
-    /// urgent one may use in any case. Workspaces of one priority share by weight (max-min
-    /// fairness); a workspace without a weight has the weight 1.
+    /// More urgent priorities go first, apart from the fraction `floor` of the capacity that the
+    /// least urgent one may use in any case. Workspaces of one priority share by weight (max-min
+    /// fairness); a workspace without a weight has the weight 1. A limit below the capacity, at
+    /// which a queue is worked off, takes nothing from a workspace within its share of the capacity.
     #[must_use]
     pub fn allocate(
         limit: f64,
+        capacity: f64,
         floor: f64,
         load: &PoolLoad,
         weights: &HashMap<WorkspaceName, f64>,
     ) -> Self {
         let mut shares = Self::default();
-        let classes = load.classes.iter();
-        let classes: Vec<_> = classes.filter(|(_, load)| load.arrivals > 0.0).collect();
-        let Some((least_urgent, load)) = classes.last() else {
-            return shares;
-        };
-        let reserve = load.arrivals.min(limit * floor);
-        let mut left = limit - reserve;
-        for (priority, load) in &classes {
-            if priority == least_urgent {
-                left += reserve;
-            }
-            let admitted = load.arrivals.min(left);
-            left -= admitted;
+        let admitted = admitted_by_class(limit, capacity * floor, load);
+        let at_capacity = admitted_by_class(limit.max(capacity), capacity * floor, load);
+        let limits = admitted.into_iter().zip(at_capacity);
+        for ((priority, load), (admitted, at_capacity)) in load.classes.iter().zip(limits) {
             if admitted < load.arrivals * FULL_SHARE {
-                let class = ClassShares::allocate(admitted, load, weights);
-                shares.classes.insert(**priority, class);
+                let class = ClassShares::allocate(admitted, at_capacity, load, weights);
+                shares.classes.insert(*priority, class);
             }
         }
         shares
@@ -87,8 +80,33 @@
     }
 }
 
+/// Admitted requests per second of each priority, the most urgent one first. The least urgent one
+/// gets up to `reserve` in any case.
+fn admitted_by_class(limit: f64, reserve: f64, load: &PoolLoad) -> Vec<f64> {
+    let arrivals: Vec<f64> = load.classes.values().map(|class| class.arrivals).collect();
+    let last = arrivals.iter().rposition(|arrivals| *arrivals > 0.0);
+    let least_urgent = last.and_then(|last| load.classes.values().nth(last));
+    let reserve = least_urgent.map_or(0.0, |class| class.arrivals.min(reserve));
+    let mut left = (limit - reserve).max(0.0);
+    let mut admitted = Vec::new();
+    for (index, arrivals) in arrivals.into_iter().enumerate() {
+        if Some(index) == last {
+            left += reserve;
+        }
+        let rate = arrivals.min(left);
+        left -= rate;
+        admitted.push(rate);
+    }
+    admitted
+}
+
 impl ClassShares {
-    fn allocate(admitted: f64, load: &ClassLoad, weights: &HashMap<WorkspaceName, f64>) -> Self {
+    fn allocate(
+        admitted: f64,
+        at_capacity: f64,
+        load: &ClassLoad,
+        weights: &HashMap<WorkspaceName, f64>,
+    ) -> Self {
         let listed: f64 = load.workspaces.values().sum();
         let others = (load.arrivals - listed).max(0.0);
         let weight = |workspace| weights.get(workspace).copied().unwrap_or(1.0).max(1e-3);
@@ -97,8 +115,18 @@
             .map(|(workspace, arrivals)| (*arrivals, weight(workspace)))
             .collect();
         demands.push((others, 1.0));
-        let unit = max_min_unit(admitted, &demands);
+        let fair = max_min_unit(at_capacity, &demands);
+        let is_within = |demand: f64, weight: f64| demand <= fair * weight;
+        let within = demands
+            .iter()
+            .filter(|(demand, weight)| is_within(*demand, *weight));
+        let within: f64 = within.map(|(demand, _)| demand).sum();
+        demands.retain(|(demand, weight)| !is_within(*demand, *weight));
+        let unit = max_min_unit((admitted - within).max(0.0), &demands);
         let share = |demand: f64, weight: f64| {
+            if is_within(demand, weight) {
+                return 1.0;
+            }
             let share = unit * weight / demand.max(1e-9);
             if share < FULL_SHARE { share } else { 1.0 }
         };
--- a/crates/admission/tests/overload/model.rs
+++ b/crates/admission/tests/overload/model.rs
@@ -6,11 +6,11 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use swiftlink_admission::{Admission, Decision, GateRequest, PoolAggregate, Targets, WAIT_DIVISOR};
+use swiftlink_admission::{Admission, Decision, GateRequest, PoolAggregate, Targets};
 use swiftlink_types::{Micros, WorkspaceName};
 
-pub const SEC: Micros = 1_000_000;
-pub const MS: Micros = 1_000;
+const SEC: Micros = 1_000_000;
+const MS: Micros = 1_000;
 /// Prefill time per prompt token (µs), and tokens of a mean request.
 const PER_TOKEN: f64 = 28.0;
 const MEAN_TOKENS: f64 = 4_300.0;
@@ -355,9 +355,3 @@
         }
     }
 }
-
-/// Longest wait for admission of a request with this target.
-#[allow(dead_code)]
-pub fn max_wait(target: Micros) -> Micros {
-    target / WAIT_DIVISOR
-}
