admission: credit by arrivals, earlier signs of a growing queue, model of a burst

The gate's share was applied to an average of the arrivals over five seconds, so that it admitted three quarters of the limit for some seconds after each change. Each arrival now adds the share of its flow to a credit.

--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -16,8 +16,9 @@
 const ARRIVAL_HORIZON: Duration = Duration::from_secs(5);
 /// Maximum number of flows.
 const MAX_FLOWS: usize = 256;
-/// Requests that may pass at once after an idle time.
-const BURST: u64 = 2;
+/// Largest credit, in requests, and largest debt.
+const MAX_CREDIT: f64 = 2.0;
+const MAX_DEBT: f64 = 4.0;
 /// Longest time between two requests that pass (µs).
 const MAX_INTERVAL: f64 = 60.0 * MICROS_PER_SEC;
 /// Maximum number of waiting requests of one flow.
@@ -28,7 +29,7 @@
 const MAX_PAUSE: Micros = 15_000_000;
 /// Share of the admitted rate that is kept for requests that return. All of them together get no
 /// more than the pool can serve: with a larger share, more new requests are late instead.
-const RETRY_SHARE: f64 = 0.25;
+const RETRY_SHARE: f64 = 0.15;
 /// Longest time to return that a refusal names: how long an overload lasts isn't known.
 const MAX_RETURN: Micros = 10_000_000;
 /// Share of the named time over which requests without a place of their own are spread.
@@ -75,9 +76,8 @@
 /// Lets through the admitted share of a router's requests to a pool.
 ///
 /// Everything passes while the shares are open, and so does each flow (a workspace's requests of
-/// one priority) whose share is 1. The other flows pass a [`Queue`] in front of one slot, which each
-/// request keeps for as long as the admitted rate has between two requests. A request that returns
-/// at the time it was given passes at once.
+/// one priority) whose share is 1. The other flows pass a [`Queue`] in front of one slot, which is
+/// free while there is credit. A request that returns at the time it was given passes at once.
 #[derive(Debug, Default)]
 pub struct Gate {
     shares: Shares,
@@ -92,10 +92,11 @@
 #[derive(Debug)]
 struct Pacing {
     queue: Queue<u64>,
-    /// Time that each request takes of the admitted rate.
+    /// Mean time between two requests that pass.
     interval: Micros,
-    /// When the slot is free again.
-    free_at: Micros,
+    /// Number of requests that may pass. Each arrival adds the share of its flow, so that exactly
+    /// the admitted share passes however the rate of arrivals changes.
+    credit: f64,
     /// When shares were last restricted.
     used_at: Micros,
 }
@@ -178,13 +179,14 @@
             return Decision::Refuse(pacing.refuse(&flow.class, now, request));
         }
         if pacing.queue.redeem(&flow.class, now, request.key) {
-            pacing.take(now);
+            pacing.take();
             return Decision::Admit;
         }
         if share >= 1.0 {
             return Decision::Admit;
         }
-        pacing.free(now);
+        pacing.credit = (pacing.credit + share).min(MAX_CREDIT);
+        pacing.free();
         let max_wait = request.target / WAIT_DIVISOR;
         let wait = pacing.queue.expected_wait(&flow.class, now);
         if share <= 0.0 || wait.as_micros() as Micros > max_wait {
@@ -205,7 +207,7 @@
         }
         if wait.is_zero() && pacing.queue.pop(now).is_some() {
             pacing.queue.on_abandoned();
-            pacing.take(now);
+            pacing.take();
             return Decision::Admit;
         }
         Decision::Wait(id)
@@ -217,10 +219,10 @@
         let Some(pacing) = &mut self.pacing else {
             return ended;
         };
-        pacing.free(now);
+        pacing.free();
         while let Some((_, entry)) = pacing.queue.pop(now) {
             pacing.queue.on_abandoned();
-            pacing.take(now);
+            pacing.take();
             ended.push((entry.payload, Ok(())));
         }
         for expired in pacing.queue.take_expired(now) {
@@ -236,7 +238,7 @@
     pub fn next_event(&self) -> Option<Micros> {
         let pacing = self.pacing.as_ref()?;
         let expiry = pacing.queue.next_expiry()?;
-        Some(expiry.min(pacing.free_at))
+        Some(if pacing.credit >= 1.0 { 0 } else { expiry })
     }
 
     /// Number of waiting requests.
@@ -259,7 +261,7 @@
         Self {
             queue: Queue::new(policy, 1),
             interval,
-            free_at: now,
+            credit: 1.0,
             used_at: now,
         }
     }
@@ -276,16 +278,15 @@
         }
     }
 
-    /// Makes the slot available if its time has come.
-    fn free(&mut self, now: Micros) {
-        self.queue.set_slots(usize::from(self.free_at <= now));
+    /// Makes the slot available if there is credit.
+    fn free(&mut self) {
+        self.queue.set_slots(usize::from(self.credit >= 1.0));
     }
 
-    /// Takes the slot for one request.
-    fn take(&mut self, now: Micros) {
-        let earliest = now.saturating_sub(BURST * self.interval);
-        self.free_at = self.free_at.max(earliest) + self.interval;
-        self.free(now);
+    /// Uses credit for one request.
+    fn take(&mut self) {
+        self.credit = (self.credit - 1.0).max(-MAX_DEBT);
+        self.free();
     }
 
     /// Time after which a refused request may return. It gets a place of its own if it can still
--- a/crates/admission/src/level.rs
+++ b/crates/admission/src/level.rs
@@ -45,12 +45,12 @@
             raise: 0.3,
             late: 0.1,
             certain: 1.0,
-            hold: 0.25,
+            hold: 0.35,
             early: 0.15,
             imbalance: 0.12,
-            calm: 0.12,
+            calm: 0.2,
             drain: Duration::from_secs(1),
-            growth: 0.03,
+            growth: 0.015,
             floor: 0.1,
             min_samples: 20.0,
             end_after: Duration::from_secs(4),
@@ -74,6 +74,12 @@
 /// Standard deviations by which a queue's growth must exceed that of random arrivals.
 const SIGNIFICANCE: f64 = 3.0;
 
+/// Growth of a queue from one observation to the next that counts, and the number of consecutive ones
+/// that show an overload. Observations need this multiple of the samples of others.
+const STEP_GROWTH: f64 = 1.15;
+const MIN_GROWTHS: u32 = 3;
+const GROWTH_SAMPLES: f64 = 5.0;
+
 /// Rates of a pool's requests, per second.
 #[derive(Clone, Copy, Debug)]
 struct Flow {
@@ -144,6 +150,9 @@
     overload: Option<Overload>,
     /// Consecutive observations that indicate an overload.
     suspicions: u32,
+    /// Consecutive observations in which the queue has grown, and its length in the last one.
+    growths: u32,
+    last_waiting: f64,
     last_step: Option<Micros>,
     shares: Shares,
     wait: f64,
@@ -250,6 +259,12 @@
         let is_long = pressure.wait > self.policy.certain;
         let is_growing =
             pressure.wait > self.policy.early && flow.is_growing(self.policy.imbalance);
+        let has_grown = flow.samples >= GROWTH_SAMPLES * self.policy.min_samples
+            && flow.waiting > self.last_waiting * STEP_GROWTH;
+        self.last_waiting = flow.waiting;
+        self.growths = if has_grown { self.growths + 1 } else { 0 };
+        let is_growing =
+            is_growing || self.growths >= MIN_GROWTHS && pressure.wait > self.policy.early;
         let has_signs = is_long || pressure.is_late || is_growing;
         if flow.samples < self.policy.min_samples || !has_signs {
             self.suspicions = 0;
@@ -257,11 +272,12 @@
         }
         self.suspicions += 1;
         let is_clear = pressure.wait > 2.0 * self.policy.raise && pressure.is_late;
-        self.suspicions >= 2 || is_long || is_clear
+        self.suspicions >= 2 || is_long || is_clear || self.growths >= MIN_GROWTHS
     }
 
     fn begin(&mut self, flow: &Flow, target: f64) {
         self.suspicions = 0;
+        self.growths = 0;
         let capacity = flow.served.min(flow.arrivals).max(1e-3);
         self.overload = Some(Overload {
             capacity,
