admission: targets with the configuration, no summary from an aggregator that knows too little

A router that had just started learned the idle time of the servers only after its first second, from requests that already waited. A queue that arrivals at the capacity kept from shrinking had nobody over its share, so nothing was refused.

--- a/crates/admission/src/pool.rs
+++ b/crates/admission/src/pool.rs
@@ -27,7 +27,7 @@
 /// What all routers have seen of a pool, and what to admit.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Summary {
-    /// Number of routers that reported recently.
+    /// Number of routers that reported recently; 0 while the aggregator doesn't know enough.
     pub routers: usize,
     /// Sum of their loads.
     pub load: PoolLoad,
@@ -167,6 +167,9 @@
     /// Applies a summary that arrived at `now`, at a router that reports once per `period`. Returns
     /// the waiting requests that are admitted now.
     pub fn on_summary(&mut self, now: Micros, summary: Summary, period: Duration) -> Vec<u64> {
+        if summary.routers == 0 {
+            return Vec::new();
+        }
         let age = MAX_SUMMARY_AGE.max(period.mul_f64(MAX_SUMMARY_PERIODS));
         self.summary = Some((summary, now + micros(age)));
         self.apply(now)
@@ -209,6 +212,8 @@
     reports: LoadReports,
     controller: LevelController,
     stepped_at: Option<Micros>,
+    /// When the first report arrived.
+    first_at: Micros,
 }
 
 impl PoolAggregate {
@@ -223,13 +228,17 @@
         self.reports.insert(process, now, load);
         let (routers, load) = self.reports.total(now);
         // The first reports of a new aggregator are those of a few routers.
+        if self.stepped_at.is_none() {
+            self.first_at = now;
+        }
         let last = *self.stepped_at.get_or_insert(now);
         if now.saturating_sub(last) >= MIN_STEP {
             self.stepped_at = Some(now);
             self.controller.step(now, &load, targets);
         }
+        let has_stepped = self.stepped_at.is_some_and(|at| at > self.first_at);
         Summary {
-            routers,
+            routers: if has_stepped { routers } else { 0 },
             load,
             shares: self.controller.shares().clone(),
             wait: self.controller.wait(),
--- a/crates/admission/src/shares.rs
+++ b/crates/admission/src/shares.rs
@@ -44,12 +44,15 @@
     ) -> Self {
         let mut shares = Self::default();
         let admitted = admitted_by_class(limit, capacity * floor, load);
-        let at_capacity = admitted_by_class(limit.max(capacity), capacity * floor, load);
+        let fair_limit = limit.max(capacity * FAIR_LIMIT);
+        let at_capacity = admitted_by_class(fair_limit, capacity * floor, load);
         let limits = admitted.into_iter().zip(at_capacity);
         for ((priority, load), (admitted, at_capacity)) in load.classes.iter().zip(limits) {
             if admitted < load.arrivals * FULL_SHARE {
                 let class = ClassShares::allocate(admitted, at_capacity, load, weights);
-                shares.classes.insert(*priority, class);
+                if !class.is_full() {
+                    shares.classes.insert(*priority, class);
+                }
             }
         }
         shares
@@ -80,6 +83,10 @@
     }
 }
 
+/// Fraction of the capacity that counts for whether a workspace is within its share: one that uses
+/// it up to the last keeps a queue from being worked off.
+const FAIR_LIMIT: f64 = 0.9;
+
 /// Admitted requests per second of each priority, the most urgent one first. The least urgent one
 /// gets up to `reserve` in any case.
 fn admitted_by_class(limit: f64, reserve: f64, load: &PoolLoad) -> Vec<f64> {
@@ -101,6 +108,12 @@
 }
 
 impl ClassShares {
+    /// Whether everything is admitted.
+    fn is_full(&self) -> bool {
+        let mut shares = self.workspaces.values().chain([&self.others]);
+        shares.all(|share| *share >= 1.0)
+    }
+
     fn allocate(
         admitted: f64,
         at_capacity: f64,
--- a/crates/admission/tests/overload/model.rs
+++ b/crates/admission/tests/overload/model.rs
@@ -95,7 +95,7 @@
     Next(usize),
     Arrival(u64),
     Poll(usize),
-    FirstEvent(u64),
+    Answer(u64),
     Period(usize),
 }
 
@@ -196,7 +196,7 @@
                 self.on_arrival(now, request);
             }
             Event::Poll(router) => self.poll(now, router),
-            Event::FirstEvent(key) => {
+            Event::Answer(key) => {
                 let request = self.requests[&key];
                 let Some((id, sent)) = self.sent.remove(&key) else {
                     return;
@@ -286,7 +286,7 @@
 
     fn refuse(&mut self, now: Micros, mut request: Request, after: Duration) {
         self.count(&request, |counts| counts.refused += 1);
-        if now < 10 * SEC || now > 40 * SEC {
+        if !(10 * SEC..=40 * SEC).contains(&now) {
             self.outcome.refused_outside += 1;
         }
         let back = now + after.as_micros() as Micros + self.rng.random_range(0..100 * MS);
@@ -320,7 +320,7 @@
         let admission = &mut self.routers[request.router].admission;
         let id = admission.on_sent(now, stream.priority, request.tokens, target_at);
         self.sent.insert(request.key, (id, now));
-        self.plan(end + DELAY, Event::FirstEvent(request.key));
+        self.plan(end + DELAY, Event::Answer(request.key));
     }
 
     fn end_period(&mut self, now: Micros, router: usize) {
--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -16,3 +16,4 @@
 pub(crate) use pool::SentRequest;
 pub use pool::{AdmissionRequest, Overloaded, PoolAdmission};
 pub(crate) use reporter::run;
+pub(crate) use targets::targets;
--- a/crates/gateway/src/admission/reporter.rs
+++ b/crates/gateway/src/admission/reporter.rs
@@ -12,7 +12,6 @@
 
 use super::aggregates::Aggregates;
 use super::codec::{decode_report, decode_summary, encode_report};
-use super::targets::targets;
 use crate::fleet::Pool;
 use crate::node::Node;
 use crate::peers::Peers;
@@ -30,21 +29,12 @@
 
 /// Reports until the task is aborted.
 pub(crate) async fn run(node: Arc<Node>, peers: Arc<Peers>, aggregates: Arc<Aggregates>) {
-    let mut version = None;
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut calls = JoinSet::new();
     for number in node.process % 1_000.. {
         ticks.tick().await;
         while calls.try_join_next().is_some() {}
-        let config = node.config.load_full();
-        let current = config.as_ref().map(|config| config.version);
-        if let Some(config) = config.filter(|_| version != current) {
-            for pool in node.pools.all() {
-                pool.admission.set_targets(targets(&config, &pool.name));
-            }
-            version = current;
-        }
         let routers = peers.all().len() + 1;
         let every = routers.div_ceil(FULL_RATE_ROUTERS);
         let is_due = number % every as u64 == 0;
--- a/crates/gateway/src/admission/targets.rs
+++ b/crates/gateway/src/admission/targets.rs
@@ -9,7 +9,7 @@
 
 /// The shortest target of each priority. A workspace with a priority of its own may use any route.
 /// Empty for a pool without streaming routes.
-pub(super) fn targets(config: &Config, pool: &PoolName) -> Targets {
+pub(crate) fn targets(config: &Config, pool: &PoolName) -> Targets {
     let workspaces = config.workspaces.values();
     let priorities: BTreeSet<u8> = workspaces
         .filter_map(|workspace| workspace.priority)
--- a/crates/gateway/src/fleet/pools.rs
+++ b/crates/gateway/src/fleet/pools.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Notify;
 
 use super::{Pool, retry_burst};
+use crate::admission::targets;
 use crate::catalog::ServerEntry;
 use crate::domains::Domains;
 use crate::eligibility::Announcements;
@@ -106,9 +107,11 @@
         for (name, spec) in &config.pools {
             if let Some(pool) = pools.get(name) {
                 pool.set_spec(Arc::clone(spec));
+                pool.admission.set_targets(targets(config, name));
                 continue;
             }
             let pool = Pool::new(Arc::clone(spec), settings, &self.shared);
+            pool.admission.set_targets(targets(config, name));
             self.set_rollout(&pool);
             pool.set_servers(&servers_of(&self.entries.load(), name));
             pools.insert(name.clone(), Arc::new(pool));
