--- a/crates/admission/src/pool.rs
+++ b/crates/admission/src/pool.rs
@@ -21,6 +21,8 @@
 const MAX_SUMMARY_PERIODS: f64 = 1.5;
 /// Number of seconds whose own observations are considered together, if they have few requests.
 const OWN_PERIODS: usize = 5;
+/// Longest period whose observations count, in seconds.
+const MAX_PERIOD: f64 = 2.0;
 /// Shortest time between two steps of the aggregated level (µs).
 const MIN_STEP: Micros = 450_000;
 
@@ -65,6 +67,7 @@
     gate: Gate,
     own: LevelController,
     own_periods: VecDeque<PoolLoad>,
+    last_period: Option<PoolLoad>,
     /// The last summary, and until when it counts.
     summary: Option<(Summary, Micros)>,
 }
@@ -146,10 +149,16 @@
     /// share is restricted any more.
     pub fn end_period(&mut self, now: Micros, targets: &Targets) -> Vec<u64> {
         let load = self.observations.take(now);
+        if load.seconds > MAX_PERIOD {
+            // Of a process that stalled: requests seem to have waited in that time.
+            self.last_period = None;
+            return self.apply(now);
+        }
         if self.own_periods.len() == OWN_PERIODS {
             self.own_periods.pop_front();
         }
-        self.own_periods.push_back(load);
+        self.own_periods.push_back(load.clone());
+        self.last_period = Some(load);
         let recent = self.recent();
         self.own.step(now, &recent, targets);
         self.apply(now)
@@ -160,7 +169,7 @@
     /// aggregator, which needs recent ones.
     #[must_use]
     pub fn report(&self) -> Option<PoolLoad> {
-        let load = self.own_periods.back()?;
+        let load = self.last_period.as_ref()?;
         (!load.classes.is_empty()).then(|| load.clone())
     }
 
--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -10,6 +10,8 @@
 mod pool;
 mod reporter;
 mod targets;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use aggregates::Aggregates;
 pub(crate) use codec::{decode_report, encode_summary};
--- a/crates/gateway/src/admission/pool.rs
+++ b/crates/gateway/src/admission/pool.rs
@@ -200,7 +200,7 @@
         target: Duration,
     ) -> Option<SentRequest> {
         let admission = &pool.admission;
-        if admission.targets.load().is_empty() {
+        if !admission.is_active() {
             return None;
         }
         let now = admission.now();
