--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -1,6 +1,6 @@
 //! Decides whether a request is admitted to an overloaded pool, waits or is refused.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use swiftlink_types::{ClassName, Micros, WorkspaceName};
@@ -83,7 +83,7 @@
     shares: Shares,
     /// Mean wait for a first event at the servers.
     wait: Micros,
-    flows: HashMap<(u8, Option<WorkspaceName>), Flow>,
+    flows: BTreeMap<(u8, Option<WorkspaceName>), Flow>,
     pacing: Option<Pacing>,
     next_id: u64,
 }
--- a/crates/admission/src/level.rs
+++ b/crates/admission/src/level.rs
@@ -1,6 +1,6 @@
 //! When a pool is overloaded, and how many requests it can be given then.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use swiftlink_types::{Micros, WorkspaceName};
@@ -146,7 +146,7 @@
 #[derive(Debug, Default)]
 pub struct LevelController {
     policy: LevelPolicy,
-    weights: HashMap<WorkspaceName, f64>,
+    weights: BTreeMap<WorkspaceName, f64>,
     overload: Option<Overload>,
     /// Consecutive observations that indicate an overload.
     suspicions: u32,
@@ -169,7 +169,7 @@
     }
 
     /// Sets the weights of workspaces; 1 for those that have none.
-    pub fn set_weights(&mut self, weights: HashMap<WorkspaceName, f64>) {
+    pub fn set_weights(&mut self, weights: BTreeMap<WorkspaceName, f64>) {
         self.weights = weights;
     }
 
--- a/crates/admission/src/load.rs
+++ b/crates/admission/src/load.rs
@@ -1,6 +1,6 @@
 //! Load of a pool by priority: what one router has seen, and the sum over all routers.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 use swiftlink_types::{Micros, WorkspaceName};
 
@@ -19,7 +19,7 @@
     /// second: the mean number of requests that wait.
     pub wait: f64,
     /// Arrivals by workspace, of those that send most.
-    pub workspaces: HashMap<WorkspaceName, f64>,
+    pub workspaces: BTreeMap<WorkspaceName, f64>,
 }
 
 /// Load of a pool by priority; 0 is the most urgent.
@@ -88,7 +88,7 @@
 /// The latest report of each router about one pool.
 #[derive(Debug, Default)]
 pub struct LoadReports {
-    reports: HashMap<u64, (Micros, PoolLoad)>,
+    reports: BTreeMap<u64, (Micros, PoolLoad)>,
 }
 
 /// Maximum number of routers whose reports are kept.
--- a/crates/admission/src/observations.rs
+++ b/crates/admission/src/observations.rs
@@ -1,6 +1,6 @@
 //! What one router observes of the requests to a pool.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 use swiftlink_types::{Micros, WorkspaceName};
 
@@ -88,9 +88,9 @@
 pub struct Observations {
     since: Micros,
     next_id: u64,
-    unanswered: HashMap<u64, Unanswered>,
+    unanswered: BTreeMap<u64, Unanswered>,
     classes: BTreeMap<u8, Counts>,
-    workspaces: HashMap<(u8, WorkspaceName), u64>,
+    workspaces: BTreeMap<(u8, WorkspaceName), u64>,
 }
 
 impl Observations {
@@ -192,7 +192,7 @@
             late: self.late as f64 / seconds,
             first_events: self.first_events as f64 / seconds,
             wait: self.wait as f64 / MICROS_PER_SEC / seconds,
-            workspaces: HashMap::new(),
+            workspaces: BTreeMap::new(),
         }
     }
 }
--- a/crates/admission/src/shares.rs
+++ b/crates/admission/src/shares.rs
@@ -1,6 +1,6 @@
 //! Which share of a pool's requests is admitted, by priority and workspace.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 use swiftlink_types::WorkspaceName;
 
@@ -17,7 +17,7 @@
     /// Share of the requests of the workspaces that aren't listed.
     pub others: f64,
     /// Shares by workspace.
-    pub workspaces: HashMap<WorkspaceName, f64>,
+    pub workspaces: BTreeMap<WorkspaceName, f64>,
 }
 
 /// Admitted shares of a pool's requests; of what isn't listed, all are admitted.
@@ -40,7 +40,7 @@
         capacity: f64,
         floor: f64,
         load: &PoolLoad,
-        weights: &HashMap<WorkspaceName, f64>,
+        weights: &BTreeMap<WorkspaceName, f64>,
     ) -> Self {
         let mut shares = Self::default();
         let admitted = admitted_by_class(limit, capacity * floor, load);
@@ -118,7 +118,7 @@
         admitted: f64,
         at_capacity: f64,
         load: &ClassLoad,
-        weights: &HashMap<WorkspaceName, f64>,
+        weights: &BTreeMap<WorkspaceName, f64>,
     ) -> Self {
         let listed: f64 = load.workspaces.values().sum();
         let others = (load.arrivals - listed).max(0.0);
--- a/crates/admission/tests/gate.rs
+++ b/crates/admission/tests/gate.rs
@@ -1,6 +1,6 @@
 //! Shares by priority and workspace, and the decision for one request.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -33,7 +33,7 @@
 }
 
 fn allocate(limit: f64, load: &PoolLoad) -> Shares {
-    Shares::allocate(limit, limit, 0.1, load, &HashMap::new())
+    Shares::allocate(limit, limit, 0.1, load, &BTreeMap::new())
 }
 
 #[test]
@@ -44,7 +44,7 @@
     assert_eq!(of(&shares, "a"), 1.0);
     assert_eq!(of(&shares, "b"), 1.0);
     assert!((of(&shares, "c") - 30.0 / 70.0).abs() < 1e-9);
-    let weights = HashMap::from([(workspace("c"), 4.0)]);
+    let weights = BTreeMap::from([(workspace("c"), 4.0)]);
     let shares = Shares::allocate(60.0, 60.0, 0.1, &load, &weights);
     assert_eq!(of(&shares, "a"), 1.0);
     assert!((of(&shares, "b") - 0.5).abs() < 1e-9);
@@ -68,7 +68,7 @@
         limit in 1.0f64..500.0,
     ) {
         let names: Vec<String> = rates.iter().map(|(_, name, _)| name.to_string()).collect();
-        let mut arrivals = HashMap::new();
+        let mut arrivals = BTreeMap::new();
         for ((priority, _, rate), name) in rates.iter().zip(&names) {
             arrivals.insert((*priority, name.as_str()), *rate);
         }
@@ -90,7 +90,7 @@
     }
     let class = ClassShares {
         others: share,
-        workspaces: HashMap::new(),
+        workspaces: BTreeMap::new(),
     };
     let shares = Shares {
         classes: [(2, class)].into(),
@@ -216,7 +216,7 @@
     let mut admission = Admission::default();
     let class = ClassShares {
         others: 0.5,
-        workspaces: HashMap::new(),
+        workspaces: BTreeMap::new(),
     };
     let summary = Summary {
         routers: 3,
--- a/crates/gateway/src/admission/codec.rs
+++ b/crates/gateway/src/admission/codec.rs
@@ -1,6 +1,6 @@
 //! Conversion of reports and summaries to and from messages.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use swiftlink_admission::{ClassLoad, ClassShares, PoolLoad, Shares, Summary};
@@ -153,7 +153,7 @@
             .entry(priority)
             .or_insert_with(|| ClassShares {
                 others: 1.0,
-                workspaces: HashMap::new(),
+                workspaces: BTreeMap::new(),
             });
         if entry.workspace.is_empty() {
             class.others = share;
--- a/crates/gateway/src/admission/tests.rs
+++ b/crates/gateway/src/admission/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the messages and of the targets.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use prost::Message;
@@ -49,7 +49,7 @@
 fn a_summary_survives_encoding() {
     let class = ClassShares {
         others: 1.0,
-        workspaces: HashMap::from([(WorkspaceName::from("a"), 0.25)]),
+        workspaces: BTreeMap::from([(WorkspaceName::from("a"), 0.25)]),
     };
     let mut load = load();
     for class in load.classes.values_mut() {
