--- a/crates/admission/src/level.rs
+++ b/crates/admission/src/level.rs
@@ -115,6 +115,14 @@
     }
 }
 
+/// Lowest capacity, as a fraction of the most that was served in the overload.
+const MIN_CAPACITY: f64 = 0.6;
+/// Fraction of the longest wait that counts as no improvement, how long it may last (s), and how long
+/// nobody is refused then (µs): such waits have another reason than too many requests.
+const FUTILE_WAIT: f64 = 0.8;
+const FUTILE_TIME: f64 = 10.0;
+const PAUSE: Micros = 30_000_000;
+
 /// State of a pool that is overloaded.
 #[derive(Clone, Copy, Debug)]
 struct Overload {
@@ -124,6 +132,12 @@
     limit: f64,
     /// How long the limit has exceeded the arrivals.
     calm_for: f64,
+    /// Most first events per second since the overload began.
+    peak: f64,
+    /// Longest wait since the overload began, as a fraction of the target.
+    worst: f64,
+    /// How long the wait has been near that although requests are refused.
+    futile_for: f64,
 }
 
 /// Wait for first events at a pool, in relation to the latency targets.
@@ -153,6 +167,8 @@
     /// Consecutive observations in which the queue has grown, and its length in the last one.
     growths: u32,
     last_waiting: f64,
+    /// Until when no overload is assumed, since refusals didn't shorten the waits.
+    paused_until: Micros,
     last_step: Option<Micros>,
     shares: Shares,
     wait: f64,
@@ -187,13 +203,16 @@
         let (served, arrivals) = (flow.served, flow.arrivals);
         self.wait = flow.waiting / served.max(flow.admitted).max(1e-3);
         let Some(mut overload) = self.overload else {
-            if self.is_certain(&pressure, &flow) {
+            if self.is_certain(now, &pressure, &flow) {
                 self.begin(&flow, pressure.target);
                 self.allocate(load);
             }
             return &self.shares;
         };
+        overload.peak = overload.peak.max(served);
         if pressure.wait > self.policy.raise {
+            // Fewer are served too since fewer are admitted.
+            let served = served.max(overload.peak * MIN_CAPACITY);
             overload.capacity += CAPACITY_GAIN * (served - overload.capacity);
         } else {
             overload.capacity = overload.capacity.max(served);
@@ -212,7 +231,18 @@
         } else {
             0.0
         };
-        let has_ended = overload.calm_for >= self.policy.end_after.as_secs_f64();
+        overload.worst = overload.worst.max(pressure.wait);
+        let is_futile = pressure.wait > self.policy.raise.max(overload.worst * FUTILE_WAIT);
+        overload.futile_for = if is_futile {
+            overload.futile_for + time
+        } else {
+            0.0
+        };
+        if overload.futile_for >= FUTILE_TIME {
+            self.paused_until = now + PAUSE;
+        }
+        let has_ended = overload.calm_for >= self.policy.end_after.as_secs_f64()
+            || overload.futile_for >= FUTILE_TIME;
         self.overload = (!has_ended).then_some(overload);
         self.allocate(load);
         &self.shares
@@ -255,7 +285,7 @@
 
     /// Whether the pool is overloaded without a doubt: in two observations, or so much that one is
     /// enough.
-    fn is_certain(&mut self, pressure: &Pressure, flow: &Flow) -> bool {
+    fn is_certain(&mut self, now: Micros, pressure: &Pressure, flow: &Flow) -> bool {
         let is_long = pressure.wait > self.policy.certain;
         let is_growing =
             pressure.wait > self.policy.early && flow.is_growing(self.policy.imbalance);
@@ -266,7 +296,8 @@
         let is_growing =
             is_growing || self.growths >= MIN_GROWTHS && pressure.wait > self.policy.early;
         let has_signs = is_long || pressure.is_late || is_growing;
-        if flow.samples < self.policy.min_samples || !has_signs {
+        let is_paused = now < self.paused_until;
+        if is_paused || flow.samples < self.policy.min_samples || !has_signs {
             self.suspicions = 0;
             return false;
         }
@@ -283,6 +314,9 @@
             capacity,
             limit: self.limit(capacity, flow, target),
             calm_for: 0.0,
+            peak: capacity,
+            worst: 0.0,
+            futile_for: 0.0,
         });
     }
 
--- a/crates/admission/src/load.rs
+++ b/crates/admission/src/load.rs
@@ -78,6 +78,30 @@
         admitted * self.seconds
     }
 
+    /// Requests per second that wait or waited for their first event.
+    fn rate(&self) -> f64 {
+        let rates = self.classes.values();
+        rates
+            .map(|class| class.first_events.max(class.admitted()))
+            .sum()
+    }
+
+    fn wait(&self) -> f64 {
+        self.classes.values().map(|class| class.wait).sum()
+    }
+
+    /// Reduces waits and late first events to a mean wait of `max` seconds.
+    fn limit_wait(&mut self, max: f64) {
+        let mean = self.wait() / self.rate().max(1e-6);
+        if mean <= max {
+            return;
+        }
+        for class in self.classes.values_mut() {
+            class.wait *= max / mean;
+            class.late *= max / mean;
+        }
+    }
+
     fn add(&mut self, other: &Self, weight: f64) {
         for (priority, load) in &other.classes {
             self.classes.entry(*priority).or_default().add(load, weight);
@@ -100,6 +124,21 @@
 /// replaced by then.
 const SUM_AGE: Micros = 1_500_000;
 
+/// Multiple of the routers' median wait that counts at most. A queue at the servers shows at all
+/// routers; one at a router's own link only there, although that router may have most requests.
+const MAX_WAIT_RATIO: f64 = 2.0;
+/// Admitted requests per second that a router needs for its wait to count in the median.
+const MIN_RATE: f64 = 2.0;
+
+/// Median of the routers' mean waits (s); infinite without enough requests.
+fn median_wait(loads: &[&PoolLoad]) -> f64 {
+    let busy = loads.iter().filter(|load| load.rate() >= MIN_RATE);
+    let mut waits: Vec<f64> = busy.map(|load| load.wait() / load.rate()).collect();
+    waits.sort_by(f64::total_cmp);
+    let middle = waits.get(waits.len() / 2);
+    middle.copied().unwrap_or(f64::INFINITY)
+}
+
 impl LoadReports {
     /// Records the report of a router process.
     pub fn insert(&mut self, process: u64, now: Micros, load: PoolLoad) {
@@ -118,9 +157,11 @@
             classes: BTreeMap::new(),
         };
         let recent = self.reports.values().filter(|(at, _)| age(at) <= SUM_AGE);
-        for (_, load) in recent {
+        let recent: Vec<&PoolLoad> = recent.map(|(_, load)| load).collect();
+        for load in &recent {
             total.add_router(load);
         }
+        total.limit_wait(median_wait(&recent) * MAX_WAIT_RATIO);
         (self.reports.len(), total)
     }
 }
--- a/crates/admission/tests/gate.rs
+++ b/crates/admission/tests/gate.rs
@@ -5,8 +5,8 @@
 
 use proptest::prelude::*;
 use swiftlink_admission::{
-    Admission, ClassLoad, ClassShares, Decision, Gate, GateRequest, IdleTime, Observations,
-    PoolLoad, Shares, Source, Summary, Targets, WAIT_DIVISOR,
+    Admission, ClassLoad, ClassShares, Decision, Gate, GateRequest, IdleTime, LevelController,
+    Observations, PoolAggregate, PoolLoad, Shares, Source, Summary, Targets, WAIT_DIVISOR,
 };
 use swiftlink_types::{Micros, WorkspaceName};
 
@@ -210,6 +210,61 @@
     assert!(expected < 220 * MS, "{expected}");
 }
 
+/// A load of `rate` requests per second that wait for `wait` seconds.
+fn waiting(rate: f64, wait: f64) -> PoolLoad {
+    let class = ClassLoad {
+        arrivals: rate,
+        first_events: rate,
+        late: if wait > 0.5 { rate } else { 0.0 },
+        wait: rate * wait,
+        ..ClassLoad::default()
+    };
+    PoolLoad {
+        seconds: 1.0,
+        classes: [(1, class)].into(),
+    }
+}
+
+/// Two of ten routers have saturated links and most of the requests. Guards against refusals at all
+/// routers, although the servers have no queue.
+#[test]
+fn waits_at_a_few_routers_are_no_overload_of_the_pool() {
+    let mut aggregate = PoolAggregate::default();
+    let targets = Targets::from([(1, Duration::from_millis(500))]);
+    for second in 0..20 {
+        for router in 0..10 {
+            let load = if router < 2 {
+                waiting(200.0, 3.0)
+            } else {
+                waiting(10.0, 0.02)
+            };
+            let now = second * SEC + router * 100 * MS;
+            let summary = aggregate.on_report(router, now, load, &targets);
+            assert!(summary.shares.is_open());
+        }
+    }
+}
+
+/// Waits that refusals don't shorten have another reason. Guards against a limit that falls with
+/// what is served, since that falls with the limit.
+#[test]
+fn refusals_end_if_they_do_not_help() {
+    let mut controller = LevelController::default();
+    let targets = Targets::from([(1, Duration::from_millis(500))]);
+    let mut refusing = 0;
+    for second in 0..30 {
+        let share = controller.shares().of(1, None);
+        assert!(share > 0.2, "{share}");
+        refusing += u32::from(share < 1.0);
+        let mut load = waiting(100.0 * share, 1.0);
+        load.classes.get_mut(&1).expect("a class").arrivals = 100.0;
+        load.classes.get_mut(&1).expect("a class").refused = 100.0 * (1.0 - share);
+        controller.step(second * SEC, &load, &targets);
+    }
+    assert!((1..=12).contains(&refusing), "{refusing} s");
+    assert!(controller.shares().is_open());
+}
+
 /// Guards against a router that follows an aggregator that it can't reach any more.
 #[test]
 fn a_summary_counts_for_three_seconds() {
