--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -30,6 +30,8 @@
 /// Share of the admitted rate that is kept for requests that return. All of them together get no
 /// more than the pool can serve: with a larger share, more new requests are late instead.
 const RETRY_SHARE: f64 = 0.15;
+/// Shortest time to return that a refusal names.
+const MIN_RETURN: Micros = 200_000;
 /// Longest time to return that a refusal names: how long an overload lasts isn't known.
 const MAX_RETURN: Micros = 10_000_000;
 /// Share of the named time over which requests without a place of their own are spread.
@@ -176,7 +178,9 @@
             return Decision::Admit;
         };
         if self.wait + request.idle > request.left {
-            return Decision::Refuse(pacing.refuse(&flow.class, now, request));
+            // The requests that wait at the servers now have their first events by then.
+            let after = self.wait.clamp(MIN_RETURN, MAX_RETURN);
+            return Decision::Refuse(spread(after, request.key));
         }
         if pacing.queue.redeem(&flow.class, now, request.key) {
             pacing.take();
@@ -298,8 +302,12 @@
         if is_kept {
             return Duration::from_micros(after);
         }
-        let after = after.min(MAX_RETURN) as f64;
-        let spread = (request.key % 1_024) as f64 / 1_024.0 * RETURN_SPREAD;
-        Duration::from_micros((after * (1.0 + spread)) as Micros)
+        spread(after.min(MAX_RETURN), request.key)
     }
 }
+
+/// Spreads the times at which requests without a place of their own return.
+fn spread(after: Micros, key: u64) -> Duration {
+    let spread = (key % 1_024) as f64 / 1_024.0 * RETURN_SPREAD;
+    Duration::from_micros((after as f64 * (1.0 + spread)) as Micros)
+}
--- a/crates/admission/tests/gate.rs
+++ b/crates/admission/tests/gate.rs
@@ -171,7 +171,10 @@
     assert_eq!(gate.decide(6 * SEC, &request), Decision::Admit);
     request.left = 150 * MS;
     let decision = gate.decide(6 * SEC, &request);
-    assert!(matches!(decision, Decision::Refuse(_)), "{decision:?}");
+    let Decision::Refuse(after) = decision else {
+        panic!("{decision:?}");
+    };
+    assert!(after >= Duration::from_millis(200) && after <= Duration::from_secs(1));
 }
 
 /// Waits are counted as they pass: a report made while all requests still wait shows them.
