--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -5,7 +5,7 @@
 
 use swiftlink_types::{ClassName, Micros, WorkspaceName};
 
-use crate::queue::{ClassSpec, Entry, Queue, QueuePolicy};
+use crate::queue::{ClassSpec, Entry, Queue, QueuePolicy, Ticket};
 use crate::rate::{Ewma, MICROS_PER_SEC};
 use crate::retry::RetryPolicy;
 use crate::shares::Shares;
@@ -94,6 +94,8 @@
 #[derive(Debug)]
 struct Pacing {
     queue: Queue<u64>,
+    /// Tickets of the waiting requests by id.
+    tickets: BTreeMap<u64, Ticket>,
     /// Mean time between two requests that pass.
     interval: Micros,
     /// Number of requests that may pass. Each arrival adds the share of its flow, so that exactly
@@ -133,9 +135,11 @@
         self.shares = shares.clone();
         self.wait = wait.as_micros() as Micros;
         if shares.is_open() {
-            let entries = self.pacing.as_mut().map(|pacing| pacing.queue.drain());
-            let entries = entries.unwrap_or_default().into_iter();
-            return entries.map(|entry| entry.payload).collect();
+            let Some(pacing) = &mut self.pacing else {
+                return Vec::new();
+            };
+            pacing.queue.drain();
+            return std::mem::take(&mut pacing.tickets).into_keys().collect();
         }
         // Requests that were refused shortly before are still recognized when they return.
         let is_old = |pacing: &Pacing| now.saturating_sub(pacing.used_at) > MAX_PAUSE;
@@ -206,17 +210,27 @@
             service_time: Some(0),
             payload: id,
         };
-        if pacing.queue.push(entry, now).is_err() {
+        let Ok(ticket) = pacing.queue.push(entry, now) else {
             return Decision::Refuse(pacing.refuse(&flow.class, now, request));
-        }
+        };
         if wait.is_zero() && pacing.queue.pop(now).is_some() {
             pacing.queue.on_abandoned();
             pacing.take();
             return Decision::Admit;
         }
+        pacing.tickets.insert(id, ticket);
         Decision::Wait(id)
     }
 
+    /// Removes a waiting request whose caller has left.
+    pub fn cancel(&mut self, id: u64) {
+        if let Some(pacing) = &mut self.pacing
+            && let Some(ticket) = pacing.tickets.remove(&id)
+        {
+            pacing.queue.cancel(ticket);
+        }
+    }
+
     /// Returns the requests whose wait has ended.
     pub fn poll(&mut self, now: Micros) -> Vec<(u64, Verdict)> {
         let mut ended = Vec::new();
@@ -227,11 +241,13 @@
         while let Some((_, entry)) = pacing.queue.pop(now) {
             pacing.queue.on_abandoned();
             pacing.take();
+            pacing.tickets.remove(&entry.payload);
             ended.push((entry.payload, Ok(())));
         }
         for expired in pacing.queue.take_expired(now) {
             let after = expired.refusal.retry_after.unwrap_or_default();
             let after = after.min(Duration::from_micros(MAX_RETURN));
+            pacing.tickets.remove(&expired.entry.payload);
             ended.push((expired.entry.payload, Err(after)));
         }
         ended
@@ -264,6 +280,7 @@
         };
         Self {
             queue: Queue::new(policy, 1),
+            tickets: BTreeMap::new(),
             interval,
             credit: 1.0,
             used_at: now,
--- a/crates/admission/src/pool.rs
+++ b/crates/admission/src/pool.rs
@@ -104,6 +104,11 @@
         self.gate.poll(now)
     }
 
+    /// Removes a waiting request whose caller has left.
+    pub fn cancel(&mut self, id: u64) {
+        self.gate.cancel(id);
+    }
+
     /// When [`Self::poll`] will next return something, as far as is known.
     #[must_use]
     pub fn next_event(&self) -> Option<Micros> {
--- a/crates/gateway/src/admission/pool.rs
+++ b/crates/gateway/src/admission/pool.rs
@@ -158,11 +158,16 @@
                 }
             }
         };
-        let Err(after) = self.wait(verdict).await else {
+        let waiting = Waiting {
+            admission: self,
+            id,
+        };
+        let verdict = self.wait(verdict).await;
+        drop(waiting);
+        let Err(after) = verdict else {
             return Ok(());
         };
         let mut state = self.state();
-        state.waiters.remove(&id);
         state.admission.on_refused(priority);
         Err(overloaded(&state, self.level(), self.now(), after, true))
     }
@@ -278,6 +283,20 @@
     }
 }
 
+/// A waiting request. If dropped, it no longer waits: its caller may have left.
+struct Waiting<'a> {
+    admission: &'a PoolAdmission,
+    id: u64,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut state = self.admission.state();
+        state.waiters.remove(&self.id);
+        state.admission.cancel(self.id);
+    }
+}
+
 fn overloaded(
     state: &State,
     level: u8,
--- a/crates/gateway/src/admission/tests.rs
+++ b/crates/gateway/src/admission/tests.rs
@@ -7,7 +7,10 @@
 use swiftlink_admission::{ClassLoad, ClassShares, PoolLoad, Shares, Summary};
 use swiftlink_types::{PoolName, WorkspaceName};
 
+use tokio::time::timeout;
+
 use super::codec::{decode_report, decode_summary, encode_report, encode_summary};
+use super::pool::{AdmissionRequest, PoolAdmission};
 
 fn load() -> PoolLoad {
     let mut load = PoolLoad {
@@ -71,3 +74,48 @@
     assert_eq!(decoded.load, summary.load);
     assert_eq!(decoded.wait.as_millis(), 115);
 }
+
+/// Guards against waiting requests whose callers have left and that nobody removes any more, so
+/// that those after them count as having no chance.
+#[tokio::test]
+async fn callers_that_leave_while_they_wait_do_not_block_others() {
+    let admission = PoolAdmission::new(PoolName::from("engines"));
+    let class = ClassShares {
+        others: 0.5,
+        workspaces: BTreeMap::new(),
+    };
+    let summary = Summary {
+        routers: 3,
+        shares: Shares {
+            classes: [(2, class)].into(),
+        },
+        ..Summary::default()
+    };
+    let request = AdmissionRequest {
+        priority: 2,
+        workspace: None,
+        target: Duration::from_secs(80),
+        tokens: 100,
+        left: Duration::from_secs(100),
+    };
+    for key in 1..=40 {
+        // Creates the flow, whose rate is known from the next summary on.
+        admission.admit(&request, || key).await.expect("open");
+    }
+    admission.on_summary(summary, Duration::from_secs(60));
+    let mut left = 0;
+    for key in 100..140 {
+        let admitted = timeout(Duration::from_millis(1), admission.admit(&request, || key));
+        left += u32::from(admitted.await.is_err());
+    }
+    assert!(left > 0, "some waited");
+    let mut admitted = 0;
+    for key in 200..240 {
+        let request = AdmissionRequest {
+            target: Duration::from_millis(80),
+            ..request
+        };
+        admitted += u32::from(admission.admit(&request, || key).await.is_ok());
+    }
+    assert!(admitted >= 10, "{admitted} of 40");
+}
