--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -13,6 +13,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use crate::admission::{self, Aggregates};
 use crate::catalog::Catalog;
 use crate::dialect::Dialect;
 use crate::ingress::{self, DomainReports, Ingress, LinkState};
@@ -285,11 +286,18 @@
     tasks.spawn(expire_reservations(Arc::clone(&reservations)));
     let permits = spawn_limits(tasks, node, peers);
     let links = Arc::<DomainReports>::default();
+    let aggregates = Arc::new(Aggregates::default());
+    tasks.spawn(admission::run(
+        Arc::clone(node),
+        Arc::clone(peers),
+        Arc::clone(&aggregates),
+    ));
     let handler = Arc::new(PeerHandler {
         node: Arc::clone(node),
         reservations,
         permits,
         links: Arc::clone(&links),
+        aggregates,
     });
     let name = settings.vm.to_string();
     let peers = Arc::clone(peers);
