Balance servers of different speeds by what all routers observe

Cause: in fleets that exchange no updates, each router learned the servers' speeds alone, homes of prefixes were assigned evenly, and the load bound counted requests. In the model (80 routers, 140 servers of speeds 0.6, 1.0 and 1.6, load 0.8), fast servers got most of the work until their queues grew without end.

Change: routers sample the time of known work (Fleet::take_samples), a SpeedTable merges the samples of all into speeds and shares, and routers apply them (Fleet::apply_speeds). Homes are assigned by rendezvous hashing weighted by the shares; the load bound and the wait count time until free. A report's fourth field is a factor that decays within about a second.

Where no server differs by more than a step of an eighth, and in fleets of up to 17 routers, each choice is that of the rule before: a test compares 8,000 choices with the digest of the revision before.

Ruled out in trials: the mean or the lower fifth of the samples alone takes busy servers of an equal pool for slow; an intercept by regression for the fixed time is swamped by queueing; corrections of shares before they are told wind up.

--- a/crates/bench/src/routing/runner.rs
+++ b/crates/bench/src/routing/runner.rs
@@ -98,6 +98,7 @@
             running,
             waiting,
             slots: SLOTS as u32,
+            pace: None,
             draining: false,
             age: Duration::from_micros(report_age),
         }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -5,6 +5,7 @@
 
 mod limited;
 mod pools;
+pub mod speeds;
 mod ticket;
 
 use std::collections::{HashMap, HashSet};
@@ -35,6 +36,7 @@
 use limited::Shortage;
 pub use pools::Pools;
 use pools::Shared;
+use speeds::SpeedLog;
 pub use ticket::Ticket;
 
 /// Share of the fleet-wide retry budget that routers use. Each router counts for itself, and
@@ -69,6 +71,7 @@
     arrivals: AtomicU64,
     /// Requests that were refused for lack of permits.
     shortage: Shortage,
+    speed_log: SpeedLog,
     clock: Instant,
     /// Notified when there are updates for peers.
     changed: Arc<Notify>,
@@ -147,6 +150,7 @@
             granted: Notify::new(),
             arrivals: AtomicU64::new(0),
             shortage: Shortage::default(),
+            speed_log: SpeedLog::default(),
             clock: shared.clock,
             changed: Arc::clone(&shared.changed),
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -97,6 +97,8 @@
     drained: Family<DomainLabels, Gauge>,
     cold_servers: Gauge,
     limited_servers: Gauge,
+    known_speeds: Gauge,
+    slowest_ratio: Gauge<f64, AtomicU64>,
     held_requests: Gauge,
 }
 
@@ -170,6 +172,15 @@
         registry.register("cold_servers", cold, gauges.cold_servers.clone());
         let limited = "Backend servers that limit their rate of requests";
         registry.register("limited_servers", limited, gauges.limited_servers.clone());
+        let speeds = "Backend servers whose speed relative to their pool is known";
+        registry.register("known_speeds", speeds, gauges.known_speeds.clone());
+        let slowest = "Time per prompt token of the slowest backend server, relative to the median \
+                       of its pool; 0 when no speed is known";
+        registry.register(
+            "slowest_server_ratio",
+            slowest,
+            gauges.slowest_ratio.clone(),
+        );
         let held = "Requests that are kept away from servers since these ended under them";
         registry.register("held_requests", held, gauges.held_requests.clone());
         let ready = "Whether new connections should come here";
@@ -268,6 +279,14 @@
         let limited: usize = node.pools.all().iter().map(|pool| pool.limited_len()).sum();
         self.limited_servers
             .set(i64::try_from(limited).unwrap_or(i64::MAX));
+        let pools = node.pools.all();
+        let speeds = pools.iter().map(|pool| pool.speed_summary());
+        let (known, slowest) = speeds.fold((0, 0), |(known, slowest), summary| {
+            (known + summary.known, summary.slowest_milli.max(slowest))
+        });
+        self.known_speeds
+            .set(i64::try_from(known).unwrap_or(i64::MAX));
+        self.slowest_ratio.set(f64::from(slowest) / 1_000.0);
         for domain in node.pools.domains().all() {
             let labels = DomainLabels {
                 domain: domain.name.to_string(),
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod restored;
 mod rights;
 mod rollout;
+mod speeds;
 mod spread;
 mod sse;
 mod starts;
--- a/crates/router/src/vms.rs
+++ b/crates/router/src/vms.rs
@@ -110,6 +110,7 @@
         running: load.running,
         waiting: load.waiting,
         slots: load.slots,
+        pace: None,
         draining: load.draining,
         age: Duration::from_millis(load.age_ms),
     };
--- a/crates/routing/src/baseline.rs
+++ b/crates/routing/src/baseline.rs
@@ -21,7 +21,8 @@
 #[derive(Debug, Default)]
 pub struct LeastReported;
 
-/// The better of two random servers, by own requests in flight (power of two choices).
+/// The better of two random servers, by own requests in flight (power of two choices). Where
+/// servers are known to differ in speed, faster ones are drawn more often.
 #[derive(Debug, Default)]
 pub struct TwoChoices;
 
@@ -86,10 +87,18 @@
     }
 
     fn pick(&mut self, view: &View<'_>, rng: &mut dyn Rng) -> Option<u32> {
-        let first = draw_eligible(view, rng)?;
-        let second = draw_eligible(view, rng)?;
-        let in_flight = |index| view.server(index).load().in_flight();
-        Some(if in_flight(second) < in_flight(first) {
+        let first = draw_by_share(view, rng)?;
+        let second = draw_by_share(view, rng)?;
+        let load = |index| {
+            let server = view.server(index);
+            let share = if view.has_shares() {
+                server.share()
+            } else {
+                1.0
+            };
+            f64::from(server.load().in_flight()) / share
+        };
+        Some(if load(second) < load(first) {
             second
         } else {
             first
@@ -97,6 +106,22 @@
     }
 }
 
+/// A server that can take the request, chosen at random with a probability in proportion to its
+/// share.
+fn draw_by_share(view: &View<'_>, rng: &mut dyn Rng) -> Option<u32> {
+    if view.has_shares() {
+        for _ in 0..MAX_DRAWS {
+            let position = draw(rng, view.shares.len());
+            let threshold = f64::from(rng.next_u32()) / f64::from(u32::MAX) * view.max_share;
+            let index = view.open[position];
+            if view.shares[position] >= threshold && view.can_take(index) {
+                return Some(index);
+            }
+        }
+    }
+    draw_eligible(view, rng)
+}
+
 /// A server that can take the request, chosen uniformly at random.
 pub(crate) fn draw_eligible(view: &View<'_>, rng: &mut dyn Rng) -> Option<u32> {
     let open = view.open();
--- a/crates/routing/src/fleet/choose.rs
+++ b/crates/routing/src/fleet/choose.rs
@@ -5,6 +5,7 @@
 use super::Fleet;
 use crate::policy::{PickArgs, View, draw};
 use crate::server::{Dispatch, ServerIdx};
+use crate::speed::WorkEstimate;
 
 /// A chosen server, and the prompt tokens that it has to process.
 pub(super) struct Choice {
@@ -13,6 +14,8 @@
     pub(super) prefill: u64,
     /// Tokens of the prompts in front of it.
     pub(super) backlog: u64,
+    /// Estimate of the tokens that it really has to process.
+    pub(super) work: WorkEstimate,
 }
 
 impl Fleet {
@@ -29,10 +32,15 @@
             self.cold.advance(args.now);
             self.refresh();
         }
+        if self.has_expired_speeds(args.now) {
+            self.expire_speeds(args.now);
+        }
         let view = View {
             servers: &self.servers,
             open: &self.open,
             hashes: &self.hashes,
+            shares: &self.speeds.shares,
+            max_share: self.speeds.max_share,
             args,
             pool: &self.pool,
             seed: self.settings.seed,
@@ -54,8 +62,10 @@
             chosen.is_none() || chosen == probed || view.can_take(index),
             "policies choose eligible servers only"
         );
+        let prefill = view.prefill_tokens(index);
         Some(Choice {
-            prefill: view.prefill_tokens(index),
+            prefill,
+            work: WorkEstimate::new(args.prompt, prefill, self.policy.is_home(index)),
             backlog: view.backlog(index),
             idx: self.idx(index),
         })
@@ -68,6 +78,7 @@
         let mut dispatch = self.on_sent(choice.idx, args.now)?;
         dispatch.prefill = choice.prefill;
         dispatch.backlog = choice.backlog;
+        dispatch.work = choice.work;
         self.on_prompt(args, &choice);
         Some(dispatch)
     }
--- a/crates/routing/src/fleet/isolation.rs
+++ b/crates/routing/src/fleet/isolation.rs
@@ -53,17 +53,22 @@
         self.prefill_time.get()
     }
 
-    /// Learns from the time until an answer began, at a server `gap_ratio` times slower than
+    /// Learns from the time until an answer began, at a server `time_ratio` times slower than
     /// others.
-    pub(super) fn learn_prefill(&mut self, dispatch: &Dispatch, time: Micros, gap_ratio: f64) {
+    pub(super) fn learn_prefill(&mut self, dispatch: &Dispatch, time: Micros, time_ratio: f64) {
         self.mean_prefill += EWMA_WEIGHT * (dispatch.prefill as f64 - self.mean_prefill);
         // For short prompts, the network latency outweighs the prefill time.
         if dispatch.prefill as f64 > self.mean_prefill {
             let tokens = dispatch.prefill + dispatch.backlog;
-            self.prefill_time.learn(time, tokens, gap_ratio);
+            self.prefill_time.learn(time, tokens, time_ratio);
         }
     }
 
+    /// Whether servers may be isolated, which routers that exchange updates do.
+    pub(super) fn is_enabled(&self) -> bool {
+        self.is_enabled
+    }
+
     /// Whether prefill stalls the streams of a server for longer than callers accept.
     fn exceeds_max_gap(&self, gap_ratio: f64, was_isolated: bool) -> bool {
         let Some(max_gap) = self.max_gap else {
@@ -86,12 +91,14 @@
         self.isolation.max_gap = max_gap.map(|max_gap| max_gap.as_micros() as Micros);
     }
 
-    /// Sets whether servers may be isolated from long prompts. Routers that don't exchange updates
+    /// Sets whether servers may be isolated from long prompts; otherwise, the speeds that all routers
+    /// know apply. Routers that don't exchange updates
     /// can't do it: their short prompts would all meet at few servers (with 86 routers and servers
     /// of 12 slots, 38 in 100 short streams were late, against 25 without isolation).
     pub fn set_isolation(&mut self, is_enabled: bool) {
         self.isolation.is_enabled = is_enabled;
         self.update_isolated();
+        self.refresh_shares();
     }
 
     /// Number of servers that are isolated from long prompts.
--- a/crates/routing/src/fleet/members.rs
+++ b/crates/routing/src/fleet/members.rs
@@ -12,6 +12,7 @@
 use crate::server::Server;
 use crate::slowness::Slowness;
 use crate::spec::{ListedVm, ServerSpec};
+use crate::speed::SampleSums;
 use crate::timing::EventGap;
 use crate::update::PendingUpdate;
 
@@ -154,6 +155,8 @@
         inter_token: Slowness::default(),
         event_gap: EventGap::default(),
         gap_ratio: 1.0,
+        shared_speed: None,
+        samples: SampleSums::default(),
         is_isolated: false,
         backlog: PrefillBacklog::default(),
         pending: PendingUpdate::default(),
--- a/crates/routing/src/fleet/mod.rs
+++ b/crates/routing/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! - `backoff` holds back requests from servers that ask for it.
 //! - `working_set` restricts a very large pool to the servers that this router uses.
 //! - `isolation` compares the servers' speeds by their streams.
+//! - `speeds` samples the servers' speeds and applies those that all routers know.
 //! - `peers` exchanges observations with peers.
 
 mod backoff;
@@ -14,6 +15,7 @@
 mod isolation;
 mod members;
 mod peers;
+mod speeds;
 mod working_set;
 
 use std::collections::{HashMap, HashSet};
@@ -27,10 +29,13 @@
 use crate::recent::RecentPrefixes;
 use crate::server::{Dispatch, Server, ServerIdx, ServerView};
 use crate::spec::FleetPolicy;
+use crate::speed::WorkEstimate;
 
 use cold::ColdServers;
 pub use cold::Warmup;
 use isolation::Isolation;
+pub use speeds::SpeedSummary;
+use speeds::Speeds;
 use working_set::WorkingSet;
 
 /// Minimum tokens of an answer to learn its time per token.
@@ -60,6 +65,7 @@
     working_set: WorkingSet,
     pool: PoolStats,
     isolation: Isolation,
+    speeds: Speeds,
     /// Pairs of a prefix and a server instance that were used recently.
     cached: RecentPrefixes,
 }
@@ -82,6 +88,7 @@
             working_set: WorkingSet::default(),
             pool: PoolStats::new(),
             isolation: Isolation::new(),
+            speeds: Speeds::default(),
             cached: RecentPrefixes::new(),
         }
     }
@@ -154,6 +161,7 @@
             tokens: 0,
             prefill: 0,
             backlog: 0,
+            work: WorkEstimate::default(),
             first_at: None,
             load: (load * MILLI) as u32,
         })
@@ -172,12 +180,15 @@
         };
         server.on_answered(dispatch);
         dispatch.first_at = Some(now);
-        let gap_ratio = server.gap_ratio;
         server.ttft.learn(now, time / expected);
         let slowness = server.slowness(now);
         self.pool.learn_ttft(load, time, slowness.max(1.0));
+        let time_ratio = self
+            .get(dispatch.idx)
+            .map_or(1.0, |server| self.time_ratio(server));
         self.isolation
-            .learn_prefill(dispatch, time as Micros, gap_ratio);
+            .learn_prefill(dispatch, time as Micros, time_ratio);
+        self.sample_speed(dispatch, time as Micros);
     }
 
     /// The answer is complete.
@@ -400,6 +411,7 @@
         let hashes = open.iter().map(|index| self.servers[*index as usize].hash);
         self.hashes = hashes.collect();
         self.open = open;
+        self.refresh_shares();
         self.refresh_ejected();
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,7 +7,8 @@
 //!
 //! A server's state comes from four sources: the configuration and the VM list (`spec`), its load
 //! reports and the router's own requests (`load`), its errors (`health`) and its latencies
-//! (`slowness`, `timing`). Suggested reading order: `spec`, `server`, `fleet`, `policy`, then the
+//! (`slowness`, `timing`). All routers together estimate how servers differ in speed (`speed`,
+//! `speed_table`). Suggested reading order: `spec`, `server`, `fleet`, `policy`, then the
 //! policies `expected` and `prefill_isolation`; those of `baseline` serve for comparison. `retry`
 //! is independent of the rest.
 
@@ -25,12 +26,14 @@
 mod server;
 mod slowness;
 mod spec;
+mod speed;
+mod speed_table;
 mod timing;
 mod update;
 
 pub use baseline::{LeastReported, Random, RoundRobin, TwoChoices};
 pub use expected::{ExpectedWait, ScorePolicy};
-pub use fleet::{Fleet, Warmup};
+pub use fleet::{Fleet, SpeedSummary, Warmup};
 pub use health::{ErrorKind, Health, HealthPolicy};
 pub use load::{Load, LoadReport};
 pub use policy::{PickArgs, Policy, Prompt, View};
@@ -39,5 +42,6 @@
 pub use retry::RetryBudget;
 pub use server::{Dispatch, Server, ServerIdx, ServerView};
 pub use spec::{FleetPolicy, ListedVm, ServerSpec};
+pub use speed_table::{ServerSample, ServerSpeed, SpeedTable};
 pub use timing::StreamGaps;
 pub use update::ServerUpdate;
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -14,6 +14,9 @@
     pub waiting: u32,
     /// Concurrency limit of the server; 0 when it doesn't say.
     pub slots: u32,
+    /// How long work takes at the server at this moment, in percent of the usual time; `None`
+    /// when it doesn't say, which counts as 100.
+    pub pace: Option<u32>,
     /// Whether the server is draining.
     pub draining: bool,
     /// Age of the report on arrival.
@@ -31,6 +34,15 @@
 /// Age at which a report starts to fade (µs).
 const FRESH_AGE: Micros = 10_000_000;
 
+/// Half-life of what a report says about the present pace (µs): it changes many times a second.
+const PACE_HALF_LIFE: f64 = 300_000.0;
+/// Age at which the pace counts no more (µs).
+const MAX_PACE_AGE: Micros = 1_500_000;
+/// Paces that count as usual (percent): the pace varies, and each change could move a prefix.
+const USUAL_PACE: std::ops::RangeInclusive<u32> = 80..=125;
+/// Limits of the factor.
+const PACE_RANGE: (f64, f64) = (0.5, 10.0);
+
 /// Load of one server as one router knows it.
 #[derive(Clone, Debug, Default)]
 pub struct Load {
@@ -70,6 +82,21 @@
         self.made_at
     }
 
+    /// How many times longer than usual work takes at this moment, by the last report; approaches 1
+    /// within about a second.
+    #[must_use]
+    pub fn transient_factor(&self, now: Micros) -> f64 {
+        let Some(pace) = self.report.and_then(|report| report.pace) else {
+            return 1.0;
+        };
+        let age = now.saturating_sub(self.made_at);
+        if USUAL_PACE.contains(&pace) || age >= MAX_PACE_AGE {
+            return 1.0;
+        }
+        let factor = (f64::from(pace) / 100.0).clamp(PACE_RANGE.0, PACE_RANGE.1);
+        1.0 + (factor - 1.0) * (-(age as f64) / PACE_HALF_LIFE).exp2()
+    }
+
     /// Other routers' requests at the server, averaged over the reports; fades while none arrive.
     #[must_use]
     pub fn others(&self, now: Micros) -> f64 {
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -47,6 +47,9 @@
     pub(crate) servers: &'a [Server],
     pub(crate) open: &'a [u32],
     pub(crate) hashes: &'a [u64],
+    /// Shares of the prefixes, in the order of `open`; empty while they are equal.
+    pub(crate) shares: &'a [f64],
+    pub(crate) max_share: f64,
     pub(crate) args: &'a PickArgs<'a>,
     pub(crate) pool: &'a PoolStats,
     pub(crate) seed: u64,
@@ -123,7 +126,44 @@
     /// Time to prefill `tokens` at the server (µs); 0 while the speed is unknown.
     #[must_use]
     pub fn prefill_time(&self, index: u32, tokens: u64) -> f64 {
-        tokens as f64 * self.per_token * self.server(index).gap_ratio()
+        let server = self.server(index);
+        let transient = server.load.transient_factor(self.now());
+        let ratio = if self.has_shares() {
+            server.time_ratio()
+        } else {
+            server.gap_ratio()
+        };
+        tokens as f64 * self.per_token * ratio * transient
+    }
+
+    /// Time to prefill `tokens` at a server of ordinary speed (µs); 0 while the speed is unknown.
+    #[must_use]
+    pub fn ordinary_time(&self, tokens: f64) -> f64 {
+        tokens * self.per_token
+    }
+
+    /// Time until the server has processed the prompts in front of this one (µs), as far as this
+    /// router knows them.
+    #[must_use]
+    pub fn time_until_free(&self, index: u32) -> f64 {
+        self.prefill_time(index, self.backlog(index))
+    }
+
+    /// Whether all routers know that the servers differ in speed.
+    #[must_use]
+    pub fn has_shares(&self) -> bool {
+        !self.shares.is_empty()
+    }
+
+    /// Rank of the server at a position of [`Self::open`] for the request's prefix, by rendezvous
+    /// hashing weighted by the servers' shares. The highest is the prefix's home.
+    #[must_use]
+    pub fn rendezvous_rank(&self, position: usize) -> u64 {
+        let hash = mix(self.hashes[position] ^ self.args.prefix);
+        let Some(share) = self.shares.get(position) else {
+            return hash;
+        };
+        weighted_rank(hash, *share)
     }
 
     /// Whether the server can take this request as regular work.
@@ -185,6 +225,13 @@
     }
 }
 
+/// Rank by weighted rendezvous hashing: the highest of several belongs to each with a probability
+/// in proportion to its share. The bits of positive floating-point numbers have their order.
+fn weighted_rank(hash: u64, share: f64) -> u64 {
+    let unit = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    (share / -unit.ln()).to_bits()
+}
+
 /// Key of a prefix cached at a server instance.
 pub(crate) fn cache_key(prefix: u64, server: u64) -> u64 {
     mix(prefix ^ server.rotate_left(1))
@@ -197,6 +244,12 @@
 
     /// Index of the chosen server, one that [`View::can_take`]; `None` when there is none.
     fn pick(&mut self, view: &View<'_>, rng: &mut dyn Rng) -> Option<u32>;
+
+    /// Whether the server is the home of the last request's prefix, so that its shared part is
+    /// probably cached there.
+    fn is_home(&self, _index: u32) -> bool {
+        false
+    }
 }
 
 /// A uniformly random index below `len`, which must not be 0.
--- a/crates/routing/src/prefill_isolation.rs
+++ b/crates/routing/src/prefill_isolation.rs
@@ -4,9 +4,8 @@
 use rand::Rng;
 
 use crate::baseline::TwoChoices;
-use crate::expected::mix;
 use crate::policy::{Policy, View};
-use crate::rendezvous::bound;
+use crate::rendezvous::{bound, time_bound};
 
 /// Weight of a request in the mean prompt length.
 const EWMA_WEIGHT: f64 = 1.0 / 64.0;
@@ -30,11 +29,17 @@
 /// as this router and its peers know it, plus the tokens of this prompt that it hasn't cached. A
 /// prefix stays at its preferred server until the wait there takes a considerable part of the
 /// target time.
+///
+/// Where all routers know that servers differ in speed, homes are distributed in proportion to the
+/// servers' shares ([`View::rendezvous_rank`]), and load is bounded by the time until a server is
+/// free.
 #[derive(Debug, Default)]
 pub struct PrefillIsolation {
     fallback: TwoChoices,
     /// Moving average of prompt lengths, in tokens.
     mean: Option<f64>,
+    /// Home of the last request's prefix.
+    home: Option<u32>,
 }
 
 impl PrefillIsolation {
@@ -90,6 +95,7 @@
     }
 
     fn pick(&mut self, view: &View<'_>, rng: &mut dyn Rng) -> Option<u32> {
+        self.home = None;
         let prefix = view.args().prefix;
         if prefix == 0 {
             return self.fallback.pick(view, rng);
@@ -98,28 +104,25 @@
         let length = prompt.own + prompt.shared;
         let mean = self.update_mean(length);
         let eligibility = Eligibility::new(view, length, mean);
-        let bound = bound(view, |index| eligibility.accepts(index));
+        let bound = LoadBound::new(view, &eligibility, mean);
         let preferred = preferred(view, &eligibility);
+        self.home = preferred;
         let mut best: Option<(Suitability, u32)> = None;
-        for (index, hash) in view.open().iter().copied().zip(view.hashes()) {
+        for (position, index) in view.open().iter().copied().enumerate() {
             if !view.can_take(index) {
                 continue;
             }
-            let server = view.server(index);
             let prefill = if preferred == Some(index) {
                 // Other routers send the prefix there too, so its shared part is cached.
                 prompt.own
             } else {
                 view.prefill_tokens(index)
             };
-            let own = view.prefill_time(index, prefill);
-            let wait = view.prefill_time(index, view.backlog(index)) + own
-                - FREE_WAIT * view.args().ttft_target as f64;
             let rank = Suitability {
                 is_eligible: eligibility.accepts(index),
-                is_below_bound: f64::from(server.load().in_flight()) <= bound,
-                work: wait.max(0.0) + OWN_WEIGHT * own,
-                weight: mix(hash ^ prefix),
+                is_below_bound: bound.holds(view, index),
+                work: work(view, index, prefill),
+                weight: view.rendezvous_rank(position),
             };
             if best
                 .as_ref()
@@ -130,6 +133,10 @@
         }
         best.map(|(_, index)| index)
     }
+
+    fn is_home(&self, index: u32) -> bool {
+        self.home == Some(index)
+    }
 }
 
 /// Sort key of a candidate server.
@@ -152,9 +159,50 @@
 
 /// The first eligible server in the prefix's rendezvous order.
 fn preferred(view: &View<'_>, eligibility: &Eligibility<'_>) -> Option<u32> {
-    let prefix = view.args().prefix;
-    let servers = view.open().iter().copied().zip(view.hashes());
-    let eligible = servers.filter(|(index, _)| eligibility.accepts(*index));
-    let best = eligible.max_by_key(|(_, hash)| mix(*hash ^ prefix));
-    best.map(|(index, _)| index)
+    let servers = view.open().iter().copied().enumerate();
+    let eligible = servers.filter(|(_, index)| eligibility.accepts(*index));
+    let best = eligible.max_by_key(|(position, _)| view.rendezvous_rank(*position));
+    best.map(|(_, index)| index)
+}
+
+/// Prefill time that a prompt costs its caller and others at a server (µs).
+fn work(view: &View<'_>, index: u32, prefill: u64) -> f64 {
+    let own = view.prefill_time(index, prefill);
+    let until_free = view.time_until_free(index);
+    let free_wait = FREE_WAIT * view.args().ttft_target as f64;
+    if !view.has_shares() {
+        return (until_free + own - free_wait).max(0.0) + OWN_WEIGHT * own;
+    }
+    // Shares distribute the work by speed. If its own time counted too, each prompt would go to
+    // the fastest servers.
+    let own = view.ordinary_time(prefill as f64);
+    let transient = view.server(index).load().transient_factor(view.now());
+    let delay = until_free + own * (transient - 1.0);
+    (delay - free_wait).max(0.0) + OWN_WEIGHT * own
+}
+
+/// Load up to which a server isn't overloaded.
+enum LoadBound {
+    /// Own requests, where servers are equally fast.
+    Requests(f64),
+    /// Time until a server is free (µs).
+    Time(f64),
+}
+
+impl LoadBound {
+    /// The bound relative to the eligible servers, for prompts of `mean` tokens.
+    fn new(view: &View<'_>, eligibility: &Eligibility<'_>, mean: f64) -> Self {
+        if !view.has_shares() {
+            return Self::Requests(bound(view, |index| eligibility.accepts(index)));
+        }
+        let slack = view.ordinary_time(mean);
+        Self::Time(time_bound(view, slack, |index| eligibility.accepts(index)))
+    }
+
+    fn holds(&self, view: &View<'_>, index: u32) -> bool {
+        match self {
+            Self::Requests(bound) => f64::from(view.server(index).load().in_flight()) <= *bound,
+            Self::Time(bound) => view.time_until_free(index) <= *bound,
+        }
+    }
 }
--- a/crates/routing/src/rendezvous.rs
+++ b/crates/routing/src/rendezvous.rs
@@ -61,3 +61,18 @@
     let mean = f64::from(all) / f64::from(servers.max(1));
     mean * LOAD_FACTOR + SLACK_REQUESTS
 }
+
+/// Time until free (µs) up to which a server isn't overloaded, relative to the servers that
+/// `includes` selects; `slack` is the time of one prompt.
+pub(crate) fn time_bound(view: &View<'_>, slack: f64, includes: impl Fn(u32) -> bool) -> f64 {
+    let mut all = 0.0;
+    let mut servers: u32 = 0;
+    for index in view.open().iter().copied() {
+        if includes(index) {
+            all += view.time_until_free(index);
+            servers += 1;
+        }
+    }
+    let mean = all / f64::from(servers.max(1));
+    mean * LOAD_FACTOR + SLACK_REQUESTS * slack
+}
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -6,6 +6,7 @@
 use crate::health::Health;
 use crate::load::Load;
 use crate::slowness::Slowness;
+use crate::speed::{SampleSums, SharedSpeed, WorkEstimate};
 use crate::timing::EventGap;
 use crate::update::PendingUpdate;
 
@@ -39,6 +40,9 @@
     pub(crate) prefill: u64,
     /// The server's prefill backlog in front of it (tokens).
     pub(crate) backlog: u64,
+    /// Estimate of the tokens that the server has to prefill for this request, given that other
+    /// routers may have sent it the shared part.
+    pub(crate) work: WorkEstimate,
     pub(crate) first_at: Option<Micros>,
     /// Load at the time of sending, in thousandths of the server's slots.
     pub(crate) load: u32,
@@ -88,6 +92,10 @@
     pub(crate) event_gap: EventGap,
     /// Its gap between events relative to the pool's median; 1 when unknown.
     pub(crate) gap_ratio: f64,
+    /// Its speed as all routers know it.
+    pub(crate) shared_speed: Option<SharedSpeed>,
+    /// Samples of its speed that haven't been reported.
+    pub(crate) samples: SampleSums,
     /// Whether it is isolated from long prompts.
     pub(crate) is_isolated: bool,
     /// Prompt tokens that it has still to process.
@@ -155,6 +163,20 @@
         self.gap_ratio
     }
 
+    /// Time that work takes there relative to an ordinary server: the ratio that all routers know,
+    /// or its gap ratio if it is unknown or that of an ordinary server.
+    pub(crate) fn time_ratio(&self) -> f64 {
+        match self.shared_speed {
+            Some(speed) if speed.ratio != 1.0 => speed.ratio,
+            _ => self.gap_ratio,
+        }
+    }
+
+    /// Its share of the prefixes relative to an ordinary server's; 1 when unknown.
+    pub(crate) fn share(&self) -> f64 {
+        self.shared_speed.map_or(1.0, |speed| speed.share)
+    }
+
     /// Its health.
     #[must_use]
     pub fn health(&self) -> &Health {
--- a/crates/routing/tests/starts.rs
+++ b/crates/routing/tests/starts.rs
@@ -12,6 +12,7 @@
     running: 8,
     waiting: 20,
     slots: 8,
+    pace: None,
     draining: false,
     age: std::time::Duration::ZERO,
 };
--- a/crates/types/src/instance.rs
+++ b/crates/types/src/instance.rs
@@ -5,7 +5,7 @@
 
 /// One run of a backend server, from start to exit. A server may restart under the same name; what
 /// is known about one instance does not apply to the next.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerInstance {
     /// Name of the server.
     pub name: ServerName,
