--- a/crates/gateway/src/admission/reporter.rs
+++ b/crates/gateway/src/admission/reporter.rs
@@ -75,12 +75,14 @@
     async fn send(self, pool: Arc<Pool>, report: PoolReport, vms: Vec<VmName>) {
         for vm in vms {
             if vm == self.own {
-                let summary = self.aggregates.on_report(
+                let (summary, speeds) = self.aggregates.on_report(
                     &pool.name,
                     report.process,
                     decode_report(&report),
+                    &report.servers,
                     &pool.admission.targets(),
                 );
+                pool.apply_speeds(&speeds);
                 pool.admission.on_summary(summary, self.period);
                 return;
             }
--- a/crates/gateway/src/peer_handler.rs
+++ b/crates/gateway/src/peer_handler.rs
@@ -104,10 +104,10 @@
         };
         let load = admission::decode_report(report);
         let targets = pool.admission.targets();
-        let summary = self
-            .aggregates
-            .on_report(&name, report.process, load, &targets);
-        admission::encode_summary(&summary, Vec::new())
+        let (summary, speeds) =
+            self.aggregates
+                .on_report(&name, report.process, load, &report.servers, &targets);
+        admission::encode_summary(&summary, speeds)
     }
 
     fn last_seen(&self, process: u64) -> Seen {
