--- a/crates/gateway/src/admission/pool.rs
+++ b/crates/gateway/src/admission/pool.rs
@@ -49,6 +49,8 @@
 pub struct PoolAdmission {
     pool: PoolName,
     clock: Instant,
+    /// Whether requests may be refused for lack of capacity.
+    is_enabled: bool,
     /// Whether the servers report their load.
     has_reports: AtomicBool,
     targets: ArcSwap<Targets>,
@@ -65,11 +67,13 @@
 }
 
 impl PoolAdmission {
-    /// The state of a pool that isn't known to be overloaded.
-    pub(crate) fn new(pool: PoolName) -> Self {
+    /// The state of a pool that isn't known to be overloaded. Unless `is_enabled`, everything is
+    /// admitted.
+    pub(crate) fn new(pool: PoolName, is_enabled: bool) -> Self {
         Self {
             pool,
             clock: Instant::now(),
+            is_enabled,
             has_reports: AtomicBool::new(false),
             targets: ArcSwap::default(),
             is_open: AtomicBool::new(true),
@@ -99,7 +103,7 @@
     /// Whether requests of the pool are subject to admission.
     #[must_use]
     pub fn is_active(&self) -> bool {
-        self.has_reports.load(Relaxed) && !self.targets.load().is_empty()
+        self.is_enabled && self.has_reports.load(Relaxed) && !self.targets.load().is_empty()
     }
 
     /// Least urgent priority that is admitted in full; [`OPEN_LEVEL`] if all are.
--- a/crates/gateway/src/admission/reporter.rs
+++ b/crates/gateway/src/admission/reporter.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use swiftlink_admission::Summary;
 use swiftlink_link::LinkError;
 use swiftlink_telemetry::event;
 use swiftlink_types::VmName;
@@ -36,18 +37,30 @@
         ticks.tick().await;
         while calls.try_join_next().is_some() {}
         let routers = peers.all().len() + 1;
+        // In a small fleet, routers exchange updates about servers instead of speeds.
+        let has_speeds = peers.is_large();
         let every = routers.div_ceil(FULL_RATE_ROUTERS);
         let is_due = number % every as u64 == 0;
         let period = PERIOD * u32::try_from(every).unwrap_or(u32::MAX);
         for pool in node.pools.all() {
-            if !pool.admission.is_active() {
+            let is_active = pool.admission.is_active();
+            let (load, has_refusals) = if is_active {
+                pool.admission.end_period()
+            } else {
+                (None, false)
+            };
+            if !is_due {
                 continue;
             }
-            let (load, has_refusals) = pool.admission.end_period();
-            let Some(load) = load.filter(|_| is_due) else {
-                continue;
+            let samples = if has_speeds {
+                pool.take_samples()
+            } else {
+                Vec::new()
             };
-            let samples = pool.take_samples();
+            if load.is_none() && samples.is_empty() {
+                continue;
+            }
+            let load = load.unwrap_or_default();
             let report = encode_report(&pool.name, node.process, &load, has_refusals, samples);
             let placement = node.quotas.placement();
             let vms = placement.top_ranked(pool.name.as_str(), AGGREGATORS);
@@ -83,15 +96,14 @@
                     &pool.admission.targets(),
                 );
                 pool.apply_speeds(&speeds);
-                pool.admission.on_summary(summary, self.period);
+                self.apply(&pool, summary);
                 return;
             }
             let kind = request::Kind::PoolReport(report.clone());
             match self.peers.connect_and_call(&vm, kind, CALL_TIMEOUT).await {
                 Ok(reply::Kind::PoolSummary(summary)) => {
                     pool.apply_speeds(&summary.speeds);
-                    pool.admission
-                        .on_summary(decode_summary(&summary), self.period);
+                    self.apply(&pool, decode_summary(&summary));
                     return;
                 }
                 Ok(_) => event!(
@@ -107,4 +119,10 @@
             }
         }
     }
+
+    fn apply(&self, pool: &Pool, summary: Summary) {
+        if pool.admission.is_active() {
+            pool.admission.on_summary(summary, self.period);
+        }
+    }
 }
--- a/crates/gateway/src/admission/tests.rs
+++ b/crates/gateway/src/admission/tests.rs
@@ -79,7 +79,7 @@
 /// that those after them count as having no chance.
 #[tokio::test]
 async fn callers_that_leave_while_they_wait_do_not_block_others() {
-    let admission = PoolAdmission::new(PoolName::from("engines"));
+    let admission = PoolAdmission::new(PoolName::from("engines"), true);
     let class = ClassShares {
         others: 0.5,
         workspaces: BTreeMap::new(),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -144,7 +144,7 @@
                 settings.retries.window,
             ),
             rollout: PoolRollout::new(settings.rollouts),
-            admission: PoolAdmission::new(spec.name.clone()),
+            admission: PoolAdmission::new(spec.name.clone(), settings.admission),
             spec: ArcSwap::new(spec),
             fleet: Mutex::new(fleet),
             servers: ArcSwap::default(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -43,6 +43,8 @@
     pub retries: RetryLimits,
     /// How much of a pool's traffic a bad version may get; `None` disables rollouts.
     pub rollouts: Option<ExposureLimit>,
+    /// Whether requests that an overloaded pool can't serve in time are refused.
+    pub admission: bool,
     /// Maximum number of partitions of the accounts feed.
     pub partitions: u32,
 }
--- a/crates/gateway/tests/testsuite/pools.rs
+++ b/crates/gateway/tests/testsuite/pools.rs
@@ -16,6 +16,7 @@
 pub(crate) fn settings() -> RouterSettings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     RouterSettings {
+        admission: true,
         vm: VmName::from("vm"),
         domain: DomainName::from("a"),
         regions: HashMap::new(),
