--- a/crates/gateway/src/quota/lease.rs
+++ b/crates/gateway/src/quota/lease.rs
@@ -35,8 +35,8 @@
 const BUSY_COVERED_TIME: Duration = Duration::from_millis(2_000);
 const BUSY_RENEW_TIME: Duration = Duration::from_millis(1_000);
 /// Requests a second of one workspace from which on its callers may fill the link within a second:
-/// twenty bodies of 17 KB are a quarter of a link of 10 Mbit/s.
-const BUSY_RATE: f64 = 20.0;
+/// forty bodies of 17 KB are half of a link of 10 Mbit/s.
+const BUSY_RATE: f64 = 40.0;
 /// Age at which a lease is replaced, so that the holder learns what was spent.
 pub const MAX_AGE: Duration = Duration::from_secs(1);
 /// Age at which a lease that couldn't be replaced is closed.
--- a/crates/gateway/src/quota/reserver.rs
+++ b/crates/gateway/src/quota/reserver.rs
@@ -46,7 +46,9 @@
 const ROUND_TRIP: Duration = Duration::from_millis(60);
 /// Time for an answer to a request for a lease. No request waits for it, so it covers several
 /// processor scheduling periods of the two VMs.
-const LEASE_TIMEOUT: Duration = Duration::from_secs(1);
+const LEASE_TIMEOUT: Duration = Duration::from_millis(250);
+/// The same for a busy router, whose link may be full: the lease before lasts for as long.
+const BUSY_LEASE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Sends calls to other routers.
 #[async_trait]
 pub trait PeerClient: fmt::Debug + Send + Sync {
@@ -430,8 +432,13 @@
             lease: Some(size),
         };
         let kind = request::Kind::Reserve(request);
+        let time = if size.is_busy {
+            BUSY_LEASE_TIMEOUT
+        } else {
+            LEASE_TIMEOUT
+        };
         let call = self.peers.call(vm, kind, RELEASE_TIMEOUT);
-        match timeout(LEASE_TIMEOUT, call).await {
+        match timeout(time, call).await {
             Ok(Ok(reply::Kind::Reserved(reserved))) => match reserved.leased {
                 Some(tokens) => {
                     quota.on_granted(reserved.rest);
--- a/crates/gateway/tests/testsuite/leases.rs
+++ b/crates/gateway/tests/testsuite/leases.rs
@@ -327,6 +327,22 @@
     assert_eq!(grantable(0, 0, 0, &LeaseSize::default()), None);
 }
 
+/// Guards against a router with many callers that has used its lease up before the next one arrives.
+#[test]
+fn a_holder_lends_a_tenth_of_what_it_holds_to_a_busy_router() {
+    let granted = |lent| {
+        let size = LeaseSize {
+            least: 100,
+            most: 8_000,
+            is_busy: true,
+        };
+        grantable(100_000, lent, 50_000, &size)
+    };
+    assert_eq!(granted(0), Some(5_000));
+    assert_eq!(granted(9_850), None, "too little room");
+    assert_eq!(granted(10_500), None, "all leases are within a tenth");
+}
+
 #[test]
 fn a_lease_follows_demand() {
     const TENTH: u64 = 100_000;
