--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -2,6 +2,7 @@
 
 use swiftlink_shell::web::Response;
 use swiftlink_telemetry::event;
+use tokio::time::timeout_at;
 
 use super::exchange::{Attempts, Exchange};
 use super::refusal::Refusal;
@@ -9,6 +10,24 @@
 use crate::fleet::Ticket;
 
 impl Exchange {
+    /// Waits until the tokens of the request are reserved, before anything of a response is delivered.
+    pub(super) async fn is_paid(&mut self) -> bool {
+        let deadline = self.deadline;
+        let error = match timeout_at(deadline, self.quota.reserved()).await {
+            Ok(Ok(())) => return true,
+            Ok(Err(error)) => error.map_or_else(|| "shutdown".to_owned(), |error| error.asked),
+            Err(_elapsed) => "timeout".to_owned(),
+        };
+        event!(
+            warn,
+            "quota.not_reserved",
+            id = self.id(),
+            workspace = self.workspace(),
+            asked = error,
+        );
+        false
+    }
+
     /// Asks for admission before the first attempt at a stream, and waits for it if necessary.
     pub(super) async fn admit(&self, attempts: &Attempts) -> Result<(), Refusal> {
         let admission = &self.pool.admission;
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -219,24 +219,6 @@
         }
     }
 
-    /// Waits until the tokens of the request are reserved, before anything of a response is delivered.
-    async fn is_paid(&mut self) -> bool {
-        let deadline = self.deadline;
-        let error = match timeout_at(deadline, self.quota.reserved()).await {
-            Ok(Ok(())) => return true,
-            Ok(Err(error)) => error.map_or_else(|| "shutdown".to_owned(), |error| error.asked),
-            Err(_elapsed) => "timeout".to_owned(),
-        };
-        event!(
-            warn,
-            "quota.not_reserved",
-            id = self.id(),
-            workspace = self.workspace(),
-            asked = error,
-        );
-        false
-    }
-
     /// Sends the request to one server after the other until one responds.
     pub(super) async fn dispatch(
         &mut self,
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod limits;
 mod losses;
 mod net;
+mod pending;
 mod pools;
 mod proof;
 mod quarantine;
