--- a/crates/admission/src/pool.rs
+++ b/crates/admission/src/pool.rs
@@ -129,7 +129,7 @@
     }
 
     /// Counts a request as sent. Its first event is late after `target_at`. Returns an id for
-    /// [`Self::on_answered`].
+    /// [`Self::on_first_event`] and [`Self::on_ended`].
     pub fn on_sent(&mut self, now: Micros, priority: u8, tokens: u64, target_at: Micros) -> u64 {
         // While nothing is known of the servers, no wait is counted.
         let expected_at = self
--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! The decisions are made in `swiftlink-admission`. [`PoolAdmission`] holds the state of one pool
 //! and lets requests wait, `reporter` sends what this router has seen to the routers that aggregate
-//! it, and [`Aggregates`] holds the reports at those. It is off for pools without streaming routes
+//! it, and `Aggregates` holds the reports at those. It is off for pools without streaming routes
 //! and for pools whose servers don't report their load.
 
 mod aggregates;
--- a/crates/gateway/src/quota/reserver.rs
+++ b/crates/gateway/src/quota/reserver.rs
@@ -232,7 +232,7 @@
     }
 
     /// Like [`Self::reserve`], but returns at once while the budget is ample and holders answer: the
-    /// tokens are reserved in the background then, and may take [`PENDING_WAIT`].
+    /// tokens are reserved in the background then, and may take a second or two.
     ///
     /// # Errors
     /// When no reachable router grants them.
