--- a/crates/gateway/src/quota/pending.rs
+++ b/crates/gateway/src/quota/pending.rs
@@ -11,9 +11,11 @@
 use super::reservation::Reservation;
 use super::reserver::ReserveError;
 
-/// A budget is ample if this fraction of it is left,
+/// A budget is ample if at least its `1 / MIN_REST_DIVISOR` is left, so that what other requests may
+/// spend meanwhile doesn't exhaust it.
 const MIN_REST_DIVISOR: Tokens = 10;
-/// and this many times the cost of the request: many others may run at the same time.
+/// Times the cost of the request that are left of an ample budget: many others may run at the same
+/// time.
 const MIN_REST_REQUESTS: Tokens = 200;
 
 /// Whether a request of `cost` can count on being granted its tokens: `rest` of `prepaid` tokens were
--- a/crates/gateway/src/quota/reserver.rs
+++ b/crates/gateway/src/quota/reserver.rs
@@ -49,6 +49,7 @@
 const LEASE_TIMEOUT: Duration = Duration::from_millis(250);
 /// The same for a busy router, whose link may be full: the lease before lasts for as long.
 const BUSY_LEASE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Sends calls to other routers.
 #[async_trait]
 pub trait PeerClient: fmt::Debug + Send + Sync {
@@ -344,10 +345,8 @@
 
     /// The holders of the account, then candidates that may replace them.
     pub(super) fn holders(&self, quota: &LocalQuota) -> Vec<VmName> {
-        let turn = self.next.load(Relaxed);
-        self.quotas
-            .placement()
-            .reserve_order(&quota.workspace, turn)
+        let placement = self.quotas.placement();
+        placement.reserve_order(&quota.workspace, self.next.load(Relaxed))
     }
 
     /// Routers with unspent quota in descending order, then those of [`Self::holders`]. Only a
