--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! The decisions are made in `swiftlink-admission`. [`PoolAdmission`] holds the state of one pool
 //! and lets requests wait, `reporter` sends what this router has seen to the routers that aggregate
-//! it, and `Aggregates` holds the reports at those. It is off for pools without streaming routes
-//! and for pools whose servers don't report their load.
+//! it, and `Aggregates` holds the reports at those. It is off unless the setting
+//! `admission` is on, for pools without streaming routes and for pools whose servers don't report
+//! their load.
 
 mod aggregates;
 mod codec;
