quota: limit what routers claim within the seconds that a copy of the store lacks

What callers saw: tokens of a workspace spent twice after a drill. The store came back from a copy without its last seconds, all routers ended within 0.6 s of it, and their successors granted again what had been claimed since the copy.

Cause: a copy bounds what each process had spent only while its pace hardly changed. Claims, and quota that moves between routers, weren't bounded by anything that the copy has.

Change: an account keeps marks of what was recorded as spent earlier, at least a third of the copy's lag apart by the clock of whoever moves them. All that is granted stays within a limit that follows from the first mark: 7 in 10 of what was left then, 3 in 10 of the budget, or one request of 128k tokens, whichever is most. A change moves the marks by one at most, so the last mark of a copy bounds all claims after it. When the era rises, what that bound leaves beyond the entries is reserved (`unconfirmed`) until each holder has written its entry again; the successor of a process whose last claims may be lost counts it as spent. A request that the limit doesn't cover is refused at once, with the time at which the marks will cover it. The lag is a setting (`copy_lag_ms`, 4 s).

The same fault elsewhere: a router that is cut off or frozen over the restore and whose last claim nobody had read, until now only suspected.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -72,7 +72,8 @@
             freshness: Freshness::new(Arc::clone(&clock) as _),
             quotas: Arc::new(
                 QuotaTable::new(placement, settings.partitions, clock)
-                    .with_members(settings.member_partitions()),
+                    .with_members(settings.member_partitions())
+                    .with_copy_lag(settings.copy_lag),
             ),
             settings,
             dialect,
--- a/crates/gateway/src/quota/account.rs
+++ b/crates/gateway/src/quota/account.rs
@@ -1,5 +1,7 @@
 //! The account of one workspace, and how a router changes it. No I/O.
 
+pub mod growth;
+
 use std::collections::HashMap;
 
 use bytes::Bytes;
@@ -27,6 +29,9 @@
 const CLAIM_BELOW: f64 = 0.8;
 /// Fraction of its target that a router may spend before it records that in the account.
 const UNREPORTED_FRACTION: f64 = 0.1;
+/// A router writes the account to move its marks on when the tokens that may be spent are less than
+/// this fraction of what they would be then.
+const MARKS_BEHIND: f64 = 0.8;
 
 /// Maximum number of tokens that a workspace may have prepaid. It keeps the sums over an account
 /// far below the range of `u64`, and is far above any real budget.
@@ -58,8 +63,10 @@
             sum = sum.and_then(|sum| sum.checked_add(count));
         }
     }
+    let newest = account.marks.iter().max().copied().unwrap_or(0);
+    let marked = newest.max(account.unconfirmed);
     match sum {
-        Some(sum) if sum <= MAX_SUM => Ok(account),
+        Some(sum) if sum.max(marked) <= MAX_SUM => Ok(account),
         _ => Err(AccountError::TooLarge),
     }
 }
@@ -98,6 +105,8 @@
     pub is_frozen: bool,
     /// Whether the account has to be written even if the router changes nothing.
     pub must_write: bool,
+    /// Whether the account's marks are old enough to move on.
+    pub marks_due: bool,
 }
 
 /// The most that a process that ended has spent of an account.
@@ -135,8 +144,7 @@
 /// Tokens that remain of `prepaid` after what all routers have recorded as spent.
 #[must_use]
 pub fn remaining(account: &Account, prepaid: Tokens) -> Tokens {
-    let charged: Tokens = account.holders.iter().map(|holder| holder.charged).sum();
-    prepaid.saturating_sub(account.closed + charged)
+    prepaid.saturating_sub(spent(account))
 }
 
 /// Tokens that all but `process` have recorded as spent.
@@ -171,7 +179,10 @@
 /// How `router` should change the account; `None` when it should leave it as it is.
 #[must_use]
 pub fn adjust(account: &Account, prepaid: Tokens, router: &RouterState) -> Option<Change> {
-    let (mut base, closed) = without_vm(account, router);
+    let (mut base, closed) = without_vm(account, prepaid, router);
+    let spent = spent(&base) + router.charged;
+    let lags = marks_lag(&base, spent, prepaid);
+    base.marks = growth::next_marks(&base, spent, router.marks_due);
     let target = target(&base, prepaid, router);
     let unspent = router.granted.saturating_sub(router.charged);
     let mut granted = router.charged + resize(unspent, target, router);
@@ -186,11 +197,13 @@
     // there, and the other routers tell their callers to retry for it.
     let is_due = match entry {
         _ if router.must_write || !closed.is_empty() => true,
+        _ if router.marks_due && lags => true,
         None => granted > 0 || router.need > 0,
         Some(entry) => {
             let unreported = router.charged.saturating_sub(entry.charged);
             granted != entry.granted
                 || entry.need != router.need
+                || entry.era < router.era
                 || unreported as f64 > target as f64 * UNREPORTED_FRACTION
         }
     };
@@ -213,22 +226,35 @@
     })
 }
 
+/// Whether the tokens that may be spent now are much fewer than after the marks have moved on.
+fn marks_lag(account: &Account, spent: Tokens, prepaid: Tokens) -> bool {
+    let now = growth::limit_now(account, prepaid).saturating_sub(spent);
+    let later = growth::limit(spent, prepaid).saturating_sub(spent);
+    (now as f64) < later as f64 * MARKS_BEHIND
+}
+
 /// The account without this router, for when its process stops.
 #[must_use]
-pub fn close(account: &Account, router: &RouterState) -> Account {
-    let (mut base, _) = without_vm(account, router);
+pub fn close(account: &Account, prepaid: Tokens, router: &RouterState) -> Account {
+    let (mut base, _) = without_vm(account, prepaid, router);
     base.closed += router.charged;
     base
 }
 
 /// The account without the router's VM, and the earlier processes on that VM that this closes:
 /// the most that each can have spent counts as spent.
-fn without_vm(account: &Account, router: &RouterState) -> (Account, Vec<ClosedHolder>) {
+fn without_vm(
+    account: &Account,
+    prepaid: Tokens,
+    router: &RouterState,
+) -> (Account, Vec<ClosedHolder>) {
     let mut base = Account {
         closed: account.closed,
         holders: Vec::with_capacity(account.holders.len() + 1),
         era: router.era,
         changes: account.changes.saturating_add(1),
+        marks: account.marks.clone(),
+        unconfirmed: unconfirmed(account, prepaid, router),
     };
     let mut closed = Vec::new();
     for holder in &account.holders {
@@ -240,13 +266,51 @@
             base.holders.push(holder);
             continue;
         }
-        let counted = max_spent(&holder, router);
+        let counted = max_spent(&holder, router, base.unconfirmed);
+        if holder.era < router.era {
+            base.unconfirmed = (base.unconfirmed + holder.granted).saturating_sub(counted);
+        }
         base.closed += counted;
         closed.push(ClosedHolder { holder, counted });
     }
+    if base.holders.iter().all(|holder| holder.era >= router.era) {
+        base.unconfirmed = 0;
+    }
     (base, closed)
 }
 
+/// Tokens that holders may hold beyond their entries once this router has written its own.
+fn unconfirmed(account: &Account, prepaid: Tokens, router: &RouterState) -> Tokens {
+    let lost = if account.era < router.era {
+        growth::lost(account, committed(account), prepaid)
+    } else {
+        account.unconfirmed
+    };
+    let mut holders = account.holders.iter();
+    let own = holders.find(|holder| holder.process == router.process);
+    match own {
+        Some(own) if own.era >= router.era => lost,
+        // What the router holds beyond its entry is one of the lost claims. It may also hold less,
+        // since what it returned was lost.
+        own => {
+            let known = own.map_or(0, |own| own.granted);
+            (lost + known).saturating_sub(router.granted)
+        }
+    }
+}
+
+/// Tokens that an account grants or counts as spent.
+fn committed(account: &Account) -> Tokens {
+    let held: Tokens = account.holders.iter().map(|holder| holder.granted).sum();
+    account.closed + held
+}
+
+/// Tokens that an account records as spent.
+fn spent(account: &Account) -> Tokens {
+    let charged: Tokens = account.holders.iter().map(|holder| holder.charged).sum();
+    account.closed + charged
+}
+
 /// An earlier process on the VM, whose entry is replaced by a count of spent tokens.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ClosedHolder {
@@ -257,18 +321,19 @@
 }
 
 /// The most that an earlier process on this VM can have spent. One that stored no cap may have
-/// spent all that it held.
-fn max_spent(holder: &Holder, router: &RouterState) -> Tokens {
-    let Some(ended) = router.ended.get(&holder.process) else {
-        return holder.granted;
+/// spent all that it held. `lost`: tokens that it may have held beyond its entry, in claims that the
+/// store lost.
+fn max_spent(holder: &Holder, router: &RouterState, lost: Tokens) -> Tokens {
+    let held = if holder.era < router.era {
+        holder.granted + lost
+    } else {
+        holder.granted
     };
-    let max = ended.max.max(holder.charged);
-    if !ended.is_outdated || max == Tokens::MAX {
-        return max.min(holder.granted);
+    match router.ended.get(&holder.process) {
+        Some(ended) if !ended.is_outdated => ended.max.max(holder.charged).min(held),
+        // Neither the cap nor the entry may be the last one.
+        _ => held,
     }
-    // Neither the cap nor the entry may be the last one: half of what was held counts as spent.
-    let unspent = holder.granted.saturating_sub(holder.charged);
-    max.max(holder.charged + unspent.div_ceil(2))
 }
 
 /// The account after the store went back to a copy: `stored` is what the store has, `earlier` what
@@ -299,6 +364,8 @@
             None => merged.holders.push(holder.clone()),
         }
     }
+    let found = committed(&merged).saturating_sub(committed(stored));
+    merged.unconfirmed = merged.unconfirmed.saturating_sub(found);
     merged
 }
 
@@ -308,7 +375,7 @@
     if router.rank.is_none() {
         return false;
     }
-    let (others, _) = without_vm(account, router);
+    let (others, _) = without_vm(account, prepaid, router);
     let left = unspent(&others, prepaid, router);
     is_excluded(sharers(left, router), router)
 }
@@ -337,14 +404,16 @@
 
 /// Unspent tokens that the router should hold.
 fn target(others: &Account, prepaid: Tokens, router: &RouterState) -> Tokens {
-    let max = ungranted(others, prepaid, router.charged);
+    let free = ungranted(others, prepaid, router);
+    let max = router.granted.saturating_sub(router.charged) + free;
     let left = unspent(others, prepaid, router);
     let count = (others.holders.len() + 1).max(router.sharers) as f64;
     let rates: u64 = others.holders.iter().map(|holder| holder.rate).sum();
     let rate = (router.rate + rates) as f64;
     let sharers = sharers(left, router);
-    let left = left as f64;
-    let all = left * HELD_FRACTION;
+    let spent = prepaid.saturating_sub(left);
+    let available = growth::limit_now(others, prepaid).saturating_sub(spent);
+    let all = available as f64 * HELD_FRACTION;
     let even = all / count;
     let wanted = if is_excluded(sharers, router) || (router.rate == 0 && !router.is_holder) {
         0.0
@@ -362,7 +431,7 @@
         by_rate * (1.0 - EVEN_FRACTION) + even * EVEN_FRACTION
     };
     let needed: Tokens = others.holders.iter().map(|holder| holder.need).sum();
-    let wanted = if needed > ungranted(others, prepaid, router.granted) {
+    let wanted = if needed > free {
         // Requests of other routers wait for tokens that are held here: return all unused ones.
         0
     } else {
@@ -372,10 +441,10 @@
     wanted.max(min).min(max).max(router.reserved)
 }
 
-/// Tokens that are granted to nobody if this router holds `own` tokens, spent ones included.
-fn ungranted(others: &Account, prepaid: Tokens, own: Tokens) -> Tokens {
-    let held: Tokens = others.holders.iter().map(|holder| holder.granted).sum();
-    prepaid.saturating_sub(others.closed + held + own)
+/// Tokens that may be granted beyond what all routers hold or may hold.
+fn ungranted(others: &Account, prepaid: Tokens, router: &RouterState) -> Tokens {
+    let committed = committed(others) + others.unconfirmed + router.granted;
+    growth::limit_now(others, prepaid).saturating_sub(committed)
 }
 
 /// The router's unspent tokens after the change. Small differences don't justify an append.
--- a/crates/gateway/src/quota/claim.rs
+++ b/crates/gateway/src/quota/claim.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod era;
+mod marks;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use self::era::EarlierAccounts;
+use self::marks::KnownMarks;
 use super::account::{self, RouterState};
 use super::cap_writer::{CapWriter, EndedProcesses};
 use super::last_seen::LastSeen;
@@ -83,6 +85,7 @@
                 is_behind: false,
                 unresolved: None,
                 earlier: EarlierAccounts::default(),
+                marks: KnownMarks::new(quotas.copy_lag()),
                 rates: Rates::default(),
                 is_idle: false,
                 ended: Arc::default(),
@@ -131,6 +134,8 @@
     unresolved: Option<u64>,
     /// What is known from before the store went back to a copy.
     earlier: EarlierAccounts,
+    /// Since when the marks of the accounts are known.
+    marks: KnownMarks,
     rates: Rates,
     /// Whether this router needed none of the accounts in the last round.
     is_idle: bool,
@@ -216,6 +221,13 @@
         routers.unwrap_or(0) as u32
     }
 
+    /// Whether the store went back to a copy since this router last read the accounts. Its entries
+    /// there have to be confirmed.
+    fn is_outdated(&self) -> bool {
+        let era = *self.store.era().borrow();
+        self.snapshot.as_ref().is_some_and(|s| era_of(s.end) < era)
+    }
+
     /// Brings the accounts of this partition up to date.
     async fn round(&mut self) -> Result<(), StoreError> {
         let quotas = self.quotas.in_partition(self.partition);
@@ -225,7 +237,7 @@
         let placement = self.quotas.placement();
         let is_active = |q: &Arc<LocalQuota>| q.is_active(placement.is_holder(&q.workspace));
         let is_frozen = self.earlier.is_frozen();
-        self.is_idle = !quotas.iter().any(is_active) && !is_frozen;
+        self.is_idle = !quotas.iter().any(is_active) && !is_frozen && !self.is_outdated();
         if self.is_idle {
             return Ok(());
         }
@@ -290,6 +302,7 @@
             for (quota, change) in &changes {
                 self.earlier.on_written(&quota.workspace);
                 let account = change.account.clone();
+                self.marks.observe(&quota.workspace, &account.marks);
                 snapshot.accounts.insert(quota.workspace.clone(), account);
             }
         }
@@ -377,7 +390,8 @@
                 let mut router = self.router_state(quota);
                 // Tokens that a request still holds count as spent.
                 router.charged = (router.charged + router.reserved).min(router.granted);
-                records.push(record(&quota.workspace, &account::close(account, &router)));
+                let closed = account::close(account, quota.prepaid(), &router);
+                records.push(record(&quota.workspace, &closed));
             }
             if records.is_empty() {
                 return Ok(());
@@ -411,6 +425,7 @@
             era: self.snapshot.as_ref().map_or(0, |s| era_of(s.end)),
             is_frozen: self.earlier.is_frozen(),
             must_write: self.earlier.must_write(&quota.workspace),
+            marks_due: self.marks.are_due(&quota.workspace),
         }
     }
 }
--- a/crates/gateway/src/quota/claim/apply.rs
+++ b/crates/gateway/src/quota/claim/apply.rs
@@ -43,6 +43,7 @@
         let holders = holders.into_iter().map(|(_, vm)| vm);
         let spent = account::spent_by_others(account, self.process);
         let rate = account::rate_of_others(account, self.process);
+        quota.set_growth(self.marks.growth(&quota.workspace, account));
         quota.on_account_read(spent, rate, holders.collect());
     }
 
@@ -58,6 +59,7 @@
             match account::decode(value) {
                 Ok(mut account) => {
                     let workspace = WorkspaceName::from(record.key);
+                    self.marks.observe(&workspace, &account.marks);
                     account = self
                         .earlier
                         .complete(&workspace, account, era_of(snapshot.end));
--- a/crates/gateway/src/quota/local.rs
+++ b/crates/gateway/src/quota/local.rs
@@ -6,12 +6,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use swiftlink_admission::{Grant, GrantCounters};
 use swiftlink_types::{Tokens, VmName, WorkspaceName};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use super::account::growth::Growth;
 use super::cap::{self, Cap};
 use super::lease::Lessee;
 use super::pending;
@@ -47,6 +48,8 @@
     others_spent: AtomicU64,
     /// Tokens a second that others use, as last read.
     others_rate: AtomicU64,
+    /// How much of the account may be claimed by when, as last read.
+    growth: ArcSwapOption<Growth>,
     /// Whether the last access to the account on the store failed.
     store_unavailable: AtomicBool,
     /// When the account was last read, in milliseconds since `created`; 0 before.
@@ -143,12 +146,33 @@
         /// Tokens that remain.
         remaining: Tokens,
     },
+    /// The tokens that remain cover the request, but not those that all routers together may claim
+    /// by now.
+    Limited {
+        /// Time until they may claim enough.
+        retry_after: Duration,
+    },
     /// Other routers hold the remaining tokens.
     HeldElsewhere,
     /// The store is unreachable, and the tokens held here don't cover the request.
     StoreUnavailable,
 }
 
+impl QuotaError {
+    /// Time until the request may be granted, if the reason says so.
+    pub(crate) fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::Limited { retry_after } => Some(retry_after),
+            Self::Exhausted { .. } | Self::HeldElsewhere | Self::StoreUnavailable => None,
+        }
+    }
+
+    /// Whether no other router has the tokens either.
+    pub(super) fn is_fleet_wide(self) -> bool {
+        matches!(self, Self::Exhausted { .. } | Self::Limited { .. })
+    }
+}
+
 impl LocalQuota {
     pub(super) fn new(workspace: WorkspaceName, wakers: Wakers, clock: Arc<dyn Clock>) -> Self {
         Self {
@@ -164,6 +188,7 @@
             holders: ArcSwap::default(),
             others_spent: AtomicU64::new(0),
             others_rate: AtomicU64::new(0),
+            growth: ArcSwapOption::empty(),
             store_unavailable: AtomicBool::new(false),
             read_at: AtomicU64::new(0),
             created: Instant::now(),
@@ -352,6 +377,32 @@
             .saturating_sub(self.others_spent.load(Relaxed) + charged)
     }
 
+    /// Why no router can grant `cost` tokens now; `None` if one may.
+    pub(super) fn refusal(&self, cost: Tokens) -> Option<QuotaError> {
+        let remaining = self.remaining();
+        if remaining < cost {
+            return Some(QuotaError::Exhausted { remaining });
+        }
+        let prepaid = self.prepaid();
+        let tokens = prepaid - remaining + cost;
+        let growth = self.growth.load();
+        let growth = growth.as_ref()?;
+        let retry_after = growth.time_until(tokens, prepaid, Instant::now());
+        if retry_after.is_zero() {
+            return None;
+        }
+        Some(if self.store_unavailable.load(Relaxed) {
+            QuotaError::StoreUnavailable
+        } else {
+            QuotaError::Limited { retry_after }
+        })
+    }
+
+    /// Updates how much of the account may be claimed by when.
+    pub(super) fn set_growth(&self, growth: Growth) {
+        self.growth.store(Some(Arc::new(growth)));
+    }
+
     /// Milliseconds since the account was last read, or since this value was created.
     #[must_use]
     pub fn read_age_ms(&self) -> u64 {
--- a/crates/gateway/src/quota/local/reserve.rs
+++ b/crates/gateway/src/quota/local/reserve.rs
@@ -19,7 +19,7 @@
 
 impl LocalQuota {
     /// Reserves the highest cost of `usage`, waiting up to `wait` for quota. It fails at once
-    /// where the remaining tokens are left to other routers.
+    /// where no router has the tokens, or the remaining ones are left to other routers.
     ///
     /// # Errors
     /// When the quota doesn't cover the cost in time.
@@ -31,9 +31,8 @@
         if let Some(reservation) = self.try_reserve(usage) {
             return Ok(reservation);
         }
-        let remaining = self.remaining();
-        if remaining < usage.max_total() {
-            return Err(QuotaError::Exhausted { remaining });
+        if let Some(refusal) = self.refusal(usage.max_total()) {
+            return Err(refusal);
         }
         if self.is_withdrawn() {
             return Err(QuotaError::HeldElsewhere);
@@ -53,9 +52,8 @@
         let _waiting = Waiting::enter(&self.waiting, cost);
         loop {
             let changed = self.changed.notified();
-            let remaining = self.remaining();
-            if remaining < cost {
-                return Err(QuotaError::Exhausted { remaining });
+            if let Some(refusal) = self.refusal(cost) {
+                return Err(refusal);
             }
             self.wake_tasks();
             let pause = until.min(Instant::now() + RECHECK);
--- a/crates/gateway/src/quota/mod.rs
+++ b/crates/gateway/src/quota/mod.rs
@@ -14,6 +14,9 @@
 //! A router of a large fleet that serves many requests of a workspace reserves them from a
 //! [`lease`] instead, which is such a reservation for several requests.
 //!
+//! A store that goes back to an older copy loses the last claims. So all routers together claim no
+//! more than a part of a budget in the seconds that a copy may lack ([`account::growth`]).
+//!
 //! Quota doesn't expire with time: a router that was frozen or disconnected may continue to spend
 //! its grant. The grant ends with the router's process. The next process on the same VM counts as
 //! spent what the stored [`cap`] of its predecessor allowed for the time in between.
@@ -41,4 +44,4 @@
 pub use pending::RequestQuota;
 pub use reservation::Reservation;
 pub use reserver::{PeerClient, ReserveError, Reserver, Timeouts};
-pub use table::QuotaTable;
+pub use table::{COPY_LAG, QuotaTable};
--- a/crates/gateway/src/quota/peer_reservations.rs
+++ b/crates/gateway/src/quota/peer_reservations.rs
@@ -141,26 +141,29 @@
         let mut states = self.lock();
         // A release that arrived in the meantime has removed the entry.
         let wanted = states.reservations.remove(&key).is_some();
-        let refusal = match reserved {
-            Ok(reservation) => {
-                if wanted {
-                    let held = Held {
-                        reservation,
-                        expires: Instant::now() + time + RELEASE_GRACE,
-                        charged: 0,
-                        lent: None,
-                    };
-                    states.reservations.insert(key, State::Held(held));
-                }
-                Refusal::Unspecified
+        let result = reserved.map(|reservation| {
+            if !wanted {
+                return;
             }
+            let held = Held {
+                reservation,
+                expires: Instant::now() + time + RELEASE_GRACE,
+                charged: 0,
+                lent: None,
+            };
+            states.reservations.insert(key, State::Held(held));
+        });
+        let refusal = match result {
+            Ok(()) => Refusal::Unspecified,
             Err(QuotaError::Exhausted { .. }) => Refusal::Spent,
-            Err(QuotaError::HeldElsewhere) => Refusal::Elsewhere,
+            Err(QuotaError::Limited { .. } | QuotaError::HeldElsewhere) => Refusal::Elsewhere,
             Err(QuotaError::StoreUnavailable) => Refusal::Away,
         };
-        let unlock = match refusal {
-            Refusal::Elsewhere | Refusal::Away => quota.unlocks_in(request.tokens),
-            Refusal::Unspecified | Refusal::Spent => None,
+        let unlock = match result {
+            Ok(()) | Err(QuotaError::Exhausted { .. }) => None,
+            Err(reason) => reason
+                .retry_after()
+                .or_else(|| quota.unlocks_in(request.tokens)),
         };
         Reserved {
             refusal: refusal.into(),
--- a/crates/gateway/src/quota/reserver.rs
+++ b/crates/gateway/src/quota/reserver.rs
@@ -134,6 +134,7 @@
         f.write_str(match self {
             Self::Granted(_) => "granted",
             Self::Refused(QuotaError::Exhausted { .. }, _) => "spent",
+            Self::Refused(QuotaError::Limited { .. }, _) => "limited",
             Self::Refused(QuotaError::HeldElsewhere, Some(_)) => "locked",
             Self::Refused(QuotaError::HeldElsewhere, None) => "elsewhere",
             Self::Refused(QuotaError::StoreUnavailable, _) => "store away",
@@ -215,7 +216,8 @@
             }
         };
         reserved.map_err(|reason| {
-            if let Some(time) = quota.unlocks_in(usage.max_total()) {
+            let unlock = reason.retry_after();
+            if let Some(time) = unlock.or_else(|| quota.unlocks_in(usage.max_total())) {
                 asked.add_retry(time);
             }
             ReserveError {
@@ -279,7 +281,7 @@
             biased;
             result = &mut here => match result {
                 Ok(reservation) => Ok(reservation),
-                Err(exhausted @ QuotaError::Exhausted { .. }) => Err(exhausted),
+                Err(reason) if reason.is_fleet_wide() => Err(reason),
                 Err(reason) => match there.await {
                     Ok(reservation) => Ok(reservation),
                     Err(Refused::Unreached) if quota.is_withdrawn() => {
@@ -314,8 +316,8 @@
             asked.add(&vm, &answer);
             match answer {
                 Answer::Granted(reservation) => return Ok(reservation),
-                Answer::Refused(exhausted @ QuotaError::Exhausted { .. }, _) => {
-                    return Err(Refused::By(exhausted));
+                Answer::Refused(reason, _) if reason.is_fleet_wide() => {
+                    return Err(Refused::By(reason));
                 }
                 Answer::Refused(reason, _) => {
                     refused = Some(reason);
--- a/crates/gateway/src/quota/table.rs
+++ b/crates/gateway/src/quota/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use swiftlink_types::WorkspaceName;
@@ -18,6 +19,9 @@
 /// between the appends of different routers.
 const PARTITIONS: u32 = 12;
 
+/// The last seconds that a store may have lost when it comes back from a copy.
+pub const COPY_LAG: Duration = Duration::from_secs(4);
+
 /// The quota of each workspace at this router.
 #[derive(Debug)]
 pub struct QuotaTable {
@@ -32,6 +36,7 @@
     member_partitions: Vec<u32>,
     placement: ArcSwap<Placement>,
     clock: Arc<dyn Clock>,
+    copy_lag: Duration,
 }
 
 impl QuotaTable {
@@ -48,9 +53,22 @@
             member_partitions: vec![0],
             placement: ArcSwap::from_pointee(placement),
             clock,
+            copy_lag: COPY_LAG,
         }
     }
 
+    /// Sets the last seconds that the store may have lost when it comes back from a copy, instead
+    /// of [`COPY_LAG`].
+    #[must_use]
+    pub fn with_copy_lag(self, copy_lag: Duration) -> Self {
+        Self { copy_lag, ..self }
+    }
+
+    /// The last seconds that the store may have lost when it comes back from a copy.
+    pub(super) fn copy_lag(&self) -> Duration {
+        self.copy_lag
+    }
+
     /// Partition that has the account of a workspace.
     #[must_use]
     pub fn partition(&self, workspace: &WorkspaceName) -> u32 {
--- a/crates/gateway/src/serve/service.rs
+++ b/crates/gateway/src/serve/service.rs
@@ -189,7 +189,9 @@
         };
         let refusal = match error.reason {
             QuotaError::Exhausted { .. } => Refusal::BudgetSpent,
-            QuotaError::HeldElsewhere => Refusal::NoQuota(error.retry_after.map(with_jitter)),
+            QuotaError::Limited { .. } | QuotaError::HeldElsewhere => {
+                Refusal::NoQuota(error.retry_after.map(with_jitter))
+            }
             QuotaError::StoreUnavailable => {
                 Refusal::StoreUnavailable(error.retry_after.map(with_jitter))
             }
@@ -208,6 +210,7 @@
             rest = quota.remaining(),
             prepaid = quota.prepaid(),
             read_age_ms = quota.read_age_ms(),
+            limited = error.reason.retry_after().is_some(),
             asked = error.asked,
             back_ms = error.retry_after.map_or(-1, |back| back.as_millis() as i64),
             refusal = refusal.as_str(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -37,6 +37,8 @@
     pub connections: usize,
     /// Time within which a confirmed change of the configuration must be in force.
     pub config_apply: Duration,
+    /// The last seconds that the store may have lost when it comes back from a copy.
+    pub copy_lag: Duration,
     /// Time between SIGTERM and the forced exit.
     pub grace: Duration,
     /// Limits on the retries of the whole fleet.
--- a/crates/gateway/tests/testsuite/accounts.rs
+++ b/crates/gateway/tests/testsuite/accounts.rs
@@ -7,7 +7,7 @@
 use proptest::prelude::*;
 use prost::Message;
 use swiftlink_gateway::quota::account::{
-    EndedSpending, MAX_PREPAID, RouterState, adjust, close, decode, granted, remaining,
+    EndedSpending, MAX_PREPAID, RouterState, adjust, close, decode, granted, growth, remaining,
     spent_by_others,
 };
 use swiftlink_wire::rights::{Account, Holder};
@@ -29,6 +29,7 @@
         era: 0,
         is_frozen: false,
         must_write: false,
+        marks_due: false,
     }
 }
 
@@ -133,7 +134,7 @@
     let mut own = router("a", 1);
     own.granted = first.granted;
     own.charged = 1_234;
-    let account = close(&first.account, &own);
+    let account = close(&first.account, 100_000, &own);
     assert_eq!(account.closed, 1_234);
     assert!(account.holders.is_empty());
     assert_eq!(remaining(&account, 100_000), 98_766);
@@ -221,7 +222,7 @@
     let _left = remaining(account, prepaid);
     let _spent = spent_by_others(account, 1);
     let _change = adjust(account, prepaid, &own);
-    let _closed = close(account, &own);
+    let _closed = close(account, prepaid, &own);
 }
 
 proptest! {
@@ -297,3 +298,151 @@
         "closed once"
     );
 }
+
+/// A budget far above the tokens that may be claimed at any mark.
+const LARGE_BUDGET: u64 = 10_000_000;
+
+/// A change by one of three routers that spend of a large budget.
+#[derive(Clone, Debug)]
+struct Step {
+    process: u64,
+    /// Thousandths of the unspent tokens of the router that it spends before.
+    spends: u64,
+    need: u64,
+    marks_due: bool,
+}
+
+fn account_step() -> impl Strategy<Value = Step> {
+    let need = prop_oneof![Just(0), 0..LARGE_BUDGET];
+    (1..=3_u64, 0..=1_000_u64, need, any::<bool>()).prop_map(
+        |(process, spends, need, marks_due)| Step {
+            process,
+            spends,
+            need,
+            marks_due,
+        },
+    )
+}
+
+proptest! {
+    /// Guards against tokens that are spent twice after the store went back to a copy: whatever
+    /// routers claim while the marks move on up to three times stays within the limit of the copy's
+    /// last mark.
+    #[test]
+    fn claims_stay_within_what_an_earlier_account_allows(
+        steps in vec(account_step(), 1..60),
+    ) {
+        let mut account = Account::default();
+        let mut spent = [0_u64; 4];
+        let mut copies: Vec<(u64, u32)> = Vec::new();
+        for step in steps {
+            let held = granted(&account, step.process, 0).unwrap_or(0);
+            let charged = &mut spent[step.process as usize];
+            *charged += (held - *charged) * step.spends / 1_000;
+            let mut own = router(&format!("vm{}", step.process), step.process);
+            own.granted = held;
+            own.charged = *charged;
+            own.rate = 1_000;
+            own.need = step.need;
+            own.marks_due = step.marks_due;
+            let Some(change) = adjust(&account, LARGE_BUDGET, &own) else {
+                continue;
+            };
+            let has_moved = change.account.marks != account.marks && !account.marks.is_empty();
+            account = change.account;
+            for (_, moves) in &mut copies {
+                *moves += u32::from(has_moved);
+            }
+            copies.retain(|(_, moves)| *moves <= 3);
+            for (mark, moves) in &copies {
+                let limit = growth::limit(*mark, LARGE_BUDGET);
+                prop_assert!(committed(&account) <= limit, "{moves} moves after mark {mark}");
+            }
+            copies.push((*account.marks.last().expect("marks"), 0));
+        }
+    }
+}
+
+/// Guards against a budget that is never spent to its end: the last tokens may be claimed once the
+/// marks have moved on.
+#[test]
+fn a_budget_is_claimed_to_its_end_as_the_marks_move_on() {
+    let mut account = Account::default();
+    let mut own = router("a", 1);
+    own.sharers = 1;
+    own.need = 100_000;
+    own.marks_due = true;
+    for _ in 0..80 {
+        if let Some(change) = adjust(&account, LARGE_BUDGET, &own) {
+            account = change.account;
+            own.granted = change.granted;
+        }
+        own.charged = own.granted;
+    }
+    assert_eq!(own.charged, LARGE_BUDGET);
+}
+
+/// Guards against claims that the store lost with the changes after a copy. Router 2 may have
+/// claimed more since the copy and hasn't written its entry yet, so that may not be granted again.
+#[test]
+fn claims_that_the_store_may_have_lost_are_not_granted_again() {
+    let first = adjust(&Account::default(), LARGE_BUDGET, &router("a", 1)).expect("a claim");
+    let copy = adjust(&first.account, LARGE_BUDGET, &router("b", 2)).expect("a claim");
+    let limit = growth::limit(*copy.account.marks.last().expect("marks"), LARGE_BUDGET);
+    let mut next = router("a", 1);
+    next.granted = first.granted;
+    next.need = LARGE_BUDGET;
+    next.era = 1;
+    next.marks_due = true;
+    let mut account = copy.account;
+    for _ in 0..9 {
+        if let Some(change) = adjust(&account, LARGE_BUDGET, &next) {
+            account = change.account;
+            next.granted = change.granted;
+        }
+        next.charged = next.granted;
+    }
+    let most_of_other = limit - first.granted;
+    assert!(
+        next.granted + most_of_other <= LARGE_BUDGET,
+        "{}",
+        next.granted
+    );
+    // Once router 2 has written what it holds, the rest is free.
+    let mut other = router("b", 2);
+    other.granted = copy.granted;
+    other.era = 1;
+    account = adjust(&account, LARGE_BUDGET, &other)
+        .expect("its entry")
+        .account;
+    let before = next.granted;
+    for _ in 0..9 {
+        if let Some(change) = adjust(&account, LARGE_BUDGET, &next) {
+            account = change.account;
+            next.granted = change.granted;
+        }
+        next.charged = next.granted;
+    }
+    assert!(next.granted > before, "{before}");
+}
+
+/// Guards against a process whose last cap and last claims are lost with the store's last seconds:
+/// its successor counts the most that all routers may have claimed by then.
+#[test]
+fn successor_counts_what_the_store_may_have_lost() {
+    let first = adjust(&Account::default(), LARGE_BUDGET, &router("a", 1)).expect("a claim");
+    let limit = growth::limit(*first.account.marks.last().expect("marks"), LARGE_BUDGET);
+    let mut next = router("a", 2);
+    next.era = 1;
+    let outdated = EndedSpending {
+        max: 5,
+        is_outdated: true,
+    };
+    next.ended.insert(1, outdated);
+    let change = adjust(&first.account, LARGE_BUDGET, &next).expect("a change");
+    assert_eq!(change.account.closed, limit);
+    // A process that stored a cap after the store went back has spent no more than that allows.
+    next.ended.insert(1, ended(5));
+    let change = adjust(&first.account, LARGE_BUDGET, &next).expect("a change");
+    assert_eq!(change.account.closed, 5);
+}
--- a/crates/gateway/tests/testsuite/restored.rs
+++ b/crates/gateway/tests/testsuite/restored.rs
@@ -150,3 +150,36 @@
         }
     }
 }
+
+/// Returns the tokens spent where one router claims right before the store goes back, and is cut
+/// off from it and from all others until the others have spent what they can get.
+async fn run_with_unread_claim(seed: u64) -> u64 {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let store = Arc::new(MemStore::new());
+    let clocks: Vec<_> = (0..ROUTERS).map(|_| TestClock::new()).collect();
+    let mut routers = start_all(&store, &clocks, 1);
+    let mut spent = spend(&routers, Duration::from_secs(1), BUSY, &mut rng).await;
+    let copy = store.copy();
+    let mut cut = routers.remove(rng.random_range(0..ROUTERS));
+    let time = Duration::from_millis(rng.random_range(60..400));
+    spent += spend_at(&cut, time, BURST, &mut rng).await;
+    cut.claims.abort();
+    store.restore(&copy);
+    for _ in 0..10 {
+        for router in &routers {
+            spent += spend_at(router, Duration::from_secs(2), BUSY, &mut rng).await;
+        }
+    }
+    // It spends what it holds, as its caps allow.
+    spent + spend_at(&cut, Duration::from_secs(60), BUSY, &mut rng).await
+}
+
+/// Guards against granting again what a router that is cut off or frozen claimed in the seconds that
+/// the store lost: no other router has read that claim.
+#[tokio::test(start_paused = true)]
+async fn no_token_is_spent_twice_after_a_claim_that_nobody_read() {
+    for seed in 0..60 {
+        let spent = run_with_unread_claim(seed).await;
+        assert!(spent <= PREPAID, "seed {seed}: {spent} of {PREPAID}");
+    }
+}
