quota: accounts name the tokens that they withhold, so that a top-up is free at once

Cause: the account kept what had been spent, and the limit was computed from that and the new budget, of which it withheld a part at once.

Change: the account keeps the tokens that are withheld, now and after each of the next three steps. A budget that is raised is free beyond them, and what a copy allows is the least that it withholds. The rest is as before.

--- a/crates/gateway/src/quota/account.rs
+++ b/crates/gateway/src/quota/account.rs
@@ -29,9 +29,9 @@
 const CLAIM_BELOW: f64 = 0.8;
 /// Fraction of its target that a router may spend before it records that in the account.
 const UNREPORTED_FRACTION: f64 = 0.1;
-/// A router writes the account to move its marks on when the tokens that may be spent are less than
-/// this fraction of what they would be then.
-const MARKS_BEHIND: f64 = 0.8;
+/// A router writes the account to take a step when the tokens that may be spent are less than this
+/// fraction of what they would be after all steps.
+const STEP_BELOW: f64 = 0.8;
 
 /// Maximum number of tokens that a workspace may have prepaid. It keeps the sums over an account
 /// far below the range of `u64`, and is far above any real budget.
@@ -63,10 +63,10 @@
             sum = sum.and_then(|sum| sum.checked_add(count));
         }
     }
-    let newest = account.marks.iter().max().copied().unwrap_or(0);
-    let marked = newest.max(account.unconfirmed);
+    let most = account.withheld.iter().max().copied().unwrap_or(0);
+    let most = most.max(account.unconfirmed);
     match sum {
-        Some(sum) if sum.max(marked) <= MAX_SUM => Ok(account),
+        Some(sum) if sum.max(most) <= MAX_SUM => Ok(account),
         _ => Err(AccountError::TooLarge),
     }
 }
@@ -105,8 +105,8 @@
     pub is_frozen: bool,
     /// Whether the account has to be written even if the router changes nothing.
     pub must_write: bool,
-    /// Whether the account's marks are old enough to move on.
-    pub marks_due: bool,
+    /// Whether enough time has passed since the account's last step.
+    pub step_due: bool,
 }
 
 /// The most that a process that ended has spent of an account.
@@ -181,8 +181,8 @@
 pub fn adjust(account: &Account, prepaid: Tokens, router: &RouterState) -> Option<Change> {
     let (mut base, closed) = without_vm(account, prepaid, router);
     let spent = spent(&base) + router.charged;
-    let lags = marks_lag(&base, spent, prepaid);
-    base.marks = growth::next_marks(&base, spent, router.marks_due);
+    let withholds_much = withholds_much(&base, spent, prepaid);
+    base.withheld = growth::next_withheld(&base, spent, prepaid, router.step_due);
     let target = target(&base, prepaid, router);
     let unspent = router.granted.saturating_sub(router.charged);
     let mut granted = router.charged + resize(unspent, target, router);
@@ -197,7 +197,7 @@
     // there, and the other routers tell their callers to retry for it.
     let is_due = match entry {
         _ if router.must_write || !closed.is_empty() => true,
-        _ if router.marks_due && lags => true,
+        _ if router.step_due && withholds_much => true,
         None => granted > 0 || router.need > 0,
         Some(entry) => {
             let unreported = router.charged.saturating_sub(entry.charged);
@@ -226,11 +226,11 @@
     })
 }
 
-/// Whether the tokens that may be spent now are much fewer than after the marks have moved on.
-fn marks_lag(account: &Account, spent: Tokens, prepaid: Tokens) -> bool {
-    let now = growth::limit_now(account, prepaid).saturating_sub(spent);
-    let later = growth::limit(spent, prepaid).saturating_sub(spent);
-    (now as f64) < later as f64 * MARKS_BEHIND
+/// Whether the tokens that may be spent now are much fewer than after all steps.
+fn withholds_much(account: &Account, spent: Tokens, prepaid: Tokens) -> bool {
+    let now = growth::limit(account, prepaid).saturating_sub(spent);
+    let later = prepaid.saturating_sub(spent + growth::withheld(spent, prepaid));
+    (now as f64) < later as f64 * STEP_BELOW
 }
 
 /// The account without this router, for when its process stops.
@@ -253,7 +253,7 @@
         holders: Vec::with_capacity(account.holders.len() + 1),
         era: router.era,
         changes: account.changes.saturating_add(1),
-        marks: account.marks.clone(),
+        withheld: account.withheld.clone(),
         unconfirmed: unconfirmed(account, prepaid, router),
     };
     let mut closed = Vec::new();
@@ -412,7 +412,7 @@
     let rate = (router.rate + rates) as f64;
     let sharers = sharers(left, router);
     let spent = prepaid.saturating_sub(left);
-    let available = growth::limit_now(others, prepaid).saturating_sub(spent);
+    let available = growth::limit(others, prepaid).saturating_sub(spent);
     let all = available as f64 * HELD_FRACTION;
     let even = all / count;
     let wanted = if is_excluded(sharers, router) || (router.rate == 0 && !router.is_holder) {
@@ -444,7 +444,7 @@
 /// Tokens that may be granted beyond what all routers hold or may hold.
 fn ungranted(others: &Account, prepaid: Tokens, router: &RouterState) -> Tokens {
     let committed = committed(others) + others.unconfirmed + router.granted;
-    growth::limit_now(others, prepaid).saturating_sub(committed)
+    growth::limit(others, prepaid).saturating_sub(committed)
 }
 
 /// The router's unspent tokens after the change. Small differences don't justify an append.
--- a/crates/gateway/src/quota/claim.rs
+++ b/crates/gateway/src/quota/claim.rs
@@ -2,7 +2,7 @@
 
 mod apply;
 mod era;
-mod marks;
+mod withheld;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -19,7 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use self::era::EarlierAccounts;
-use self::marks::KnownMarks;
+use self::withheld::KnownWithheld;
 use super::account::{self, RouterState};
 use super::cap_writer::{CapWriter, EndedProcesses};
 use super::last_seen::LastSeen;
@@ -85,7 +85,7 @@
                 is_behind: false,
                 unresolved: None,
                 earlier: EarlierAccounts::default(),
-                marks: KnownMarks::new(quotas.copy_lag()),
+                withheld: KnownWithheld::new(quotas.copy_lag()),
                 rates: Rates::default(),
                 is_idle: false,
                 ended: Arc::default(),
@@ -134,8 +134,8 @@
     unresolved: Option<u64>,
     /// What is known from before the store went back to a copy.
     earlier: EarlierAccounts,
-    /// Since when the marks of the accounts are known.
-    marks: KnownMarks,
+    /// Since when it is known what the accounts withhold.
+    withheld: KnownWithheld,
     rates: Rates,
     /// Whether this router needed none of the accounts in the last round.
     is_idle: bool,
@@ -302,7 +302,7 @@
             for (quota, change) in &changes {
                 self.earlier.on_written(&quota.workspace);
                 let account = change.account.clone();
-                self.marks.observe(&quota.workspace, &account.marks);
+                self.withheld.observe(&quota.workspace, &account.withheld);
                 snapshot.accounts.insert(quota.workspace.clone(), account);
             }
         }
@@ -425,7 +425,7 @@
             era: self.snapshot.as_ref().map_or(0, |s| era_of(s.end)),
             is_frozen: self.earlier.is_frozen(),
             must_write: self.earlier.must_write(&quota.workspace),
-            marks_due: self.marks.are_due(&quota.workspace),
+            step_due: self.withheld.is_step_due(&quota.workspace),
         }
     }
 }
--- a/crates/gateway/src/quota/claim/apply.rs
+++ b/crates/gateway/src/quota/claim/apply.rs
@@ -43,7 +43,7 @@
         let holders = holders.into_iter().map(|(_, vm)| vm);
         let spent = account::spent_by_others(account, self.process);
         let rate = account::rate_of_others(account, self.process);
-        quota.set_growth(self.marks.growth(&quota.workspace, account));
+        quota.set_growth(self.withheld.growth(&quota.workspace, account));
         quota.on_account_read(spent, rate, holders.collect());
     }
 
@@ -59,7 +59,7 @@
             match account::decode(value) {
                 Ok(mut account) => {
                     let workspace = WorkspaceName::from(record.key);
-                    self.marks.observe(&workspace, &account.marks);
+                    self.withheld.observe(&workspace, &account.withheld);
                     account = self
                         .earlier
                         .complete(&workspace, account, era_of(snapshot.end));
--- a/crates/gateway/src/quota/claim/era.rs
+++ b/crates/gateway/src/quota/claim/era.rs
@@ -84,7 +84,7 @@
             accounts: known.accounts.clone(),
             frozen_until: Some(Instant::now() + REASSERT_TIME),
         };
-        self.marks.clear();
+        self.withheld.clear();
         self.unresolved = None;
         self.is_behind = false;
         self.snapshot = Some(Snapshot {
--- a/crates/gateway/src/quota/claim/marks.rs
+++ b/crates/gateway/src/quota/claim/withheld.rs
@@ -1,4 +1,4 @@
-//! Since when this router knows the marks of the accounts.
+//! Since when this router knows what the accounts withhold.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -9,58 +9,58 @@
 
 use crate::quota::account::growth::{self, Growth};
 
-/// The marks of the accounts of a partition, as last read or written. The store had them at that
-/// time or before, so their age is at least the time since then, whatever the clocks of other VMs.
+/// What the accounts of a partition withhold, as last read or written. The store had that at that
+/// time or before, so at least the time since then has passed, whatever the clocks of other VMs.
 #[derive(Debug)]
-pub(super) struct KnownMarks {
+pub(super) struct KnownWithheld {
     known: HashMap<WorkspaceName, Known>,
-    /// Shortest time between two moves.
+    /// Shortest time between two steps.
     step: Duration,
 }
 
 #[derive(Debug)]
 struct Known {
-    marks: Vec<Tokens>,
+    withheld: Vec<Tokens>,
     since: Instant,
 }
 
-impl KnownMarks {
-    /// No marks yet. A copy of the store may lack up to `copy_lag`.
+impl KnownWithheld {
+    /// Nothing is known yet. A copy of the store may lack up to `copy_lag`.
     pub(super) fn new(copy_lag: Duration) -> Self {
         Self {
             known: HashMap::new(),
-            step: growth::step(copy_lag),
+            step: growth::step_time(copy_lag),
         }
     }
 
-    /// Records the marks of an account that was read or written.
-    pub(super) fn observe(&mut self, workspace: &WorkspaceName, marks: &[Tokens]) {
+    /// Records what an account that was read or written withholds.
+    pub(super) fn observe(&mut self, workspace: &WorkspaceName, withheld: &[Tokens]) {
         if let Some(known) = self.known.get(workspace)
-            && known.marks == marks
+            && known.withheld == withheld
         {
             return;
         }
         let known = Known {
-            marks: marks.to_vec(),
+            withheld: withheld.to_vec(),
             since: Instant::now(),
         };
         self.known.insert(workspace.clone(), known);
     }
 
-    /// Whether the account's marks may move on.
-    pub(super) fn are_due(&self, workspace: &WorkspaceName) -> bool {
+    /// Whether the account may take a step.
+    pub(super) fn is_step_due(&self, workspace: &WorkspaceName) -> bool {
         let known = self.known.get(workspace);
         known.is_some_and(|known| known.since.elapsed() > self.step)
     }
 
-    /// The marks of `account`, and when they may move on.
+    /// What `account` withholds, and until when.
     pub(super) fn growth(&self, workspace: &WorkspaceName, account: &Account) -> Growth {
         let known = self.known.get(workspace);
         let since = known.map_or_else(Instant::now, |known| known.since);
         Growth::new(account, since + self.step, self.step)
     }
 
-    /// Forgets all marks: those that the store has now may be newer.
+    /// Forgets everything: the store has an older state now.
     pub(super) fn clear(&mut self) {
         self.known.clear();
     }
