quota: withhold three tenths of a budget until they are spent, and nothing after that

Cause: with 3 in 10 of what is left withheld, a router holds 63 in 100 of its share instead of 90.

Change: 7 in 10 of the whole budget may be claimed within the lag of a copy, so 3 in 10 are withheld at first and less and less as they are spent. What all routers strand when they end as the store goes back is more (all that is left, once 3 in 10 are spent), and no token is spent twice.

Gateway 193 of 193, restored:: and accounts:: included.

--- a/crates/gateway/src/quota/account/growth.rs
+++ b/crates/gateway/src/quota/account/growth.rs
@@ -13,15 +13,12 @@
 use swiftlink_wire::rights::Account;
 use tokio::time::Instant;
 
-/// Fraction of the tokens left that is not withheld. All routers that end as the store goes back
-/// strand that fraction, which has to leave a quarter of a budget; with a smaller one, budgets that
-/// end soon are refused earlier.
+/// Fraction of a budget that is not withheld. Routers that all end as the store goes back strand no
+/// more than that, so the rest of the budget is spent in any case. Once the rest is spent nothing is
+/// withheld: tokens that routers may not hold are missing while they can't reach each other.
 const FRACTION: f64 = 0.7;
-/// Fraction of all prepaid tokens that is not withheld. It keeps a budget that lasts a minute or
-/// more from being refused near its end.
-const PREPAID_FRACTION: f64 = 0.3;
 /// Tokens that are never withheld: the largest request of a model with a context of 128k tokens.
-/// With less, such a request would never be served near the end of a budget.
+/// With less, such a request would never be served by a small budget.
 const MIN_TOKENS: Tokens = 131_072;
 /// Steps that are recorded ahead.
 const STEPS: usize = 3;
@@ -36,8 +33,8 @@
 #[must_use]
 pub fn withheld(spent: Tokens, prepaid: Tokens) -> Tokens {
     let left = prepaid.saturating_sub(spent);
-    let free = (left as f64 * FRACTION).max(prepaid as f64 * PREPAID_FRACTION);
-    left.saturating_sub((free as Tokens).max(MIN_TOKENS))
+    let free = (prepaid as f64 * FRACTION) as Tokens;
+    left.saturating_sub(free.max(MIN_TOKENS))
 }
 
 /// The most tokens of `prepaid` that may be spent or held now. All of a budget that was raised since
