watch: entries that can't have lapsed are removed at once

What callers saw: requests ended broken or late on servers that had left 3.2 to 3.5 s before (DRAIN allows 3 s), where most routers were cut off.

Cause: a router that falls back from silent upstreams to the store took the first answer for the end of an outage, and held servers whose entries were missing for two seconds. While its upstreams stay silent nearly every answer counted so. Servers that announce that they drain were out at once.

Change: entries lapse only in an outage of more than two heartbeats, so a router that has known the store's state since then takes a missing entry as removed. After a longer time the hold ends within the servers' drain time. The drain time and the interval of heartbeats are read from the settings. The event servers.recovered says what was unknown and what is awaited.

--- a/crates/gateway/src/peers/follower.rs
+++ b/crates/gateway/src/peers/follower.rs
@@ -40,7 +40,7 @@
         update
     }
 
-    fn store_recovered(&mut self) {}
+    fn store_recovered(&mut self, _known: Option<Instant>) {}
 
     fn tick(&mut self) -> Vec<String> {
         // Pools that were added after the last member need the count too.
--- a/crates/gateway/src/rollout/progress.rs
+++ b/crates/gateway/src/rollout/progress.rs
@@ -6,6 +6,7 @@
 use swiftlink_telemetry::event;
 use swiftlink_types::PoolName;
 use swiftlink_wire::rights::Rollout;
+use tokio::time::Instant;
 
 use super::codec::decode_progress;
 use crate::node::Node;
@@ -56,7 +57,7 @@
         update
     }
 
-    fn store_recovered(&mut self) {}
+    fn store_recovered(&mut self, _known: Option<Instant>) {}
 
     fn tick(&mut self) -> Vec<String> {
         Vec::new()
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -37,6 +37,12 @@
     pub connections: usize,
     /// Time within which a confirmed change of the configuration must be in force.
     pub config_apply: Duration,
+    /// Time after a server's announcement that it leaves, or the removal of its entry, in which it
+    /// still takes requests.
+    pub drain: Duration,
+    /// Interval at which servers write their entries; the store removes one after three intervals
+    /// without.
+    pub heartbeat: Duration,
     /// The last seconds that the store may have lost when it comes back from a copy.
     pub copy_lag: Duration,
     /// Time between SIGTERM and the forced exit.
--- a/crates/gateway/src/watch/config.rs
+++ b/crates/gateway/src/watch/config.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use swiftlink_telemetry::event;
+use tokio::time::Instant;
 
 use super::drained::DrainedDomains;
 use super::follow::Follow;
@@ -164,7 +165,7 @@
         update
     }
 
-    fn store_recovered(&mut self) {}
+    fn store_recovered(&mut self, _known: Option<Instant>) {}
 
     fn tick(&mut self) -> Vec<String> {
         self.node.freshness.mark_polled();
--- a/crates/gateway/src/watch/directory.rs
+++ b/crates/gateway/src/watch/directory.rs
@@ -20,6 +20,11 @@
 /// recovers. Servers are required to do so within about two seconds, and a server that really left
 /// must get no work after two.
 const RETURN_GRACE: Duration = Duration::from_secs(2);
+/// Heartbeats that an outage must be longer than for an entry to lapse in it: the store removes an
+/// entry after three without one, and the last one came up to one before the outage.
+const MISSED_HEARTBEATS: u32 = 2;
+/// Time from the choice of a server until the request reaches it.
+const SEND_TIME: Duration = Duration::from_millis(500);
 /// Entries that lapsed while the store was unavailable are missing when it recovers or right after;
 /// an entry that is removed later was removed by its server.
 const LAPSE_WINDOW: Duration = Duration::from_millis(300);
@@ -59,8 +64,8 @@
     lapsed: HashMap<ServerName, Instant>,
     /// When the warm-up of the servers that reported to be cold ends.
     cold_until: HashMap<ServerName, Instant>,
-    /// When the store last recovered.
-    recovered_at: Option<Instant>,
+    /// When the store last recovered, and until when entries that lapsed may be written again.
+    recovery: Option<(Instant, Instant)>,
     /// Changes that are not yet applied to the subsets.
     pending_diffs: Vec<EntryDiff>,
 }
@@ -138,10 +143,9 @@
         if !self.entries.contains_key(name) {
             return false;
         }
-        match self.recovered_at {
-            Some(recovered_at) if now < recovered_at + LAPSE_WINDOW => {
-                self.lapsed
-                    .insert(name.clone(), recovered_at + RETURN_GRACE);
+        match self.recovery {
+            Some((at, return_by)) if now < at + LAPSE_WINDOW => {
+                self.lapsed.insert(name.clone(), return_by);
                 false
             }
             _ => self.drop_entry(name),
@@ -150,7 +154,12 @@
 
     /// The store answers again after an outage.
     pub fn store_recovered(&mut self, now: Instant) {
-        self.recovered_at = Some(now);
+        self.await_returns(now, now + RETURN_GRACE);
+    }
+
+    /// The store answers again. Entries that are missing now may be written again until `return_by`.
+    fn await_returns(&mut self, now: Instant, return_by: Instant) {
+        self.recovery = Some((now, return_by));
     }
 
     /// Removes servers whose entries weren't written again in time. Returns their names.
@@ -189,6 +198,29 @@
     }
 }
 
+/// Until when entries that are missing as the store answers again may be written again; `None` if
+/// none can have lapsed. `known` is the last moment at which the store had nothing newer than what
+/// this router knows: an entry that its server removed was removed after it, and the server must get
+/// no request later than `drain` after that.
+fn return_by(
+    now: Instant,
+    known: Option<Instant>,
+    heartbeat: Duration,
+    drain: Duration,
+) -> Option<Instant> {
+    let latest = now + RETURN_GRACE;
+    let Some(known) = known else {
+        return Some(latest);
+    };
+    if now.saturating_duration_since(known) < heartbeat * MISSED_HEARTBEATS {
+        return None;
+    }
+    if known + drain <= now {
+        return Some(latest);
+    }
+    Some((known + drain).checked_sub(SEND_TIME)?.min(latest))
+}
+
 /// Maximum number of records in an update for which each is logged. Of more, such as all servers of
 /// a fleet at the start, only the count is logged.
 const MAX_LOGGED_ENTRIES: usize = 32;
@@ -405,8 +437,20 @@
         published
     }
 
-    fn store_recovered(&mut self) {
-        self.directory.store_recovered(Instant::now());
+    fn store_recovered(&mut self, known: Option<Instant>) {
+        let now = Instant::now();
+        let settings = &self.node.settings;
+        let return_by = return_by(now, known, settings.heartbeat, settings.drain);
+        event!(
+            info,
+            "servers.recovered",
+            unknown_ms = known.map_or(-1, |known| (now - known).as_millis() as i64),
+            return_ms =
+                return_by.map_or(0, |until| until.saturating_duration_since(now).as_millis()),
+        );
+        if let Some(return_by) = return_by {
+            self.directory.await_returns(now, return_by);
+        }
     }
 
     fn tick(&mut self) -> Vec<String> {
--- a/crates/gateway/src/watch/follow.rs
+++ b/crates/gateway/src/watch/follow.rs
@@ -42,8 +42,9 @@
     /// Applies an update and returns what is to be published to the followers of this router.
     fn take(&mut self, update: FeedUpdate) -> FeedUpdate;
 
-    /// The store answers again and may have been unavailable until now.
-    fn store_recovered(&mut self);
+    /// The store answers again and may have been unavailable since `known`, the last moment at which
+    /// it had nothing newer than what was received; `None` if any record may be missing.
+    fn store_recovered(&mut self, known: Option<Instant>);
 
     /// Does what has become due and returns the keys that expired; called after each poll.
     fn tick(&mut self) -> Vec<String>;
@@ -202,7 +203,7 @@
                 self.note_recovery(&answer, reader, handler, relay);
                 if reader.is_new_era(&answer) {
                     // Entries that the copy lacks are written again, like those that lapsed.
-                    handler.store_recovered();
+                    handler.store_recovered(None);
                 }
                 let update = reader.take(answer);
                 let has_changes = !update.changes.is_empty();
@@ -244,7 +245,7 @@
         let Some(since) = self.lost_at.take() else {
             if is_first && has_upstreams(reader.feed(), relay) {
                 // The upstreams may have failed because they had lost the store.
-                handler.store_recovered();
+                handler.store_recovered(reader.as_of());
             }
             return;
         };
@@ -258,7 +259,7 @@
             late = is_late,
         );
         if !is_late {
-            handler.store_recovered();
+            handler.store_recovered(reader.as_of());
         }
     }
 }
--- a/crates/gateway/src/watch/reader.rs
+++ b/crates/gateway/src/watch/reader.rs
@@ -83,6 +83,8 @@
     floor: u64,
     /// What was read in the current era of the store.
     history: History,
+    /// The last moment at which the store had nothing newer than what was received.
+    as_of: Option<Instant>,
 }
 
 impl Reader {
@@ -97,6 +99,7 @@
             seen: HashMap::new(),
             floor: 0,
             history: History::default(),
+            as_of: None,
         }
     }
 
@@ -106,6 +109,12 @@
         self.feed
     }
 
+    /// The last moment at which the store had nothing newer than what was received.
+    #[must_use]
+    pub fn as_of(&self) -> Option<Instant> {
+        self.as_of
+    }
+
     /// Reads what is new, waiting up to `wait`.
     ///
     /// # Errors
@@ -164,6 +173,7 @@
     /// Applies an answer and returns the records that are newer than those seen. The store may
     /// answer with an older state.
     pub fn take(&mut self, answer: Answer) -> FeedUpdate {
+        self.as_of = self.as_of.max(Some(answer.as_of));
         if self.is_new_era(&answer) {
             return self.take_new_era(answer);
         }
@@ -261,11 +271,13 @@
             self.peer_end = self.peer_end.max(last.offset + 1);
         }
         let end = self.peer_end;
+        let as_of = page.age.and_then(|age| asked.checked_sub(age));
+        self.as_of = self.as_of.max(as_of);
         FeedUpdate {
             changes: self.newer(page.records),
             keys: None,
             end,
-            as_of: page.age.and_then(|age| asked.checked_sub(age)),
+            as_of,
             ..FeedUpdate::default()
         }
     }
@@ -285,6 +297,8 @@
             update.end = self.peer_position(update.end);
         }
         let age = update.page.age;
+        let as_of = age.and_then(|age| asked.checked_sub(age));
+        self.as_of = self.as_of.max(as_of);
         let changes = self.newer(update.page.records);
         if update.end > 0 {
             self.next = Some(self.next.unwrap_or(0).max(update.end));
@@ -302,7 +316,7 @@
             changes,
             keys,
             end,
-            as_of: age.and_then(|age| asked.checked_sub(age)),
+            as_of,
             is_from_upstream: true,
             ..FeedUpdate::default()
         }
--- a/crates/gateway/tests/testsuite/pools.rs
+++ b/crates/gateway/tests/testsuite/pools.rs
@@ -30,6 +30,8 @@
         workers: 1,
         connections: 10,
         config_apply: Duration::from_secs(2),
+        drain: Duration::from_secs(2),
+        heartbeat: Duration::from_millis(1_200),
         copy_lag: swiftlink_gateway::quota::COPY_LAG,
         grace: Duration::from_secs(1),
         retries: RetryLimits {
--- a/crates/gateway/tests/testsuite/relay.rs
+++ b/crates/gateway/tests/testsuite/relay.rs
@@ -38,6 +38,8 @@
     cut: Mutex<HashSet<VmName>>,
     /// Routers that answer no other router.
     silent: Mutex<HashSet<VmName>>,
+    /// Time in which a change must be in force.
+    apply: Duration,
     calls: AtomicUsize,
     /// Records that routers read from the store, and those received from each other.
     read: AtomicUsize,
@@ -124,7 +126,10 @@
         }
         sleep(ONE_WAY_DELAY).await;
         let node = &self.network.nodes[place];
-        let update = node.replicas.answer(&query, node.process, APPLY).await;
+        let update = node
+            .replicas
+            .answer(&query, node.process, self.network.apply)
+            .await;
         sleep(ONE_WAY_DELAY).await;
         self.network
             .received
@@ -140,10 +145,15 @@
 
 impl Fleet {
     fn open(count: usize) -> Self {
+        Self::open_with(count, APPLY)
+    }
+
+    fn open_with(count: usize, apply: Duration) -> Self {
         let node = |vm: usize| {
             let mut settings = crate::pools::settings();
             settings.vm = name(vm);
-            settings.config_apply = APPLY;
+            settings.config_apply = apply;
+            settings.drain = apply;
             let node = Node::new(settings, Arc::new(NoDialect));
             node.pools
                 .set_config(&crate::pools::config(), &node.settings);
@@ -155,6 +165,7 @@
             nodes: (0..count).map(node).collect(),
             cut: Mutex::default(),
             silent: Mutex::default(),
+            apply,
             calls: AtomicUsize::new(0),
             read: AtomicUsize::new(0),
             received: AtomicUsize::new(0),
@@ -357,6 +368,63 @@
     }
 }
 
+/// Writes the entry of a server again and again, as servers do, until the task is aborted.
+async fn send_heartbeats(network: Arc<Network>, server: &'static str, entry: &'static str) {
+    loop {
+        let value = Some(Bytes::from(entry));
+        network.store.put(Feed::Servers, server, value);
+        sleep(Duration::from_millis(70)).await;
+    }
+}
+
+/// How the relays fail.
+#[derive(Clone, Copy, Debug)]
+enum RelayFault {
+    /// They answer no other router.
+    Silent,
+    /// They answer, but get nothing from the store.
+    Outdated,
+}
+
+/// Time from the removal of a server's entry, a while after the relays fail, until no other router
+/// uses the server.
+async fn removal_time(fault: RelayFault, after: Duration, apply: Duration) -> Duration {
+    let fleet = Fleet::open_with(40, apply);
+    fleet.put("a", Some("1 1"));
+    let mut beats = JoinSet::new();
+    beats.spawn(send_heartbeats(Arc::clone(&fleet.network), "b", "1 2"));
+    let both = servers(&[("a", 1, 1), ("b", 1, 2)]);
+    fleet.convergence_time(&both, &[]).await;
+    sleep(Duration::from_secs(3)).await;
+    let relays = fleet.relays();
+    let failed = match fault {
+        RelayFault::Silent => &fleet.network.silent,
+        RelayFault::Outdated => &fleet.network.cut,
+    };
+    let names = relays.iter().map(|vm| name(*vm));
+    failed.lock().expect("a lock").extend(names);
+    sleep(after).await;
+    fleet.put("a", None);
+    let left = servers(&[("b", 1, 2)]);
+    fleet.convergence_time(&left, &relays).await
+}
+
+/// Guards against requests that reach a server too long after its entry was removed. Routers whose
+/// relays are cut off read the store themselves, in turn with upstreams that don't answer. They took
+/// each such read for the end of an outage of the store, in which entries lapse, and kept servers
+/// whose entry was missing for two seconds more.
+#[tokio::test(start_paused = true)]
+async fn a_removed_server_is_unused_in_time_while_the_relays_are_cut_off() {
+    let apply = Duration::from_secs(3);
+    for fault in [RelayFault::Silent, RelayFault::Outdated] {
+        for step in 0..12 {
+            let after = Duration::from_millis(340) * step;
+            let time = removal_time(fault, after, apply).await;
+            assert!(time < apply, "{fault:?} for {after:?}: {time:?}");
+        }
+    }
+}
+
 /// Whatever routers, paths and history are lost: once all can reach each other, all use the servers
 /// that the store has, and none ever uses an older instance than before.
 #[tokio::test(start_paused = true)]
