rollouts: a store that goes back doesn't begin a rollout anew

With the new test: after a restore, the stage of a rollout was nowhere on the store, and a router that started then began the rollout anew, also that of a version that had been reverted, while the others went on.

Cause: nobody wrote the stage again, and an order is known by its position, which for a router that reads it in the new era is another one than for those that had read it before.

Change: positions of one offset and one version are one order, whatever their eras; an order that is written again in a later era keeps its stage; each coordinator checks once an era that the store has the stage, and writes it again if not (rollout.restored), and the status for operators.

--- a/crates/gateway/src/fleet/pools.rs
+++ b/crates/gateway/src/fleet/pools.rs
@@ -168,8 +168,7 @@
         let _guard = self.update_lock();
         let mut rollouts = self.rollouts();
         let known = rollouts.progress.get(name);
-        if known.is_some_and(|known| (known.order, known.stage) >= (progress.order, progress.stage))
-        {
+        if known.is_some_and(|known| !progress.is_after(known)) {
             return false;
         }
         rollouts.progress.insert(name.clone(), progress.clone());
--- a/crates/gateway/src/rollout/coordinator.rs
+++ b/crates/gateway/src/rollout/coordinator.rs
@@ -35,6 +35,8 @@
     pending: Option<(Step, Instant)>,
     /// Stage last published to operators.
     published: Option<Stage>,
+    /// Era of the store in which it was found to have the stage.
+    era: Option<u64>,
 }
 
 impl Coordinator {
@@ -62,6 +64,9 @@
                 order = order.number,
             );
         }
+        if let Some(progress) = &progress {
+            self.restore_progress(store, &order.pool, progress).await;
+        }
         let first_seen = *self.first_seen.get_or_insert_with(Instant::now);
         if self.stage.is_none_or(|(known, _)| known != stage) {
             self.stage = Some((stage, Instant::now()));
@@ -103,6 +108,33 @@
         self.publish_status(store, catalog, &order, pool).await;
     }
 
+    /// Writes the progress again if the store went back to a copy without it. Routers that start
+    /// later begin the rollout anew otherwise.
+    async fn restore_progress(&mut self, store: &dyn Store, pool: &PoolName, progress: &Progress) {
+        let era = *store.era().borrow();
+        if self.era == Some(era) {
+            return;
+        }
+        match write_progress(store, pool, progress).await {
+            Ok(is_written) => {
+                if is_written {
+                    event!(
+                        info,
+                        "rollout.restored",
+                        pool = pool,
+                        version = progress.version,
+                        stage = progress.stage.as_str(),
+                        order = progress.order,
+                        era = era,
+                    );
+                }
+                self.published = None;
+                self.era = Some(era);
+            }
+            Err(error) => event!(warn, "rollout.not_written", pool = pool, error = error),
+        }
+    }
+
     fn rollout_state(
         &self,
         node: &Node,
@@ -193,8 +225,7 @@
             return;
         }
         let status = catalog.rollout_status(&order.pool, &order.version, stage);
-        let at = (order.number, stage);
-        match write_status(store, &order.pool, at, status).await {
+        match write_status(store, order, stage, status).await {
             Ok(()) => self.published = Some(stage),
             Err(error) => {
                 event!(
@@ -218,11 +249,11 @@
 ) -> Result<bool, StoreError> {
     let (end, known) = latest(store, pool).await?;
     if let Some(known) = known {
-        if (known.order, known.stage) >= (progress.order, progress.stage) {
+        if !progress.is_after(&known) {
             return Ok(false);
         }
         // A final stage is never overwritten.
-        if known.order == progress.order && known.stage.is_final() {
+        if known.is_of_same_order(progress) && known.stage.is_final() {
             return Ok(false);
         }
     }
@@ -250,13 +281,13 @@
 /// status of a later stage.
 async fn write_status(
     store: &dyn Store,
-    pool: &PoolName,
-    at: (u64, Stage),
+    order: &Order,
+    stage: Stage,
     status: (String, Bytes),
 ) -> Result<(), StoreError> {
     let page = store.newest(Feed::Status, ANSWER_TIMEOUT.into()).await?;
-    let known = latest(store, pool).await?.1;
-    if known.is_some_and(|known| (known.order, known.stage) != at) {
+    let known = latest(store, &order.pool).await?.1;
+    if known.is_some_and(|known| !known.is_of(order) || known.stage != stage) {
         return Ok(());
     }
     let mut records = page.records.iter();
--- a/crates/gateway/src/rollout/reports.rs
+++ b/crates/gateway/src/rollout/reports.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use swiftlink_rollout::{Report, ReportAggregate};
+use swiftlink_rollout::{Report, ReportAggregate, is_same_order};
 use swiftlink_types::PoolName;
 use tokio::time::Instant;
 
@@ -37,10 +37,11 @@
             return;
         }
         let (known, aggregate) = pools.entry(pool.clone()).or_default();
-        if *known > order {
+        let is_same = is_same_order(*known, order);
+        if !is_same && *known > order {
             return;
         }
-        if *known < order {
+        if !is_same {
             (*known, *aggregate) = (order, ReportAggregate::default());
         }
         aggregate.insert(process, report, now);
@@ -56,7 +57,7 @@
         let now = self.now();
         let mut pools = self.pools();
         let (known, aggregate) = pools.entry(pool.clone()).or_default();
-        if *known != order {
+        if !is_same_order(*known, order) {
             (*known, *aggregate) = (order, ReportAggregate::default());
         }
         access(aggregate, now)
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -4,7 +4,6 @@
 
 mod mem;
 mod numbering;
-mod position;
 
 use std::fmt;
 use std::sync::Arc;
@@ -17,7 +16,7 @@
 
 pub use mem::{MemStore, StoreCopy, StoreFault};
 pub use numbering::Numbering;
-pub use position::{era_of, offset_of, position};
+pub use swiftlink_types::{era_of, offset_of, position};
 
 /// Timeout of requests that are repeated with newer input, so that a late answer is of little use.
 /// The store answers in 4 ms; on slow days it takes 60 times as long.
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -17,7 +17,7 @@
 mod stats;
 
 pub use aggregate::{Report, ReportAggregate};
-pub use order::{ExposureLimit, Order, Progress, Stage};
+pub use order::{ExposureLimit, Order, Progress, Stage, is_same_order};
 pub use plan::{RolloutState, Step, next_step};
 pub use policy::{Assignment, VersionPolicy};
 pub use regression::{Regression, compare_versions};
--- a/crates/rollout/src/order.rs
+++ b/crates/rollout/src/order.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use swiftlink_types::{PoolName, VersionName, WallMs};
+use swiftlink_types::{PoolName, VersionName, WallMs, era_of, offset_of};
 
 /// Share of the allowed exposure that the canary stage uses. The rest covers requests served
 /// between the first failures under full traffic and the moment when all routers stop using the
@@ -18,10 +18,29 @@
     pub version: VersionName,
     /// Time from the order to its deadline.
     pub time_limit: Duration,
-    /// Offset of the order on the store; later orders have greater offsets.
+    /// Position of the order on the store; later orders have greater positions. Routers that read
+    /// the order in different eras of the store know it by different positions.
     pub number: u64,
 }
 
+impl Order {
+    /// Whether `later` is this order, written again after the store went back to a copy without it.
+    #[must_use]
+    pub fn is_rewritten_as(&self, later: &Self) -> bool {
+        let is_equal = self.pool == later.pool
+            && self.version == later.version
+            && self.time_limit == later.time_limit;
+        is_equal && era_of(self.number) < era_of(later.number)
+    }
+}
+
+/// Whether two positions can be of one order: a copy of the store keeps the offsets of its records,
+/// and begins another era.
+#[must_use]
+pub fn is_same_order(one: u64, other: u64) -> bool {
+    offset_of(one) == offset_of(other)
+}
+
 /// Stage of a rollout. Stages only advance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Stage {
@@ -70,6 +89,29 @@
     pub started: WallMs,
 }
 
+impl Progress {
+    /// Whether this is the progress of `order`.
+    #[must_use]
+    pub fn is_of(&self, order: &Order) -> bool {
+        is_same_order(self.order, order.number) && self.version == order.version
+    }
+
+    /// Whether this is the progress of the same order as `other`.
+    #[must_use]
+    pub fn is_of_same_order(&self, other: &Self) -> bool {
+        is_same_order(self.order, other.order) && self.version == other.version
+    }
+
+    /// Whether this is a later state than `other`.
+    #[must_use]
+    pub fn is_after(&self, other: &Self) -> bool {
+        if self.is_of_same_order(other) {
+            return self.stage > other.stage;
+        }
+        self.order > other.order
+    }
+}
+
 /// Limit on the traffic that a faulty version may get.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ExposureLimit {
--- a/crates/rollout/src/policy.rs
+++ b/crates/rollout/src/policy.rs
@@ -49,17 +49,24 @@
                 started: 0,
             });
         }
+        let rewritten = match (&self.order, &order) {
+            (Some(before), Some(order)) if before.is_rewritten_as(order) => Some(order.number),
+            _ => None,
+        };
+        let known = self.progress().cloned();
+        if let (Some(number), Some(known)) = (rewritten, known) {
+            self.progress = Some(Progress {
+                order: number,
+                ..known
+            });
+        }
         self.order = order;
     }
 
     /// Updates the progress of an order. Returns whether it is newer than the known one.
     pub fn set_progress(&mut self, progress: Progress) -> bool {
-        let at = |progress: &Progress| (progress.order, progress.stage);
-        if self
-            .progress
-            .as_ref()
-            .is_some_and(|known| at(known) >= at(&progress))
-        {
+        let known = self.progress.as_ref();
+        if known.is_some_and(|known| !progress.is_after(known)) {
             return false;
         }
         self.progress = Some(progress);
@@ -77,7 +84,7 @@
     pub fn progress(&self) -> Option<&Progress> {
         let order = self.order.as_ref()?;
         let progress = self.progress.as_ref()?;
-        (progress.order == order.number).then_some(progress)
+        progress.is_of(order).then_some(progress)
     }
 
     /// Stage of the current order.
--- a/crates/rollout/tests/roster.rs
+++ b/crates/rollout/tests/roster.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use swiftlink_rollout::{Assignment, ExposureLimit, Order, Progress, Stage, VersionPolicy};
-use swiftlink_types::{PoolName, ServerName, VersionName};
+use swiftlink_types::{PoolName, ServerName, VersionName, position};
 
 fn version(name: &str) -> VersionName {
     VersionName::from(name)
@@ -208,3 +208,33 @@
         canary_servers
     );
 }
+
+/// Guards against a rollout that begins anew, and so against a reverted version that gets requests
+/// again, after the store went back to a copy. A router that reads the order in the new era knows it
+/// by another position than the one that wrote its progress.
+#[test]
+fn progress_of_an_earlier_era_belongs_to_the_order_at_its_offset() {
+    let mut policy = VersionPolicy::default();
+    policy.set_order(Some(order(position(1, 5), "v2")));
+    assert!(policy.set_progress(progress(5, "v2", Stage::Reverted)));
+    assert_eq!(policy.stage(), Stage::Reverted);
+    assert!(!policy.set_progress(progress(position(1, 5), "v2", Stage::Canary)));
+    // The store assigned the offset again to an order for another version.
+    policy.set_order(Some(order(position(1, 5), "v3")));
+    assert_eq!(policy.stage(), Stage::Ordered);
+}
+
+/// The copy lacked the order, and the operator wrote it again.
+#[test]
+fn order_that_is_written_again_in_a_later_era_keeps_its_stage() {
+    let mut policy = VersionPolicy::default();
+    policy.set_order(Some(order(8, "v2")));
+    policy.set_progress(progress(8, "v2", Stage::Reverted));
+    policy.set_order(Some(order(position(1, 6), "v2")));
+    assert_eq!(policy.stage(), Stage::Reverted);
+    let number = policy.progress().map(|progress| progress.order);
+    assert_eq!(number, Some(position(1, 6)));
+    // Ordered once more.
+    policy.set_order(Some(order(position(1, 9), "v2")));
+    assert_eq!(policy.stage(), Stage::Ordered);
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,12 +6,14 @@
 //!
 //! Reading order: `name` (names of configured objects), `amount` (the cost of a request), `id`
 //! (the idempotency key of a request, and [`Incarnation`], one run of a router process),
-//! `instance` (one run of a backend server), `time`, and `refusal`.
+//! `instance` (one run of a backend server), `position` (of a record on a store that may come back
+//! from a copy), `time`, and `refusal`.
 
 mod amount;
 mod id;
 mod instance;
 mod name;
+mod position;
 mod refusal;
 mod time;
 
@@ -22,5 +24,6 @@
     BudgetName, ClassName, DomainName, KeyName, PoolName, RegionName, ServerName, StreamName,
     VersionName, VmName, WorkspaceName,
 };
+pub use position::{era_of, offset_of, position};
 pub use refusal::{OUTCOME_HEADER, Outcome, Problem, Refusal, RefusalKind};
 pub use time::{MICROS_PER_MS, Micros, WallMs, wall_ms};
