watch: a router that starts after the store went back asks others for the configuration

Cause: a starting router knows only what the store has.

Routers that read the feeds from others get it with them as before.

Also a test of a fleet of two builds: an account that a build without limits on growth wrote bounds no lost claims, so nothing more is granted from it after a restore until each holder has written its entry.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -443,6 +443,10 @@
         }
     }
 
+    fn any_peer(&self) -> Option<VmName> {
+        self.random_peer()
+    }
+
     fn has_all_members(&self) -> bool {
         self.partitions
             .iter()
--- a/crates/gateway/src/watch/config.rs
+++ b/crates/gateway/src/watch/config.rs
@@ -12,7 +12,7 @@
 use crate::catalog::{Catalog, CatalogError};
 use crate::model::Config;
 use crate::node::Node;
-use crate::store::{Feed, offset_of};
+use crate::store::{Feed, Record, offset_of};
 
 pub(super) struct Follower {
     node: Arc<Node>,
@@ -167,6 +167,20 @@
 
     fn store_recovered(&mut self, _known: Option<Instant>) {}
 
+    /// A version is newer by its number.
+    fn take_earlier(&mut self, records: &[Record]) {
+        for record in records {
+            let Some(value) = &record.value else {
+                continue;
+            };
+            match self.catalog.config(&record.key, value) {
+                Ok(Some(config)) => self.apply(config),
+                Ok(None) => {}
+                Err(error) => self.report_unreadable(&error, record.offset),
+            }
+        }
+    }
+
     fn tick(&mut self) -> Vec<String> {
         self.node.freshness.mark_polled();
         Vec::new()
--- a/crates/gateway/src/watch/follow.rs
+++ b/crates/gateway/src/watch/follow.rs
@@ -7,11 +7,12 @@
 use swiftlink_telemetry::event;
 use tokio::time::{Instant, sleep};
 
+use super::earlier::EarlierRecords;
 use super::reader::{Answer, Change, FeedUpdate, MAX_LATENESS, Reader};
 use super::replicas::PeerFeeds;
 use super::upstream::{self, Upstream};
 use crate::node::Node;
-use crate::store::{Feed, ResponseTimeout, StoreError};
+use crate::store::{Feed, Record, ResponseTimeout, StoreError};
 
 /// How long the store may hold a poll while nothing is new, and so how long it takes to notice that
 /// the store is silent.
@@ -46,6 +47,10 @@
     /// it had nothing newer than what was received; `None` if any record may be missing.
     fn store_recovered(&mut self, known: Option<Instant>);
 
+    /// Applies records of earlier eras that another router knows, where they are newer by what they
+    /// say themselves.
+    fn take_earlier(&mut self, _records: &[Record]) {}
+
     /// Does what has become due and returns the keys that expired; called after each poll.
     fn tick(&mut self) -> Vec<String>;
 }
@@ -148,6 +153,7 @@
 pub(crate) async fn run(mut reader: Reader, mut handler: impl Follow, relay: Option<Relay>) {
     let mut upstream = Upstream::new();
     let mut store_poller = StorePoller::default();
+    let mut earlier = EarlierRecords::new();
     loop {
         if let Some(relay) = &relay
             && upstream.receive(relay, &mut reader, &mut handler).await
@@ -159,6 +165,9 @@
             .poll(&mut reader, &mut handler, relay.as_ref())
             .await;
         upstream.reset();
+        if let Some(relay) = &relay {
+            earlier.receive(relay, &reader, &mut handler).await;
+        }
     }
 }
 
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -4,12 +4,13 @@
 //! poll. `config`, `drained`, `rollout_orders` and `directory` apply the records. State never moves
 //! back to an older version or an older entry. `replicas` serves the newest records of the feeds
 //! to other routers, `tree` computes which routers a router of a large fleet follows, and
-//! `upstream` follows them. `subset` selects the servers of very large pools that a router
+//! `upstream` follows them. `earlier` fetches what a store that went back to a copy may lack. `subset` selects the servers of very large pools that a router
 //! needs.
 
 mod config;
 mod directory;
 mod drained;
+mod earlier;
 mod follow;
 mod history;
 mod reader;
--- a/crates/gateway/src/watch/replicas.rs
+++ b/crates/gateway/src/watch/replicas.rs
@@ -63,6 +63,11 @@
         true
     }
 
+    /// Another router that can be asked; `None` if none is known.
+    fn any_peer(&self) -> Option<VmName> {
+        None
+    }
+
     /// Fetches an update from the router on `vm`; `None` without an answer within `time`.
     async fn follow(&self, _vm: &VmName, _query: GetFeed, _time: Duration) -> Option<PeerUpdate> {
         None
--- a/crates/gateway/tests/testsuite/accounts.rs
+++ b/crates/gateway/tests/testsuite/accounts.rs
@@ -448,3 +448,36 @@
     let change = adjust(&first.account, LARGE_BUDGET, &next).expect("a change");
     assert_eq!(change.account.closed, 5);
 }
+
+/// A router of a build that withholds nothing drops what it doesn't know when it writes an account.
+fn written_by_older_build(account: &Account) -> Account {
+    Account {
+        withheld: Vec::new(),
+        unconfirmed: 0,
+        ..account.clone()
+    }
+}
+
+/// Guards against tokens that are granted twice in a fleet of two builds: an account of the older one
+/// doesn't bound what was claimed after a copy of it, so nothing more is granted until each holder
+/// has written its entry again.
+#[test]
+fn an_account_of_an_older_build_bounds_no_lost_claims() {
+    let first = adjust(&Account::default(), LARGE_BUDGET, &router("a", 1)).expect("a claim");
+    let second = adjust(&first.account, LARGE_BUDGET, &router("b", 2)).expect("a claim");
+    let account = written_by_older_build(&second.account);
+    // Without a copy in between, the limit applies again with the next change.
+    let mut own = router("a", 1);
+    own.granted = first.granted;
+    own.need = LARGE_BUDGET;
+    let change = adjust(&account, LARGE_BUDGET, &own).expect("a claim");
+    assert_eq!(change.account.withheld, second.account.withheld);
+    assert!(committed(&change.account) <= most_claimed(&change.account));
+    own.era = 1;
+    let change = adjust(&account, LARGE_BUDGET, &own).expect("its entry");
+    assert_eq!(change.granted, first.granted);
+    let mut next = router("b", 3);
+    next.era = 1;
+    let change = adjust(&change.account, LARGE_BUDGET, &next).expect("a change");
+    assert_eq!(change.account.closed, LARGE_BUDGET - first.granted);
+}
