quota: withhold only where the store says that it can go back; steps by the time that passed

Cause: one workspace uses its 461,501 tokens up within eight seconds, and its running requests reserve 100,000 and more of them. The limit is reached at 5.2 s, when what is withheld is still that of the first seconds. Evidence, by a line for each change of the account: withheld=[119991 x6, 89769] from 1.06 to 3.17 s, and what was announced at 3.17 s in force at 7.67 s.

Where it has: six steps instead of three, as many at once as the time since the last one allows (what is announced is in force no sooner than after the lag of a copy), 74 in 100 of a budget instead of 70, and what requests have reserved counts as spent when it is decided what to withhold.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -400,6 +400,10 @@
         self.store.era()
     }
 
+    fn may_go_back(&self) -> bool {
+        self.store.may_go_back()
+    }
+
     async fn read(
         &self,
         feed: Feed,
--- a/crates/gateway/src/quota/account.rs
+++ b/crates/gateway/src/quota/account.rs
@@ -105,8 +105,10 @@
     pub is_frozen: bool,
     /// Whether the account has to be written even if the router changes nothing.
     pub must_write: bool,
-    /// Whether enough time has passed since the account's last step.
-    pub step_due: bool,
+    /// Steps that the time since the account's last one allows.
+    pub steps_due: usize,
+    /// Whether the store may go back to an older copy of itself.
+    pub may_go_back: bool,
 }
 
 /// The most that a process that ended has spent of an account.
@@ -180,9 +182,15 @@
 #[must_use]
 pub fn adjust(account: &Account, prepaid: Tokens, router: &RouterState) -> Option<Change> {
     let (mut base, closed) = without_vm(account, prepaid, router);
-    let spent = spent(&base) + router.charged;
-    let withholds_much = withholds_much(&base, spent, prepaid);
-    base.withheld = growth::next_withheld(&base, spent, prepaid, router.step_due);
+    // Requests that run are about to spend what they have reserved.
+    let spent = spent(&base) + router.charged + router.reserved;
+    let withheld = if router.may_go_back {
+        growth::withheld(spent, prepaid)
+    } else {
+        0
+    };
+    let withholds_much = withholds_much(&base, prepaid.saturating_sub(spent), withheld, prepaid);
+    base.withheld = growth::next_withheld(&base, withheld, router.steps_due);
     let target = target(&base, prepaid, router);
     let unspent = router.granted.saturating_sub(router.charged);
     let mut granted = router.charged + resize(unspent, target, router);
@@ -197,7 +205,7 @@
     // there, and the other routers tell their callers to retry for it.
     let is_due = match entry {
         _ if router.must_write || !closed.is_empty() => true,
-        _ if router.step_due && withholds_much => true,
+        _ if router.steps_due > 0 && withholds_much => true,
         None => granted > 0 || router.need > 0,
         Some(entry) => {
             let unreported = router.charged.saturating_sub(entry.charged);
@@ -226,11 +234,12 @@
     })
 }
 
-/// Whether the tokens that may be spent now are much fewer than after all steps.
-fn withholds_much(account: &Account, spent: Tokens, prepaid: Tokens) -> bool {
-    let now = growth::limit(account, prepaid).saturating_sub(spent);
-    let later = prepaid.saturating_sub(spent + growth::withheld(spent, prepaid));
-    (now as f64) < later as f64 * STEP_BELOW
+/// Whether the tokens that may be spent of those `left` are much fewer now than when the account
+/// withholds `later`.
+fn withholds_much(account: &Account, left: Tokens, later: Tokens, prepaid: Tokens) -> bool {
+    let now = prepaid.saturating_sub(growth::limit(account, prepaid));
+    let free = |withheld: Tokens| left.saturating_sub(withheld) as f64;
+    free(now) < free(later) * STEP_BELOW
 }
 
 /// The account without this router, for when its process stops.
--- a/crates/gateway/src/quota/account/growth.rs
+++ b/crates/gateway/src/quota/account/growth.rs
@@ -1,11 +1,12 @@
 //! Limits how much of a budget routers may claim within a few seconds. No I/O.
 //!
-//! A store that goes back to an older copy of itself forgets the claims of the last seconds. If the
+//! A store that can go back to an older copy of itself (`Store::may_go_back`) forgets the claims of
+//! the last seconds then. If the
 //! routers that made them have ended too, nobody knows what they spent. So each account withholds a
 //! part of the budget from all routers. [`Account::withheld`] has the tokens that are withheld now,
-//! and those that will be after each of the next [`STEPS`] steps. A change of the account takes one
-//! step at most, and steps are at least [`step_time`] apart. So a copy that lacks less than [`STEPS`]
-//! of these times shows the most that can have been claimed after it.
+//! and those that will be after each of the next [`STEPS`] steps, which are at least [`step_time`]
+//! apart. What is withheld from now on is only set for after the last of them. So a copy that lacks
+//! less than [`STEPS`] of these times shows the most that can have been claimed after it.
 
 use std::time::Duration;
 
@@ -16,12 +17,12 @@
 /// Fraction of a budget that is not withheld. Routers that all end as the store goes back strand no
 /// more than that, so the rest of the budget is spent in any case. Once the rest is spent nothing is
 /// withheld: tokens that routers may not hold are missing while they can't reach each other.
-const FRACTION: f64 = 0.7;
+const FRACTION: f64 = 0.74;
 /// Tokens that are never withheld: the largest request of a model with a context of 128k tokens.
 /// With less, such a request would never be served by a small budget.
 const MIN_TOKENS: Tokens = 131_072;
 /// Steps that are recorded ahead.
-const STEPS: usize = 3;
+const STEPS: usize = 6;
 
 /// Shortest time between two steps, where a copy of the store may lack up to `copy_lag`.
 #[must_use]
@@ -40,10 +41,7 @@
 /// The most tokens of `prepaid` that may be spent or held now. All of a budget that was raised since
 /// the account was written may be claimed beyond that.
 pub(super) fn limit(account: &Account, prepaid: Tokens) -> Tokens {
-    let withheld = match account.withheld.first() {
-        Some(withheld) => *withheld,
-        None => withheld(0, prepaid),
-    };
+    let withheld = account.withheld.first().copied().unwrap_or(0);
     prepaid.saturating_sub(withheld)
 }
 
@@ -55,23 +53,20 @@
     prepaid.saturating_sub(withheld.saturating_add(committed))
 }
 
-/// The tokens that an account withholds now and after each step, once it records `spent` tokens. It
-/// takes a step if one `is_due`.
-pub(super) fn next_withheld(
-    account: &Account,
-    spent: Tokens,
-    prepaid: Tokens,
-    is_due: bool,
-) -> Vec<Tokens> {
-    let last = withheld(spent, prepaid);
+/// The tokens that an account withholds now and after each step, once it has taken `taken` steps and
+/// `last` are to be withheld.
+pub(super) fn next_withheld(account: &Account, last: Tokens, taken: usize) -> Vec<Tokens> {
     let mut steps = account.withheld.clone();
     if steps.len() != STEPS + 1 {
         return vec![last; STEPS + 1];
     }
-    if is_due {
-        steps.rotate_left(1);
-        steps[STEPS] = last;
+    if taken == 0 {
+        return steps;
     }
+    let announced = steps[STEPS];
+    steps.drain(..taken.min(STEPS));
+    steps.resize(STEPS, announced);
+    steps.push(last);
     steps
 }
 
--- a/crates/gateway/src/quota/claim.rs
+++ b/crates/gateway/src/quota/claim.rs
@@ -425,7 +425,8 @@
             era: self.snapshot.as_ref().map_or(0, |s| era_of(s.end)),
             is_frozen: self.earlier.is_frozen(),
             must_write: self.earlier.must_write(&quota.workspace),
-            step_due: self.withheld.is_step_due(&quota.workspace),
+            steps_due: self.withheld.steps_due(&quota.workspace),
+            may_go_back: self.store.may_go_back(),
         }
     }
 }
--- a/crates/gateway/src/quota/claim/withheld.rs
+++ b/crates/gateway/src/quota/claim/withheld.rs
@@ -47,10 +47,13 @@
         self.known.insert(workspace.clone(), known);
     }
 
-    /// Whether the account may take a step.
-    pub(super) fn is_step_due(&self, workspace: &WorkspaceName) -> bool {
-        let known = self.known.get(workspace);
-        known.is_some_and(|known| known.since.elapsed() > self.step)
+    /// Steps that the account may take now.
+    pub(super) fn steps_due(&self, workspace: &WorkspaceName) -> usize {
+        let Some(known) = self.known.get(workspace) else {
+            return 0;
+        };
+        let step = self.step.max(Duration::from_millis(1));
+        (known.since.elapsed().as_micros() / step.as_micros()) as usize
     }
 
     /// What `account` withholds, and until when.
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -174,6 +174,12 @@
         watch::channel(0).1
     }
 
+    /// Whether the store may come back from an older copy of itself, and so lose what it has
+    /// acknowledged. One that names no era doesn't.
+    fn may_go_back(&self) -> bool {
+        true
+    }
+
     /// Reads records from offset `from` on. The store waits up to `wait` for the first one; its
     /// answer has to begin within `timeout` after that.
     ///
