--- a/crates/gateway/src/quota/account/growth.rs
+++ b/crates/gateway/src/quota/account/growth.rs
@@ -1,12 +1,12 @@
 //! Limits how much of a budget routers may claim within a few seconds. No I/O.
 //!
 //! A store that can go back to an older copy of itself (`Store::may_go_back`) forgets the claims of
-//! the last seconds then. If the
-//! routers that made them have ended too, nobody knows what they spent. So each account withholds a
-//! part of the budget from all routers. [`Account::withheld`] has the tokens that are withheld now,
-//! and those that will be after each of the next [`STEPS`] steps, which are at least [`step_time`]
-//! apart. What is withheld from now on is only set for after the last of them. So a copy that lacks
-//! less than [`STEPS`] of these times shows the most that can have been claimed after it.
+//! the last seconds then. If the routers that made them have ended too, nobody knows what they spent.
+//! So each account withholds a part of the budget from all routers. [`Account::withheld`] has the
+//! tokens that are withheld now, and those that will be after each of the next [`STEPS`] steps, which
+//! are at least [`step_time`] apart. A new value always goes behind the last of them. So a copy that
+//! lacks less than [`STEPS`] of these times shows the most that can have been claimed after it. An
+//! account that lists nothing withholds nothing.
 
 use std::time::Duration;
 
@@ -57,6 +57,9 @@
 /// `last` are to be withheld.
 pub(super) fn next_withheld(account: &Account, last: Tokens, taken: usize) -> Vec<Tokens> {
     let mut steps = account.withheld.clone();
+    if steps.is_empty() && last == 0 {
+        return steps;
+    }
     if steps.len() != STEPS + 1 {
         return vec![last; STEPS + 1];
     }
--- a/crates/gateway/src/quota/reserver.rs
+++ b/crates/gateway/src/quota/reserver.rs
@@ -217,9 +217,8 @@
         };
         reserved.map_err(|reason| {
             let unlock = reason.retry_after();
-            if let Some(time) = unlock.or_else(|| quota.unlocks_in(usage.max_total())) {
-                asked.add_retry(time);
-            }
+            let unlock = unlock.or_else(|| quota.unlocks_in(usage.max_total()));
+            unlock.into_iter().for_each(|time| asked.add_retry(time));
             ReserveError {
                 reason,
                 asked: asked.answers.join(", "),
