--- a/crates/gateway/src/quota/account.rs
+++ b/crates/gateway/src/quota/account.rs
@@ -183,13 +183,14 @@
 pub fn adjust(account: &Account, prepaid: Tokens, router: &RouterState) -> Option<Change> {
     let (mut base, closed) = without_vm(account, prepaid, router);
     // Requests that run are about to spend what they have reserved.
-    let spent = spent(&base) + router.charged + router.reserved;
+    let in_use = spent(&base) + router.charged + router.reserved;
     let withheld = if router.may_go_back {
-        growth::withheld(spent, prepaid)
+        growth::withheld(in_use, prepaid)
     } else {
         0
     };
-    let withholds_much = withholds_much(&base, prepaid.saturating_sub(spent), withheld, prepaid);
+    let left = prepaid.saturating_sub(in_use);
+    let is_step_urgent = router.steps_due > 0 && withholds_much(&base, left, withheld, prepaid);
     base.withheld = growth::next_withheld(&base, withheld, router.steps_due);
     let target = target(&base, prepaid, router);
     let unspent = router.granted.saturating_sub(router.charged);
@@ -205,7 +206,7 @@
     // there, and the other routers tell their callers to retry for it.
     let is_due = match entry {
         _ if router.must_write || !closed.is_empty() => true,
-        _ if router.steps_due > 0 && withholds_much => true,
+        _ if is_step_urgent => true,
         None => granted > 0 || router.need > 0,
         Some(entry) => {
             let unreported = router.charged.saturating_sub(entry.charged);
