--- a/crates/gateway/src/quota/account/growth.rs
+++ b/crates/gateway/src/quota/account/growth.rs
@@ -3,9 +3,9 @@
 //! A store that can go back to an older copy of itself (`Store::may_go_back`) forgets the claims of
 //! the last seconds then. If the routers that made them have ended too, nobody knows what they spent.
 //! So each account withholds a part of the budget from all routers. [`Account::withheld`] has the
-//! tokens that are withheld now, and those that will be after each of the next [`STEPS`] steps, which
+//! tokens that are withheld now, and those that will be after each of the next `STEPS` steps, which
 //! are at least [`step_time`] apart. A new value always goes behind the last of them. So a copy that
-//! lacks less than [`STEPS`] of these times shows the most that can have been claimed after it. An
+//! lacks less than `STEPS` of these times shows the most that can have been claimed after it. An
 //! account that lists nothing withholds nothing.
 
 use std::time::Duration;
