--- a/crates/gateway/src/quota/reserver.rs
+++ b/crates/gateway/src/quota/reserver.rs
@@ -108,13 +108,14 @@
 impl Asked {
     fn add(&mut self, vm: &VmName, answer: &Answer) {
         self.answers.push(format!("{vm}: {answer}"));
-        if let Answer::Refused(_, Some(retry_after)) = answer {
+        if let Answer::Refused(_, retry_after) = answer {
             self.add_retry(*retry_after);
         }
     }
 
-    fn add_retry(&mut self, time: Duration) {
-        self.retry_after = Some(self.retry_after.map_or(time, |known| known.min(time)));
+    fn add_retry(&mut self, time: Option<Duration>) {
+        let known = self.retry_after;
+        self.retry_after = known.into_iter().chain(time).min();
     }
 }
 
@@ -217,8 +218,7 @@
         };
         reserved.map_err(|reason| {
             let unlock = reason.retry_after();
-            let unlock = unlock.or_else(|| quota.unlocks_in(usage.max_total()));
-            unlock.into_iter().for_each(|time| asked.add_retry(time));
+            asked.add_retry(unlock.or_else(|| quota.unlocks_in(usage.max_total())));
             ReserveError {
                 reason,
                 asked: asked.answers.join(", "),
