--- a/crates/gateway/src/quota/table.rs
+++ b/crates/gateway/src/quota/table.rs
@@ -20,7 +20,7 @@
 const PARTITIONS: u32 = 12;
 
 /// The last seconds that a store may have lost when it comes back from a copy.
-pub const COPY_LAG: Duration = Duration::from_secs(4);
+pub const COPY_LAG: Duration = Duration::from_secs(5);
 
 /// The quota of each workspace at this router.
 #[derive(Debug)]
