--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -309,6 +309,12 @@
         self.fleet().open_len()
     }
 
+    /// Number of those that are ejected for errors.
+    #[must_use]
+    pub fn ejected_len(&self) -> usize {
+        self.fleet().ejected_len()
+    }
+
     /// Number of servers that may get requests and are still warming up.
     #[must_use]
     pub fn cold_len(&self) -> usize {
--- a/crates/gateway/src/fleet/ticket.rs
+++ b/crates/gateway/src/fleet/ticket.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use swiftlink_rollout::StatsKey;
-use swiftlink_routing::{Dispatch, ErrorKind, ServerIdx, StreamGaps};
+use swiftlink_routing::{Dispatch, ErrorKind, Fleet, ServerIdx, StreamGaps};
+use swiftlink_telemetry::event;
 use swiftlink_types::Micros;
 
 use super::Pool;
@@ -73,7 +74,10 @@
         self.count_response(false);
         let now = self.pool.now();
         if let Some(dispatch) = self.dispatch.take() {
-            self.pool.fleet().on_end(dispatch, now);
+            let mut fleet = self.pool.fleet();
+            let before = fleet.ejected_until(self.idx);
+            fleet.on_end(dispatch, now);
+            self.log_ejection(&fleet, before, now, "none");
         }
     }
 
@@ -86,10 +90,34 @@
         }
         let now = self.pool.now();
         if let Some(dispatch) = self.dispatch.take() {
-            self.pool.fleet().on_error(dispatch, now, kind);
+            let mut fleet = self.pool.fleet();
+            let before = fleet.ejected_until(self.idx);
+            fleet.on_error(dispatch, now, kind);
+            self.log_ejection(&fleet, before, now, kind.as_str());
         }
     }
 
+    /// Logs that the server was ejected or readmitted.
+    fn log_ejection(&self, fleet: &Fleet, before: Option<Micros>, now: Micros, error: &str) {
+        let until = fleet.ejected_until(self.idx);
+        let Some(server) = fleet.get(self.idx).filter(|_| until != before) else {
+            return;
+        };
+        let Some(until) = until else {
+            event!(info, "server.readmitted", server = server.name());
+            return;
+        };
+        event!(
+            info,
+            "server.ejected",
+            server = server.name(),
+            error = error,
+            ms = until.saturating_sub(now) / 1_000,
+            ejected = fleet.ejected_len(),
+            open = fleet.open_len(),
+        );
+    }
+
     fn count_response(&self, has_failed: bool) {
         if let Some(response_key) = &self.response_key {
             self.pool.rollout.on_finished(response_key, has_failed);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -105,6 +105,7 @@
     ready: Gauge,
     drained: Family<DomainLabels, Gauge>,
     cold_servers: Gauge,
+    ejected_servers: Gauge,
     limited_servers: Gauge,
     known_speeds: Gauge,
     slowest_ratio: Gauge<f64, AtomicU64>,
@@ -209,6 +210,8 @@
         registry.register("domain_emptied", drained, gauges.drained.clone());
         let cold = "Backend servers that are cold and may get work";
         registry.register("cold_servers", cold, gauges.cold_servers.clone());
+        let ejected = "Backend servers that get no requests because of errors";
+        registry.register("ejected_servers", ejected, gauges.ejected_servers.clone());
         let limited = "Backend servers that limit their rate of requests";
         registry.register("limited_servers", limited, gauges.limited_servers.clone());
         let speeds = "Backend servers whose speed relative to their pool is known";
@@ -338,6 +341,9 @@
         let cold: usize = node.pools.all().iter().map(|pool| pool.cold_len()).sum();
         self.cold_servers
             .set(i64::try_from(cold).unwrap_or(i64::MAX));
+        let ejected: usize = node.pools.all().iter().map(|pool| pool.ejected_len()).sum();
+        self.ejected_servers
+            .set(i64::try_from(ejected).unwrap_or(i64::MAX));
         let limited: usize = node.pools.all().iter().map(|pool| pool.limited_len()).sum();
         self.limited_servers
             .set(i64::try_from(limited).unwrap_or(i64::MAX));
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -4,7 +4,8 @@
 use swiftlink_telemetry::event;
 use tokio::time::timeout_at;
 
-use super::exchange::{Attempts, Exchange};
+use super::attempts::Attempts;
+use super::exchange::Exchange;
 use super::refusal::Refusal;
 use crate::admission::{AdmissionRequest, Overloaded, PoolAdmission};
 use crate::fleet::Ticket;
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -17,7 +17,9 @@
 
 use crate::outcome::{Execution, Outcome};
 use crate::traffic::head_bytes;
-use crate::upstream::{Endpoint, Lease, SendError, SendOptions, send_to};
+use crate::upstream::{
+    ConnectionKind, Endpoint, Lease, SendError, SendFailure, SendOptions, send_to,
+};
 
 /// Maximum time for opening a connection; within a region it takes a millisecond or two.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -33,6 +35,31 @@
     pub(super) outcome: Outcome,
 }
 
+/// An attempt without a response that ends the request.
+pub(super) struct FailedAttempt {
+    pub(super) outcome: Outcome,
+    /// What happened, for logs.
+    pub(super) detail: String,
+    /// The connection that the attempt used.
+    pub(super) connection: ConnectionKind,
+}
+
+impl From<SendFailure> for FailedAttempt {
+    fn from(failure: SendFailure) -> Self {
+        let outcome = match &failure.error {
+            SendError::Withheld(_) => Outcome::Withheld,
+            SendError::NotSent(_) | SendError::Unreachable => Outcome::NotSent,
+            SendError::Lost(_) => Outcome::Lost,
+            SendError::TimedOut => Outcome::TimedOut,
+        };
+        Self {
+            outcome,
+            detail: failure.error.detail().to_owned(),
+            connection: failure.connection,
+        }
+    }
+}
+
 /// Sends the request once, and gives up at `until` if the server hasn't responded.
 pub(super) async fn attempt(
     exchange: &Exchange,
@@ -40,7 +67,7 @@
     mut ticket: Ticket,
     resume: Option<u64>,
     until: Instant,
-) -> Result<ServerResponse, Outcome> {
+) -> Result<ServerResponse, FailedAttempt> {
     let request = build(exchange, &server, resume);
     let now = Instant::now();
     let options = SendOptions {
@@ -53,22 +80,24 @@
     let held = Arc::clone(&exchange.node.quarantine).until_held(Arc::clone(&exchange.identity));
     let sent = tokio::select! {
         sent = send_to(admission, endpoint, request, options) => sent,
-        () = held => return Err(Outcome::Quarantined),
+        () = held => {
+            return Err(FailedAttempt {
+                outcome: Outcome::Quarantined,
+                detail: "the request is quarantined".to_owned(),
+                connection: ConnectionKind::None,
+            });
+        }
     };
     let response = match sent {
         Ok(response) => response,
-        Err(error) => {
-            if let Some(kind) = error.kind() {
+        Err(failure) => {
+            if let Some(kind) = failure.error.kind() {
                 ticket.fail(kind);
             }
-            return Err(match error {
-                SendError::Withheld(_) => Outcome::Withheld,
-                SendError::NotSent(_) | SendError::Unreachable => Outcome::NotSent,
-                SendError::Lost(_) => Outcome::Lost,
-                SendError::TimedOut => Outcome::TimedOut,
-            });
+            return Err(failure.into());
         }
     };
+    let connection = response.connection;
     let (response, mut lease) = response.split();
     let (head, body) = response.into_parts();
     exchange.node.traffic.relayed(head_bytes(&head.headers));
@@ -113,7 +142,11 @@
             });
         }
     }
-    Err(outcome)
+    Err(FailedAttempt {
+        outcome,
+        detail: format!("status {}", head.status.as_u16()),
+        connection,
+    })
 }
 
 /// Records what the server announces about itself, which binds all requests sent from here on.
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -10,22 +10,22 @@
 use http::{HeaderMap, Method, Uri};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use swiftlink_routing::{ErrorKind, Prompt, ServerIdx};
+use swiftlink_routing::{ErrorKind, Prompt};
 use swiftlink_shell::web::{Body, Response};
 use swiftlink_telemetry::event;
 use swiftlink_types::{DomainName, Tokens};
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{ServerResponse, attempt};
+use super::attempts::Attempts;
 use super::refusal::{Refusal, SERVER_RETRY};
 use super::relay;
-use crate::admission::SentRequest;
 use crate::dialect::RequestMeta;
 use crate::fingerprint::RequestIdentity;
 use crate::fleet::{Pool, SelectedServer, ServerCriteria, Ticket};
 use crate::model::{Replay, Route, RouteKind, Workspace};
 use crate::node::{InFlight, Node};
-use crate::outcome::{Execution, Outcome};
+use crate::outcome::Outcome;
 use crate::quota::RequestQuota;
 
 /// Maximum number of attempts of one request, without those that were withheld, also when no server
@@ -107,18 +107,6 @@
     Partial { start: Bytes, rest: Incoming },
 }
 
-/// The attempts of a request so far.
-#[derive(Debug, Default)]
-pub(super) struct Attempts {
-    tried: Vec<ServerIdx>,
-    /// Number of servers that may have executed the request.
-    executions: u32,
-    /// Attempts that were given up before any byte left, since the server became ineligible.
-    withheld: usize,
-    /// The current attempt, until its first event.
-    pub(super) sent: Option<SentRequest>,
-}
-
 impl Exchange {
     /// Priority of the request: its workspace's, or else its route's.
     pub(super) fn priority(&self) -> u8 {
@@ -238,15 +226,17 @@
             let until = self.attempt_deadline(attempts);
             let name = server.instance.name.clone();
             let selected = server.clone();
-            let outcome = match attempt(self, server, ticket, resume, until).await {
+            let start = Instant::now();
+            let failed = match attempt(self, server, ticket, resume, until).await {
                 Ok(response) => {
                     self.node.metrics.attempted(response.outcome.as_str());
                     attempts.tried.push(idx);
                     attempts.executions += 1;
                     return Ok(response);
                 }
-                Err(outcome) => outcome,
+                Err(failed) => failed,
             };
+            let outcome = failed.outcome;
             attempts.tried.push(idx);
             self.node.metrics.attempted(outcome.as_str());
             attempts.record(outcome);
@@ -263,6 +253,9 @@
                 server = name,
                 outcome = outcome.as_str(),
                 attempt = attempts.count(),
+                connection = failed.connection.as_str(),
+                detail = failed.detail,
+                took_ms = start.elapsed().as_millis(),
                 print = self.logged_fingerprint(is_broken),
                 left_ms = self.left().as_millis(),
             );
@@ -442,6 +435,7 @@
             attempts = attempts.count(),
             runs = attempts.executions,
             open = self.pool.open_len(),
+            ejected = self.pool.ejected_len(),
             config = self.version,
             ms = self.start.elapsed().as_millis(),
         );
@@ -474,25 +468,3 @@
     }
     Ok(BufferedBody::Complete(buffer.freeze()))
 }
-
-impl Attempts {
-    /// Whether none was made.
-    pub(super) fn is_empty(&self) -> bool {
-        self.tried.is_empty()
-    }
-
-    /// Number of attempts, without those that were withheld.
-    pub(super) fn count(&self) -> usize {
-        self.tried.len() - self.withheld
-    }
-
-    /// Records a failed attempt.
-    fn record(&mut self, outcome: Outcome) {
-        if outcome.execution() != Execution::No {
-            self.executions += 1;
-        }
-        if outcome == Outcome::Withheld {
-            self.withheld += 1;
-        }
-    }
-}
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod attempt;
+mod attempts;
 mod exchange;
 mod refusal;
 mod relay;
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -14,7 +14,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::ServerResponse;
-use super::exchange::{Attempts, Exchange};
+use super::attempts::Attempts;
+use super::exchange::Exchange;
 use crate::node::InFlight;
 use crate::outcome::Outcome;
 use crate::sse::EventSplitter;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -79,6 +79,46 @@
     }
 }
 
+/// The connection that an attempt used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionKind {
+    /// None was made.
+    None,
+    /// One that was opened for the attempt.
+    New,
+    /// One that an earlier attempt had opened.
+    Reused,
+}
+
+impl ConnectionKind {
+    /// Name in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::New => "new",
+            Self::Reused => "reused",
+        }
+    }
+}
+
+/// A failed attempt to send a request to a server.
+#[derive(Debug, thiserror::Error)]
+#[error("{error} (connection: {})", connection.as_str())]
+pub struct SendFailure {
+    /// Why no response head was received.
+    #[source]
+    pub error: SendError,
+    /// The connection that failed.
+    pub connection: ConnectionKind,
+}
+
+impl SendFailure {
+    fn new(error: SendError, connection: ConnectionKind) -> Self {
+        Self { error, connection }
+    }
+}
+
 /// A server instance at an address. A connection is reused only for the instance that it was
 /// opened to: when an instance ends behind a network partition, its connections still look open,
 /// and a request sent on one is lost.
@@ -191,6 +231,8 @@
 pub struct PendingResponse {
     /// Head and body.
     pub response: Response<Incoming>,
+    /// The connection that it came on.
+    pub connection: ConnectionKind,
     endpoint: Endpoint,
     sender: Option<Sender>,
 }
@@ -255,7 +297,8 @@
     request: Request<Full<Bytes>>,
     options: SendOptions,
 ) -> Result<PendingResponse, SendError> {
-    send_within(endpoint.into(), &mut None, request, options).await
+    let sent = send_within(endpoint.into(), &mut None, request, options).await;
+    sent.map_err(|failure| failure.error)
 }
 
 /// Like [`send`], but fails without sending if the server may not get the request when its bytes
@@ -268,7 +311,7 @@
     endpoint: Endpoint,
     request: Request<Full<Bytes>>,
     options: SendOptions,
-) -> Result<PendingResponse, SendError> {
+) -> Result<PendingResponse, SendFailure> {
     send_within(endpoint, &mut Some(admission), request, options).await
 }
 
@@ -277,9 +320,10 @@
     admission: &mut Option<Admission>,
     request: Request<Full<Bytes>>,
     options: SendOptions,
-) -> Result<PendingResponse, SendError> {
+) -> Result<PendingResponse, SendFailure> {
+    let none = |error| SendFailure::new(error, ConnectionKind::None);
     if let Some(reason) = block_reason(admission.as_ref()) {
-        return Err(SendError::Withheld(reason));
+        return Err(none(SendError::Withheld(reason)));
     }
     let mut request = request;
     if !options.fresh {
@@ -287,32 +331,38 @@
             if sender.ready().await.is_err() {
                 continue;
             }
-            match send_on(sender, request, endpoint, admission, options.head).await {
+            let kind = ConnectionKind::Reused;
+            match send_on(sender, request, endpoint, admission, options.head, kind).await {
                 Ok(response) => return Ok(response),
-                Err(AttemptError::Withheld(reason)) => return Err(SendError::Withheld(reason)),
                 Err(AttemptError::Returned(back)) => request = *back,
-                Err(AttemptError::Lost(error)) => return Err(SendError::Lost(error)),
-                Err(AttemptError::TimedOut) => return Err(SendError::TimedOut),
+                Err(AttemptError::Failed(error)) => {
+                    return Err(SendFailure::new(error, kind));
+                }
             }
         }
     }
-    let sender = connect(endpoint.address, options.connect).await?;
-    match send_on(sender, request, endpoint, admission, options.head).await {
-        Ok(response) => Ok(response),
-        Err(AttemptError::Withheld(reason)) => Err(SendError::Withheld(reason)),
-        Err(AttemptError::Returned(_)) => Err(SendError::NotSent("connection closed".to_owned())),
-        Err(AttemptError::Lost(error)) => Err(SendError::Lost(error)),
-        Err(AttemptError::TimedOut) => Err(SendError::TimedOut),
-    }
+    let sender = connect(endpoint.address, options.connect).await;
+    let sent = send_on(
+        sender.map_err(none)?,
+        request,
+        endpoint,
+        admission,
+        options.head,
+        ConnectionKind::New,
+    );
+    let error = match sent.await {
+        Ok(response) => return Ok(response),
+        Err(AttemptError::Returned(_)) => SendError::NotSent("connection closed".to_owned()),
+        Err(AttemptError::Failed(error)) => error,
+    };
+    Err(SendFailure::new(error, ConnectionKind::New))
 }
 
 /// Why an attempt on one connection failed.
 enum AttemptError {
-    Withheld(BlockReason),
     /// The connection was closed before any byte left; the request may be sent on another one.
     Returned(Box<Request<Full<Bytes>>>),
-    Lost(String),
-    TimedOut,
+    Failed(SendError),
 }
 
 async fn send_on(
@@ -321,18 +371,21 @@
     endpoint: Endpoint,
     admission: &mut Option<Admission>,
     head: Duration,
+    connection: ConnectionKind,
 ) -> Result<PendingResponse, AttemptError> {
     // Time may have passed since the server was chosen, and the bytes leave now.
     if let Some(admission) = admission {
-        admission.enter().map_err(AttemptError::Withheld)?;
+        let entered = admission.enter().map_err(SendError::Withheld);
+        entered.map_err(AttemptError::Failed)?;
     }
     let sent = timeout(head, sender.try_send_request(request)).await;
     let Ok(sent) = sent else {
-        return Err(AttemptError::TimedOut);
+        return Err(AttemptError::Failed(SendError::TimedOut));
     };
     match sent {
         Ok(response) => Ok(PendingResponse {
             response,
+            connection,
             endpoint,
             sender: Some(sender),
         }),
@@ -343,7 +396,10 @@
                 }
                 Err(AttemptError::Returned(Box::new(back)))
             }
-            None => Err(AttemptError::Lost(error.error().to_string())),
+            None => {
+                let detail = error.error().to_string();
+                Err(AttemptError::Failed(SendError::Lost(detail)))
+            }
         },
     }
 }
--- a/crates/routing/src/fleet/mod.rs
+++ b/crates/routing/src/fleet/mod.rs
@@ -317,6 +317,18 @@
         servers.any(|index| matches(self.servers[*index as usize].name()))
     }
 
+    /// Number of available servers that are ejected.
+    #[must_use]
+    pub fn ejected_len(&self) -> usize {
+        self.ejected.len()
+    }
+
+    /// End of a server's ejection; `None` if it isn't ejected.
+    #[must_use]
+    pub fn ejected_until(&self, idx: ServerIdx) -> Option<Micros> {
+        self.get(idx)?.health.ejected_until()
+    }
+
     /// Time until an ejected server may be probed, if all open ones are ejected.
     #[must_use]
     pub fn probe_in(&self, now: Micros) -> Option<Duration> {
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -22,6 +22,19 @@
 }
 
 impl ErrorKind {
+    /// Name in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Connect => "connect",
+            Self::Unreachable => "unreachable",
+            Self::Misdirected => "misdirected",
+            Self::Status => "status",
+            Self::Timeout => "timeout",
+            Self::Broken => "broken",
+        }
+    }
+
     /// Whether the server is absent from its address. Overload causes none of these errors.
     #[must_use]
     pub fn is_absent(self) -> bool {
