paths: reach servers through other routers where the own path is cut

Cause: a router decides by its own connections only. A path that fails is taken for a server that fails, and when all are ejected the pool counts as empty, while other routers reach every server.

Change: a connection that isn't made within 50 ms, or is refused, is also opened as a tunnel through another router; the request goes out on what opens first. Nothing of a request is sent before. The tunnel carries bytes to one listed server, over a direct connection only, so there is one hop and no loop; quota, retries, permits, deadline and outcome stay where they were, so a tunnel that breaks off is a lost connection. The server's end is a message of its own: the death of the router between can't look like the end of a response. Paths are checked in the background when a server that requests wait for is silent for 400 ms; a cut one is known by another router reaching the server, and then connections from before it are given up where the request may be repeated. One cut path is probed twice a second; when it works, all are checked.

Why it works: whether a path or a server failed is decided by a router that reaches the server, not by a count of errors.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -5,6 +5,7 @@
 
 mod limited;
 mod pools;
+mod reach;
 pub mod speeds;
 mod ticket;
 
@@ -31,6 +32,7 @@
 use crate::eligibility::{Announcements, Eligibility};
 use crate::limits::LimitedServers;
 use crate::model::PoolSpec;
+use crate::paths::{Destination, Paths, ServerId, ServerPath};
 use crate::rollout::PoolRollout;
 use crate::settings::RouterSettings;
 
@@ -66,6 +68,7 @@
     servers: ArcSwap<HashMap<ServerName, ServerInfo>>,
     domains: Arc<Domains>,
     announcements: Arc<Announcements>,
+    paths: Arc<Paths>,
     /// Servers of all pools that limit their rate.
     limited: Arc<LimitedServers>,
     /// Notified when there are permits for a limited server.
@@ -92,6 +95,7 @@
     address: SocketAddr,
     version: VersionName,
     eligibility: Eligibility,
+    path: Arc<ServerPath>,
 }
 
 /// A server selected for a request.
@@ -99,8 +103,8 @@
 pub struct SelectedServer {
     /// Name and start time.
     pub instance: ServerInstance,
-    /// Address that it listens on.
-    pub address: SocketAddr,
+    /// The server and this router's path to it.
+    pub destination: Destination,
     /// Whether it may get requests, and why not.
     pub eligibility: Eligibility,
 }
@@ -150,6 +154,7 @@
             servers: ArcSwap::default(),
             domains: Arc::clone(&shared.domains),
             announcements: Arc::clone(&shared.announcements),
+            paths: Arc::clone(&shared.paths),
             limited: Arc::clone(&shared.limited),
             granted: Notify::new(),
             arrivals: AtomicU64::new(0),
@@ -250,17 +255,23 @@
             has_response: false,
             permit,
         };
-        let ServerInfo {
-            address,
-            eligibility,
-            ..
-        } = info?;
-        let selected = SelectedServer {
-            instance,
-            address,
-            eligibility,
+        Some((self.selected(instance, info?), ticket))
+    }
+
+    fn selected(&self, instance: ServerInstance, info: ServerInfo) -> SelectedServer {
+        let id = ServerId {
+            pool: self.name.clone(),
+            instance: instance.clone(),
         };
-        Some((selected, ticket))
+        SelectedServer {
+            instance,
+            destination: Destination {
+                id,
+                address: info.address,
+                path: info.path,
+            },
+            eligibility: info.eligibility,
+        }
     }
 
     fn response_key(
@@ -400,6 +411,7 @@
             let info = ServerInfo {
                 address: entry.address,
                 version: entry.version.clone(),
+                path: self.paths.of(&entry.instance),
                 eligibility: Eligibility {
                     domain: self.domains.get(&entry.domain),
                     announcement,
--- a/crates/gateway/src/fleet/pools.rs
+++ b/crates/gateway/src/fleet/pools.rs
@@ -17,6 +17,7 @@
 use crate::eligibility::Announcements;
 use crate::limits::LimitedServers;
 use crate::model::Config;
+use crate::paths::Paths;
 use crate::server_updates;
 use crate::settings::RouterSettings;
 
@@ -40,6 +41,8 @@
     pub(super) changed: Arc<Notify>,
     pub(super) domains: Arc<Domains>,
     pub(super) announcements: Arc<Announcements>,
+    /// Paths to the servers of all pools.
+    pub(super) paths: Arc<Paths>,
     /// Servers that limit their rate.
     pub(super) limited: Arc<LimitedServers>,
     /// Number of routers in the fleet; 0 if not known yet.
@@ -66,6 +69,7 @@
                 changed: Arc::default(),
                 domains: Arc::default(),
                 announcements: Arc::default(),
+                paths: Arc::default(),
                 limited: Arc::default(),
                 routers: AtomicUsize::new(0),
             },
@@ -145,6 +149,7 @@
     pub fn set_servers(&self, entries: HashMap<ServerName, ServerEntry>) {
         let _guard = self.update_lock();
         self.shared.announcements.prune();
+        self.shared.paths.prune();
         let entries = Arc::new(entries);
         self.entries.store(Arc::clone(&entries));
         for (name, pool) in self.pools.load().iter() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod model;
 mod node;
 pub mod outcome;
+pub mod paths;
 pub mod peer_clocks;
 mod peer_handler;
 pub mod peers;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -11,6 +11,7 @@
 use crate::freshness::Freshness;
 use crate::metrics::Metrics;
 use crate::model::Config;
+use crate::paths::Dialer;
 use crate::peer_clocks::PeerClocks;
 use crate::quarantine::Quarantine;
 use crate::quota::QuotaTable;
@@ -35,6 +36,8 @@
     pub replicas: Replicas,
     /// Pools of backend servers.
     pub pools: Arc<Pools>,
+    /// Opens connections to their servers.
+    pub dialer: Arc<Dialer>,
     /// Local quota of the workspaces.
     pub quotas: Arc<QuotaTable>,
     /// Requests that are kept away from the backend servers.
@@ -80,6 +83,7 @@
             config: ArcSwapOption::empty(),
             replicas: Replicas::default(),
             pools: Arc::new(Pools::new()),
+            dialer: Arc::default(),
             reports: Reports::default(),
             peer_clocks: Arc::default(),
             process: rand::random(),
--- /dev/null
+++ b/crates/gateway/src/paths/dial.rs
@@ -0,0 +1,184 @@
+//! Opens connections to backend servers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use socket2::{SockRef, TcpKeepalive};
+use swiftlink_link::Tunnel;
+use swiftlink_telemetry::event;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use super::check::{Destination, Suspects};
+use super::{Helpers, PathState, PathWatch};
+use crate::upstream::SendError;
+
+/// Delay before other routers are asked for a tunnel while the direct connection isn't made. Within
+/// a region a connection takes a millisecond or two.
+const TUNNEL_DELAY: Duration = Duration::from_millis(50);
+/// Maximum number of tunnels that are being opened to servers whose direct paths aren't known to be
+/// cut: a crashed pool must not make every request ask other routers.
+const MAX_UNPROVEN: usize = 8;
+/// After this time without an acknowledgement, a connection to a server is lost. Longer than the
+/// second for which a sound server may fall silent.
+const UNACKED_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time without data after which an idle connection to a server is probed, and the interval of
+/// probes. Whatever their number, [`UNACKED_TIMEOUT`] decides when a connection is lost.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(5);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A connection to a server on which nothing has been sent.
+#[derive(Debug)]
+pub enum Dialed {
+    /// Over this router's own path.
+    Direct(TcpStream),
+    /// Through another router.
+    Relayed(Tunnel),
+}
+
+/// Opens connections to servers.
+#[derive(Debug)]
+pub struct Dialer {
+    helpers: Helpers,
+    suspects: Arc<Suspects>,
+    unproven: Semaphore,
+}
+
+impl Default for Dialer {
+    fn default() -> Self {
+        Self {
+            helpers: Helpers::default(),
+            suspects: Arc::default(),
+            unproven: Semaphore::new(MAX_UNPROVEN),
+        }
+    }
+}
+
+impl Dialer {
+    /// The routers that open tunnels.
+    #[must_use]
+    pub fn helpers(&self) -> &Helpers {
+        &self.helpers
+    }
+
+    /// Servers whose paths are to be checked.
+    #[must_use]
+    pub fn suspects(&self) -> &Arc<Suspects> {
+        &self.suspects
+    }
+
+    /// A watch over a connection of this generation.
+    #[must_use]
+    pub fn watch(&self, server: &Destination, generation: u64) -> PathWatch {
+        PathWatch {
+            server: server.clone(),
+            generation,
+            suspects: Some(Arc::clone(&self.suspects)),
+        }
+    }
+
+    /// Opens a connection within `limit`. Returns it with the generation of the path that it
+    /// belongs to.
+    ///
+    /// # Errors
+    /// Why there is no connection.
+    pub async fn dial(
+        &self,
+        server: &Destination,
+        limit: Duration,
+    ) -> Result<(Dialed, u64), SendError> {
+        let end = Instant::now() + limit;
+        if server.path.state().is_relayed
+            && let Some(tunnel) = self.helpers.open(&server.id, limit).await
+        {
+            return Ok((Dialed::Relayed(tunnel), server.path.state().generation));
+        }
+        self.race(server, end).await
+    }
+
+    /// Connects directly. If that fails or takes long, opens a tunnel at the same time and takes
+    /// what is open first.
+    async fn race(&self, server: &Destination, end: Instant) -> Result<(Dialed, u64), SendError> {
+        let generation = server.path.state().generation;
+        let direct = connect(server.address, end);
+        tokio::pin!(direct);
+        let refused = tokio::select! {
+            connected = &mut direct => match connected {
+                Ok(stream) => return Ok((Dialed::Direct(stream), generation)),
+                Err(error) => Some(error),
+            },
+            () = sleep(TUNNEL_DELAY) => None,
+        };
+        let tunnel = self.open_unproven(server, end);
+        tokio::pin!(tunnel);
+        if let Some(error) = refused {
+            let tunnel = tunnel.await.ok_or(error)?;
+            return Ok((Dialed::Relayed(tunnel), self.on_cut(server, "refused")));
+        }
+        tokio::select! {
+            connected = &mut direct => match connected {
+                Ok(stream) => Ok((Dialed::Direct(stream), generation)),
+                Err(error) => {
+                    let tunnel = tunnel.await.ok_or(error)?;
+                    Ok((Dialed::Relayed(tunnel), self.on_cut(server, "refused")))
+                }
+            },
+            opened = &mut tunnel => match opened {
+                Some(tunnel) => {
+                    Ok((Dialed::Relayed(tunnel), self.on_cut(server, "silent")))
+                }
+                None => Ok((Dialed::Direct(direct.await?), generation)),
+            },
+        }
+    }
+
+    /// Opens a tunnel to a server whose direct path isn't known to be cut.
+    async fn open_unproven(&self, server: &Destination, end: Instant) -> Option<Tunnel> {
+        let _permit = self.unproven.try_acquire().ok()?;
+        let left = end.saturating_duration_since(Instant::now());
+        self.helpers.open(&server.id, left).await
+    }
+
+    /// Another router reaches a server that this one doesn't. Returns the path's new generation.
+    pub(super) fn on_cut(&self, server: &Destination, how: &str) -> u64 {
+        let path = &server.path;
+        if path.update(PathState::cut) {
+            event!(
+                info,
+                "path.cut",
+                pool = server.id.pool,
+                server = server.id.instance.name,
+                how = how,
+            );
+            self.suspects.on_cut(server);
+        }
+        path.state().generation
+    }
+}
+
+/// Connects to a server until `end`.
+pub(super) async fn connect(address: SocketAddr, end: Instant) -> Result<TcpStream, SendError> {
+    let stream = timeout_at(end, TcpStream::connect(address))
+        .await
+        .map_err(|_elapsed| SendError::Unreachable)?
+        .map_err(|error| SendError::NotSent(format!("connect: {error}")))?;
+    let options = set_options(&stream);
+    options.map_err(|error| SendError::NotSent(format!("setting socket options: {error}")))?;
+    Ok(stream)
+}
+
+/// Sets the timeouts after which a connection on a silent path is lost.
+///
+/// # Errors
+/// When the socket can't be used.
+pub fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_TIME)
+        .with_interval(KEEPALIVE_INTERVAL);
+    socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))
+}
--- a/crates/gateway/src/peer_handler.rs
+++ b/crates/gateway/src/peer_handler.rs
@@ -4,18 +4,19 @@
 use std::sync::atomic::Ordering::Relaxed;
 
 use async_trait::async_trait;
-use swiftlink_link::{Handler, Replies};
+use swiftlink_link::{Handler, Replies, TunnelRefusal, TunnelTarget};
 use swiftlink_telemetry::event;
 use swiftlink_types::PoolName;
 use swiftlink_wire::link::{
-    Ended, Failure, FailureKind, FeedRecords, GetFeed, Noted, PoolReport, PoolSummary, Refusal,
-    Release, Released, Reserve, Reserved, Seen, Tally, reply, request,
+    Ended, Failure, FailureKind, FeedRecords, GetFeed, Noted, OpenTunnel, PoolReport, PoolSummary,
+    Refusal, Release, Released, Reserve, Reserved, Seen, Tally, reply, request,
 };
 
 use crate::admission::{self, Aggregates};
 use crate::ingress::DomainReports;
 use crate::limits::Coordinator;
 use crate::node::Node;
+use crate::paths::TunnelServer;
 use crate::quarantine::gossip;
 use crate::quota::PeerReservations;
 use crate::rollout;
@@ -33,6 +34,8 @@
     pub(crate) links: Arc<DomainReports>,
     /// Reports on the pools that this router aggregates.
     pub(crate) aggregates: Arc<Aggregates>,
+    /// Opens connections to servers that peers can't reach.
+    pub(crate) tunnels: Arc<TunnelServer>,
 }
 
 impl PeerHandler {
@@ -163,4 +166,12 @@
             event!(info, "peer.reply_lost", peer = peer);
         }
     }
+
+    async fn open_tunnel(
+        &self,
+        peer: &str,
+        target: &OpenTunnel,
+    ) -> Result<TunnelTarget, TunnelRefusal> {
+        self.tunnels.open(peer, target).await
+    }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,6 +6,7 @@
 
 mod follower;
 mod register;
+mod tunnels;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -182,6 +183,13 @@
         self.call(vm, kind, time).await
     }
 
+    /// Address and secret of the links of the router on `vm`, if both are known.
+    fn link_address(&self, vm: &VmName) -> Option<(SocketAddr, Secret)> {
+        let secret = self.secret.borrow().clone()?;
+        let address = lock(&self.members).get(vm)?.1;
+        Some((address, secret))
+    }
+
     /// All other routers that are known.
     pub(crate) fn all(&self) -> Vec<VmName> {
         lock(&self.members).keys().cloned().collect()
@@ -275,8 +283,7 @@
     }
 
     fn link(&self, vm: &VmName) -> Option<Arc<Client>> {
-        let secret = self.secret.borrow().clone()?;
-        let address = lock(&self.members).get(vm)?.1;
+        let (address, secret) = self.link_address(vm)?;
         let mut links = lock(&self.links);
         if let Some(client) = links.get(&address) {
             return Some(Arc::clone(client));
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -293,6 +293,6 @@
 /// The endpoint of the server of a broken attempt.
 impl From<&BrokenAttempt> for Endpoint {
     fn from(attempt: &BrokenAttempt) -> Self {
-        Self::of(attempt.server.address, &attempt.server.instance)
+        Self::of(attempt.server.destination.address, &attempt.server.instance)
     }
 }
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -20,6 +20,7 @@
 use crate::limits::{Allocators, Coordinator, Requester};
 use crate::metrics::{MeteredStore, MetricsService};
 use crate::node::Node;
+use crate::paths::{self, TunnelServer};
 use crate::peer_handler::PeerHandler;
 use crate::peers::{self, Peers};
 use crate::quarantine::{self, gossip};
@@ -36,6 +37,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
 /// How long reading the head of a request may take.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// One in so many of the connections that a router may have is a tunnel for other routers.
+const TUNNEL_SHARE: usize = 4;
 /// Time between two searches for reservations that should have been released.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(5);
 /// How long a caller may accept no data before its connection is closed.
@@ -61,6 +64,7 @@
     pub(crate) metrics: Option<WebServer>,
     pub(crate) claims: Claims,
     pub(crate) reserver: Arc<Reserver>,
+    pub(crate) tunnels: Arc<TunnelServer>,
     pub(crate) tasks: JoinSet<()>,
 }
 
@@ -108,9 +112,17 @@
             )
             .with_partitions(node.settings.member_partitions(), node.settings.bootstrap),
         );
+        let dialer = &node.dialer;
+        dialer.helpers().set_tunnels(Arc::clone(&peers) as _);
+        tasks.spawn(paths::run(Arc::clone(dialer), Arc::clone(&node.pools)));
+        let tunnels = Arc::new(TunnelServer::new(
+            Arc::clone(&node.pools),
+            Arc::clone(dialer),
+            node.settings.connections / TUNNEL_SHARE,
+        ));
         let feeds = Arc::clone(&peers) as Arc<dyn PeerFeeds>;
         watch::spawn(&mut tasks, &node, &store, &adapter.catalog, &feeds);
-        let links = spawn_peers(&mut tasks, &node, &store, &peers)?;
+        let links = spawn_peers(&mut tasks, &node, &store, &peers, &tunnels)?;
         if node.settings.rollouts.is_some() {
             let reader = watch::Reader::new(Feed::Rollouts, Arc::clone(&store));
             let follower = rollout::Follower::new(Arc::clone(&node));
@@ -163,6 +175,7 @@
             metrics,
             claims,
             reserver,
+            tunnels,
             tasks,
         })
     }
@@ -246,6 +259,7 @@
     node: &Arc<Node>,
     store: &Arc<dyn Store>,
     peers: &Arc<Peers>,
+    tunnels: &Arc<TunnelServer>,
 ) -> anyhow::Result<Arc<DomainReports>> {
     let settings = &node.settings;
     let listener = TcpListener::bind(settings.peers)
@@ -298,6 +312,7 @@
         permits,
         links: Arc::clone(&links),
         aggregates,
+        tunnels: Arc::clone(tunnels),
     });
     let name = settings.vm.to_string();
     let peers = Arc::clone(peers);
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -15,10 +15,12 @@
 use crate::eligibility::Admission;
 use crate::fleet::{SelectedServer, Ticket};
 
+use crate::model::Replay;
 use crate::outcome::{Execution, Outcome};
+use crate::paths::PathWatch;
 use crate::traffic::head_bytes;
 use crate::upstream::{
-    ConnectionKind, Endpoint, Lease, SendError, SendFailure, SendOptions, send_to,
+    ConnectionKind, Lease, Recipient, SendError, SendFailure, SendOptions, send_to,
 };
 
 /// Maximum time for opening a connection; within a region it takes a millisecond or two.
@@ -29,6 +31,8 @@
     pub(super) head: response::Parts,
     pub(super) body: Body,
     pub(super) lease: Lease,
+    /// Watches the path that the rest of the body comes on.
+    pub(super) watch: Option<PathWatch>,
     pub(super) ticket: Ticket,
     pub(super) server: SelectedServer,
     /// `Served` or `Failed`.
@@ -50,7 +54,7 @@
             SendError::Withheld(_) => Outcome::Withheld,
             SendError::NotSent(_) | SendError::Unreachable => Outcome::NotSent,
             SendError::Lost(_) => Outcome::Lost,
-            SendError::TimedOut => Outcome::TimedOut,
+            SendError::TimedOut | SendError::Hung => Outcome::TimedOut,
         };
         Self {
             outcome,
@@ -74,12 +78,14 @@
         connect: CONNECT_TIMEOUT.min(until.saturating_duration_since(now)),
         head: until.saturating_duration_since(now),
         fresh: false,
+        may_abort: exchange.route.replay() != Replay::Never,
     };
-    let endpoint = Endpoint::of(server.address, &server.instance);
+    let dialer = Arc::clone(&exchange.node.dialer);
+    let recipient = Recipient::server(server.destination.clone(), dialer);
     let admission = Admission::new(server.eligibility.clone(), ticket.permit.take());
     let held = Arc::clone(&exchange.node.quarantine).until_held(Arc::clone(&exchange.identity));
     let sent = tokio::select! {
-        sent = send_to(admission, endpoint, request, options) => sent,
+        sent = send_to(admission, recipient, request, options) => sent,
         () = held => {
             return Err(FailedAttempt {
                 outcome: Outcome::Quarantined,
@@ -98,6 +104,7 @@
         }
     };
     let connection = response.connection;
+    let watch = response.watch.clone();
     let (response, mut lease) = response.split();
     let (head, body) = response.into_parts();
     exchange.node.traffic.relayed(head_bytes(&head.headers));
@@ -136,6 +143,7 @@
                 head,
                 body,
                 lease,
+                watch,
                 ticket,
                 server,
                 outcome,
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -16,9 +16,11 @@
 use super::attempt::ServerResponse;
 use super::attempts::Attempts;
 use super::exchange::Exchange;
+use crate::model::Replay;
 use crate::node::InFlight;
 use crate::outcome::Outcome;
 use crate::sse::EventSplitter;
+use crate::upstream::until_hung;
 
 /// A query of death crashes its server when the server begins to run it. A request whose events
 /// have arrived for this long isn't the cause of a crash.
@@ -30,6 +32,8 @@
     Complete,
     Broken,
     Timeout,
+    /// The path to the server is cut, and the connection hangs.
+    Hung,
     /// The request was quarantined, and the server's response was aborted.
     Quarantined,
 }
@@ -41,6 +45,7 @@
             Self::Complete => "whole",
             Self::Broken => "broken",
             Self::Timeout => "timeout",
+            Self::Hung => "hung",
             Self::Quarantined => "cut",
         }
     }
@@ -168,7 +173,7 @@
                 .quarantine
                 .on_broken_attempt(&response.server, &exchange.identity),
             StreamEnd::Complete => exchange.node.quarantine.on_completed(&exchange.identity),
-            StreamEnd::Timeout | StreamEnd::Quarantined => {}
+            StreamEnd::Timeout | StreamEnd::Hung | StreamEnd::Quarantined => {}
         }
         let splitter = EventSplitter::new();
         finish(&exchange, &attempts, &splitter, &EventGaps::default(), response, end);
@@ -193,13 +198,18 @@
         let quarantine = Arc::clone(&exchange.node.quarantine);
         let held = Arc::clone(&quarantine).until_held(Arc::clone(&exchange.identity));
         tokio::pin!(held);
+        let may_resume = exchange.route.replay() != Replay::Never;
         loop {
             // When the first event of this server arrived.
             let mut first_event: Option<Instant> = None;
+            let watch = response.watch.clone();
+            let hung = until_hung(watch.as_ref(), may_resume);
+            tokio::pin!(hung);
             let end = loop {
                 let frame = tokio::select! {
                     frame = timeout_at(exchange.deadline, response.body.frame()) => frame,
                     () = &mut held, if first_event.is_none() => break StreamEnd::Quarantined,
+                    () = &mut hung => break StreamEnd::Hung,
                 };
                 let frame = match frame {
                     Err(_elapsed) => break StreamEnd::Timeout,
@@ -211,6 +221,7 @@
                     continue;
                 };
                 exchange.node.traffic.relayed(chunk.len());
+                response.server.destination.path.on_heard();
                 let Some(events) = splitter.push(&chunk) else {
                     continue;
                 };
@@ -235,13 +246,18 @@
                     quarantine.on_broken_attempt(&response.server, &exchange.identity);
                 }
                 StreamEnd::Complete => quarantine.on_completed(&exchange.identity),
-                StreamEnd::Broken | StreamEnd::Timeout | StreamEnd::Quarantined => {}
+                StreamEnd::Broken
+                | StreamEnd::Timeout
+                | StreamEnd::Hung
+                | StreamEnd::Quarantined => {}
             }
-            if end == StreamEnd::Broken
+            if matches!(end, StreamEnd::Broken | StreamEnd::Hung)
                 && let Some(next) = resume(&mut exchange, &mut attempts, &splitter, &response).await
             {
                 let broken = std::mem::replace(&mut response, next);
-                broken.ticket.fail(ErrorKind::Broken);
+                if end == StreamEnd::Broken {
+                    broken.ticket.fail(ErrorKind::Broken);
+                }
                 splitter.reset();
                 gaps.switch_server();
                 continue;
@@ -338,6 +354,6 @@
         }
         StreamEnd::Broken => ticket.fail(ErrorKind::Broken),
         StreamEnd::Timeout => ticket.time_out(),
-        StreamEnd::Quarantined => drop(ticket),
+        StreamEnd::Hung | StreamEnd::Quarantined => drop(ticket),
     }
 }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -27,6 +27,7 @@
         metrics,
         claims,
         reserver,
+        tunnels,
         mut tasks,
     } = router;
     let end = Instant::now() + node.settings.grace.saturating_sub(MARGIN);
@@ -34,7 +35,9 @@
     event!(info, "router.stopping", in_flight = node.in_flight());
     sleep(BALANCER_DELAY.min(node.settings.grace / 3)).await;
     let left = end.saturating_duration_since(Instant::now());
-    callers.stop(left.saturating_sub(QUOTA_RETURN_TIME)).await;
+    let callers_end = Instant::now() + left.saturating_sub(QUOTA_RETURN_TIME);
+    let callers_stopped = callers.stop(left.saturating_sub(QUOTA_RETURN_TIME));
+    tokio::join!(callers_stopped, tunnels.stop(callers_end));
     // Holders count reservations as spent if their releases don't arrive by then.
     reserver.flush(QUOTA_RETURN_TIME).await;
     let left = end.saturating_duration_since(Instant::now());
--- /dev/null
+++ b/crates/gateway/src/upstream/mod.rs
@@ -0,0 +1,231 @@
+//! HTTP/1 connections to backend servers and to peer routers.
+//!
+//! Idle connections are pooled per thread, so that the request path takes no lock
+//! and a connection's driver runs on the thread that uses it. An error tells
+//! whether the request may have reached the other side: a request that must not run
+//! twice may be sent elsewhere only if it certainly has not.
+
+mod error;
+mod idle;
+mod recipient;
+
+use std::future::pending;
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::eligibility::{Admission, BlockReason};
+use crate::paths::PathWatch;
+
+pub use error::{ConnectionKind, SendError, SendFailure};
+use idle::Connection;
+pub use idle::Lease;
+pub use recipient::{Endpoint, Recipient};
+
+/// A response whose body is still to be read.
+///
+/// Return the connection to the pool with [`Lease::recycle`] after the end of the body.
+#[derive(Debug)]
+pub struct PendingResponse {
+    /// Head and body.
+    pub response: Response<Incoming>,
+    /// The connection that it came on.
+    pub connection: ConnectionKind,
+    /// Watches the path of the connection; `None` where nothing checks it.
+    pub watch: Option<PathWatch>,
+    lease: Lease,
+}
+
+impl PendingResponse {
+    /// Splits it into the response and the lease of its connection.
+    #[must_use]
+    pub fn split(self) -> (Response<Incoming>, Lease) {
+        (self.response, self.lease)
+    }
+}
+
+/// Why no request may go to the server; `None` if one may, or if the recipient isn't a server.
+fn block_reason(admission: Option<&Admission>) -> Option<BlockReason> {
+    admission.and_then(Admission::block_reason)
+}
+
+/// Timeouts and connection reuse of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct SendOptions {
+    /// Maximum time for opening a connection.
+    pub connect: Duration,
+    /// Maximum time from sending to the head of the response.
+    pub head: Duration,
+    /// Never reuse an idle connection: the other side may be closing it, and
+    /// then the outcome of a request sent on it is unknown.
+    pub fresh: bool,
+    /// Whether to give up the request when its connection is known to hang. It may have been
+    /// executed.
+    pub may_abort: bool,
+}
+
+/// Sends `request` to `endpoint` and waits for the head of the response.
+///
+/// # Errors
+/// See [`SendError`].
+pub async fn send(
+    endpoint: impl Into<Endpoint>,
+    request: Request<Full<Bytes>>,
+    options: SendOptions,
+) -> Result<PendingResponse, SendError> {
+    let recipient = Recipient::from(endpoint.into());
+    let sent = send_within(&recipient, &mut None, request, options).await;
+    sent.map_err(|failure| failure.error)
+}
+
+/// Like [`send`], but fails without sending if the server may not get the request when its bytes
+/// would leave.
+///
+/// # Errors
+/// See [`SendError`].
+pub async fn send_to(
+    admission: Admission,
+    recipient: impl Into<Recipient>,
+    request: Request<Full<Bytes>>,
+    options: SendOptions,
+) -> Result<PendingResponse, SendFailure> {
+    send_within(&recipient.into(), &mut Some(admission), request, options).await
+}
+
+async fn send_within(
+    recipient: &Recipient,
+    admission: &mut Option<Admission>,
+    request: Request<Full<Bytes>>,
+    options: SendOptions,
+) -> Result<PendingResponse, SendFailure> {
+    let none = |error| SendFailure::new(error, ConnectionKind::None);
+    if let Some(reason) = block_reason(admission.as_ref()) {
+        return Err(none(SendError::Withheld(reason)));
+    }
+    let mut request = request;
+    while let Some(mut idle) = idle::take(recipient).filter(|_| !options.fresh) {
+        if idle.sender.ready().await.is_err() {
+            continue;
+        }
+        let kind = ConnectionKind::Reused;
+        match send_on(idle, kind, request, recipient, admission, options).await {
+            Ok(response) => return Ok(response),
+            Err(AttemptError::Returned(back)) => request = *back,
+            Err(AttemptError::Failed(error)) => return Err(SendFailure::new(error, kind)),
+        }
+    }
+    let connection = recipient.connect(options.connect).await.map_err(none)?;
+    let kind = if connection.tunnel.is_some() {
+        ConnectionKind::Relayed
+    } else {
+        ConnectionKind::New
+    };
+    let sent = send_on(connection, kind, request, recipient, admission, options);
+    let error = match sent.await {
+        Ok(response) => return Ok(response),
+        Err(AttemptError::Returned(_)) => SendError::NotSent("connection closed".to_owned()),
+        Err(AttemptError::Failed(error)) => error,
+    };
+    Err(SendFailure::new(error, kind))
+}
+
+/// Why an attempt on one connection failed.
+enum AttemptError {
+    /// The connection was closed before any byte left; the request may be sent on another one.
+    Returned(Box<Request<Full<Bytes>>>),
+    Failed(SendError),
+}
+
+async fn send_on(
+    mut connection: Connection,
+    kind: ConnectionKind,
+    request: Request<Full<Bytes>>,
+    recipient: &Recipient,
+    admission: &mut Option<Admission>,
+    options: SendOptions,
+) -> Result<PendingResponse, AttemptError> {
+    // Time may have passed since the server was chosen, and the bytes leave now.
+    if let Some(admission) = admission {
+        let entered = admission.enter().map_err(SendError::Withheld);
+        entered.map_err(AttemptError::Failed)?;
+    }
+    connection.set_busy(true);
+    let watch = recipient.watch(connection.generation);
+    let sent = tokio::select! {
+        sent = timeout(options.head, connection.sender.try_send_request(request)) => sent,
+        () = until_hung(watch.as_ref(), options.may_abort) => {
+            return Err(AttemptError::Failed(SendError::Hung));
+        }
+    };
+    let Ok(sent) = sent else {
+        return Err(AttemptError::Failed(SendError::TimedOut));
+    };
+    match sent {
+        Ok(response) => {
+            recipient.on_heard();
+            Ok(PendingResponse {
+                response,
+                connection: kind,
+                watch,
+                lease: Lease {
+                    endpoint: recipient.endpoint,
+                    connection: Some(connection),
+                },
+            })
+        }
+        Err(mut error) => match error.take_message() {
+            Some(back) => {
+                if let Some(admission) = admission {
+                    admission.undo();
+                }
+                Err(AttemptError::Returned(Box::new(back)))
+            }
+            None => {
+                let detail = error.error().to_string();
+                Err(AttemptError::Failed(SendError::Lost(detail)))
+            }
+        },
+    }
+}
+
+/// Resolves when the connection of a request that may be given up is known to hang.
+pub async fn until_hung(watch: Option<&PathWatch>, may_abort: bool) {
+    let Some(watch) = watch else {
+        return pending().await;
+    };
+    watch.until_hung().await;
+    if !may_abort {
+        pending().await
+    }
+}
+
+/// Whether a process listens at an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListenerState {
+    /// A connection was made.
+    Listening,
+    /// The connection was refused: the VM is up, and no process listens.
+    Refused,
+    /// No connection was made in time, or it failed for another reason.
+    Unknown,
+}
+
+/// Maximum time of a probe; within a region one takes a millisecond or two.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Checks whether a process still listens at an address.
+pub async fn probe(endpoint: Endpoint) -> ListenerState {
+    match timeout(PROBE_TIMEOUT, TcpStream::connect(endpoint.address)).await {
+        Ok(Ok(_closed)) => ListenerState::Listening,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            ListenerState::Refused
+        }
+        Ok(Err(_)) | Err(_) => ListenerState::Unknown,
+    }
+}
--- a/crates/gateway/tests/testsuite/starts.rs
+++ b/crates/gateway/tests/testsuite/starts.rs
@@ -157,7 +157,7 @@
         let Some((server, ticket)) = pool.send(&criteria) else {
             break;
         };
-        let place = (server.instance.started, server.address.port());
+        let place = (server.instance.started, server.destination.address.port());
         used.insert(server.instance.name.to_string(), place);
         tried.push(ticket.idx);
     }
--- a/crates/link/src/handshake.rs
+++ b/crates/link/src/handshake.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use swiftlink_wire::link::{Challenge, Frame, Hello, Welcome, frame};
+use swiftlink_wire::link::{Challenge, Frame, Hello, OpenTunnel, TunnelReply, Welcome, frame};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_util::bytes::BytesMut;
@@ -33,6 +33,8 @@
     pub(crate) socket: TcpStream,
     pub(crate) peer: Arc<str>,
     pub(crate) input: Input,
+    /// The tunnel that the connecting side asks for.
+    pub(crate) tunnel: Option<OpenTunnel>,
 }
 
 /// Bytes read and not yet decoded.
@@ -71,8 +73,27 @@
     name: &str,
     secret: &Secret,
 ) -> Result<Authenticated, HandshakeError> {
-    let result = tokio::time::timeout(HANDSHAKE_TIMEOUT, connect_inner(socket, name, secret));
-    result.await.unwrap_or(Err(HandshakeError::Timeout))
+    let mut channel = Channel::new(socket);
+    let handshake = connect_inner(&mut channel, name, secret, None);
+    let result = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await;
+    let peer = result.unwrap_or(Err(HandshakeError::Timeout))?;
+    Ok(channel.into_authenticated(&peer, None))
+}
+
+/// Performs the handshake on the side that opened the connection, and waits for the reply to the
+/// tunnel that it asks for.
+pub(crate) async fn connect_tunnel(
+    socket: TcpStream,
+    name: &str,
+    secret: &Secret,
+    tunnel: OpenTunnel,
+) -> Result<(Authenticated, TunnelReply), HandshakeError> {
+    let mut channel = Channel::new(socket);
+    let peer = connect_inner(&mut channel, name, secret, Some(tunnel)).await?;
+    let frame::Body::TunnelReply(reply) = channel.receive().await? else {
+        return Err(HandshakeError::Unexpected);
+    };
+    Ok((channel.into_authenticated(&peer, None), reply))
 }
 
 async fn accept_inner(
@@ -105,15 +126,16 @@
         proof,
     };
     channel.send(frame::Body::Welcome(welcome)).await?;
-    Ok(channel.into_authenticated(&hello.name))
+    Ok(channel.into_authenticated(&hello.name, hello.tunnel))
 }
 
+/// Authenticates both sides. Returns the name of the peer.
 async fn connect_inner(
-    socket: TcpStream,
+    channel: &mut Channel,
     name: &str,
     secret: &Secret,
-) -> Result<Authenticated, HandshakeError> {
-    let mut channel = Channel::new(socket);
+    tunnel: Option<OpenTunnel>,
+) -> Result<String, HandshakeError> {
     let frame::Body::Challenge(challenge) = channel.receive().await? else {
         return Err(HandshakeError::Unexpected);
     };
@@ -128,6 +150,7 @@
         name: name.to_owned(),
         nonce: nonce.to_vec(),
         proof,
+        tunnel,
     };
     channel.send(frame::Body::Hello(hello)).await?;
 
@@ -142,7 +165,7 @@
     if !is_valid {
         return Err(HandshakeError::Refused);
     }
-    Ok(channel.into_authenticated(&welcome.name))
+    Ok(welcome.name)
 }
 
 fn check_sizes(name: &str, nonce: &[u8]) -> Result<(), HandshakeError> {
@@ -197,12 +220,13 @@
         }
     }
 
-    fn into_authenticated(mut self, peer: &str) -> Authenticated {
+    fn into_authenticated(mut self, peer: &str, tunnel: Option<OpenTunnel>) -> Authenticated {
         self.input.codec.set_limit(MAX_FRAME);
         Authenticated {
             socket: self.socket,
             peer: Arc::from(peer),
             input: self.input,
+            tunnel,
         }
     }
 }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -11,7 +11,8 @@
 //! accepts, and both authenticate each other in `handshake`. On the client's side,
 //! `connection` numbers the request, registers its caller in `pending` and queues the
 //! request in `outgoing`. On the server's side, `session` calls the [`Handler`], whose
-//! [`Replies`] go back through another `outgoing`. Both sides read with `incoming`.
+//! [`Replies`] go back through another `outgoing`. Both sides read with `incoming`. A `tunnel`
+//! carries bytes to and from a third process instead.
 
 mod client;
 mod codec;
@@ -26,6 +27,7 @@
 mod server;
 mod session;
 mod stream;
+mod tunnel;
 
 pub use client::Client;
 pub use codec::{FrameCodec, FrameError, MAX_FRAME};
@@ -34,3 +36,4 @@
 pub use secret::Secret;
 pub use server::Server;
 pub use stream::ReplyStream;
+pub use tunnel::{Tunnel, TunnelError, TunnelRefusal, TunnelTarget, TunnelUse};
--- a/crates/link/src/replies.rs
+++ b/crates/link/src/replies.rs
@@ -5,13 +5,14 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use async_trait::async_trait;
-use swiftlink_wire::link::{Failure, FailureKind, reply, request};
+use swiftlink_wire::link::{Failure, FailureKind, OpenTunnel, TunnelState, reply, request};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use crate::Closed;
 use crate::codec::MAX_FRAME;
 use crate::outgoing::{FrameSender, OutgoingFrame, SendPermit};
+use crate::tunnel::{TunnelRefusal, TunnelTarget};
 
 /// Handles the requests of a server's peers.
 #[async_trait]
@@ -23,6 +24,18 @@
     /// handler without an end of its own watches [`Replies::closed`]. When the server
     /// stops, handlers get one second to end before they are dropped.
     async fn handle(&self, peer: &str, request: request::Kind, replies: Replies);
+
+    /// Connects to the target of a tunnel that the peer asks for. Serves none by default.
+    ///
+    /// # Errors
+    /// Why no connection was made.
+    async fn open_tunnel(
+        &self,
+        _peer: &str,
+        _target: &OpenTunnel,
+    ) -> Result<TunnelTarget, TunnelRefusal> {
+        Err(TunnelState::Closed.into())
+    }
 }
 
 /// Sends the replies to one request. If it is dropped before the last reply, the
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::replies::SharedHandler;
-use crate::{Handler, Secret, handshake, session};
+use crate::{Handler, Secret, handshake, session, tunnel};
 
 /// Maximum number of connections in the handshake at once; further ones are dropped.
 const MAX_HANDSHAKES: usize = 256;
@@ -143,5 +143,13 @@
         return;
     };
     let handler = Arc::clone(&shared.handler);
+    if let Some(target) = &authenticated.tunnel {
+        let opened = tokio::select! {
+            opened = handler.open_tunnel(&authenticated.peer, target) => opened,
+            () = shared.stop.cancelled() => return,
+        };
+        tunnel::serve(authenticated, opened, shared.stop.clone()).await;
+        return;
+    }
     session::serve(authenticated, handler, shared.stop.clone()).await;
 }
--- a/crates/link/tests/strangers.rs
+++ b/crates/link/tests/strangers.rs
@@ -132,6 +132,7 @@
         name: "router-1".to_owned(),
         nonce: vec![0; 32],
         proof: vec![0; 32],
+        tunnel: None,
     };
     let challenge = Challenge { nonce: vec![0; 32] };
     let request = Request {
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -163,7 +163,7 @@
                     target.failed(kind);
                 }
             }
-            Err(error @ (SendError::Lost(_) | SendError::TimedOut)) => {
+            Err(error @ (SendError::Lost(_) | SendError::TimedOut | SendError::Hung)) => {
                 let why = error.detail();
                 event!(
                     info,
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -96,6 +96,7 @@
             connect: self.settings.connect().min(left),
             head: left,
             fresh,
+            may_abort: false,
         }
     }
 
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -165,6 +165,7 @@
             head: self.period,
             // The peer may be closing an idle connection of an earlier request.
             fresh: true,
+            may_abort: false,
         };
         send(address, request, options).await.is_ok()
     }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -158,7 +158,7 @@
                 self.node.peers.on_connect_failure(address);
                 return PeerResult::NotRun;
             }
-            Err(error @ (SendError::Lost(_) | SendError::TimedOut)) => {
+            Err(error @ (SendError::Lost(_) | SendError::TimedOut | SendError::Hung)) => {
                 let why = error.detail().to_owned();
                 event!(info, "relay.lost", peer = address, why = why);
                 return PeerResult::Lost(why);
--- a/crates/router/src/vms.rs
+++ b/crates/router/src/vms.rs
@@ -123,6 +123,7 @@
         connect: READ_TIMEOUT,
         head: READ_TIMEOUT,
         fresh: false,
+        may_abort: false,
     };
     let request = engine::plain(address, Method::GET, path, bytes::Bytes::new());
     let answer = send(address, request, options).await.ok()?;
--- a/crates/routing/src/fleet/mod.rs
+++ b/crates/routing/src/fleet/mod.rs
@@ -223,6 +223,15 @@
         }
     }
 
+    /// Ends the ejection of a server whose errors were those of the path to it.
+    pub fn readmit(&mut self, idx: ServerIdx) {
+        let Some(server) = self.get_mut(idx) else {
+            return;
+        };
+        server.health.readmit();
+        self.refresh_ejected();
+    }
+
     /// The dispatch ended without evidence about the server: the caller left, or the server refused
     /// because it is draining.
     pub fn on_abandoned(&mut self, dispatch: Dispatch, now: Micros) {
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -162,6 +162,11 @@
         self.is_probing = false;
     }
 
+    /// The errors so far were not the server's.
+    pub(crate) fn readmit(&mut self) {
+        *self = Self::default();
+    }
+
     pub(crate) fn on_success(&mut self) {
         self.error_share *= 1.0 - EWMA_WEIGHT;
         self.results = self.results.saturating_add(1);
