quarantine: a server that others reach has not crashed

What callers would have seen: after cuts that reset connections, a request that was running on three servers was refused for ten minutes by every router (held), though no server had crashed.

A connection that breaks and an address that refuses the next one counted as a crash; behind a cut with resets both hold for every server.

Change: before a refused connection counts as a crash, other routers are asked for a tunnel. If one opens, the path is cut; if those that are asked can't tell, nothing is concluded. A router that is alone decides by itself as before.

--- a/crates/gateway/src/paths/check.rs
+++ b/crates/gateway/src/paths/check.rs
@@ -168,7 +168,7 @@
     };
     if !path.state().is_relayed {
         let tunnel = dialer.helpers().open(&suspect.id, CONNECT_TIMEOUT).await;
-        if tunnel.is_none() {
+        if tunnel.is_err() {
             // The server itself may be down.
             return;
         }
--- a/crates/gateway/src/paths/dial.rs
+++ b/crates/gateway/src/paths/dial.rs
@@ -1,5 +1,6 @@
 //! Opens connections to backend servers.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::check::{Destination, Suspects};
-use super::{Helpers, PathState, PathWatch};
+use super::{Helpers, NoTunnel, PathState, PathWatch};
 use crate::upstream::SendError;
 
 /// Delay before other routers are asked for a tunnel while the direct connection isn't made. Within
@@ -21,6 +22,9 @@
 /// Maximum number of tunnels that are being opened to servers whose direct paths aren't known to be
 /// cut: a crashed pool must not make every request ask other routers.
 const MAX_UNPROVEN: usize = 8;
+/// Maximum time of a probe, and again of asking other routers; within a region one takes a
+/// millisecond or two.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// After this time without an acknowledgement, a connection to a server is lost. Longer than the
 /// second for which a sound server may fall silent.
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -29,6 +33,18 @@
 const KEEPALIVE_TIME: Duration = Duration::from_secs(5);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Whether a process listens at an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListenerState {
+    /// A connection was made.
+    Listening,
+    /// The connection was refused, and not only for this router: the VM is up, and no process
+    /// listens.
+    Refused,
+    /// No connection was made in time, or it failed for another reason.
+    Unknown,
+}
+
 /// A connection to a server on which nothing has been sent.
 #[derive(Debug)]
 pub enum Dialed {
@@ -91,7 +107,7 @@
     ) -> Result<(Dialed, u64), SendError> {
         let end = Instant::now() + limit;
         if server.path.state().is_relayed
-            && let Some(tunnel) = self.helpers.open(&server.id, limit).await
+            && let Ok(tunnel) = self.helpers.open(&server.id, limit).await
         {
             return Ok((Dialed::Relayed(tunnel), server.path.state().generation));
         }
@@ -138,7 +154,26 @@
     async fn open_unproven(&self, server: &Destination, end: Instant) -> Option<Tunnel> {
         let _permit = self.unproven.try_acquire().ok()?;
         let left = end.saturating_duration_since(Instant::now());
-        self.helpers.open(&server.id, left).await
+        self.helpers.open(&server.id, left).await.ok()
+    }
+
+    /// Checks whether a process still listens at a server's address. One that only this router
+    /// can't reach isn't known to have ended.
+    pub(crate) async fn probe(&self, server: &Destination) -> ListenerState {
+        let end = Instant::now() + PROBE_TIMEOUT;
+        match timeout_at(end, TcpStream::connect(server.address)).await {
+            Ok(Ok(_closed)) => return ListenerState::Listening,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {}
+            Ok(Err(_)) | Err(_) => return ListenerState::Unknown,
+        }
+        match self.helpers.open(&server.id, PROBE_TIMEOUT).await {
+            Ok(_tunnel) => {
+                self.on_cut(server, "refused");
+                ListenerState::Unknown
+            }
+            Err(NoTunnel::Unknown) => ListenerState::Unknown,
+            Err(NoTunnel::Alone | NoTunnel::Unreachable) => ListenerState::Refused,
+        }
     }
 
     /// Another router reaches a server that this one doesn't. Returns the path's new generation.
--- a/crates/gateway/src/paths/helpers.rs
+++ b/crates/gateway/src/paths/helpers.rs
@@ -20,6 +20,17 @@
 /// server itself is taken to be down.
 const MAX_UNREACHABLE: usize = 2;
 
+/// Why no other router opened a tunnel to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoTunnel {
+    /// There are no other routers.
+    Alone,
+    /// Routers whose paths to other servers are up can't connect to this one.
+    Unreachable,
+    /// The routers that were asked can't tell: their own paths are cut, or they didn't answer.
+    Unknown,
+}
+
 /// Opens tunnels through the routers that can, and remembers which ones can.
 #[derive(Debug, Default)]
 pub struct Helpers {
@@ -34,29 +45,38 @@
         let _again = self.tunnels.set(tunnels);
     }
 
-    /// Opens a tunnel to a server through one of the other routers; `None` if none could within
-    /// `time`.
-    pub async fn open(&self, target: &ServerId, time: Duration) -> Option<Tunnel> {
+    /// Opens a tunnel to a server through one of the other routers within `time`.
+    ///
+    /// # Errors
+    /// Why none of them could.
+    pub async fn open(&self, target: &ServerId, time: Duration) -> Result<Tunnel, NoTunnel> {
         let end = Instant::now() + time;
         let mut order = self.order().into_iter();
         let mut asked = FuturesUnordered::new();
         let mut unreachable = 0;
+        if order.len() == 0 {
+            return Err(NoTunnel::Alone);
+        }
         loop {
             if unreachable >= MAX_UNREACHABLE {
-                return None;
+                return Err(NoTunnel::Unreachable);
             }
             if let Some(vm) = order.next() {
                 asked.push(self.ask(vm, target, end));
             }
             if asked.is_empty() {
-                return None;
+                return Err(if unreachable > 0 {
+                    NoTunnel::Unreachable
+                } else {
+                    NoTunnel::Unknown
+                });
             }
             let replied = tokio::select! {
                 replied = asked.next() => replied,
                 () = sleep(ASK_DELAY), if order.len() > 0 => continue,
             };
             match replied {
-                Some(Ok(tunnel)) => return Some(tunnel),
+                Some(Ok(tunnel)) => return Ok(tunnel),
                 Some(Err(TunnelState::Unreachable)) => unreachable += 1,
                 Some(Err(_)) | None => {}
             }
--- a/crates/gateway/src/quarantine/crash_detection.rs
+++ b/crates/gateway/src/quarantine/crash_detection.rs
@@ -3,7 +3,8 @@
 //! A broken connection alone doesn't prove a crash: servers abort responses, and networks reset
 //! connections, while the server keeps running. After a crash nothing listens on the server's
 //! address, so a connection is attempted, once for all attempts that broke at the same time. A
-//! server that doesn't answer may be partitioned or have lost power, which no request can cause.
+//! server that doesn't answer may be partitioned or have lost power, which no request can cause; one
+//! that refuses this router's connections and not those of others is behind a cut path.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
@@ -14,7 +15,7 @@
 
 use super::{BrokenAttempt, Quarantine, ServerCrash};
 use crate::fingerprint::Fingerprint;
-use crate::upstream::{self, ListenerState};
+use crate::paths::{Dialer, ListenerState};
 
 /// Number of crashed servers that are remembered, for attempts whose failure is noticed a little
 /// later.
@@ -44,7 +45,7 @@
 }
 
 /// Probes the servers of broken attempts until the task is aborted.
-pub(crate) async fn detect(quarantine: Arc<Quarantine>) {
+pub(crate) async fn detect(quarantine: Arc<Quarantine>, dialer: Arc<Dialer>) {
     let mut servers = Servers::default();
     let mut probes = JoinSet::new();
     loop {
@@ -57,7 +58,7 @@
             }
         }
         for attempt in quarantine.take_broken_attempts() {
-            investigate(&quarantine, &mut servers, &mut probes, &attempt);
+            investigate(&quarantine, &mut servers, &mut probes, &dialer, &attempt);
         }
     }
 }
@@ -66,6 +67,7 @@
     quarantine: &Quarantine,
     servers: &mut Servers,
     probes: &mut JoinSet<(ServerInstance, ListenerState)>,
+    dialer: &Arc<Dialer>,
     attempt: &BrokenAttempt,
 ) {
     let instance = &attempt.server.instance;
@@ -86,8 +88,9 @@
     servers
         .probing
         .insert(instance.clone(), HashSet::from([attempt.fingerprint]));
-    let (endpoint, instance) = (attempt.into(), instance.clone());
-    probes.spawn(async move { (instance, upstream::probe(endpoint).await) });
+    let (server, instance) = (attempt.server.destination.clone(), instance.clone());
+    let dialer = Arc::clone(dialer);
+    probes.spawn(async move { (instance, dialer.probe(&server).await) });
 }
 
 fn on_probe_result(
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -25,7 +25,6 @@
 use crate::clock::Clock;
 use crate::fingerprint::{Fingerprint, RequestIdentity};
 use crate::fleet::SelectedServer;
-use crate::upstream::Endpoint;
 
 pub(crate) use crash_detection::detect as detect_crashes;
 pub use gossip::{GOSSIP_FANOUT, GOSSIP_ROUNDS};
@@ -289,10 +288,3 @@
     // The guarded values are consistent between calls, so a poisoned lock can be used.
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
-
-/// The endpoint of the server of a broken attempt.
-impl From<&BrokenAttempt> for Endpoint {
-    fn from(attempt: &BrokenAttempt) -> Self {
-        Self::of(attempt.server.destination.address, &attempt.server.instance)
-    }
-}
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -288,7 +288,10 @@
     }
     tasks.spawn(server_updates::run(Arc::clone(node), Arc::clone(peers)));
     let quarantine = &node.quarantine;
-    tasks.spawn(quarantine::detect_crashes(Arc::clone(quarantine)));
+    tasks.spawn(quarantine::detect_crashes(
+        Arc::clone(quarantine),
+        Arc::clone(&node.dialer),
+    ));
     let gossip = gossip::run(
         Arc::clone(quarantine),
         Arc::clone(peers),
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -10,14 +10,12 @@
 mod recipient;
 
 use std::future::pending;
-use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::eligibility::{Admission, BlockReason};
@@ -204,28 +202,3 @@
         pending().await
     }
 }
-
-/// Whether a process listens at an address.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListenerState {
-    /// A connection was made.
-    Listening,
-    /// The connection was refused: the VM is up, and no process listens.
-    Refused,
-    /// No connection was made in time, or it failed for another reason.
-    Unknown,
-}
-
-/// Maximum time of a probe; within a region one takes a millisecond or two.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Checks whether a process still listens at an address.
-pub async fn probe(endpoint: Endpoint) -> ListenerState {
-    match timeout(PROBE_TIMEOUT, TcpStream::connect(endpoint.address)).await {
-        Ok(Ok(_closed)) => ListenerState::Listening,
-        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            ListenerState::Refused
-        }
-        Ok(Err(_)) | Err(_) => ListenerState::Unknown,
-    }
-}
