--- a/crates/gateway/src/paths/mod.rs
+++ b/crates/gateway/src/paths/mod.rs
@@ -10,7 +10,7 @@
 //! - [`Dialer`] opens connections, directly or through a tunnel.
 //! - `check` finds connections that hang, and the end of a cut.
 //! - [`Helpers`] asks other routers for tunnels, in the order that [`HelperBook`] returns.
-//! - [`TunnelServer`] opens tunnels for other routers, always over a direct connection.
+//! - `tunnels` opens connections for other routers, always over a direct connection.
 
 mod book;
 mod check;
