sockets: time out silent paths to servers, routers and the store

What callers would have seen: a connection that goes silent without a reset looked open for as long as the kernel retransmits (a quarter of an hour) or, idle, for two hours: a request that may not be repeated waited for its whole deadline, a long poll of the store for its whole wait.

Change: one function sets 2.5 s without an acknowledgement, probes after 5 s without data and then each second. The timeout decides for probes too, as on Linux. It is longer than the second for which a sound server may fall silent.

--- a/crates/fetch/src/client.rs
+++ b/crates/fetch/src/client.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioExecutor;
 
 use crate::json::Limits;
+use crate::socket::connector;
 
 /// Time limit for establishing a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -91,10 +92,7 @@
     /// Creates a client that sends `agent` as its `user-agent`.
     #[must_use]
     pub fn open(agent: impl Into<Arc<str>>) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new()).build(connector);
+        let client = Client::builder(TokioExecutor::new()).build(connector(CONNECT_TIMEOUT));
         let agent = agent.into();
         Self { client, agent }
     }
--- a/crates/gateway/src/paths/dial.rs
+++ b/crates/gateway/src/paths/dial.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use socket2::{SockRef, TcpKeepalive};
+use swiftlink_fetch::set_timeouts;
 use swiftlink_link::Tunnel;
 use swiftlink_telemetry::event;
 use tokio::net::TcpStream;
@@ -25,14 +25,6 @@
 /// Maximum time of a probe, and again of asking other routers; within a region one takes a
 /// millisecond or two.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-/// After this time without an acknowledgement, a connection to a server is lost. Longer than the
-/// second for which a sound server may fall silent.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Time without data after which an idle connection to a server is probed, and the interval of
-/// probes. Whatever their number, [`UNACKED_TIMEOUT`] decides when a connection is lost.
-const KEEPALIVE_TIME: Duration = Duration::from_secs(5);
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Whether a process listens at an address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListenerState {
@@ -199,21 +191,7 @@
         .await
         .map_err(|_elapsed| SendError::Unreachable)?
         .map_err(|error| SendError::NotSent(format!("connect: {error}")))?;
-    let options = set_options(&stream);
+    let options = set_timeouts(&stream);
     options.map_err(|error| SendError::NotSent(format!("setting socket options: {error}")))?;
     Ok(stream)
 }
-
-/// Sets the timeouts after which a connection on a silent path is lost.
-///
-/// # Errors
-/// When the socket can't be used.
-pub fn set_options(stream: &TcpStream) -> std::io::Result<()> {
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_TIME)
-        .with_interval(KEEPALIVE_INTERVAL);
-    socket.set_tcp_nodelay(true)?;
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))
-}
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
+use swiftlink_fetch::set_timeouts;
 use swiftlink_log::Backoff;
 use swiftlink_wire::link::{reply, request};
 use tokio::net::TcpStream;
@@ -194,7 +195,7 @@
     async fn dial(&self) -> Result<Authenticated, DialError> {
         let connect = timeout(HANDSHAKE_TIMEOUT, TcpStream::connect(self.address));
         let socket = connect.await.map_err(|_elapsed| DialError::Timeout)??;
-        socket.set_nodelay(true)?;
+        set_timeouts(&socket)?;
         Ok(handshake::connect(socket, &self.name, &self.secret).await?)
     }
 
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use swiftlink_fetch::set_timeouts;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::task::{JoinHandle, JoinSet};
@@ -129,7 +130,7 @@
         shared.refused.fetch_add(1, Ordering::Relaxed);
         return;
     };
-    if socket.set_nodelay(true).is_err() {
+    if set_timeouts(&socket).is_err() {
         return;
     }
 
--- a/crates/link/src/tunnel.rs
+++ b/crates/link/src/tunnel.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use swiftlink_fetch::set_timeouts;
 use swiftlink_wire::link::{
     Frame, OpenTunnel, TunnelData, TunnelNote, TunnelReply, TunnelState, frame,
 };
@@ -142,7 +143,7 @@
         target: OpenTunnel,
     ) -> Result<Self, TunnelError> {
         let socket = TcpStream::connect(address).await?;
-        socket.set_nodelay(true)?;
+        set_timeouts(&socket)?;
         let opened = handshake::connect_tunnel(socket, name, secret, target).await?;
         let (
             Authenticated {
--- a/crates/log/src/http.rs
+++ b/crates/log/src/http.rs
@@ -12,7 +12,7 @@
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use prost::Message;
 use serde::Deserialize;
-use swiftlink_fetch::error_chain;
+use swiftlink_fetch::{connector, error_chain};
 use swiftlink_types::StreamName;
 use swiftlink_wire::log::LogPage;
 
@@ -64,11 +64,9 @@
     /// Connections are opened when they are first needed.
     #[must_use]
     pub fn open(address: SocketAddr, name: &str, timeout: Duration) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
         // Well below the call's own timeout, so that a failure to connect can be told
         // from a missing response.
-        connector.set_connect_timeout(Some(timeout / 2));
+        let connector = connector(timeout / 2);
 
         let client = Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
