fleet: send brittle servers only what fits into their slots

Cause: nobody read Server-Brittle. A router counts on a server's queue until the server refuses, and then offers it the next request at once; all routers do, and what the server has to refuse is the sum.

Change: a brittle server gets a request only if it has a free slot by its last report (250 ms old at most) and by the router's own requests, so its queue isn't relied on. After a refusal a router leaves it alone for 4 R / N seconds, half to one and a half times, R being the number of routers: half of N a second at most from all of them.

Ways weighed: permits of the allocator of limited servers (limits/) would bound the sum exactly, but each request would need one, at N / 6 a second a server; an equal share of N for each router sends bursts.

Not shown: the pause ends at two minutes, so the bound is strict up to 30 N routers; above that it relies on one router sending a server few requests.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -142,6 +142,12 @@
         RateNotice::None
     }
 
+    /// Number of requests a second, from all routers together, that the server can refuse for lack
+    /// of room without crashing; `None` if it names no such number.
+    fn max_rejections(&self, _head: &HeaderMap) -> Option<f64> {
+        None
+    }
+
     /// How long the server keeps the connection of this response open while it is idle.
     fn keep_alive(&self, head: &HeaderMap) -> Option<Duration>;
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -3,6 +3,7 @@
 //! [`Pools`] applies the configuration and the server directory. [`Pool::send`] selects a server
 //! and returns a [`Ticket`], which reports the outcome of the request to the pool's [`Fleet`].
 
+pub mod brittle;
 mod limited;
 mod pools;
 mod reach;
@@ -11,7 +12,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -81,6 +82,8 @@
     clock: Instant,
     /// Notified when there are updates for peers.
     changed: Arc<Notify>,
+    /// Number of routers in the fleet; 0 if not known yet.
+    routers: Arc<AtomicUsize>,
 }
 
 /// Retries that one router may accumulate in a fleet of `routers`.
@@ -162,6 +165,7 @@
             speed_log: SpeedLog::default(),
             clock: shared.clock,
             changed: Arc::clone(&shared.changed),
+            routers: Arc::clone(&shared.routers),
         }
     }
 
--- a/crates/gateway/src/fleet/pools.rs
+++ b/crates/gateway/src/fleet/pools.rs
@@ -46,7 +46,7 @@
     /// Servers that limit their rate.
     pub(super) limited: Arc<LimitedServers>,
     /// Number of routers in the fleet; 0 if not known yet.
-    pub(super) routers: AtomicUsize,
+    pub(super) routers: Arc<AtomicUsize>,
 }
 
 #[derive(Debug, Default)]
@@ -71,7 +71,7 @@
                 announcements: Arc::default(),
                 paths: Arc::default(),
                 limited: Arc::default(),
-                routers: AtomicUsize::new(0),
+                routers: Arc::default(),
             },
         }
     }
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -125,6 +125,10 @@
     };
     if !matches!(outcome, Outcome::Mismatched | Outcome::Misdirected) {
         record_announcement(exchange, &ticket, &server, &head);
+        let max = dialect.max_rejections(&head.headers);
+        let is_refusal = outcome == Outcome::Shed;
+        let pool = &exchange.pool;
+        pool.on_max_rejections(ticket.idx, &server, max, is_refusal);
     }
     match outcome {
         Outcome::Mismatched => ticket.fail(ErrorKind::Broken),
--- a/crates/gateway/tests/testsuite/pools.rs
+++ b/crates/gateway/tests/testsuite/pools.rs
@@ -7,6 +7,7 @@
 
 use swiftlink_gateway::catalog::ServerEntry;
 use swiftlink_gateway::fleet::Pools;
+use swiftlink_gateway::fleet::brittle::rejection_pause;
 use swiftlink_gateway::model::{Config, PoolSpec};
 use swiftlink_gateway::{RetryLimits, RouterSettings};
 use swiftlink_types::{DomainName, PoolName, ServerInstance, ServerName, VmName};
@@ -93,3 +94,25 @@
         assert_eq!(pool.open_len(), 1);
     }
 }
+
+/// Guards against a pause that is right for one router and not for the sum of all.
+#[test]
+fn routers_together_cause_fewer_refusals_than_a_brittle_server_can_bear() {
+    for (routers, max) in [
+        (1, 5.0),
+        (7, 5.0),
+        (75, 5.0),
+        (75, 20.0),
+        (300, 20.0),
+        (985, 50.0),
+    ] {
+        let pause = rejection_pause(routers, max).as_secs_f64();
+        // Half of the pause is the shortest that a router draws.
+        let most = routers as f64 / (pause / 2.0);
+        assert!(
+            most <= max,
+            "{routers} routers: {most} of {max} refusals a second"
+        );
+    }
+    assert!(rejection_pause(7, 0.0) >= Duration::from_secs(120));
+}
--- a/crates/routing/src/fleet/backoff.rs
+++ b/crates/routing/src/fleet/backoff.rs
@@ -37,6 +37,15 @@
         }
     }
 
+    /// Sets whether a server crashes if it has to refuse requests, so that it gets only those that
+    /// fit into its slots. Returns whether that is a change.
+    pub fn set_brittle(&mut self, idx: ServerIdx, is_brittle: bool) -> bool {
+        let Some(server) = self.get_mut(idx) else {
+            return false;
+        };
+        std::mem::replace(&mut server.is_brittle, is_brittle) != is_brittle
+    }
+
     /// Time until the first backoff ends; `None` when no server is backed off.
     #[must_use]
     pub fn backoff_left(&self, now: Micros) -> Option<Duration> {
--- a/crates/routing/src/fleet/members.rs
+++ b/crates/routing/src/fleet/members.rs
@@ -145,6 +145,7 @@
         is_domain_drained: false,
         is_backed_off: false,
         is_throttled: false,
+        is_brittle: false,
         backoff_until: 0,
         cold_until: spec.cold_until,
         was_listed: false,
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -34,6 +34,10 @@
 /// Age at which a report starts to fade (µs).
 const FRESH_AGE: Micros = 10_000_000;
 
+/// Age up to which a report is taken to show the load now (µs). A server that is taken for full gets
+/// no requests, so it sends no further report.
+const RECENT_AGE: Micros = 250_000;
+
 /// Half-life of what a report says about the present pace (µs): it changes many times a second.
 const PACE_HALF_LIFE: f64 = 300_000.0;
 /// Age at which the pace counts no more (µs).
@@ -115,6 +119,18 @@
         f64::from(self.in_flight) + self.others(now)
     }
 
+    /// Requests at the server: those of its last report and the own ones since, or only the own ones
+    /// once the report is old.
+    #[must_use]
+    pub fn latest(&self, now: Micros) -> u32 {
+        if self.report.is_none() || now.saturating_sub(self.made_at) > RECENT_AGE {
+            return self.in_flight;
+        }
+        let before = self.in_flight_at(self.made_at);
+        let others = self.reported().saturating_sub(before);
+        others.saturating_add(self.in_flight)
+    }
+
     pub(crate) fn on_sent(&mut self, now: Micros) {
         self.record(now);
         self.in_flight += 1;
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -169,7 +169,10 @@
     /// Whether the server can take this request as regular work.
     #[must_use]
     pub fn can_take(&self, index: u32) -> bool {
-        self.server(index).health.is_open() && !self.is_excluded(index)
+        let server = self.server(index);
+        server.health.is_open()
+            && !self.is_excluded(index)
+            && (!server.is_brittle || server.has_free_slot(self.now()))
     }
 
     /// Whether the server can take this request as its probe.
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -83,6 +83,8 @@
     pub(crate) is_backed_off: bool,
     /// Whether it limits its rate and this router may send it nothing for now.
     pub(crate) is_throttled: bool,
+    /// Whether it crashes if it has to refuse requests.
+    pub(crate) is_brittle: bool,
     /// End of the longest backoff that it asked for; 0 when it never did.
     pub(crate) backoff_until: Micros,
     /// When it becomes warm; 0 when it never was cold.
@@ -205,6 +207,12 @@
         self.is_member && !self.is_domain_drained && !is_held_back && !self.is_draining()
     }
 
+    /// Whether it runs fewer requests than it has slots, as far as this router knows.
+    #[must_use]
+    pub fn has_free_slot(&self, now: Micros) -> bool {
+        self.load.latest(now) < self.slots()
+    }
+
     /// How many times slower it is than the pool, by the time to the first token at equal load or
     /// by the time per token; 1 when unknown or not much slower.
     #[must_use]
