watch: a heartbeat doesn't replace a later change of the same server

What callers saw: requests went to a leaving server 3,011 ms after it was acknowledged as draining (3,000 allowed), through 72 of 75 routers that had never heard of it.

Cause: an answer of the store that holds a heartbeat and a later change of one key is split into changes and repetitions. A replica applied the repetitions last, whatever their offsets, so the heartbeat replaced the change under the change's revision, and followers got that.

Change: a repetition leaves a record alone that has a higher offset.

--- a/crates/gateway/src/watch/replicas.rs
+++ b/crates/gateway/src/watch/replicas.rs
@@ -152,7 +152,9 @@
     /// revision stays, so followers aren't notified; a router that asks by offset gets the new
     /// record.
     fn refresh(&mut self, change: &Change) {
-        if let Some(entry) = self.records.get_mut(change.key.as_str()) {
+        let entry = self.records.get_mut(change.key.as_str());
+        // The same answer may have had a later change of the key, which is applied already.
+        if let Some(entry) = entry.filter(|entry| entry.offset <= change.offset) {
             entry.offset = change.offset;
             entry.value = change.value.as_deref().map(Bytes::copy_from_slice);
         }
--- a/crates/gateway/tests/testsuite/relay.rs
+++ b/crates/gateway/tests/testsuite/relay.rs
@@ -305,6 +305,21 @@
     assert!(time < APPLY / 4, "{time:?}");
 }
 
+/// Guards against a draining server that most routers go on using: an answer of the store had a
+/// heartbeat and a later change of the same server, and the heartbeat replaced the change in what
+/// relays pass on.
+#[tokio::test(start_paused = true)]
+async fn a_change_that_is_read_together_with_a_heartbeat_reaches_all_routers() {
+    let fleet = Fleet::open(100);
+    fleet.put("a", Some("1 1"));
+    fleet.convergence_time(&servers(&[("a", 1, 1)]), &[]).await;
+    sleep(Duration::from_secs(2)).await;
+    fleet.put("a", Some("1 1"));
+    fleet.put("a", Some("2 2"));
+    let time = fleet.convergence_time(&servers(&[("a", 2, 2)]), &[]).await;
+    assert!(time < APPLY / 4, "{time:?}");
+}
+
 /// All relays fall silent at the moment of a change.
 #[tokio::test(start_paused = true)]
 async fn a_change_arrives_in_time_when_all_relays_are_lost() {
