--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -106,6 +106,7 @@
     drained: Family<DomainLabels, Gauge>,
     cold_servers: Gauge,
     ejected_servers: Gauge,
+    cut_paths: Gauge,
     limited_servers: Gauge,
     known_speeds: Gauge,
     slowest_ratio: Gauge<f64, AtomicU64>,
@@ -212,6 +213,8 @@
         registry.register("cold_servers", cold, gauges.cold_servers.clone());
         let ejected = "Backend servers that get no requests because of errors";
         registry.register("ejected_servers", ejected, gauges.ejected_servers.clone());
+        let cut = "Backend servers that this router reaches through other routers only";
+        registry.register("cut_paths", cut, gauges.cut_paths.clone());
         let limited = "Backend servers that limit their rate of requests";
         registry.register("limited_servers", limited, gauges.limited_servers.clone());
         let speeds = "Backend servers whose speed relative to their pool is known";
@@ -344,6 +347,8 @@
         let ejected: usize = node.pools.all().iter().map(|pool| pool.ejected_len()).sum();
         self.ejected_servers
             .set(i64::try_from(ejected).unwrap_or(i64::MAX));
+        let cut = node.dialer.suspects().cut_len();
+        self.cut_paths.set(i64::try_from(cut).unwrap_or(i64::MAX));
         let limited: usize = node.pools.all().iter().map(|pool| pool.limited_len()).sum();
         self.limited_servers
             .set(i64::try_from(limited).unwrap_or(i64::MAX));
