paths: a server that responds on open connections isn't silent

What callers would have seen: requests given up and sent again, though their server was at work on them. A busy server may accept no connection for 400 ms while it responds on open ones, and another router's connection may be accepted a moment later; the check took that for a silent path.

Change: the connections from before a cut count as hanging only if nothing came on a direct connection while the check waited for a new one.

The tests of cuts (partitioned::, crashing::) pass as before."

--- a/crates/gateway/src/paths/check.rs
+++ b/crates/gateway/src/paths/check.rs
@@ -159,11 +159,13 @@
 /// Connects to a server, and updates its path by what that shows.
 async fn check(dialer: &Dialer, pools: &Pools, suspect: &Destination) {
     let path = &suspect.path;
+    let start = steady_millis();
     let end = Instant::now() + CONNECT_TIMEOUT;
     let connected = connect(suspect.address, end).await;
     let is_silent = match connected {
         Ok(_closed) => return restore(dialer, suspect),
-        Err(SendError::Unreachable) => true,
+        // A busy server may accept no connection in time while it responds on open ones.
+        Err(SendError::Unreachable) => path.heard_at() < start,
         Err(_) => false,
     };
     if !path.state().is_relayed {
--- a/crates/gateway/src/paths/dial.rs
+++ b/crates/gateway/src/paths/dial.rs
@@ -79,10 +79,11 @@
 
     /// A watch over a connection of this generation.
     #[must_use]
-    pub fn watch(&self, server: &Destination, generation: u64) -> PathWatch {
+    pub fn watch(&self, server: &Destination, generation: u64, is_relayed: bool) -> PathWatch {
         PathWatch {
             server: server.clone(),
             generation,
+            is_relayed,
             suspects: Some(Arc::clone(&self.suspects)),
         }
     }
--- a/crates/gateway/src/paths/path.rs
+++ b/crates/gateway/src/paths/path.rs
@@ -86,7 +86,8 @@
 pub struct ServerPath {
     state: ArcSwap<PathState>,
     changed: Notify,
-    /// When the server was last heard from, in milliseconds of the VM's monotonic clock.
+    /// When the server was last heard from on a direct connection, in milliseconds of the VM's
+    /// monotonic clock.
     heard_at: AtomicU64,
     /// When the path may be checked again, by the same clock.
     check_at: AtomicU64,
@@ -117,12 +118,13 @@
         has_changed
     }
 
-    /// Records that the server was heard from.
+    /// Records that the server was heard from on a direct connection.
     pub fn on_heard(&self) {
         self.heard_at.store(steady_millis(), SeqCst);
     }
 
-    /// When the server was last heard from, in milliseconds of the VM's monotonic clock.
+    /// When the server was last heard from on a direct connection, in milliseconds of the VM's
+    /// monotonic clock.
     #[must_use]
     pub fn heard_at(&self) -> u64 {
         self.heard_at.load(SeqCst)
@@ -169,11 +171,20 @@
     pub server: Destination,
     /// Generation of the request's connection.
     pub generation: u64,
+    /// Whether the connection goes through another router.
+    pub is_relayed: bool,
     /// Servers whose paths are to be checked; `None` where nothing checks them.
     pub suspects: Option<Arc<Suspects>>,
 }
 
 impl PathWatch {
+    /// Records that the server was heard from on the request's connection.
+    pub fn on_heard(&self) {
+        if !self.is_relayed {
+            self.server.path.on_heard();
+        }
+    }
+
     /// Resolves when the request's connection is known to hang. Asks for a check of the path
     /// whenever the server hasn't been heard from for some time.
     pub async fn until_hung(&self) {
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -221,7 +221,9 @@
                     continue;
                 };
                 exchange.node.traffic.relayed(chunk.len());
-                response.server.destination.path.on_heard();
+                if let Some(watch) = &watch {
+                    watch.on_heard();
+                }
                 let Some(events) = splitter.push(&chunk) else {
                     continue;
                 };
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -154,7 +154,7 @@
         entered.map_err(AttemptError::Failed)?;
     }
     connection.set_busy(true);
-    let watch = recipient.watch(connection.generation);
+    let watch = recipient.watch(&connection);
     let sent = tokio::select! {
         sent = timeout(options.head, connection.sender.try_send_request(request)) => sent,
         () = until_hung(watch.as_ref(), options.may_abort) => {
@@ -166,7 +166,9 @@
     };
     match sent {
         Ok(response) => {
-            recipient.on_heard();
+            if let Some(watch) = &watch {
+                watch.on_heard();
+            }
             Ok(PendingResponse {
                 response,
                 connection: kind,
--- a/crates/gateway/src/upstream/recipient.rs
+++ b/crates/gateway/src/upstream/recipient.rs
@@ -84,17 +84,11 @@
         server.map_or_else(PathState::default, |(server, _)| server.path.state())
     }
 
-    /// Records that the process was heard from.
-    pub(super) fn on_heard(&self) {
-        if let Some((server, _)) = &self.server {
-            server.path.on_heard();
-        }
-    }
-
-    /// A watch over a connection of this generation of the path.
-    pub(super) fn watch(&self, generation: u64) -> Option<PathWatch> {
+    /// A watch over the path of a connection.
+    pub(super) fn watch(&self, connection: &Connection) -> Option<PathWatch> {
         let (server, dialer) = self.server.as_ref()?;
-        Some(dialer.watch(server, generation))
+        let is_relayed = connection.tunnel.is_some();
+        Some(dialer.watch(server, connection.generation, is_relayed))
     }
 
     /// Opens a connection.
