--- a/crates/gateway/tests/testsuite/restored.rs
+++ b/crates/gateway/tests/testsuite/restored.rs
@@ -183,3 +183,52 @@
         assert!(spent <= PREPAID, "seed {seed}: {spent} of {PREPAID}");
     }
 }
+
+/// Uses a budget while the store goes back to the same copy twice; `after` follows the second time.
+/// Returns the tokens spent of the whole budget.
+async fn run_twice(seed: u64, after: After, pause: Duration) -> u64 {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let store = Arc::new(MemStore::new());
+    let clocks: Vec<_> = (0..ROUTERS).map(|_| TestClock::new()).collect();
+    let mut routers = start_all(&store, &clocks, 1);
+    let mut spent = spend(&routers, Duration::from_millis(1_500), BUSY, &mut rng).await;
+    let copy = store.copy();
+    for _restore in 0..2 {
+        let busy = rng.random_range(0..ROUTERS);
+        let lost = Duration::from_millis(rng.random_range(300..1_500));
+        spent += spend_at(&routers[busy], lost, pause, &mut rng).await;
+        store.set_fault(StoreFault::Unavailable);
+        let away = Duration::from_millis(rng.random_range(200..800));
+        spent += spend(&routers, away, BUSY, &mut rng).await;
+        store.restore(&copy);
+        store.set_fault(StoreFault::None);
+    }
+    if let After::Killed(delay) | After::LostPower(delay) = after {
+        spent += spend(&routers, Duration::from_millis(delay), BUSY, &mut rng).await;
+        let lost_power = matches!(after, After::LostPower(_));
+        kill_all(&mut routers, &clocks, lost_power, &mut rng);
+        sleep(Duration::from_millis(900)).await;
+        routers = start_all(&store, &clocks, ROUTERS as u64 + 1);
+    }
+    spent + spend(&routers, Duration::from_secs(40), BUSY, &mut rng).await
+}
+
+/// Guards against a second restore from the same copy, which lacks more seconds than the first one.
+#[tokio::test(start_paused = true)]
+async fn no_token_is_spent_twice_when_the_store_goes_back_twice() {
+    for pause in [STEADY, BUSY] {
+        for after in [
+            After::Nothing,
+            After::Killed(1_000),
+            After::LostPower(1_000),
+        ] {
+            for seed in 0..30 {
+                let spent = run_twice(seed, after, pause).await;
+                assert!(
+                    spent <= PREPAID,
+                    "seed {seed}, {after:?}, {pause:?}: {spent} of {PREPAID}"
+                );
+            }
+        }
+    }
+}
