paths: ask routers of several domains, and check each cut path once at a time

What callers would have seen, by reading: where most routers of a domain are cut at one moment by resets, two of them say at once that they can't connect either, and that counted as a server that is down: refused requests, ejections, and crashes that did not happen. And when a cut ends, each path that works had all others checked again: up to n squared connections for n servers.

Cause: two routers of the own domain, which a cut hits together, were enough to call a server down; and nothing remembered that a check was queued.

Change: near and far routers are asked in turn, and four have to fail. A path has one check at a time, and others are checked again at the end of a cut only if that wasn't done within a second; the search for other paths runs once a second at most.

--- a/crates/gateway/src/paths/book.rs
+++ b/crates/gateway/src/paths/book.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use itertools::interleave;
 use rand::Rng;
 use rand::seq::{IndexedRandom, SliceRandom};
 use swiftlink_types::VmName;
@@ -38,8 +39,8 @@
     }
 
     /// The routers to ask, in this order: one that helped before, untried ones of the own failure
-    /// domain (`near`) and of others, and last those that couldn't help a moment ago. Until enough
-    /// are known to spread tunnels over, an untried one comes first half of the time.
+    /// domain (`near`) and of others in turn, and last those that couldn't help a moment ago. Until
+    /// enough are known to spread tunnels over, an untried one comes first half of the time.
     pub fn order(
         &mut self,
         mut near: Vec<VmName>,
@@ -52,7 +53,8 @@
         self.resting.retain(|_, until| *until > now);
         let first = self.draw(rng);
         let (mut untried, mut helping, mut resting) = (Vec::new(), Vec::new(), Vec::new());
-        for vm in near.into_iter().chain(far) {
+        // A cut often affects a whole failure domain: the second one to ask is of another.
+        for vm in interleave(near, far) {
             if Some(&vm) == first.as_ref() {
                 continue;
             }
--- a/crates/gateway/src/paths/check.rs
+++ b/crates/gateway/src/paths/check.rs
@@ -33,6 +33,10 @@
 const MAX_CHECKS: usize = 8;
 /// Maximum number of paths that wait for a check.
 const MAX_SUSPECTS: usize = 64;
+/// When one path works again, those of the others are checked that weren't for this time.
+const RECHECK_AFTER: Duration = Duration::from_secs(1);
+/// Minimum time between two searches for other paths to check.
+const SCAN_INTERVAL: Duration = Duration::from_secs(1);
 /// Servers that were heard from within this time are checked when a path to another one is cut.
 const RECENT: Duration = Duration::from_secs(10);
 
@@ -60,23 +64,25 @@
 impl Suspects {
     /// Asks for a check of a path, unless it was checked recently.
     pub fn push(&self, suspect: &Destination) {
-        if !suspect.path.take_check() {
-            return;
-        }
-        let mut waiting = lock(&self.waiting);
-        if waiting.len() < MAX_SUSPECTS {
-            waiting.insert(suspect.id.instance.clone(), suspect.clone());
+        let has_room = lock(&self.waiting).len() < MAX_SUSPECTS;
+        if has_room && suspect.path.take_check() {
+            self.queue(suspect);
         }
-        drop(waiting);
-        self.added.notify_one();
     }
 
     /// Records that a path is cut, and has it checked at once.
     pub(super) fn on_cut(&self, suspect: &Destination) {
         let instance = suspect.id.instance.clone();
-        lock(&self.cut).insert(instance.clone(), suspect.clone());
-        lock(&self.waiting).insert(instance, suspect.clone());
+        lock(&self.cut).insert(instance, suspect.clone());
         self.cuts.fetch_add(1, Relaxed);
+        self.queue(suspect);
+    }
+
+    fn queue(&self, suspect: &Destination) {
+        if suspect.path.queue_check() {
+            let instance = suspect.id.instance.clone();
+            lock(&self.waiting).insert(instance, suspect.clone());
+        }
         self.added.notify_one();
     }
 
@@ -115,6 +121,7 @@
     let limit = Arc::new(Semaphore::new(MAX_CHECKS));
     let mut checks = JoinSet::new();
     let mut cuts = 0;
+    let mut scanned_at = None;
     let suspects = Arc::clone(dialer.suspects());
     loop {
         let pause = PROBE_INTERVAL.mul_f64(0.5 + rand::random::<f64>());
@@ -124,21 +131,23 @@
             Some(_ended) = checks.join_next() => continue,
         };
         let known = suspects.cuts.load(Relaxed);
-        if known != cuts {
+        let is_scan_due = scanned_at.is_none_or(|at: Instant| at.elapsed() >= SCAN_INTERVAL);
+        if known != cuts && is_scan_due {
             cuts = known;
+            scanned_at = Some(Instant::now());
             suspect_others(&suspects, &pools);
         }
-        let mut due = suspects.take();
-        if is_probe_due {
-            due.extend(suspects.draw_cut());
+        if is_probe_due && let Some(cut) = suspects.draw_cut() {
+            suspects.queue(&cut);
         }
-        for suspect in due {
+        for suspect in suspects.take() {
             let (dialer, pools) = (Arc::clone(&dialer), Arc::clone(&pools));
             let limit = Arc::clone(&limit);
             checks.spawn(async move {
                 // The semaphore is never closed.
                 let _permit = limit.acquire_owned().await;
                 check(&dialer, &pools, &suspect).await;
+                suspect.path.end_check();
             });
         }
     }
@@ -159,7 +168,7 @@
 /// Connects to a server, and updates its path by what that shows.
 async fn check(dialer: &Dialer, pools: &Pools, suspect: &Destination) {
     let path = &suspect.path;
-    let start = steady_millis();
+    let start = path.begin_check();
     let end = Instant::now() + CONNECT_TIMEOUT;
     let connected = connect(suspect.address, end).await;
     let is_silent = match connected {
@@ -192,10 +201,10 @@
     }
     let name = &suspect.id.instance.name;
     event!(info, "path.restored", pool = suspect.id.pool, server = name);
-    let mut waiting = lock(&suspects.waiting);
+    let recent = steady_millis().saturating_sub(RECHECK_AFTER.as_millis() as u64);
     for other in suspects.all_cut() {
-        waiting.insert(other.id.instance.clone(), other);
+        if other.path.checked_at() <= recent {
+            suspects.queue(&other);
+        }
     }
-    drop(waiting);
-    suspects.added.notify_one();
 }
--- a/crates/gateway/src/paths/dial.rs
+++ b/crates/gateway/src/paths/dial.rs
@@ -25,6 +25,7 @@
 /// Maximum time of a probe, and again of asking other routers; within a region one takes a
 /// millisecond or two.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Whether a process listens at an address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListenerState {
@@ -84,7 +85,7 @@
             server: server.clone(),
             generation,
             is_relayed,
-            suspects: Some(Arc::clone(&self.suspects)),
+            suspects: Arc::clone(&self.suspects),
         }
     }
 
--- a/crates/gateway/src/paths/helpers.rs
+++ b/crates/gateway/src/paths/helpers.rs
@@ -16,9 +16,9 @@
 /// Delay before the next router is asked while one hasn't replied. A tunnel takes a few
 /// milliseconds.
 const ASK_DELAY: Duration = Duration::from_millis(40);
-/// After this many routers couldn't connect to a server though their paths to others are up, the
-/// server itself is taken to be down.
-const MAX_UNREACHABLE: usize = 2;
+/// After this many routers couldn't connect to a server and didn't know that their paths are cut, the
+/// server itself is taken to be down. Several, since a cut may affect most routers at one moment.
+const MAX_UNREACHABLE: usize = 4;
 
 /// Why no other router opened a tunnel to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/paths/path.rs
+++ b/crates/gateway/src/paths/path.rs
@@ -1,8 +1,7 @@
 //! What this router knows of its path to one server instance.
 
-use std::future::pending;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 
 use arc_swap::ArcSwap;
 use tokio::sync::Notify;
@@ -93,6 +92,10 @@
     check_at: AtomicU64,
     /// Time between the last check and the next one.
     check_interval: AtomicU64,
+    /// When the last check began, by the same clock.
+    checked_at: AtomicU64,
+    /// Whether a check is queued or runs.
+    is_checking: AtomicBool,
 }
 
 /// Minimum time between two checks of a path (ms). It doubles while checks find nothing.
@@ -149,6 +152,29 @@
         taken.is_ok()
     }
 
+    /// Queues a check, unless one is queued or runs. Returns whether it did.
+    #[must_use]
+    pub(super) fn queue_check(&self) -> bool {
+        !self.is_checking.swap(true, SeqCst)
+    }
+
+    /// Begins a queued check. Returns when, in milliseconds of the VM's monotonic clock.
+    pub(super) fn begin_check(&self) -> u64 {
+        let now = steady_millis();
+        self.checked_at.store(now, SeqCst);
+        now
+    }
+
+    /// Ends a check.
+    pub(super) fn end_check(&self) {
+        self.is_checking.store(false, SeqCst);
+    }
+
+    /// When the last check began, in milliseconds of the VM's monotonic clock.
+    pub(super) fn checked_at(&self) -> u64 {
+        self.checked_at.load(SeqCst)
+    }
+
     /// Resolves when connections of this generation are known to hang.
     pub async fn until_hung(&self, generation: u64) {
         loop {
@@ -173,8 +199,8 @@
     pub generation: u64,
     /// Whether the connection goes through another router.
     pub is_relayed: bool,
-    /// Servers whose paths are to be checked; `None` where nothing checks them.
-    pub suspects: Option<Arc<Suspects>>,
+    /// Servers whose paths are to be checked.
+    pub suspects: Arc<Suspects>,
 }
 
 impl PathWatch {
@@ -188,9 +214,6 @@
     /// Resolves when the request's connection is known to hang. Asks for a check of the path
     /// whenever the server hasn't been heard from for some time.
     pub async fn until_hung(&self) {
-        let Some(suspects) = &self.suspects else {
-            return pending().await;
-        };
         let path = &self.server.path;
         let hung = path.until_hung(self.generation);
         tokio::pin!(hung);
@@ -203,7 +226,7 @@
             let now = steady_millis();
             quiet_since = quiet_since.max(path.heard_at());
             if now.saturating_sub(quiet_since) >= SUSPECT_AFTER.as_millis() as u64 {
-                suspects.push(&self.server);
+                self.suspects.push(&self.server);
             }
         }
     }
