paths: check slow servers rarely while no path is cut

Cause: a path was checked whenever requests had waited 400 ms for a server that was not heard from, once a second for each server. With many routers each has few requests at a server, so a slow first token looks the same.

Change: a router checks one quiet server at a time, at intervals that double from one to sixteen seconds while nothing is found; a cut resets them. New connections still show a cut at once, and a reused connection that breaks off has its path checked whatever the interval.

--- a/crates/gateway/src/paths/check.rs
+++ b/crates/gateway/src/paths/check.rs
@@ -29,6 +29,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Mean time between two probes while paths are cut.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Minimum and maximum time between two checks of paths whose servers are quiet (ms). It doubles
+/// with each check until a path is found to be cut.
+const MIN_QUIET_INTERVAL: u64 = 1_000;
+const MAX_QUIET_INTERVAL: u64 = 16_000;
 /// Maximum number of checks at the same time.
 const MAX_CHECKS: usize = 8;
 /// Maximum number of paths that wait for a check.
@@ -58,23 +62,52 @@
     cut: Mutex<HashMap<ServerInstance, Destination>>,
     /// Number of cuts so far.
     cuts: AtomicU64,
+    /// When a path may be checked because its server is quiet, in milliseconds of the VM's monotonic
+    /// clock, and the interval of such checks.
+    quiet_check_at: AtomicU64,
+    quiet_interval: AtomicU64,
     added: Notify,
 }
 
 impl Suspects {
-    /// Asks for a check of a path, unless it was checked recently.
-    pub fn push(&self, suspect: &Destination) {
-        let has_room = lock(&self.waiting).len() < MAX_SUSPECTS;
-        if has_room && suspect.path.take_check() {
+    /// Asks for a check of a path whose server is quiet. Most such servers are only slow, so the
+    /// checks of this router become rarer while they find nothing.
+    pub fn on_quiet(&self, suspect: &Destination) {
+        let now = steady_millis();
+        let at = self.quiet_check_at.load(Relaxed);
+        if now < at {
+            return;
+        }
+        let interval = self.quiet_interval.load(Relaxed) * 2;
+        let interval = interval.clamp(MIN_QUIET_INTERVAL, MAX_QUIET_INTERVAL);
+        let taken = self
+            .quiet_check_at
+            .compare_exchange(at, now + interval, Relaxed, Relaxed);
+        if taken.is_ok() {
+            self.quiet_interval.store(interval, Relaxed);
+            self.on_failed(suspect);
+        }
+    }
+
+    /// Asks for a check of a path on which a connection failed, unless it was checked recently.
+    pub fn on_failed(&self, suspect: &Destination) {
+        if self.waiting_len() < MAX_SUSPECTS && suspect.path.take_check() {
             self.queue(suspect);
         }
     }
 
+    /// Number of paths that wait for a check.
+    #[must_use]
+    pub fn waiting_len(&self) -> usize {
+        lock(&self.waiting).len()
+    }
+
     /// Records that a path is cut, and has it checked at once.
     pub(super) fn on_cut(&self, suspect: &Destination) {
         let instance = suspect.id.instance.clone();
         lock(&self.cut).insert(instance, suspect.clone());
         self.cuts.fetch_add(1, Relaxed);
+        self.quiet_interval.store(0, Relaxed);
         self.queue(suspect);
     }
 
@@ -159,7 +192,7 @@
     for pool in pools.all() {
         for server in pool.destinations() {
             if server.path.heard_at() > oldest && !server.path.state().is_relayed {
-                suspects.push(&server);
+                suspects.on_failed(&server);
             }
         }
     }
--- a/crates/gateway/src/paths/path.rs
+++ b/crates/gateway/src/paths/path.rs
@@ -226,7 +226,7 @@
             let now = steady_millis();
             quiet_since = quiet_since.max(path.heard_at());
             if now.saturating_sub(quiet_since) >= SUSPECT_AFTER.as_millis() as u64 {
-                self.suspects.push(&self.server);
+                self.suspects.on_quiet(&self.server);
             }
         }
     }
--- a/crates/gateway/src/paths/tunnels.rs
+++ b/crates/gateway/src/paths/tunnels.rs
@@ -94,7 +94,7 @@
         let time = Duration::from_millis(u64::from(target.wait_ms)).min(MAX_CONNECT_TIME);
         let Ok(stream) = connect(server.address, Instant::now() + time).await else {
             // Tells whether the server is down, or the path of this router.
-            self.dialer.suspects().push(&server);
+            self.dialer.suspects().on_failed(&server);
             return Err(refusal(TunnelState::Unreachable));
         };
         event!(debug, "tunnel.opened", peer = peer, server = instance.name);
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -97,6 +97,12 @@
     let response = match sent {
         Ok(response) => response,
         Err(failure) => {
+            if failure.connection == ConnectionKind::Reused
+                && failure.error.kind() == Some(ErrorKind::Broken)
+            {
+                let suspects = exchange.node.dialer.suspects();
+                suspects.on_failed(&server.destination);
+            }
             if let Some(kind) = failure.error.kind() {
                 ticket.fail(kind);
             }
--- a/crates/gateway/tests/testsuite/paths.rs
+++ b/crates/gateway/tests/testsuite/paths.rs
@@ -1,12 +1,16 @@
 //! Paths to servers, and the choice of the routers that stand in for one that is cut.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
 
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::SeedableRng;
-use swiftlink_gateway::paths::{HelperBook, PathState, ServerPath};
-use swiftlink_types::VmName;
+use swiftlink_gateway::paths::{
+    Destination, HelperBook, PathState, ServerId, ServerPath, Suspects,
+};
+use swiftlink_types::{PoolName, ServerInstance, ServerName, VmName};
 
 use crate::net::name;
 
@@ -45,6 +49,32 @@
     assert!(path.update(PathState::cut) && !path.update(PathState::cut));
 }
 
+/// Guards against a connection to each slow server every second while nothing is cut: with 75
+/// routers that was two connections in three more.
+#[tokio::test]
+async fn slow_servers_are_not_all_checked() {
+    let suspects = Suspects::default();
+    for index in 0..100 {
+        suspects.on_quiet(&destination(index));
+    }
+    assert_eq!(suspects.waiting_len(), 1);
+    // A connection that failed says more than a server that is slow.
+    suspects.on_failed(&destination(100));
+    suspects.on_failed(&destination(101));
+    assert_eq!(suspects.waiting_len(), 3);
+}
+
+fn destination(index: u16) -> Destination {
+    Destination {
+        id: ServerId {
+            pool: PoolName::from("pool"),
+            instance: ServerInstance::new(ServerName::from(format!("server{index}")), 1),
+        },
+        address: SocketAddr::from(([127, 0, 0, 1], index)),
+        path: Arc::default(),
+    }
+}
+
 /// What a fleet with cut routers does.
 #[derive(Debug)]
 struct Outcome {
