paths: keep direct connections over a cut that was none

Cause: when a path was restored, all connections from before were given up, though only tunnels and what hung have to be.

Change: a restored path reuses its direct connections unless a check found that they hang; tunnels are reused only while the path is cut.

Tests: gateway paths::direct_connections_are_kept_over_a_cut_that_was_none (fails before: it asks for what was discarded); partitioned::, crashing::, brittle:: 19 of 19, paths:: 5 of 5.

--- a/crates/gateway/src/paths/path.rs
+++ b/crates/gateway/src/paths/path.rs
@@ -18,17 +18,16 @@
     pub generation: u64,
     /// Whether new connections go through other routers.
     pub is_relayed: bool,
-    /// Oldest generation whose idle connections may be reused.
-    reusable_from: u64,
     /// Connections of earlier generations hang: nothing comes back on them.
     hung_before: u64,
 }
 
 impl PathState {
-    /// Whether an idle connection of this generation may carry a request.
+    /// Whether an idle connection of this generation may carry a request. A tunnel may while the
+    /// direct path is cut.
     #[must_use]
-    pub fn may_reuse(self, generation: u64) -> bool {
-        generation >= self.reusable_from && !self.hangs(generation)
+    pub fn may_reuse(self, generation: u64, is_tunnel: bool) -> bool {
+        !self.hangs(generation) && (!is_tunnel || self.is_relayed)
     }
 
     /// Whether a connection of this generation hangs.
@@ -70,11 +69,9 @@
         if !self.is_relayed {
             return self;
         }
-        let generation = self.generation + 1;
         Self {
-            generation,
+            generation: self.generation + 1,
             is_relayed: false,
-            reusable_from: generation,
             ..self
         }
     }
--- a/crates/gateway/src/upstream/idle.rs
+++ b/crates/gateway/src/upstream/idle.rs
@@ -97,7 +97,9 @@
         let list = self.lists.get_mut(&endpoint)?;
         let now = steady_millis();
         while let Some(idle) = list.pop() {
-            if idle.is_usable(now) && path.may_reuse(idle.connection.generation) {
+            let is_tunnel = idle.connection.tunnel.is_some();
+            let may_reuse = path.may_reuse(idle.connection.generation, is_tunnel);
+            if idle.is_usable(now) && may_reuse {
                 return Some(idle.connection);
             }
         }
