--- a/crates/gateway/tests/testsuite/paths.rs
+++ b/crates/gateway/tests/testsuite/paths.rs
@@ -59,8 +59,7 @@
     assert!(path.update(PathState::cut) && !path.update(PathState::cut));
 }
 
-/// Guards against a connection to each slow server every second while nothing is cut: with 75
-/// routers that was two connections in three more.
+/// Guards against a connection to each slow server every second while nothing is cut.
 #[tokio::test]
 async fn slow_servers_are_not_all_checked() {
     let suspects = Suspects::default();
