relay: log the framing of responses and the bytes of a partial event

Whether the end of a connection was taken for the end of an answer can't be told from the lines of a stream: request.streamed says end=whole for a stream that its server completed and for one that ended inside an event. It says now how the server marks the end (framing=length, chunked or close) and how many bytes came after the last complete event (partial). request.answered has framing too. No logic is changed.

--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -20,7 +20,7 @@
 use crate::paths::PathWatch;
 use crate::traffic::head_bytes;
 use crate::upstream::{
-    ConnectionKind, Lease, Recipient, SendError, SendFailure, SendOptions, send_to,
+    ConnectionKind, Framing, Lease, Recipient, SendError, SendFailure, SendOptions, send_to,
 };
 
 /// Maximum time for opening a connection; within a region it takes a millisecond or two.
@@ -30,6 +30,8 @@
 pub(super) struct ServerResponse {
     pub(super) head: response::Parts,
     pub(super) body: Body,
+    /// How the end of the body is marked.
+    pub(super) framing: Framing,
     pub(super) lease: Lease,
     /// Watches the path that the rest of the body comes on.
     pub(super) watch: Option<PathWatch>,
@@ -112,6 +114,7 @@
     let connection = response.connection;
     let watch = response.watch.clone();
     let (response, mut lease) = response.split();
+    let framing = Framing::of(&response);
     let (head, body) = response.into_parts();
     exchange.node.traffic.relayed(head_bytes(&head.headers));
     let dialect = &exchange.node.dialect;
@@ -152,6 +155,7 @@
             return Ok(ServerResponse {
                 head,
                 body,
+                framing,
                 lease,
                 watch,
                 ticket,
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -333,6 +333,7 @@
         let ServerResponse {
             head,
             body,
+            framing,
             mut lease,
             watch,
             ticket,
@@ -360,6 +361,7 @@
                 let response = ServerResponse {
                     head,
                     body: rest,
+                    framing,
                     lease,
                     watch,
                     ticket,
@@ -407,6 +409,7 @@
             workspace = self.workspace(),
             server = server.instance.name,
             status = head.status.as_u16(),
+            framing = framing.as_str(),
             attempts = attempts.count(),
             config = self.version,
             ms = self.start.elapsed().as_millis(),
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -53,6 +53,12 @@
         self.searched = 0;
     }
 
+    /// Number of bytes after the last complete event.
+    #[must_use]
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Number of complete events so far.
     #[must_use]
     pub fn events(&self) -> u64 {
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -6,6 +6,7 @@
 //! twice may be sent elsewhere only if it certainly has not.
 
 mod error;
+mod framing;
 mod idle;
 mod recipient;
 
@@ -22,6 +23,7 @@
 use crate::paths::PathWatch;
 
 pub use error::{ConnectionKind, SendError, SendFailure};
+pub use framing::Framing;
 use idle::Connection;
 pub use idle::Lease;
 pub use recipient::{Endpoint, Recipient};
