relay: a stream that ends inside an event is broken off, however it is framed

Cause: where a response has neither a length nor chunks, the end of the connection is its end, and the relay took it for the end of the stream whatever stood before it. The body then ends without an error, the partial event was passed on, and the router's own last chunk told the caller that this was all.

Change: a stream is complete only if it ends after the empty line of its last event; complete comment lines belong to no event. Else it is broken off: it is resumed after its last whole event where its route allows that, and else the caller's response ends without the last chunk. The partial event is dropped. The splitter tells where events end for all three line ends of the format: CR alone was never an end before, so such a stream was held back until its end, and would now count as broken.

Why this works: the only thing that tells a complete stream without framing from a broken one is its content, and the splitter sees every byte of it.

--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -213,6 +213,7 @@
                 };
                 let frame = match frame {
                     Err(_elapsed) => break StreamEnd::Timeout,
+                    Ok(None) if splitter.is_inside_event() => break StreamEnd::Broken,
                     Ok(None) => break StreamEnd::Complete,
                     Ok(Some(Err(_error))) => break StreamEnd::Broken,
                     Ok(Some(Ok(frame))) => frame,
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -1,7 +1,7 @@
 //! Splits a stream of server-sent events at event boundaries.
 //!
 //! A response may be resumed at another server only after a complete event, so bytes are passed
-//! on event by event, unchanged.
+//! on event by event, unchanged. A line ends with LF, CRLF or CR, and an empty line ends an event.
 
 use bytes::{Bytes, BytesMut};
 
@@ -9,12 +9,41 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
-    /// Bytes of `partial` that were already searched for an event boundary.
-    searched: usize,
+    /// Bytes of `partial` that were already scanned.
+    scanned: usize,
+    /// Offset of the line that is being scanned.
+    line_start: usize,
+    /// The byte before was a CR, and an LF belongs to the same line end.
+    after_cr: bool,
+    /// The byte before was a CR that ended an empty line; the event ends after an LF that may follow.
+    ends_after_lf: bool,
+    event: PartialEvent,
     events: u64,
     last_id: Option<u64>,
 }
 
+/// The complete lines of an event whose empty line is still to come.
+#[derive(Debug, Default)]
+struct PartialEvent {
+    /// Whether there is a line that isn't a comment.
+    has_fields: bool,
+    has_data: bool,
+    id: Option<u64>,
+}
+
+impl PartialEvent {
+    fn add(&mut self, line: &[u8]) {
+        self.has_fields |= !line.starts_with(b":");
+        self.has_data |= line.starts_with(b"data");
+        let Some(id) = line.strip_prefix(b"id:") else {
+            return;
+        };
+        self.has_data = true;
+        let id = std::str::from_utf8(id).unwrap_or_default();
+        self.id = id.trim().parse().ok().or(self.id);
+    }
+}
+
 impl EventSplitter {
     /// A splitter at the start of a stream.
     #[must_use]
@@ -26,31 +55,40 @@
     pub fn push(&mut self, chunk: &[u8]) -> Option<Bytes> {
         self.partial.extend_from_slice(chunk);
         let mut complete = 0;
-        let mut at = self.searched.saturating_sub(3);
-        while let Some(end) = find_boundary(&self.partial, at) {
-            self.count(complete, end);
-            complete = end;
-            at = end;
+        while self.scanned < self.partial.len() {
+            if let Some(end) = self.scan_byte() {
+                self.end_event();
+                complete = end;
+            }
         }
         if complete == 0 {
-            self.searched = self.partial.len();
             return None;
         }
-        let events = self.partial.split_to(complete);
-        self.searched = self.partial.len();
-        Some(events.freeze())
+        self.scanned -= complete;
+        self.line_start -= complete;
+        Some(self.partial.split_to(complete).freeze())
     }
 
     /// Takes the bytes after the last complete event, once the stream has ended.
     pub fn take_rest(&mut self) -> Bytes {
-        self.searched = 0;
-        self.partial.split().freeze()
+        let rest = self.partial.split().freeze();
+        self.reset();
+        rest
     }
 
     /// Drops the bytes after the last complete event: another server resumes the stream.
     pub fn reset(&mut self) {
-        self.partial.clear();
-        self.searched = 0;
+        *self = Self {
+            events: self.events,
+            last_id: self.last_id,
+            ..Self::default()
+        };
+    }
+
+    /// Whether the bytes so far end inside an event. Complete comment lines belong to none.
+    #[must_use]
+    pub fn is_inside_event(&self) -> bool {
+        self.event.has_fields || self.line_start < self.partial.len()
     }
 
     /// Number of bytes after the last complete event.
@@ -71,34 +109,40 @@
         self.last_id
     }
 
-    fn count(&mut self, start: usize, end: usize) {
-        let mut is_data = false;
-        for line in self.partial[start..end].split(|byte| *byte == b'\n') {
-            if let Some(id) = line.strip_prefix(b"id:") {
-                let id = std::str::from_utf8(id).unwrap_or_default();
-                if let Ok(id) = id.trim().parse() {
-                    self.last_id = Some(id);
-                }
-            }
-            is_data |= line.starts_with(b"data") || line.starts_with(b"id:");
+    /// Scans the next byte. Returns the offset of the end of an event, if one ends there.
+    fn scan_byte(&mut self) -> Option<usize> {
+        let at = self.scanned;
+        self.scanned += 1;
+        let byte = self.partial[at];
+        let after_cr = std::mem::take(&mut self.after_cr);
+        if after_cr && byte == b'\n' {
+            self.line_start = at + 1;
+            let ends = std::mem::take(&mut self.ends_after_lf);
+            return ends.then_some(at + 1);
         }
-        self.events += u64::from(is_data);
-    }
-}
-
-/// Offset just after the first empty line that ends at or after `from`.
-fn find_boundary(bytes: &[u8], from: usize) -> Option<usize> {
-    let mut at = from;
-    while let Some(step) = bytes[at..].iter().position(|byte| *byte == b'\n') {
-        let newline = at + step;
-        let rest = &bytes[newline + 1..];
-        if rest.starts_with(b"\n") {
-            return Some(newline + 2);
+        let ended = std::mem::take(&mut self.ends_after_lf).then_some(at);
+        if byte != b'\n' && byte != b'\r' {
+            return ended;
         }
-        if rest.starts_with(b"\r\n") {
-            return Some(newline + 3);
+        let is_empty = self.line_start == at;
+        if !is_empty {
+            self.event.add(&self.partial[self.line_start..at]);
         }
-        at = newline + 1;
+        self.line_start = at + 1;
+        self.after_cr = byte == b'\r';
+        if !is_empty {
+            return ended;
+        }
+        if byte == b'\n' || after_cr {
+            return Some(at + 1);
+        }
+        self.ends_after_lf = true;
+        ended
+    }
+
+    fn end_event(&mut self) {
+        let event = std::mem::take(&mut self.event);
+        self.events += u64::from(event.has_data);
+        self.last_id = event.id.or(self.last_id);
     }
-    None
 }
