relay: check whether the server has ended where only its connection marks the end

The end of a connection looks the same whether its server completed the response or crashed, and the router told its caller more than it knew. Besides, the end counted as a success: the server was not suspected, and its request was cleared of earlier crashes.

Evidence: four tests with a server that sends a part without length or chunks and crashes, its connections closed in order: before, the caller has ('id: 1 ...', complete), ('', complete) and status 200 with a part.

Ways weighed: a. As before: the end of the connection is the end. b. No chunks towards the caller either: its connection's end is the end, a reset says broken off. Not built: the HTTP library writes chunks wherever it is given no length, and a caller of such a response can't tell a crash from the end either; it would only be told no more than the router was. It ends the caller's connection with each such answer. c. Other evidence before the end is passed on. Built: a connection is opened to the server, and kept for the next request, which would need a new one anyway. If the server refuses it, and other routers' connections too, the response is broken off: resumed or repeated where its route allows that, else visibly incomplete. If it can't be told within 100 ms, or the server was draining or unlisted, the end is passed on, but counts neither for the server nor for the request.

A stream without any event that ends with its connection is broken off: no stream is empty but one that its caller resumes.

Tests: a_stream_whose_server_crashes_between_events_is_not_delivered_as_complete, ..._is_resumed, a_stream_that_ends_before_its_first_event_is_broken_off and a_response_whose_server_crashes_is_not_delivered_as_complete fail before; the_last_response_of_a_server_that_is_leaving_is_complete and a_response_that_ends_with_its_connection_costs_one_connection pass before and guard the change.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -369,6 +369,16 @@
         self.fleet().mark_drained(idx);
     }
 
+    /// Whether a server is draining or is no longer listed, so that it may end as planned.
+    #[must_use]
+    pub fn is_leaving(&self, server: &SelectedServer) -> bool {
+        let name = &server.instance.name;
+        let fleet = self.fleet();
+        let known = fleet.find(name).and_then(|idx| fleet.get(idx));
+        let listed = known.filter(|known| *known.instance() == server.instance);
+        listed.is_none_or(|known| known.is_draining()) || !self.servers.load().contains_key(name)
+    }
+
     /// Handles a response that asks for backoff.
     pub fn on_backoff(&self, idx: ServerIdx, server: &SelectedServer, time: Duration) {
         let before = server.eligibility.announcement.backoff_left();
--- a/crates/gateway/src/paths/dial.rs
+++ b/crates/gateway/src/paths/dial.rs
@@ -23,19 +23,13 @@
 /// Maximum number of tunnels that are being opened to servers whose direct paths aren't known to be
 /// cut: a crashed pool must not make every request ask other routers.
 const MAX_UNPROVEN: usize = 8;
-/// Maximum time of a probe, and again of asking other routers; within a region one takes a
-/// millisecond or two.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Whether a process listens at an address.
+/// Why a probe made no connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListenerState {
-    /// A connection was made.
-    Listening,
-    /// The connection was refused, and not only for this router: the VM is up, and no process
-    /// listens.
+pub enum ProbeError {
+    /// It was refused, and not only for this router: the VM is up, and no process listens.
     Refused,
-    /// No connection was made in time, or it failed for another reason.
+    /// It wasn't made in time, or failed for another reason.
     Unknown,
 }
 
@@ -152,22 +146,30 @@
         self.helpers.open(&server.id, left).await.ok()
     }
 
-    /// Checks whether a process still listens at a server's address. One that only this router
-    /// can't reach isn't known to have ended.
-    pub(crate) async fn probe(&self, server: &Destination) -> ListenerState {
-        let end = Instant::now() + PROBE_TIMEOUT;
+    /// Checks whether a process still listens at a server's address, and again through other routers
+    /// if it refuses this one. Both take up to `limit`.
+    ///
+    /// # Errors
+    /// Why there is no connection. A server that only this router can't reach isn't known to have
+    /// ended.
+    pub(crate) async fn probe(
+        &self,
+        server: &Destination,
+        limit: Duration,
+    ) -> Result<TcpStream, ProbeError> {
+        let end = Instant::now() + limit;
         match timeout_at(end, TcpStream::connect(server.address)).await {
-            Ok(Ok(_closed)) => return ListenerState::Listening,
+            Ok(Ok(stream)) => return Ok(stream),
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {}
-            Ok(Err(_)) | Err(_) => return ListenerState::Unknown,
+            Ok(Err(_)) | Err(_) => return Err(ProbeError::Unknown),
         }
-        match self.helpers.open(&server.id, PROBE_TIMEOUT).await {
+        match self.helpers.open(&server.id, limit).await {
             Ok(_tunnel) => {
                 self.on_cut(server, "refused");
-                ListenerState::Unknown
+                Err(ProbeError::Unknown)
             }
-            Err(NoTunnel::Unknown) => ListenerState::Unknown,
-            Err(NoTunnel::Alone | NoTunnel::Unreachable) => ListenerState::Refused,
+            Err(NoTunnel::Unknown) => Err(ProbeError::Unknown),
+            Err(NoTunnel::Alone | NoTunnel::Unreachable) => Err(ProbeError::Refused),
         }
     }
 
--- a/crates/gateway/src/paths/mod.rs
+++ b/crates/gateway/src/paths/mod.rs
@@ -29,7 +29,7 @@
 pub use book::{HelperBook, MAX_ASKED};
 pub(crate) use check::run;
 pub use check::{Destination, SUSPECT_AFTER, Suspects};
-pub use dial::{Dialed, Dialer, ListenerState};
+pub use dial::{Dialed, Dialer, ProbeError};
 pub use helpers::{Helpers, NoTunnel};
 pub use path::{PathState, PathWatch, ServerPath};
 pub(crate) use tunnels::TunnelServer;
--- a/crates/gateway/src/quarantine/crash_detection.rs
+++ b/crates/gateway/src/quarantine/crash_detection.rs
@@ -8,6 +8,7 @@
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use swiftlink_telemetry::event;
 use swiftlink_types::{ServerInstance, VmName};
@@ -15,12 +16,16 @@
 
 use super::{BrokenAttempt, Quarantine, ServerCrash};
 use crate::fingerprint::Fingerprint;
-use crate::paths::{Dialer, ListenerState};
+use crate::paths::{Dialer, ProbeError};
 
 /// Number of crashed servers that are remembered, for attempts whose failure is noticed a little
 /// later.
 const MAX_CRASHED: usize = 64;
 
+/// Maximum time of a probe, and again of asking other routers; within a region one takes a
+/// millisecond or two.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// State of the servers of broken attempts.
 #[derive(Debug, Default)]
 struct Servers {
@@ -52,8 +57,8 @@
         tokio::select! {
             () = quarantine.attempt_broken.notified() => {}
             Some(result) = probes.join_next() => {
-                if let Ok((instance, state)) = result {
-                    on_probe_result(&quarantine, &mut servers, instance, state);
+                if let Ok((instance, error)) = result {
+                    on_probe_result(&quarantine, &mut servers, instance, error);
                 }
             }
         }
@@ -66,7 +71,7 @@
 fn investigate(
     quarantine: &Quarantine,
     servers: &mut Servers,
-    probes: &mut JoinSet<(ServerInstance, ListenerState)>,
+    probes: &mut JoinSet<(ServerInstance, Option<ProbeError>)>,
     dialer: &Arc<Dialer>,
     attempt: &BrokenAttempt,
 ) {
@@ -90,19 +95,22 @@
         .insert(instance.clone(), HashSet::from([attempt.fingerprint]));
     let (server, instance) = (attempt.server.destination.clone(), instance.clone());
     let dialer = Arc::clone(dialer);
-    probes.spawn(async move { (instance, dialer.probe(&server).await) });
+    probes.spawn(async move {
+        let probed = dialer.probe(&server, PROBE_TIMEOUT).await;
+        (instance, probed.err())
+    });
 }
 
 fn on_probe_result(
     quarantine: &Quarantine,
     servers: &mut Servers,
     instance: ServerInstance,
-    state: ListenerState,
+    error: Option<ProbeError>,
 ) {
     let Some(fingerprints) = servers.probing.remove(&instance) else {
         return;
     };
-    if state != ListenerState::Refused {
+    if error != Some(ProbeError::Refused) {
         return;
     }
     let now = quarantine.clock.steady();
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -5,19 +5,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::CONNECTION;
 use http::{HeaderMap, Method, Uri};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
-use swiftlink_routing::{ErrorKind, Prompt};
-use swiftlink_shell::web::{Body, Response};
+use swiftlink_routing::Prompt;
+use swiftlink_shell::web::Response;
 use swiftlink_telemetry::event;
 use swiftlink_types::{DomainName, Tokens};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use super::attempt::{ServerResponse, attempt};
 use super::attempts::Attempts;
+use super::buffer::NextStep;
 use super::refusal::{Refusal, SERVER_RETRY};
 use super::relay;
 use crate::dialect::RequestMeta;
@@ -31,11 +30,8 @@
 /// Maximum number of attempts of one request, without those that were withheld, also when no server
 /// executed it.
 const MAX_ATTEMPTS: usize = 4;
-/// Maximum length in bytes of a response that is buffered before it is relayed. One that breaks
-/// off can then be replaced by the response of another server or by an error.
-const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 /// How long an idle connection is kept if the server doesn't specify a timeout.
-const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
+pub(super) const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
 /// The parts of a caller's request that are forwarded to servers.
 #[derive(Debug)]
@@ -91,22 +87,6 @@
     }
 }
 
-/// What to do with a response that wasn't buffered completely.
-enum NextStep {
-    /// Send the request again.
-    Retry,
-    /// Return a response of the router itself.
-    Refuse(Refusal),
-    /// Relay a long response: the start is buffered, the rest is passed on as it arrives.
-    Relay(Bytes, Box<ServerResponse>),
-}
-
-/// The body of a response that isn't a stream, as far as it was read.
-enum BufferedBody {
-    Complete(Bytes),
-    Partial { start: Bytes, rest: Incoming },
-}
-
 impl Exchange {
     /// Priority of the request: its workspace's, or else its route's.
     pub(super) fn priority(&self) -> u8 {
@@ -131,7 +111,7 @@
     }
 
     /// Charges a response that is delivered as a whole.
-    fn deliver_all(&mut self) {
+    pub(super) fn deliver_all(&mut self) {
         if let Some(reservation) = self.quota.reservation() {
             reservation.deliver_all();
         }
@@ -324,107 +304,6 @@
         Instant::now() + self.left() / 2
     }
 
-    /// Buffers a response that isn't a stream and makes the caller's response of it.
-    async fn buffer(
-        &mut self,
-        attempts: &mut Attempts,
-        response: ServerResponse,
-    ) -> Result<Response, NextStep> {
-        let ServerResponse {
-            head,
-            body,
-            framing,
-            mut lease,
-            watch,
-            ticket,
-            server,
-            outcome,
-        } = response;
-        if outcome == Outcome::Failed && self.may_retry(attempts, outcome) {
-            event!(
-                info,
-                "request.failed",
-                id = self.id(),
-                server = server.instance.name,
-                status = head.status.as_u16(),
-                next = "another server",
-            );
-            ticket.fail(ErrorKind::Status);
-            return Err(NextStep::Retry);
-        }
-        let body = match timeout_at(self.deadline, buffer_body(body)).await {
-            Ok(Ok(BufferedBody::Complete(body))) => {
-                self.node.traffic.relayed(body.len());
-                body
-            }
-            Ok(Ok(BufferedBody::Partial { start, rest })) => {
-                let response = ServerResponse {
-                    head,
-                    body: rest,
-                    framing,
-                    lease,
-                    watch,
-                    ticket,
-                    server,
-                    outcome,
-                };
-                return Err(NextStep::Relay(start, Box::new(response)));
-            }
-            Ok(Err(error)) => {
-                event!(
-                    info,
-                    "request.truncated",
-                    id = self.id(),
-                    server = server.instance.name,
-                    print = self.identity.fingerprint(),
-                    error = error,
-                );
-                ticket.fail(ErrorKind::Broken);
-                self.node
-                    .quarantine
-                    .on_broken_attempt(&server, &self.identity);
-                if self.may_retry(attempts, Outcome::Truncated) {
-                    return Err(NextStep::Retry);
-                }
-                return Err(NextStep::Refuse(Refusal::Lost));
-            }
-            Err(_elapsed) => return Err(NextStep::Refuse(Refusal::Timeout)),
-        };
-        if let Some(keep_alive) = self.keep_alive(&head.headers) {
-            lease.recycle_for(keep_alive);
-        }
-        match outcome {
-            Outcome::Failed => ticket.fail(ErrorKind::Status),
-            _ => {
-                ticket.complete();
-                self.deliver_all();
-                self.node.quarantine.on_completed(&self.identity);
-            }
-        }
-        event!(
-            info,
-            "request.answered",
-            id = self.id(),
-            route = self.route.name,
-            workspace = self.workspace(),
-            server = server.instance.name,
-            status = head.status.as_u16(),
-            framing = framing.as_str(),
-            attempts = attempts.count(),
-            config = self.version,
-            ms = self.start.elapsed().as_millis(),
-        );
-        self.is_logged.set(true);
-        let kind = self.route.kind.as_str();
-        self.node
-            .metrics
-            .answered(kind, outcome.as_str(), self.start.elapsed());
-        let mut response = Response::new(Body::full(body));
-        *response.status_mut() = head.status;
-        *response.headers_mut() = self.node.dialect.response_headers(&head.headers);
-        Ok(response)
-    }
-
     /// Logs the refusal and makes its response.
     pub(super) fn refuse(&self, refusal: Refusal, attempts: &Attempts) -> Response {
         if let Refusal::Overloaded(overloaded) = refusal {
@@ -457,19 +336,3 @@
     }
     Refusal::Lost
 }
-
-/// Reads a body up to [`MAX_BUFFERED_BYTES`].
-async fn buffer_body(mut body: Incoming) -> Result<BufferedBody, hyper::Error> {
-    let mut buffer = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(chunk) = frame?.into_data() else {
-            continue;
-        };
-        buffer.extend_from_slice(&chunk);
-        if buffer.len() > MAX_BUFFERED_BYTES {
-            let start = buffer.freeze();
-            return Ok(BufferedBody::Partial { start, rest: body });
-        }
-    }
-    Ok(BufferedBody::Complete(buffer.freeze()))
-}
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -2,11 +2,14 @@
 //!
 //! `service` reads a request, finds its route and workspace and reserves its quota; `attempt`
 //! sends it to one server; `exchange` repeats attempts as their outcomes allow; `relay` passes
-//! the response to the caller; `refusal` makes the responses of the router itself.
+//! streams and long responses to the caller, `buffer` short ones, and `body_end` checks where a
+//! response may have broken off; `refusal` makes the responses of the router itself.
 
 mod admit;
 mod attempt;
 mod attempts;
+mod body_end;
+mod buffer;
 mod exchange;
 mod refusal;
 mod relay;
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -15,12 +15,13 @@
 
 use super::attempt::ServerResponse;
 use super::attempts::Attempts;
+use super::body_end::BodyEnd;
 use super::exchange::Exchange;
 use crate::model::Replay;
 use crate::node::InFlight;
 use crate::outcome::Outcome;
 use crate::sse::EventSplitter;
-use crate::upstream::until_hung;
+use crate::upstream::{Framing, until_hung};
 
 /// A query of death crashes its server when the server begins to run it. A request whose events
 /// have arrived for this long isn't the cause of a crash.
@@ -30,6 +31,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StreamEnd {
     Complete,
+    /// The connection was closed, and the server may have ended.
+    Closed,
     Broken,
     Timeout,
     /// The path to the server is cut, and the connection hangs.
@@ -39,10 +42,16 @@
 }
 
 impl StreamEnd {
+    /// Whether the caller's response ends as a complete one.
+    fn is_complete(self) -> bool {
+        matches!(self, Self::Complete | Self::Closed)
+    }
+
     /// Name in logs and metrics; some are older terms that operators' tools match.
     fn as_str(self) -> &'static str {
         match self {
             Self::Complete => "whole",
+            Self::Closed => "closed",
             Self::Broken => "broken",
             Self::Timeout => "timeout",
             Self::Hung => "hung",
@@ -51,6 +60,16 @@
     }
 }
 
+impl From<BodyEnd> for StreamEnd {
+    fn from(end: BodyEnd) -> Self {
+        match end {
+            BodyEnd::Complete => Self::Complete,
+            BodyEnd::Unknown => Self::Closed,
+            BodyEnd::Truncated => Self::Broken,
+        }
+    }
+}
+
 /// Times between the events of a stream.
 #[derive(Debug, Default)]
 struct EventGaps {
@@ -157,7 +176,7 @@
         let end = loop {
             match timeout_at(exchange.deadline, response.body.frame()).await {
                 Err(_elapsed) => break StreamEnd::Timeout,
-                Ok(None) => break StreamEnd::Complete,
+                Ok(None) => break exchange.check_end(&response).await.into(),
                 Ok(Some(Err(_error))) => break StreamEnd::Broken,
                 Ok(Some(Ok(frame))) => {
                     if let Ok(chunk) = frame.into_data() {
@@ -173,11 +192,14 @@
                 .quarantine
                 .on_broken_attempt(&response.server, &exchange.identity),
             StreamEnd::Complete => exchange.node.quarantine.on_completed(&exchange.identity),
-            StreamEnd::Timeout | StreamEnd::Hung | StreamEnd::Quarantined => {}
+            StreamEnd::Closed
+            | StreamEnd::Timeout
+            | StreamEnd::Hung
+            | StreamEnd::Quarantined => {}
         }
         let splitter = EventSplitter::new();
         finish(&exchange, &attempts, &splitter, &EventGaps::default(), response, end);
-        if end != StreamEnd::Complete {
+        if !end.is_complete() {
             yield Err(io::Error::other(end.as_str()));
         }
     };
@@ -214,7 +236,8 @@
                 let frame = match frame {
                     Err(_elapsed) => break StreamEnd::Timeout,
                     Ok(None) if splitter.is_inside_event() => break StreamEnd::Broken,
-                    Ok(None) => break StreamEnd::Complete,
+                    Ok(None) if is_missing(&exchange, &gaps, &response) => break StreamEnd::Broken,
+                    Ok(None) => break exchange.check_end(&response).await.into(),
                     Ok(Some(Err(_error))) => break StreamEnd::Broken,
                     Ok(Some(Ok(frame))) => frame,
                 };
@@ -249,7 +272,8 @@
                     quarantine.on_broken_attempt(&response.server, &exchange.identity);
                 }
                 StreamEnd::Complete => quarantine.on_completed(&exchange.identity),
-                StreamEnd::Broken
+                StreamEnd::Closed
+                | StreamEnd::Broken
                 | StreamEnd::Timeout
                 | StreamEnd::Hung
                 | StreamEnd::Quarantined => {}
@@ -266,7 +290,7 @@
                 continue;
             }
             finish(&exchange, &attempts, &splitter, &gaps, response, end);
-            if end != StreamEnd::Complete {
+            if !end.is_complete() {
                 yield Err(io::Error::other(end.as_str()));
                 return;
             }
@@ -279,6 +303,12 @@
     }
 }
 
+/// Whether a response ended without any event and without a sign that this is all of it. Only a
+/// stream that its caller resumes may have no event left.
+fn is_missing(exchange: &Exchange, gaps: &EventGaps, response: &ServerResponse) -> bool {
+    response.framing == Framing::Close && gaps.last.is_none() && exchange.meta.resume.is_none()
+}
+
 /// Whether a server has run a request for so long that the request isn't a query of death.
 fn outlived_crash_window(first_event: Option<Instant>) -> bool {
     first_event.is_some_and(|at| at.elapsed() >= CRASH_WINDOW)
@@ -357,6 +387,7 @@
             }
             ticket.complete();
         }
+        StreamEnd::Closed => drop(ticket),
         StreamEnd::Broken => ticket.fail(ErrorKind::Broken),
         StreamEnd::Timeout => ticket.time_out(),
         StreamEnd::Hung | StreamEnd::Quarantined => drop(ticket),
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -11,6 +11,7 @@
 mod recipient;
 
 use std::future::pending;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,7 +21,7 @@
 use tokio::time::timeout;
 
 use crate::eligibility::{Admission, BlockReason};
-use crate::paths::PathWatch;
+use crate::paths::{Destination, Dialer, PathWatch, ProbeError};
 
 pub use error::{ConnectionKind, SendError, SendFailure};
 pub use framing::Framing;
@@ -196,6 +197,31 @@
     }
 }
 
+/// Checks whether a process still listens at a server's address, and keeps the connection for the
+/// next request for up to `idle`.
+///
+/// # Errors
+/// Why there is no connection.
+pub async fn probe(
+    server: &Destination,
+    dialer: &Arc<Dialer>,
+    limit: Duration,
+    idle: Duration,
+) -> Result<(), ProbeError> {
+    let generation = server.path.state().generation;
+    let stream = dialer.probe(server, limit).await?;
+    let recipient = Recipient::server(server.clone(), Arc::clone(dialer));
+    // A connection that can't be kept was made all the same.
+    if let Ok(connection) = recipient::adopt(stream, generation).await {
+        let mut lease = Lease {
+            endpoint: recipient.endpoint,
+            connection: Some(connection),
+        };
+        lease.recycle_for(idle);
+    }
+    Ok(())
+}
+
 /// Resolves when the connection of a request that may be given up is known to hang.
 pub async fn until_hung(watch: Option<&PathWatch>, may_abort: bool) {
     let Some(watch) = watch else {
--- a/crates/gateway/src/upstream/recipient.rs
+++ b/crates/gateway/src/upstream/recipient.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use swiftlink_fetch::set_timeouts;
 use swiftlink_types::ServerInstance;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
@@ -112,6 +113,16 @@
     }
 }
 
+/// Makes a connection for requests of a direct one that belongs to this generation of its path.
+pub(super) async fn adopt(stream: TcpStream, generation: u64) -> Result<Connection, SendError> {
+    let options = set_timeouts(&stream);
+    options.map_err(|error| SendError::NotSent(format!("setting socket options: {error}")))?;
+    Ok(Connection {
+        generation,
+        ..Connection::new(handshake(stream).await?)
+    })
+}
+
 async fn connect(address: SocketAddr, limit: Duration) -> Result<TcpStream, SendError> {
     let stream = timeout(limit, TcpStream::connect(address))
         .await
