web: no chunks for clients that speak HTTP/1.0

What callers saw: nothing reported; found by looking for the class of the answers that broke off. A client of HTTP/1.0 got chunks, which it takes for content, and the end of the connection as the end of a stream, whole or not.

Cause: the HTTP library writes chunks to any client where it is given no length. RFC 9112, section 7.1, forbids that.

Change: for such clients a stream is read to its end first, and sent with its length. One that breaks off, or has over 1 MB, is answered 502, which promises nothing. Events are delayed to the end of their stream for these clients; the alternative, the connection's end as the end, can't be written with this library, and shows no difference between a whole stream and a broken one but a reset.

--- a/crates/shell/src/web/body.rs
+++ b/crates/shell/src/web/body.rs
@@ -4,8 +4,8 @@
 use std::io;
 use std::pin::Pin;
 
-use bytes::Bytes;
-use futures_util::Stream;
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt};
 
 /// Body of a response: complete content or a stream of pieces.
 ///
@@ -30,6 +30,24 @@
         Self(Kind::Full(content.into()))
     }
 
+    /// Reads the pieces of a stream into complete content of up to `max` bytes.
+    ///
+    /// # Errors
+    /// When the stream fails or is longer.
+    pub(super) async fn collect(self, max: usize) -> io::Result<Self> {
+        let Kind::Stream(mut stream) = self.0 else {
+            return Ok(self);
+        };
+        let mut content = BytesMut::new();
+        while let Some(piece) = stream.next().await {
+            content.extend_from_slice(&piece?);
+            if content.len() > max {
+                return Err(io::ErrorKind::FileTooLarge.into());
+            }
+        }
+        Ok(Self::full(content))
+    }
+
     /// A body that sends each piece of `stream` as soon as it is ready.
     pub fn stream(stream: impl Stream<Item = Result<Bytes, io::Error>> + 'static) -> Self {
         Self(Kind::Stream(Box::pin(stream)))
--- a/crates/shell/src/web/request.rs
+++ b/crates/shell/src/web/request.rs
@@ -7,7 +7,7 @@
 
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING, UPGRADE};
 use http::response::Parts;
-use http::{HeaderValue, Method, StatusCode};
+use http::{HeaderValue, Method, StatusCode, Version};
 use xitca_web::body::RequestBody;
 use xitca_web::http::{Request, RequestExt};
 use xitca_web::service::Service as XitcaService;
@@ -16,7 +16,11 @@
 use super::connection::CURRENT;
 use super::incoming::{BodyReader, Incoming};
 use super::output::ResponseBody;
-use super::service::Service;
+use super::respond::problem;
+use super::service::{Response, Service};
+
+/// Maximum length in bytes of a stream for a client that can't decode chunks.
+const MAX_COLLECTED_BYTES: usize = 1024 * 1024;
 
 /// Creates one [`RequestHandler`] per worker.
 pub(super) struct Factory {
@@ -57,12 +61,16 @@
         let (_ext, body) = ext.replace_body(());
         let upgrade = head.headers.contains_key(UPGRADE);
         let expect = head.headers.contains_key(EXPECT);
+        let is_http10 = head.version == Version::HTTP_10;
         let head_only = head.method == Method::HEAD;
         // The data after an upgrade request has no end. Ignoring it refuses the upgrade.
         let has_body = !upgrade && !matches!(body, RequestBody::None);
         let source = BodyReader::new(has_body.then_some(body), Rc::clone(&connection));
         let incoming = Incoming::new(head, peer, self.body_timeout, source.clone());
-        let response = self.service.call(incoming).await;
+        let mut response = self.service.call(incoming).await;
+        if is_http10 {
+            response = without_chunks(response).await;
+        }
 
         let (mut parts, body) = response.into_parts();
         let mut output = ResponseBody::new(body, Rc::clone(&connection));
@@ -82,6 +90,16 @@
     async fn ready(&self) {}
 }
 
+/// The response for a client that can't decode chunks (RFC 9112, section 7.1): it would take the end
+/// of the connection for the end of a stream that broke off.
+async fn without_chunks(response: Response) -> Response {
+    let (parts, body) = response.into_parts();
+    match body.collect(MAX_COLLECTED_BYTES).await {
+        Ok(body) => Response::from_parts(parts, body),
+        Err(error) => problem(StatusCode::BAD_GATEWAY, &error.to_string()),
+    }
+}
+
 /// Makes headers and content consistent. The connection decides how a body is framed, so
 /// the service's own framing headers are removed.
 fn set_framing(parts: &mut Parts, output: &mut ResponseBody, head_only: bool, last: bool) {
