--- a/crates/gateway/src/upstream/framing.rs
+++ b/crates/gateway/src/upstream/framing.rs
@@ -41,7 +41,7 @@
 
 /// Whether `chunked` is the last transfer coding.
 fn is_chunked(headers: &HeaderMap) -> bool {
-    let codings = headers.get_all(TRANSFER_ENCODING).into_iter().last();
+    let codings = headers.get_all(TRANSFER_ENCODING).into_iter().next_back();
     let codings = codings.and_then(|value| value.to_str().ok());
     let last = codings.and_then(|codings| codings.rsplit(',').next());
     last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
--- a/crates/link/tests/tunnels.rs
+++ b/crates/link/tests/tunnels.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use socket2::SockRef;
 use swiftlink_link::{
     Handler, Replies, Secret, Server, Tunnel, TunnelError, TunnelRefusal, TunnelTarget,
 };
@@ -126,6 +127,21 @@
     assert!(tunnel.read_to_end(&mut rest).await.is_err(), "{rest:?}");
 }
 
+/// Guards against a reset of the target's connection that is passed on as its end.
+#[tokio::test]
+async fn a_tunnel_whose_target_resets_its_connection_breaks_off() {
+    let setup = Setup::open().await;
+    let (mut tunnel, mut target) = setup.ends().await;
+    target.write_all(b"half").await.expect("responding");
+    let mut start = [0; 4];
+    tunnel.read_exact(&mut start).await.expect("the start");
+    let linger = SockRef::from(&target).set_linger(Some(Duration::ZERO));
+    linger.expect("an abortive close");
+    drop(target);
+    let mut rest = Vec::new();
+    assert!(tunnel.read_to_end(&mut rest).await.is_err(), "{rest:?}");
+}
+
 /// Guards against a target that works on for a caller that has left.
 #[tokio::test]
 async fn a_closed_tunnel_closes_the_targets_connection() {
