--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -24,6 +24,8 @@
     pub key: Option<String>,
     /// Id of the last event that the caller has, if it resumes a response.
     pub resume: Option<u64>,
+    /// Id of the request whose response had the first event of the one that the caller resumes.
+    pub resumes: Option<HeaderValue>,
 }
 
 impl RequestMeta {
@@ -33,6 +35,13 @@
         let id = self.id.as_ref();
         id.and_then(|id| id.to_str().ok()).unwrap_or("-")
     }
+
+    /// Id of the request that began the response, for logs.
+    #[must_use]
+    pub fn resumes(&self) -> &str {
+        let resumes = self.resumes.as_ref();
+        resumes.and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
 }
 
 /// Upper bounds of what a request may consume, in tokens.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -106,6 +106,8 @@
 pub struct SelectedServer {
     /// Name and start time.
     pub instance: ServerInstance,
+    /// Version of its software.
+    pub version: VersionName,
     /// The server and this router's path to it.
     pub destination: Destination,
     /// Whether it may get requests, and why not.
@@ -269,6 +271,7 @@
         };
         SelectedServer {
             instance,
+            version: info.version,
             destination: Destination {
                 id,
                 address: info.address,
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -330,6 +330,7 @@
         "request.resumed",
         id = exchange.id(),
         broken = broken.server.instance.name,
+        version = broken.server.version,
         print = exchange.identity.fingerprint(),
         after = last.unwrap_or(0),
     );
@@ -352,6 +353,8 @@
         route = exchange.route.name,
         workspace = exchange.workspace(),
         server = response.server.instance.name,
+        version = response.server.version,
+        resumes = exchange.meta.resumes(),
         end = end.as_str(),
         framing = response.framing.as_str(),
         events = splitter.events(),
--- a/crates/gateway/src/watch/directory.rs
+++ b/crates/gateway/src/watch/directory.rs
@@ -360,6 +360,7 @@
                 server = name,
                 pool = entry.pool,
                 address = entry.address,
+                version = entry.version,
                 draining = entry.draining,
                 cold_ms = entry.warmup.as_millis(),
                 born = started,
