routing: what a software version began goes to that version only

What callers saw: one answer with events of two versions of a server's software, which don't fit together (ORDER).

Cause: a broken stream was resumed at any server that could take it. The choice of a server knew versions only where a rollout runs.

Before the first event any version may serve.

Rollouts excluded a version by draining its servers. A server is excluded by a flag of its own now, so that what its version began can go on there, also when the canary was reverted, or where the server is a canary; such a request isn't held by the version's gate either. Exposure isn't raised: these streams were exposed already. A server that drains, or is in a drained failure domain, gets none of them.

Why this works: servers are named with their instance in each request, so the version of the directory's entry is that of the process that responds.

--- a/crates/bench/src/cost/decisions.rs
+++ b/crates/bench/src/cost/decisions.rs
@@ -157,6 +157,8 @@
             vm: None,
             slots: 16,
             drain: false,
+            version: None,
+            is_excluded: false,
             is_canary: false,
             cold_until: 0,
         })
--- a/crates/bench/src/routing/simulation.rs
+++ b/crates/bench/src/routing/simulation.rs
@@ -322,6 +322,8 @@
         vm: None,
         slots: SLOTS as u32,
         drain: false,
+        version: None,
+        is_excluded: false,
         is_canary: false,
         cold_until: 0,
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -129,6 +129,8 @@
     pub exclude: &'a [ServerIdx],
     /// Route under which its response is counted.
     pub route: Option<&'a Arc<str>>,
+    /// Version that the request must run on, since it began the response; `None` for any.
+    pub version: Option<&'a VersionName>,
     /// Whether it may go to a canary server.
     pub may_canary: bool,
     /// Its priority; 0 is the most urgent.
@@ -226,9 +228,11 @@
         if self.is_reserved(now, criteria.priority) {
             return None;
         }
-        let is_canary = criteria.may_canary && self.rollout.is_canary(rand::random());
+        let may_canary = criteria.may_canary && criteria.version.is_none();
+        let is_canary = may_canary && self.rollout.is_canary(rand::random());
         let mut pick = PickArgs {
             now,
+            version: criteria.version,
             is_canary,
             prefix: criteria.prefix,
             prompt: criteria.prompt,
@@ -245,7 +249,11 @@
         }
         let dispatch = dispatch?;
         let instance = fleet.get(dispatch.idx)?.instance().clone();
-        let info = self.servers.load().get(&instance.name).cloned();
+        let mut info = self.servers.load().get(&instance.name).cloned();
+        if let Some(info) = info.as_mut().filter(|_| criteria.version.is_some()) {
+            // A version goes on with what it began, also if it gets no other requests.
+            info.eligibility.gate = Arc::default();
+        }
         let permit = info
             .as_ref()
             .and_then(|info| limited::take_permit(&mut fleet, dispatch.idx, info));
@@ -419,9 +427,9 @@
                 domain: entry.domain.clone(),
                 vm: None,
                 slots: entry.slots,
-                drain: entry.draining
-                    || announcement.is_draining()
-                    || assignment == Assignment::Excluded,
+                drain: entry.draining || announcement.is_draining(),
+                version: Some(entry.version.clone()),
+                is_excluded: assignment == Assignment::Excluded,
                 is_canary: assignment == Assignment::Canary,
                 cold_until: cold_until(now, entry.warmup),
             });
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -11,7 +11,7 @@
 use swiftlink_routing::Prompt;
 use swiftlink_shell::web::Response;
 use swiftlink_telemetry::event;
-use swiftlink_types::{DomainName, Tokens};
+use swiftlink_types::{DomainName, Tokens, VersionName};
 use tokio::time::Instant;
 
 use super::attempt::{ServerResponse, attempt};
@@ -56,6 +56,8 @@
     pub(super) quota: RequestQuota,
     /// Failure domains that the request may go to; `None` for all.
     pub(super) domains: Option<HashSet<DomainName>>,
+    /// Version of the software that wrote the first event of the response; no other may go on.
+    pub(super) begun_by: Option<VersionName>,
     /// Version of the configuration that the request was admitted under.
     pub(super) version: u64,
     pub(super) start: Instant,
@@ -267,6 +269,7 @@
             domains: self.domains.as_ref(),
             exclude: &attempts.tried,
             route: Some(&self.route.name),
+            version: self.begun_by.as_ref(),
             may_canary: attempts.tried.is_empty(),
             priority: self.priority(),
         }
--- a/crates/gateway/src/serve/service.rs
+++ b/crates/gateway/src/serve/service.rs
@@ -139,6 +139,7 @@
             meta,
             quota,
             domains,
+            begun_by: None,
             version: config.version,
             start,
             deadline: start + time,
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -176,6 +176,8 @@
                 vm: spec.vm.clone(),
                 slots: spec.slots,
                 drain: spec.drain,
+                version: None,
+                is_excluded: false,
                 is_canary: false,
                 cold_until: 0,
             });
--- a/crates/routing/src/fleet/choose.rs
+++ b/crates/routing/src/fleet/choose.rs
@@ -53,6 +53,7 @@
             probed.or_else(|| is_cold_needed.then(|| self.cold.pick(&view, rng))?);
         let chosen = probe_or_cold.or_else(|| self.policy.pick(&view, rng));
         let chosen = chosen.or_else(|| self.cold.pick(&view, rng));
+        let chosen = chosen.or_else(|| pick_excluded(&view, &self.excluded));
         if chosen.is_none() && self.working_set.grow() {
             self.refresh();
             return self.choose(args, rng);
@@ -84,6 +85,14 @@
     }
 }
 
+/// The least loaded of the servers that get only the requests that their version began.
+fn pick_excluded(view: &View<'_>, excluded: &[u32]) -> Option<u32> {
+    view.args().version?;
+    let may_take = |index: &u32| view.server(*index).is_available_to_own() && view.can_take(*index);
+    let candidates = excluded.iter().copied().filter(may_take);
+    candidates.min_by(|one, two| view.load(*one).total_cmp(&view.load(*two)))
+}
+
 /// An ejected server that is due for a probe and may get this request as its probe.
 fn probe(view: &View<'_>, ejected: &[u32], rng: &mut dyn Rng) -> Option<u32> {
     if ejected.is_empty() {
--- a/crates/routing/src/fleet/members.rs
+++ b/crates/routing/src/fleet/members.rs
@@ -97,6 +97,8 @@
         server.vm = spec.vm.clone();
         server.slots = spec.slots;
         server.is_drained = spec.drain;
+        server.version = spec.version.clone();
+        server.is_excluded = spec.is_excluded;
         server.is_canary = spec.is_canary;
         server.is_domain_drained = self.drained_domains.contains(&spec.domain);
         server.cold_until = server.cold_until.max(spec.cold_until);
@@ -140,6 +142,8 @@
         is_local: false,
         is_member: false,
         is_drained: spec.drain,
+        version: spec.version.clone(),
+        is_excluded: spec.is_excluded,
         is_canary: spec.is_canary,
         is_vm_leaving: false,
         is_domain_drained: false,
--- a/crates/routing/src/fleet/mod.rs
+++ b/crates/routing/src/fleet/mod.rs
@@ -56,6 +56,8 @@
     hashes: Vec<u64>,
     /// Indices of the open servers that are ejected.
     ejected: Vec<u32>,
+    /// Indices of the servers that get only the requests that their version began.
+    excluded: Vec<u32>,
     /// Available members that are cold.
     cold: ColdServers,
     /// Failure domains that operators have drained.
@@ -82,6 +84,7 @@
             open: Vec::new(),
             hashes: Vec::new(),
             ejected: Vec::new(),
+            excluded: Vec::new(),
             cold: ColdServers::default(),
             drained_domains: HashSet::new(),
             backoff_end: None,
@@ -425,6 +428,8 @@
 
     fn refresh(&mut self) {
         let mut open: Vec<u32> = self.by_name.values().copied().collect();
+        let excluded = open.extract_if(.., |index| self.servers[*index as usize].is_excluded);
+        self.excluded = excluded.collect();
         open.retain(|index| self.servers[*index as usize].is_available());
         open.sort_unstable();
         self.cold.extract(&mut open, &self.servers);
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 use rand::Rng;
-use swiftlink_types::{DomainName, Micros};
+use swiftlink_types::{DomainName, Micros, VersionName};
 
 use crate::expected::mix;
 use crate::recent::RecentPrefixes;
@@ -34,6 +34,8 @@
     pub exclude: &'a [ServerIdx],
     /// Failure domains that the request may go to; `None` allows all.
     pub domains: Option<&'a HashSet<DomainName>>,
+    /// Version of the software that the request must run on, whatever a rollout says of it.
+    pub version: Option<&'a VersionName>,
     /// Whether it is a canary request, which goes to canary servers only.
     pub is_canary: bool,
     /// Whether the request may be the probe of an ejected server; false for one that may run at
@@ -210,12 +212,18 @@
         self.pool.expected(load)
     }
 
-    /// Whether the request was tried there, or may not go to the server or its failure domain.
+    /// Whether the request was tried there, or may not go to the server, its version or its failure
+    /// domain.
     pub(crate) fn is_excluded(&self, index: u32) -> bool {
-        if self.server(index).is_canary != self.args.is_canary {
+        let server = self.server(index);
+        let is_other_version = match self.args.version {
+            Some(version) => server.version.as_ref() != Some(version),
+            None => server.is_canary != self.args.is_canary,
+        };
+        if is_other_version {
             return true;
         }
-        let domain = self.server(index).domain();
+        let domain = server.domain();
         if self
             .args
             .domains
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -1,6 +1,6 @@
 //! State of one backend server as a router knows it.
 
-use swiftlink_types::{DomainName, Micros, ServerInstance, ServerName, VmName};
+use swiftlink_types::{DomainName, Micros, ServerInstance, ServerName, VersionName, VmName};
 
 use crate::backlog::PrefillBacklog;
 use crate::health::Health;
@@ -70,9 +70,13 @@
     pub(crate) is_local: bool,
     /// Whether it is in the subset that this router uses.
     pub(crate) is_member: bool,
-    /// Whether it gets no new requests: its configuration drains it, it announced that it is
-    /// draining, or a rollout excludes its version.
+    /// Whether it gets no new requests: its configuration drains it, or it announced that it is
+    /// draining.
     pub(crate) is_drained: bool,
+    /// Version of its software.
+    pub(crate) version: Option<VersionName>,
+    /// Whether a rollout excludes its version.
+    pub(crate) is_excluded: bool,
     /// Whether it takes canary requests, and no others.
     pub(crate) is_canary: bool,
     /// Whether its VM is leaving, or has disappeared from the VM list.
@@ -200,9 +204,14 @@
         self.is_drained || self.is_vm_leaving || self.draining_at.is_some()
     }
 
-    /// Whether it may get work: it is a member of this router's subset, and neither draining,
-    /// backed off, throttled nor in a drained failure domain.
+    /// Whether it may get work: it may get that of its own version, and no rollout excludes it.
     pub(crate) fn is_available(&self) -> bool {
+        !self.is_excluded && self.is_available_to_own()
+    }
+
+    /// Whether it may get requests that its version began: it is a member of this router's subset,
+    /// and neither draining, backed off, throttled nor in a drained failure domain.
+    pub(crate) fn is_available_to_own(&self) -> bool {
         let is_held_back = self.is_backed_off || self.is_throttled;
         self.is_member && !self.is_domain_drained && !is_held_back && !self.is_draining()
     }
--- a/crates/routing/src/spec.rs
+++ b/crates/routing/src/spec.rs
@@ -1,6 +1,6 @@
 //! Inputs of a fleet: its settings, the configured servers, the VM list.
 
-use swiftlink_types::{DomainName, Micros, ServerInstance, VmName};
+use swiftlink_types::{DomainName, Micros, ServerInstance, VersionName, VmName};
 
 use crate::health::HealthPolicy;
 
@@ -42,9 +42,14 @@
     pub vm: Option<VmName>,
     /// Requests that it runs concurrently.
     pub slots: u32,
-    /// Whether it gets no new requests: its configuration drains it, it announced that it is
-    /// draining, or a rollout excludes its version.
+    /// Whether it gets no new requests: its configuration drains it, or it announced that it is
+    /// draining.
     pub drain: bool,
+    /// Version of its software; `None` if all servers have the same one.
+    pub version: Option<VersionName>,
+    /// Whether a rollout excludes its version: it gets no requests but those that this version
+    /// began.
+    pub is_excluded: bool,
     /// Whether it takes canary requests, and no others.
     pub is_canary: bool,
     /// When it becomes warm, on the clock of the fleet's methods; 0 when it is warm.
--- a/crates/routing/tests/cold.rs
+++ b/crates/routing/tests/cold.rs
@@ -55,6 +55,8 @@
         vm: None,
         slots: 24,
         drain: false,
+        version: None,
+        is_excluded: false,
         is_canary: false,
         cold_until: if cold && (load.is_cold)(server) {
             now + 3 * SEC
--- a/crates/routing/tests/fleet.rs
+++ b/crates/routing/tests/fleet.rs
@@ -24,6 +24,8 @@
         vm: Some(VmName::from(format!("vm-{number}"))),
         slots: 8,
         drain: false,
+        version: None,
+        is_excluded: false,
         is_canary: false,
         cold_until: 0,
     };
--- a/crates/routing/tests/speeds.rs
+++ b/crates/routing/tests/speeds.rs
@@ -27,6 +27,8 @@
         vm: None,
         slots: 32,
         drain: false,
+        version: None,
+        is_excluded: false,
         is_canary: false,
         cold_until: 0,
     }
--- a/crates/routing/tests/speeds_model.rs
+++ b/crates/routing/tests/speeds_model.rs
@@ -101,6 +101,8 @@
                 vm: None,
                 slots: SLOTS,
                 drain: false,
+                version: None,
+                is_excluded: false,
                 is_canary: false,
                 cold_until: 0,
             })
--- a/crates/routing/tests/starts.rs
+++ b/crates/routing/tests/starts.rs
@@ -28,6 +28,8 @@
         vm: None,
         slots: 8,
         drain: false,
+        version: None,
+        is_excluded: false,
         is_canary: false,
         cold_until: 0,
     };
--- a/crates/routing/tests/unmixed.rs
+++ b/crates/routing/tests/unmixed.rs
@@ -33,6 +33,8 @@
         vm: None,
         slots: 64,
         drain: false,
+        version: None,
+        is_excluded: false,
         is_canary: false,
         cold_until: 0,
     };
@@ -355,6 +357,8 @@
             vm: None,
             slots: 64,
             drain: false,
+            version: None,
+            is_excluded: false,
             is_canary: false,
             cold_until: 0,
         }]
--- a/crates/routing/tests/window.rs
+++ b/crates/routing/tests/window.rs
@@ -23,6 +23,8 @@
         vm: None,
         slots: 32,
         drain: false,
+        version: None,
+        is_excluded: false,
         is_canary: false,
         cold_until: 0,
     };
