origins: a stream that its caller resumes goes on at the version that began it

Cause: a request with Last-Event-Id was sent like a new one. Nobody knew where the stream had begun: Resumes wasn't read, and what one router knew of its streams was lost with it, which often is why the stream broke.

Change: while a pool has, or had in the last minute, servers of several versions, a router sends the version of each stream that begins to three recorders: the first of the routers in an order that the stream's key determines (rendezvous hashing, one of each failure domain first; 32 routers at most in a large fleet, so that links are few). The first event waits until one of them has it, 20 ms at most. A router that gets a request with Resumes looks up its own table and asks the first four at once, for up to 100 ms. When a second version appears, the streams that began before it are sent then; nothing is sent while a pool has one version. A router that starts copies what others have.

Unknown isn't any: where no router knows the stream, it goes on only if one version alone was listed since it can have begun, as far as this router and those that it asked know. Else it is refused at once with 503: it has not run. If the whole fleet has started since, what is listed now is taken for what was before.

Keys are hashes of workspace and id, so no workspace reaches the streams of another one; 16,384 streams a workspace and 65,536 in all are kept, the oldest of the largest workspace go first. An id of two versions is refused. A record lives as long as its caller may come back: the longest of a minute, the route's timeout and the caller's deadline (ten minutes at most), by a clock that runs on while a VM is suspended. The id is that of the attempt with the first event: an attempt that goes on with a stream begins nothing.

Where all servers of the version are ejected, the one whose ejection ends first gets the request: for others there are other servers, for this one there is a refusal.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -9,6 +9,7 @@
 mod reach;
 pub mod speeds;
 mod ticket;
+mod versions;
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -33,6 +34,7 @@
 use crate::eligibility::{Announcements, Eligibility};
 use crate::limits::LimitedServers;
 use crate::model::PoolSpec;
+use crate::origins::{Origins, VersionHistory};
 use crate::paths::{Destination, Paths, ServerId, ServerPath};
 use crate::rollout::PoolRollout;
 use crate::settings::RouterSettings;
@@ -67,6 +69,10 @@
     spec: ArcSwap<PoolSpec>,
     fleet: Mutex<Fleet>,
     servers: ArcSwap<HashMap<ServerName, ServerInfo>>,
+    /// Versions that the servers had.
+    versions: Mutex<VersionHistory>,
+    /// Versions that began streams.
+    origins: Arc<Origins>,
     domains: Arc<Domains>,
     announcements: Arc<Announcements>,
     paths: Arc<Paths>,
@@ -159,6 +165,8 @@
             spec: ArcSwap::new(spec),
             fleet: Mutex::new(fleet),
             servers: ArcSwap::default(),
+            versions: Mutex::default(),
+            origins: Arc::clone(&shared.origins),
             domains: Arc::clone(&shared.domains),
             announcements: Arc::clone(&shared.announcements),
             paths: Arc::clone(&shared.paths),
@@ -452,6 +460,8 @@
         restore_backoff(&mut fleet, &servers, now);
         limited::restore_throttles(&mut fleet, &servers);
         self.servers.store(Arc::new(servers));
+        drop(fleet);
+        self.on_versions(entries);
     }
 
     fn now(&self) -> Micros {
--- a/crates/gateway/src/fleet/pools.rs
+++ b/crates/gateway/src/fleet/pools.rs
@@ -17,6 +17,7 @@
 use crate::eligibility::Announcements;
 use crate::limits::LimitedServers;
 use crate::model::Config;
+use crate::origins::Origins;
 use crate::paths::Paths;
 use crate::server_updates;
 use crate::settings::RouterSettings;
@@ -40,6 +41,8 @@
     /// Notified when there are updates for peers.
     pub(super) changed: Arc<Notify>,
     pub(super) domains: Arc<Domains>,
+    /// Versions that began streams.
+    pub(super) origins: Arc<Origins>,
     pub(super) announcements: Arc<Announcements>,
     /// Paths to the servers of all pools.
     pub(super) paths: Arc<Paths>,
@@ -68,6 +71,7 @@
                 clock: Instant::now(),
                 changed: Arc::default(),
                 domains: Arc::default(),
+                origins: Arc::default(),
                 announcements: Arc::default(),
                 paths: Arc::default(),
                 limited: Arc::default(),
@@ -86,6 +90,12 @@
         Arc::clone(&self.shared.limited)
     }
 
+    /// The versions that began streams.
+    #[must_use]
+    pub fn origins(&self) -> &Arc<Origins> {
+        &self.shared.origins
+    }
+
     /// The failure domains.
     #[must_use]
     pub fn domains(&self) -> &Domains {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod metrics;
 pub mod model;
 mod node;
+pub mod origins;
 pub mod outcome;
 pub mod paths;
 pub mod peer_clocks;
--- a/crates/gateway/src/peer_handler.rs
+++ b/crates/gateway/src/peer_handler.rs
@@ -16,6 +16,7 @@
 use crate::ingress::DomainReports;
 use crate::limits::Coordinator;
 use crate::node::Node;
+use crate::origins;
 use crate::paths::TunnelServer;
 use crate::quarantine::gossip;
 use crate::quota::PeerReservations;
@@ -149,6 +150,18 @@
             request::Kind::PoolReport(report) => {
                 reply::Kind::PoolSummary(self.summarize(&report))
             }
+            request::Kind::StreamOrigins(message) => {
+                origins::receive(self.node.pools.origins(), &message);
+                self.acknowledge()
+            }
+            request::Kind::FindOrigin(ask) => {
+                let pools = &self.node.pools;
+                reply::Kind::OriginReply(origins::reply_to(pools.origins(), pools, &ask))
+            }
+            request::Kind::CopyOrigins(_) => {
+                let pools = &self.node.pools;
+                reply::Kind::StreamOrigins(origins::copy_for(pools.origins(), pools))
+            }
             request::Kind::GetSeen(get) => reply::Kind::Seen(self.last_seen(get.process)),
             request::Kind::GetFeed(request) => {
                 reply::Kind::FeedRecords(self.feed_records(&request).await)
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -20,6 +20,7 @@
 use crate::limits::{Allocators, Coordinator, Requester};
 use crate::metrics::{MeteredStore, MetricsService};
 use crate::node::Node;
+use crate::origins::{self, Lookup, Recorders};
 use crate::paths::{self, TunnelServer};
 use crate::peer_handler::PeerHandler;
 use crate::peers::{self, Peers};
@@ -150,9 +151,17 @@
         let last_seen = Arc::clone(&peers) as Arc<dyn LastSeen>;
         let claims = Claims::spawn(&node.quotas, &store, last_seen, vm, node.process);
         let ingress = node.settings.link.map(Ingress::new);
+        let recorders = Arc::clone(&peers) as Arc<dyn Recorders>;
+        let origins = Arc::clone(node.pools.origins());
+        tasks.spawn(origins::run(
+            Arc::clone(&origins),
+            Arc::clone(&node.pools),
+            Arc::clone(&recorders),
+        ));
         let service = Arc::new(CallerService {
             node: Arc::clone(&node),
             reserver: Arc::clone(&reserver),
+            lookup: Lookup { origins, recorders },
         });
         let callers =
             WebServer::bind(callers, limits, service).context("starting the callers' listener")?;
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -254,8 +254,7 @@
                 response.ticket.on_first_event();
                 first_event.get_or_insert_with(Instant::now);
                 if gaps.on_event(exchange.start, Instant::now()) {
-                    let version = &response.server.version;
-                    exchange.begun_by.get_or_insert_with(|| version.clone());
+                    exchange.on_begun(&response.server).await;
                     exchange.node.metrics.first_event(exchange.start.elapsed());
                 }
                 if let Some(sent) = attempts.sent.take() {
--- a/crates/gateway/src/serve/service.rs
+++ b/crates/gateway/src/serve/service.rs
@@ -20,6 +20,7 @@
 
 use crate::model::{Config, Route, Workspace};
 use crate::node::Node;
+use crate::origins::Lookup;
 use crate::quota::{QuotaError, RequestQuota, Reserver, Timeouts};
 use crate::traffic::head_bytes;
 
@@ -45,6 +46,8 @@
     pub node: Arc<Node>,
     /// Reserves quota here and at other routers.
     pub reserver: Arc<Reserver>,
+    /// Finds the versions that began streams.
+    pub lookup: Lookup,
 }
 
 #[async_trait(?Send)]
@@ -99,7 +102,13 @@
         let target = route.target(rand::random());
         let target = target.ok_or(Refusal::NoServer(SERVER_RETRY))?;
         let pool = node.pools.get(&target.pool);
-        let pool = pool.ok_or(Refusal::NoServer(SERVER_RETRY))?;
+        let mut pool = pool.ok_or(Refusal::NoServer(SERVER_RETRY))?;
+        let origin = self.find_origin(&meta, workspace.as_deref(), &route, &pool);
+        let mut begun_by = None;
+        if let Some((began_at, version)) = origin.await? {
+            pool = began_at;
+            begun_by = Some(version);
+        }
         let time = meta.deadline.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
         let quota = self.reserve(&route, workspace.as_deref(), &meta, time);
         let quota = quota.await?;
@@ -139,7 +148,7 @@
             meta,
             quota,
             domains,
-            begun_by: None,
+            begun_by,
             version: config.version,
             start,
             deadline: start + time,
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod limits;
 mod losses;
 mod net;
+mod origins;
 mod paths;
 mod pending;
 mod pools;
--- a/crates/ledger/src/service.rs
+++ b/crates/ledger/src/service.rs
@@ -63,6 +63,9 @@
             | request::Kind::AskPermits(_)
             | request::Kind::DomainReport(_)
             | request::Kind::PoolReport(_)
+            | request::Kind::StreamOrigins(_)
+            | request::Kind::FindOrigin(_)
+            | request::Kind::CopyOrigins(_)
             | request::Kind::GetSeen(_) => Err(failure(FailureKind::NotServed, NOT_A_ROUTER)),
         };
         let last = answer.unwrap_or_else(reply::Kind::Failure);
--- a/crates/link/tests/common/mod.rs
+++ b/crates/link/tests/common/mod.rs
@@ -62,6 +62,9 @@
             | request::Kind::AskPermits(_)
             | request::Kind::DomainReport(_)
             | request::Kind::PoolReport(_)
+            | request::Kind::StreamOrigins(_)
+            | request::Kind::FindOrigin(_)
+            | request::Kind::CopyOrigins(_)
             | request::Kind::GetSeen(_) => drop(replies),
             request::Kind::Settle(_) => panic!("intended by the test"),
         }
--- a/crates/routing/src/fleet/choose.rs
+++ b/crates/routing/src/fleet/choose.rs
@@ -58,7 +58,8 @@
             self.refresh();
             return self.choose(args, rng);
         }
-        let index = chosen.or_else(|| last_resort(&view, &self.ejected))?;
+        let chosen_last = chosen.or_else(|| last_resort(&view, &self.ejected));
+        let index = chosen_last.or_else(|| last_of_version(&view, &self.ejected))?;
         debug_assert!(
             chosen.is_none() || chosen == probed || view.can_take(index),
             "policies choose eligible servers only"
@@ -104,6 +105,14 @@
     indices.find(|index| view.can_probe(*index))
 }
 
+/// The server whose ejection ends first, for a request that no other version may take.
+fn last_of_version(view: &View<'_>, ejected: &[u32]) -> Option<u32> {
+    view.args().version?;
+    let candidates = ejected.iter().copied();
+    let candidates = candidates.filter(|index| !view.is_excluded(*index));
+    candidates.min_by_key(|index| view.server(*index).health.ejected_until())
+}
+
 /// The server that was ejected longest ago, among those that refused a connection.
 ///
 /// When links fail for some milliseconds, one after the other, a whole pool may be ejected for a
--- a/crates/routing/tests/versions.rs
+++ b/crates/routing/tests/versions.rs
@@ -81,6 +81,25 @@
     assert_eq!(picked(&mut fleet, &specs, Some(&second)), ["v2"]);
 }
 
+/// Guards against refusing what a version began because its servers are ejected: for other requests
+/// there are other servers.
+#[test]
+fn an_ejected_version_gets_what_it_began_if_it_has_no_other_server() {
+    let specs = vec![spec(0, "v1"), spec(1, "v1"), spec(2, "v2"), spec(3, "v2")];
+    let mut fleet = fleet(&specs);
+    for number in [2, 3] {
+        let idx = fleet.find(&specs[number].instance.name).expect("a server");
+        for _ in 0..8 {
+            let dispatch = fleet.on_sent(idx, SECOND).expect("a dispatch");
+            fleet.on_error(dispatch, SECOND, ErrorKind::Broken);
+        }
+    }
+    assert_eq!(fleet.ejected_len(), 2);
+    assert_eq!(picked(&mut fleet, &specs, None), ["v1"]);
+    let second = VersionName::from("v2");
+    assert_eq!(picked(&mut fleet, &specs, Some(&second)), ["v2"]);
+}
+
 #[derive(Clone, Debug)]
 struct State {
     version: usize,
