relay: a refused connection tells of a crash also where no other router can

Cause: the server refused the connection that is opened to tell its crash from an end, and the router asked others whether it refuses them, too. They had been killed, or didn't list the server yet, so that nobody could tell, and the end was passed on.

Evidence: response.end_unconfirmed refused=false for that stream, and server.ejected error=connect for the same server 0.1 s later. The new test has the one other router killed: the caller got the event and the last chunk.

Change: a probe says whether others refused it, too, whether nobody could tell, or whether another router reaches the server. Only the last one says that the server runs. A connection that was closed in order and is refused at once is a crash here, since a cut path resets connections or leaves them silent. Crash detection, which holds requests, still takes only what others confirm.

Test: broken_off::a_crash_between_events_is_noticed_without_other_routers, red before.

--- a/crates/gateway/src/paths/dial.rs
+++ b/crates/gateway/src/paths/dial.rs
@@ -29,6 +29,10 @@
 pub enum ProbeError {
     /// It was refused, and not only for this router: the VM is up, and no process listens.
     Refused,
+    /// It was refused, and no other router can tell whether only for this one.
+    RefusedHere,
+    /// It was refused, and another router reaches the server.
+    PathCut,
     /// It wasn't made in time, or failed for another reason.
     Unknown,
 }
@@ -166,9 +170,9 @@
         match self.helpers.open(&server.id, limit).await {
             Ok(_tunnel) => {
                 self.on_cut(server, "refused");
-                Err(ProbeError::Unknown)
+                Err(ProbeError::PathCut)
             }
-            Err(NoTunnel::Unknown) => Err(ProbeError::Unknown),
+            Err(NoTunnel::Unknown) => Err(ProbeError::RefusedHere),
             Err(NoTunnel::Alone | NoTunnel::Unreachable) => Err(ProbeError::Refused),
         }
     }
--- a/crates/gateway/src/serve/body_end.rs
+++ b/crates/gateway/src/serve/body_end.rs
@@ -49,18 +49,19 @@
         )
         .await;
         let end = match probed {
-            Ok(()) => return BodyEnd::Complete,
+            Ok(()) | Err(ProbeError::PathCut) => return BodyEnd::Complete,
             Err(ProbeError::Unknown) => BodyEnd::Unknown,
             // It may have ended as planned, after its last response.
-            Err(ProbeError::Refused) if self.pool.is_leaving(server) => BodyEnd::Unknown,
-            Err(ProbeError::Refused) => BodyEnd::Truncated,
+            Err(_) if self.pool.is_leaving(server) => BodyEnd::Unknown,
+            // A cut would have reset the connection or left it silent, and not closed it.
+            Err(ProbeError::Refused | ProbeError::RefusedHere) => BodyEnd::Truncated,
         };
         event!(
             info,
             "response.end_unconfirmed",
             id = self.id(),
             server = server.instance.name,
-            refused = probed == Err(ProbeError::Refused),
+            refused = probed != Err(ProbeError::Unknown),
             truncated = end == BodyEnd::Truncated,
         );
         end
