paths: a path is cut only if a connection begun after another router's fails

Cause: a connection that was begun before a server came back waits for the next transmission of its first packet, a second later, and one that another router begins after that is made at once. The first router took this for a cut path: it sent new connections through other routers and closed its own. The check did the same, if its connection was begun before the server came back and the other router's after.

Change: a tunnel that opens first carries the request and has the path checked. The check connects once more, for 100 ms, after another router has connected, and only then calls the path cut.

The others of partitioned:: pass, so paths that are cut are still found in time.

--- a/crates/gateway/src/paths/check.rs
+++ b/crates/gateway/src/paths/check.rs
@@ -27,6 +27,9 @@
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(400);
 /// Maximum time for a connection; within a region it takes a millisecond or two.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum time for a connection after another router has made one. On a busy VM it may take tens of
+/// milliseconds.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(100);
 /// Mean time between two probes while paths are cut.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Minimum and maximum time between two checks of paths whose servers are quiet (ms). It doubles
@@ -116,7 +119,8 @@
         self.added.notify_one();
     }
 
-    fn queue(&self, suspect: &Destination) {
+    /// Has a path checked at once.
+    pub(super) fn queue(&self, suspect: &Destination) {
         if suspect.path.queue_check() {
             let instance = suspect.id.instance.clone();
             lock(&self.waiting).insert(instance, suspect.clone());
@@ -221,6 +225,11 @@
             // The server itself may be down.
             return;
         }
+        // The server may have come back between the two connections.
+        let end = Instant::now() + CONFIRM_TIMEOUT;
+        if connect(suspect.address, end).await.is_ok() {
+            return restore(dialer, suspect);
+        }
         dialer.on_cut(suspect, if is_silent { "silent" } else { "refused" });
     }
     dialer.suspects().on_confirmed();
--- a/crates/gateway/src/paths/dial.rs
+++ b/crates/gateway/src/paths/dial.rs
@@ -108,7 +108,7 @@
     }
 
     /// Connects directly. If that fails or takes long, opens a tunnel at the same time and takes
-    /// what is open first.
+    /// what is open first. A tunnel doesn't prove that the path is cut, so that is checked.
     async fn race(&self, server: &Destination, end: Instant) -> Result<(Dialed, u64), SendError> {
         let generation = server.path.state().generation;
         let direct = connect(server.address, end);
@@ -124,19 +124,22 @@
         tokio::pin!(tunnel);
         if let Some(error) = refused {
             let tunnel = tunnel.await.ok_or(error)?;
-            return Ok((Dialed::Relayed(tunnel), self.on_cut(server, "refused")));
+            self.suspects.queue(server);
+            return Ok((Dialed::Relayed(tunnel), generation));
         }
         tokio::select! {
             connected = &mut direct => match connected {
                 Ok(stream) => Ok((Dialed::Direct(stream), generation)),
                 Err(error) => {
                     let tunnel = tunnel.await.ok_or(error)?;
-                    Ok((Dialed::Relayed(tunnel), self.on_cut(server, "refused")))
+                    self.suspects.queue(server);
+                    Ok((Dialed::Relayed(tunnel), generation))
                 }
             },
             opened = &mut tunnel => match opened {
                 Some(tunnel) => {
-                    Ok((Dialed::Relayed(tunnel), self.on_cut(server, "silent")))
+                    self.suspects.queue(server);
+                    Ok((Dialed::Relayed(tunnel), generation))
                 }
                 None => Ok((Dialed::Direct(direct.await?), generation)),
             },
@@ -169,7 +172,7 @@
         }
         match self.helpers.open(&server.id, limit).await {
             Ok(_tunnel) => {
-                self.on_cut(server, "refused");
+                self.suspects.queue(server);
                 Err(ProbeError::PathCut)
             }
             Err(NoTunnel::Unknown) => Err(ProbeError::RefusedHere),
@@ -177,10 +180,9 @@
         }
     }
 
-    /// Another router reaches a server that this one doesn't. Returns the path's new generation.
-    pub(super) fn on_cut(&self, server: &Destination, how: &str) -> u64 {
-        let path = &server.path;
-        if path.update(PathState::cut) {
+    /// Another router reaches a server that this one doesn't.
+    pub(super) fn on_cut(&self, server: &Destination, how: &str) {
+        if server.path.update(PathState::cut) {
             event!(
                 info,
                 "path.cut",
@@ -190,7 +192,6 @@
             );
             self.suspects.on_cut(server);
         }
-        path.state().generation
     }
 }
 
