--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod pools;
 mod proof;
 mod quarantine;
+mod recorders;
 mod relay;
 mod restored;
 mod rights;
--- /dev/null
+++ b/crates/gateway/tests/testsuite/recorders.rs
@@ -0,0 +1,395 @@
+//! Routers that record the origins of streams for each other, without sockets.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, Weak};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use swiftlink_gateway::clock::steady_millis;
+use swiftlink_gateway::fleet::{Pool, Pools};
+use swiftlink_gateway::origins::{
+    Found, Knowledge, Lookup, MIN_LIFETIME, OriginError, Origins, Recorders, Source, StreamKey,
+    copy_for, receive, reply_to, run,
+};
+use swiftlink_gateway::peers::record_ranking;
+use swiftlink_link::LinkError;
+use swiftlink_types::{DomainName, PoolName, ServerInstance, ServerName, VmName};
+use swiftlink_wire::link::{Noted, reply, request};
+use tokio::task::JoinHandle;
+
+use crate::origins::{domain, key, origin, version};
+use crate::pools;
+
+/// A router, without sockets.
+#[derive(Debug)]
+struct Member {
+    vm: VmName,
+    origins: Arc<Origins>,
+    pools: Arc<Pools>,
+}
+
+/// Routers that reach each other, but for those that have ended.
+#[derive(Debug, Default)]
+struct Network {
+    members: Mutex<Vec<Arc<Member>>>,
+    ended: Mutex<HashSet<VmName>>,
+    calls: Mutex<HashMap<VmName, usize>>,
+}
+
+impl Network {
+    fn all(&self) -> Vec<(VmName, DomainName)> {
+        let members = self.members.lock().expect("a lock");
+        let all = members.iter().enumerate();
+        all.map(|(number, member)| (member.vm.clone(), domain(number)))
+            .collect()
+    }
+
+    fn end(&self, vm: &VmName) {
+        self.ended.lock().expect("a lock").insert(vm.clone());
+    }
+
+    fn calls(&self, vm: &VmName) -> usize {
+        self.calls
+            .lock()
+            .expect("a lock")
+            .get(vm)
+            .copied()
+            .unwrap_or(0)
+    }
+}
+
+/// The network as one router sees it.
+#[derive(Debug)]
+struct Others {
+    own: VmName,
+    network: Weak<Network>,
+}
+
+impl Others {
+    fn network(&self) -> Arc<Network> {
+        self.network.upgrade().expect("a network")
+    }
+}
+
+#[async_trait]
+impl Recorders for Others {
+    fn recorders(&self, key: &StreamKey) -> Vec<VmName> {
+        let mut ranking = record_ranking(self.network().all(), key);
+        ranking.retain(|vm| *vm != self.own);
+        ranking
+    }
+
+    fn is_alone(&self) -> bool {
+        self.network().all().len() == 1
+    }
+
+    fn is_recorder(&self) -> bool {
+        true
+    }
+
+    async fn call(
+        &self,
+        vm: &VmName,
+        kind: request::Kind,
+        _time: Duration,
+    ) -> Result<reply::Kind, LinkError> {
+        let network = self.network();
+        if network.ended.lock().expect("a lock").contains(vm) {
+            return Err(LinkError::Down);
+        }
+        *network
+            .calls
+            .lock()
+            .expect("a lock")
+            .entry(vm.clone())
+            .or_default() += 1;
+        let members = network.members.lock().expect("a lock").clone();
+        let member = members.iter().find(|member| member.vm == *vm);
+        let Member { origins, pools, .. } = &**member.ok_or(LinkError::Down)?;
+        Ok(match kind {
+            request::Kind::StreamOrigins(message) => {
+                receive(origins, &message);
+                reply::Kind::Noted(Noted::default())
+            }
+            request::Kind::FindOrigin(ask) => {
+                reply::Kind::OriginReply(reply_to(origins, pools, &ask))
+            }
+            request::Kind::CopyOrigins(_) => reply::Kind::StreamOrigins(copy_for(origins, pools)),
+            other => panic!("{other:?}"),
+        })
+    }
+}
+
+/// A running router of the network.
+struct TestMember {
+    member: Arc<Member>,
+    lookup: Lookup,
+    task: JoinHandle<()>,
+}
+
+impl TestMember {
+    fn start(network: &Arc<Network>, versions: &[&str]) -> Self {
+        let number = network.members.lock().expect("a lock").len();
+        let member = Arc::new(Member {
+            vm: VmName::from(format!("vm-{number}")),
+            origins: Arc::default(),
+            pools: Arc::new(Pools::new()),
+        });
+        network
+            .members
+            .lock()
+            .expect("a lock")
+            .push(Arc::clone(&member));
+        member
+            .pools
+            .set_config(&pools::config(), &pools::settings());
+        // The pools' own origins are those of the router.
+        let origins = Arc::clone(member.pools.origins());
+        let member = Arc::new(Member {
+            vm: member.vm.clone(),
+            origins: Arc::clone(&origins),
+            pools: Arc::clone(&member.pools),
+        });
+        network.members.lock().expect("a lock")[number] = Arc::clone(&member);
+        let recorders: Arc<dyn Recorders> = Arc::new(Others {
+            own: member.vm.clone(),
+            network: Arc::downgrade(network),
+        });
+        let task = tokio::spawn(run(
+            Arc::clone(&origins),
+            Arc::clone(&member.pools),
+            Arc::clone(&recorders),
+        ));
+        let started = Self {
+            member,
+            lookup: Lookup { origins, recorders },
+            task,
+        };
+        started.set_versions(versions);
+        started
+    }
+
+    /// Lists a server of each version.
+    fn set_versions(&self, versions: &[&str]) {
+        let template = pools::servers().into_values().next().expect("a server");
+        let servers = versions.iter().map(|name| {
+            let mut entry = template.clone();
+            let server = ServerName::from(format!("s-{name}"));
+            entry.instance = ServerInstance::new(server.clone(), 1);
+            entry.version = version(name);
+            (server, entry)
+        });
+        self.member.pools.set_servers(servers.collect());
+    }
+
+    fn pool(&self) -> Arc<Pool> {
+        self.member
+            .pools
+            .get(&PoolName::from("pool"))
+            .expect("a pool")
+    }
+
+    async fn find(&self, key: StreamKey) -> Result<Found, OriginError> {
+        self.lookup
+            .find(Some(key), &self.pool(), MIN_LIFETIME)
+            .await
+    }
+}
+
+impl Drop for TestMember {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn start(count: usize, versions: &[&str]) -> (Arc<Network>, Vec<TestMember>) {
+    let network = Arc::<Network>::default();
+    let members = (0..count).map(|_| TestMember::start(&network, versions));
+    let members = members.collect();
+    (network, members)
+}
+
+/// Guards against streams that only the router which began them knows: it may have ended.
+#[tokio::test]
+async fn any_router_knows_the_origin_of_a_stream_also_if_the_first_one_has_ended() {
+    let (network, members) = start(12, &["v1", "v2"]);
+    let now = steady_millis();
+    for number in 0..100 {
+        let name = ["v1", "v2"][number % 2];
+        let origins = &members[number % 3].member.origins;
+        origins
+            .record_now(key("w", number), origin(name, now))
+            .await;
+    }
+    for member in &members[..3] {
+        network.end(&member.member.vm);
+    }
+    let mut sources = HashSet::new();
+    for number in 0..100 {
+        let found = members[5].find(key("w", number)).await.expect("an origin");
+        assert_eq!(found.origin.version, version(["v1", "v2"][number % 2]));
+        sources.insert(found.source);
+    }
+    assert!(sources.len() > 2, "{sources:?}");
+    let again = members[5].find(key("w", 7)).await.expect("an origin");
+    assert_eq!(again.source, Source::Own);
+}
+
+/// Guards against recorders that are down and leave a stream with fewer copies.
+#[tokio::test]
+async fn the_next_routers_record_a_stream_in_place_of_those_that_are_down() {
+    let (network, members) = start(12, &["v1", "v2"]);
+    let recorders = members[0].lookup.recorders.recorders(&key("w", 1));
+    for vm in &recorders[..2] {
+        network.end(vm);
+    }
+    let now = steady_millis();
+    members[0]
+        .member
+        .origins
+        .record_now(key("w", 1), origin("v1", now))
+        .await;
+    // The first recorder has it; those in place of the others follow.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let known = members[1..]
+        .iter()
+        .filter(|member| matches!(member.member.origins.get(&key("w", 1)), Knowledge::Known(_)));
+    assert_eq!(known.count(), 3);
+}
+
+/// Guards against messages with each stream of a pool that has one version, and against streams that
+/// nobody knows when a second version starts beside them.
+#[tokio::test]
+async fn origins_are_sent_once_a_pool_has_a_second_version() {
+    let (network, members) = start(12, &["v1"]);
+    let now = steady_millis();
+    for number in 0..50 {
+        members[0]
+            .member
+            .origins
+            .record(key("w", number), origin("v1", now));
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let calls = |from: usize| -> usize {
+        members[from..]
+            .iter()
+            .map(|member| network.calls(&member.member.vm))
+            .sum()
+    };
+    assert_eq!(calls(0), 0);
+    for member in &members {
+        member.set_versions(&["v1", "v2"]);
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert!((1..=11).contains(&calls(0)), "{} messages", calls(0));
+    network.end(&members[0].member.vm);
+    for number in 0..50 {
+        let found = members[7].find(key("w", number)).await.expect("an origin");
+        assert_eq!(found.origin.version, version("v1"));
+    }
+}
+
+/// Guards against taking an unknown stream for one that any version may go on with.
+#[tokio::test]
+async fn an_unknown_stream_goes_on_only_if_one_version_can_have_begun_it() {
+    let (_network, members) = start(7, &["v1", "v2"]);
+    let unknown = members[2].find(key("w", 1)).await;
+    assert_eq!(
+        unknown,
+        Err(OriginError::Unknown {
+            versions: vec![version("v1"), version("v2")]
+        })
+    );
+    // A version that has left may have begun it, too.
+    for member in &members {
+        member.set_versions(&["v2"]);
+    }
+    assert!(members[2].find(key("w", 1)).await.is_err());
+    let (_network, members) = start(7, &["v1"]);
+    let found = members[2]
+        .find(key("w", 1))
+        .await
+        .expect("the only version");
+    assert_eq!(found.source, Source::OnlyVersion);
+    assert_eq!(found.origin.version, version("v1"));
+    let unnamed = members[2]
+        .lookup
+        .find(None, &members[2].pool(), MIN_LIFETIME)
+        .await;
+    assert!(unnamed.is_ok());
+}
+
+/// Guards against a router that has started and knows of one version, where others know that there
+/// was another one.
+#[tokio::test]
+async fn a_router_that_has_started_asks_which_versions_there_were() {
+    let (network, members) = start(7, &["v1", "v2"]);
+    for member in &members {
+        member.set_versions(&["v2"]);
+    }
+    let started = TestMember::start(&network, &["v2"]);
+    assert!(started.find(key("w", 1)).await.is_err());
+}
+
+/// Guards against a router that is cut off from all others and knows too little by itself.
+#[tokio::test]
+async fn a_router_that_has_started_and_reaches_no_other_refuses() {
+    let (network, members) = start(7, &["v1"]);
+    for member in &members[1..] {
+        network.end(&member.member.vm);
+    }
+    assert!(members[0].find(key("w", 1)).await.is_err());
+}
+
+/// Guards against a repeated id that makes a stream go on at another version, at any router.
+#[tokio::test]
+async fn a_stream_with_an_id_of_two_versions_is_refused_everywhere() {
+    let (_network, members) = start(12, &["v1", "v2"]);
+    let now = steady_millis();
+    members[0]
+        .member
+        .origins
+        .record_now(key("w", 1), origin("v1", now))
+        .await;
+    members[1]
+        .member
+        .origins
+        .record_now(key("w", 1), origin("v2", now))
+        .await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(
+        members[5].find(key("w", 1)).await,
+        Err(OriginError::Ambiguous)
+    );
+}
+
+/// Guards against recorders that start again, one after the other, and know nothing.
+#[tokio::test]
+async fn a_router_that_starts_copies_the_origins_of_others() {
+    let (network, members) = start(7, &["v1", "v2"]);
+    let now = steady_millis();
+    for number in 0..100 {
+        members[0]
+            .member
+            .origins
+            .record_now(key("w", number), origin("v1", now))
+            .await;
+    }
+    let started = TestMember::start(&network, &["v1", "v2"]);
+    for _ in 0..100 {
+        if started.member.origins.len() >= 50 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for member in &members {
+        network.end(&member.member.vm);
+    }
+    let known = (0..100).filter(|number| {
+        matches!(
+            started.member.origins.get(&key("w", *number)),
+            Knowledge::Known(_)
+        )
+    });
+    assert!(known.count() >= 50);
+}
