router: a plain service's response without framing may be broken off

What callers saw: nothing reported; found by looking for the class of the answers that broke off in the product's own router.

Cause: a response with neither a length nor chunks ended for the caller when the service's connection did, whether the service had completed it or crashed.

Change: where only the end of the connection marks the end, the router connects to the service, for 100 ms at most. If that is refused, the caller's response ends without the last chunk, and the call counts as broken.

--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -1,18 +1,22 @@
 //! Forwarding of headers and bodies between a caller and another HTTP server.
 
 use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
 
 use http::header::{
     AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
     TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
-use http::{HeaderMap, HeaderName};
+use http::{HeaderMap, HeaderName, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 use crate::reply::Piece;
-use swiftlink_gateway::upstream::Lease;
+use swiftlink_gateway::upstream::{Framing, Lease};
 
 /// Hop-by-hop headers, which apply to one connection only.
 const HOP_HEADERS: [HeaderName; 9] = [
@@ -26,6 +30,8 @@
     TRANSFER_ENCODING,
     UPGRADE,
 ];
+/// Maximum time for connecting to a server whose response has ended with its connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Prefix of this system's own headers.
 const OWN_PREFIX: &str = "swiftlink-";
 
@@ -65,6 +71,30 @@
     kept
 }
 
+/// Whether the server at `address` has ended: nobody listens there any more.
+async fn has_ended(address: SocketAddr) -> bool {
+    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
+/// Forwards a response of the server at `address`. Where only the end of the connection marks the
+/// end, a server that has ended by then broke it off. Returns whether the body was complete.
+pub async fn pass_response(
+    response: Response<Incoming>,
+    address: SocketAddr,
+    lease: &mut Lease,
+    sender: &mpsc::Sender<Piece>,
+) -> bool {
+    let framing = Framing::of(&response);
+    let is_complete = pass_body(response.into_body(), lease, sender).await;
+    if !is_complete || framing != Framing::Close || !has_ended(address).await {
+        return is_complete;
+    }
+    let error = io::Error::other("the connection was closed, and the server has ended");
+    let _gone = sender.send(Err(error)).await;
+    false
+}
+
 /// Forwards a body frame by frame. If the body ends early, the caller's connection is
 /// closed as well. Returns whether the body was complete.
 pub async fn pass_body(
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -7,7 +7,7 @@
 use crate::dispatch::{ServerResponse, open, wait_slot};
 use crate::engine;
 use crate::fleet::Target;
-use crate::forward::{end_to_end, for_server, pass_body};
+use crate::forward::{end_to_end, for_server, pass_response};
 use crate::reply::{Reply, ReplySender, channel};
 use crate::serve::{Run, send_reply};
 use crate::sink::set_charged;
@@ -50,12 +50,11 @@
     let tokens = run.call.pool_spec.call_tokens;
     let charged = run.charge(tokens).await;
     let (response, mut lease) = answer.split();
-    let (parts, body) = response.into_parts();
-    let mut headers = end_to_end(&parts.headers);
+    let mut headers = end_to_end(response.headers());
     set_charged(&mut headers, charged);
     let (sender, receiver) = channel();
-    send_reply(reply, Reply::Stream(parts.status, headers, receiver));
-    if pass_body(body, &mut lease, &sender).await {
+    send_reply(reply, Reply::Stream(response.status(), headers, receiver));
+    if pass_response(response, target.address, &mut lease, &sender).await {
         slot.served();
         target.done();
         run.remember(None, None, charged);
