--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -388,7 +388,7 @@
         self.fleet().mark_drained(idx);
     }
 
-    /// Whether a server is draining or is no longer listed, so that it may end as planned.
+    /// Whether a server is draining or unlisted, so that it may end as planned.
     #[must_use]
     pub fn is_leaving(&self, server: &SelectedServer) -> bool {
         let name = &server.instance.name;
--- a/crates/gateway/src/serve/buffer.rs
+++ b/crates/gateway/src/serve/buffer.rs
@@ -20,6 +20,7 @@
 /// Maximum length in bytes of a response that is buffered before it is relayed. One that breaks
 /// off can then be replaced by the response of another server or by an error.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
+
 /// What to do with a response that wasn't buffered completely.
 pub(super) enum NextStep {
     /// Send the request again.
