shell, gateway: count new connections by what became of them

A router that reports ready and takes no connection left no line: the 503 of the connection limit, a close without a response, a failed accept and a closed port all looked the same. Each has a counter now, and a second with any of them a log line, beside whether the router reports ready. No decision changes.

Not run yet beyond the compiler and the linter.

--- a/crates/gateway/src/ingress/mod.rs
+++ b/crates/gateway/src/ingress/mod.rs
@@ -1,8 +1,10 @@
 //! What this router lets in over its VM's network link, by the decisions of [`swiftlink_ingress`].
 //!
+//! - `connections` counts new connections, and logs those that weren't taken.
 //! - `watch` samples the traffic, and sets whether the router takes new callers and connections.
 //! - `reports` exchanges reports on the links with the other routers of the failure domain.
 
+mod connections;
 mod reports;
 mod watch;
 
@@ -13,6 +15,7 @@
 use swiftlink_ingress::DomainView;
 use tokio::time::Instant;
 
+pub(crate) use connections::count_connections;
 pub(crate) use reports::{DomainReports, exchange};
 pub(crate) use watch::{LinkState, watch_link};
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,7 +18,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
-use swiftlink_shell::web::{Body, Incoming, Response, Service};
+use swiftlink_shell::web::{Body, Incoming, IntakeCounts, Response, Service};
 use tokio::sync::watch;
 
 use crate::node::Node;
@@ -49,6 +49,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ConnectionLabels {
+    outcome: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct CallLabels {
     call: &'static str,
@@ -89,6 +94,7 @@
     leases: LeaseCounters,
     overloaded: Family<PriorityLabels, Counter>,
     shed: Family<PriorityLabels, Counter>,
+    connections: Family<ConnectionLabels, Counter>,
     gauges: Gauges,
 }
 
@@ -135,6 +141,7 @@
             leases: LeaseCounters::default(),
             overloaded: Family::default(),
             shed: Family::default(),
+            connections: Family::default(),
             gauges: Gauges::default(),
         };
         metrics.register();
@@ -178,6 +185,9 @@
         registry.register("admission_refusals", overloaded, self.overloaded.clone());
         let shed = "Requests refused for lack of capacity after a wait, by priority";
         registry.register("admission_sheds", shed, self.shed.clone());
+        let connections =
+            "New connections of callers: taken, refused or closed at the limit, failed";
+        registry.register("connections", connections, self.connections.clone());
         let gauges = &self.gauges;
         let level =
             "Least urgent priority that all pools admit in full; 255 while nothing is refused";
@@ -250,6 +260,20 @@
         self.refusals.get_or_create(&RefusalLabels { reason }).inc();
     }
 
+    /// Counts new connections of callers.
+    pub fn connected(&self, counts: &IntakeCounts) {
+        let outcomes = [
+            ("taken", counts.taken),
+            ("refused", counts.refused),
+            ("closed", counts.closed),
+            ("failed", counts.failed),
+        ];
+        for (outcome, count) in outcomes {
+            let labels = ConnectionLabels { outcome };
+            self.connections.get_or_create(&labels).inc_by(count);
+        }
+    }
+
     /// Counts a request that was refused for lack of capacity.
     pub fn overloaded(&self, priority: u8, has_waited: bool) {
         let family = if has_waited {
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -165,6 +165,8 @@
         });
         let callers =
             WebServer::bind(callers, limits, service).context("starting the callers' listener")?;
+        let connections = ingress::count_connections(Arc::clone(&node), callers.intake());
+        tasks.spawn(connections);
         if let Some(ingress) = ingress {
             spawn_ingress(&mut tasks, &node, &ingress, callers.gate(), peers, links);
         }
--- a/crates/shell/src/web/acceptor.rs
+++ b/crates/shell/src/web/acceptor.rs
@@ -76,6 +76,7 @@
     /// ends the accept loop.
     async fn close_and_wait_for_abort(&self) -> io::Result<Stream> {
         *self.lock() = None;
+        self.shared.intake.set_listening(false);
         self.shared.closed.cancel();
         self.shared.abort.cancelled().await;
         Err(io::ErrorKind::BrokenPipe.into())
@@ -87,7 +88,7 @@
             () = self.shared.stop.cancelled() => Ok(Next::Stop),
             () = self.shared.gate.until(false) => Ok(Next::CloseListener),
             accepted = listener.accept() => {
-                let (socket, peer) = accepted?;
+                let (socket, peer) = accepted.inspect_err(|error| self.on_failed_accept(error))?;
                 Ok(Next::Serve(Stream::Tcp(socket.into_std()?, peer)))
             }
         }
@@ -98,9 +99,23 @@
         let mut current = self.lock();
         if current.as_ref().is_some_and(|now| Arc::ptr_eq(now, found)) {
             *current = None;
+            self.shared.intake.set_listening(false);
         }
     }
 
+    fn on_failed_accept(&self, error: &io::Error) {
+        if is_client_error(error) {
+            return;
+        }
+        self.shared.intake.count_failed();
+        event!(
+            warn,
+            "web.accept_failed",
+            address = self.address,
+            error = error
+        );
+    }
+
     /// Listens again once the gate is open. Returns true when the server stops instead.
     async fn reopen(&self) -> bool {
         loop {
@@ -131,6 +146,7 @@
         let listener = StdListener::bind(self.address)?;
         listener.set_nonblocking(true)?;
         *current = Some(Arc::new(TcpListener::from_std(listener)?));
+        self.shared.intake.set_listening(true);
         Ok(())
     }
 }
--- a/crates/shell/src/web/connection.rs
+++ b/crates/shell/src/web/connection.rs
@@ -21,6 +21,7 @@
 use xitca_web::service::ready::ReadyService;
 
 use super::gate::Gate;
+use super::intake::Intake;
 
 const BUSY_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
     connection: close\r\ncontent-length: 0\r\n\r\n";
@@ -48,6 +49,8 @@
     pub(super) refusals: Semaphore,
     /// Whether new connections are accepted.
     pub(super) gate: Arc<Gate>,
+    /// What became of new connections.
+    pub(super) intake: Arc<Intake>,
     /// Cancelled when the server stops: no new requests.
     pub(super) stop: CancellationToken,
     /// Cancelled when the listener is closed and the accept queue is empty.
@@ -192,6 +195,18 @@
     shared: Arc<Shared>,
 }
 
+impl<S> ConnectionHandler<S> {
+    /// Closes a connection above the limit; with a response, unless there are too many of them.
+    async fn reject(&self, socket: StdStream) {
+        let Ok(_refusal) = self.shared.refusals.try_acquire() else {
+            self.shared.intake.count_closed();
+            return;
+        };
+        self.shared.intake.count_refused();
+        refuse(socket).await;
+    }
+}
+
 impl<S: Service<Stream>> Service<Stream> for ConnectionHandler<S> {
     type Response = ();
     type Error = Infallible;
@@ -203,12 +218,10 @@
         let permit = Arc::clone(&self.shared.permits).try_acquire_owned();
         self.shared.arriving.fetch_sub(1, Ordering::SeqCst);
         let Ok(_permit) = permit else {
-            let refusal = self.shared.refusals.try_acquire();
-            if refusal.is_ok() {
-                refuse(socket).await;
-            }
+            self.reject(socket).await;
             return Ok(());
         };
+        self.shared.intake.count_taken();
         let Ok(connection) = Connection::open(&socket, self.shared.stall) else {
             return Ok(());
         };
--- /dev/null
+++ b/crates/shell/src/web/intake.rs
@@ -0,0 +1,94 @@
+//! What became of the connections that clients opened.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+
+/// Counters of new connections, and whether there is a listener for them.
+#[derive(Debug)]
+pub struct Intake {
+    taken: AtomicU64,
+    refused: AtomicU64,
+    closed: AtomicU64,
+    failed: AtomicU64,
+    is_listening: AtomicBool,
+}
+
+/// Numbers of new connections since the start of the server, by what became of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct IntakeCounts {
+    /// Served.
+    pub taken: u64,
+    /// Answered with 503 at the limit of open connections, the request unread.
+    pub refused: u64,
+    /// Closed without a response at that limit.
+    pub closed: u64,
+    /// Errors of `accept`, such as a lack of file descriptors. The connection waits in the queue.
+    pub failed: u64,
+}
+
+impl IntakeCounts {
+    /// The connections since `earlier`.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            taken: self.taken - earlier.taken,
+            refused: self.refused - earlier.refused,
+            closed: self.closed - earlier.closed,
+            failed: self.failed - earlier.failed,
+        }
+    }
+
+    /// Number of connections that weren't taken.
+    #[must_use]
+    pub fn rejected(&self) -> u64 {
+        self.refused + self.closed + self.failed
+    }
+}
+
+impl Intake {
+    pub(super) fn listening() -> Self {
+        Self {
+            taken: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
+            closed: AtomicU64::new(0),
+            failed: AtomicU64::new(0),
+            is_listening: AtomicBool::new(true),
+        }
+    }
+
+    /// Numbers of new connections since the start.
+    #[must_use]
+    pub fn counts(&self) -> IntakeCounts {
+        IntakeCounts {
+            taken: self.taken.load(Relaxed),
+            refused: self.refused.load(Relaxed),
+            closed: self.closed.load(Relaxed),
+            failed: self.failed.load(Relaxed),
+        }
+    }
+
+    /// Whether the port is open.
+    #[must_use]
+    pub fn is_listening(&self) -> bool {
+        self.is_listening.load(Relaxed)
+    }
+
+    pub(super) fn count_taken(&self) {
+        self.taken.fetch_add(1, Relaxed);
+    }
+
+    pub(super) fn count_refused(&self) {
+        self.refused.fetch_add(1, Relaxed);
+    }
+
+    pub(super) fn count_closed(&self) {
+        self.closed.fetch_add(1, Relaxed);
+    }
+
+    pub(super) fn count_failed(&self) {
+        self.failed.fetch_add(1, Relaxed);
+    }
+
+    pub(super) fn set_listening(&self, is_listening: bool) {
+        self.is_listening.store(is_listening, Relaxed);
+    }
+}
--- a/crates/shell/src/web/server.rs
+++ b/crates/shell/src/web/server.rs
@@ -18,6 +18,7 @@
 use super::acceptor::BoundListener;
 use super::connection::{ConnectionLayer, MAX_REFUSALS, Shared};
 use super::gate::Gate;
+use super::intake::Intake;
 use super::limits::{HEADER_BYTES, HEADER_FIELDS, Limits};
 use super::request::Factory;
 use super::service::Service;
@@ -54,6 +55,7 @@
             permits: Arc::new(Semaphore::new(connections as usize)),
             refusals: Semaphore::new(MAX_REFUSALS),
             gate: Arc::new(Gate::open()),
+            intake: Arc::new(Intake::listening()),
             stop: CancellationToken::new(),
             closed: CancellationToken::new(),
             arriving: AtomicUsize::new(0),
@@ -90,6 +92,12 @@
         Arc::clone(&self.shared.gate)
     }
 
+    /// What became of new connections.
+    #[must_use]
+    pub fn intake(&self) -> Arc<Intake> {
+        Arc::clone(&self.shared.intake)
+    }
+
     /// Accepts the connections in the accept queue and none after them, closes idle
     /// connections, lets requests in flight finish within `grace`, closes the remaining
     /// connections, and joins the workers.
