ingress, shell, gateway: one decision on new connections for the port, the limit and readiness

What callers saw: a router that reported ready and took none of 339 new connections in 4.1 s.

Cause: four places decided whether a new connection is taken, and readiness asked none of the others. The connection limit refused every new caller while old ones kept idle connections; the gate closed the port while readiness stayed at ready as the last router of half of its failure domain, or after five changes within a minute; a worker that hangs or a failing accept left readiness untouched, since its endpoint has a thread of its own.

Evidence: callers.not_taken shows ready=true taken=0 refused=48 each second once 100 of 100 connections are busy; the 101st connection got a 503 while 100 were idle; in the model the port was closed and the router ready for 59.8 s of 60, and for 4.8 s at a time. Which of these the users met isn't known: the record has one line.

Change: Availability (crates/ingress) gets the traffic and what became of new connections, and decides port and readiness together. A router that took none for a second, because the port was closed, the limit refused or the accept loop stood still, isn't ready until it could take some for two seconds, whatever its failure domain and its changes of the last minute. At the limit, connections that are idle after a response are closed for new ones, the longest idle first; those before their first request and those with a request in flight stay. A failed accept is tried again and makes room in the same way.

Why this works: readiness is computed from what the port did, so 'ready' can't outlive 'takes connections' by more than a second; and idle connections no longer count against new callers.

excess_connections_get_503 kept two idle connections, which now make room; it keeps requests in flight on them instead, and asserts the same.

A shortage of file descriptors at accept has no test.

--- a/crates/gateway/src/ingress/mod.rs
+++ b/crates/gateway/src/ingress/mod.rs
@@ -1,7 +1,7 @@
 //! What this router lets in over its VM's network link, by the decisions of [`swiftlink_ingress`].
 //!
 //! - `connections` counts new connections, and logs those that weren't taken.
-//! - `watch` samples the traffic, and sets whether the router takes new callers and connections.
+//! - `watch` samples the traffic and new connections, and sets whether the router takes new callers.
 //! - `reports` exchanges reports on the links with the other routers of the failure domain.
 
 mod connections;
@@ -17,22 +17,22 @@
 
 pub(crate) use connections::count_connections;
 pub(crate) use reports::{DomainReports, exchange};
-pub(crate) use watch::{LinkState, watch_link};
+pub(crate) use watch::{LinkState, Port, watch_port};
 
 /// State of the router's link that requests and background tasks share.
 #[derive(Debug)]
 pub struct Ingress {
-    /// Bytes a second that the link carries each way.
-    rate: u64,
+    /// Bytes a second that the link carries each way, if that is known.
+    rate: Option<u64>,
     /// The failure domain, as the last summary shows it.
     view: ArcSwapOption<DomainView>,
     start: Instant,
 }
 
 impl Ingress {
-    /// The state of an idle link that carries `rate` bytes a second each way.
+    /// The state of an idle link that carries `rate` bytes a second each way, if that is known.
     #[must_use]
-    pub fn new(rate: u64) -> Arc<Self> {
+    pub fn new(rate: Option<u64>) -> Arc<Self> {
         Arc::new(Self {
             rate,
             view: ArcSwapOption::empty(),
--- a/crates/gateway/src/ingress/watch.rs
+++ b/crates/gateway/src/ingress/watch.rs
@@ -1,10 +1,11 @@
-//! Watches the link, and closes the router to new callers while it is busy.
+//! Watches the link and new connections, and closes the router to new callers while it can't serve
+//! them.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 
-use swiftlink_ingress::{Headroom, Readiness, SAMPLE};
-use swiftlink_shell::web::Gate;
+use swiftlink_ingress::{Availability, SAMPLE, Sample};
+use swiftlink_shell::web::{Gate, Intake, IntakeCounts};
 use swiftlink_telemetry::event;
 use tokio::sync::watch;
 use tokio::time::{Instant, interval_at};
@@ -34,48 +35,67 @@
     }
 }
 
-/// Tracks whether the link has capacity for more callers, and closes the callers' `gate` while the
-/// link is overloaded. Publishes the state to `states`. Runs until the task is aborted.
-pub(crate) async fn watch_link(
+/// The callers' port.
+#[derive(Debug)]
+pub(crate) struct Port {
+    pub(crate) gate: Arc<Gate>,
+    pub(crate) intake: Arc<Intake>,
+}
+
+impl Port {
+    /// What happened to new connections since `before`, which becomes what is known now.
+    fn sample(&self, bytes: u64, before: &mut IntakeCounts) -> Sample {
+        let total = self.intake.counts();
+        let recent = total.since(before);
+        *before = total;
+        Sample {
+            bytes,
+            taken: recent.taken,
+            rejected: recent.rejected(),
+            is_accepting: self.intake.is_accepting(),
+            has_room: self.intake.has_room(),
+        }
+    }
+}
+
+/// Tracks whether new callers can be served. Opens and closes the callers' port, sets the readiness of
+/// the router, and publishes the state to `states`. Runs until the task is aborted.
+pub(crate) async fn watch_port(
     ingress: Arc<Ingress>,
     node: Arc<Node>,
-    gate: Arc<Gate>,
+    port: Port,
     states: watch::Sender<LinkState>,
 ) {
-    let mut headroom = Headroom::new(ingress.rate);
-    let mut readiness = Readiness::new(node.settings.vm.as_str());
+    let own = node.settings.vm.as_str();
+    let mut availability = Availability::new(own, ingress.rate);
+    let mut counts = IntakeCounts::default();
     let mut ticks = interval_at(Instant::now() + SAMPLE, SAMPLE);
     loop {
         ticks.tick().await;
-        let has_changed = headroom.record(node.traffic.take());
-        let utilization = headroom.utilization();
-        node.traffic.is_busy.store(utilization >= BUSY_AT, Relaxed);
+        let sample = port.sample(node.traffic.take(), &mut counts);
         let view = ingress.view.load_full();
-        let has_switched = readiness.update(
-            ingress.now(),
-            headroom.is_full(),
-            utilization,
-            view.as_deref(),
-        );
+        let has_changed = availability.record(ingress.now(), &sample, view.as_deref());
+        let utilization = availability.utilization();
+        node.traffic.is_busy.store(utilization >= BUSY_AT, Relaxed);
         states.send_replace(LinkState {
             utilization,
-            is_ready: readiness.is_ready(),
+            is_ready: availability.is_ready(),
         });
-        if !has_changed && !has_switched {
+        if !has_changed {
             continue;
         }
-        node.is_link_full.store(!readiness.is_ready(), Relaxed);
-        gate.set(!headroom.is_overloaded());
-        let own = node.settings.vm.as_str();
+        node.takes_callers.store(availability.is_ready(), Relaxed);
+        port.gate.set(availability.is_open());
         event!(
             info,
             "link.headroom",
-            full = headroom.is_full(),
-            ready = readiness.is_ready(),
-            refusing = headroom.is_overloaded(),
+            full = availability.is_full(),
+            ready = availability.is_ready(),
+            refusing = !availability.is_open(),
+            blocked = availability.is_blocked(),
             used = format_args!("{utilization:.2}"),
             unready_peers = view.map_or(-1, |view| view.unready_besides(own) as i64),
-            bytes_per_s = ingress.rate,
+            bytes_per_s = ingress.rate.unwrap_or(0),
             in_flight = node.in_flight(),
         );
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -52,8 +52,8 @@
     pub metrics: Metrics,
     /// Recent traffic over the VM's network link.
     pub traffic: Traffic,
-    /// Whether the VM's link has no capacity for more callers.
-    pub is_link_full: AtomicBool,
+    /// Whether new callers can be served, as far as the link and the callers' port decide it.
+    pub takes_callers: AtomicBool,
     /// Whether the directory of backend servers has been read.
     pub has_servers: AtomicBool,
     /// Whether the router is shutting down.
@@ -89,7 +89,7 @@
             process: rand::random(),
             metrics: Metrics::new(),
             traffic: Traffic::default(),
-            is_link_full: AtomicBool::new(false),
+            takes_callers: AtomicBool::new(true),
             has_servers: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
@@ -100,7 +100,7 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let is_synced = self.knows_config() && self.has_servers.load(Relaxed);
-        is_synced && !self.is_stopping.load(Relaxed) && !self.is_link_full.load(Relaxed)
+        is_synced && !self.is_stopping.load(Relaxed) && self.takes_callers.load(Relaxed)
     }
 
     /// Whether a configuration is in force and everything that the store had with it has been read
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -7,7 +7,7 @@
 use anyhow::Context;
 use swiftlink_link::Server;
 use swiftlink_shell::Shell;
-use swiftlink_shell::web::{Gate, Limits, WebServer};
+use swiftlink_shell::web::{Limits, WebServer};
 use swiftlink_telemetry::event;
 use tokio::sync::watch as channel;
 use tokio::task::JoinSet;
@@ -16,7 +16,7 @@
 use crate::admission::{self, Aggregates};
 use crate::catalog::Catalog;
 use crate::dialect::Dialect;
-use crate::ingress::{self, DomainReports, Ingress, LinkState};
+use crate::ingress::{self, DomainReports, Ingress, LinkState, Port};
 use crate::limits::{Allocators, Coordinator, Requester};
 use crate::metrics::{MeteredStore, MetricsService};
 use crate::node::Node;
@@ -150,7 +150,7 @@
         let vm = &node.settings.vm;
         let last_seen = Arc::clone(&peers) as Arc<dyn LastSeen>;
         let claims = Claims::spawn(&node.quotas, &store, last_seen, vm, node.process);
-        let ingress = node.settings.link.map(Ingress::new);
+        let ingress = Ingress::new(node.settings.link);
         let recorders = Arc::clone(&peers) as Arc<dyn Recorders>;
         let origins = Arc::clone(node.pools.origins());
         tasks.spawn(origins::run(
@@ -167,9 +167,11 @@
             WebServer::bind(callers, limits, service).context("starting the callers' listener")?;
         let connections = ingress::count_connections(Arc::clone(&node), callers.intake());
         tasks.spawn(connections);
-        if let Some(ingress) = ingress {
-            spawn_ingress(&mut tasks, &node, &ingress, callers.gate(), peers, links);
-        }
+        let port = Port {
+            gate: callers.gate(),
+            intake: callers.intake(),
+        };
+        spawn_ingress(&mut tasks, &node, &ingress, port, peers, links);
         let limits = Limits {
             workers: 1,
             connections: 16,
@@ -221,17 +223,17 @@
     }
 }
 
-/// Starts the tasks that watch the link and exchange reports on it.
+/// Starts the tasks that watch the callers' port and exchange reports on it.
 fn spawn_ingress(
     tasks: &mut JoinSet<()>,
     node: &Arc<Node>,
     ingress: &Arc<Ingress>,
-    gate: Arc<Gate>,
+    port: Port,
     peers: Arc<Peers>,
     links: Arc<DomainReports>,
 ) {
     let (sender, states) = channel::channel(LinkState::default());
-    let watch = ingress::watch_link(Arc::clone(ingress), Arc::clone(node), gate, sender);
+    let watch = ingress::watch_port(Arc::clone(ingress), Arc::clone(node), port, sender);
     tasks.spawn(watch);
     let vm = node.settings.vm.clone();
     let exchange = ingress::exchange(Arc::clone(ingress), peers, links, vm, node.process, states);
--- a/crates/ingress/tests/testsuite/intake.rs
+++ b/crates/ingress/tests/testsuite/intake.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use swiftlink_ingress::{DomainView, Headroom, Readiness, RouterLoad, SAMPLE};
+use swiftlink_ingress::{Availability, DomainView, RouterLoad, SAMPLE, Sample};
 
 const OWN: &str = "vm-1";
 /// Bytes a second of a link of 10 Mbit/s.
@@ -33,18 +33,21 @@
 /// Longest time in which the router reports ready while its port is closed, over a minute in which
 /// `used` of the link is in use in each sample.
 fn longest_closed(routers: usize, used: impl Fn(u32) -> f64) -> Duration {
-    let mut headroom = Headroom::new(LINK);
-    let mut readiness = Readiness::new(OWN);
+    let mut availability = Availability::new(OWN, Some(LINK));
     let (mut closed, mut longest) = (Duration::ZERO, Duration::ZERO);
     for sample in 0..600 {
         let now = SAMPLE * sample;
         let bytes = LINK as f64 * SAMPLE.as_secs_f64() * used(sample);
-        headroom.record(bytes as u64);
+        let sample = Sample {
+            bytes: bytes as u64,
+            is_accepting: availability.is_open(),
+            has_room: true,
+            ..Sample::default()
+        };
         let view = view(routers / 2, routers, now);
-        let (is_full, utilization) = (headroom.is_full(), headroom.utilization());
-        readiness.update(now, is_full, utilization, Some(&view));
+        availability.record(now, &sample, Some(&view));
         closed += SAMPLE;
-        if !readiness.is_ready() || !headroom.is_overloaded() {
+        if !availability.is_ready() || availability.is_open() {
             closed = Duration::ZERO;
         }
         longest = longest.max(closed);
@@ -70,3 +73,85 @@
         assert!(longest <= MAX_CLOSED, "{routers} routers: {longest:?}");
     }
 }
+
+/// Records samples with an idle link from `from` on, for as long as `samples` says; returns when the
+/// router was not ready first.
+fn first_unready(
+    availability: &mut Availability,
+    from: Duration,
+    sample: &Sample,
+) -> Option<Duration> {
+    for number in 0..100 {
+        let now = from + SAMPLE * number;
+        availability.record(now, sample, None);
+        if !availability.is_ready() {
+            return Some(now - from);
+        }
+    }
+    None
+}
+
+/// Guards against a balancer that goes on to send new connections to a router at its limit.
+#[test]
+fn router_whose_connections_are_all_busy_is_not_ready_until_some_have_ended() {
+    let full = Sample {
+        rejected: 8,
+        is_accepting: true,
+        ..Sample::default()
+    };
+    let mut availability = Availability::new(OWN, None);
+    let unready = first_unready(&mut availability, Duration::ZERO, &full);
+    assert!(
+        unready.is_some_and(|after| after <= MAX_CLOSED),
+        "{unready:?}"
+    );
+
+    // The balancer sends nothing more, and all connections stay busy.
+    let quiet = Sample {
+        rejected: 0,
+        ..full
+    };
+    let later = Duration::from_secs(60);
+    availability.record(later, &quiet, None);
+    assert!(!availability.is_ready());
+
+    let room = Sample {
+        has_room: true,
+        ..quiet
+    };
+    availability.record(later + MAX_CLOSED, &room, None);
+    assert!(!availability.is_ready(), "ready at once");
+    availability.record(later + MAX_CLOSED * 2, &room, None);
+    assert!(availability.is_ready());
+}
+
+/// Guards against a worker that hangs, or a port that can't be bound again.
+#[test]
+fn router_that_accepts_nothing_is_not_ready() {
+    let stuck = Sample {
+        has_room: true,
+        ..Sample::default()
+    };
+    let mut availability = Availability::new(OWN, Some(LINK));
+    let unready = first_unready(&mut availability, Duration::ZERO, &stuck);
+    assert!(
+        unready.is_some_and(|after| after <= MAX_CLOSED),
+        "{unready:?}"
+    );
+}
+
+/// Guards against callers that are moved though the router serves most of them.
+#[test]
+fn router_that_takes_some_of_the_connections_stays_ready() {
+    let busy = Sample {
+        taken: 1,
+        rejected: 8,
+        is_accepting: true,
+        ..Sample::default()
+    };
+    let mut availability = Availability::new(OWN, Some(LINK));
+    assert_eq!(
+        first_unready(&mut availability, Duration::ZERO, &busy),
+        None
+    );
+}
--- a/crates/shell/src/web/acceptor.rs
+++ b/crates/shell/src/web/acceptor.rs
@@ -18,9 +18,10 @@
 use xitca_server::net::{IntoListener, Listen};
 
 use super::connection::Shared;
+use super::intake::HEARTBEAT;
 
-/// Delay between attempts to listen on the port again.
-const REBIND_DELAY: Duration = Duration::from_millis(100);
+/// Delay between attempts to listen on the port, or to accept a connection, again.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// A bound listener that the server turns into an [`Acceptor`].
 pub(super) struct BoundListener {
@@ -60,6 +61,8 @@
     Serve(Stream),
     /// The gate is closed.
     CloseListener,
+    /// There is no connection to accept yet.
+    Wait,
     Stop,
 }
 
@@ -88,9 +91,18 @@
             () = self.shared.stop.cancelled() => Ok(Next::Stop),
             () = self.shared.gate.until(false) => Ok(Next::CloseListener),
             accepted = listener.accept() => {
-                let (socket, peer) = accepted.inspect_err(|error| self.on_failed_accept(error))?;
+                let (socket, peer) = match accepted {
+                    Ok(accepted) => accepted,
+                    // The runtime may be shutting down.
+                    Err(_error) if self.shared.stop.is_cancelled() => return Ok(Next::Stop),
+                    Err(error) => {
+                        self.on_failed_accept(&error).await;
+                        return Ok(Next::Wait);
+                    }
+                };
                 Ok(Next::Serve(Stream::Tcp(socket.into_std()?, peer)))
             }
+            () = sleep(HEARTBEAT) => Ok(Next::Wait),
         }
     }
 
@@ -103,7 +115,9 @@
         }
     }
 
-    fn on_failed_accept(&self, error: &io::Error) {
+    /// Waits for the cause of the error to end, such as a lack of file descriptors: the accept loop
+    /// must go on. Idle connections make room for those that can't be accepted.
+    async fn on_failed_accept(&self, error: &io::Error) {
         if is_client_error(error) {
             return;
         }
@@ -114,6 +128,8 @@
             address = self.address,
             error = error
         );
+        self.shared.connections.close_idle();
+        sleep(RETRY_DELAY).await;
     }
 
     /// Listens again once the gate is open. Returns true when the server stops instead.
@@ -133,7 +149,7 @@
                 address = self.address,
                 error = error
             );
-            sleep(REBIND_DELAY).await;
+            sleep(RETRY_DELAY).await;
         }
     }
 
@@ -160,10 +176,12 @@
                 }
                 continue;
             };
+            self.shared.intake.beat();
             let next = self.next(&listener).await?;
             let is_stop = matches!(next, Next::Stop);
             let stream = match next {
                 Next::Serve(stream) => Some(stream),
+                Next::Wait => continue,
                 Next::CloseListener | Next::Stop => accept_queued(&listener),
             };
             if let Some(stream) = stream {
--- a/crates/shell/src/web/connection.rs
+++ b/crates/shell/src/web/connection.rs
@@ -20,6 +20,7 @@
 use xitca_web::service::Service;
 use xitca_web::service::ready::ReadyService;
 
+use super::connections::{Connections, Registration};
 use super::gate::Gate;
 use super::intake::Intake;
 
@@ -33,7 +34,7 @@
 const KEEPALIVE_PROBES: u32 = 3;
 /// How long a new connection may take to begin its first request once the server stops.
 const FIRST_WAIT: Duration = Duration::from_millis(500);
-/// Interval at which a stop checks the accepted connections that have no permit yet.
+/// Interval at which a stop checks the accepted connections that aren't registered yet.
 const POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 tokio::task_local! {
@@ -43,8 +44,7 @@
 
 /// State that all connections of a server share.
 pub(super) struct Shared {
-    /// One permit for each connection that may be open.
-    pub(super) permits: Arc<Semaphore>,
+    pub(super) connections: Arc<Connections>,
     /// One permit for each refused connection that may get a response.
     pub(super) refusals: Semaphore,
     /// Whether new connections are accepted.
@@ -55,7 +55,7 @@
     pub(super) stop: CancellationToken,
     /// Cancelled when the listener is closed and the accept queue is empty.
     pub(super) closed: CancellationToken,
-    /// Number of accepted connections that have no permit yet.
+    /// Number of accepted connections that are neither registered nor refused yet.
     pub(super) arriving: AtomicUsize,
     /// Cancelled when the grace period of a stop has expired.
     pub(super) abort: CancellationToken,
@@ -64,8 +64,8 @@
 }
 
 impl Shared {
-    /// Resolves when the listener is closed and every accepted connection has its permit
-    /// or was refused.
+    /// Resolves when the listener is closed and every accepted connection was registered
+    /// or refused.
     pub(super) async fn all_arrived(&self) {
         self.closed.cancelled().await;
         while self.arriving.load(Ordering::SeqCst) > 0 {
@@ -78,6 +78,7 @@
 /// xitca's dispatcher reads and writes it.
 pub(super) struct Connection {
     socket: TcpStream,
+    registration: Registration,
     busy: Cell<bool>,
     /// Cancelled when the first request has begun.
     begun: CancellationToken,
@@ -86,7 +87,7 @@
 }
 
 impl Connection {
-    fn open(socket: &StdStream, stall: Duration) -> io::Result<Self> {
+    fn open(socket: &StdStream, stall: Duration, registration: Registration) -> io::Result<Self> {
         let watched = socket.try_clone()?;
         let options = SockRef::from(&watched);
         options.set_tcp_nodelay(true)?;
@@ -98,6 +99,7 @@
         options.set_tcp_user_timeout(Some(stall))?;
         Ok(Self {
             socket: TcpStream::from_std(watched)?,
+            registration,
             busy: Cell::new(false),
             begun: CancellationToken::new(),
             closing: Cell::new(false),
@@ -108,6 +110,7 @@
     /// Marks the connection as busy with a request.
     pub(super) fn begin(&self) {
         self.busy.set(true);
+        self.registration.begin();
         self.begun.cancel();
     }
 
@@ -115,6 +118,7 @@
     /// response was dropped.
     pub(super) fn end(&self) {
         self.busy.set(false);
+        self.registration.end();
         if self.closing.get() {
             self.shut_read();
         }
@@ -164,6 +168,13 @@
         }
     }
 
+    /// Closes the connection once it should make room for another one; never resolves.
+    async fn make_room(&self) {
+        self.registration.connection.closing.cancelled().await;
+        self.close_when_idle();
+        pending().await
+    }
+
     async fn stopped(&self, shared: &Shared) {
         shared.stop.cancelled().await;
         // The first request may be in flight, and clients don't retry a request that
@@ -215,14 +226,14 @@
         let Stream::Tcp(socket, peer) = stream else {
             return Ok(());
         };
-        let permit = Arc::clone(&self.shared.permits).try_acquire_owned();
+        let registration = self.shared.connections.register().await;
         self.shared.arriving.fetch_sub(1, Ordering::SeqCst);
-        let Ok(_permit) = permit else {
+        let Some(registration) = registration else {
             self.reject(socket).await;
             return Ok(());
         };
         self.shared.intake.count_taken();
-        let Ok(connection) = Connection::open(&socket, self.shared.stall) else {
+        let Ok(connection) = Connection::open(&socket, self.shared.stall, registration) else {
             return Ok(());
         };
         let connection = Rc::new(connection);
@@ -232,6 +243,7 @@
             _result = CURRENT.scope(Rc::clone(&connection), work) => {}
             () = connection.hangup() => {}
             () = connection.stopped(&self.shared) => {}
+            () = connection.make_room() => {}
         }
         Ok(())
     }
--- a/crates/shell/src/web/intake.rs
+++ b/crates/shell/src/web/intake.rs
@@ -1,15 +1,28 @@
 //! What became of the connections that clients opened.
 
+use std::fmt;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::time::{Duration, Instant};
+
+use super::connections::Connections;
+
+/// Interval at which the accept loop shows that it runs.
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(250);
+/// Time without a heartbeat after which the accept loop counts as stuck.
+const MAX_SILENCE: Duration = Duration::from_secs(1);
 
 /// Counters of new connections, and whether there is a listener for them.
-#[derive(Debug)]
 pub struct Intake {
     taken: AtomicU64,
     refused: AtomicU64,
     closed: AtomicU64,
     failed: AtomicU64,
     is_listening: AtomicBool,
+    start: Instant,
+    /// Milliseconds from `start` to the last turn of the accept loop.
+    heartbeat: AtomicU64,
+    connections: Arc<Connections>,
 }
 
 /// Numbers of new connections since the start of the server, by what became of them.
@@ -45,13 +58,16 @@
 }
 
 impl Intake {
-    pub(super) fn listening() -> Self {
+    pub(super) fn listening(connections: Arc<Connections>) -> Self {
         Self {
             taken: AtomicU64::new(0),
             refused: AtomicU64::new(0),
             closed: AtomicU64::new(0),
             failed: AtomicU64::new(0),
             is_listening: AtomicBool::new(true),
+            start: Instant::now(),
+            heartbeat: AtomicU64::new(0),
+            connections,
         }
     }
 
@@ -72,6 +88,24 @@
         self.is_listening.load(Relaxed)
     }
 
+    /// Whether the port is open and the accept loop runs.
+    #[must_use]
+    pub fn is_accepting(&self) -> bool {
+        let last = Duration::from_millis(self.heartbeat.load(Relaxed));
+        self.is_listening() && self.start.elapsed().saturating_sub(last) < MAX_SILENCE
+    }
+
+    /// Whether another connection may be opened, in place of an idle one if need be.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        self.connections.has_room()
+    }
+
+    pub(super) fn beat(&self) {
+        let now = self.start.elapsed().as_millis() as u64;
+        self.heartbeat.store(now, Relaxed);
+    }
+
     pub(super) fn count_taken(&self) {
         self.taken.fetch_add(1, Relaxed);
     }
@@ -92,3 +126,12 @@
         self.is_listening.store(is_listening, Relaxed);
     }
 }
+
+impl fmt::Debug for Intake {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Intake")
+            .field("counts", &self.counts())
+            .field("is_listening", &self.is_listening())
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/shell/src/web/mod.rs
+++ b/crates/shell/src/web/mod.rs
@@ -12,6 +12,7 @@
 mod acceptor;
 mod body;
 mod connection;
+mod connections;
 mod gate;
 mod incoming;
 mod intake;
--- a/crates/shell/src/web/server.rs
+++ b/crates/shell/src/web/server.rs
@@ -17,6 +17,7 @@
 
 use super::acceptor::BoundListener;
 use super::connection::{ConnectionLayer, MAX_REFUSALS, Shared};
+use super::connections::Connections;
 use super::gate::Gate;
 use super::intake::Intake;
 use super::limits::{HEADER_BYTES, HEADER_FIELDS, Limits};
@@ -32,7 +33,6 @@
 /// once, and its threads end in the background.
 pub struct WebServer {
     address: SocketAddr,
-    connections: u32,
     shared: Arc<Shared>,
     handle: ServerHandle,
     thread: Option<JoinHandle<()>>,
@@ -50,12 +50,12 @@
     ) -> anyhow::Result<Self> {
         let address = listener.local_addr().context("address of the listener")?;
         let connections = limits.connections.min(Semaphore::MAX_PERMITS);
-        let connections = u32::try_from(connections).unwrap_or(u32::MAX);
+        let connections = Arc::new(Connections::new(connections));
         let shared = Arc::new(Shared {
-            permits: Arc::new(Semaphore::new(connections as usize)),
+            intake: Arc::new(Intake::listening(Arc::clone(&connections))),
+            connections,
             refusals: Semaphore::new(MAX_REFUSALS),
             gate: Arc::new(Gate::open()),
-            intake: Arc::new(Intake::listening()),
             stop: CancellationToken::new(),
             closed: CancellationToken::new(),
             arriving: AtomicUsize::new(0),
@@ -73,7 +73,6 @@
             .context("starting the HTTP server's thread")?;
         Ok(Self {
             address,
-            connections,
             shared,
             handle,
             thread: Some(thread),
@@ -103,10 +102,10 @@
     /// connections, and joins the workers.
     pub async fn stop(mut self, grace: Duration) {
         self.shared.stop.cancel();
-        // Connections that are accepted after this find no permit.
+        // Connections that are accepted after this are refused.
         let arrived = self.shared.all_arrived();
         let _late = tokio::time::timeout(ACCEPT_QUEUE_TIMEOUT.min(grace), arrived).await;
-        let all = self.shared.permits.acquire_many(self.connections);
+        let all = self.shared.connections.all_closed();
         // When the grace period expires, the remaining connections are closed.
         let _result = tokio::time::timeout(grace, all).await;
         self.shared.abort.cancel();
--- a/crates/shell/tests/web.rs
+++ b/crates/shell/tests/web.rs
@@ -19,6 +19,10 @@
 
 const BODY_LIMIT: usize = 1_000;
 const LONG: Duration = Duration::from_secs(60);
+/// A request that stays in flight: its body follows the response `100 Continue`, which is sent when the
+/// service reads it.
+const HALF_REQUEST: &str =
+    "POST /half HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\nexpect: 100-continue\r\n\r\n";
 
 /// Responds with method, path and body.
 async fn echo(mut request: Incoming) -> Response {
@@ -321,6 +325,9 @@
     for client in [&mut first, &mut second] {
         client.get("/").await;
         assert_eq!(client.answer().await.unwrap().status, 200);
+        // A connection with a request in flight can't make room for another one.
+        client.send(HALF_REQUEST).await;
+        assert_eq!(client.head().await.unwrap().0, 100);
     }
     let mut third = Client::open(server.address()).await;
     let answer = third.answer().await.unwrap();
@@ -337,6 +344,8 @@
         }
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
+    second.send("x").await;
+    assert_eq!(second.answer().await.unwrap().status, 200);
     server.stop(LONG).await;
 }
 
