--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -20,6 +20,9 @@
     pub prefix: u64,
     /// Tokens of the prompt parts that are shared with other requests.
     pub shared: Tokens,
+    /// Ids of the prompt parts that other requests may share, in order, without duplicates. Ids that
+    /// backend servers take for one are equal here.
+    pub parts: Vec<String>,
     /// The caller's API key.
     pub key: Option<String>,
     /// Id of the last event that the caller has, if it resumes a response.
--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -1,4 +1,4 @@
-//! Identifies requests that their callers send again.
+//! Identifies requests that their callers send again, and parts of prompts that requests share.
 
 use std::fmt;
 use std::sync::OnceLock;
@@ -6,14 +6,18 @@
 use bytes::Bytes;
 use http::{Method, Uri};
 use sha2::{Digest, Sha256};
-use swiftlink_types::WorkspaceName;
+use swiftlink_types::{PoolName, WorkspaceName};
 
 /// Length of a fingerprint in bytes.
 pub const LEN: usize = 16;
+/// Bit of the first byte that is set in fingerprints of parts and clear in those of requests.
+const PART_BIT: u8 = 1;
 
-/// Hash of what all attempts of a caller at one request have in common: method, host, path,
+/// Hash of what may crash a server: a whole request, or a part of the prompts of several.
+///
+/// That of a request covers what all attempts of a caller at it have in common: method, host, path,
 /// workspace and body. A workspace can't make a request that has the fingerprint of another
-/// workspace's request.
+/// workspace's request. Parts are shared by workspaces; their fingerprint covers the pool and the id.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Fingerprint([u8; LEN]);
 
@@ -32,12 +36,16 @@
     pub body: Bytes,
 }
 
-/// Identity of a request across retries by its caller. The fingerprint is computed on first use,
-/// since most requests never need it.
+/// Identity of a request across retries by its caller. The fingerprints are computed on first use,
+/// since most requests never need them.
 #[derive(Debug)]
 pub struct RequestIdentity {
     content: Content,
     fingerprint: OnceLock<Fingerprint>,
+    pool: PoolName,
+    /// Ids of the parts of the prompt that other requests may share.
+    parts: Vec<String>,
+    part_fingerprints: OnceLock<Vec<Fingerprint>>,
 }
 
 impl RequestIdentity {
@@ -47,6 +55,19 @@
         Self {
             content,
             fingerprint: OnceLock::new(),
+            pool: PoolName::from(""),
+            parts: Vec::new(),
+            part_fingerprints: OnceLock::new(),
+        }
+    }
+
+    /// The same of a request for `pool` whose prompt has these parts in common with others.
+    #[must_use]
+    pub fn with_parts(self, pool: PoolName, parts: Vec<String>) -> Self {
+        Self {
+            pool,
+            parts,
+            ..self
         }
     }
 
@@ -57,6 +78,17 @@
             .fingerprint
             .get_or_init(|| Fingerprint::of(&self.content))
     }
+
+    /// Fingerprints of the parts of the prompt that other requests may share.
+    #[must_use]
+    pub fn parts(&self) -> &[Fingerprint] {
+        self.part_fingerprints.get_or_init(|| {
+            let parts = self.parts.iter();
+            parts
+                .map(|id| Fingerprint::of_part(&self.pool, id))
+                .collect()
+        })
+    }
 }
 
 impl Fingerprint {
@@ -66,24 +98,27 @@
         let path = content.uri.path_and_query();
         let path = path.map_or("/", |path| path.as_str());
         let workspace = content.workspace.as_ref().map_or("", WorkspaceName::as_str);
-        let mut hash = Sha256::new();
-        // Each part is prefixed with its length, so that bytes can't move from the end of one part
-        // to the start of the next without changing the hash.
-        let parts = [workspace, content.method.as_str(), &content.host, path];
-        for part in parts
-            .map(str::as_bytes)
-            .into_iter()
-            .chain([&content.body[..]])
-        {
-            hash.update((part.len() as u64).to_le_bytes());
-            hash.update(part);
-        }
-        let digest = hash.finalize();
-        let mut bytes = [0; LEN];
-        bytes.copy_from_slice(&digest[..LEN]);
+        let fields = [workspace, content.method.as_str(), &content.host, path];
+        let fields = fields.map(str::as_bytes).into_iter();
+        let mut bytes = hash(fields.chain([&content.body[..]]));
+        bytes[0] &= !PART_BIT;
         Self(bytes)
     }
 
+    /// Computes the fingerprint of a part of the prompts that `pool` gets.
+    #[must_use]
+    pub fn of_part(pool: &PoolName, id: &str) -> Self {
+        let mut bytes = hash([pool.as_str(), id].map(str::as_bytes).into_iter());
+        bytes[0] |= PART_BIT;
+        Self(bytes)
+    }
+
+    /// Whether this is the fingerprint of a part, not of a request.
+    #[must_use]
+    pub fn is_part(&self) -> bool {
+        self.0[0] & PART_BIT != 0
+    }
+
     /// The fingerprint's bytes, for other routers.
     #[must_use]
     pub fn as_bytes(&self) -> &[u8] {
@@ -91,6 +126,20 @@
     }
 }
 
+/// Hash of several fields. Each is prefixed with its length, so that bytes can't move from the end of
+/// one field to the start of the next without changing the hash.
+fn hash<'a>(fields: impl Iterator<Item = &'a [u8]>) -> [u8; LEN] {
+    let mut hash = Sha256::new();
+    for field in fields {
+        hash.update((field.len() as u64).to_le_bytes());
+        hash.update(field);
+    }
+    let digest = hash.finalize();
+    let mut bytes = [0; LEN];
+    bytes.copy_from_slice(&digest[..LEN]);
+    bytes
+}
+
 /// Reads a fingerprint that another router sent.
 impl TryFrom<&[u8]> for Fingerprint {
     type Error = std::array::TryFromSliceError;
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -20,7 +20,7 @@
 use super::refusal::{Refusal, SERVER_RETRY};
 use super::relay;
 use crate::dialect::RequestMeta;
-use crate::fingerprint::RequestIdentity;
+use crate::fingerprint::{Fingerprint, RequestIdentity};
 use crate::fleet::{Pool, SelectedServer, ServerCriteria, Ticket};
 use crate::model::{Replay, Route, RouteKind, Workspace};
 use crate::node::{InFlight, Node};
@@ -129,6 +129,19 @@
         }
     }
 
+    /// The fingerprints of the prompt's parts for the log entry of a response that broke off; `-` for
+    /// others.
+    pub(super) fn logged_parts(&self, is_broken: bool) -> String {
+        if !is_broken || self.identity.parts().is_empty() {
+            return "-".to_owned();
+        }
+        let parts = self.identity.parts().iter();
+        parts
+            .map(Fingerprint::to_string)
+            .collect::<Vec<_>>()
+            .join(",")
+    }
+
     /// The fingerprint for the log entry of a response that broke off; `-` for others.
     pub(super) fn logged_fingerprint(&self, is_broken: bool) -> String {
         if is_broken {
@@ -239,6 +252,7 @@
                 detail = failed.detail,
                 took_ms = start.elapsed().as_millis(),
                 print = self.logged_fingerprint(is_broken),
+                parts = self.logged_parts(is_broken),
                 left_ms = self.left().as_millis(),
             );
             if !self.may_retry(attempts, outcome) {
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -365,6 +365,7 @@
         pause_ms = gaps.longest.as_millis(),
         attempts = attempts.count(),
         print = exchange.logged_fingerprint(end == StreamEnd::Broken),
+        parts = exchange.logged_parts(end == StreamEnd::Broken),
         charged = exchange.spent(),
         config = exchange.version,
         ms = exchange.start.elapsed().as_millis(),
--- a/crates/gateway/src/serve/service.rs
+++ b/crates/gateway/src/serve/service.rs
@@ -118,7 +118,9 @@
             .map_err(body_refusal)?;
         node.traffic
             .received(head_bytes(request.headers()) + body.len());
-        let identity = Arc::new(identity(workspace.as_deref(), &request, &body));
+        let identity = identity(workspace.as_deref(), &request, &body);
+        let identity = identity.with_parts(pool.name.clone(), meta.parts.clone());
+        let identity = Arc::new(identity);
         if let Some(rest) = node.quarantine.remaining_hold(&identity) {
             let fingerprint = identity.fingerprint();
             event!(info, "request.held", id = meta.id(), print = fingerprint);
