quarantine: hold parts of prompts that crash servers

What callers saw: requests with one part in their prompts were sent to servers 22 and 25 times after five servers had crashed under them; 32 servers crashed in all, with dozens of other requests each.

Cause: a request was known by a hash of its whole only. No two requests were alike, so each crash was the first of its kind, and nothing was ever held. The class: what failures have in common is looked for in the wrong unit.

Change: each part of a prompt but the last is a suspect of its own, by pool and id, in the same record of crashes: it is in the crash of a server that ran a request with it, and a completed request, or one that has run for a second after its first event, clears its parts everywhere. After three crashes of different moments in which nothing else explains it better, a part is held: requests with it are refused at once, before quota is reserved, and attempts that wait at servers are cancelled. A request goes before a part that is in the same crashes, since it affects one caller. Parts that can't be told apart hold only prompts with all of them. Reports between routers and on the store keep their form.

Why this works: the deadly part is in every crash and never completes; a part that sound requests share is cleared by each of them, also by those in flight when it is held.

--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -36,38 +36,53 @@
     pub body: Bytes,
 }
 
-/// Identity of a request across retries by its caller. The fingerprints are computed on first use,
-/// since most requests never need them.
+/// The parts of a prompt that the prompts of other requests for the same pool may share. The
+/// fingerprints are computed on first use, since most requests never need them.
 #[derive(Debug)]
-pub struct RequestIdentity {
-    content: Content,
-    fingerprint: OnceLock<Fingerprint>,
+pub struct PromptParts {
     pool: PoolName,
-    /// Ids of the parts of the prompt that other requests may share.
-    parts: Vec<String>,
-    part_fingerprints: OnceLock<Vec<Fingerprint>>,
+    ids: Vec<String>,
+    fingerprints: OnceLock<Vec<Fingerprint>>,
 }
 
-impl RequestIdentity {
-    /// The identity of a request with this content.
+impl PromptParts {
+    /// The parts with these ids, of a prompt for `pool`.
     #[must_use]
-    pub fn new(content: Content) -> Self {
+    pub fn new(pool: PoolName, ids: Vec<String>) -> Self {
         Self {
-            content,
-            fingerprint: OnceLock::new(),
-            pool: PoolName::from(""),
-            parts: Vec::new(),
-            part_fingerprints: OnceLock::new(),
+            pool,
+            ids,
+            fingerprints: OnceLock::new(),
         }
     }
 
-    /// The same of a request for `pool` whose prompt has these parts in common with others.
+    /// Fingerprints of the parts, in their order in the prompt.
     #[must_use]
-    pub fn with_parts(self, pool: PoolName, parts: Vec<String>) -> Self {
+    pub fn fingerprints(&self) -> &[Fingerprint] {
+        self.fingerprints.get_or_init(|| {
+            let ids = self.ids.iter();
+            ids.map(|id| Fingerprint::of_part(&self.pool, id)).collect()
+        })
+    }
+}
+
+/// Identity of a request across retries by its caller. The fingerprint is computed on first use,
+/// since most requests never need it.
+#[derive(Debug)]
+pub struct RequestIdentity {
+    content: Content,
+    parts: PromptParts,
+    fingerprint: OnceLock<Fingerprint>,
+}
+
+impl RequestIdentity {
+    /// The identity of a request with this content and these parts of its prompt.
+    #[must_use]
+    pub fn new(content: Content, parts: PromptParts) -> Self {
         Self {
-            pool,
+            content,
             parts,
-            ..self
+            fingerprint: OnceLock::new(),
         }
     }
 
@@ -79,15 +94,16 @@
             .get_or_init(|| Fingerprint::of(&self.content))
     }
 
-    /// Fingerprints of the parts of the prompt that other requests may share.
+    /// The parts of the prompt that other requests may share.
     #[must_use]
-    pub fn parts(&self) -> &[Fingerprint] {
-        self.part_fingerprints.get_or_init(|| {
-            let parts = self.parts.iter();
-            parts
-                .map(|id| Fingerprint::of_part(&self.pool, id))
-                .collect()
-        })
+    pub fn parts(&self) -> &PromptParts {
+        &self.parts
+    }
+
+    /// All of the request that may crash a server: the request itself, then the parts.
+    pub fn suspects(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+        let parts = self.parts.fingerprints().iter().copied();
+        std::iter::once(self.fingerprint()).chain(parts)
     }
 }
 
--- a/crates/gateway/src/quarantine/crash_detection.rs
+++ b/crates/gateway/src/quarantine/crash_detection.rs
@@ -29,7 +29,7 @@
 /// State of the servers of broken attempts.
 #[derive(Debug, Default)]
 struct Servers {
-    /// Servers being probed, with the requests that broke on them.
+    /// Servers being probed, with the requests that broke on them and their parts.
     probing: HashMap<ServerInstance, HashSet<Fingerprint>>,
     /// Crashed servers with the times of their crashes, in order of detection.
     crashed: Vec<(ServerInstance, u64)>,
@@ -77,7 +77,7 @@
 ) {
     let instance = &attempt.server.instance;
     if let Some(at) = servers.crashed_at(instance) {
-        let fingerprints = HashSet::from([attempt.fingerprint]);
+        let fingerprints = attempt.fingerprints.iter().copied().collect();
         quarantine.on_local_crash(&local_crash(
             quarantine.vm.clone(),
             instance.clone(),
@@ -87,12 +87,11 @@
         return;
     }
     if let Some(fingerprints) = servers.probing.get_mut(instance) {
-        fingerprints.insert(attempt.fingerprint);
+        fingerprints.extend(&attempt.fingerprints);
         return;
     }
-    servers
-        .probing
-        .insert(instance.clone(), HashSet::from([attempt.fingerprint]));
+    let fingerprints = attempt.fingerprints.iter().copied().collect();
+    servers.probing.insert(instance.clone(), fingerprints);
     let (server, instance) = (attempt.server.destination.clone(), instance.clone());
     let dialer = Arc::clone(dialer);
     probes.spawn(async move {
@@ -118,7 +117,8 @@
         info,
         "server.crashed",
         server = instance.name,
-        requests = fingerprints.len()
+        requests = fingerprints.iter().filter(|one| !one.is_part()).count(),
+        parts = fingerprints.iter().filter(|one| one.is_part()).count()
     );
     servers.record_crash(instance.clone(), now);
     quarantine.on_local_crash(&local_crash(
--- a/crates/gateway/src/quarantine/history.rs
+++ b/crates/gateway/src/quarantine/history.rs
@@ -1,4 +1,5 @@
-//! Decides which requests are queries of death, from the servers that crashed while running them.
+//! Decides which requests, and which parts of prompts, crash servers, from the servers that crashed
+//! while running them.
 //!
 //! When a server crashes, each request running on it may be the cause, and all but one are
 //! innocent. A query of death is common to the crashes of all servers that ran it. So a request
@@ -6,6 +7,13 @@
 //! on the same server that is held already and was in as many crashes. A request that completed on
 //! any server is cleared of all earlier crashes.
 //!
+//! The cause may also be a part that the prompts of several requests share. A part is treated like a
+//! request: it is in the crash of each server that was running a request with it, and a completed
+//! request clears all its parts. So parts that sound requests share too, such as the first part of all
+//! prompts of a route, are cleared again and again. Where a request and a part explain the same
+//! crashes, the request is held, as it affects fewer callers. Parts that can't be told apart, since
+//! they came together at each crash, keep only requests away that have all of them.
+//!
 //! An innocent request may be in three crashes before the cause of each has reached its own third.
 //! It is released once all its crashes have a better explanation, but only once: another crash
 //! without one holds it again.
@@ -13,8 +21,9 @@
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
-use swiftlink_types::{ServerInstance, VmName};
+use swiftlink_types::ServerInstance;
 
+use super::record::{Clearance, HeldRequest, HoldChanges, Millis, ServerCrash};
 use crate::fingerprint::Fingerprint;
 
 /// Number of crashes after which a request is held. Two may be chance: a request that is retried
@@ -32,50 +41,12 @@
 const CRASH_RETENTION: Duration = Duration::from_secs(600);
 /// Maximum number of crashes kept; the oldest ones are evicted.
 pub const MAX_CRASHES: usize = 128;
-/// Maximum number of requests kept per crash. A server runs fewer at a time.
-pub const MAX_FINGERPRINTS: usize = 128;
+/// Maximum number of requests and parts kept per crash: those of 64 requests with eight parts each. A
+/// server runs fewer at a time.
+pub const MAX_FINGERPRINTS: usize = 576;
 /// Maximum number of requests held at a time.
 pub const MAX_HELD: usize = 1_024;
 
-/// Time of the VM's monotonic clock, in milliseconds.
-type Millis = u64;
-
-/// A crash of a server, and the requests running on it, as far as routers saw them.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ServerCrash {
-    /// Server instance that crashed.
-    pub instance: ServerInstance,
-    /// When it crashed.
-    pub at: Millis,
-    /// Requests that were running on it.
-    pub fingerprints: HashSet<Fingerprint>,
-    /// VMs whose routers saw the crash.
-    pub seen_by: BTreeSet<VmName>,
-}
-
-/// A request that is held from now on.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct HeldRequest {
-    /// Its fingerprint.
-    pub fingerprint: Fingerprint,
-    /// Duration of the hold.
-    pub duration: Duration,
-    /// Crashes attributed to it.
-    pub crashes: Vec<ServerCrash>,
-}
-
-impl HeldRequest {
-    /// The crashes, each with this request only.
-    #[must_use]
-    pub fn evidence(&self) -> Vec<ServerCrash> {
-        let evidence = self.crashes.iter().map(|crash| ServerCrash {
-            fingerprints: HashSet::from([self.fingerprint]),
-            ..crash.clone()
-        });
-        evidence.collect()
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Hold {
     until: Millis,
@@ -94,26 +65,6 @@
     }
 }
 
-/// Changes caused by a crash.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct HoldChanges {
-    /// Requests that are held from now on.
-    pub held: Vec<HeldRequest>,
-    /// Requests that are released, since other requests explain their crashes.
-    pub released: Vec<Fingerprint>,
-}
-
-/// Changes caused by the completion of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Clearance {
-    /// No server had crashed while running it.
-    Nothing,
-    /// Servers had crashed while running it, but it wasn't held.
-    Crashes,
-    /// It was held.
-    Hold,
-}
-
 /// Known crashes of servers and the requests held because of them.
 #[derive(Debug, Default)]
 pub struct CrashHistory {
@@ -163,12 +114,19 @@
                     .map(|fingerprint| self.hold(*fingerprint, INITIAL_HOLD)),
             );
         }
+        for request in &mut held {
+            request.companions = self.companions(&request.fingerprint);
+        }
         let released = self.release_explained(now);
         HoldChanges { held, released }
     }
 
     /// Clears a request that completed at `at`.
     pub fn on_completed(&mut self, fingerprint: Fingerprint, at: Millis) -> Clearance {
+        let is_known = self.crash_counts.contains_key(&fingerprint);
+        if !is_known && !self.held.contains_key(&fingerprint) {
+            return Clearance::Nothing;
+        }
         let mut cleared = Clearance::Nothing;
         for crash in self.crashes.values_mut() {
             if crash.at <= at && crash.fingerprints.remove(&fingerprint) {
@@ -199,6 +157,36 @@
         (left > 0).then(|| Duration::from_millis(left))
     }
 
+    /// Remaining time for which a prompt with these parts is held; `None` if it isn't.
+    #[must_use]
+    pub fn remaining_part_hold(&self, parts: &[Fingerprint], now: Millis) -> Option<Duration> {
+        let holds = parts.iter().filter_map(|part| {
+            let remaining = self.remaining_hold(part, now)?;
+            let companions = self.companions(part);
+            let has_all = companions.iter().all(|other| parts.contains(other));
+            has_all.then_some(remaining)
+        });
+        holds.max()
+    }
+
+    /// Held parts that were in all crashes of this part.
+    fn companions(&self, part: &Fingerprint) -> Vec<Fingerprint> {
+        if !part.is_part() || self.crash_count(part) == 0 {
+            return Vec::new();
+        }
+        let others = self
+            .held
+            .keys()
+            .filter(|other| other.is_part() && *other != part);
+        let companions = others.filter(|other| {
+            let mut crashes = self.crashes.values();
+            crashes.all(|crash| {
+                !crash.fingerprints.contains(part) || crash.fingerprints.contains(other)
+            })
+        });
+        companions.copied().collect()
+    }
+
     /// Number of held requests, including those whose hold expired but isn't forgotten yet.
     #[must_use]
     pub fn held_len(&self) -> usize {
@@ -294,6 +282,7 @@
         self.evict_hold();
         HeldRequest {
             fingerprint,
+            companions: Vec::new(),
             duration,
             crashes,
         }
@@ -346,8 +335,8 @@
         held.any(|other| self.crash_count(other) >= count)
     }
 
-    /// The requests of `suspects` with the most crashes, if these suffice for a hold. Requests that
-    /// always ran on the same servers can't be told apart.
+    /// The suspects with the most crashes, if these suffice for a hold. Requests that always ran on the
+    /// same servers can't be told apart, nor can parts; requests go before parts.
     fn most_crashed(&self, suspects: &[Fingerprint]) -> Vec<Fingerprint> {
         let candidates = suspects
             .iter()
@@ -360,7 +349,15 @@
             return Vec::new();
         }
         let most_crashed = counted.into_iter().filter(|(count, _)| *count == most);
-        most_crashed.map(|(_, fingerprint)| fingerprint).collect()
+        let mut most_crashed: Vec<Fingerprint> =
+            most_crashed.map(|(_, fingerprint)| fingerprint).collect();
+        if most_crashed
+            .iter()
+            .any(|fingerprint| !fingerprint.is_part())
+        {
+            most_crashed.retain(|fingerprint| !fingerprint.is_part());
+        }
+        most_crashed
     }
 
     /// Number of crashes with the request.
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -1,5 +1,5 @@
-//! Detects queries of death, requests that crash the servers that run them, and keeps them away
-//! from servers.
+//! Detects queries of death, requests that crash the servers that run them, by their whole or by a
+//! part of their prompt, and keeps them away from servers.
 //!
 //! When an attempt breaks off, `crash_detection` checks whether its server crashed. If so, the
 //! requests that this router was running there are announced to other routers (`gossip`), since the
@@ -11,6 +11,7 @@
 pub(crate) mod gossip;
 mod history;
 mod observers;
+mod record;
 
 use std::fmt;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
@@ -23,7 +24,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Clock;
-use crate::fingerprint::{Fingerprint, RequestIdentity};
+use crate::fingerprint::{Fingerprint, PromptParts, RequestIdentity};
 use crate::fleet::SelectedServer;
 
 pub(crate) use crash_detection::detect as detect_crashes;
@@ -31,9 +32,10 @@
 pub use observers::{OBSERVERS, ranking};
 
 pub use history::{
-    CRASHES_TO_HOLD, Clearance, CrashHistory, HeldRequest, HoldChanges, INITIAL_HOLD, MAX_CRASHES,
-    MAX_FINGERPRINTS, MAX_HELD, MAX_HOLD, SIMULTANEOUS_WINDOW, ServerCrash,
+    CRASHES_TO_HOLD, CrashHistory, INITIAL_HOLD, MAX_CRASHES, MAX_FINGERPRINTS, MAX_HELD, MAX_HOLD,
+    SIMULTANEOUS_WINDOW,
 };
+pub use record::{Clearance, HeldRequest, HoldChanges, ServerCrash};
 
 /// Maximum number of broken attempts waiting for detection. More than that at one moment add no
 /// information.
@@ -46,7 +48,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct BrokenAttempt {
     pub(crate) server: SelectedServer,
-    pub(crate) fingerprint: Fingerprint,
+    /// The request and the parts that its prompt shares with others.
+    pub(crate) fingerprints: Vec<Fingerprint>,
 }
 
 /// Announcements for other routers that weren't sent yet.
@@ -54,7 +57,7 @@
 pub(crate) struct Outbox {
     /// Crashes seen by this router.
     pub(crate) crashes: Vec<ServerCrash>,
-    /// Requests that completed here although servers had crashed while running them.
+    /// Requests and parts that completed here although servers had crashed while running them.
     pub(crate) completed: Vec<Fingerprint>,
     /// Requests that are held from now on.
     pub(crate) held: Vec<HeldRequest>,
@@ -109,7 +112,20 @@
         if self.held_len() == 0 {
             return None;
         }
-        lock(&self.history).remaining_hold(&identity.fingerprint(), self.clock.steady())
+        let now = self.clock.steady();
+        let parts = identity.parts().fingerprints();
+        let history = lock(&self.history);
+        let whole = history.remaining_hold(&identity.fingerprint(), now);
+        whole.max(history.remaining_part_hold(parts, now))
+    }
+
+    /// Remaining time for which prompts with these parts are held; `None` if they aren't.
+    #[must_use]
+    pub fn remaining_part_hold(&self, parts: &PromptParts) -> Option<Duration> {
+        if self.held_len() == 0 {
+            return None;
+        }
+        lock(&self.history).remaining_part_hold(parts.fingerprints(), self.clock.steady())
     }
 
     /// Number of requests that are held or were held recently.
@@ -150,20 +166,22 @@
         }
         broken_attempts.push(BrokenAttempt {
             server: server.clone(),
-            fingerprint: identity.fingerprint(),
+            fingerprints: identity.suspects().collect(),
         });
         drop(broken_attempts);
         self.attempt_broken.notify_one();
     }
 
-    /// Handles a completed request.
+    /// Handles a request that completed, or that ran for so long that it doesn't crash its server.
     pub(crate) fn on_completed(&self, identity: &RequestIdentity) {
         if !self.has_crashes.load(Relaxed) {
             return;
         }
-        let fingerprint = identity.fingerprint();
-        if self.clear(fingerprint, self.clock.steady()) != Clearance::Nothing {
-            self.announce_completed(fingerprint);
+        let now = self.clock.steady();
+        for fingerprint in identity.suspects() {
+            if self.clear(fingerprint, now) != Clearance::Nothing {
+                self.announce_completed(fingerprint);
+            }
         }
     }
 
@@ -279,6 +297,12 @@
         warn,
         "quarantine.held",
         print = held.fingerprint,
+        kind = if held.fingerprint.is_part() {
+            "part"
+        } else {
+            "request"
+        },
+        with = held.companions.len(),
         secs = held.duration.as_secs(),
         ends = crashes.collect::<Vec<_>>().join(","),
     );
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -132,10 +132,11 @@
     /// The fingerprints of the prompt's parts for the log entry of a response that broke off; `-` for
     /// others.
     pub(super) fn logged_parts(&self, is_broken: bool) -> String {
-        if !is_broken || self.identity.parts().is_empty() {
+        let parts = self.identity.parts();
+        if !is_broken || parts.fingerprints().is_empty() {
             return "-".to_owned();
         }
-        let parts = self.identity.parts().iter();
+        let parts = parts.fingerprints().iter();
         parts
             .map(Fingerprint::to_string)
             .collect::<Vec<_>>()
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -224,6 +224,8 @@
         loop {
             // When the first event of this server arrived.
             let mut first_event: Option<Instant> = None;
+            // Whether the server has run the request for so long that it won't crash it.
+            let mut is_harmless = false;
             let watch = response.watch.clone();
             let hung = until_hung(watch.as_ref(), may_resume);
             tokio::pin!(hung);
@@ -253,6 +255,10 @@
                 };
                 response.ticket.on_first_event();
                 first_event.get_or_insert_with(Instant::now);
+                if !is_harmless && outlived_crash_window(first_event) {
+                    is_harmless = true;
+                    quarantine.on_completed(&exchange.identity);
+                }
                 if gaps.on_event(exchange.start, Instant::now()) {
                     exchange.on_begun(&response.server).await;
                     exchange.node.metrics.first_event(exchange.start.elapsed());
--- a/crates/gateway/src/serve/service.rs
+++ b/crates/gateway/src/serve/service.rs
@@ -16,7 +16,7 @@
 use super::refusal::{Refusal, SERVER_RETRY};
 use crate::dialect::RequestMeta;
 use crate::domains::allowed_domains;
-use crate::fingerprint::{Content, RequestIdentity};
+use crate::fingerprint::{Content, PromptParts, RequestIdentity};
 
 use crate::model::{Config, Route, Workspace};
 use crate::node::Node;
@@ -109,6 +109,11 @@
             pool = began_at;
             begun_by = Some(version);
         }
+        let parts = PromptParts::new(pool.name.clone(), meta.parts.clone());
+        if let Some(rest) = node.quarantine.remaining_part_hold(&parts) {
+            event!(info, "request.held", id = meta.id(), print = "-");
+            return Err(Refusal::Held(rest));
+        }
         let time = meta.deadline.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
         let quota = self.reserve(&route, workspace.as_deref(), &meta, time);
         let quota = quota.await?;
@@ -118,9 +123,8 @@
             .map_err(body_refusal)?;
         node.traffic
             .received(head_bytes(request.headers()) + body.len());
-        let identity = identity(workspace.as_deref(), &request, &body);
-        let identity = identity.with_parts(pool.name.clone(), meta.parts.clone());
-        let identity = Arc::new(identity);
+        let content = content(workspace.as_deref(), &request, &body);
+        let identity = Arc::new(RequestIdentity::new(content, parts));
         if let Some(rest) = node.quarantine.remaining_hold(&identity) {
             let fingerprint = identity.fingerprint();
             event!(info, "request.held", id = meta.id(), print = fingerprint);
@@ -236,15 +240,15 @@
     back + RETRY_JITTER.mul_f64(rand::random())
 }
 
-/// Identifies the request when its caller sends it again.
-fn identity(workspace: Option<&Workspace>, request: &Incoming, body: &Bytes) -> RequestIdentity {
-    RequestIdentity::new(Content {
+/// What identifies the request when its caller sends it again.
+fn content(workspace: Option<&Workspace>, request: &Incoming, body: &Bytes) -> Content {
+    Content {
         workspace: workspace.map(|workspace| workspace.name.clone()),
         method: request.method().clone(),
         host: request.header(HOST.as_str()).unwrap_or("").to_owned(),
         uri: request.uri().clone(),
         body: body.clone(),
-    })
+    }
 }
 
 fn find_route(config: &Config, request: &Incoming) -> Option<Arc<Route>> {
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod losses;
 mod net;
 mod origins;
+mod parts;
 mod paths;
 mod pending;
 mod pools;
