gateway: whether a request needs a key follows from the configuration, not from a list being empty

Cause: find_workspace refused a request only while the list of keys wasn't empty. The class: empty, missing or not yet known is taken for 'allowed'.

--- a/crates/gateway/src/model/config.rs
+++ b/crates/gateway/src/model/config.rs
@@ -7,6 +7,7 @@
 use swiftlink_routing::Warmup;
 use swiftlink_types::{PoolName, RegionName, Tokens, WorkspaceName};
 
+use super::route::Route;
 use super::table::RouteTable;
 
 /// A complete configuration. Versions only increase.
@@ -22,10 +23,35 @@
     pub limits: RequestLimits,
     /// Workspaces by name.
     pub workspaces: HashMap<WorkspaceName, Arc<Workspace>>,
+    /// Whether requests need a key unless their route is public.
+    pub needs_key: bool,
     /// Workspaces by the API keys of their callers.
     pub keys: HashMap<Box<str>, Arc<Workspace>>,
 }
 
+/// A request on a route that isn't public has no key, or one that isn't in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnknownKey;
+
+impl Config {
+    /// The workspace that is charged for a request on `route` with this key; `None` on a public route
+    /// without a known key.
+    ///
+    /// # Errors
+    /// When the request needs a key and has none that is in force.
+    pub fn caller(
+        &self,
+        route: &Route,
+        key: Option<&str>,
+    ) -> Result<Option<Arc<Workspace>>, UnknownKey> {
+        let known = key.and_then(|key| self.keys.get(key));
+        if known.is_none() && !route.public && self.needs_key {
+            return Err(UnknownKey);
+        }
+        Ok(known.cloned())
+    }
+}
+
 /// A pool of backend servers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PoolSpec {
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -7,6 +7,6 @@
 mod route;
 mod table;
 
-pub use config::{Config, PoolSpec, RequestLimits, Workspace};
+pub use config::{Config, PoolSpec, RequestLimits, UnknownKey, Workspace};
 pub use route::{Replay, Route, RouteKind, Target};
 pub use table::RouteTable;
--- a/crates/gateway/src/serve/service.rs
+++ b/crates/gateway/src/serve/service.rs
@@ -18,7 +18,7 @@
 use crate::domains::allowed_domains;
 use crate::fingerprint::{Content, PromptParts, RequestIdentity};
 
-use crate::model::{Config, Route, Workspace};
+use crate::model::{Config, Route, UnknownKey, Workspace};
 use crate::node::Node;
 use crate::origins::Lookup;
 use crate::quota::{QuotaError, RequestQuota, Reserver, Timeouts};
@@ -97,8 +97,8 @@
             event!(info, "request.malformed", reason = reason);
             Refusal::Malformed
         })?;
-        let workspace = find_workspace(&config, &route, &meta);
-        let workspace = workspace.map_err(|refusal| self.unknown_or_stale(refusal))?;
+        let workspace = config.caller(&route, meta.key.as_deref());
+        let workspace = workspace.map_err(|UnknownKey| self.unknown_or_stale(Refusal::NoKey))?;
         let target = route.target(rand::random());
         let target = target.ok_or(Refusal::NoServer(SERVER_RETRY))?;
         let pool = node.pools.get(&target.pool);
@@ -183,6 +183,10 @@
             return Ok(RequestQuota::Unlimited);
         };
         let Some(quota) = self.node.quotas.get(&workspace.name) else {
+            if workspace.prepaid.is_some() {
+                // Known here later than the configuration.
+                return Err(Refusal::NotReady);
+            }
             return Ok(RequestQuota::Unlimited);
         };
         let wait = (route.latency_target / QUOTA_WAIT_DIVISOR).max(MIN_QUOTA_WAIT);
@@ -257,19 +261,6 @@
     Some(Arc::clone(route))
 }
 
-/// The workspace that is charged; `None` on a public route without a known key.
-fn find_workspace(
-    config: &Config,
-    route: &Route,
-    meta: &RequestMeta,
-) -> Result<Option<Arc<Workspace>>, Refusal> {
-    let known = meta.key.as_deref().and_then(|key| config.keys.get(key));
-    if known.is_none() && !route.public && !config.keys.is_empty() {
-        return Err(Refusal::NoKey);
-    }
-    Ok(known.cloned())
-}
-
 fn body_refusal(error: BodyError) -> Refusal {
     match error {
         BodyError::TooLarge => Refusal::TooLarge,
--- a/crates/gateway/tests/testsuite/book.rs
+++ b/crates/gateway/tests/testsuite/book.rs
@@ -29,6 +29,7 @@
         pools: HashMap::new(),
         limits: RequestLimits { max_body: 1_000 },
         workspaces: HashMap::from([(workspace.name.clone(), workspace)]),
+        needs_key: false,
         keys: HashMap::new(),
     }
 }
