gateway: don't wait for an idle connection on which a long request hasn't left

Cause: a server may respond before it has read a long request and keep the connection. It went back to the idle ones, and the next request waited there for the rest to leave, without a limit; the attempt's time began after that wait.

Change: an idle connection has 10 ms to be ready, else it is closed and the request goes on a new one.

--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -29,6 +29,10 @@
 pub use idle::Lease;
 pub use recipient::{Endpoint, Recipient};
 
+/// How long an idle connection may take to be ready. Its driver has to notice the end of the last
+/// response, which takes a turn of the thread's other tasks.
+const READY_TIMEOUT: Duration = Duration::from_millis(10);
+
 /// A response whose body is still to be read.
 ///
 /// Return the connection to the pool with [`Lease::recycle`] after the end of the body.
@@ -111,7 +115,7 @@
     }
     let mut request = request;
     while let Some(mut idle) = idle::take(recipient).filter(|_| !options.fresh) {
-        if idle.sender.ready().await.is_err() {
+        if !is_reusable(&mut idle).await {
             continue;
         }
         let kind = ConnectionKind::Reused;
@@ -136,6 +140,15 @@
     Err(SendFailure::new(error, kind))
 }
 
+/// Whether a request can be sent on an idle connection. It can't where a part of the request before it
+/// hasn't left: a server may respond before it has read a long request, and read on later or never.
+async fn is_reusable(idle: &mut Connection) -> bool {
+    matches!(
+        timeout(READY_TIMEOUT, idle.sender.ready()).await,
+        Ok(Ok(()))
+    )
+}
+
 /// Why an attempt on one connection failed.
 enum AttemptError {
     /// The connection was closed before any byte left; the request may be sent on another one.
