quota: what peers' monotonic clocks know goes before the wall clock

Cause: the time since a predecessor's record was the smaller of two bounds, and the one by wall clocks was too small by the whole step, while a VM that had kept running knew it by its monotonic clock (age_ms=1799 seen_ms=6339). The class: a decision on money by a time of day that may lie.

Change: a peer's bound goes first. Readings are of one boot only if the wall clock agrees both ways.

--- a/crates/gateway/src/quota/cap.rs
+++ b/crates/gateway/src/quota/cap.rs
@@ -165,8 +165,8 @@
 /// After a power loss only the wall clock is left, which may have jumped on this VM by up to
 /// `MAX_CLOCK_JUMP`. Where most of the other VMs started after `stamp` too, the whole fleet lost
 /// power, and the median of their start times is used, since most clocks didn't jump. `seen` is an
-/// upper bound by the monotonic clocks of other VMs; the smaller bound is returned. With it, the
-/// loss of power of a single VM doesn't cost the use of the three seconds of `MAX_CLOCK_JUMP`.
+/// upper bound by the monotonic clocks of other VMs. It goes before all that the wall clock says,
+/// which may have gone back further than is allowed for here.
 #[must_use]
 pub fn elapsed(
     stamp: &Reading,
@@ -180,16 +180,15 @@
             .checked_sub(stamp.steady)
             .map(Duration::from_millis);
     }
+    if seen.is_some() {
+        return seen;
+    }
     let (wall, jump) = match median_start(stamp, starts) {
         Some(median) => (now.wall.max(median), FLEET_START_SKEW),
         None => (now.wall, MAX_CLOCK_JUMP),
     };
     let time = wall.saturating_add(jump.as_millis() as u64);
-    let by_wall = time.checked_sub(stamp.wall).map(Duration::from_millis);
-    match (by_wall, seen) {
-        (Some(by_wall), Some(seen)) => Some(by_wall.min(seen)),
-        (by_wall, seen) => by_wall.or(seen),
-    }
+    time.checked_sub(stamp.wall).map(Duration::from_millis)
 }
 
 /// Whether `stamp` and `now` are readings of one run of the VM's monotonic clock.
@@ -205,10 +204,8 @@
         return false;
     };
     let jump = MAX_CLOCK_JUMP.as_millis() as u64;
-    let latest = now.wall.saturating_add(jump);
-    latest
-        .checked_sub(stamp.wall)
-        .is_some_and(|wall| steady <= wall)
+    let expected = stamp.wall.saturating_add(steady);
+    now.wall.abs_diff(expected) <= jump
 }
 
 /// The median of `starts`, the start times of other VMs, if more than half are after `stamp`.
