gateway: a draining server that has just reported it hasn't ended as planned

Cause: a closed port of a server that leaves was taken for its planned end. It goes on for drain_ms after its report, so that within this time it has crashed. The class: evidence that it will end is taken for evidence that it has ended as planned.

Change: the time since a server's entry was first seen to drain is kept; within drain_ms its unframed responses are broken off. A resumable stream whose end isn't known goes on elsewhere from its last event. A server that announces its leaving in a response may have begun before, and stays as it was.

--- a/crates/gateway/src/eligibility.rs
+++ b/crates/gateway/src/eligibility.rs
@@ -60,6 +60,9 @@
 #[derive(Debug, Default)]
 pub struct Announcement {
     is_draining: AtomicBool,
+    /// When its entry was first seen to say that it drains, in milliseconds of the VM's monotonic
+    /// clock; 0 if it doesn't.
+    leaving_since: AtomicU64,
     /// End of the backoff that it asked for, in milliseconds of the VM's monotonic clock.
     backoff_until: AtomicU64,
     /// The limit on its rate of requests.
@@ -72,6 +75,21 @@
         !self.is_draining.swap(true, SeqCst)
     }
 
+    /// Records that the server's entry says that it drains.
+    pub fn set_leaving(&self) {
+        let now = steady_millis().max(1);
+        // Keeps the first time.
+        let _earlier = self.leaving_since.compare_exchange(0, now, SeqCst, SeqCst);
+    }
+
+    /// How long the server's entry has been seen to say that it drains; `None` if it doesn't.
+    #[must_use]
+    pub fn leaving_for(&self) -> Option<Duration> {
+        let since = self.leaving_since.load(SeqCst);
+        let passed = steady_millis().saturating_sub(since);
+        (since > 0).then(|| Duration::from_millis(passed))
+    }
+
     /// Starts a backoff of this length. A longer backoff that already runs stays in force.
     pub fn back_off(&self, time: Duration) {
         let until = steady_millis().saturating_add(time.as_millis() as u64);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -4,6 +4,7 @@
 //! and returns a [`Ticket`], which reports the outcome of the request to the pool's [`Fleet`].
 
 pub mod brittle;
+mod leaving;
 mod limited;
 mod pools;
 mod reach;
@@ -388,16 +389,6 @@
         self.fleet().mark_drained(idx);
     }
 
-    /// Whether a server is draining or unlisted, so that it may end as planned.
-    #[must_use]
-    pub fn is_leaving(&self, server: &SelectedServer) -> bool {
-        let name = &server.instance.name;
-        let fleet = self.fleet();
-        let known = fleet.find(name).and_then(|idx| fleet.get(idx));
-        let listed = known.filter(|known| *known.instance() == server.instance);
-        listed.is_none_or(|known| known.is_draining()) || !self.servers.load().contains_key(name)
-    }
-
     /// Handles a response that asks for backoff.
     pub fn on_backoff(&self, idx: ServerIdx, server: &SelectedServer, time: Duration) {
         let before = server.eligibility.announcement.backoff_left();
@@ -430,6 +421,9 @@
         let assignments = self.rollout.assign(entries, now);
         for (entry, assignment) in entries.iter().zip(assignments) {
             let announcement = self.announcements.of(&entry.instance);
+            if entry.draining {
+                announcement.set_leaving();
+            }
             specs.push(ServerSpec {
                 instance: entry.instance.clone(),
                 domain: entry.domain.clone(),
--- a/crates/gateway/src/serve/body_end.rs
+++ b/crates/gateway/src/serve/body_end.rs
@@ -40,7 +40,7 @@
         if framing != Framing::Close {
             return BodyEnd::Complete;
         }
-        let dialer = &self.node.dialer;
+        let (dialer, drain) = (&self.node.dialer, self.node.settings.drain);
         let probed = probe(
             &server.destination,
             dialer,
@@ -51,8 +51,8 @@
         let end = match probed {
             Ok(()) | Err(ProbeError::PathCut) => return BodyEnd::Complete,
             Err(ProbeError::Unknown) => BodyEnd::Unknown,
-            // It may have ended as planned, after its last response.
-            Err(_) if self.pool.is_leaving(server) => BodyEnd::Unknown,
+            // After its last response.
+            Err(_) if self.pool.may_have_ended(server, drain) => BodyEnd::Unknown,
             // A cut would have reset the connection or left it silent, and not closed it.
             Err(ProbeError::Refused | ProbeError::RefusedHere) => BodyEnd::Truncated,
         };
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -285,7 +285,8 @@
                 | StreamEnd::Hung
                 | StreamEnd::Quarantined => {}
             }
-            if matches!(end, StreamEnd::Broken | StreamEnd::Hung)
+            // What may be complete or not goes on elsewhere too, from its last event.
+            if matches!(end, StreamEnd::Broken | StreamEnd::Hung | StreamEnd::Closed)
                 && let Some(next) = resume(&mut exchange, &mut attempts, &splitter, &response).await
             {
                 let broken = std::mem::replace(&mut response, next);
