peers: wait for the fleet's members before the time since a record is taken from the wall clock

Cause: after a store outage the first router that reached it again didn't know the fleet's members within 300 ms, so it asked no peer and fell back to the wall clocks: cap.read has seen_ms=-1 age_ms=1982 at edge-rennes-b-2, the five others seen_ms of 6228 to 6482; quota.placed comes 80 ms later.

Change: it waits for two seconds.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -58,8 +58,9 @@
 /// Timeout of a feed request for connecting to a peer, and again for its answer: peers of a region
 /// answer in a few milliseconds, and the store is asked next.
 const FEED_TIMEOUT: Duration = Duration::from_millis(100);
-/// Maximum wait at startup until the members of the fleet are known: two calls of the store.
-const MEMBERSHIP_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum wait at startup until the members of the fleet are known. That takes two calls of the store,
+/// and up to a second after an outage; without it the bound of the wall clock is all that is left.
+const MEMBERSHIP_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Number of routers that allocate permits for a server: the second one is the backup.
 const ALLOCATORS: usize = 2;
