peers: ask for the time since a record once all members are known

Cause: the secret of the links comes with the first partition of the members' feed. The router asked the members of that one; the VM that had kept running was in another (seen_ms=-1 at two of six routers, 20 to 40 ms before quota.placed).

Change: it waits until all partitions have been read, two seconds at most as before.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -26,7 +26,7 @@
 use swiftlink_wire::link::{GetFeed, GetSeen, Seen, reply, request};
 use swiftlink_wire::rights::Member as MemberRecord;
 use tokio::sync::watch as channel;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::clock::Clock;
@@ -61,6 +61,8 @@
 /// Maximum wait at startup until the members of the fleet are known. That takes two calls of the store,
 /// and up to a second after an outage; without it the bound of the wall clock is all that is left.
 const MEMBERSHIP_TIMEOUT: Duration = Duration::from_secs(2);
+/// Interval at which this is checked.
+const MEMBERSHIP_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Number of routers that allocate permits for a server: the second one is the backup.
 const ALLOCATORS: usize = 2;
@@ -393,10 +395,14 @@
 #[async_trait]
 impl LastSeen for Peers {
     async fn since(&self, process: u64, stamp: u64) -> Option<Duration> {
-        // The routers to ask are known together with the secret of their links.
-        if timeout(MEMBERSHIP_TIMEOUT, self.secret()).await.is_err() {
-            return None;
-        }
+        // Without the secret of their links, and all members, those who know can't be asked.
+        let known = async {
+            self.secret().await;
+            while !self.has_all_members() {
+                sleep(MEMBERSHIP_INTERVAL).await;
+            }
+        };
+        let _late = timeout(MEMBERSHIP_TIMEOUT, known).await;
         let mut vms = lock(&self.holders).clone();
         if vms.is_empty() {
             vms = self.all();
