gateway: no hash under the quarantine's lock; held requests are logged with their parts

Found by reading the diff: the hash of a body was computed while the history was locked, and a request refused for a part of its prompt left no trace of which. No decision changes.

--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -66,6 +66,17 @@
     }
 }
 
+/// The fingerprints for logs; `-` if there are none.
+impl fmt::Display for PromptParts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some((first, others)) = self.fingerprints().split_first() else {
+            return write!(f, "-");
+        };
+        write!(f, "{first}")?;
+        others.iter().try_for_each(|other| write!(f, ",{other}"))
+    }
+}
+
 /// Identity of a request across retries by its caller. The fingerprint is computed on first use,
 /// since most requests never need it.
 #[derive(Debug)]
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -113,10 +113,11 @@
             return None;
         }
         let now = self.clock.steady();
-        let parts = identity.parts().fingerprints();
+        // Computed before the lock is taken.
+        let (whole, parts) = (identity.fingerprint(), identity.parts().fingerprints());
         let history = lock(&self.history);
-        let whole = history.remaining_hold(&identity.fingerprint(), now);
-        whole.max(history.remaining_part_hold(parts, now))
+        let remaining = history.remaining_hold(&whole, now);
+        remaining.max(history.remaining_part_hold(parts, now))
     }
 
     /// Remaining time for which prompts with these parts are held; `None` if they aren't.
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -20,7 +20,7 @@
 use super::refusal::{Refusal, SERVER_RETRY};
 use super::relay;
 use crate::dialect::RequestMeta;
-use crate::fingerprint::{Fingerprint, RequestIdentity};
+use crate::fingerprint::RequestIdentity;
 use crate::fleet::{Pool, SelectedServer, ServerCriteria, Ticket};
 use crate::model::{Replay, Route, RouteKind, Workspace};
 use crate::node::{InFlight, Node};
@@ -132,15 +132,11 @@
     /// The fingerprints of the prompt's parts for the log entry of a response that broke off; `-` for
     /// others.
     pub(super) fn logged_parts(&self, is_broken: bool) -> String {
-        let parts = self.identity.parts();
-        if !is_broken || parts.fingerprints().is_empty() {
-            return "-".to_owned();
+        if is_broken {
+            self.identity.parts().to_string()
+        } else {
+            "-".to_owned()
         }
-        let parts = parts.fingerprints().iter();
-        parts
-            .map(Fingerprint::to_string)
-            .collect::<Vec<_>>()
-            .join(",")
     }
 
     /// The fingerprint for the log entry of a response that broke off; `-` for others.
--- a/crates/gateway/src/serve/service.rs
+++ b/crates/gateway/src/serve/service.rs
@@ -111,7 +111,13 @@
         }
         let parts = PromptParts::new(pool.name.clone(), meta.parts.clone());
         if let Some(rest) = node.quarantine.remaining_part_hold(&parts) {
-            event!(info, "request.held", id = meta.id(), print = "-");
+            event!(
+                info,
+                "request.held",
+                id = meta.id(),
+                print = "-",
+                parts = parts
+            );
             return Err(Refusal::Held(rest));
         }
         let time = meta.deadline.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
@@ -127,7 +133,14 @@
         let identity = Arc::new(RequestIdentity::new(content, parts));
         if let Some(rest) = node.quarantine.remaining_hold(&identity) {
             let fingerprint = identity.fingerprint();
-            event!(info, "request.held", id = meta.id(), print = fingerprint);
+            let parts = identity.parts();
+            event!(
+                info,
+                "request.held",
+                id = meta.id(),
+                print = fingerprint,
+                parts = parts
+            );
             return Err(Refusal::Held(rest));
         }
         pool.on_request();
