shell: a burst at the connection limit closes as many idle connections as it needs

What callers saw: nothing yet; found by reading the diff. At the limit a new connection closes a sixty-fourth of the limit. Those that came meanwhile waited for these and closed no further ones, and got the 503 after half a second though others were idle, unless another connection arrived.

Change: whoever waits closes further idle connections every 50 ms. A test failed before: the second and third of three new connections beside three idle ones.

--- a/crates/shell/src/web/connections.rs
+++ b/crates/shell/src/web/connections.rs
@@ -16,6 +16,8 @@
 const CLOSED_AT_ONCE: usize = 64;
 /// How long a new connection waits until idle ones have closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval at which it closes further ones meanwhile.
+const CLOSE_INTERVAL: Duration = Duration::from_millis(50);
 /// Value of [`OpenConnection::idle_since`] for a connection that isn't idle.
 const NOT_IDLE: u64 = u64::MAX;
 
@@ -79,11 +81,26 @@
         if let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() {
             return Some(permit);
         }
-        if !self.close_idle() {
-            return None;
-        }
+        tokio::time::timeout(CLOSE_TIMEOUT, self.permit_of_idle())
+            .await
+            .ok()?
+    }
+
+    /// Closes idle connections until one of them has made room; `None` if there are none.
+    async fn permit_of_idle(&self) -> Option<OwnedSemaphorePermit> {
         let permit = Arc::clone(&self.permits).acquire_owned();
-        tokio::time::timeout(CLOSE_TIMEOUT, permit).await.ok()?.ok()
+        tokio::pin!(permit);
+        // Others may wait for the connections that are closing.
+        while self.close_idle() {
+            if let Ok(permit) = tokio::time::timeout(CLOSE_INTERVAL, &mut permit).await {
+                return permit.ok();
+            }
+        }
+        // The last of them may just have closed.
+        tokio::time::timeout(Duration::ZERO, permit)
+            .await
+            .ok()?
+            .ok()
     }
 
     /// Closes the connections that have been idle longest, unless some are closing already. Returns
--- a/crates/shell/tests/limit.rs
+++ b/crates/shell/tests/limit.rs
@@ -59,6 +59,28 @@
     server.stop(LONG).await;
 }
 
+/// Guards against a burst that waits for the connections that make room for the first of it only.
+#[tokio::test]
+async fn idle_connections_make_room_for_a_burst_of_new_ones() {
+    let server = server_with(3);
+    let address = server.address();
+    let mut idle = Vec::new();
+    for _ in 0..3 {
+        let mut client = Client::open(address).await;
+        assert!(served(&mut client, "/idle").await);
+        idle.push(client);
+    }
+    let mut burst = Vec::new();
+    for _ in 0..3 {
+        burst.push(Client::open(address).await);
+    }
+    for client in &mut burst {
+        assert!(served(client, "/burst").await);
+    }
+    assert_eq!(server.intake().counts().rejected(), 0);
+    server.stop(LONG).await;
+}
+
 /// Clients don't retry a request that failed on a new connection.
 #[tokio::test]
 async fn connections_before_their_first_request_are_not_closed_for_others() {
