gateway: the deadline of a request counts from its head and bounds all that is awaited before it is sent

What callers saw: route timeout 1 s, deadline of the caller 6 s; the head and half of the body at once, the rest after 2 s: 504 after 2.0 s; after 5 s: 504 after 5.0 s; after 30 s: no answer in 12 s. Some of these requests were sent to a server after their route's timeout.

Cause: reading the body was bounded by Limits::body (30 s) and not by the request's deadline. Each await had a limit of its own; the time of an attempt began with its response, after an idle connection was found or a new one was made; and a request without any time left was sent all the same, since its timeout was looked at only after its bytes were handed over.

Change: the deadline is fixed once the head is known (`Identified`). One timeout bounds the whole admission, with 503 (not executed) for what has none of its own; the body ends with 408 and `Connection: close`. An attempt has one time from the call to the head of the response, for idle connections, the new connection and the response; nothing is sent after it (`SendError::Expired`, which says nothing about the server). A body that is too long is 413 also where its caller sends the rest slowly. `admit` is split into its steps.

--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -11,8 +11,8 @@
     /// No byte of the request left: no connection could be made, or it was closed before.
     NotSent,
     /// No byte of the request left: after the server was chosen, operators drained its failure
-    /// domain, its version stopped getting requests, or the server announced that it is draining or
-    /// asked for backoff.
+    /// domain, its version stopped getting requests, the server announced that it is draining or asked
+    /// for backoff, or the deadline of the request passed.
     Withheld,
     /// The server refused, and says that it did not run the request.
     Shed,
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -53,7 +53,7 @@
 impl From<SendFailure> for FailedAttempt {
     fn from(failure: SendFailure) -> Self {
         let outcome = match &failure.error {
-            SendError::Withheld(_) => Outcome::Withheld,
+            SendError::Withheld(_) | SendError::Expired => Outcome::Withheld,
             SendError::NotSent(_) | SendError::Unreachable => Outcome::NotSent,
             SendError::Lost(_) => Outcome::Lost,
             SendError::TimedOut | SendError::Hung => Outcome::TimedOut,
@@ -75,10 +75,9 @@
     until: Instant,
 ) -> Result<ServerResponse, FailedAttempt> {
     let request = build(exchange, &server, resume);
-    let now = Instant::now();
     let options = SendOptions {
-        connect: CONNECT_TIMEOUT.min(until.saturating_duration_since(now)),
-        head: until.saturating_duration_since(now),
+        connect: CONNECT_TIMEOUT,
+        response: until.saturating_duration_since(Instant::now()),
         fresh: false,
         may_abort: exchange.route.replay() != Replay::Never,
     };
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -288,14 +288,17 @@
 
     /// Refusal of a request that isn't sent again.
     fn unserved(&self, attempts: &Attempts) -> Refusal {
-        if attempts.executions == 0 {
-            return Refusal::NoServer(
-                self.pool
-                    .retry_after(self.priority())
-                    .unwrap_or(SERVER_RETRY),
-            );
+        if attempts.executions > 0 {
+            return Refusal::Lost;
+        }
+        if self.left().is_zero() {
+            return Refusal::Expired;
         }
-        Refusal::Lost
+        Refusal::NoServer(
+            self.pool
+                .retry_after(self.priority())
+                .unwrap_or(SERVER_RETRY),
+        )
     }
 
     /// Whether the request may be sent once more. Takes a retry from the fleet's limit if the last
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -26,6 +26,8 @@
     TooLarge,
     /// The caller sent its body too slowly.
     SlowBody,
+    /// The deadline has passed, and no server has executed the request.
+    Expired,
     /// The body ended early, in most cases since the caller disconnected.
     BrokenBody,
     /// The remaining budget of the workspace doesn't cover the request.
@@ -75,6 +77,7 @@
             | Self::NoServer(_)
             | Self::Overloaded(_)
             | Self::OriginUnknown
+            | Self::Expired
             | Self::Held(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Malformed | Self::BrokenBody => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -93,6 +96,7 @@
         match self {
             Self::NotReady | Self::StaleConfig => Some(CONFIG_RETRY),
             Self::OriginUnknown => Some(ORIGIN_RETRY),
+            Self::Expired => Some(SERVER_RETRY),
             Self::NoServer(wait) | Self::Held(wait) => Some(wait),
             Self::Overloaded(overloaded) => Some(overloaded.after),
             Self::NoQuota(back) => Some(back.unwrap_or(QUOTA_RETRY)),
@@ -111,6 +115,7 @@
             Self::NoKey => "no_key",
             Self::TooLarge => "too_large",
             Self::SlowBody => "slow_body",
+            Self::Expired => "expired",
             Self::BrokenBody => "broken_body",
             Self::BudgetSpent => "budget_spent",
             Self::NoQuota(_) => "no_rights",
--- a/crates/gateway/src/serve/service.rs
+++ b/crates/gateway/src/serve/service.rs
@@ -10,14 +10,15 @@
 use http::header::HOST;
 use swiftlink_shell::web::{BodyError, Incoming, Response, Service};
 use swiftlink_telemetry::event;
-use tokio::time::Instant;
+use swiftlink_types::VersionName;
+use tokio::time::{Instant, timeout_at};
 
 use super::exchange::{Exchange, ForwardedRequest};
 use super::refusal::{Refusal, SERVER_RETRY};
 use crate::dialect::RequestMeta;
 use crate::domains::allowed_domains;
 use crate::fingerprint::{Content, PromptParts, RequestIdentity};
-
+use crate::fleet::Pool;
 use crate::model::{Config, Route, UnknownKey, Workspace};
 use crate::node::Node;
 use crate::origins::Lookup;
@@ -81,17 +82,44 @@
     }
 }
 
+/// A request whose route and sender are known.
+struct Identified {
+    config: Arc<Config>,
+    route: Arc<Route>,
+    meta: RequestMeta,
+    workspace: Option<Arc<Workspace>>,
+    start: Instant,
+    /// The earlier of the route's timeout and the caller's deadline.
+    deadline: Instant,
+}
+
+impl Identified {
+    /// Time until the deadline.
+    fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
 impl CallerService {
-    /// Decides whether and where a request is sent, and reserves its quota.
+    /// Decides whether and where a request is sent, and reserves its quota. The deadline of the request
+    /// counts from its head, and bounds all that is awaited.
     async fn admit(&self, mut request: Incoming, start: Instant) -> Result<Exchange, Refusal> {
+        self.node.freshness.wait_after_stall(STALL_WAIT).await;
+        let identified = self.identify(&request, start)?;
+        let deadline = identified.deadline;
+        let prepared = timeout_at(deadline, self.prepare(identified, &mut request)).await;
+        prepared.unwrap_or(Err(Refusal::Expired))
+    }
+
+    /// Finds the route and the sender of a request.
+    fn identify(&self, request: &Incoming, start: Instant) -> Result<Identified, Refusal> {
         let node = &self.node;
-        node.freshness.wait_after_stall(STALL_WAIT).await;
         if !node.freshness.is_confirmed() {
             return Err(Refusal::NotReady);
         }
         let config = node.config.load_full().ok_or(Refusal::NotReady)?;
         let route =
-            find_route(&config, &request).ok_or_else(|| self.unknown_or_stale(Refusal::NoRoute))?;
+            find_route(&config, request).ok_or_else(|| self.unknown_or_stale(Refusal::NoRoute))?;
         let meta = node.dialect.parse_request(request.headers());
         let meta = meta.map_err(|reason| {
             event!(info, "request.malformed", reason = reason);
@@ -99,50 +127,44 @@
         })?;
         let workspace = config.caller(&route, meta.key.as_deref());
         let workspace = workspace.map_err(|UnknownKey| self.unknown_or_stale(Refusal::NoKey))?;
-        let target = route.target(rand::random());
-        let target = target.ok_or(Refusal::NoServer(SERVER_RETRY))?;
-        let pool = node.pools.get(&target.pool);
-        let mut pool = pool.ok_or(Refusal::NoServer(SERVER_RETRY))?;
-        let origin = self.find_origin(&meta, workspace.as_deref(), &route, &pool);
-        let mut begun_by = None;
-        if let Some((began_at, version)) = origin.await? {
-            pool = began_at;
-            begun_by = Some(version);
-        }
-        let parts = PromptParts::new(pool.name.clone(), meta.parts.clone());
-        if let Some(rest) = node.quarantine.remaining_part_hold(&parts) {
-            event!(
-                info,
-                "request.held",
-                id = meta.id(),
-                print = "-",
-                parts = parts
-            );
-            return Err(Refusal::Held(rest));
-        }
         let time = meta.deadline.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
-        let quota = self.reserve(&route, workspace.as_deref(), &meta, time);
-        let quota = quota.await?;
-        let body = request
-            .body(config.limits.max_body)
-            .await
-            .map_err(body_refusal)?;
+        Ok(Identified {
+            config,
+            route,
+            meta,
+            workspace,
+            start,
+            deadline: start + time,
+        })
+    }
+
+    /// Chooses the pool, reserves quota and reads the body.
+    async fn prepare(
+        &self,
+        identified: Identified,
+        request: &mut Incoming,
+    ) -> Result<Exchange, Refusal> {
+        let (pool, begun_by) = self.find_pool(&identified).await?;
+        let parts = PromptParts::new(pool.name.clone(), identified.meta.parts.clone());
+        self.check_parts(&identified.meta, &parts)?;
+        let quota = self.reserve(&identified).await?;
+        let max_body = identified.config.limits.max_body;
+        let body = request.body_until(max_body, identified.deadline).await;
+        let body = body.map_err(body_refusal)?;
+        let Identified {
+            config,
+            route,
+            meta,
+            workspace,
+            start,
+            deadline,
+        } = identified;
+        let node = &self.node;
         node.traffic
             .received(head_bytes(request.headers()) + body.len());
-        let content = content(workspace.as_deref(), &request, &body);
+        let content = content(workspace.as_deref(), request, &body);
         let identity = Arc::new(RequestIdentity::new(content, parts));
-        if let Some(rest) = node.quarantine.remaining_hold(&identity) {
-            let fingerprint = identity.fingerprint();
-            let parts = identity.parts();
-            event!(
-                info,
-                "request.held",
-                id = meta.id(),
-                print = fingerprint,
-                parts = parts
-            );
-            return Err(Refusal::Held(rest));
-        }
+        self.check_identity(&meta, &identity)?;
         pool.on_request();
         let workspace_regions = workspace
             .as_ref()
@@ -170,11 +192,68 @@
             begun_by,
             version: config.version,
             start,
-            deadline: start + time,
+            deadline,
             is_logged: Cell::new(false),
         })
     }
 
+    /// Chooses a pool of the route, or the one at which a stream goes on that its caller resumes, with
+    /// the version that began it.
+    async fn find_pool(
+        &self,
+        identified: &Identified,
+    ) -> Result<(Arc<Pool>, Option<VersionName>), Refusal> {
+        let Identified {
+            route,
+            meta,
+            workspace,
+            ..
+        } = identified;
+        let target = route.target(rand::random());
+        let target = target.ok_or(Refusal::NoServer(SERVER_RETRY))?;
+        let pool = self.node.pools.get(&target.pool);
+        let pool = pool.ok_or(Refusal::NoServer(SERVER_RETRY))?;
+        let origin = self.find_origin(meta, workspace.as_deref(), route, &pool);
+        let Some((begun_at, version)) = origin.await? else {
+            return Ok((pool, None));
+        };
+        Ok((begun_at, Some(version)))
+    }
+
+    /// Refuses a request with a quarantined part.
+    fn check_parts(&self, meta: &RequestMeta, parts: &PromptParts) -> Result<(), Refusal> {
+        let Some(rest) = self.node.quarantine.remaining_part_hold(parts) else {
+            return Ok(());
+        };
+        event!(
+            info,
+            "request.held",
+            id = meta.id(),
+            print = "-",
+            parts = parts
+        );
+        Err(Refusal::Held(rest))
+    }
+
+    /// Refuses a quarantined request.
+    fn check_identity(
+        &self,
+        meta: &RequestMeta,
+        identity: &RequestIdentity,
+    ) -> Result<(), Refusal> {
+        let Some(rest) = self.node.quarantine.remaining_hold(identity) else {
+            return Ok(());
+        };
+        event!(
+            info,
+            "request.held",
+            id = meta.id(),
+            print = identity.fingerprint(),
+            parts = identity.parts()
+        );
+        Err(Refusal::Held(rest))
+    }
+
     /// Refusal of a request whose route or key isn't in the configuration. If the configuration was
     /// last confirmed longer ago than a change may take, the route or key may exist by now.
     fn unknown_or_stale(&self, refusal: Refusal) -> Refusal {
@@ -185,13 +264,13 @@
     }
 
     /// Reserves the maximum cost of the request.
-    async fn reserve(
-        &self,
-        route: &Route,
-        workspace: Option<&Workspace>,
-        meta: &RequestMeta,
-        time: Duration,
-    ) -> Result<RequestQuota, Refusal> {
+    async fn reserve(&self, identified: &Identified) -> Result<RequestQuota, Refusal> {
+        let Identified {
+            route,
+            meta,
+            workspace,
+            ..
+        } = identified;
         let (Some(workspace), Some(usage)) = (workspace, meta.usage) else {
             return Ok(RequestQuota::Unlimited);
         };
@@ -205,7 +284,7 @@
         let wait = (route.latency_target / QUOTA_WAIT_DIVISOR).max(MIN_QUOTA_WAIT);
         let timeouts = Timeouts {
             wait,
-            request: time,
+            request: identified.left(),
         };
         let is_link_busy = self.node.traffic.is_busy.load(Relaxed);
         self.reserver.set_link_busy(is_link_busy);
--- a/crates/gateway/src/upstream/error.rs
+++ b/crates/gateway/src/upstream/error.rs
@@ -16,6 +16,9 @@
     /// The server may get no requests now, and no byte of this one left this process.
     #[error("not sent: {0}")]
     Withheld(BlockReason),
+    /// The time for the response has passed, and no byte of the request left this process.
+    #[error("not sent: the deadline has passed")]
+    Expired,
     /// The request was sent, in part or in whole, and no response came back.
     #[error("lost after sending: {0}")]
     Lost(String),
@@ -35,6 +38,7 @@
             Self::NotSent(detail) | Self::Lost(detail) => detail,
             Self::Unreachable => "no connection in time",
             Self::Withheld(reason) => reason.as_str(),
+            Self::Expired => "the deadline has passed",
             Self::TimedOut => "no answer in time",
             Self::Hung => "the connection hangs",
         }
@@ -47,7 +51,7 @@
         match self {
             Self::NotSent(_) => Some(ErrorKind::Connect),
             Self::Unreachable => Some(ErrorKind::Unreachable),
-            Self::Withheld(_) | Self::Hung => None,
+            Self::Withheld(_) | Self::Expired | Self::Hung => None,
             Self::Lost(_) => Some(ErrorKind::Broken),
             Self::TimedOut => Some(ErrorKind::Timeout),
         }
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -18,7 +18,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use crate::eligibility::{Admission, BlockReason};
 use crate::paths::{Destination, Dialer, PathWatch, ProbeError};
@@ -65,8 +65,8 @@
 pub struct SendOptions {
     /// Maximum time for opening a connection.
     pub connect: Duration,
-    /// Maximum time from sending to the head of the response.
-    pub head: Duration,
+    /// Maximum time until the head of the response, from the call on. Nothing is sent after it.
+    pub response: Duration,
     /// Never reuse an idle connection: the other side may be closing it, and
     /// then the outcome of a request sent on it is unknown.
     pub fresh: bool,
@@ -110,28 +110,36 @@
     options: SendOptions,
 ) -> Result<PendingResponse, SendFailure> {
     let none = |error| SendFailure::new(error, ConnectionKind::None);
+    let until = Instant::now() + options.response;
     if let Some(reason) = block_reason(admission.as_ref()) {
         return Err(none(SendError::Withheld(reason)));
     }
     let mut request = request;
     while let Some(mut idle) = idle::take(recipient).filter(|_| !options.fresh) {
-        if !is_reusable(&mut idle).await {
+        if !is_reusable(&mut idle, until).await {
             continue;
         }
         let kind = ConnectionKind::Reused;
-        match send_on(idle, kind, request, recipient, admission, options).await {
+        match send_on(idle, kind, request, recipient, admission, options, until).await {
             Ok(response) => return Ok(response),
             Err(AttemptError::Returned(back)) => request = *back,
             Err(AttemptError::Failed(error)) => return Err(SendFailure::new(error, kind)),
         }
     }
-    let connection = recipient.connect(options.connect).await.map_err(none)?;
+    let left = until.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return Err(none(SendError::Expired));
+    }
+    let connecting = recipient.connect(options.connect.min(left));
+    let connection = connecting.await.map_err(none)?;
     let kind = if connection.tunnel.is_some() {
         ConnectionKind::Relayed
     } else {
         ConnectionKind::New
     };
-    let sent = send_on(connection, kind, request, recipient, admission, options);
+    let sent = send_on(
+        connection, kind, request, recipient, admission, options, until,
+    );
     let error = match sent.await {
         Ok(response) => return Ok(response),
         Err(AttemptError::Returned(_)) => SendError::NotSent("connection closed".to_owned()),
@@ -142,11 +150,9 @@
 
 /// Whether a request can be sent on an idle connection. It can't where a part of the request before it
 /// hasn't left: a server may respond before it has read a long request, and read on later or never.
-async fn is_reusable(idle: &mut Connection) -> bool {
-    matches!(
-        timeout(READY_TIMEOUT, idle.sender.ready()).await,
-        Ok(Ok(()))
-    )
+async fn is_reusable(idle: &mut Connection, until: Instant) -> bool {
+    let until = until.min(Instant::now() + READY_TIMEOUT);
+    matches!(timeout_at(until, idle.sender.ready()).await, Ok(Ok(())))
 }
 
 /// Why an attempt on one connection failed.
@@ -163,8 +169,12 @@
     recipient: &Recipient,
     admission: &mut Option<Admission>,
     options: SendOptions,
+    until: Instant,
 ) -> Result<PendingResponse, AttemptError> {
     // Time may have passed since the server was chosen, and the bytes leave now.
+    if Instant::now() >= until {
+        return Err(AttemptError::Failed(SendError::Expired));
+    }
     if let Some(admission) = admission {
         let entered = admission.enter().map_err(SendError::Withheld);
         entered.map_err(AttemptError::Failed)?;
@@ -172,7 +182,7 @@
     connection.set_busy(true);
     let watch = recipient.watch(&connection);
     let sent = tokio::select! {
-        sent = timeout(options.head, connection.sender.try_send_request(request)) => sent,
+        sent = timeout_at(until, connection.sender.try_send_request(request)) => sent,
         () = until_hung(watch.as_ref(), options.may_abort) => {
             return Err(AttemptError::Failed(SendError::Hung));
         }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -138,7 +138,7 @@
         // must not repeat, and a service, whose speed is unknown, have until the deadline.
         let mut options = node.send_options(left, call.once);
         if is_model && !call.once {
-            options.head = left.min(node.read_options().stall);
+            options.response = left.min(node.read_options().stall);
         }
         match send(target.address, make(&target), options).await {
             Ok(answer) => {
@@ -154,7 +154,10 @@
                 failed_status(call, attempt, target, answer).await?;
             }
             Err(
-                error @ (SendError::NotSent(_) | SendError::Unreachable | SendError::Withheld(_)),
+                error @ (SendError::NotSent(_)
+                | SendError::Unreachable
+                | SendError::Withheld(_)
+                | SendError::Expired),
             ) => {
                 attempt.recall();
                 let why = error.detail();
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -93,8 +93,8 @@
     #[must_use]
     pub fn send_options(&self, left: Duration, fresh: bool) -> SendOptions {
         SendOptions {
-            connect: self.settings.connect().min(left),
-            head: left,
+            connect: self.settings.connect(),
+            response: left,
             fresh,
             may_abort: false,
         }
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -162,7 +162,7 @@
         let request = engine::plain(address, Method::GET, PROBE_PATH, Bytes::new());
         let options = SendOptions {
             connect: self.period,
-            head: self.period,
+            response: self.period,
             // The peer may be closing an idle connection of an earlier request.
             fresh: true,
             may_abort: false,
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -146,6 +146,7 @@
         };
         let answer = match sent {
             Ok(answer) => answer,
+            Err(SendError::Expired) => return PeerResult::NotRun,
             Err(
                 error @ (SendError::NotSent(_) | SendError::Unreachable | SendError::Withheld(_)),
             ) => {
--- a/crates/router/src/vms.rs
+++ b/crates/router/src/vms.rs
@@ -121,7 +121,7 @@
 async fn read<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Option<T> {
     let options = SendOptions {
         connect: READ_TIMEOUT,
-        head: READ_TIMEOUT,
+        response: READ_TIMEOUT,
         fresh: false,
         may_abort: false,
     };
--- a/crates/router/tests/forward.rs
+++ b/crates/router/tests/forward.rs
@@ -30,7 +30,7 @@
     });
     let options = SendOptions {
         connect: TIMEOUT,
-        head: TIMEOUT,
+        response: TIMEOUT,
         fresh: true,
         may_abort: false,
     };
--- a/crates/shell/src/web/incoming.rs
+++ b/crates/shell/src/web/incoming.rs
@@ -12,6 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_LENGTH, EXPECT};
 use http::{HeaderMap, Method, StatusCode, Uri, request};
+use tokio::time::{Instant, timeout, timeout_at};
 use xitca_web::body::{Body as _, Frame, RequestBody};
 
 use super::connection::Connection;
@@ -19,6 +20,8 @@
 /// Largest part of a refused body that is read and discarded, so that the client reads
 /// the response instead of a connection reset.
 const DISCARD_BYTES: usize = 4 * 1024 * 1024;
+/// Longest time that the client may take to send that part.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A request with its head, and a body that is read on demand.
 pub struct Incoming {
@@ -34,7 +37,7 @@
     /// Longer than the limit.
     #[error("the request body is too large")]
     TooLarge,
-    /// Took longer than [`Limits::body`](super::Limits::body).
+    /// Took longer than [`Limits::body`](super::Limits::body), or than the request's deadline allows.
     #[error("the request body took too long")]
     Timeout,
     /// Ended early or was malformed.
@@ -104,24 +107,38 @@
     /// # Errors
     /// When the body is longer than `limit` bytes, takes too long, or ends early.
     pub async fn body(&mut self, limit: usize) -> Result<Bytes, BodyError> {
-        let time = self.body_timeout;
-        match tokio::time::timeout(time, self.read(limit)).await {
-            Ok(result) => result,
-            Err(_elapsed) => Err(BodyError::Timeout),
+        self.body_until(limit, Instant::now() + self.body_timeout)
+            .await
+    }
+
+    /// Like [`Self::body`], but takes no longer than until `deadline`.
+    ///
+    /// # Errors
+    /// When the body is longer than `limit` bytes, takes too long, or ends early.
+    pub async fn body_until(
+        &mut self,
+        limit: usize,
+        deadline: Instant,
+    ) -> Result<Bytes, BodyError> {
+        let end = deadline.min(Instant::now() + self.body_timeout);
+        let read = timeout_at(end, self.read(limit)).await;
+        let read = read.unwrap_or(Err(BodyError::Timeout));
+        if read == Err(BodyError::TooLarge) {
+            // The response doesn't depend on whether the client sends the rest.
+            let _rest = timeout(DISCARD_TIMEOUT, self.discard_too_large(limit)).await;
         }
+        read
     }
 
     async fn read(&mut self, limit: usize) -> Result<Bytes, BodyError> {
         let declared_len = self.declared_len();
         if declared_len.is_some_and(|length| length > limit as u64) {
-            self.refuse_declared(limit).await;
             return Err(BodyError::TooLarge);
         }
         let mut content = BytesMut::new();
         while let Some(piece) = self.body.next().await {
             let piece = piece?;
             if content.len() + piece.len() > limit {
-                self.body.discard(DISCARD_BYTES).await;
                 return Err(BodyError::TooLarge);
             }
             content.extend_from_slice(&piece);
@@ -133,9 +150,9 @@
         Ok(content.freeze())
     }
 
-    /// Discards a body whose declared length is above the limit, unless the client waits
-    /// for `100 Continue` or the length exceeds the limit by more than [`DISCARD_BYTES`].
-    async fn refuse_declared(&mut self, limit: usize) {
+    /// Discards the rest of a body that is too large, unless the client waits for `100 Continue` or
+    /// the declared length exceeds the limit by more than [`DISCARD_BYTES`].
+    async fn discard_too_large(&mut self, limit: usize) {
         let waits = self.head.headers.contains_key(EXPECT);
         let far = self.declared_len() > Some((limit + DISCARD_BYTES) as u64);
         if !waits && !far {
--- a/crates/shell/src/web/request.rs
+++ b/crates/shell/src/web/request.rs
@@ -76,7 +76,9 @@
         let mut output = ResponseBody::new(body, Rc::clone(&connection));
         let mut last = upgrade || connection.is_closing();
         if !source.is_done() {
-            // Reading would send `100 Continue` to a client that waits for it.
+            // A client that sends its body too slowly may never send the rest. Reading would send
+            // `100 Continue` to a client that waits for it.
+            last |= parts.status == StatusCode::REQUEST_TIMEOUT;
             last |= expect || !output.drain(source, self.body_timeout);
         }
         set_framing(&mut parts, &mut output, head_only, last);
