shell, gateway: a response whose caller doesn't read ends at the request's deadline

What callers saw: nothing themselves. Others did: a caller that stops reading kept the request in flight for ten seconds past its deadline: its server's connection and slot, its reserved tokens and a place among the router's connections.

Cause: the body of a response isn't polled while its client takes nothing, so the deadline in the stream can't end it; only the stall timeout of the socket (10 s) did. The same class as the body of a slow caller: an await that the request's deadline doesn't bound.

Change: a body may say until when its client has to have taken it (Body::until); the connection closes then. Relayed responses say their deadline and 0.1 s, so that a response whose caller reads still ends by itself.

Evidence: a_stream_whose_caller_does_not_read_ends_in_time and a_long_response_whose_caller_does_not_read_ends_in_time failed on (still in flight half a second after the timeout) and pass.

--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -27,6 +27,10 @@
 /// have arrived for this long isn't the cause of a crash.
 const CRASH_WINDOW: Duration = Duration::from_secs(1);
 
+/// Time from the deadline of a request to the end of its connection, if its caller doesn't read: a
+/// response whose caller does ends at the deadline.
+const END_TIME: Duration = Duration::from_millis(100);
+
 /// How the relaying of a body ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StreamEnd {
@@ -144,7 +148,8 @@
     guard: InFlight,
 ) -> Response {
     let head = response_head(&exchange, &response);
-    head.map(|()| Body::stream(events(exchange, attempts, response, guard)))
+    let until = exchange.deadline + END_TIME;
+    head.map(|()| Body::stream(events(exchange, attempts, response, guard)).until(until))
 }
 
 /// The head of the caller's response, without a length, since the body is sent in chunks.
@@ -168,6 +173,7 @@
     guard: InFlight,
 ) -> Response {
     let head = response_head(&exchange, &response);
+    let until = exchange.deadline + END_TIME;
     let body = async_stream::stream! {
         let _guard = guard;
         let mut response = response;
@@ -203,7 +209,7 @@
             yield Err(io::Error::other(end.as_str()));
         }
     };
-    head.map(|()| Body::stream(body))
+    head.map(|()| Body::stream(body).until(until))
 }
 
 fn events(
--- a/crates/shell/src/web/body.rs
+++ b/crates/shell/src/web/body.rs
@@ -6,12 +6,17 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
+use tokio::time::Instant;
 
 /// Body of a response: complete content or a stream of pieces.
 ///
 /// When the stream fails, the connection is closed without the final chunk, so that the
 /// client notices that the response is incomplete.
-pub struct Body(pub(super) Kind);
+pub struct Body {
+    pub(super) kind: Kind,
+    /// When the connection is closed if the client hasn't taken the whole body.
+    pub(super) deadline: Option<Instant>,
+}
 
 pub(super) enum Kind {
     Full(Bytes),
@@ -22,12 +27,15 @@
     /// A body without content.
     #[must_use]
     pub fn empty() -> Self {
-        Self(Kind::Full(Bytes::new()))
+        Self::full(Bytes::new())
     }
 
     /// A body with complete content.
     pub fn full(content: impl Into<Bytes>) -> Self {
-        Self(Kind::Full(content.into()))
+        Self {
+            kind: Kind::Full(content.into()),
+            deadline: None,
+        }
     }
 
     /// Reads the pieces of a stream into complete content of up to `max` bytes.
@@ -35,7 +43,7 @@
     /// # Errors
     /// When the stream fails or is longer.
     pub(super) async fn collect(self, max: usize) -> io::Result<Self> {
-        let Kind::Stream(mut stream) = self.0 else {
+        let Kind::Stream(mut stream) = self.kind else {
             return Ok(self);
         };
         let mut content = BytesMut::new();
@@ -50,7 +58,18 @@
 
     /// A body that sends each piece of `stream` as soon as it is ready.
     pub fn stream(stream: impl Stream<Item = Result<Bytes, io::Error>> + 'static) -> Self {
-        Self(Kind::Stream(Box::pin(stream)))
+        Self {
+            kind: Kind::Stream(Box::pin(stream)),
+            deadline: None,
+        }
+    }
+
+    /// Closes the connection at `deadline` if the client hasn't taken the whole body by then. The stream
+    /// of a body isn't polled while the client doesn't read, so it can't end at a time of its own.
+    #[must_use]
+    pub fn until(mut self, deadline: Instant) -> Self {
+        self.deadline = Some(deadline);
+        self
     }
 }
 
@@ -62,7 +81,7 @@
 
 impl fmt::Debug for Body {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match &self.0 {
+        match &self.kind {
             Kind::Full(content) => f.debug_tuple("Full").field(&content.len()).finish(),
             Kind::Stream(_) => f.write_str("Stream"),
         }
--- a/crates/shell/src/web/connection.rs
+++ b/crates/shell/src/web/connection.rs
@@ -14,7 +14,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
+use tokio::sync::{Notify, Semaphore};
+use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 use xitca_io::net::Stream;
 use xitca_web::service::Service;
@@ -82,6 +83,10 @@
     busy: Cell<bool>,
     /// Cancelled when the first request has begun.
     begun: CancellationToken,
+    /// When the client has to have taken the response in flight.
+    deadline: Cell<Option<Instant>>,
+    /// Notified when a deadline is set.
+    deadline_set: Notify,
     closing: Cell<bool>,
     shut: Cell<bool>,
 }
@@ -102,6 +107,8 @@
             registration,
             busy: Cell::new(false),
             begun: CancellationToken::new(),
+            deadline: Cell::new(None),
+            deadline_set: Notify::new(),
             closing: Cell::new(false),
             shut: Cell::new(false),
         })
@@ -118,12 +125,40 @@
     /// response was dropped.
     pub(super) fn end(&self) {
         self.busy.set(false);
+        self.deadline.set(None);
         self.registration.end();
         if self.closing.get() {
             self.shut_read();
         }
     }
 
+    /// Sets when the client has to have taken the response in flight.
+    pub(super) fn set_deadline(&self, deadline: Instant) {
+        self.deadline.set(Some(deadline));
+        self.deadline_set.notify_one();
+    }
+
+    /// Resolves when the client hasn't taken a response by its deadline.
+    async fn overdue(&self) {
+        loop {
+            let deadline = self.deadline.get();
+            let passed = async {
+                match deadline {
+                    Some(deadline) => sleep_until(deadline).await,
+                    None => pending().await,
+                }
+            };
+            tokio::select! {
+                () = passed => {
+                    if self.deadline.get() == deadline {
+                        return;
+                    }
+                }
+                () = self.deadline_set.notified() => {}
+            }
+        }
+    }
+
     /// Whether the connection closes after the request in flight.
     pub(super) fn is_closing(&self) -> bool {
         self.closing.get()
@@ -244,6 +279,7 @@
             () = connection.hangup() => {}
             () = connection.stopped(&self.shared) => {}
             () = connection.make_room() => {}
+            () = connection.overdue() => {}
         }
         Ok(())
     }
--- a/crates/shell/src/web/output.rs
+++ b/crates/shell/src/web/output.rs
@@ -36,12 +36,15 @@
 
 impl ResponseBody {
     pub(super) fn new(body: Body, connection: Rc<Connection>) -> Self {
-        let size = match &body.0 {
+        if let Some(deadline) = body.deadline {
+            connection.set_deadline(deadline);
+        }
+        let size = match &body.kind {
             Kind::Full(content) => SizeHint::Exact(content.len() as u64),
             Kind::Stream(_) => SizeHint::Unknown,
         };
         Self {
-            kind: Some(body.0),
+            kind: Some(body.kind),
             size,
             drain: None,
             connection,
