router: the deadline of a call counts from its head, and bounds its body, its service's response and refusals

What callers saw: a call with a deadline of 0.3 s whose body stalled had no answer in 20 s. A service that stalled in the middle of its response kept its caller and its slot without limit, as did an engine or a peer in the middle of a refusal.

Cause: as in the gateway, an await that the deadline doesn't bound: the time counted from the end of the body, and ended with the head of the response. A relayed call also had its whole time again at the other router, whatever it had waited here.

Change: the deadline is fixed at the head; the body ends with 408 (slow-body, not run); a service's response, and what is read of a refusal, end at the deadline; a relayed call brings the time that is left. Streams of models go on past the deadline as before: they are bounded by the engine's silence, and what was run is delivered.

The bodies of refusals have no test of their own.

--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -27,10 +27,6 @@
 /// have arrived for this long isn't the cause of a crash.
 const CRASH_WINDOW: Duration = Duration::from_secs(1);
 
-/// Time from the deadline of a request to the end of its connection, if its caller doesn't read: a
-/// response whose caller does ends at the deadline.
-const END_TIME: Duration = Duration::from_millis(100);
-
 /// How the relaying of a body ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StreamEnd {
@@ -148,8 +144,8 @@
     guard: InFlight,
 ) -> Response {
     let head = response_head(&exchange, &response);
-    let until = exchange.deadline + END_TIME;
-    head.map(|()| Body::stream(events(exchange, attempts, response, guard)).until(until))
+    let deadline = exchange.deadline;
+    head.map(|()| Body::stream(events(exchange, attempts, response, guard)).until(deadline))
 }
 
 /// The head of the caller's response, without a length, since the body is sent in chunks.
@@ -173,7 +169,7 @@
     guard: InFlight,
 ) -> Response {
     let head = response_head(&exchange, &response);
-    let until = exchange.deadline + END_TIME;
+    let deadline = exchange.deadline;
     let body = async_stream::stream! {
         let _guard = guard;
         let mut response = response;
@@ -209,7 +205,7 @@
             yield Err(io::Error::other(end.as_str()));
         }
     };
-    head.map(|()| Body::stream(body).until(until))
+    head.map(|()| Body::stream(body).until(deadline))
 }
 
 fn events(
--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -34,12 +34,12 @@
 /// Length of the prompt prefix (bytes) that selects a runner with a warm cache.
 const PREFIX_BYTES: usize = 1_024;
 
-/// Reads and admits a request.
+/// Reads and admits a request whose head arrived at `started`; its deadline counts from then on.
 ///
 /// # Errors
 /// Returns the refusal to send to the caller.
-pub async fn admit(node: &Node, request: &mut Incoming) -> Result<Call, Refusal> {
-    match try_admit(node, request).await {
+pub async fn admit(node: &Node, request: &mut Incoming, started: Instant) -> Result<Call, Refusal> {
+    match try_admit(node, request, started).await {
         Ok(call) => Ok(call),
         Err(refusal) => Err(adjust_refusal(node, request.headers(), refusal)),
     }
@@ -71,14 +71,16 @@
     ResumeToken::verify(text, sender.name.as_str(), &node.secret).is_ok()
 }
 
-async fn try_admit(node: &Node, request: &mut Incoming) -> Result<Call, Refusal> {
+async fn try_admit(node: &Node, request: &mut Incoming, started: Instant) -> Result<Call, Refusal> {
     let uri = request.uri().clone();
     let route = route(request.method(), uri.path(), uri.query())?;
     let config = node.config.load();
     let sender = authenticate(&config, bearer(request.headers())?, node.is_stale())?;
     let options = options(request.headers())?;
+    let limit = Duration::from_millis(node.settings.deadline_ms);
+    let deadline = started + options.deadline.unwrap_or(limit).min(limit);
     check_accepting(node)?;
-    let body = read_body(request, node.settings.body_limit).await?;
+    let body = read_body(request, node.settings.body_limit, deadline).await?;
     let original = Original {
         method: request.method().clone(),
         target: uri.to_string(),
@@ -90,6 +92,7 @@
         config,
         sender,
         options,
+        deadline,
     };
     match (route, &admission.options.last_event) {
         (Route::Stream | Route::Chat | Route::Completion, Some(_)) => admission.resume(original),
@@ -120,13 +123,19 @@
     Ok(())
 }
 
-async fn read_body(request: &mut Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    request.body(limit).await.map_err(|error| match error {
+async fn read_body(
+    request: &mut Incoming,
+    limit: usize,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    let body = request.body_until(limit, deadline).await;
+    body.map_err(|error| match error {
         BodyError::TooLarge => {
             let detail = format!("the body is longer than {limit} bytes");
             Refusal::not_run(RefusalKind::TooLarge, detail)
         }
-        other => malformed("body", other.to_string()),
+        BodyError::Timeout => Refusal::not_run(RefusalKind::SlowBody, error.to_string()),
+        BodyError::Broken => malformed("body", error.to_string()),
     })
 }
 
@@ -136,6 +145,7 @@
     config: Arc<Config>,
     sender: Sender,
     options: Options,
+    deadline: Instant,
 }
 
 /// The parts of a call that depend on the kind of its work.
@@ -264,8 +274,6 @@
         // for this request.
         check_accepting(self.node)?;
         let identity = identity(&key_use, has_key, &original);
-        let limit = Duration::from_millis(self.node.settings.deadline_ms);
-        let deadline = Instant::now() + self.options.deadline.unwrap_or(limit).min(limit);
         Ok(Call {
             key_use,
             has_key,
@@ -276,7 +284,7 @@
             pool_spec: parts.spec,
             once: parts.once,
             relayed: self.options.relayed,
-            deadline,
+            deadline: self.deadline,
             bound,
             identity,
             work: parts.work,
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -13,6 +13,7 @@
 use swiftlink_routing::{ErrorKind, ServerIdx};
 use swiftlink_telemetry::event;
 use swiftlink_types::{Refusal, RefusalKind};
+use tokio::time::timeout_at;
 
 use crate::admit::no_server;
 use crate::call::Call;
@@ -207,9 +208,9 @@
 ) -> Result<(), Refusal> {
     let status = answer.response.status();
     let (response, _lease) = answer.split();
-    let body = Limited::new(response.into_body(), MAX_EXCERPT)
-        .collect()
-        .await;
+    let body = Limited::new(response.into_body(), MAX_EXCERPT).collect();
+    let body = timeout_at(call.deadline, body).await;
+    let body = body.ok().and_then(Result::ok);
     let bytes = body.map(|body| body.to_bytes()).unwrap_or_default();
     let excerpt = String::from_utf8_lossy(&bytes).into_owned();
     if status.is_client_error() && status != StatusCode::TOO_MANY_REQUESTS {
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -8,14 +8,15 @@
     AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
     TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
-use http::{HeaderMap, HeaderName, Response};
+use http::{HeaderMap, HeaderName, HeaderValue, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::reply::Piece;
+use crate::surface::DEADLINE;
 use swiftlink_gateway::upstream::{Framing, Lease};
 
 /// Hop-by-hop headers, which apply to one connection only.
@@ -71,27 +72,46 @@
     kept
 }
 
+/// The headers of a caller's request that is relayed to another router with `left` until its deadline.
+#[must_use]
+pub fn for_peer(headers: &HeaderMap, left: Duration) -> HeaderMap {
+    let mut kept = end_to_end(headers);
+    let left = left.as_millis().max(1).to_string();
+    if let Ok(left) = HeaderValue::try_from(left) {
+        kept.insert(DEADLINE, left);
+    }
+    kept
+}
+
 /// Whether the server at `address` has ended: nobody listens there any more.
 async fn has_ended(address: SocketAddr) -> bool {
     let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
     matches!(connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
-/// Forwards a response of the server at `address`. Where only the end of the connection marks the
-/// end, a server that has ended by then broke it off. Returns whether the body was complete.
+/// Forwards a response of the server at `address` until `deadline`. Where only the end of the connection
+/// marks the end, a server that has ended by then broke it off. Returns whether the body was complete.
 pub async fn pass_response(
     response: Response<Incoming>,
     address: SocketAddr,
-    lease: &mut Lease,
+    mut lease: Lease,
     sender: &mpsc::Sender<Piece>,
+    deadline: Instant,
 ) -> bool {
     let framing = Framing::of(&response);
-    let is_complete = pass_body(response.into_body(), lease, sender).await;
-    if !is_complete || framing != Framing::Close || !has_ended(address).await {
-        return is_complete;
-    }
-    let error = io::Error::other("the connection was closed, and the server has ended");
-    let _gone = sender.send(Err(error)).await;
+    let passed = pass_body(response.into_body(), &mut lease, sender);
+    let reason = match timeout_at(deadline, passed).await {
+        Err(_elapsed) => "the deadline has passed",
+        Ok(is_complete) => {
+            if !is_complete || framing != Framing::Close || !has_ended(address).await {
+                return is_complete;
+            }
+            "the connection was closed, and the server has ended"
+        }
+    };
+    // The server needn't wait for a caller that doesn't read.
+    drop(lease);
+    let _gone = sender.send(Err(io::Error::other(reason))).await;
     false
 }
 
--- a/crates/router/src/record.rs
+++ b/crates/router/src/record.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::call::Call;
-use crate::reply::Reply;
+use crate::reply::{Reply, StreamedReply};
 
 /// Outcome of an answer that comes from another router or an earlier run.
 const PASSED: &str = "passed";
@@ -92,7 +92,10 @@
                     refusal: Some(refusal.kind.slug()),
                 }
             }
-            Reply::Complete(status, headers, _) | Reply::Stream(status, headers, _) => Head {
+            Reply::Complete(status, headers, _)
+            | Reply::Stream(StreamedReply {
+                status, headers, ..
+            }) => Head {
                 status: status.as_u16(),
                 outcome: outcome(headers),
                 refusal: None,
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -11,13 +11,14 @@
 use http_body_util::{BodyExt, Full, Limited};
 use swiftlink_telemetry::event;
 use swiftlink_types::{OUTCOME_HEADER, Outcome, Refusal, RefusalKind};
+use tokio::time::timeout_at;
 
 use crate::call::Call;
-use crate::forward::{end_to_end, pass_body};
+use crate::forward::{end_to_end, for_peer, pass_body};
 use crate::history::{TrackedRun, digest};
 use crate::node::Node;
 use crate::peers::PeerWatch;
-use crate::reply::{Reply, ReplySender, channel};
+use crate::reply::{Reply, ReplySender, StreamedReply, channel};
 use crate::serve::send_reply;
 use crate::surface::{KEY, RELAY};
 use swiftlink_gateway::upstream::{PendingResponse, SendError, send as send_http};
@@ -169,8 +170,8 @@
             return PeerResult::Answered(Box::new(answer), watched);
         }
         let (response, mut lease) = answer.split();
-        let body = Limited::new(response.into_body(), MAX_REFUSAL_BYTES);
-        if body.collect().await.is_ok() {
+        let body = Limited::new(response.into_body(), MAX_REFUSAL_BYTES).collect();
+        if let Ok(Ok(_refusal)) = timeout_at(self.call.deadline, body).await {
             lease.recycle();
         }
         PeerResult::NotRun
@@ -198,7 +199,7 @@
         let mut request = crate::engine::plain(address, method, &original.target, body);
         let host = request.headers_mut().remove(HOST);
         let headers = request.headers_mut();
-        *headers = end_to_end(&original.headers);
+        *headers = for_peer(&original.headers, self.call.time_left());
         if let Some(host) = host {
             headers.insert(HOST, host);
         }
@@ -237,7 +238,13 @@
     let (parts, body) = response.into_parts();
     let headers = end_to_end(&parts.headers);
     let (sender, receiver) = channel();
-    send_reply(reply, Reply::Stream(parts.status, headers, receiver));
+    let stream = StreamedReply {
+        status: parts.status,
+        headers,
+        pieces: receiver,
+        deadline: None,
+    };
+    send_reply(reply, Reply::Stream(stream));
     let is_silent = tokio::select! {
         _whole = pass_body(body, &mut lease, &sender) => false,
         () = watched.until_silent() => true,
--- a/crates/router/src/reply.rs
+++ b/crates/router/src/reply.rs
@@ -8,6 +8,7 @@
 use swiftlink_shell::web::Body;
 use swiftlink_types::{Refusal, RequestKey};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 
 use crate::problem;
 
@@ -22,7 +23,20 @@
     /// A complete answer.
     Complete(StatusCode, HeaderMap, Bytes),
     /// A streamed answer.
-    Stream(StatusCode, HeaderMap, mpsc::Receiver<Piece>),
+    Stream(StreamedReply),
+}
+
+/// A streamed answer.
+#[derive(Debug)]
+pub struct StreamedReply {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub pieces: mpsc::Receiver<Piece>,
+    /// When the caller has to have taken the whole body.
+    pub deadline: Option<Instant>,
 }
 
 /// A piece of a streamed answer; an error closes the caller's connection early.
@@ -44,8 +58,13 @@
         let (status, headers, body) = match self {
             Self::Refused(refusal) => return problem::respond(&refusal, Some(key)),
             Self::Complete(status, headers, body) => (status, headers, Body::full(body)),
-            Self::Stream(status, headers, receiver) => {
-                (status, headers, Body::stream(stream(receiver)))
+            Self::Stream(reply) => {
+                let body = Body::stream(stream(reply.pieces));
+                let body = match reply.deadline {
+                    Some(deadline) => body.until(deadline),
+                    None => body,
+                };
+                (reply.status, reply.headers, body)
             }
         };
         let mut response = Response::new(body);
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -51,7 +51,7 @@
             return health::respond(&self.node);
         }
         let started = Instant::now();
-        let call = match admit(&self.node, &mut request).await {
+        let call = match admit(&self.node, &mut request, started).await {
             Ok(call) => call,
             Err(refusal) => {
                 count_refusal(&self.node, &refusal);
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -8,7 +8,7 @@
 use crate::engine;
 use crate::fleet::Target;
 use crate::forward::{end_to_end, for_server, pass_response};
-use crate::reply::{Reply, ReplySender, channel};
+use crate::reply::{Reply, ReplySender, StreamedReply, channel};
 use crate::serve::{Run, send_reply};
 use crate::sink::set_charged;
 
@@ -49,12 +49,19 @@
     target.first_token();
     let tokens = run.call.pool_spec.call_tokens;
     let charged = run.charge(tokens).await;
-    let (response, mut lease) = answer.split();
+    let (response, lease) = answer.split();
     let mut headers = end_to_end(response.headers());
     set_charged(&mut headers, charged);
     let (sender, receiver) = channel();
-    send_reply(reply, Reply::Stream(response.status(), headers, receiver));
-    if pass_response(response, target.address, &mut lease, &sender).await {
+    let deadline = run.call.deadline;
+    let stream = StreamedReply {
+        status: response.status(),
+        headers,
+        pieces: receiver,
+        deadline: Some(deadline),
+    };
+    send_reply(reply, Reply::Stream(stream));
+    if pass_response(response, target.address, lease, &sender, deadline).await {
         slot.served();
         target.done();
         run.remember(None, None, charged);
--- a/crates/router/src/sink.rs
+++ b/crates/router/src/sink.rs
@@ -9,7 +9,7 @@
 
 use crate::answer::{self, CompleteAnswer, Receipt};
 use crate::problem::CHARGED_HEADER;
-use crate::reply::{Piece, Reply, ReplySender, channel};
+use crate::reply::{Piece, Reply, ReplySender, StreamedReply, channel};
 use crate::serve::send_reply;
 
 /// Receives the chunks of one answer in order.
@@ -146,10 +146,13 @@
 impl Events {
     async fn put(&mut self, piece: Bytes) {
         if let (Some(reply), Some(receiver)) = (self.reply.take(), self.receiver.take()) {
-            send_reply(
-                reply,
-                Reply::Stream(StatusCode::OK, stream_headers(), receiver),
-            );
+            let stream = StreamedReply {
+                status: StatusCode::OK,
+                headers: stream_headers(),
+                pieces: receiver,
+                deadline: None,
+            };
+            send_reply(reply, Reply::Stream(stream));
         }
         if self.is_disconnected {
             return;
--- a/crates/router/tests/forward.rs
+++ b/crates/router/tests/forward.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http::Method;
+use http::{HeaderMap, HeaderValue, Method};
 use swiftlink_gateway::upstream::{SendOptions, send};
 use swiftlink_router::engine::plain;
-use swiftlink_router::forward::pass_response;
+use swiftlink_router::forward::{for_peer, pass_response};
 use swiftlink_router::reply::channel;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::time::{Instant, timeout};
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\n\r\n";
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -37,9 +38,10 @@
     let request = plain(address, Method::GET, "/x", bytes::Bytes::new());
     let sent = send(address, request, options).await.expect("a response");
     let _listener = server.await.expect("the server");
-    let (response, mut lease) = sent.split();
+    let (response, lease) = sent.split();
     let (sender, mut pieces) = channel();
-    let is_complete = pass_response(response, address, &mut lease, &sender).await;
+    let end = Instant::now() + TIMEOUT;
+    let is_complete = pass_response(response, address, lease, &sender, end).await;
     drop(sender);
     let mut is_whole = true;
     while let Some(piece) = pieces.recv().await {
@@ -58,3 +60,50 @@
 async fn a_response_that_ends_with_its_connection_is_complete_if_its_server_runs() {
     assert_eq!(forward(false).await, (true, true));
 }
+
+/// Guards against a call that waits for the rest of its response without limit: the deadline ended when
+/// the head of the response had arrived.
+#[tokio::test]
+async fn a_response_that_stalls_ends_at_the_deadline() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let _request = stream.read(&mut [0; 1024]).await.expect("a request");
+        let text = "HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nhalf";
+        stream.write_all(text.as_bytes()).await.expect("responding");
+        // Until the router closes the connection.
+        let _closed = stream.read(&mut [0; 1]).await;
+    });
+    let options = SendOptions {
+        connect: TIMEOUT,
+        response: TIMEOUT,
+        fresh: true,
+        may_abort: false,
+    };
+    let request = plain(address, Method::GET, "/x", bytes::Bytes::new());
+    let sent = send(address, request, options).await.expect("a response");
+    let (response, lease) = sent.split();
+    let (sender, mut pieces) = channel();
+    let passing = pass_response(response, address, lease, &sender, Instant::now());
+    let is_complete = timeout(TIMEOUT, passing).await.expect("an end");
+    drop(sender);
+    assert!(!is_complete);
+    let mut last = None;
+    while let Some(piece) = pieces.recv().await {
+        last = Some(piece);
+    }
+    assert!(matches!(last, Some(Err(_))), "{last:?}");
+    server.await.expect("the connection closes");
+}
+
+/// Guards against a router that gives a request relayed to it the time that its caller gave it at first.
+#[test]
+fn a_relayed_request_has_the_time_that_is_left() {
+    let mut headers = HeaderMap::new();
+    headers.insert("swiftlink-deadline-ms", HeaderValue::from_static("5000"));
+    headers.insert("swiftlink-key", HeaderValue::from_static("k"));
+    let relayed = for_peer(&headers, Duration::from_millis(1_200));
+    assert_eq!(relayed["swiftlink-deadline-ms"], "1200");
+    assert_eq!(relayed["swiftlink-key"], "k");
+}
--- a/crates/shell/src/web/body.rs
+++ b/crates/shell/src/web/body.rs
@@ -3,11 +3,15 @@
 use std::fmt;
 use std::io;
 use std::pin::Pin;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
 use tokio::time::Instant;
 
+/// Time for a body to end by itself at its deadline.
+const END_TIME: Duration = Duration::from_millis(100);
+
 /// Body of a response: complete content or a stream of pieces.
 ///
 /// When the stream fails, the connection is closed without the final chunk, so that the
@@ -64,11 +68,11 @@
         }
     }
 
-    /// Closes the connection at `deadline` if the client hasn't taken the whole body by then. The stream
-    /// of a body isn't polled while the client doesn't read, so it can't end at a time of its own.
+    /// Closes the connection a moment after `deadline` if the client hasn't taken the whole body by
+    /// then. The stream of a body isn't polled while the client doesn't read, so it can't end by itself.
     #[must_use]
     pub fn until(mut self, deadline: Instant) -> Self {
-        self.deadline = Some(deadline);
+        self.deadline = Some(deadline + END_TIME);
         self
     }
 }
--- a/crates/types/src/refusal.rs
+++ b/crates/types/src/refusal.rs
@@ -44,6 +44,8 @@
     Malformed,
     /// The body exceeds the size limit.
     TooLarge,
+    /// The body hasn't arrived by the deadline.
+    SlowBody,
     /// The budget's free tokens and the quota that routers hold, as far as known, don't cover the
     /// request.
     NoBudget,
@@ -80,6 +82,7 @@
             Self::NoBudget => 402,
             Self::Forbidden => 403,
             Self::UnknownPool => 404,
+            Self::SlowBody => 408,
             Self::KeyInUse | Self::KeyTooOld => 409,
             Self::StreamGone => 410,
             Self::TooLarge => 413,
@@ -99,6 +102,7 @@
             Self::UnknownPool => "unknown-pool",
             Self::Malformed => "malformed",
             Self::TooLarge => "too-large",
+            Self::SlowBody => "slow-body",
             Self::NoBudget => "no-budget",
             Self::BudgetBusy => "budget-busy",
             Self::Overloaded => "overloaded",
@@ -122,6 +126,7 @@
             Self::UnknownPool => "No such model or pool",
             Self::Malformed => "The request is malformed",
             Self::TooLarge => "The request body is too large",
+            Self::SlowBody => "The request body arrived too slowly",
             Self::NoBudget => "Not enough of the prepaid budget is left",
             Self::BudgetBusy => "The budget's free tokens are held elsewhere for now",
             Self::Overloaded => "Too much work is queued",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod replace;
 mod settings;
 mod spend;
+mod stalls;
 mod standing;
 mod stopping;
 mod support;
