peers: only a secret that a router generated opens links

What others could see: where the record of the links' secret on the store was empty, or short, whoever reached the address of a router could reserve quota there, tell it of crashes, and open tunnels to its servers.

Cause: the record was taken as it was (set_secret).

Change: a record that isn't 48 hexadecimal digits, as routers generate them, counts as missing, is logged, and is replaced.

--- a/crates/gateway/src/peers/register.rs
+++ b/crates/gateway/src/peers/register.rs
@@ -142,10 +142,22 @@
     let page = store.newest(Feed::Links, ANSWER_TIMEOUT.into()).await?;
     let mut records = page.records.into_iter();
     let secret = records.find(|record| record.key == SECRET_KEY);
-    Ok((page.end, secret.and_then(|record| record.value)))
+    let secret = secret.and_then(|record| record.value);
+    if secret.as_deref().is_some_and(|value| !is_generated(value)) {
+        event!(error, "peer.secret_invalid");
+        return Ok((page.end, None));
+    }
+    Ok((page.end, secret))
+}
+
+/// Whether a secret is one that a router generated. With an empty one, or one that can be guessed,
+/// whoever reaches the address of a router could open links and tunnels.
+fn is_generated(secret: &[u8]) -> bool {
+    secret.len() == 2 * SECRET_BYTES && secret.iter().all(u8::is_ascii_hexdigit)
 }
 
-/// Reads the secret of the links. If there is none, writes the known one or generates one.
+/// Reads the secret of the links. If there is none that is valid, writes the known one or generates
+/// one.
 async fn find_secret(store: &dyn Store, known: Option<&Bytes>) -> Result<Bytes, StoreError> {
     if let (_, Some(secret)) = read_secret(store).await? {
         return Ok(secret);
