rollout: old versions are idle only where all routers of the fleet have reported so

What callers could see: streams on servers of an old version break off, since the rollout is reported as completed and these servers are stopped while the streams run.

Cause: the coordinator took routers for idle whose last report was over two seconds old, and a fleet without any such report too. But a report was sent only when it changed, so that of a router with one long stream was soon too old; at 985 routers reports are sent every 9.85 s at most; and a router that becomes the coordinator later has none.

Change: the old versions are idle once each router has reported that its requests have ended. Reports that didn't change are repeated after ten intervals, and with a new order. Where a router stays silent the old versions go on until 85 in 100 of the order's time, as they do where requests run on.

The model of 3, 63 and 300 routers passes unchanged but for the call.

--- a/crates/gateway/src/rollout/coordinator.rs
+++ b/crates/gateway/src/rollout/coordinator.rs
@@ -19,9 +19,6 @@
 /// Delay per rank before a coordinator takes a pending step, so that the first one takes it if it
 /// is alive.
 const TURN_DELAY: Duration = Duration::from_millis(400);
-/// Maximum age of the reports that count when old versions are retired. A process that is silent
-/// for longer has terminated or is partitioned.
-const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
 
 /// State of one order on a coordinator.
 #[derive(Debug, Default)]
@@ -40,14 +37,15 @@
 }
 
 impl Coordinator {
-    /// Takes the pending step, if there is one.
+    /// Takes the pending step, if there is one. `rank` is that of this router among the coordinators,
+    /// `fleet` the number of routers.
     pub(super) async fn take_step(
         &mut self,
         node: &Node,
         pool: &Pool,
         store: &dyn Store,
         catalog: &dyn Catalog,
-        rank: usize,
+        (rank, fleet): (usize, usize),
     ) {
         let Some((order, stage, progress)) = pool.rollout.order() else {
             return;
@@ -70,10 +68,9 @@
         let first_seen = *self.first_seen.get_or_insert_with(Instant::now);
         if self.stage.is_none_or(|(known, _)| known != stage) {
             self.stage = Some((stage, Instant::now()));
-            node.reports
-                .with(&order.pool, order.number, |aggregate, _| {
-                    aggregate.begin_stage()
-                });
+            node.reports.with(&order.pool, order.number, |aggregate| {
+                aggregate.begin_stage()
+            });
         }
         let wall = node.quotas.clock().read().wall;
         let started = progress.map_or(wall, |progress| progress.started);
@@ -84,6 +81,7 @@
             stage,
             first_seen,
             wall.saturating_sub(started),
+            fleet,
         );
         let step = next_step(&order, &rollout_state);
         if step == Step::Wait {
@@ -143,22 +141,18 @@
         stage: Stage,
         first_seen: Instant,
         clock_elapsed: WallMs,
+        fleet: usize,
     ) -> RolloutState {
         // Another coordinator may have seen the order earlier. Clocks may differ, so the time by
         // the clock is capped at the order's time limit.
         let clock_elapsed = Duration::from_millis(clock_elapsed).min(order.time_limit);
         let (new_servers, old_servers) = pool.count_servers(&order.version);
         let since = self.stage.map_or(first_seen, |(_, since)| since);
-        let (regression, is_old_idle) =
-            node.reports
-                .with(&order.pool, order.number, |aggregate, now| {
-                    let regression = compare_versions(&aggregate.totals())
-                        .or_else(|| compare_versions(&aggregate.stage_totals()));
-                    (
-                        regression,
-                        aggregate.is_old_idle(Stage::Shift, now, MAX_REPORT_AGE),
-                    )
-                });
+        let (regression, is_old_idle) = node.reports.with(&order.pool, order.number, |aggregate| {
+            let regression = compare_versions(&aggregate.totals())
+                .or_else(|| compare_versions(&aggregate.stage_totals()));
+            (regression, aggregate.is_old_idle(Stage::Shift, fleet))
+        });
         RolloutState {
             stage,
             elapsed: first_seen.elapsed().max(clock_elapsed),
--- a/crates/gateway/src/rollout/reporter.rs
+++ b/crates/gateway/src/rollout/reporter.rs
@@ -31,9 +31,28 @@
 /// Coordinators of a rollout. The second one takes over if the first one is lost; their writes are
 /// conditional.
 const COORDINATORS: usize = 2;
+/// A report that hasn't changed is sent again after so many intervals: it may have been lost, and
+/// another router may coordinate the rollout by now.
+const REPEAT_TURNS: u32 = 10;
 /// Timeout of a call to a peer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The last report about a pool.
+struct Reported {
+    order: u64,
+    report: Report,
+    /// Intervals since it was sent.
+    turns: u32,
+}
+
+impl Reported {
+    /// Whether this report on an order is to be sent after it, an interval later.
+    fn is_due(&mut self, order: u64, report: &Report) -> bool {
+        self.turns += 1;
+        self.order != order || self.report != *report || self.turns >= REPEAT_TURNS
+    }
+}
+
 /// Reports and coordinates until the task is aborted.
 pub(crate) async fn run(
     node: Arc<Node>,
@@ -43,9 +62,10 @@
 ) {
     let mut calls = JoinSet::new();
     let mut coordinators: HashMap<PoolName, Coordinator> = HashMap::new();
-    let mut reported: HashMap<PoolName, Report> = HashMap::new();
+    let mut reported: HashMap<PoolName, Reported> = HashMap::new();
     loop {
         let mut is_running = false;
+        let routers = peers.all().len() + 1;
         for pool in node.pools.all() {
             let Some((order, stage, _)) = pool.rollout.order() else {
                 coordinators.remove(&pool.name);
@@ -57,7 +77,9 @@
                 .placement()
                 .top_ranked(pool.name.as_str(), COORDINATORS);
             let report = pool.rollout.report(pool.running_on_others(&order.version));
-            if !stage.is_final() && reported.get(&pool.name) != Some(&report) {
+            let last = reported.get_mut(&pool.name);
+            let is_due = last.is_none_or(|last| last.is_due(order.number, &report));
+            if !stage.is_final() && is_due {
                 send_report(
                     &node,
                     &peers,
@@ -67,7 +89,12 @@
                     &coordinator_vms,
                     &mut calls,
                 );
-                reported.insert(pool.name.clone(), report);
+                let sent = Reported {
+                    order: order.number,
+                    report,
+                    turns: 0,
+                };
+                reported.insert(pool.name.clone(), sent);
             }
             let rank = coordinator_vms
                 .iter()
@@ -78,11 +105,10 @@
             };
             let coordinator = coordinators.entry(pool.name.clone()).or_default();
             coordinator
-                .take_step(&node, &pool, &*store, &*catalog, rank)
+                .take_step(&node, &pool, &*store, &*catalog, (rank, routers))
                 .await;
         }
         while calls.try_join_next().is_some() {}
-        let routers = peers.all().len() + 1;
         let interval =
             REPORT_INTERVAL.mul_f64((routers as f64 / FULL_RATE_ROUTERS as f64).max(1.0));
         sleep(if is_running { interval } else { POLL_INTERVAL }).await;
@@ -122,8 +148,8 @@
             peer = vm,
             reason = "unexpected reply"
         ),
-        // Reports are cumulative, so the next one makes up for this one, and the other coordinator
-        // receives it too.
+        // Reports are cumulative and repeated, so the next one makes up for this one, and the other
+        // coordinator receives it too.
         Err(LinkError::Down) => {}
         Err(error) => event!(debug, "rollout.report_failed", peer = vm, reason = error),
     }
--- a/crates/rollout/src/aggregate.rs
+++ b/crates/rollout/src/aggregate.rs
@@ -1,10 +1,8 @@
 //! Aggregates the reports of all router processes for the coordinator of a rollout.
 
-use std::collections::{BTreeMap, HashMap};
-use std::time::Duration;
-
 use crate::order::Stage;
 use crate::stats::{ResponseStats, RouterStats, StatsKey};
+use std::collections::{BTreeMap, HashMap};
 
 /// Cumulative statistics of one router process since the rollout order.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,24 +18,24 @@
 /// Latest report of each router process.
 #[derive(Clone, Debug, Default)]
 pub struct ReportAggregate {
-    reports: HashMap<u64, (Report, Duration)>,
+    reports: HashMap<u64, Report>,
     /// Totals when the current stage began. Responses from earlier stages say nothing about the new
     /// version under full traffic.
     baseline: BTreeMap<StatsKey, ResponseStats>,
 }
 
 impl ReportAggregate {
-    /// Records a report received at `now`. Counters are cumulative, so the latest report of a
-    /// process replaces its earlier ones.
-    pub fn insert(&mut self, process: u64, report: Report, now: Duration) {
-        self.reports.insert(process, (report, now));
+    /// Records a report. Counters are cumulative, so the latest report of a process replaces its
+    /// earlier ones.
+    pub fn insert(&mut self, process: u64, report: Report) {
+        self.reports.insert(process, report);
     }
 
     /// Totals of all processes since the order.
     #[must_use]
     pub fn totals(&self) -> BTreeMap<StatsKey, ResponseStats> {
         let mut totals: BTreeMap<StatsKey, ResponseStats> = BTreeMap::new();
-        for (report, _) in self.reports.values() {
+        for report in self.reports.values() {
             for (key, row) in &report.stats.rows {
                 totals.entry(key.clone()).or_default().add(row);
             }
@@ -63,12 +61,13 @@
         self.baseline = self.totals();
     }
 
-    /// Whether all processes that reported within `max_age` before `now` apply at least `stage` and
-    /// have no requests running on old versions.
+    /// Whether all `routers` of the fleet are known to apply at least `stage` and to have no requests
+    /// running on old versions. What the requests of a router do that doesn't report isn't known.
     #[must_use]
-    pub fn is_old_idle(&self, stage: Stage, now: Duration, max_age: Duration) -> bool {
-        let mut recent_reports = self.reports.values().filter(|(_, at)| *at + max_age >= now);
-        recent_reports.all(|(report, _)| report.stage >= stage && report.old_running == 0)
+    pub fn is_old_idle(&self, stage: Stage, routers: usize) -> bool {
+        let mut reports = self.reports.values();
+        self.reports.len() >= routers.max(1)
+            && reports.all(|report| report.stage >= stage && report.old_running == 0)
     }
 }
 
--- a/crates/rollout/tests/model.rs
+++ b/crates/rollout/tests/model.rs
@@ -173,7 +173,7 @@
                 old_running: 0,
                 stats: fleet.stats[router].clone(),
             };
-            aggregate.insert(router as u64, report, now);
+            aggregate.insert(router as u64, report);
         }
         let state = RolloutState {
             stage: stage.0,
@@ -181,7 +181,7 @@
             stage_age: TICK * (tick - stage.1),
             new_servers: 20,
             old_servers: 20,
-            is_old_idle: aggregate.is_old_idle(Stage::Shift, now, Duration::from_secs(2)),
+            is_old_idle: aggregate.is_old_idle(Stage::Shift, routers),
             regression: compare_versions(&aggregate.totals())
                 .or_else(|| compare_versions(&aggregate.stage_totals())),
         };
