gateway: a request of a prepaid workspace that names no usage isn't run by a model engine

What callers could see: a request without X-Token-Usage ran on a model engine with no reservation and no charge, beyond what its workspace had prepaid.

Cause: where the header was missing, nothing was reserved.

A request whose cost isn't known can't be held against it.

Change: 400 (no_usage) before the body is read, where the workspace has a prepaid budget and the pool runs a model engine. Plain services, and workspaces without a budget, go on as before.

--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -18,6 +18,9 @@
     StaleConfig,
     /// A header can't be parsed.
     Malformed,
+    /// The request of a workspace with a prepaid budget doesn't say how many tokens a model engine may
+    /// spend on it.
+    NoUsage,
     /// No route matches.
     NoRoute,
     /// The route requires the API key of a workspace.
@@ -79,7 +82,7 @@
             | Self::OriginUnknown
             | Self::Expired
             | Self::Held(_) => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Malformed | Self::BrokenBody => StatusCode::BAD_REQUEST,
+            Self::Malformed | Self::NoUsage | Self::BrokenBody => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -111,6 +114,7 @@
             Self::NotReady => "not_ready",
             Self::StaleConfig => "config_behind",
             Self::Malformed => "malformed",
+            Self::NoUsage => "no_usage",
             Self::NoRoute => "no_route",
             Self::NoKey => "no_key",
             Self::TooLarge => "too_large",
--- a/crates/gateway/src/serve/service.rs
+++ b/crates/gateway/src/serve/service.rs
@@ -147,7 +147,7 @@
         let (pool, begun_by) = self.find_pool(&identified).await?;
         let parts = PromptParts::new(pool.name.clone(), identified.meta.parts.clone());
         self.check_parts(&identified.meta, &parts)?;
-        let quota = self.reserve(&identified).await?;
+        let quota = self.reserve(&identified, &pool).await?;
         let max_body = identified.config.limits.max_body;
         let body = request.body_until(max_body, identified.deadline).await;
         let body = body.map_err(body_refusal)?;
@@ -264,14 +264,20 @@
     }
 
     /// Reserves the maximum cost of the request.
-    async fn reserve(&self, identified: &Identified) -> Result<RequestQuota, Refusal> {
+    async fn reserve(&self, identified: &Identified, pool: &Pool) -> Result<RequestQuota, Refusal> {
         let Identified {
             route,
             meta,
             workspace,
             ..
         } = identified;
-        let (Some(workspace), Some(usage)) = (workspace, meta.usage) else {
+        let Some(workspace) = workspace else {
+            return Ok(RequestQuota::Unlimited);
+        };
+        let Some(usage) = meta.usage else {
+            if workspace.prepaid.is_some() && pool.spec().max_event_tokens.is_some() {
+                return Err(Refusal::NoUsage);
+            }
             return Ok(RequestQuota::Unlimited);
         };
         let Some(quota) = self.node.quotas.get(&workspace.name) else {
