watch: a record after one that differs from what was read is new, whatever it equals itself

Cause, in two parts. First, a fault: a record of a new era counts as old where it equals the one read at its offset, also behind a record that differs from what was read there, which proves that all from there on was written since. Second, the check: in the case above the store is, record for record, the one that comes back from a copy taken after the first write, with nothing written since. There what_a_copy_has_takes_nothing_back asks for the opposite answer, so no reader can give both.

Change: records from the first one on that differs are new.

In practice such a record doesn't come: versions of the configuration and numbers of heartbeats rise.

--- a/crates/gateway/src/watch/history.rs
+++ b/crates/gateway/src/watch/history.rs
@@ -35,7 +35,20 @@
         *self = Self::default();
     }
 
-    /// Whether a record of a later era was written before the store went back.
+    /// The offset from which on records of a later era are known to differ from those read before: they
+    /// were written after the store went back, even where one of them equals the record that was read
+    /// at its offset.
+    pub(super) fn divergence(&self, records: &[Record]) -> Option<u64> {
+        let differs = |record: &&Record| {
+            let known = self.fingerprints.get(&offset_of(record.offset));
+            known.is_some_and(|known| *known != fingerprint(record))
+        };
+        let differing = records.iter().filter(differs);
+        differing.map(|record| record.offset).min()
+    }
+
+    /// Whether a record of a later era was written before the store went back, as far as the record by
+    /// itself tells.
     pub(super) fn is_old(&self, record: &Record) -> bool {
         let offset = offset_of(record.offset);
         match self.fingerprints.get(&offset) {
--- a/crates/gateway/src/watch/reader.rs
+++ b/crates/gateway/src/watch/reader.rs
@@ -209,7 +209,10 @@
         if !self.feed.expires() {
             keys.extend(self.seen.keys().cloned());
         }
-        let is_new = |record: &&Record| !self.history.is_old(record);
+        let divergence = self.history.divergence(&page.records);
+        let is_new = |record: &&Record| {
+            divergence.is_some_and(|from| record.offset >= from) || !self.history.is_old(record)
+        };
         let new: Vec<Record> = page.records.iter().filter(is_new).cloned().collect();
         event!(
             info,
