bench: the price of the access decision and of a request on a kept connection

Also: a function of the rollouts' coordinator took eight arguments, which the linter refuses; the time since the order is computed by its caller now.

--- a/crates/bench/src/cost/decisions.rs
+++ b/crates/bench/src/cost/decisions.rs
@@ -48,7 +48,7 @@
     }
 }
 
-fn write(scenario: &str, policy: &str, cost: Cost, rows: &mut Rows) {
+pub(super) fn write(scenario: &str, policy: &str, cost: Cost, rows: &mut Rows) {
     rows.add(scenario, policy, "time_ns", cost.nanos);
     if let Some(allocations) = cost.allocations {
         rows.add(scenario, policy, "allocations", allocations);
--- a/crates/bench/src/cost/mod.rs
+++ b/crates/bench/src/cost/mod.rs
@@ -9,6 +9,7 @@
 mod folds;
 mod meter;
 mod records;
+mod request;
 
 pub use meter::{Allocator, COUNTING};
 
@@ -17,6 +18,7 @@
 /// Runs all measurements.
 pub fn run(seed: u64, quick: bool, rows: &mut Rows) {
     decisions::run(seed, quick, rows);
+    request::run(quick, rows);
     records::run(rows);
     folds::run(seed, quick, rows);
     config::run(quick, rows);
--- a/crates/gateway/src/rollout/coordinator.rs
+++ b/crates/gateway/src/rollout/coordinator.rs
@@ -6,7 +6,7 @@
 use prost::Message;
 use swiftlink_rollout::{Order, Progress, RolloutState, Stage, Step, compare_versions, next_step};
 use swiftlink_telemetry::event;
-use swiftlink_types::{PoolName, WallMs};
+use swiftlink_types::PoolName;
 use swiftlink_wire::rights::Rollout;
 use tokio::time::Instant;
 
@@ -74,15 +74,13 @@
         }
         let wall = node.quotas.clock().read().wall;
         let started = progress.map_or(wall, |progress| progress.started);
-        let rollout_state = self.rollout_state(
-            node,
-            pool,
-            &order,
-            stage,
-            first_seen,
-            wall.saturating_sub(started),
-            fleet,
-        );
+        // Another coordinator may have seen the order earlier. Clocks may differ, so the time by
+        // the clock is capped at the order's time limit.
+        let clock_elapsed = Duration::from_millis(wall.saturating_sub(started));
+        let elapsed = first_seen
+            .elapsed()
+            .max(clock_elapsed.min(order.time_limit));
+        let rollout_state = self.rollout_state(node, pool, &order, stage, elapsed, fleet);
         let step = next_step(&order, &rollout_state);
         if step == Step::Wait {
             self.pending = None;
@@ -139,15 +137,11 @@
         pool: &Pool,
         order: &Order,
         stage: Stage,
-        first_seen: Instant,
-        clock_elapsed: WallMs,
+        elapsed: Duration,
         fleet: usize,
     ) -> RolloutState {
-        // Another coordinator may have seen the order earlier. Clocks may differ, so the time by
-        // the clock is capped at the order's time limit.
-        let clock_elapsed = Duration::from_millis(clock_elapsed).min(order.time_limit);
         let (new_servers, old_servers) = pool.count_servers(&order.version);
-        let since = self.stage.map_or(first_seen, |(_, since)| since);
+        let since = self.stage.map(|(_, since)| since);
         let (regression, is_old_idle) = node.reports.with(&order.pool, order.number, |aggregate| {
             let regression = compare_versions(&aggregate.totals())
                 .or_else(|| compare_versions(&aggregate.stage_totals()));
@@ -155,8 +149,8 @@
         });
         RolloutState {
             stage,
-            elapsed: first_seen.elapsed().max(clock_elapsed),
-            stage_age: since.elapsed(),
+            elapsed,
+            stage_age: since.map_or(elapsed, |since| since.elapsed()),
             new_servers,
             old_servers,
             is_old_idle,
