--- a/crates/gateway/src/store/mem.rs
+++ b/crates/gateway/src/store/mem.rs
@@ -1,6 +1,7 @@
 //! A store in memory with injectable faults, for tests and benchmarks.
 
 use std::collections::{BTreeMap, HashMap};
+use std::future::pending;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -32,6 +33,8 @@
     NoNumbered,
     /// Reads return the state at the time of [`MemStore::set_fault`].
     Stale,
+    /// Calls get no answer, and have no effect.
+    Silent,
 }
 
 /// A [`Store`] that keeps its feeds in memory.
@@ -105,6 +108,13 @@
         self.changed.send_replace(());
     }
 
+    /// Never completes while the store is silent.
+    async fn until_answered(&self) {
+        if self.lock().fault == StoreFault::Silent {
+            pending::<()>().await;
+        }
+    }
+
     /// Writes a record as an operator or a server does; `None` removes the key.
     pub fn put(&self, feed: Feed, key: &str, value: Option<Bytes>) {
         let mut inner = self.lock();
@@ -302,6 +312,7 @@
         wait: Duration,
         _timeout: ResponseTimeout,
     ) -> Result<Page, StoreError> {
+        self.until_answered().await;
         let deadline = Instant::now() + wait;
         let mut changes = self.changed.subscribe();
         loop {
@@ -316,6 +327,7 @@
     }
 
     async fn newest(&self, feed: Feed, _timeout: ResponseTimeout) -> Result<Page, StoreError> {
+        self.until_answered().await;
         // A task that reads again and again mustn't keep all others from running.
         tokio::task::yield_now().await;
         let inner = self.lock();
@@ -336,6 +348,7 @@
         at: u64,
         records: &[(String, Bytes)],
     ) -> Result<u64, StoreError> {
+        self.until_answered().await;
         let mut inner = self.lock();
         let unknown = || StoreError::Unknown("no answer".to_owned());
         match inner.fault {
@@ -349,7 +362,8 @@
             StoreFault::None
             | StoreFault::LoseAnswers
             | StoreFault::NoNumbered
-            | StoreFault::Stale => {}
+            | StoreFault::Stale
+            | StoreFault::Silent => {}
         }
         let lost = inner.fault == StoreFault::LoseAnswers;
         let is_current = era_of(at) == *self.era.borrow();
@@ -373,6 +387,7 @@
         sequence: u64,
         record: (String, Bytes),
     ) -> Result<u64, StoreError> {
+        self.until_answered().await;
         let era = *self.era.borrow();
         let (producer, sequence) = self.numbering.number(era, feed, producer, sequence);
         let append = NumberedAppend {
@@ -393,6 +408,7 @@
             StoreFault::None
             | StoreFault::LoseAnswers
             | StoreFault::Stale
+            | StoreFault::Silent
             | StoreFault::Contended => {}
         }
         let lost = inner.fault == StoreFault::LoseAnswers;
--- a/crates/router/tests/forward.rs
+++ b/crates/router/tests/forward.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue, Method};
-use swiftlink_gateway::upstream::{SendOptions, send};
+use swiftlink_gateway::upstream::{PendingResponse, SendOptions, send};
 use swiftlink_router::engine::plain;
 use swiftlink_router::forward::{for_peer, pass_response};
 use swiftlink_router::reply::channel;
@@ -15,6 +15,18 @@
 const HEAD: &str = "HTTP/1.1 200 OK\r\n\r\n";
 const TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Sends a request to the server at `address`.
+async fn ask(address: SocketAddr) -> PendingResponse {
+    let options = SendOptions {
+        connect: TIMEOUT,
+        response: TIMEOUT,
+        fresh: true,
+        may_abort: false,
+    };
+    let request = plain(address, Method::GET, "/x", bytes::Bytes::new());
+    send(address, request, options).await.expect("a response")
+}
+
 /// Forwards a response that ends with its connection. Returns whether it was complete for the router,
 /// and for its caller.
 async fn forward(server_ends: bool) -> (bool, bool) {
@@ -29,14 +41,7 @@
         drop(stream);
         listener
     });
-    let options = SendOptions {
-        connect: TIMEOUT,
-        response: TIMEOUT,
-        fresh: true,
-        may_abort: false,
-    };
-    let request = plain(address, Method::GET, "/x", bytes::Bytes::new());
-    let sent = send(address, request, options).await.expect("a response");
+    let sent = ask(address).await;
     let _listener = server.await.expect("the server");
     let (response, lease) = sent.split();
     let (sender, mut pieces) = channel();
@@ -75,14 +80,7 @@
         // Until the router closes the connection.
         let _closed = stream.read(&mut [0; 1]).await;
     });
-    let options = SendOptions {
-        connect: TIMEOUT,
-        response: TIMEOUT,
-        fresh: true,
-        may_abort: false,
-    };
-    let request = plain(address, Method::GET, "/x", bytes::Bytes::new());
-    let sent = send(address, request, options).await.expect("a response");
+    let sent = ask(address).await;
     let (response, lease) = sent.split();
     let (sender, mut pieces) = channel();
     let passing = pass_response(response, address, lease, &sender, Instant::now());
