shell: a body that is too long is refused as such, though its client stalls; rollout: a router's place is a type

What callers saw: a body over the limit whose rest never came was answered 408 after 30 s, which invites the same body again.

Cause: the rest was discarded within the time for reading the body, and the timeout replaced what was known of it.

Change: 413, after the rest was discarded for a second at most, and not past the deadline.

From reading the diff: rank and number of routers are fields of a type, and the order of imports.

--- a/crates/gateway/src/rollout/coordinator.rs
+++ b/crates/gateway/src/rollout/coordinator.rs
@@ -20,6 +20,15 @@
 /// is alive.
 const TURN_DELAY: Duration = Duration::from_millis(400);
 
+/// A router's place in the fleet.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Place {
+    /// Rank among the coordinators of the pool's rollouts.
+    pub(super) rank: usize,
+    /// Number of routers.
+    pub(super) routers: usize,
+}
+
 /// State of one order on a coordinator.
 #[derive(Debug, Default)]
 pub(super) struct Coordinator {
@@ -37,15 +46,14 @@
 }
 
 impl Coordinator {
-    /// Takes the pending step, if there is one. `rank` is that of this router among the coordinators,
-    /// `fleet` the number of routers.
+    /// Takes the pending step, if there is one.
     pub(super) async fn take_step(
         &mut self,
         node: &Node,
         pool: &Pool,
         store: &dyn Store,
         catalog: &dyn Catalog,
-        (rank, fleet): (usize, usize),
+        place: Place,
     ) {
         let Some((order, stage, progress)) = pool.rollout.order() else {
             return;
@@ -80,11 +88,11 @@
         let elapsed = first_seen
             .elapsed()
             .max(clock_elapsed.min(order.time_limit));
-        let rollout_state = self.rollout_state(node, pool, &order, stage, elapsed, fleet);
+        let rollout_state = self.rollout_state(node, pool, &order, stage, elapsed, place);
         let step = next_step(&order, &rollout_state);
         if step == Step::Wait {
             self.pending = None;
-        } else if self.is_turn(&step, rank) {
+        } else if self.is_turn(&step, place.rank) {
             let reason = match &step {
                 Step::Revert(reason) => reason.as_str(),
                 Step::Wait | Step::Advance(_) => "-",
@@ -138,14 +146,17 @@
         order: &Order,
         stage: Stage,
         elapsed: Duration,
-        fleet: usize,
+        place: Place,
     ) -> RolloutState {
         let (new_servers, old_servers) = pool.count_servers(&order.version);
         let since = self.stage.map(|(_, since)| since);
         let (regression, is_old_idle) = node.reports.with(&order.pool, order.number, |aggregate| {
             let regression = compare_versions(&aggregate.totals())
                 .or_else(|| compare_versions(&aggregate.stage_totals()));
-            (regression, aggregate.is_old_idle(Stage::Shift, fleet))
+            (
+                regression,
+                aggregate.is_old_idle(Stage::Shift, place.routers),
+            )
         });
         RolloutState {
             stage,
--- a/crates/gateway/src/rollout/reporter.rs
+++ b/crates/gateway/src/rollout/reporter.rs
@@ -13,7 +13,7 @@
 use tokio::time::sleep;
 
 use super::codec::encode_report;
-use super::coordinator::Coordinator;
+use super::coordinator::{Coordinator, Place};
 use crate::catalog::Catalog;
 use crate::fleet::Pool;
 use crate::node::Node;
@@ -105,7 +105,7 @@
             };
             let coordinator = coordinators.entry(pool.name.clone()).or_default();
             coordinator
-                .take_step(&node, &pool, &*store, &*catalog, (rank, routers))
+                .take_step(&node, &pool, &*store, &*catalog, Place { rank, routers })
                 .await;
         }
         while calls.try_join_next().is_some() {}
--- a/crates/rollout/src/aggregate.rs
+++ b/crates/rollout/src/aggregate.rs
@@ -1,8 +1,9 @@
 //! Aggregates the reports of all router processes for the coordinator of a rollout.
 
+use std::collections::{BTreeMap, HashMap};
+
 use crate::order::Stage;
 use crate::stats::{ResponseStats, RouterStats, StatsKey};
-use std::collections::{BTreeMap, HashMap};
 
 /// Cumulative statistics of one router process since the rollout order.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -27,7 +27,7 @@
     pub new_servers: usize,
     /// Servers of other versions.
     pub old_servers: usize,
-    /// Whether no requests are known to run on old versions, at any router of the fleet.
+    /// Whether all routers of the fleet are known to run no requests on old versions.
     pub is_old_idle: bool,
     /// Regression found in the new version.
     pub regression: Option<Regression>,
--- a/crates/shell/src/web/incoming.rs
+++ b/crates/shell/src/web/incoming.rs
@@ -12,7 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_LENGTH, EXPECT};
 use http::{HeaderMap, Method, StatusCode, Uri, request};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 use xitca_web::body::{Body as _, Frame, RequestBody};
 
 use super::connection::Connection;
@@ -125,7 +125,8 @@
         let read = read.unwrap_or(Err(BodyError::Timeout));
         if read == Err(BodyError::TooLarge) {
             // The response doesn't depend on whether the client sends the rest.
-            let _rest = timeout(DISCARD_TIMEOUT, self.discard_too_large(limit)).await;
+            let end = end.min(Instant::now() + DISCARD_TIMEOUT);
+            let _rest = timeout_at(end, self.discard_too_large(limit)).await;
         }
         read
     }
