gateway: log and count the bytes of callers' requests, whatever becomes of them

The router counts a request's bytes once it is admitted. Nothing told how much its callers send in all, so that a link full of requests that are refused can't be told from an idle one. The web server counts what it reads and writes; callers.bytes is the line, swiftlink_callers_bytes_total the metric. No decision uses the count.

--- a/crates/gateway/src/ingress/connections.rs
+++ b/crates/gateway/src/ingress/connections.rs
@@ -1,27 +1,35 @@
-//! Counts new connections of callers, and logs those that weren't taken.
+//! Counts new connections of callers and their bytes, and logs the connections that weren't taken.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use swiftlink_shell::web::{Intake, IntakeCounts};
+use swiftlink_shell::web::{Intake, IntakeCounts, Meter};
 use swiftlink_telemetry::event;
 use tokio::time::{Instant, interval_at};
 
+use super::watch::BUSY_AT;
 use crate::node::Node;
 
 /// Interval between two counts.
 const INTERVAL: Duration = Duration::from_secs(1);
 
-/// Adds the connections of each interval to the metrics. Runs until the task is aborted.
-pub(crate) async fn count_connections(node: Arc<Node>, intake: Arc<Intake>) {
+/// Adds the connections of each interval and their bytes to the metrics. Runs until the task is
+/// aborted.
+pub(crate) async fn count_connections(node: Arc<Node>, intake: Arc<Intake>, meter: Arc<Meter>) {
     let mut before = IntakeCounts::default();
+    let mut bytes_before = (0, 0);
     let mut ticks = interval_at(Instant::now() + INTERVAL, INTERVAL);
     loop {
         ticks.tick().await;
         let total = intake.counts();
         let recent = total.since(&before);
         before = total;
-        node.metrics.connected(&recent);
+        node.metrics.port.connected(&recent);
+        let bytes = (meter.received(), meter.sent());
+        let (received, sent) = (bytes.0 - bytes_before.0, bytes.1 - bytes_before.1);
+        bytes_before = bytes;
+        node.metrics.port.carried(received, sent);
+        log_bytes(&node, received, sent);
         if recent.rejected() == 0 && intake.is_listening() {
             continue;
         }
@@ -38,3 +46,22 @@
         );
     }
 }
+
+/// Logs the bytes of an interval in which callers used much of the link.
+fn log_bytes(node: &Node, received: u64, sent: u64) {
+    let Some(rate) = node.settings.link else {
+        return;
+    };
+    let used = received.max(sent) as f64 / rate as f64;
+    if used < BUSY_AT {
+        return;
+    }
+    event!(
+        info,
+        "callers.bytes",
+        ready = node.is_ready(),
+        received = received,
+        sent = sent,
+        used = format_args!("{used:.2}"),
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/ingress/counters.rs
@@ -0,0 +1,56 @@
+//! Metrics of the callers' port.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::registry::Registry;
+use swiftlink_shell::web::IntakeCounts;
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ConnectionLabels {
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ByteLabels {
+    direction: &'static str,
+}
+
+/// Counters of callers' connections and of what they carry.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PortCounters {
+    connections: Family<ConnectionLabels, Counter>,
+    bytes: Family<ByteLabels, Counter>,
+}
+
+impl PortCounters {
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        let connections =
+            "New connections of callers: taken, refused or closed at the limit, failed";
+        registry.register("connections", connections, self.connections.clone());
+        let bytes = "Bytes of callers' requests and of responses, refused requests included";
+        registry.register("callers_bytes", bytes, self.bytes.clone());
+    }
+
+    /// Counts new connections.
+    pub(crate) fn connected(&self, counts: &IntakeCounts) {
+        let outcomes = [
+            ("taken", counts.taken),
+            ("refused", counts.refused),
+            ("closed", counts.closed),
+            ("failed", counts.failed),
+        ];
+        for (outcome, count) in outcomes {
+            let labels = ConnectionLabels { outcome };
+            self.connections.get_or_create(&labels).inc_by(count);
+        }
+    }
+
+    /// Counts bytes of requests and responses.
+    pub(crate) fn carried(&self, received: u64, sent: u64) {
+        for (direction, count) in [("received", received), ("sent", sent)] {
+            let labels = ByteLabels { direction };
+            self.bytes.get_or_create(&labels).inc_by(count);
+        }
+    }
+}
--- a/crates/gateway/src/ingress/mod.rs
+++ b/crates/gateway/src/ingress/mod.rs
@@ -1,10 +1,12 @@
 //! What this router lets in over its VM's network link, by the decisions of [`swiftlink_ingress`].
 //!
-//! - `connections` counts new connections, and logs those that weren't taken.
+//! - `connections` counts new connections and their bytes, and logs connections that weren't taken.
+//! - `counters` are the metrics of both.
 //! - `watch` samples the traffic and new connections, and sets whether the router takes new callers.
 //! - `reports` exchanges reports on the links with the other routers of the failure domain.
 
 mod connections;
+mod counters;
 mod reports;
 mod watch;
 
@@ -16,6 +18,7 @@
 use tokio::time::Instant;
 
 pub(crate) use connections::count_connections;
+pub(crate) use counters::PortCounters;
 pub(crate) use reports::{DomainReports, exchange};
 pub(crate) use watch::{LinkState, Port, watch_port};
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,9 +18,10 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
-use swiftlink_shell::web::{Body, Incoming, IntakeCounts, Response, Service};
+use swiftlink_shell::web::{Body, Incoming, Response, Service};
 use tokio::sync::watch;
 
+use crate::ingress::PortCounters;
 use crate::node::Node;
 use crate::quota::lease::LeaseCounters;
 use crate::store::{Feed, Page, ResponseTimeout, Store, StoreError};
@@ -49,11 +50,6 @@
     outcome: &'static str,
 }
 
-#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct ConnectionLabels {
-    outcome: &'static str,
-}
-
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct CallLabels {
     call: &'static str,
@@ -94,7 +90,8 @@
     leases: LeaseCounters,
     overloaded: Family<PriorityLabels, Counter>,
     shed: Family<PriorityLabels, Counter>,
-    connections: Family<ConnectionLabels, Counter>,
+    /// Connections of callers.
+    pub(crate) port: PortCounters,
     gauges: Gauges,
 }
 
@@ -141,7 +138,7 @@
             leases: LeaseCounters::default(),
             overloaded: Family::default(),
             shed: Family::default(),
-            connections: Family::default(),
+            port: PortCounters::default(),
             gauges: Gauges::default(),
         };
         metrics.register();
@@ -185,9 +182,7 @@
         registry.register("admission_refusals", overloaded, self.overloaded.clone());
         let shed = "Requests refused for lack of capacity after a wait, by priority";
         registry.register("admission_sheds", shed, self.shed.clone());
-        let connections =
-            "New connections of callers: taken, refused or closed at the limit, failed";
-        registry.register("connections", connections, self.connections.clone());
+        self.port.register(registry);
         let gauges = &self.gauges;
         let level =
             "Least urgent priority that all pools admit in full; 255 while nothing is refused";
@@ -260,20 +255,6 @@
         self.refusals.get_or_create(&RefusalLabels { reason }).inc();
     }
 
-    /// Counts new connections of callers.
-    pub fn connected(&self, counts: &IntakeCounts) {
-        let outcomes = [
-            ("taken", counts.taken),
-            ("refused", counts.refused),
-            ("closed", counts.closed),
-            ("failed", counts.failed),
-        ];
-        for (outcome, count) in outcomes {
-            let labels = ConnectionLabels { outcome };
-            self.connections.get_or_create(&labels).inc_by(count);
-        }
-    }
-
     /// Counts a request that was refused for lack of capacity.
     pub fn overloaded(&self, priority: u8, has_waited: bool) {
         let family = if has_waited {
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -165,7 +165,8 @@
         });
         let callers =
             WebServer::bind(callers, limits, service).context("starting the callers' listener")?;
-        let connections = ingress::count_connections(Arc::clone(&node), callers.intake());
+        let connections =
+            ingress::count_connections(Arc::clone(&node), callers.intake(), callers.meter());
         tasks.spawn(connections);
         let port = Port {
             gate: callers.gate(),
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -2,10 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 
-use http::HeaderMap;
-
-/// Bytes of a header line besides its name and value: a colon, a space and the line's end.
-const LINE_OVERHEAD: usize = 4;
+pub use swiftlink_shell::web::head_bytes;
 
 /// Bytes received and sent since the last sample.
 #[derive(Debug, Default)]
@@ -39,11 +36,3 @@
         inward.max(self.outward.swap(0, Relaxed))
     }
 }
-
-/// Bytes of an HTTP head's header lines.
-#[must_use]
-pub fn head_bytes(headers: &HeaderMap) -> usize {
-    let lines = headers.iter();
-    let lines = lines.map(|(name, value)| name.as_str().len() + value.len() + LINE_OVERHEAD);
-    lines.sum()
-}
--- a/crates/shell/src/web/connection.rs
+++ b/crates/shell/src/web/connection.rs
@@ -24,6 +24,7 @@
 use super::connections::{Connections, Registration};
 use super::gate::Gate;
 use super::intake::Intake;
+use super::meter::Meter;
 
 const BUSY_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
     connection: close\r\ncontent-length: 0\r\n\r\n";
@@ -62,6 +63,8 @@
     pub(super) abort: CancellationToken,
     /// See [`Limits::stall`](super::Limits::stall).
     pub(super) stall: Duration,
+    /// Bytes of requests and responses.
+    pub(super) meter: Arc<Meter>,
 }
 
 impl Shared {
@@ -89,10 +92,13 @@
     deadline_set: Notify,
     closing: Cell<bool>,
     shut: Cell<bool>,
+    /// Bytes of requests and responses of all connections.
+    pub(super) meter: Arc<Meter>,
 }
 
 impl Connection {
-    fn open(socket: &StdStream, stall: Duration, registration: Registration) -> io::Result<Self> {
+    fn open(socket: &StdStream, shared: &Shared, registration: Registration) -> io::Result<Self> {
+        let stall = shared.stall;
         let watched = socket.try_clone()?;
         let options = SockRef::from(&watched);
         options.set_tcp_nodelay(true)?;
@@ -111,6 +117,7 @@
             deadline_set: Notify::new(),
             closing: Cell::new(false),
             shut: Cell::new(false),
+            meter: Arc::clone(&shared.meter),
         })
     }
 
@@ -268,7 +275,7 @@
             return Ok(());
         };
         self.shared.intake.count_taken();
-        let Ok(connection) = Connection::open(&socket, self.shared.stall, registration) else {
+        let Ok(connection) = Connection::open(&socket, &self.shared, registration) else {
             return Ok(());
         };
         let connection = Rc::new(connection);
--- a/crates/shell/src/web/incoming.rs
+++ b/crates/shell/src/web/incoming.rs
@@ -219,7 +219,10 @@
                 return Poll::Ready(None);
             };
             match ready!(Pin::new(inner).poll_frame(cx)) {
-                Some(Ok(Frame::Data(piece))) => return Poll::Ready(Some(Ok(piece))),
+                Some(Ok(Frame::Data(piece))) => {
+                    self.connection.meter.on_received(piece.len());
+                    return Poll::Ready(Some(Ok(piece)));
+                }
                 Some(Ok(Frame::Trailers(_))) => {}
                 Some(Err(_error)) => {
                     *body = None;
--- a/crates/shell/src/web/output.rs
+++ b/crates/shell/src/web/output.rs
@@ -127,7 +127,11 @@
             match ready!(this.poll_content(cx)) {
                 // An empty chunk would end a chunked body.
                 Some(Ok(piece)) if piece.is_empty() => {}
-                Some(piece) => return Poll::Ready(Some(piece.map(Frame::Data))),
+                Some(piece) => {
+                    let bytes = piece.as_ref().map_or(0, Bytes::len);
+                    this.connection.meter.on_sent(bytes);
+                    return Poll::Ready(Some(piece.map(Frame::Data)));
+                }
                 None => break,
             }
         }
--- a/crates/shell/src/web/request.rs
+++ b/crates/shell/src/web/request.rs
@@ -15,6 +15,7 @@
 
 use super::connection::CURRENT;
 use super::incoming::{BodyReader, Incoming};
+use super::meter::head_bytes;
 use super::output::ResponseBody;
 use super::respond::problem;
 use super::service::{Response, Service};
@@ -57,6 +58,7 @@
         let connection = CURRENT.with(Rc::clone);
         connection.begin();
         let (head, ext) = request.into_parts();
+        connection.meter.on_received(head_bytes(&head.headers));
         let peer = *ext.socket_addr();
         let (_ext, body) = ext.replace_body(());
         let upgrade = head.headers.contains_key(UPGRADE);
@@ -82,6 +84,7 @@
             last |= expect || !output.drain(source, self.body_timeout);
         }
         set_framing(&mut parts, &mut output, head_only, last);
+        connection.meter.on_sent(head_bytes(&parts.headers));
         Ok(http::Response::from_parts(parts, output))
     }
 }
--- a/crates/shell/src/web/server.rs
+++ b/crates/shell/src/web/server.rs
@@ -21,6 +21,7 @@
 use super::gate::Gate;
 use super::intake::Intake;
 use super::limits::{HEADER_BYTES, HEADER_FIELDS, Limits};
+use super::meter::Meter;
 use super::request::Factory;
 use super::service::Service;
 
@@ -61,6 +62,7 @@
             arriving: AtomicUsize::new(0),
             abort: CancellationToken::new(),
             stall: limits.stall,
+            meter: Arc::default(),
         });
         let mut server = build(listener, &limits, service, &shared).build();
         let handle = server.handle().context("starting the HTTP server")?;
@@ -97,6 +99,12 @@
         Arc::clone(&self.shared.intake)
     }
 
+    /// Bytes of requests and responses.
+    #[must_use]
+    pub fn meter(&self) -> Arc<Meter> {
+        Arc::clone(&self.shared.meter)
+    }
+
     /// Accepts the connections in the accept queue and none after them, closes idle
     /// connections, lets requests in flight finish within `grace`, closes the remaining
     /// connections, and joins the workers.
