--- a/crates/gateway/src/ingress/connections.rs
+++ b/crates/gateway/src/ingress/connections.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use swiftlink_shell::web::{Intake, IntakeCounts, Meter};
+use swiftlink_shell::web::{Intake, IntakeCounts, Meter, MeteredBytes};
 use swiftlink_telemetry::event;
 use tokio::time::{Instant, interval_at};
 
@@ -17,7 +17,7 @@
 /// aborted.
 pub(crate) async fn count_connections(node: Arc<Node>, intake: Arc<Intake>, meter: Arc<Meter>) {
     let mut before = IntakeCounts::default();
-    let mut bytes_before = (0, 0);
+    let mut bytes_before = MeteredBytes::default();
     let mut ticks = interval_at(Instant::now() + INTERVAL, INTERVAL);
     loop {
         ticks.tick().await;
@@ -25,11 +25,11 @@
         let recent = total.since(&before);
         before = total;
         node.metrics.port.connected(&recent);
-        let bytes = (meter.received(), meter.sent());
-        let (received, sent) = (bytes.0 - bytes_before.0, bytes.1 - bytes_before.1);
-        bytes_before = bytes;
-        node.metrics.port.carried(received, sent);
-        log_bytes(&node, received, sent);
+        let total = meter.total();
+        let bytes = total.since(&bytes_before);
+        bytes_before = total;
+        node.metrics.port.carried(&bytes);
+        log_bytes(&node, &bytes);
         if recent.rejected() == 0 && intake.is_listening() {
             continue;
         }
@@ -48,11 +48,11 @@
 }
 
 /// Logs the bytes of an interval in which callers used much of the link.
-fn log_bytes(node: &Node, received: u64, sent: u64) {
+fn log_bytes(node: &Node, bytes: &MeteredBytes) {
     let Some(rate) = node.settings.link else {
         return;
     };
-    let used = received.max(sent) as f64 / rate as f64;
+    let used = bytes.received.max(bytes.sent) as f64 / rate as f64;
     if used < BUSY_AT {
         return;
     }
@@ -60,8 +60,8 @@
         info,
         "callers.bytes",
         ready = node.is_ready(),
-        received = received,
-        sent = sent,
+        received = bytes.received,
+        sent = bytes.sent,
         used = format_args!("{used:.2}"),
     );
 }
--- a/crates/gateway/src/ingress/counters.rs
+++ b/crates/gateway/src/ingress/counters.rs
@@ -4,7 +4,7 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::registry::Registry;
-use swiftlink_shell::web::IntakeCounts;
+use swiftlink_shell::web::{IntakeCounts, MeteredBytes};
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ConnectionLabels {
@@ -47,8 +47,8 @@
     }
 
     /// Counts bytes of requests and responses.
-    pub(crate) fn carried(&self, received: u64, sent: u64) {
-        for (direction, count) in [("received", received), ("sent", sent)] {
+    pub(crate) fn carried(&self, bytes: &MeteredBytes) {
+        for (direction, count) in [("received", bytes.received), ("sent", bytes.sent)] {
             let labels = ByteLabels { direction };
             self.bytes.get_or_create(&labels).inc_by(count);
         }
--- a/crates/shell/src/web/meter.rs
+++ b/crates/shell/src/web/meter.rs
@@ -18,17 +18,34 @@
     sent: AtomicU64,
 }
 
-impl Meter {
-    /// Bytes received from clients.
+/// Bytes that a [`Meter`] has counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MeteredBytes {
+    /// Received from clients.
+    pub received: u64,
+    /// Sent to clients.
+    pub sent: u64,
+}
+
+impl MeteredBytes {
+    /// The bytes since `earlier`.
     #[must_use]
-    pub fn received(&self) -> u64 {
-        self.received.load(Relaxed)
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            received: self.received - earlier.received,
+            sent: self.sent - earlier.sent,
+        }
     }
+}
 
-    /// Bytes sent to clients.
+impl Meter {
+    /// Bytes since the start.
     #[must_use]
-    pub fn sent(&self) -> u64 {
-        self.sent.load(Relaxed)
+    pub fn total(&self) -> MeteredBytes {
+        MeteredBytes {
+            received: self.received.load(Relaxed),
+            sent: self.sent.load(Relaxed),
+        }
     }
 
     pub(super) fn on_received(&self, bytes: usize) {
--- a/crates/shell/src/web/mod.rs
+++ b/crates/shell/src/web/mod.rs
@@ -29,7 +29,7 @@
 pub use incoming::{BodyError, Incoming};
 pub use intake::{Intake, IntakeCounts};
 pub use limits::{HEADER_BYTES, HEADER_FIELDS, Limits};
-pub use meter::{Meter, head_bytes};
+pub use meter::{Meter, MeteredBytes, head_bytes};
 pub use respond::{json, problem, text};
 pub use server::WebServer;
 pub use service::{Response, Service, service};
--- a/crates/shell/tests/meter.rs
+++ b/crates/shell/tests/meter.rs
@@ -22,7 +22,7 @@
 
 /// Waits until so many bytes were counted. The rest of a refused body is read after the response.
 async fn until_received(server: &WebServer, bytes: usize) {
-    while server.meter().received() < bytes as u64 {
+    while server.meter().total().received < bytes as u64 {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
@@ -35,7 +35,7 @@
     client.post("/a", &vec![b'x'; BODY_BYTES]).await;
     assert_eq!(client.answer().await.unwrap().status, 429);
     until_received(&server, BODY_BYTES).await;
-    assert!(server.meter().sent() > "later".len() as u64);
+    assert!(server.meter().total().sent > "later".len() as u64);
     server.stop(LONG).await;
 }
 
