gateway: the link's use counts what callers send, whatever becomes of it

Cause: a request counted towards the link's use once it was admitted and its body read. A request that was refused before didn't, though its body crosses the link. So the link was full, the router's own calls to the store and its connections to servers were lost in it, requests were refused for that, and refused requests weren't counted: readiness stayed, and the balancer went on.

Change: the samples of the link take what the callers' web server reads and writes. Bytes exchanged with servers are counted as before. Not included are the calls to the store and to other routers: callers who go elsewhere don't reduce them.

--- a/crates/gateway/src/ingress/watch.rs
+++ b/crates/gateway/src/ingress/watch.rs
@@ -5,13 +5,14 @@
 use std::sync::atomic::Ordering::Relaxed;
 
 use swiftlink_ingress::{Availability, SAMPLE, Sample};
-use swiftlink_shell::web::{Gate, Intake, IntakeCounts};
+use swiftlink_shell::web::{Gate, Intake, IntakeCounts, Meter, MeteredBytes};
 use swiftlink_telemetry::event;
 use tokio::sync::watch;
 use tokio::time::{Instant, interval_at};
 
 use super::Ingress;
 use crate::node::Node;
+use crate::traffic::Traffic;
 
 /// Utilization from which on answers of other routers may be late: packets of callers' bodies come in
 /// bursts well before the mean reaches the link's rate.
@@ -40,16 +41,28 @@
 pub(crate) struct Port {
     pub(crate) gate: Arc<Gate>,
     pub(crate) intake: Arc<Intake>,
+    pub(crate) meter: Arc<Meter>,
+}
+
+/// Readings of the port at the last sample.
+#[derive(Debug, Default)]
+struct Readings {
+    counts: IntakeCounts,
+    bytes: MeteredBytes,
 }
 
 impl Port {
-    /// What happened to new connections since `before`, which becomes what is known now.
-    fn sample(&self, bytes: u64, before: &mut IntakeCounts) -> Sample {
-        let total = self.intake.counts();
-        let recent = total.since(before);
-        *before = total;
+    /// What happened since the readings `before`, which are replaced by those of now.
+    fn sample(&self, traffic: &Traffic, before: &mut Readings) -> Sample {
+        let now = Readings {
+            counts: self.intake.counts(),
+            bytes: self.meter.total(),
+        };
+        let recent = now.counts.since(&before.counts);
+        let callers = now.bytes.since(&before.bytes);
+        *before = now;
         Sample {
-            bytes,
+            bytes: traffic.take(callers),
             taken: recent.taken,
             rejected: recent.rejected(),
             is_accepting: self.intake.is_accepting(),
@@ -68,11 +81,11 @@
 ) {
     let own = node.settings.vm.as_str();
     let mut availability = Availability::new(own, ingress.rate);
-    let mut counts = IntakeCounts::default();
+    let mut readings = Readings::default();
     let mut ticks = interval_at(Instant::now() + SAMPLE, SAMPLE);
     loop {
         ticks.tick().await;
-        let sample = port.sample(node.traffic.take(), &mut counts);
+        let sample = port.sample(&node.traffic, &mut readings);
         let view = ingress.view.load_full();
         let has_changed = availability.record(ingress.now(), &sample, view.as_deref());
         let utilization = availability.utilization();
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -171,6 +171,7 @@
         let port = Port {
             gate: callers.gate(),
             intake: callers.intake(),
+            meter: callers.meter(),
         };
         spawn_ingress(&mut tasks, &node, &ingress, port, peers, links);
         let limits = Limits {
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -115,7 +115,7 @@
     let (response, mut lease) = response.split();
     let framing = Framing::of(&response);
     let (head, body) = response.into_parts();
-    exchange.node.traffic.relayed(head_bytes(&head.headers));
+    exchange.node.traffic.received(head_bytes(&head.headers));
     let dialect = &exchange.node.dialect;
     if let Some(report) = dialect.load(&head.headers) {
         exchange.pool.on_report(ticket.idx, report);
--- a/crates/gateway/src/serve/buffer.rs
+++ b/crates/gateway/src/serve/buffer.rs
@@ -78,7 +78,7 @@
         let read = timeout_at(self.deadline, self.read_body(body, framing, &server)).await;
         let (body, end) = match read {
             Ok(Ok(BufferedBody::Complete(body, end))) => {
-                self.node.traffic.relayed(body.len());
+                self.node.traffic.received(body.len());
                 (body, end)
             }
             Ok(Ok(BufferedBody::Partial { start, rest })) => {
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -173,7 +173,7 @@
     let body = async_stream::stream! {
         let _guard = guard;
         let mut response = response;
-        exchange.node.traffic.relayed(start.len());
+        exchange.node.traffic.received(start.len());
         yield Ok(start);
         let end = loop {
             match timeout_at(exchange.deadline, response.body.frame()).await {
@@ -182,7 +182,7 @@
                 Ok(Some(Err(_error))) => break StreamEnd::Broken,
                 Ok(Some(Ok(frame))) => {
                     if let Ok(chunk) = frame.into_data() {
-                        exchange.node.traffic.relayed(chunk.len());
+                        exchange.node.traffic.received(chunk.len());
                         yield Ok(chunk);
                     }
                 }
@@ -248,7 +248,7 @@
                 let Ok(chunk) = frame.into_data() else {
                     continue;
                 };
-                exchange.node.traffic.relayed(chunk.len());
+                exchange.node.traffic.received(chunk.len());
                 if let Some(watch) = &watch {
                     watch.on_heard();
                 }
--- a/crates/gateway/src/serve/service.rs
+++ b/crates/gateway/src/serve/service.rs
@@ -23,7 +23,6 @@
 use crate::node::Node;
 use crate::origins::Lookup;
 use crate::quota::{QuotaError, RequestQuota, Reserver, Timeouts};
-use crate::traffic::head_bytes;
 
 /// Maximum wait for quota, as a divisor of the route's target latency: a claim or a reservation
 /// takes 2 to 40 ms, and quota that hasn't arrived by then seldom does. A fifth and an eighth
@@ -160,8 +159,6 @@
             deadline,
         } = identified;
         let node = &self.node;
-        node.traffic
-            .received(head_bytes(request.headers()) + body.len());
         let content = content(workspace.as_deref(), request, &body);
         let identity = Arc::new(RequestIdentity::new(content, parts));
         self.check_identity(&meta, &identity)?;
--- a/crates/gateway/tests/testsuite/traffic.rs
+++ b/crates/gateway/tests/testsuite/traffic.rs
@@ -3,6 +3,7 @@
 use http::HeaderMap;
 use http::header::{CONTENT_TYPE, HOST};
 use swiftlink_gateway::traffic::{Traffic, head_bytes};
+use swiftlink_shell::web::MeteredBytes;
 
 #[test]
 fn head_bytes_counts_names_and_values() {
@@ -15,12 +16,15 @@
     );
 }
 
+/// What callers send counts whether or not it reaches a server.
 #[test]
 fn traffic_returns_the_busier_direction() {
     let traffic = Traffic::default();
-    traffic.received(1_000);
+    let callers = |received, sent| MeteredBytes { received, sent };
     traffic.sent(400);
-    traffic.relayed(50);
-    assert_eq!(traffic.take(), 1_050);
-    assert_eq!(traffic.take(), 0);
+    traffic.received(50);
+    assert_eq!(traffic.take(callers(1_000, 50)), 1_050);
+    assert_eq!(traffic.take(callers(0, 0)), 0);
+    traffic.sent(400);
+    assert_eq!(traffic.take(callers(300, 50)), 450);
 }
