shell: each worker learns of new connections by its own runtime

What callers saw: nothing yet in production; with the thread stopped that runs the reactor of the callers' listener, a router reports ready and takes no new connection, without a line, for as long as the thread hangs.

Cause: the listener was registered with the reactor of the HTTP server's own thread, and the heartbeat of the accept loop came from a timer of the worker. The heartbeat vouched for the worker, not for the way by which a connection is noticed.

Change: each worker registers a duplicate of the listener with its own runtime when it first accepts. The thread that learns of connections is the one that accepts them and that beats, and a runtime whose timers fire has looked at its sockets. A duplicate that can't be made counts as a failed accept.

--- a/crates/shell/src/web/acceptor.rs
+++ b/crates/shell/src/web/acceptor.rs
@@ -4,10 +4,12 @@
 //! the connections in the accept queue, including those whose request was already sent,
 //! so the queue is emptied first.
 
+use std::collections::HashMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener, TcpStream as StdStream};
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, ThreadId};
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -37,20 +39,61 @@
 /// before the listener closes.
 pub(super) struct Acceptor {
     address: SocketAddr,
-    listener: Mutex<Option<Arc<TcpListener>>>,
+    /// `None` while the port is closed.
+    listener: Mutex<Option<SharedListener>>,
     shared: Arc<Shared>,
 }
 
+/// A listener that all workers accept from.
+///
+/// Each worker registers a duplicate with its own runtime. So the thread that learns of new
+/// connections is the one that accepts them, and a heartbeat of its runtime vouches for both.
+struct SharedListener {
+    socket: Arc<StdListener>,
+    workers: HashMap<ThreadId, Arc<TcpListener>>,
+}
+
+/// A worker's duplicate of the listener.
+struct WorkerListener {
+    socket: Arc<StdListener>,
+    duplicate: Arc<TcpListener>,
+}
+
+impl SharedListener {
+    fn new(socket: StdListener) -> Self {
+        Self {
+            socket: Arc::new(socket),
+            workers: HashMap::new(),
+        }
+    }
+
+    /// The duplicate of the current thread.
+    fn of_worker(&mut self) -> io::Result<WorkerListener> {
+        let worker = thread::current().id();
+        let duplicate = match self.workers.get(&worker) {
+            Some(duplicate) => Arc::clone(duplicate),
+            None => {
+                let duplicate = Arc::new(TcpListener::from_std(self.socket.try_clone()?)?);
+                self.workers.insert(worker, Arc::clone(&duplicate));
+                duplicate
+            }
+        };
+        Ok(WorkerListener {
+            socket: Arc::clone(&self.socket),
+            duplicate,
+        })
+    }
+}
+
 impl IntoListener for BoundListener {
     type Listener = Acceptor;
 
     fn into_listener(self) -> io::Result<Acceptor> {
         self.listener.set_nonblocking(true)?;
         let address = self.listener.local_addr()?;
-        let listener = TcpListener::from_std(self.listener)?;
         Ok(Acceptor {
             address,
-            listener: Mutex::new(Some(Arc::new(listener))),
+            listener: Mutex::new(Some(SharedListener::new(self.listener))),
             shared: self.shared,
         })
     }
@@ -67,11 +110,15 @@
 }
 
 impl Acceptor {
-    fn current(&self) -> Option<Arc<TcpListener>> {
-        self.lock().clone()
+    /// The listener of the current thread, if the port is open.
+    fn current(&self) -> io::Result<Option<WorkerListener>> {
+        self.lock()
+            .as_mut()
+            .map(SharedListener::of_worker)
+            .transpose()
     }
 
-    fn lock(&self) -> MutexGuard<'_, Option<Arc<TcpListener>>> {
+    fn lock(&self) -> MutexGuard<'_, Option<SharedListener>> {
         self.listener.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -107,9 +154,10 @@
     }
 
     /// Closes the listener `found` unless another worker has closed it already.
-    fn close_listener(&self, found: &Arc<TcpListener>) {
+    fn close_listener(&self, found: &WorkerListener) {
         let mut current = self.lock();
-        if current.as_ref().is_some_and(|now| Arc::ptr_eq(now, found)) {
+        let is_current = |now: &SharedListener| Arc::ptr_eq(&now.socket, &found.socket);
+        if current.as_ref().is_some_and(is_current) {
             *current = None;
             self.shared.intake.set_listening(false);
         }
@@ -161,7 +209,7 @@
         }
         let listener = StdListener::bind(self.address)?;
         listener.set_nonblocking(true)?;
-        *current = Some(Arc::new(TcpListener::from_std(listener)?));
+        *current = Some(SharedListener::new(listener));
         self.shared.intake.set_listening(true);
         Ok(())
     }
@@ -170,19 +218,25 @@
 impl Listen for Acceptor {
     async fn accept(&self) -> io::Result<Stream> {
         loop {
-            let Some(listener) = self.current() else {
-                if self.reopen().await {
+            let listener = match self.current() {
+                Ok(Some(listener)) => listener,
+                Ok(None) if self.reopen().await => return self.close_and_wait_for_abort().await,
+                Ok(None) => continue,
+                Err(_error) if self.shared.stop.is_cancelled() => {
                     return self.close_and_wait_for_abort().await;
                 }
-                continue;
+                Err(error) => {
+                    self.on_failed_accept(&error).await;
+                    continue;
+                }
             };
             self.shared.intake.beat();
-            let next = self.next(&listener).await?;
+            let next = self.next(&listener.duplicate).await?;
             let is_stop = matches!(next, Next::Stop);
             let stream = match next {
                 Next::Serve(stream) => Some(stream),
                 Next::Wait => continue,
-                Next::CloseListener | Next::Stop => accept_queued(&listener),
+                Next::CloseListener | Next::Stop => accept_queued(&listener.duplicate),
             };
             if let Some(stream) = stream {
                 self.shared.arriving.fetch_add(1, Ordering::SeqCst);
