gateway: the decision on new callers expires after a second

What callers saw: nothing yet in production; with all threads of the main runtime stopped a router reports ready for as long as that lasts, while it follows neither its link nor its port, nor the store.

Cause: readiness read the last decision of watch_port, which is made every 100 ms, and not its age.

Change: each sample records the decision with its time, and one older than a second, the interval of health checks, isn't ready. ready.undecided is the line. After a suspension the first sample counts at once.

--- a/crates/gateway/src/ingress/mod.rs
+++ b/crates/gateway/src/ingress/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! - `connections` counts new connections and their bytes, and logs connections that weren't taken.
 //! - `counters` are the metrics of both.
+//! - `decision` is the last decision on new callers, which expires.
 //! - `watch` samples the traffic and new connections, and sets whether the router takes new callers.
 //! - `reports` exchanges reports on the links with the other routers of the failure domain.
 
 mod connections;
 mod counters;
+mod decision;
 mod reports;
 mod watch;
 
@@ -19,6 +21,8 @@
 
 pub(crate) use connections::count_connections;
 pub(crate) use counters::PortCounters;
+pub use decision::CallerDecision;
+pub(crate) use decision::MAX_AGE;
 pub(crate) use reports::{DomainReports, exchange};
 pub(crate) use watch::{LinkState, Port, watch_port};
 
--- a/crates/gateway/src/ingress/watch.rs
+++ b/crates/gateway/src/ingress/watch.rs
@@ -90,6 +90,7 @@
         let has_changed = availability.record(ingress.now(), &sample, view.as_deref());
         let utilization = availability.utilization();
         node.traffic.is_busy.store(utilization >= BUSY_AT, Relaxed);
+        node.decision.record(node.uptime(), availability.is_ready());
         states.send_replace(LinkState {
             utilization,
             is_ready: availability.is_ready(),
@@ -97,7 +98,6 @@
         if !has_changed {
             continue;
         }
-        node.takes_callers.store(availability.is_ready(), Relaxed);
         port.gate.set(availability.is_open());
         event!(
             info,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
 
@@ -9,6 +10,7 @@
 use crate::dialect::Dialect;
 use crate::fleet::Pools;
 use crate::freshness::Freshness;
+use crate::ingress::CallerDecision;
 use crate::metrics::Metrics;
 use crate::model::Config;
 use crate::paths::Dialer;
@@ -53,12 +55,13 @@
     /// Recent traffic over the VM's network link.
     pub traffic: Traffic,
     /// Whether new callers can be served, as far as the link and the callers' port decide it.
-    pub takes_callers: AtomicBool,
+    pub decision: CallerDecision,
     /// Whether the directory of backend servers has been read.
     pub has_servers: AtomicBool,
     /// Whether the router is shutting down.
     pub is_stopping: AtomicBool,
     in_flight: AtomicUsize,
+    start: Instant,
 }
 
 impl Node {
@@ -89,10 +92,11 @@
             process: rand::random(),
             metrics: Metrics::new(),
             traffic: Traffic::default(),
-            takes_callers: AtomicBool::new(true),
+            decision: CallerDecision::new(),
             has_servers: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
+            start: Instant::now(),
         }
     }
 
@@ -100,7 +104,14 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let is_synced = self.knows_config() && self.has_servers.load(Relaxed);
-        is_synced && !self.is_stopping.load(Relaxed) && self.takes_callers.load(Relaxed)
+        let takes_callers = self.decision.takes_callers(self.uptime());
+        is_synced && !self.is_stopping.load(Relaxed) && takes_callers
+    }
+
+    /// Time since the process began to start the router.
+    #[must_use]
+    pub fn uptime(&self) -> Duration {
+        self.start.elapsed()
     }
 
     /// Whether a configuration is in force and everything that the store had with it has been read
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod copies;
 mod crash_model;
+mod decision;
 mod emptied;
 mod eras;
 mod fallback;
