gateway: one reading of the callers' port for its decision and its metrics

count_connections and watch_port each kept the last counts of the same counters; Port reads both connections and bytes for them. No change of behaviour.

--- a/crates/gateway/src/ingress/connections.rs
+++ b/crates/gateway/src/ingress/connections.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use swiftlink_shell::web::{Intake, IntakeCounts, Meter, MeteredBytes};
+use swiftlink_shell::web::MeteredBytes;
 use swiftlink_telemetry::event;
 use tokio::time::{Instant, interval_at};
 
+use super::port::{Port, Reading};
 use super::watch::BUSY_AT;
 use crate::node::Node;
 
@@ -15,33 +16,27 @@
 
 /// Adds the connections of each interval and their bytes to the metrics. Runs until the task is
 /// aborted.
-pub(crate) async fn count_connections(node: Arc<Node>, intake: Arc<Intake>, meter: Arc<Meter>) {
-    let mut before = IntakeCounts::default();
-    let mut bytes_before = MeteredBytes::default();
+pub(crate) async fn count_connections(node: Arc<Node>, port: Port) {
+    let mut reading = Reading::default();
     let mut ticks = interval_at(Instant::now() + INTERVAL, INTERVAL);
     loop {
         ticks.tick().await;
-        let total = intake.counts();
-        let recent = total.since(&before);
-        before = total;
-        node.metrics.port.connected(&recent);
-        let total = meter.total();
-        let bytes = total.since(&bytes_before);
-        bytes_before = total;
+        let Reading { counts, bytes } = port.advance(&mut reading);
+        node.metrics.port.connected(&counts);
         node.metrics.port.carried(&bytes);
         log_bytes(&node, &bytes);
-        if recent.rejected() == 0 && intake.is_listening() {
+        if counts.rejected() == 0 && port.intake.is_listening() {
             continue;
         }
         event!(
             warn,
             "callers.not_taken",
             ready = node.is_ready(),
-            listening = intake.is_listening(),
-            taken = recent.taken,
-            refused = recent.refused,
-            closed = recent.closed,
-            failed = recent.failed,
+            listening = port.intake.is_listening(),
+            taken = counts.taken,
+            refused = counts.refused,
+            closed = counts.closed,
+            failed = counts.failed,
             in_flight = node.in_flight(),
         );
     }
--- a/crates/gateway/src/ingress/mod.rs
+++ b/crates/gateway/src/ingress/mod.rs
@@ -3,12 +3,14 @@
 //! - `connections` counts new connections and their bytes, and logs connections that weren't taken.
 //! - `counters` are the metrics of both.
 //! - `decision` is the last decision on new callers, which expires.
+//! - `port` is the callers' port, and reads what passes it.
 //! - `watch` samples the traffic and new connections, and sets whether the router takes new callers.
 //! - `reports` exchanges reports on the links with the other routers of the failure domain.
 
 mod connections;
 mod counters;
 mod decision;
+mod port;
 mod reports;
 mod watch;
 
@@ -23,8 +25,9 @@
 pub(crate) use counters::PortCounters;
 pub use decision::CallerDecision;
 pub(crate) use decision::MAX_AGE;
+pub(crate) use port::Port;
 pub(crate) use reports::{DomainReports, exchange};
-pub(crate) use watch::{LinkState, Port, watch_port};
+pub(crate) use watch::{LinkState, watch_port};
 
 /// State of the router's link that requests and background tasks share.
 #[derive(Debug)]
--- a/crates/gateway/src/ingress/watch.rs
+++ b/crates/gateway/src/ingress/watch.rs
@@ -5,12 +5,12 @@
 use std::sync::atomic::Ordering::Relaxed;
 
 use swiftlink_ingress::{Availability, SAMPLE, Sample};
-use swiftlink_shell::web::{Gate, Intake, IntakeCounts, Meter, MeteredBytes};
 use swiftlink_telemetry::event;
 use tokio::sync::watch;
 use tokio::time::{Instant, interval_at};
 
 use super::Ingress;
+use super::port::{Port, Reading};
 use crate::node::Node;
 use crate::traffic::Traffic;
 
@@ -36,38 +36,15 @@
     }
 }
 
-/// The callers' port.
-#[derive(Debug)]
-pub(crate) struct Port {
-    pub(crate) gate: Arc<Gate>,
-    pub(crate) intake: Arc<Intake>,
-    pub(crate) meter: Arc<Meter>,
-}
-
-/// Readings of the port at the last sample.
-#[derive(Debug, Default)]
-struct Readings {
-    counts: IntakeCounts,
-    bytes: MeteredBytes,
-}
-
-impl Port {
-    /// What happened since the readings `before`, which are replaced by those of now.
-    fn sample(&self, traffic: &Traffic, before: &mut Readings) -> Sample {
-        let now = Readings {
-            counts: self.intake.counts(),
-            bytes: self.meter.total(),
-        };
-        let recent = now.counts.since(&before.counts);
-        let callers = now.bytes.since(&before.bytes);
-        *before = now;
-        Sample {
-            bytes: traffic.take(callers),
-            taken: recent.taken,
-            rejected: recent.rejected(),
-            is_accepting: self.intake.is_accepting(),
-            has_room: self.intake.has_room(),
-        }
+/// What the decision needs to know of the time since the reading `before`.
+fn sample(port: &Port, traffic: &Traffic, before: &mut Reading) -> Sample {
+    let recent = port.advance(before);
+    Sample {
+        bytes: traffic.take(recent.bytes),
+        taken: recent.counts.taken,
+        rejected: recent.counts.rejected(),
+        is_accepting: port.intake.is_accepting(),
+        has_room: port.intake.has_room(),
     }
 }
 
@@ -81,11 +58,11 @@
 ) {
     let own = node.settings.vm.as_str();
     let mut availability = Availability::new(own, ingress.rate);
-    let mut readings = Readings::default();
+    let mut reading = Reading::default();
     let mut ticks = interval_at(Instant::now() + SAMPLE, SAMPLE);
     loop {
         ticks.tick().await;
-        let sample = port.sample(&node.traffic, &mut readings);
+        let sample = sample(&port, &node.traffic, &mut reading);
         let view = ingress.view.load_full();
         let has_changed = availability.record(ingress.now(), &sample, view.as_deref());
         let utilization = availability.utilization();
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -165,14 +165,12 @@
         });
         let callers =
             WebServer::bind(callers, limits, service).context("starting the callers' listener")?;
-        let connections =
-            ingress::count_connections(Arc::clone(&node), callers.intake(), callers.meter());
-        tasks.spawn(connections);
         let port = Port {
             gate: callers.gate(),
             intake: callers.intake(),
             meter: callers.meter(),
         };
+        tasks.spawn(ingress::count_connections(Arc::clone(&node), port.clone()));
         spawn_ingress(&mut tasks, &node, &ingress, port, peers, links);
         let limits = Limits {
             workers: 1,
