--- a/crates/gateway/src/ingress/decision.rs
+++ b/crates/gateway/src/ingress/decision.rs
@@ -3,14 +3,13 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 
-/// Age from which on a decision no longer counts: the interval of the balancer's health checks, and
-/// ten times that of decisions.
+/// Age at which a decision expires: the interval of the balancer's health checks.
 pub(crate) const MAX_AGE: Duration = Duration::from_secs(1);
 
 /// Whether new callers can be served, as last decided.
 ///
-/// Health checks are answered by a thread of their own. The decision expires, so that they show when
-/// nobody decides any longer.
+/// Health checks are answered by a thread of their own. The decision expires, so that they show a
+/// main runtime that doesn't run.
 #[derive(Debug)]
 pub struct CallerDecision {
     takes_callers: AtomicBool,
