--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,7 +6,7 @@
 program=target/review-standins-2/release/review-standins-2
 [ -x "$program" ] && [ -x target/release/swiftlink-gateway ] || exit 2
 folder=$(mktemp -d) || exit 2
-"$program" left "$here/record.txt" "$folder"
+"$program" versions "$here/record.txt" "$folder"
 code=$?
 rm -rf "$folder"
 [ "$code" -le 1 ] || code=2
--- a/review/standins-2/src/deployment.rs
+++ b/review/standins-2/src/deployment.rs
@@ -9,13 +9,16 @@
 /// Longest time that a client waits for bytes.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
-/// A loopback address on which the gateway's fixed metrics port is free.
+/// A loopback address that ends in `.1`, on which the gateway's fixed metrics port is free, as on the
+/// same address with `.2`.
 pub fn free_ip() -> io::Result<String> {
     let seed = std::process::id();
     for turn in 0..200 {
         let number = seed.wrapping_add(turn * 7_919);
         let ip = format!("127.{}.{}.1", 64 + number % 128, 1 + (number / 128) % 250);
-        if TcpListener::bind((ip.as_str(), 9464)).is_ok() {
+        let next = format!("{}2", ip.trim_end_matches('1'));
+        let is_free = |ip: &str| TcpListener::bind((ip, 9464)).is_ok();
+        if is_free(&ip) && is_free(&next) {
             return Ok(ip);
         }
     }
@@ -30,14 +33,15 @@
     Ok(listener.local_addr()?.to_string())
 }
 
-/// A configuration with one streaming route to the service `lm`, and `more` further routes.
-pub fn config(version: u64, key: &str, more: usize) -> String {
+/// A configuration with one streaming route to the service `lm`, and `more` further routes;
+/// `is_resumable`: whether its streams may be taken up again.
+pub fn config(version: u64, key: &str, more: usize, is_resumable: bool) -> String {
     let route = |name: &str, prefix: &str| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"h.example\",\"path_prefix\":\"{prefix}\",\
              \"route_type\":\"streaming\",\"timeout_ms\":15000,\"target_latency_ms\":400,\
-             \"priority\":2,\"service\":\"lm\",\"max_attempts\":1,\"public\":false,\
-             \"session_affinity\":true,\"resumable\":false,\"gap_aim_ms\":300}}"
+             \"priority\":2,\"service\":\"lm\",\"max_attempts\":2,\"public\":false,\
+             \"session_affinity\":true,\"resumable\":{is_resumable},\"gap_aim_ms\":300}}"
         )
     };
     let mut routes = vec![route("r-zoning", "/zoning/")];
--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -13,29 +13,13 @@
 /// The command of the deploy file, in the repository's root.
 const PROGRAM: &str = "target/release/swiftlink-gateway";
 
-/// Signals that the scenarios send.
-#[derive(Clone, Copy, Debug)]
-pub enum Signal {
-    Stop,
-    Continue,
-}
-
-/// Sends a signal to a process that the scenario started.
-pub fn signal(pid: u32, signal: Signal) {
-    let name = match signal {
-        Signal::Stop => "-STOP",
-        Signal::Continue => "-CONT",
-    };
-    let pid = pid.to_string();
-    let _status = Command::new("kill").args([name, &pid]).status();
-}
-
 /// A running gateway.
 pub struct Gateway {
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     pub child: Child,
     pub log: PathBuf,
+    file: PathBuf,
 }
 
 fn free_port(ip: &str) -> u16 {
@@ -43,6 +27,19 @@
     listener.local_addr().expect("its address").port()
 }
 
+/// Starts a process with the settings in `file`, which appends its output to `log`.
+fn spawn(file: &Path, log: &Path) -> io::Result<Child> {
+    let output = fs::OpenOptions::new().create(true).append(true).open(log)?;
+    Command::new(PROGRAM)
+        .env_clear()
+        .env("PATH", std::env::var("PATH").unwrap_or_default())
+        .env("SWIFTLINK_NODE_FILE", file)
+        .stdin(Stdio::null())
+        .stderr(output.try_clone()?)
+        .stdout(output)
+        .spawn()
+}
+
 impl Gateway {
     /// Starts a gateway on `ip`, whose metrics port has to be free there.
     pub fn start(folder: &Path, name: &str, ip: &str, store: SocketAddr) -> io::Result<Self> {
@@ -119,26 +116,28 @@
         let file = folder.join(format!("{name}.toml"));
         fs::write(&file, settings)?;
         let log = folder.join(format!("{name}.log"));
-        let output = fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(&log)?;
-        let child = Command::new(PROGRAM)
-            .env_clear()
-            .env("PATH", std::env::var("PATH").unwrap_or_default())
-            .env("SWIFTLINK_NODE_FILE", &file)
-            .stdin(Stdio::null())
-            .stderr(output.try_clone()?)
-            .stdout(output)
-            .spawn()?;
+        let child = spawn(&file, &log)?;
         Ok(Self {
             callers: SocketAddr::new(ip.parse().expect("an address"), callers),
             readiness: SocketAddr::new(ip.parse().expect("an address"), readiness),
             child,
             log,
+            file,
         })
     }
 
+    /// Ends the process without a warning.
+    pub fn kill(&mut self) {
+        let _killed = self.child.kill();
+        let _status = self.child.wait();
+    }
+
+    /// Starts the process again with the same settings, after [`Self::kill`].
+    pub fn start_again(&mut self) -> io::Result<()> {
+        self.child = spawn(&self.file, &self.log)?;
+        Ok(())
+    }
+
     /// Waits until the gateway says that it is ready.
     pub fn await_ready(&self, time: Duration) -> bool {
         let until = Instant::now() + time;
@@ -168,7 +167,6 @@
 
 impl Drop for Gateway {
     fn drop(&mut self) {
-        let _killed = self.child.kill();
-        let _status = self.child.wait();
+        self.kill();
     }
 }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,15 +6,14 @@
 //! the environment the disruption is left out.
 
 mod deployment;
-mod frozen;
 mod gateway;
 mod http;
-mod left;
 mod proxy;
 mod record;
 mod runner;
 mod silent;
 mod store;
+mod versions;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -52,9 +51,8 @@
     record.note(format!("scenario {scenario}, disruption: {has_trouble}"));
     let folder = Path::new(folder);
     let played = match scenario.as_str() {
-        "left" => left::play(&mut record, folder, has_trouble),
+        "versions" => versions::play(&mut record, folder, has_trouble),
         "silent" => silent::play(&mut record, folder, has_trouble),
-        "frozen" => frozen::play(&mut record, folder, has_trouble),
         _ => Err("no such scenario".into()),
     };
     match played {
--- a/review/standins-2/src/runner.rs
+++ b/review/standins-2/src/runner.rs
@@ -55,11 +55,11 @@
     }
 
     /// The runner's entry in the store.
-    pub fn entry(&self, service: &str, state: &str, sequence: u64) -> String {
+    pub fn entry(&self, service: &str, version: &str, state: &str, sequence: u64) -> String {
         let address = &self.address;
         format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"zone-a\",\
-             \"version\":\"v1\",\"slots\":64,\"state\":\"{state}\",\"warmup_left_ms\":0,\
+             \"version\":\"{version}\",\"slots\":64,\"state\":\"{state}\",\"warmup_left_ms\":0,\
              \"sequence\":{sequence}}}"
         )
     }
--- a/review/standins-2/src/silent.rs
+++ b/review/standins-2/src/silent.rs
@@ -38,12 +38,12 @@
     let ip = free_ip()?;
     let store = Store::start(&ip);
     let proxy = Proxy::start(&ip, store.address);
-    store.put("keyed.op", "config", &config(7, "key-old", 0));
+    store.put("keyed.op", "config", &config(7, "key-old", 0, false));
     let runs = folder.join("runs.log");
     let mut runners = Vec::new();
     for id in ["i-1", "i-2"] {
         let runner = Runner::start(id, &free_address(&ip)?, &ANSWERS, &runs)?;
-        store.put("keyed.servers", id, &runner.entry("lm", "ready", 1));
+        store.put("keyed.servers", id, &runner.entry("lm", "v1", "ready", 1));
         runners.push(runner);
     }
     let gateway = Gateway::start(folder, "edge-zone-a-1", &ip, proxy.address)?;
@@ -59,7 +59,11 @@
     if has_trouble {
         proxy.silence_within(ARRIVED);
     }
-    store.put("keyed.op", "config", &config(9, "key-new", MORE_ROUTES));
+    store.put(
+        "keyed.op",
+        "config",
+        &config(9, "key-new", MORE_ROUTES, false),
+    );
     let acknowledged = Instant::now();
     record.note("the store has acknowledged version 9, without key-old".to_owned());
     if has_trouble {
