--- a/review/standins-2/src/versions.rs
+++ b/review/standins-2/src/versions.rs
@@ -1,9 +1,9 @@
 //! Case: all gateways are killed while a service changes its software version.
 //!
-//! Streams begin at a runner of version v1, which drains, serves on for its drain time and leaves.
-//! Right after that all gateways are killed and start again. The clients take their streams up where
-//! these broke off. The only runners that are left are of version v2, and what two versions write
-//! doesn't fit together: the streams may not go on there.
+//! Runners of two versions serve side by side: two of v2, and the last one of v1. A release replaces
+//! that one: it drains, serves on for its drain time and leaves. Right after that all gateways are
+//! killed and start again. The clients take the streams up that broke off with it. The runners that
+//! are left are of v2, and what two versions write doesn't fit together: they may not go on there.
 
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -26,7 +26,9 @@
     is_chunked: true,
 };
 /// Number of clients.
-const CLIENTS: usize = 6;
+const CLIENTS: usize = 24;
+/// The runners of v2.
+const NEWER: [&str; 3] = ["i-second", "i-third", "i-new"];
 /// Number of streams that may hold events of two versions.
 const ALLOWED: usize = 2;
 /// Time that a client waits for its answer, over all its tries.
@@ -58,6 +60,12 @@
     let mut old = Runner::start("i-old", &free_address(ip)?, &ANSWERS, &runs)?;
     let new = Runner::start("i-new", &free_address(ip)?, &ANSWERS, &runs)?;
     store.put("keyed.servers", &old.id, &old.entry("lm", "v1", "ready", 1));
+    let mut others = Vec::new();
+    for id in ["i-second", "i-third"] {
+        let runner = Runner::start(id, &free_address(ip)?, &ANSWERS, &runs)?;
+        store.put("keyed.servers", id, &runner.entry("lm", "v2", "ready", 1));
+        others.push(runner);
+    }
     let mut gateways = Vec::new();
     for (number, ip) in ips.iter().enumerate() {
         let name = format!("edge-zone-a-{}", number + 1);
@@ -126,7 +134,7 @@
             let mut got = tries.iter().filter(|one| !one.events.is_empty());
             got.any(|one| has_run(runner, &one.id))
         };
-        mixed += usize::from(got("i-old") && got("i-new"));
+        mixed += usize::from(got("i-old") && NEWER.iter().any(|id| got(id)));
     }
     record.note(format!("streams with events of both versions: {mixed}"));
     record.append("what the runners ran:", &runs);
@@ -146,7 +154,7 @@
         let id = format!("attempt-{number}-{}", tries.len() + 1);
         let caller = callers[(number + tries.len()) % callers.len()];
         let left = DEADLINE - start.elapsed();
-        let answer = ask(caller, &id, left, last.as_ref());
+        let answer = ask(caller, number, &id, left, last.as_ref());
         let mut pause = PAUSE;
         let mut one = Try {
             id: id.clone(),
@@ -183,6 +191,7 @@
 /// One try; `resumes` names the attempt that brought the first event, and the last event.
 fn ask(
     gateway: SocketAddr,
+    client: usize,
     id: &str,
     left: Duration,
     resumes: Option<&(String, u64)>,
@@ -192,10 +201,10 @@
     let resumes = resumes.map_or_else(String::new, |(first, event)| {
         format!("Resumes: {first}\r\nLast-Event-Id: {event}\r\n")
     });
-    let body = "the question";
+    let body = format!("question {client}");
     let request = format!(
         "POST /zoning/q HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {id}\r\nX-Model: m\r\n\
-         X-Token-Usage: 715,693\r\nX-Prompt-Prefix: 5c1e07a2:103,91bd3f06:69,e4402b7d:543\r\n\
+         X-Token-Usage: 715,693\r\nX-Prompt-Prefix: 5c1e{client:04x}:103,91bd{client:04x}:69,e440{client:04x}:543\r\n\
          X-Deadline-Ms: {}\r\n{resumes}Authorization: Bearer key-a\r\nConnection: close\r\n\
          Content-Length: {}\r\n\r\n{body}",
         left.as_millis(),
