gateway: the store remembers versions that left before all routers ended

What callers saw: a stream that a server of v1 began went on at v2 after all routers had been killed during a release.

Cause: a router that has just started knows the versions that are listed now, and takes "no router that I asked knew another version" for "there was no other version". After all have ended, nobody who is asked has observed the list for as long as the stream can have lasted, however many agree. The same conclusion was drawn by a router that is alone, by routers that start one after the other, of a pool whose first server is listed late, and after a gap in what a router observed (an outage of the store, a suspended VM).

Change: the versions of a pool are recorded on the store when one appears or leaves, by the first of three routers that the pool's name ranks. An unknown stream goes on only if one version was listed since it can have begun, by a router that has observed the list since then or by the record; it is refused at once while neither is known. Observation counts anew after a gap of more than the drain time. The versions are those of all servers, since a router of a large fleet doesn't use those that drain, and would record them as removed.

Calls to the store, model of three changes: 3 appends and 9 reads at 7, 75, 300 and 985 routers (a_few_routers_of_any_fleet_write_a_record).

Tests changed: a_router_that_has_started_and_reaches_no_other_refuses makes the store silent as well now and is renamed: the record answers otherwise. The network of that file has a store, and the test of the only version waits until it is recorded; what they assert is the same.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -35,7 +35,7 @@
 use crate::eligibility::{Announcements, Eligibility};
 use crate::limits::LimitedServers;
 use crate::model::PoolSpec;
-use crate::origins::{Origins, VersionHistory};
+use crate::origins::Origins;
 use crate::paths::{Destination, Paths, ServerId, ServerPath};
 use crate::rollout::PoolRollout;
 use crate::settings::RouterSettings;
@@ -70,8 +70,6 @@
     spec: ArcSwap<PoolSpec>,
     fleet: Mutex<Fleet>,
     servers: ArcSwap<HashMap<ServerName, ServerInfo>>,
-    /// Versions that the servers had.
-    versions: Mutex<VersionHistory>,
     /// Versions that began streams.
     origins: Arc<Origins>,
     domains: Arc<Domains>,
@@ -166,7 +164,6 @@
             spec: ArcSwap::new(spec),
             fleet: Mutex::new(fleet),
             servers: ArcSwap::default(),
-            versions: Mutex::default(),
             origins: Arc::clone(&shared.origins),
             domains: Arc::clone(&shared.domains),
             announcements: Arc::clone(&shared.announcements),
@@ -454,8 +451,6 @@
         restore_backoff(&mut fleet, &servers, now);
         limited::restore_throttles(&mut fleet, &servers);
         self.servers.store(Arc::new(servers));
-        drop(fleet);
-        self.on_versions(entries);
     }
 
     fn now(&self) -> Micros {
--- a/crates/gateway/src/fleet/pools.rs
+++ b/crates/gateway/src/fleet/pools.rs
@@ -7,12 +7,13 @@
 
 use arc_swap::ArcSwap;
 use swiftlink_rollout::{Order, Progress};
-use swiftlink_types::{DomainName, Micros, PoolName, ServerName};
+use swiftlink_types::{DomainName, Micros, PoolName, ServerName, VersionName};
 use tokio::sync::Notify;
 
 use super::{Pool, retry_burst};
 use crate::admission::targets;
 use crate::catalog::ServerEntry;
+use crate::clock::steady_millis;
 use crate::domains::Domains;
 use crate::eligibility::Announcements;
 use crate::limits::LimitedServers;
@@ -157,6 +158,32 @@
 
     /// Replaces the directory of servers.
     pub fn set_servers(&self, entries: HashMap<ServerName, ServerEntry>) {
+        let mut versions: HashMap<PoolName, Vec<VersionName>> = HashMap::new();
+        for entry in entries.values() {
+            let versions = versions.entry(entry.pool.clone()).or_default();
+            versions.push(entry.version.clone());
+        }
+        let mut known = self.origins().versions().pools();
+        known.retain(|pool| !versions.contains_key(pool));
+        for (pool, versions) in versions
+            .into_iter()
+            .chain(known.into_iter().map(|pool| (pool, Vec::new())))
+        {
+            self.set_versions(&pool, versions);
+        }
+        self.set_selected(entries);
+    }
+
+    /// Sets the versions of all servers of a pool.
+    pub(crate) fn set_versions(&self, pool: &PoolName, versions: Vec<VersionName>) {
+        let now = steady_millis();
+        if self.origins().versions().set(pool, versions, now) {
+            self.origins().wake();
+        }
+    }
+
+    /// Replaces the servers that requests may use, a selection of all.
+    pub(crate) fn set_selected(&self, entries: HashMap<ServerName, ServerEntry>) {
         let _guard = self.update_lock();
         self.shared.announcements.prune();
         self.shared.paths.prune();
--- a/crates/gateway/src/origins/exchange.rs
+++ b/crates/gateway/src/origins/exchange.rs
@@ -44,8 +44,9 @@
     /// order is the same at all routers with the same members.
     fn recorders(&self, key: &StreamKey) -> Vec<VmName>;
 
-    /// Whether there are no other routers.
-    fn is_alone(&self) -> bool;
+    /// Place of this router in the order in which routers write the record of a pool's versions.
+    /// `None` until all routers are known.
+    fn writer_place(&self, pool: &PoolName) -> Option<usize>;
 
     /// Whether this router is a recorder of some streams.
     fn is_recorder(&self) -> bool;
--- a/crates/gateway/src/origins/lookup.rs
+++ b/crates/gateway/src/origins/lookup.rs
@@ -12,7 +12,9 @@
 use tokio::time::timeout;
 
 use super::exchange::{decode, decode_key, encode, encode_key};
-use super::{Knowledge, MIN_LIFETIME, Origin, Origins, RECORDERS, Recorders, StreamKey};
+use super::{
+    Knowledge, MIN_LIFETIME, Origin, Origins, RECORDERS, Recorders, StreamKey, VersionRecords,
+};
 use crate::clock::steady_millis;
 use crate::fleet::{Pool, Pools};
 
@@ -57,10 +59,12 @@
     /// Streams of two versions have the same key.
     #[error("two streams have the same id")]
     Ambiguous,
-    /// No router knows the stream, and several versions may have begun it.
-    #[error("no router knows the stream, and versions {versions:?} may have begun it")]
+    /// No router knows the stream, and another version than the listed one may have begun it.
+    #[error(
+        "no router knows the stream, which may have begun at another version than {versions:?}"
+    )]
     Unknown {
-        /// The versions.
+        /// The versions that are known to have been listed.
         versions: Vec<VersionName>,
     },
 }
@@ -72,6 +76,8 @@
     pub origins: Arc<Origins>,
     /// Other routers.
     pub recorders: Arc<dyn Recorders>,
+    /// What the store keeps of the pools' versions.
+    pub records: Arc<VersionRecords>,
 }
 
 impl Lookup {
@@ -125,7 +131,12 @@
         if let Ok(Some(found)) = timeout(ASK_TIMEOUT, replies).await {
             return found;
         }
-        evidence.only_version(pool, self.recorders.is_alone())
+        if evidence.needs_record() {
+            let since = pool.observed_since().unwrap_or_else(steady_millis);
+            let recorded = self.records.within(&pool.name, since, lifetime).await;
+            evidence.add_record(recorded);
+        }
+        evidence.only_version(pool)
     }
 
     async fn ask<'a>(
@@ -149,7 +160,8 @@
 struct Evidence {
     lifetime: Duration,
     versions: HashSet<VersionName>,
-    /// Whether some router has known the pool's servers since before the stream can have begun.
+    /// Whether the versions are all that were listed since before the stream can have begun: a
+    /// router has observed the list since then, or they were recorded.
     is_covered: bool,
     replies: usize,
 }
@@ -178,12 +190,20 @@
         self.versions.len() == 1 && self.is_covered && self.replies >= 2
     }
 
-    /// The only version that may have begun the stream. If the whole fleet has started since then,
-    /// the versions that are listed now are taken for those of before.
-    fn only_version(self, pool: &Pool, is_alone: bool) -> Result<Found, OriginError> {
-        let is_informed = is_alone || self.replies > 0 || self.is_covered;
+    /// Whether only the store's record can show that one version alone may have begun the stream.
+    fn needs_record(&self) -> bool {
+        self.versions.len() == 1 && !self.is_covered
+    }
+
+    fn add_record(&mut self, versions: Option<Vec<VersionName>>) {
+        self.is_covered |= versions.is_some();
+        self.versions.extend(versions.into_iter().flatten());
+    }
+
+    /// The only version that may have begun the stream.
+    fn only_version(self, pool: &Pool) -> Result<Found, OriginError> {
         let mut versions: Vec<VersionName> = self.versions.into_iter().collect();
-        if versions.len() != 1 || !is_informed {
+        if versions.len() != 1 || !self.is_covered {
             versions.sort_unstable();
             return Err(OriginError::Unknown { versions });
         }
--- a/crates/gateway/src/origins/mod.rs
+++ b/crates/gateway/src/origins/mod.rs
@@ -6,10 +6,16 @@
 //! ended. While a pool has servers of several versions, each router sends the origins of its streams
 //! to a few recorders that the stream's key determines (rendezvous hashing); the router that gets
 //! the new request asks them. Nothing is sent while a pool has one version.
+//!
+//! A stream that nobody knows goes on only if one version can have begun it. Routers that have
+//! observed the list of servers since before the stream began know that; after all of them have
+//! ended, the store's records of the pools' versions say it (`version_store`).
 
 mod exchange;
 mod lookup;
 mod table;
+mod version_record;
+mod version_store;
 mod versions;
 
 use std::collections::VecDeque;
@@ -25,7 +31,9 @@
 pub use exchange::{RECORDERS, Recorders, copy_for, receive, run};
 pub use lookup::{Found, Lookup, OriginError, Source, reply_to};
 pub use table::{Knowledge, Origin, OriginTable, StreamKey};
-pub use versions::VersionHistory;
+pub use version_record::VersionRecord;
+pub use version_store::{VersionRecords, WRITERS, run as run_records};
+pub use versions::{ListedVersions, VersionHistory};
 
 /// Minimum time for which origins are kept, and for which a version counts as one that may have
 /// begun a stream: callers resume a stream within the deadline of its first request.
@@ -46,6 +54,8 @@
     unsent: Mutex<VecDeque<Unsent>>,
     /// Notified when some are due.
     due: Notify,
+    /// The versions of the servers of all pools.
+    versions: ListedVersions,
 }
 
 /// An own origin that no recorder has.
@@ -97,6 +107,12 @@
         lock(&self.table).get(key, steady_millis())
     }
 
+    /// The versions of the servers of all pools.
+    #[must_use]
+    pub fn versions(&self) -> &ListedVersions {
+        &self.versions
+    }
+
     /// Number of streams that this router knows.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/gateway/src/origins/versions.rs
+++ b/crates/gateway/src/origins/versions.rs
@@ -1,19 +1,23 @@
-//! The versions that the servers of a pool had lately.
+//! The versions that the servers of the pools had lately, as this router observed them.
 
 use std::collections::HashMap;
+use std::sync::Mutex;
 use std::time::Duration;
 
-use swiftlink_types::VersionName;
+use swiftlink_types::{PoolName, VersionName};
+use tokio::sync::Notify;
+
+use super::{MAX_LIFETIME, lock};
 
 /// The versions of a pool's servers, and when each was listed last. Times are in milliseconds of the
 /// VM's monotonic clock.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct VersionHistory {
     /// Versions that are listed now.
     listed: Vec<VersionName>,
     /// When the other ones were last listed.
     earlier: HashMap<VersionName, u64>,
-    /// When the first servers were listed.
+    /// Since when the list has been observed without a gap.
     since: Option<u64>,
 }
 
@@ -38,6 +42,25 @@
         is_new
     }
 
+    /// Versions may have come and gone unobserved until `now`.
+    pub fn restart(&mut self, now: u64) {
+        if let Some(since) = &mut self.since {
+            *since = now;
+        }
+    }
+
+    /// The versions that are listed now.
+    #[must_use]
+    pub fn listed(&self) -> &[VersionName] {
+        &self.listed
+    }
+
+    /// The versions that were listed before, and when each was listed last.
+    #[must_use]
+    pub fn earlier(&self) -> &HashMap<VersionName, u64> {
+        &self.earlier
+    }
+
     /// The versions that were listed within `time` before `now`.
     #[must_use]
     pub fn within(&self, time: Duration, now: u64) -> Vec<VersionName> {
@@ -47,7 +70,13 @@
         self.listed.iter().cloned().chain(earlier).collect()
     }
 
-    /// Time for which the pool's servers have been known.
+    /// Since when the list has been observed without a gap; `None` if no server was ever listed.
+    #[must_use]
+    pub fn since(&self) -> Option<u64> {
+        self.since
+    }
+
+    /// Time for which the list has been observed without a gap.
     #[must_use]
     pub fn known_for(&self, now: u64) -> Duration {
         let since = self.since.unwrap_or(now);
@@ -60,3 +89,58 @@
         self.earlier.retain(|_, last| *last >= start);
     }
 }
+
+/// The versions of the servers of all pools.
+#[derive(Debug, Default)]
+pub struct ListedVersions {
+    pools: Mutex<HashMap<PoolName, VersionHistory>>,
+    /// Notified when the versions of a pool have changed.
+    changed: Notify,
+}
+
+impl ListedVersions {
+    /// Sets the versions of a pool's servers from `now` on, in milliseconds of the monotonic clock.
+    /// Returns whether a version was added.
+    pub fn set(
+        &self,
+        pool: &PoolName,
+        versions: impl IntoIterator<Item = VersionName>,
+        now: u64,
+    ) -> bool {
+        let mut pools = lock(&self.pools);
+        let history = pools.entry(pool.clone()).or_default();
+        let before = history.listed.clone();
+        let is_new = history.set(versions, now);
+        history.prune(MAX_LIFETIME, now);
+        let has_changed = history.listed != before;
+        drop(pools);
+        if has_changed {
+            self.changed.notify_one();
+        }
+        is_new
+    }
+
+    /// The list of servers wasn't observed until `now`, in milliseconds of the monotonic clock.
+    pub fn restart(&self, now: u64) {
+        for history in lock(&self.pools).values_mut() {
+            history.restart(now);
+        }
+    }
+
+    /// What is known of a pool.
+    #[must_use]
+    pub fn of(&self, pool: &PoolName) -> VersionHistory {
+        lock(&self.pools).get(pool).cloned().unwrap_or_default()
+    }
+
+    /// All pools that had servers.
+    #[must_use]
+    pub fn pools(&self) -> Vec<PoolName> {
+        lock(&self.pools).keys().cloned().collect()
+    }
+
+    /// Resolves when the versions of a pool have changed.
+    pub(super) async fn changed(&self) {
+        self.changed.notified().await;
+    }
+}
--- a/crates/gateway/src/peers/recorders.rs
+++ b/crates/gateway/src/peers/recorders.rs
@@ -6,7 +6,7 @@
 
 use async_trait::async_trait;
 use swiftlink_link::LinkError;
-use swiftlink_types::{DomainName, VmName};
+use swiftlink_types::{DomainName, PoolName, VmName};
 use swiftlink_wire::link::{reply, request};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -32,6 +32,17 @@
     first.into_iter().chain(rest).map(|(vm, _)| vm).collect()
 }
 
+/// Place of `own` in the order in which `members` write the record of a pool's versions, by rendezvous
+/// hashing.
+#[must_use]
+pub fn writer_place(members: &[(VmName, DomainName)], own: &VmName, pool: &PoolName) -> usize {
+    let seed = xxh3_64(pool.as_str().as_bytes());
+    let weight = |vm: &VmName| xxh3_64_with_seed(vm.as_str().as_bytes(), seed);
+    let limit = weight(own);
+    let members = members.iter();
+    members.filter(|(vm, _)| weight(vm) > limit).count()
+}
+
 /// Removes all but the routers that record streams.
 fn keep_keepers(members: &mut Vec<(VmName, DomainName)>) {
     if members.len() > MAX_KEEPERS {
@@ -66,8 +77,12 @@
         members.iter().any(|(vm, _)| *vm == self.vm)
     }
 
-    fn is_alone(&self) -> bool {
-        self.has_all_members() && lock(&self.members).is_empty()
+    fn writer_place(&self, pool: &PoolName) -> Option<usize> {
+        if !self.has_all_members() {
+            return None;
+        }
+        let members = self.all_domains();
+        Some(writer_place(&members, &self.vm, pool))
     }
 
     async fn call(
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -20,7 +20,7 @@
 use crate::limits::{Allocators, Coordinator, Requester};
 use crate::metrics::{MeteredStore, MetricsService};
 use crate::node::Node;
-use crate::origins::{self, Lookup, Recorders};
+use crate::origins::{self, Lookup, Recorders, VersionRecords};
 use crate::paths::{self, TunnelServer};
 use crate::peer_handler::PeerHandler;
 use crate::peers::{self, Peers};
@@ -158,10 +158,22 @@
             Arc::clone(&node.pools),
             Arc::clone(&recorders),
         ));
+        let clock = Arc::clone(node.quotas.clock());
+        let records = Arc::new(VersionRecords::new(clock));
+        tasks.spawn(origins::run_records(
+            Arc::clone(&records),
+            Arc::clone(&origins),
+            Arc::clone(&recorders),
+            Arc::clone(&store),
+        ));
         let service = Arc::new(CallerService {
             node: Arc::clone(&node),
             reserver: Arc::clone(&reserver),
-            lookup: Lookup { origins, recorders },
+            lookup: Lookup {
+                origins,
+                recorders,
+                records,
+            },
         });
         let callers =
             WebServer::bind(callers, limits, service).context("starting the callers' listener")?;
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -77,6 +77,8 @@
     Caps(u32),
     /// Stages of rollouts.
     Rollouts,
+    /// Software versions of the servers of pools.
+    Versions,
     /// Status reports for operators.
     Status,
 }
@@ -99,6 +101,7 @@
             Self::Quota(_) => "rights",
             Self::Caps(_) => "caps",
             Self::Rollouts => "rollouts",
+            Self::Versions => "versions",
             Self::Status => "status",
         }
     }
@@ -107,9 +110,12 @@
 impl fmt::Display for Feed {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Config | Self::Servers | Self::Links | Self::Rollouts | Self::Status => {
-                f.write_str(self.kind())
-            }
+            Self::Config
+            | Self::Servers
+            | Self::Links
+            | Self::Rollouts
+            | Self::Versions
+            | Self::Status => f.write_str(self.kind()),
             Self::Members(partition) | Self::Quota(partition) | Self::Caps(partition) => {
                 write!(f, "{}-{partition}", self.kind())
             }
--- a/crates/gateway/src/watch/directory.rs
+++ b/crates/gateway/src/watch/directory.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::follow::Follow;
+use super::listed_versions::VersionObserver;
 use super::reader::{Change, FeedUpdate};
 use super::subset::Subset;
 use crate::catalog::{Catalog, CatalogError, ServerEntry};
@@ -231,6 +232,7 @@
     directory: Directory,
     /// The servers that are published to the pools.
     subset: Subset,
+    versions: VersionObserver,
     /// Whether there are changes that weren't published to the pools.
     has_unpublished: bool,
     /// Whether the rest of a long answer is still to come.
@@ -249,6 +251,7 @@
     pub(super) fn new(node: Arc<Node>, catalog: Arc<dyn Catalog>) -> Self {
         Self {
             subset: Subset::new(node.settings.domain.clone()),
+            versions: VersionObserver::default(),
             node,
             catalog,
             directory: Directory::default(),
@@ -377,6 +380,7 @@
     /// Publishes the servers to the pools if any of those that they need changed.
     fn publish(&mut self) {
         for (before, after) in std::mem::take(&mut self.directory.pending_diffs) {
+            self.versions.apply(before.as_ref(), after.as_ref());
             if let Some(before) = before {
                 self.has_unpublished |= self.subset.remove(&before);
             }
@@ -384,11 +388,15 @@
                 self.has_unpublished |= self.subset.put(&after);
             }
         }
-        if self.is_partial || !std::mem::take(&mut self.has_unpublished) {
+        if self.is_partial {
+            return;
+        }
+        self.versions.publish(&self.node.pools);
+        if !std::mem::take(&mut self.has_unpublished) {
             return;
         }
         let needed = self.subset.select();
-        self.node.pools.set_servers(self.directory.listed(needed));
+        self.node.pools.set_selected(self.directory.listed(needed));
     }
 }
 
@@ -430,6 +438,11 @@
             let entries = self.directory.entries.keys();
             published.keys = Some(entries.map(ToString::to_string).collect());
         }
+        if let Some(as_of) = update.as_of {
+            // A server that leaves is listed as draining for that long.
+            let max_gap = self.node.settings.drain;
+            self.versions.note_read(as_of, max_gap, &self.node.pools);
+        }
         self.is_partial = update.is_from_upstream && update.as_of.is_none();
         if !self.is_partial {
             self.publish();
--- a/crates/gateway/src/watch/follow.rs
+++ b/crates/gateway/src/watch/follow.rs
@@ -335,6 +335,7 @@
         | Feed::Caps(_)
         | Feed::Links
         | Feed::Rollouts
+        | Feed::Versions
         | Feed::Status => POLL_WAIT,
     }
 }
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -5,7 +5,7 @@
 //! back to an older version or an older entry. `replicas` serves the newest records of the feeds
 //! to other routers, `tree` computes which routers a router of a large fleet follows, and
 //! `upstream` follows them. `earlier` fetches what a store that went back to a copy may lack. `subset` selects the servers of very large pools that a router
-//! needs.
+//! needs; `listed_versions` publishes the versions of all.
 
 mod config;
 mod directory;
@@ -13,6 +13,7 @@
 mod earlier;
 mod follow;
 mod history;
+mod listed_versions;
 mod reader;
 pub(crate) mod replicas;
 mod rollout_orders;
--- a/crates/gateway/src/watch/replicas.rs
+++ b/crates/gateway/src/watch/replicas.rs
@@ -388,7 +388,7 @@
         Feed::Servers => Some(FeedKind::Servers),
         Feed::Members(_) => Some(FeedKind::Members),
         Feed::Rollouts => Some(FeedKind::Rollouts),
-        Feed::Links | Feed::Quota(_) | Feed::Caps(_) | Feed::Status => None,
+        Feed::Links | Feed::Quota(_) | Feed::Caps(_) | Feed::Versions | Feed::Status => None,
     }
 }
 
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -39,4 +39,5 @@
 mod table;
 mod traffic;
 mod tree;
+mod version_records;
 mod watch;
--- a/crates/gateway/tests/testsuite/recorders.rs
+++ b/crates/gateway/tests/testsuite/recorders.rs
@@ -5,16 +5,19 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use swiftlink_gateway::clock::steady_millis;
+use prost::Message;
+use swiftlink_gateway::clock::{SystemClock, steady_millis};
 use swiftlink_gateway::fleet::{Pool, Pools};
 use swiftlink_gateway::origins::{
     Found, Knowledge, Lookup, MIN_LIFETIME, OriginError, Origins, Recorders, Source, StreamKey,
-    copy_for, receive, reply_to, run,
+    VersionRecords, copy_for, receive, reply_to, run, run_records,
 };
-use swiftlink_gateway::peers::record_ranking;
+use swiftlink_gateway::peers::{record_ranking, writer_place};
+use swiftlink_gateway::store::{Feed, MemStore, Store, StoreFault};
 use swiftlink_link::LinkError;
 use swiftlink_types::{DomainName, PoolName, ServerInstance, ServerName, VmName};
 use swiftlink_wire::link::{Noted, reply, request};
+use swiftlink_wire::rights::PoolVersions;
 use tokio::task::JoinHandle;
 
 use crate::origins::{domain, key, origin, version};
@@ -22,21 +25,48 @@
 
 /// A router, without sockets.
 #[derive(Debug)]
-struct Member {
-    vm: VmName,
-    origins: Arc<Origins>,
-    pools: Arc<Pools>,
+pub(crate) struct Member {
+    pub(crate) vm: VmName,
+    pub(crate) origins: Arc<Origins>,
+    pub(crate) pools: Arc<Pools>,
 }
 
-/// Routers that reach each other, but for those that have ended.
-#[derive(Debug, Default)]
-struct Network {
+/// Routers that reach each other, but for those that have ended, and their store.
+#[derive(Debug)]
+pub(crate) struct Network {
     members: Mutex<Vec<Arc<Member>>>,
     ended: Mutex<HashSet<VmName>>,
     calls: Mutex<HashMap<VmName, usize>>,
+    pub(crate) store: Arc<MemStore>,
 }
 
 impl Network {
+    pub(crate) fn new(store: &Arc<MemStore>) -> Arc<Self> {
+        Arc::new(Self {
+            members: Mutex::default(),
+            ended: Mutex::default(),
+            calls: Mutex::default(),
+            store: Arc::clone(store),
+        })
+    }
+
+    /// Waits until the versions of the pool are recorded as listed, and no others.
+    pub(crate) async fn until_recorded(&self, versions: &[&str]) {
+        for _ in 0..500 {
+            let value = self.store.get(Feed::Versions, "pool");
+            let record = value.map(|value| PoolVersions::decode(value).expect("a record"));
+            let all = record.unwrap_or_default().versions;
+            let listed = all.iter().filter(|version| version.removed_ms == 0);
+            let mut listed: Vec<&str> = listed.map(|version| version.version.as_str()).collect();
+            listed.sort_unstable();
+            if listed == versions {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("the versions weren't recorded");
+    }
+
     fn all(&self) -> Vec<(VmName, DomainName)> {
         let members = self.members.lock().expect("a lock");
         let all = members.iter().enumerate();
@@ -44,7 +74,7 @@
             .collect()
     }
 
-    fn end(&self, vm: &VmName) {
+    pub(crate) fn end(&self, vm: &VmName) {
         self.ended.lock().expect("a lock").insert(vm.clone());
     }
 
@@ -79,8 +109,8 @@
         ranking
     }
 
-    fn is_alone(&self) -> bool {
-        self.network().all().len() == 1
+    fn writer_place(&self, pool: &PoolName) -> Option<usize> {
+        Some(writer_place(&self.network().all(), &self.own, pool))
     }
 
     fn is_recorder(&self) -> bool {
@@ -121,14 +151,24 @@
 }
 
 /// A running router of the network.
-struct TestMember {
-    member: Arc<Member>,
-    lookup: Lookup,
-    task: JoinHandle<()>,
+pub(crate) struct TestMember {
+    pub(crate) member: Arc<Member>,
+    pub(crate) lookup: Lookup,
+    tasks: [JoinHandle<()>; 2],
 }
 
 impl TestMember {
-    fn start(network: &Arc<Network>, versions: &[&str]) -> Self {
+    pub(crate) fn start(network: &Arc<Network>, versions: &[&str]) -> Self {
+        let store = Arc::clone(&network.store);
+        Self::start_with(network, versions, store)
+    }
+
+    /// Starts a router that reaches the store through `store`.
+    pub(crate) fn start_with(
+        network: &Arc<Network>,
+        versions: &[&str],
+        store: Arc<dyn Store>,
+    ) -> Self {
         let number = network.members.lock().expect("a lock").len();
         let member = Arc::new(Member {
             vm: VmName::from(format!("vm-{number}")),
@@ -155,22 +195,33 @@
             own: member.vm.clone(),
             network: Arc::downgrade(network),
         });
-        let task = tokio::spawn(run(
+        let sending = tokio::spawn(run(
             Arc::clone(&origins),
             Arc::clone(&member.pools),
             Arc::clone(&recorders),
         ));
+        let records = Arc::new(VersionRecords::new(Arc::new(SystemClock::open())));
+        let recording = tokio::spawn(run_records(
+            Arc::clone(&records),
+            Arc::clone(&origins),
+            Arc::clone(&recorders),
+            store,
+        ));
         let started = Self {
             member,
-            lookup: Lookup { origins, recorders },
-            task,
+            lookup: Lookup {
+                origins,
+                recorders,
+                records,
+            },
+            tasks: [sending, recording],
         };
         started.set_versions(versions);
         started
     }
 
     /// Lists a server of each version.
-    fn set_versions(&self, versions: &[&str]) {
+    pub(crate) fn set_versions(&self, versions: &[&str]) {
         let template = pools::servers().into_values().next().expect("a server");
         let servers = versions.iter().map(|name| {
             let mut entry = template.clone();
@@ -182,14 +233,14 @@
         self.member.pools.set_servers(servers.collect());
     }
 
-    fn pool(&self) -> Arc<Pool> {
+    pub(crate) fn pool(&self) -> Arc<Pool> {
         self.member
             .pools
             .get(&PoolName::from("pool"))
             .expect("a pool")
     }
 
-    async fn find(&self, key: StreamKey) -> Result<Found, OriginError> {
+    pub(crate) async fn find(&self, key: StreamKey) -> Result<Found, OriginError> {
         self.lookup
             .find(Some(key), &self.pool(), MIN_LIFETIME)
             .await
@@ -198,12 +249,14 @@
 
 impl Drop for TestMember {
     fn drop(&mut self) {
-        self.task.abort();
+        for task in &self.tasks {
+            task.abort();
+        }
     }
 }
 
 fn start(count: usize, versions: &[&str]) -> (Arc<Network>, Vec<TestMember>) {
-    let network = Arc::<Network>::default();
+    let network = Network::new(&Arc::new(MemStore::new()));
     let members = (0..count).map(|_| TestMember::start(&network, versions));
     let members = members.collect();
     (network, members)
@@ -305,7 +358,8 @@
         member.set_versions(&["v2"]);
     }
     assert!(members[2].find(key("w", 1)).await.is_err());
-    let (_network, members) = start(7, &["v1"]);
+    let (network, members) = start(7, &["v1"]);
+    network.until_recorded(&["v1"]).await;
     let found = members[2]
         .find(key("w", 1))
         .await
@@ -331,10 +385,13 @@
     assert!(started.find(key("w", 1)).await.is_err());
 }
 
-/// Guards against a router that is cut off from all others and knows too little by itself.
+/// Guards against a router that is cut off from all others and from the store, and knows too little
+/// by itself.
 #[tokio::test]
-async fn a_router_that_has_started_and_reaches_no_other_refuses() {
+async fn a_router_that_has_started_and_reaches_nobody_refuses() {
     let (network, members) = start(7, &["v1"]);
+    network.until_recorded(&["v1"]).await;
+    network.store.set_fault(StoreFault::Silent);
     for member in &members[1..] {
         network.end(&member.member.vm);
     }
