gateway: routers are asked for the versions of a stream's whole lifetime

What callers could see: a stream of a caller with a deadline of more than a minute goes on at another version than the one that began it, if no router knows the stream.

Change: FindOrigin carries the lifetime; a reply covers that time. Routers of an older build name none and get the last minute, as before.

--- a/crates/gateway/src/origins/lookup.rs
+++ b/crates/gateway/src/origins/lookup.rs
@@ -13,10 +13,11 @@
 
 use super::exchange::{decode, decode_key, encode, encode_key};
 use super::{
-    Knowledge, MIN_LIFETIME, Origin, Origins, RECORDERS, Recorders, StreamKey, VersionRecords,
+    Knowledge, MAX_LIFETIME, MIN_LIFETIME, Origin, Origins, RECORDERS, Recorders, StreamKey,
+    VersionRecords,
 };
 use crate::clock::steady_millis;
-use crate::fleet::{Pool, Pools};
+use crate::fleet::Pool;
 
 /// Number of recorders that are asked: those that a router chose which is one of them itself, too.
 const ASKED: usize = RECORDERS + 1;
@@ -106,7 +107,7 @@
         let mut asked: FuturesUnordered<_> = routers
             .iter()
             .take(ASKED)
-            .map(|vm| self.ask(vm, key, &pool.name))
+            .map(|vm| self.ask(vm, key, &pool.name, lifetime))
             .collect();
         let replies = async {
             while let Some((vm, reply)) = asked.next().await {
@@ -144,10 +145,12 @@
         vm: &'a VmName,
         key: Option<StreamKey>,
         pool: &PoolName,
+        lifetime: Duration,
     ) -> (&'a VmName, Option<OriginReply>) {
         let kind = request::Kind::FindOrigin(FindOrigin {
             key: key.as_ref().map(encode_key),
             pool: pool.to_string(),
+            lifetime_ms: lifetime.as_millis() as u64,
         });
         match self.recorders.call(vm, kind, ASK_TIMEOUT).await {
             Ok(reply::Kind::OriginReply(reply)) => (vm, Some(reply)),
@@ -219,15 +222,14 @@
     }
 }
 
-/// Replies to a router that asks for an origin.
+/// Replies to a router that asks for an origin at `now`, in milliseconds of the monotonic clock.
 #[must_use]
-pub fn reply_to(origins: &Origins, pools: &Pools, ask: &FindOrigin) -> OriginReply {
+pub fn reply_to(origins: &Origins, ask: &FindOrigin, now: u64) -> OriginReply {
     let key = ask.key.as_ref().map(decode_key);
     let known = key.map_or(Knowledge::Unknown, |key| origins.get(&key));
-    let pool = pools.get(&PoolName::from(ask.pool.as_str()));
-    let versions = pool.as_ref().map(|pool| pool.versions_within(MIN_LIFETIME));
-    let versions = versions.unwrap_or_default();
-    let known_for = pool.map_or(Duration::ZERO, |pool| pool.known_for());
+    let history = origins.versions().of(&PoolName::from(ask.pool.as_str()));
+    let lifetime = Duration::from_millis(ask.lifetime_ms).clamp(MIN_LIFETIME, MAX_LIFETIME);
+    let versions = history.within(lifetime, now);
     let origin = match (&known, key) {
         (Knowledge::Known(origin), Some(key)) => Some(encode(&key, origin)),
         _ => None,
@@ -236,6 +238,6 @@
         origin,
         is_ambiguous: known == Knowledge::Ambiguous,
         versions: versions.iter().map(VersionName::to_string).collect(),
-        known_ms: known_for.as_millis() as u64,
+        known_ms: history.known_for(now).as_millis() as u64,
     }
 }
--- a/crates/gateway/src/peer_handler.rs
+++ b/crates/gateway/src/peer_handler.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::admission::{self, Aggregates};
+use crate::clock::steady_millis;
 use crate::ingress::DomainReports;
 use crate::limits::Coordinator;
 use crate::node::Node;
@@ -156,7 +157,7 @@
             }
             request::Kind::FindOrigin(ask) => {
                 let pools = &self.node.pools;
-                reply::Kind::OriginReply(origins::reply_to(pools.origins(), pools, &ask))
+                reply::Kind::OriginReply(origins::reply_to(pools.origins(), &ask, steady_millis()))
             }
             request::Kind::CopyOrigins(_) => {
                 let pools = &self.node.pools;
--- a/crates/gateway/tests/testsuite/recorders.rs
+++ b/crates/gateway/tests/testsuite/recorders.rs
@@ -16,7 +16,7 @@
 use swiftlink_gateway::store::{Feed, MemStore, Store, StoreFault};
 use swiftlink_link::LinkError;
 use swiftlink_types::{DomainName, PoolName, ServerInstance, ServerName, VmName};
-use swiftlink_wire::link::{Noted, reply, request};
+use swiftlink_wire::link::{FindOrigin, Noted, reply, request};
 use swiftlink_wire::rights::PoolVersions;
 use tokio::task::JoinHandle;
 
@@ -142,7 +142,7 @@
                 reply::Kind::Noted(Noted::default())
             }
             request::Kind::FindOrigin(ask) => {
-                reply::Kind::OriginReply(reply_to(origins, pools, &ask))
+                reply::Kind::OriginReply(reply_to(origins, &ask, steady_millis()))
             }
             request::Kind::CopyOrigins(_) => reply::Kind::StreamOrigins(copy_for(origins, pools)),
             other => panic!("{other:?}"),
@@ -450,3 +450,28 @@
     });
     assert!(known.count() >= 50);
 }
+
+/// Guards against replies that leave out versions of which a stream may be resumed: those with a long
+/// deadline may be for ten minutes.
+#[test]
+fn a_reply_names_the_versions_of_the_whole_time_that_is_asked_for() {
+    let origins = Origins::default();
+    let pool = PoolName::from("pool");
+    for (name, at) in [("v1", 0), ("v2", 100_000), ("v3", 200_000)] {
+        origins.versions().set(&pool, [version(name)], at);
+    }
+    let versions = |lifetime_ms: u64| {
+        let ask = FindOrigin {
+            key: None,
+            pool: pool.to_string(),
+            lifetime_ms,
+        };
+        let mut versions = reply_to(&origins, &ask, 300_000).versions;
+        versions.sort_unstable();
+        versions
+    };
+    assert_eq!(versions(250_000), ["v1", "v2", "v3"]);
+    assert_eq!(versions(150_000), ["v2", "v3"]);
+    // Routers of an older build name no time.
+    assert_eq!(versions(0), ["v3"]);
+}
