gateway: an answer of the store that has begun and doesn't go on counts as silent

Cause: Polls::is_receiving took "has begun" for "is on its way". Once the head of an answer was there, neither a probe was sent nor another router asked until BODY_TIMEOUT, 4 s, was over.

Change: what counts is progress. The store's client reports the bytes that arrive; an answer goes on while each KiB (about a packet) follows within the time after which an answer that hasn't begun counts as silent. One that stalls is asked for again, on a new connection, since the open ones fall silent together; it isn't given up at once, so a full link may still bring it. If it stalls on while the probe is under way, the probe takes its place instead of being replaced by the next one.

Ruled out: cancelling an answer that stalls (on a saturated link each answer comes late, and a router that cancels every poll never reads one); a shorter BODY_TIMEOUT (a large configuration on a small link takes over a second).

--- a/crates/fetch/src/client.rs
+++ b/crates/fetch/src/client.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use arc_swap::ArcSwap;
+use bytes::{Bytes, BytesMut};
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -12,6 +13,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use tokio::time::{Instant, timeout_at};
 
 use crate::json::Limits;
 use crate::socket::connector;
@@ -81,22 +83,56 @@
     Invalid(String),
 }
 
+/// Time limits of a call whose response may be large.
+#[derive(Debug, Clone, Copy)]
+pub struct Pace {
+    /// Time for the head of the response.
+    pub head: Duration,
+    /// Time for its body.
+    pub body: Duration,
+    /// Time for each `chunk` bytes of the body.
+    pub stall: Duration,
+    /// See `stall`. The rest of a body may be shorter.
+    pub chunk: usize,
+}
+
+/// A part of a response that has arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Arrival {
+    /// The head.
+    Head,
+    /// Bytes of the body.
+    Bytes(usize),
+}
+
 /// HTTP client; clones share its connections.
 #[derive(Clone, Debug)]
 pub struct Http {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Arc<ArcSwap<HyperClient>>,
     agent: Arc<str>,
 }
 
+type HyperClient = Client<HttpConnector, Full<Bytes>>;
+
+fn new_client() -> HyperClient {
+    Client::builder(TokioExecutor::new()).build(connector(CONNECT_TIMEOUT))
+}
+
 impl Http {
     /// Creates a client that sends `agent` as its `user-agent`.
     #[must_use]
     pub fn open(agent: impl Into<Arc<str>>) -> Self {
-        let client = Client::builder(TokioExecutor::new()).build(connector(CONNECT_TIMEOUT));
+        let client = Arc::new(ArcSwap::from_pointee(new_client()));
         let agent = agent.into();
         Self { client, agent }
     }
 
+    /// Closes all idle connections. After a call without an answer they may be silent, too, and each
+    /// would cost the next call its time limit. Calls that are in flight go on.
+    pub fn close_idle(&self) {
+        self.client.store(Arc::new(new_client()));
+    }
+
     /// Makes a call and reads the complete response, all within `timeout`.
     ///
     /// # Errors
@@ -121,22 +157,22 @@
         with_timeout(limits.time, exchange).await
     }
 
-    /// Makes a call with separate time limits for the head and the body of the response, and calls
-    /// `on_head` between them. For large responses over slow links: an unresponsive server is
-    /// detected before the longer time limit of the body.
+    /// Makes a call with separate time limits for the parts of the response, and calls `on_arrival`
+    /// for each. For large responses over slow links: a server that doesn't respond, or doesn't go
+    /// on, is detected before the time limit of the whole body.
     ///
     /// # Errors
     /// When no complete response arrives in time.
     pub async fn fetch_large(
         &self,
         call: &Call<'_>,
-        head_timeout: Duration,
-        body_timeout: Duration,
-        on_head: impl FnOnce(),
+        pace: &Pace,
+        on_arrival: impl Fn(Arrival),
     ) -> Result<Answer, HttpError> {
-        let response = with_timeout(head_timeout, self.send(call)).await?;
-        on_head();
-        with_timeout(body_timeout, read_body(response, MAX_BODY_BYTES)).await
+        let response = with_timeout(pace.head, self.send(call)).await?;
+        on_arrival(Arrival::Head);
+        let body = read_paced(response, pace, on_arrival);
+        with_timeout(pace.body, body).await
     }
 
     /// Makes a call and returns once the head of the response arrives. Has no time limit except
@@ -146,7 +182,8 @@
     /// When the request is malformed, no connection is established or it breaks.
     pub async fn send(&self, call: &Call<'_>) -> Result<Response<Incoming>, HttpError> {
         let request = self.request(call)?;
-        let response = self.client.request(request).await;
+        let client = self.client.load_full();
+        let response = client.request(request).await;
         response.map_err(|error| {
             let text = error_chain(&error);
             if error.is_connect() {
@@ -193,6 +230,40 @@
     })
 }
 
+/// Reads the body of `response`, each part within the time limits of `pace`.
+async fn read_paced(
+    response: Response<Incoming>,
+    pace: &Pace,
+    on_arrival: impl Fn(Arrival),
+) -> Result<Answer, HttpError> {
+    let (head, body) = response.into_parts();
+    let mut body = Limited::new(body, MAX_BODY_BYTES);
+    let mut bytes = BytesMut::new();
+    let mut chunk_end = pace.chunk;
+    let mut due = Instant::now() + pace.stall;
+    loop {
+        let frame = timeout_at(due, body.frame()).await;
+        let frame = frame.map_err(|_elapsed| HttpError::Timeout(pace.stall))?;
+        let Some(frame) = frame else {
+            return Ok(Answer {
+                status: head.status,
+                headers: head.headers,
+                body: bytes.freeze(),
+            });
+        };
+        let frame = frame.map_err(|error| HttpError::Lost(error.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        on_arrival(Arrival::Bytes(data.len()));
+        bytes.extend_from_slice(&data);
+        if bytes.len() >= chunk_end {
+            chunk_end = bytes.len() + pace.chunk;
+            due = Instant::now() + pace.stall;
+        }
+    }
+}
+
 async fn with_timeout<T>(
     time: Duration,
     exchange: impl Future<Output = Result<T, HttpError>>,
--- a/crates/fetch/src/lib.rs
+++ b/crates/fetch/src/lib.rs
@@ -10,7 +10,7 @@
 mod socket;
 mod vms;
 
-pub use client::{Answer, Call, Http, HttpError, error_chain};
+pub use client::{Answer, Arrival, Call, Http, HttpError, Pace, error_chain};
 pub use json::{JsonError, Limits};
 pub use socket::{KEEPALIVE_INTERVAL, KEEPALIVE_TIME, UNACKED_TIMEOUT, connector, set_timeouts};
 pub use vms::{Vm, VmList, VmState};
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -4,10 +4,9 @@
 
 mod mem;
 mod numbering;
+mod timeout;
 
 use std::fmt;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -17,49 +16,12 @@
 pub use mem::{MemStore, StoreCopy, StoreFault};
 pub use numbering::Numbering;
 pub use swiftlink_types::{era_of, offset_of, position};
+pub use timeout::{MIN_PROGRESS, ResponseTimeout};
 
 /// Timeout of requests that are repeated with newer input, so that a late answer is of little use.
 /// The store answers in 4 ms; on slow days it takes 60 times as long.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// How long to wait for an answer to begin, and whether it has begun.
-#[derive(Clone, Debug)]
-pub struct ResponseTimeout {
-    /// Time within which the answer has to begin, beyond the wait that was asked for.
-    pub time: Duration,
-    /// Shared by all clones.
-    begun: Arc<AtomicBool>,
-}
-
-impl ResponseTimeout {
-    /// Extends the time by `wait`.
-    #[must_use]
-    pub fn after(mut self, wait: Duration) -> Self {
-        self.time += wait;
-        self
-    }
-
-    /// Marks the answer as begun: the rest is on its way.
-    pub fn begin(&self) {
-        self.begun.store(true, Relaxed);
-    }
-
-    /// Whether the answer has begun.
-    #[must_use]
-    pub fn has_begun(&self) -> bool {
-        self.begun.load(Relaxed)
-    }
-}
-
-impl From<Duration> for ResponseTimeout {
-    fn from(time: Duration) -> Self {
-        Self {
-            time,
-            begun: Arc::default(),
-        }
-    }
-}
-
 /// A sequence of keyed records on the store; the newest record of each key is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Feed {
--- a/crates/gateway/src/watch/follow.rs
+++ b/crates/gateway/src/watch/follow.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use swiftlink_telemetry::event;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::earlier::EarlierRecords;
 use super::reader::{Answer, Change, FeedUpdate, MAX_LATENESS, Reader};
@@ -25,7 +25,8 @@
 /// Time without an answer, beyond the wait of a poll, after which the store counts as lost and a
 /// second poll is sent. The store answers in 4 ms; on slow days it takes 60 times as long. A poll
 /// that was sent during a network partition isn't answered when that ends, so this is also how long
-/// the partition's end can go unnoticed.
+/// the partition's end can go unnoticed. An answer that has begun and doesn't go on for this long
+/// counts as silent, too.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Pause after a poll that found something: server entries arrive all the time, and each call has a
 /// cost. Well below the shortest bound, two seconds.
@@ -88,11 +89,26 @@
 }
 
 impl Poll {
-    fn ask(reader: &Reader, wait: Duration) -> Self {
-        let timeout = ResponseTimeout::from(MAX_LATENESS);
+    fn ask(reader: &Reader, wait: Duration, timeout: ResponseTimeout) -> Self {
         let answer = Box::pin(reader.ask(wait, timeout.clone()));
         Self { timeout, answer }
     }
+
+    /// When the answer counts as silent unless it goes on before; `None` if it hasn't begun.
+    fn stalls_at(&self) -> Option<Instant> {
+        let progressed = self.timeout.progressed_at()?;
+        Some(progressed + SILENCE_TIMEOUT)
+    }
+
+    /// Whether the answer has begun and goes on.
+    fn is_receiving(&self) -> bool {
+        self.stalls_at().is_some_and(|at| Instant::now() < at)
+    }
+
+    /// Whether the answer has begun and doesn't go on.
+    fn is_stalled(&self) -> bool {
+        self.stalls_at().is_some_and(|at| Instant::now() >= at)
+    }
 }
 
 /// The polls of one feed that are in flight: the current one, and a probe that finds out whether
@@ -110,11 +126,14 @@
 }
 
 impl Polls {
-    /// Whether an answer has begun. The rest is on its way, and another poll would transfer it
+    /// Whether an answer goes on. The rest is on its way, and another poll would transfer it
     /// again.
     fn is_receiving(&self) -> bool {
-        let mut all = self.current.iter().chain(&self.probe);
-        all.any(|poll| poll.timeout.has_begun())
+        self.all().any(Poll::is_receiving)
+    }
+
+    fn all(&self) -> impl Iterator<Item = &Poll> {
+        self.current.iter().chain(&self.probe)
     }
 
     /// Sends a poll, or a probe if the current poll is silent so far.
@@ -122,18 +141,55 @@
         if self.is_receiving() {
             return;
         }
+        // An answer that stalled may be on a connection that is silent for good. The probe, which
+        // is on another one, isn't given up for the next probe.
+        if self.probe.is_some() && self.current.as_ref().is_some_and(Poll::is_stalled) {
+            self.current = self.probe.take();
+        }
+        let timeout = ResponseTimeout::watched(MAX_LATENESS);
         match self.current {
-            None => self.current = Some(Poll::ask(reader, wait)),
-            Some(_) => self.probe = Some(Poll::ask(reader, Duration::ZERO)),
+            None => self.current = Some(Poll::ask(reader, wait, timeout)),
+            Some(_) => {
+                let timeout = timeout.on_new_connection();
+                self.probe = Some(Poll::ask(reader, Duration::ZERO, timeout));
+            }
         }
     }
 
-    /// Returns the first answer that arrives within `time`.
+    /// Returns the first answer that arrives within `time`. Fails earlier if an answer begins and
+    /// stalls.
     async fn first_answer(&mut self, time: Duration) -> Result<Answer, StoreError> {
-        tokio::select! {
-            answer = next_answer(&mut self.current) => answer,
-            answer = next_answer(&mut self.probe) => answer,
-            () = sleep(time) => Err(StoreError::Unknown(format!("no answer within {time:?}"))),
+        let end = Instant::now() + time;
+        loop {
+            let now = Instant::now();
+            let stalls = self.all().filter_map(Poll::stalls_at);
+            let wake_at = stalls
+                .filter(|at| *at > now)
+                .max()
+                .map_or(end, |at| at.min(end));
+            let [current, probe] = [&self.current, &self.probe].map(begun);
+            tokio::select! {
+                answer = next_answer(&mut self.current) => return answer,
+                answer = next_answer(&mut self.probe) => return answer,
+                () = sleep_until(wake_at) => {
+                    if wake_at >= end || !self.is_receiving() {
+                        return Err(StoreError::Unknown(format!("no answer within {time:?}")));
+                    }
+                }
+                () = current => {}
+                () = probe => {}
+            }
+        }
+    }
+}
+
+/// Resolves when the answer to a poll begins; never if there is none.
+fn begun(poll: &Option<Poll>) -> impl Future<Output = ()> + use<> {
+    let timeout = poll.as_ref().map(|poll| poll.timeout.clone());
+    async move {
+        match timeout {
+            Some(timeout) => timeout.begun().await,
+            None => std::future::pending().await,
         }
     }
 }
