gateway: what a server sends besides the content of its response is bounded

What callers saw: a server that sends interim responses (1xx) without end, or a chunk size that goes on with zeros, keeps a router's processor busy until the timeout of the route; callers of other servers wait.

Cause: such bytes count for no limit of a head or a body, and the HTTP library reads and parses them as fast as they come.

Change: the stream of a connection counts what is read for a request, the body what of it is delivered. Reads fail beyond 1 MiB plus sixteen times the content; the library reads up to twice 400 KiB ahead, and a chunk of one byte has six.

Failed try: a limit on the number of interim responses alone stops these, but not the zeros of a chunk size (136 MB in 3 s).

--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http::{Request, response};
 use http_body_util::Full;
-use hyper::body::Incoming as Body;
 use swiftlink_routing::ErrorKind;
 use tokio::time::Instant;
 
@@ -20,7 +19,8 @@
 use crate::paths::PathWatch;
 use crate::traffic::head_bytes;
 use crate::upstream::{
-    ConnectionKind, Framing, Lease, Recipient, SendError, SendFailure, SendOptions, send_to,
+    ConnectionKind, Framing, Lease, Recipient, ResponseBody, SendError, SendFailure, SendOptions,
+    send_to,
 };
 
 /// Maximum time for opening a connection; within a region it takes a millisecond or two.
@@ -29,7 +29,7 @@
 /// A response that belongs to the request: its head, and the body that is still to be read.
 pub(super) struct ServerResponse {
     pub(super) head: response::Parts,
-    pub(super) body: Body,
+    pub(super) body: ResponseBody,
     /// How the end of the body is marked.
     pub(super) framing: Framing,
     pub(super) lease: Lease,
@@ -189,7 +189,7 @@
 }
 
 /// Reads the short body of a refusal, so that its connection can be reused.
-async fn drain_body(body: Body, lease: &mut Lease, keep_alive: Duration) {
+async fn drain_body(body: ResponseBody, lease: &mut Lease, keep_alive: Duration) {
     use http_body_util::{BodyExt, Limited};
     /// Maximum length in bytes of a body that is read to reuse its connection.
     const MAX_BYTES: usize = 4_096;
--- a/crates/gateway/src/serve/buffer.rs
+++ b/crates/gateway/src/serve/buffer.rs
@@ -2,7 +2,6 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use swiftlink_routing::ErrorKind;
 use swiftlink_shell::web::{Body, Response};
 use swiftlink_telemetry::event;
@@ -15,7 +14,7 @@
 use super::refusal::Refusal;
 use crate::fleet::SelectedServer;
 use crate::outcome::Outcome;
-use crate::upstream::Framing;
+use crate::upstream::{Framing, ResponseBody};
 
 /// Maximum length in bytes of a response that is buffered before it is relayed. One that breaks
 /// off can then be replaced by the response of another server or by an error.
@@ -34,7 +33,7 @@
 /// The body of a response that isn't a stream, as far as it was read.
 enum BufferedBody {
     Complete(Bytes, BodyEnd),
-    Partial { start: Bytes, rest: Incoming },
+    Partial { start: Bytes, rest: ResponseBody },
 }
 
 /// Why a body is incomplete.
@@ -154,7 +153,7 @@
     /// Reads the body of a response of `server` that isn't a stream, or the start of a long one.
     async fn read_body(
         &self,
-        mut body: Incoming,
+        mut body: ResponseBody,
         framing: Framing,
         server: &SelectedServer,
     ) -> Result<BufferedBody, BodyError> {
@@ -170,7 +169,7 @@
 }
 
 /// Reads a body up to [`MAX_BUFFERED_BYTES`].
-async fn buffer_body(body: &mut Incoming) -> Result<BytesMut, hyper::Error> {
+async fn buffer_body(body: &mut ResponseBody) -> Result<BytesMut, hyper::Error> {
     let mut buffer = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let Ok(chunk) = frame?.into_data() else {
--- a/crates/gateway/src/upstream/framing.rs
+++ b/crates/gateway/src/upstream/framing.rs
@@ -2,7 +2,7 @@
 
 use http::header::TRANSFER_ENCODING;
 use http::{HeaderMap, Response};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 
 /// How the end of a response body is marked (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,7 +18,7 @@
 impl Framing {
     /// The framing of a response whose body hasn't been read.
     #[must_use]
-    pub fn of(response: &Response<Incoming>) -> Self {
+    pub fn of(response: &Response<impl Body>) -> Self {
         if response.body().size_hint().exact().is_some() {
             return Self::Length;
         }
--- a/crates/gateway/src/upstream/idle.rs
+++ b/crates/gateway/src/upstream/idle.rs
@@ -11,6 +11,7 @@
 use swiftlink_link::TunnelUse;
 use tokio::time::Instant;
 
+use super::guard::ReadGuard;
 use super::{Endpoint, Recipient};
 use crate::clock::steady_millis;
 use crate::paths::PathState;
@@ -28,6 +29,7 @@
 #[derive(Debug)]
 pub(super) struct Connection {
     pub(super) sender: Sender,
+    pub(super) guard: ReadGuard,
     /// Generation of the path when it was opened.
     pub(super) generation: u64,
     /// Set if it goes through another router.
@@ -35,15 +37,6 @@
 }
 
 impl Connection {
-    /// A direct connection to a process whose path isn't watched.
-    pub(super) fn new(sender: Sender) -> Self {
-        Self {
-            sender,
-            generation: 0,
-            tunnel: None,
-        }
-    }
-
     /// Marks it as carrying a request, or as idle.
     pub(super) fn set_busy(&self, is_busy: bool) {
         if let Some(tunnel) = &self.tunnel {
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -7,6 +7,7 @@
 
 mod error;
 mod framing;
+mod guard;
 mod idle;
 mod recipient;
 
@@ -17,7 +18,6 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
 use crate::eligibility::{Admission, BlockReason};
@@ -25,6 +25,7 @@
 
 pub use error::{ConnectionKind, SendError, SendFailure};
 pub use framing::Framing;
+pub use guard::ResponseBody;
 use idle::Connection;
 pub use idle::Lease;
 pub use recipient::{Endpoint, Recipient};
@@ -39,7 +40,7 @@
 #[derive(Debug)]
 pub struct PendingResponse {
     /// Head and body.
-    pub response: Response<Incoming>,
+    pub response: Response<ResponseBody>,
     /// The connection that it came on.
     pub connection: ConnectionKind,
     /// Watches the path of the connection; `None` where nothing checks it.
@@ -50,7 +51,7 @@
 impl PendingResponse {
     /// Splits it into the response and the lease of its connection.
     #[must_use]
-    pub fn split(self) -> (Response<Incoming>, Lease) {
+    pub fn split(self) -> (Response<ResponseBody>, Lease) {
         (self.response, self.lease)
     }
 }
@@ -181,6 +182,8 @@
     }
     connection.set_busy(true);
     let watch = recipient.watch(&connection);
+    let guard = connection.guard.clone();
+    guard.begin();
     let sent = tokio::select! {
         sent = timeout_at(until, connection.sender.try_send_request(request)) => sent,
         () = until_hung(watch.as_ref(), options.may_abort) => {
@@ -196,7 +199,7 @@
                 watch.on_heard();
             }
             Ok(PendingResponse {
-                response,
+                response: response.map(|body| ResponseBody::new(body, guard)),
                 connection: kind,
                 watch,
                 lease: Lease {
--- a/crates/gateway/src/upstream/recipient.rs
+++ b/crates/gateway/src/upstream/recipient.rs
@@ -16,7 +16,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::SendError;
-use super::idle::{Connection, Sender};
+use super::guard::ReadGuard;
+use super::idle::Connection;
 use crate::paths::{Destination, Dialed, Dialer, PathState, PathWatch};
 
 /// A server instance at an address. A connection is reused only for the instance that it was
@@ -96,18 +97,18 @@
     pub(super) async fn connect(&self, limit: Duration) -> Result<Connection, SendError> {
         let Some((server, dialer)) = &self.server else {
             let stream = connect(self.endpoint.address, limit).await?;
-            return Ok(Connection::new(handshake(stream).await?));
+            return handshake(stream).await;
         };
         let (dialed, generation) = dialer.dial(server, limit).await?;
         match dialed {
             Dialed::Direct(stream) => Ok(Connection {
                 generation,
-                ..Connection::new(handshake(stream).await?)
+                ..handshake(stream).await?
             }),
             Dialed::Relayed(tunnel) => Ok(Connection {
                 generation,
                 tunnel: Some(tunnel.state()),
-                ..Connection::new(handshake(tunnel).await?)
+                ..handshake(tunnel).await?
             }),
         }
     }
@@ -119,7 +120,7 @@
     options.map_err(|error| SendError::NotSent(format!("setting socket options: {error}")))?;
     Ok(Connection {
         generation,
-        ..Connection::new(handshake(stream).await?)
+        ..handshake(stream).await?
     })
 }
 
@@ -134,16 +135,24 @@
     Ok(stream)
 }
 
-async fn handshake<S>(stream: S) -> Result<Sender, SendError>
+/// Makes a connection for requests of a direct one whose path isn't watched.
+async fn handshake<S>(stream: S) -> Result<Connection, SendError>
 where
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
 {
-    let (sender, connection) = http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream))
+    let guard = ReadGuard::default();
+    let stream = TokioIo::new(guard.wrap(stream));
+    let (sender, connection) = http1::handshake::<_, Full<Bytes>>(stream)
         .await
         .map_err(|error| SendError::NotSent(format!("handshake: {error}")))?;
     tokio::spawn(async move {
         // The request that uses the connection gets the error too.
         let _ended = connection.await;
     });
-    Ok(sender)
+    Ok(Connection {
+        sender,
+        guard,
+        generation: 0,
+        tunnel: None,
+    })
 }
