gateway: an event of a stream has a maximum length

What callers could see: a server whose event doesn't end makes a router hold all of it, since a stream is passed on event by event. On a link of 1,000 Mbit/s that fills the memory of a VM of 260 MB in about two seconds, long before the timeout of a route; the process is killed with all its requests.

Change: an event of more than 256 KiB, the length up to which responses are buffered, ends the stream as broken off. It is resumed at another server where that is allowed.

Evidence: endless::a_body_without_end_never_makes_a_complete_success, four bodies without end.

--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -27,6 +27,9 @@
 /// have arrived for this long isn't the cause of a crash.
 const CRASH_WINDOW: Duration = Duration::from_secs(1);
 
+/// Maximum length of an event, which is buffered until it is complete.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// How the relaying of a body ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StreamEnd {
@@ -253,6 +256,9 @@
                     watch.on_heard();
                 }
                 let Some(events) = splitter.push(&chunk) else {
+                    if splitter.partial_len() > MAX_EVENT_BYTES {
+                        break StreamEnd::Broken;
+                    }
                     continue;
                 };
                 response.ticket.on_first_event();
