fetch: interim responses are limited

The client reads 16 KiB at a time, so that the task which ends the call runs before much more is read.

--- a/crates/fetch/src/client.rs
+++ b/crates/fetch/src/client.rs
@@ -13,13 +13,18 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
+use crate::interim::limit_interim;
 use crate::json::Limits;
 use crate::socket::connector;
 
 /// Time limit for establishing a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum size of a response head, and of a read. A connection's task makes up to 128 reads before
+/// other tasks run, among them the one that ends an endless head.
+const MAX_READ_BYTES: usize = 16 << 10;
 /// Largest response body that is read.
 const MAX_BODY_BYTES: usize = 32 << 20;
 
@@ -115,7 +120,9 @@
 type HyperClient = Client<HttpConnector, Full<Bytes>>;
 
 fn new_client() -> HyperClient {
-    Client::builder(TokioExecutor::new()).build(connector(CONNECT_TIMEOUT))
+    Client::builder(TokioExecutor::new())
+        .http1_max_buf_size(MAX_READ_BYTES)
+        .build(connector(CONNECT_TIMEOUT))
 }
 
 impl Http {
@@ -181,9 +188,17 @@
     /// # Errors
     /// When the request is malformed, no connection is established or it breaks.
     pub async fn send(&self, call: &Call<'_>) -> Result<Response<Incoming>, HttpError> {
-        let request = self.request(call)?;
+        let mut request = self.request(call)?;
+        let excess = Arc::new(Notify::new());
+        let notified = Arc::clone(&excess);
+        limit_interim(&mut request, move || notified.notify_one());
         let client = self.client.load_full();
-        let response = client.request(request).await;
+        let response = tokio::select! {
+            response = client.request(request) => response,
+            () = excess.notified() => {
+                return Err(HttpError::Lost("too many interim responses".to_owned()));
+            }
+        };
         response.map_err(|error| {
             let text = error_chain(&error);
             if error.is_connect() {
--- a/crates/fetch/src/lib.rs
+++ b/crates/fetch/src/lib.rs
@@ -6,11 +6,13 @@
 //! list and is here because two daemons read it.
 
 mod client;
+mod interim;
 mod json;
 mod socket;
 mod vms;
 
 pub use client::{Answer, Arrival, Call, Http, HttpError, Pace, error_chain};
+pub use interim::limit_interim;
 pub use json::{JsonError, Limits};
 pub use socket::{KEEPALIVE_INTERVAL, KEEPALIVE_TIME, UNACKED_TIMEOUT, connector, set_timeouts};
 pub use vms::{Vm, VmList, VmState};
