--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -10,14 +10,13 @@
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::reply::Piece;
 use crate::surface::DEADLINE;
-use swiftlink_gateway::upstream::{Framing, Lease};
+use swiftlink_gateway::upstream::{Framing, Lease, ResponseBody};
 
 /// Hop-by-hop headers, which apply to one connection only.
 const HOP_HEADERS: [HeaderName; 9] = [
@@ -92,7 +91,7 @@
 /// Forwards a response of the server at `address` until `deadline`. Where only the end of the connection
 /// marks the end, a server that has ended by then broke it off. Returns whether the body was complete.
 pub async fn pass_response(
-    response: Response<Incoming>,
+    response: Response<ResponseBody>,
     address: SocketAddr,
     mut lease: Lease,
     sender: &mpsc::Sender<Piece>,
@@ -118,7 +117,7 @@
 /// Forwards a body frame by frame. If the body ends early, the caller's connection is
 /// closed as well. Returns whether the body was complete.
 pub async fn pass_body(
-    mut body: Incoming,
+    mut body: ResponseBody,
     lease: &mut Lease,
     sender: &mpsc::Sender<Piece>,
 ) -> bool {
--- a/crates/router/src/reader.rs
+++ b/crates/router/src/reader.rs
@@ -11,14 +11,13 @@
 use futures_util::StreamExt;
 use http::StatusCode;
 use http_body_util::BodyDataStream;
-use hyper::body::Incoming;
 use swiftlink_log::Backoff;
 use swiftlink_stream::{Assembler, AssemblerError, AssemblerPolicy, Chunk, DONE};
 use swiftlink_types::Micros;
 use tokio::time::{Instant, timeout};
 
 use crate::engine;
-use swiftlink_gateway::upstream::{Lease, PendingResponse, SendOptions, send};
+use swiftlink_gateway::upstream::{Lease, PendingResponse, ResponseBody, SendOptions, send};
 
 /// First backoff between attempts to resume.
 const RETRY_BASE: Duration = Duration::from_millis(10);
@@ -55,7 +54,7 @@
     pub send: SendOptions,
 }
 
-type Events = EventStream<BodyDataStream<Incoming>>;
+type Events = EventStream<BodyDataStream<ResponseBody>>;
 
 /// Reader of one engine's answer.
 pub struct Reader {
