--- a/crates/fetch/src/interim.rs
+++ b/crates/fetch/src/interim.rs
@@ -10,7 +10,10 @@
 
 /// Calls `on_excess` once if the server sends too many interim responses to `request`. The
 /// connection has to be closed then.
-pub fn limit_interim<B>(request: &mut Request<B>, on_excess: impl Fn() + Send + Sync + 'static) {
+pub(crate) fn limit_interim<B>(
+    request: &mut Request<B>,
+    on_excess: impl Fn() + Send + Sync + 'static,
+) {
     let count = AtomicU32::new(0);
     hyper::ext::on_informational(request, move |_response| {
         if count.fetch_add(1, Relaxed) == MAX_INTERIM {
--- a/crates/fetch/src/lib.rs
+++ b/crates/fetch/src/lib.rs
@@ -12,7 +12,6 @@
 mod vms;
 
 pub use client::{Answer, Arrival, Call, Http, HttpError, Pace, error_chain};
-pub use interim::limit_interim;
 pub use json::{JsonError, Limits};
 pub use socket::{KEEPALIVE_INTERVAL, KEEPALIVE_TIME, UNACKED_TIMEOUT, connector, set_timeouts};
 pub use vms::{Vm, VmList, VmState};
--- a/crates/gateway/src/fleet/pools.rs
+++ b/crates/gateway/src/fleet/pools.rs
@@ -158,17 +158,14 @@
 
     /// Replaces the directory of servers.
     pub fn set_servers(&self, entries: HashMap<ServerName, ServerEntry>) {
-        let mut versions: HashMap<PoolName, Vec<VersionName>> = HashMap::new();
+        let known = self.origins().versions().pools().into_iter();
+        let mut versions: HashMap<PoolName, Vec<VersionName>> =
+            known.map(|pool| (pool, Vec::new())).collect();
         for entry in entries.values() {
             let versions = versions.entry(entry.pool.clone()).or_default();
             versions.push(entry.version.clone());
         }
-        let mut known = self.origins().versions().pools();
-        known.retain(|pool| !versions.contains_key(pool));
-        for (pool, versions) in versions
-            .into_iter()
-            .chain(known.into_iter().map(|pool| (pool, Vec::new())))
-        {
+        for (pool, versions) in versions {
             self.set_versions(&pool, versions);
         }
         self.set_selected(entries);
--- a/crates/gateway/src/origins/version_store.rs
+++ b/crates/gateway/src/origins/version_store.rs
@@ -224,18 +224,23 @@
     let mut changed = Vec::new();
     for pool in pools {
         let mut record = snapshot.pools.get(pool).cloned().unwrap_or_default();
-        if !record.update(&listed.of(pool), &now) {
-            continue;
+        if record.update(&listed.of(pool), &now) {
+            changed.push((pool, record));
         }
-        event!(info, "versions.recorded", pool = pool, versions = record,);
-        let value = Bytes::from(record.encode().encode_to_vec());
-        changed.push((pool.to_string(), value));
     }
     if changed.is_empty() {
         return Ok(());
     }
+    let encode = |(pool, record): &(&PoolName, VersionRecord)| {
+        let value = Bytes::from(record.encode().encode_to_vec());
+        (pool.to_string(), value)
+    };
+    let values: Vec<_> = changed.iter().map(encode).collect();
     store
-        .append_at(Feed::Versions, snapshot.end, &changed)
+        .append_at(Feed::Versions, snapshot.end, &values)
         .await?;
+    for (pool, record) in changed {
+        event!(info, "versions.recorded", pool = pool, versions = record);
+    }
     Ok(())
 }
