gateway: lines on resumed streams say how old the list of servers was

stream.resumed and stream.origin_unknown name list_ms, the time in which the list may have changed unnoticed, and swiftlink_server_list_age_seconds is a metric. Without it a router that was cut off for seconds can't be told from one that has just read the list. No behaviour changes.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,7 @@
 
 use crate::ingress::PortCounters;
 use crate::node::Node;
+use crate::origins::ServerList;
 use crate::quota::lease::LeaseCounters;
 use crate::store::{Feed, Page, ResponseTimeout, Store, StoreError};
 
@@ -101,6 +102,7 @@
     in_flight: Gauge,
     config_version: Gauge<u64, AtomicU64>,
     config_age: Gauge<f64, AtomicU64>,
+    list_age: Gauge<f64, AtomicU64>,
     available: Gauge<u64, AtomicU64>,
     reserved: Gauge<u64, AtomicU64>,
     charged: Gauge<u64, AtomicU64>,
@@ -200,6 +202,9 @@
         let age = "Time in which the configuration may have changed without being known";
         let gauge = gauges.config_age.clone();
         registry.register_with_unit("config_age", age, Unit::Seconds, gauge);
+        let age = "Time in which the list of servers may have changed without being known";
+        let gauge = gauges.list_age.clone();
+        registry.register_with_unit("server_list_age", age, Unit::Seconds, gauge);
         let available = "Rights that no request holds, of all workspaces";
         registry.register(
             "rights_available_tokens",
@@ -319,6 +324,9 @@
             .set(config.as_ref().map_or(0, |config| config.version));
         let age = node.freshness.age();
         self.config_age.set(age.as_secs_f64());
+        if let Some(age) = node.list.age() {
+            self.list_age.set(age.as_secs_f64());
+        }
         let (mut available, mut reserved, mut charged, mut locked) = (0, 0, 0, 0);
         for quota in node.quotas.all() {
             let counters = quota.grant.counters();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -21,7 +21,7 @@
 use crate::rollout::Reports;
 use crate::settings::RouterSettings;
 use crate::traffic::Traffic;
-use crate::watch::Replicas;
+use crate::watch::{Confirmation, Replicas};
 
 /// State that requests read and background tasks keep up to date.
 #[derive(Debug)]
@@ -56,6 +56,8 @@
     pub traffic: Traffic,
     /// Whether new callers can be served, as far as the link and the callers' port decide it.
     pub decision: CallerDecision,
+    /// Up to which moment the directory of backend servers has been read.
+    pub list: Arc<Confirmation>,
     /// Whether the directory of backend servers has been read.
     pub has_servers: AtomicBool,
     /// Whether the router is shutting down.
@@ -93,6 +95,7 @@
             metrics: Metrics::new(),
             traffic: Traffic::default(),
             decision: CallerDecision::new(),
+            list: Arc::default(),
             has_servers: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
--- a/crates/gateway/src/origins/lookup.rs
+++ b/crates/gateway/src/origins/lookup.rs
@@ -70,6 +70,12 @@
     },
 }
 
+/// How far this router has read the list of servers.
+pub trait ServerList: fmt::Debug + Send + Sync {
+    /// Time in which the list may have changed without being known; `None` until it has been read.
+    fn age(&self) -> Option<Duration>;
+}
+
 /// Finds origins.
 #[derive(Clone, Debug)]
 pub struct Lookup {
@@ -79,6 +85,8 @@
     pub recorders: Arc<dyn Recorders>,
     /// What the store keeps of the pools' versions.
     pub records: Arc<VersionRecords>,
+    /// The list of servers.
+    pub list: Arc<dyn ServerList>,
 }
 
 impl Lookup {
--- a/crates/gateway/src/origins/mod.rs
+++ b/crates/gateway/src/origins/mod.rs
@@ -29,7 +29,7 @@
 use crate::clock::steady_millis;
 
 pub use exchange::{RECORDERS, Recorders, copy_for, receive, run};
-pub use lookup::{Found, Lookup, OriginError, Source, reply_to};
+pub use lookup::{Found, Lookup, OriginError, ServerList, Source, reply_to};
 pub use table::{Knowledge, Origin, OriginTable, StreamKey};
 pub use version_record::VersionRecord;
 pub use version_store::{VersionRecords, WRITERS, run as run_records};
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -173,6 +173,7 @@
                 origins,
                 recorders,
                 records,
+                list: Arc::clone(&node.list) as _,
             },
         });
         let callers =
--- a/crates/gateway/src/serve/resume.rs
+++ b/crates/gateway/src/serve/resume.rs
@@ -47,6 +47,7 @@
                     id = meta.id(),
                     resumes = meta.resumes(),
                     pool = pool.name,
+                    list_ms = self.list_millis(),
                     error = error,
                 );
                 return Err(Refusal::OriginUnknown);
@@ -62,6 +63,7 @@
             version = origin.version,
             source = source,
             age_ms = steady_millis().saturating_sub(origin.begun),
+            list_ms = self.list_millis(),
         );
         // The route may have been moved to another pool since.
         let is_target = route
@@ -72,6 +74,13 @@
         let pool = pool.ok_or(Refusal::OriginUnknown)?;
         Ok(Some((pool, origin.version)))
     }
+
+    /// Time in which the list of servers may have changed unnoticed, in milliseconds; -1 if it was
+    /// never read.
+    fn list_millis(&self) -> i64 {
+        let age = self.lookup.list.age();
+        age.map_or(-1, |age| age.as_millis() as i64)
+    }
 }
 
 impl Exchange {
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -4,10 +4,11 @@
 //! poll. `config`, `drained`, `rollout_orders` and `directory` apply the records. State never moves
 //! back to an older version or an older entry. `replicas` serves the newest records of the feeds
 //! to other routers, `tree` computes which routers a router of a large fleet follows, and
-//! `upstream` follows them. `earlier` fetches what a store that went back to a copy may lack. `subset` selects the servers of very large pools that a router
+//! `upstream` follows them. `confirmation` says up to which moment the servers' feed was read. `earlier` fetches what a store that went back to a copy may lack. `subset` selects the servers of very large pools that a router
 //! needs; `listed_versions` publishes the versions of all.
 
 mod config;
+mod confirmation;
 mod directory;
 mod drained;
 mod earlier;
@@ -29,6 +30,7 @@
 use crate::node::Node;
 use crate::store::{Feed, Store};
 
+pub use confirmation::Confirmation;
 pub use directory::{Directory, EntryChange};
 pub use drained::DrainedDomains;
 pub(crate) use follow::{Follow, Relay, run as follow};
--- a/crates/gateway/tests/testsuite/recorders.rs
+++ b/crates/gateway/tests/testsuite/recorders.rs
@@ -9,8 +9,8 @@
 use swiftlink_gateway::clock::{SystemClock, steady_millis};
 use swiftlink_gateway::fleet::{Pool, Pools};
 use swiftlink_gateway::origins::{
-    Found, Knowledge, Lookup, MIN_LIFETIME, OriginError, Origins, Recorders, Source, StreamKey,
-    VersionRecords, copy_for, receive, reply_to, run, run_records,
+    Found, Knowledge, Lookup, MIN_LIFETIME, OriginError, Origins, Recorders, ServerList, Source,
+    StreamKey, VersionRecords, copy_for, receive, reply_to, run, run_records,
 };
 use swiftlink_gateway::peers::{record_ranking, writer_place};
 use swiftlink_gateway::store::{Feed, MemStore, Store, StoreFault};
@@ -150,6 +150,16 @@
     }
 }
 
+/// A list of servers that has just been read.
+#[derive(Debug)]
+struct ReadList;
+
+impl ServerList for ReadList {
+    fn age(&self) -> Option<Duration> {
+        Some(Duration::ZERO)
+    }
+}
+
 /// A running router of the network.
 pub(crate) struct TestMember {
     pub(crate) member: Arc<Member>,
@@ -213,6 +223,7 @@
                 origins,
                 recorders,
                 records,
+                list: Arc::new(ReadList),
             },
             tasks: [sending, recording],
         };
