gateway: an unknown stream is judged by a list that was read since its caller came

What callers saw: a stream that broke off and was resumed at a router that was out of step (cut off from the store and from other routers, or just back) was answered 200 and went on at another software version. 37 of 40 streams, 0.5 s and 3.5 s after the cut.

Cause: what a router knows counted as observed up to now. known_for was the time since the list was first observed, whenever it was last read; so was known_ms in replies to others, and the store's record counted if it was read after that beginning, however long ago. The class: the age of what one knows is measured from when one began to know it, not to when it was last confirmed.

Evidence: the lines of the red test. list_ms was 1,711 to 4,794 when stream.resumed said source=only_version; store.lost in between changed nothing.

Change: evidence on a stream that no router knows has to reach up to the moment at which its caller came. The router has the list read without a wait for changes; all that wait share one poll, 50 ms apart at least. In a large fleet the question goes up the relay tree, and three routers read the store. Where the store doesn't answer, other routers are asked to read the list (all recorders, which may know the stream, too); where none can, the stream is refused at once, with a time to come back: 100 ms if no other router replied, since a caller finds another one, else 500 ms. Replies say how old the list is; those of an older build don't, and count for nothing.

A stream that is known, and each new one, goes on as before.

Not chosen: refusing whatever is unknown for as long as the list is older than some time (it can't tell apart 0.3 s with one version and 0.5 s with two); a name of the version that the caller sends back (nothing that it sends is chosen by a router).

--- a/crates/gateway/src/origins/lookup.rs
+++ b/crates/gateway/src/origins/lookup.rs
@@ -1,16 +1,19 @@
 //! Finds the version that began a stream which its caller resumes.
 
-use std::collections::HashSet;
 use std::fmt;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_trait::async_trait;
 use futures_util::StreamExt;
+use futures_util::future::{Either, select};
 use futures_util::stream::FuturesUnordered;
 use swiftlink_types::{PoolName, VersionName, VmName};
 use swiftlink_wire::link::{FindOrigin, OriginReply, reply, request};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
+use super::evidence::Evidence;
 use super::exchange::{decode, decode_key, encode, encode_key};
 use super::{
     Knowledge, MAX_LIFETIME, MIN_LIFETIME, Origin, Origins, RECORDERS, Recorders, StreamKey,
@@ -18,11 +21,14 @@
 };
 use crate::clock::steady_millis;
 use crate::fleet::Pool;
+use crate::peers::MAX_KEEPERS;
 
 /// Number of recorders that are asked: those that a router chose which is one of them itself, too.
 const ASKED: usize = RECORDERS + 1;
 /// Maximum time for their replies. Within a region one takes a millisecond or two.
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
+/// The same if they read the list of servers first.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Where an origin is known from.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -68,12 +74,32 @@
         /// The versions that are known to have been listed.
         versions: Vec<VersionName>,
     },
+    /// No router knows the stream, and another version may have appeared since the list of servers
+    /// was read.
+    #[error(
+        "no router knows the stream; the list of servers was last read {age:?} ago, and no other \
+         router has read it since"
+    )]
+    Unconfirmed {
+        /// Time since the list was last read here.
+        age: Duration,
+        /// Whether no other router replied.
+        is_alone: bool,
+    },
 }
 
 /// How far this router has read the list of servers.
+#[async_trait]
 pub trait ServerList: fmt::Debug + Send + Sync {
     /// Time in which the list may have changed without being known; `None` until it has been read.
     fn age(&self) -> Option<Duration>;
+
+    /// Whether the last read failed.
+    fn is_lost(&self) -> bool;
+
+    /// Waits until all that the store had at `moment` is in force, for a short time. Returns whether
+    /// it is; `false` at once while reads fail.
+    async fn read_since(&self, moment: Instant) -> bool;
 }
 
 /// Finds origins.
@@ -110,129 +136,142 @@
             Some(Knowledge::Ambiguous) => return Err(OriginError::Ambiguous),
             Some(Knowledge::Unknown) | None => {}
         }
-        let mut evidence = Evidence::of(pool, lifetime);
-        let routers = self.recorders.recorders(&key.unwrap_or_default());
-        let mut asked: FuturesUnordered<_> = routers
-            .iter()
-            .take(ASKED)
-            .map(|vm| self.ask(vm, key, &pool.name, lifetime))
-            .collect();
-        let replies = async {
-            while let Some((vm, reply)) = asked.next().await {
-                let Some(reply) = reply else {
-                    continue;
-                };
-                if reply.is_ambiguous {
-                    return Some(Err(OriginError::Ambiguous));
-                }
-                if let Some((key, origin)) = reply.origin.as_ref().and_then(decode) {
-                    self.origins.insert(key, origin.clone());
-                    let source = Source::Peer(vm.clone());
-                    return Some(Ok(Found { origin, source }));
-                }
-                evidence.add(&reply);
-                if evidence.is_settled() {
-                    return None;
-                }
-            }
-            None
+        let question = Question {
+            key,
+            pool: &pool.name,
+            lifetime,
         };
-        if let Ok(Some(found)) = timeout(ASK_TIMEOUT, replies).await {
-            return found;
+        let mut evidence = Evidence::new(pool, lifetime);
+        // Where the list can't be read here, other routers may read it.
+        let is_lost = self.list.is_lost();
+        let (replies, is_read) = self.ask_and_read(&question, &evidence, is_lost).await;
+        evidence.set_read(is_read);
+        match replies {
+            Ok(replies) => evidence.add(replies),
+            Err(decided) => return decided,
+        }
+        if evidence.needs_others() && !is_lost {
+            match self.ask_all(&question, &evidence, true).await {
+                Ok(replies) => evidence.add(replies),
+                Err(decided) => return decided,
+            }
         }
         if evidence.needs_record() {
             let since = pool.observed_since().unwrap_or_else(steady_millis);
             let recorded = self.records.within(&pool.name, since, lifetime).await;
-            evidence.add_record(recorded);
+            evidence.set_recorded(recorded);
         }
-        evidence.only_version(pool)
+        evidence.only_version(self.list.age())
+    }
+
+    /// Asks other routers, and reads the list of servers at the same time. Returns whether it was
+    /// read; that isn't waited for if it can't decide.
+    async fn ask_and_read(
+        &self,
+        question: &Question<'_>,
+        evidence: &Evidence<'_>,
+        is_confirming: bool,
+    ) -> (Result<Vec<OriginReply>, Result<Found, OriginError>>, bool) {
+        let now = Instant::now();
+        let asked = pin!(self.ask_all(question, evidence, is_confirming));
+        let read = pin!(async { !evidence.is_mixed(&[]) && self.list.read_since(now).await });
+        match select(asked, read).await {
+            Either::Left((Ok(replies), read)) if !evidence.is_mixed(&replies) => {
+                (Ok(replies), read.await)
+            }
+            Either::Left((replies, _)) => (replies, false),
+            Either::Right((is_read, asked)) => (asked.await, is_read),
+        }
+    }
+
+    /// Asks other routers for the origin of a stream, and has them read the list of servers first if
+    /// `is_confirming`: all recorders then, else the first ones. Returns early if one knows the
+    /// origin, or if further replies can't add to the evidence.
+    async fn ask_all(
+        &self,
+        question: &Question<'_>,
+        evidence: &Evidence<'_>,
+        is_confirming: bool,
+    ) -> Result<Vec<OriginReply>, Result<Found, OriginError>> {
+        let routers = self.recorders.recorders(&question.key.unwrap_or_default());
+        let (count, time) = match is_confirming {
+            true => (MAX_KEEPERS, CONFIRM_TIMEOUT),
+            false => (ASKED, ASK_TIMEOUT),
+        };
+        let asked = routers.iter().take(count);
+        let mut asked: FuturesUnordered<_> = asked
+            .map(|vm| self.ask(vm, question, is_confirming, time))
+            .collect();
+        let end = Instant::now() + time;
+        let mut replies = Vec::new();
+        while let Ok(Some((vm, reply))) = timeout_at(end, asked.next()).await {
+            let Some(reply) = reply else {
+                continue;
+            };
+            if reply.is_ambiguous {
+                return Err(Err(OriginError::Ambiguous));
+            }
+            if let Some((key, origin)) = reply.origin.as_ref().and_then(decode) {
+                self.origins.insert(key, origin.clone());
+                let source = Source::Peer(vm.clone());
+                return Err(Ok(Found { origin, source }));
+            }
+            replies.push(reply);
+            if evidence.is_settled(&replies, is_confirming) {
+                break;
+            }
+        }
+        Ok(replies)
     }
 
     async fn ask<'a>(
         &self,
         vm: &'a VmName,
-        key: Option<StreamKey>,
-        pool: &PoolName,
-        lifetime: Duration,
+        question: &Question<'_>,
+        is_confirming: bool,
+        time: Duration,
     ) -> (&'a VmName, Option<OriginReply>) {
         let kind = request::Kind::FindOrigin(FindOrigin {
-            key: key.as_ref().map(encode_key),
-            pool: pool.to_string(),
-            lifetime_ms: lifetime.as_millis() as u64,
+            key: question.key.as_ref().map(encode_key),
+            pool: question.pool.to_string(),
+            lifetime_ms: question.lifetime.as_millis() as u64,
+            is_confirming,
         });
-        match self.recorders.call(vm, kind, ASK_TIMEOUT).await {
+        match self.recorders.call(vm, kind, time).await {
             Ok(reply::Kind::OriginReply(reply)) => (vm, Some(reply)),
             Ok(_) | Err(_) => (vm, None),
         }
     }
 }
 
-/// What is known of the versions that may have begun a stream.
-struct Evidence {
+/// What is asked of other routers.
+struct Question<'a> {
+    /// `None` if the caller doesn't say which request began the stream.
+    key: Option<StreamKey>,
+    pool: &'a PoolName,
+    /// Time for which the stream may be resumed.
     lifetime: Duration,
-    versions: HashSet<VersionName>,
-    /// Whether the versions are all that were listed since before the stream can have begun: a
-    /// router has observed the list since then, or they were recorded.
-    is_covered: bool,
-    replies: usize,
 }
 
-impl Evidence {
-    /// What this router knows.
-    fn of(pool: &Pool, lifetime: Duration) -> Self {
-        Self {
-            lifetime,
-            versions: pool.versions_within(lifetime).into_iter().collect(),
-            is_covered: pool.known_for() >= lifetime,
-            replies: 0,
-        }
-    }
-
-    fn add(&mut self, reply: &OriginReply) {
-        let versions = reply.versions.iter();
-        let versions = versions.map(|version| VersionName::from(version.as_str()));
-        self.versions.extend(versions);
-        self.is_covered |= u128::from(reply.known_ms) >= self.lifetime.as_millis();
-        self.replies += 1;
-    }
-
-    /// Whether further replies can hardly change that only one version may have begun the stream.
-    fn is_settled(&self) -> bool {
-        self.versions.len() == 1 && self.is_covered && self.replies >= 2
-    }
-
-    /// Whether only the store's record can show that one version alone may have begun the stream.
-    fn needs_record(&self) -> bool {
-        self.versions.len() == 1 && !self.is_covered
-    }
-
-    fn add_record(&mut self, versions: Option<Vec<VersionName>>) {
-        self.is_covered |= versions.is_some();
-        self.versions.extend(versions.into_iter().flatten());
-    }
-
-    /// The only version that may have begun the stream.
-    fn only_version(self, pool: &Pool) -> Result<Found, OriginError> {
-        let mut versions: Vec<VersionName> = self.versions.into_iter().collect();
-        if versions.len() != 1 || !self.is_covered {
-            versions.sort_unstable();
-            return Err(OriginError::Unknown { versions });
-        }
-        let now = steady_millis();
-        let origin = Origin {
-            pool: pool.name.clone(),
-            version: versions.remove(0),
-            begun: now,
-            expires: now,
-        };
-        let source = Source::OnlyVersion;
-        Ok(Found { origin, source })
-    }
+/// Replies to a router that asks for an origin, after a read of `list` if it asks for that.
+pub async fn answer(origins: &Origins, list: &dyn ServerList, ask: &FindOrigin) -> OriginReply {
+    let is_read = ask.is_confirming && list.read_since(Instant::now()).await;
+    // Zero says that the list was read after the question.
+    let min_age = Duration::from_millis((!is_read).into());
+    let age = list.age().map(|age| age.max(min_age));
+    let age = if is_read { Some(min_age) } else { age };
+    reply_to(origins, ask, age, steady_millis())
 }
 
-/// Replies to a router that asks for an origin at `now`, in milliseconds of the monotonic clock.
+/// The reply to a router that asks for an origin at `now`, in milliseconds of the monotonic clock,
+/// where the list of servers was read `list_age` ago.
 #[must_use]
-pub fn reply_to(origins: &Origins, ask: &FindOrigin, now: u64) -> OriginReply {
+pub fn reply_to(
+    origins: &Origins,
+    ask: &FindOrigin,
+    list_age: Option<Duration>,
+    now: u64,
+) -> OriginReply {
     let key = ask.key.as_ref().map(decode_key);
     let known = key.map_or(Knowledge::Unknown, |key| origins.get(&key));
     let history = origins.versions().of(&PoolName::from(ask.pool.as_str()));
@@ -247,5 +286,6 @@
         is_ambiguous: known == Knowledge::Ambiguous,
         versions: versions.iter().map(VersionName::to_string).collect(),
         known_ms: history.known_for(now).as_millis() as u64,
+        list_age_ms: list_age.map(|age| age.as_millis() as u64),
     }
 }
--- a/crates/gateway/src/origins/mod.rs
+++ b/crates/gateway/src/origins/mod.rs
@@ -7,10 +7,12 @@
 //! to a few recorders that the stream's key determines (rendezvous hashing); the router that gets
 //! the new request asks them. Nothing is sent while a pool has one version.
 //!
-//! A stream that nobody knows goes on only if one version can have begun it. Routers that have
-//! observed the list of servers since before the stream began know that; after all of them have
-//! ended, the store's records of the pools' versions say it (`version_store`).
+//! A stream that nobody knows goes on only if one version can have begun it (`evidence`). Routers
+//! that have observed the list of servers since before the stream began, up to the moment at which
+//! its caller comes, know that; for the time before they all started, the store's records of the
+//! pools' versions say it (`version_store`).
 
+mod evidence;
 mod exchange;
 mod lookup;
 mod table;
@@ -29,7 +31,7 @@
 use crate::clock::steady_millis;
 
 pub use exchange::{RECORDERS, Recorders, copy_for, receive, run};
-pub use lookup::{Found, Lookup, OriginError, ServerList, Source, reply_to};
+pub use lookup::{Found, Lookup, OriginError, ServerList, Source, answer, reply_to};
 pub use table::{Knowledge, Origin, OriginTable, StreamKey};
 pub use version_record::VersionRecord;
 pub use version_store::{VersionRecords, WRITERS, run as run_records};
--- a/crates/gateway/src/origins/version_store.rs
+++ b/crates/gateway/src/origins/version_store.rs
@@ -86,22 +86,25 @@
         Some(record.within(time, self.clock.read().wall))
     }
 
-    /// Reads the records.
-    async fn read(&self, store: &dyn Store) -> Result<Arc<Snapshot>, StoreError> {
+    /// Reads the records, for up to `time`.
+    async fn read(&self, store: &dyn Store, time: Duration) -> Result<Arc<Snapshot>, StoreError> {
         let asked = steady_millis();
-        let page = timeout(
-            ANSWER_TIMEOUT,
-            store.newest(Feed::Versions, ANSWER_TIMEOUT.into()),
-        );
-        let page = page.await.map_err(|_elapsed| {
-            StoreError::Unknown(format!("no answer within {ANSWER_TIMEOUT:?}"))
-        })??;
+        let page = timeout(time, store.newest(Feed::Versions, time.into()));
+        let page = page
+            .await
+            .map_err(|_elapsed| StoreError::Unknown(format!("no answer within {time:?}")))??;
         let snapshot = Arc::new(Snapshot {
             asked,
             end: page.end,
             pools: decode(&page.records),
         });
-        self.latest.send_replace(Some(Arc::clone(&snapshot)));
+        self.latest.send_if_modified(|latest| {
+            let is_newer = latest.as_ref().is_none_or(|known| known.asked <= asked);
+            if is_newer {
+                *latest = Some(Arc::clone(&snapshot));
+            }
+            is_newer
+        });
         Ok(snapshot)
     }
 }
@@ -138,28 +141,45 @@
     recorders: Arc<dyn Recorders>,
     store: Arc<dyn Store>,
 ) {
-    let listed = origins.versions();
+    // Callers don't wait for an answer that the writer waits for.
+    tokio::join!(
+        run_reads(&records, &*store),
+        run_writes(&records, origins.versions(), &*recorders, &*store),
+    );
+}
+
+/// Reads the records when a caller needs them.
+async fn run_reads(records: &VersionRecords, store: &dyn Store) {
+    loop {
+        records.wanted.notified().await;
+        if let Err(error) = records.read(store, READ_TIMEOUT).await {
+            event!(warn, "versions.not_read", error = error);
+        }
+    }
+}
+
+/// Writes the records of the pools whose versions change.
+async fn run_writes(
+    records: &VersionRecords,
+    listed: &ListedVersions,
+    recorders: &dyn Recorders,
+    store: &dyn Store,
+) {
     let mut era = store.era();
     let mut writer = Writer::default();
     loop {
         let has_pending = !writer.pending.is_empty();
         tokio::select! {
-            () = records.wanted.notified() => {
-                if let Err(error) = records.read(&*store).await {
-                    event!(warn, "versions.not_read", error = error);
-                }
-                continue;
-            }
             () = listed.changed() => writer.note_changes(listed),
             // A store that went back to a copy may lack records.
             Ok(()) = era.changed() => writer.note_all(listed),
             () = sleep(RETRY_INTERVAL), if has_pending => {}
         }
-        let due = writer.due(&*recorders);
+        let due = writer.due(recorders);
         if due.is_empty() {
             continue;
         }
-        match write(&records, listed, &*store, &due).await {
+        match write(records, listed, store, &due).await {
             Ok(()) => writer.pending.retain(|pool, _| !due.contains(pool)),
             // Another writer was first.
             Err(StoreError::Conflict { .. }) => {}
@@ -219,7 +239,7 @@
     store: &dyn Store,
     pools: &[PoolName],
 ) -> Result<(), StoreError> {
-    let snapshot = records.read(store).await?;
+    let snapshot = records.read(store, ANSWER_TIMEOUT).await?;
     let now = records.clock.read();
     let mut changed = Vec::new();
     for pool in pools {
--- a/crates/gateway/src/peer_handler.rs
+++ b/crates/gateway/src/peer_handler.rs
@@ -13,7 +13,6 @@
 };
 
 use crate::admission::{self, Aggregates};
-use crate::clock::steady_millis;
 use crate::ingress::DomainReports;
 use crate::limits::Coordinator;
 use crate::node::Node;
@@ -90,7 +89,10 @@
 
     async fn feed_records(&self, request: &GetFeed) -> FeedRecords {
         let apply = self.node.settings.config_apply;
-        let answer = self.node.replicas.answer(request, self.node.process, apply);
+        let node = &self.node;
+        let answer = node
+            .replicas
+            .answer(request, node.process, apply, &*node.list);
         replicas::message(answer.await)
     }
 
@@ -156,8 +158,8 @@
                 self.acknowledge()
             }
             request::Kind::FindOrigin(ask) => {
-                let pools = &self.node.pools;
-                reply::Kind::OriginReply(origins::reply_to(pools.origins(), &ask, steady_millis()))
+                let origins = self.node.pools.origins();
+                reply::Kind::OriginReply(origins::answer(origins, &*self.node.list, &ask).await)
             }
             request::Kind::CopyOrigins(_) => {
                 let pools = &self.node.pools;
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -45,7 +45,8 @@
     /// The pool has no capacity for the request now, and it was sent to no server.
     Overloaded(Overloaded),
     /// The caller resumes a stream, and which version of the servers' software began it isn't known.
-    OriginUnknown,
+    /// It may be after this time.
+    OriginUnknown(Duration),
     /// Servers crashed while they worked on the request; it is quarantined for this time.
     Held(Duration),
     /// The request may have been executed, and there is no response.
@@ -66,10 +67,6 @@
 /// the store a few times within this time. Other routers may be up to date already.
 const CONFIG_RETRY: Duration = Duration::from_millis(500);
 
-/// When another router may know the origin of a stream: links to a router that has started are open
-/// within this time.
-const ORIGIN_RETRY: Duration = Duration::from_millis(500);
-
 impl Refusal {
     /// Status of the response. 408, 429 and 503 are used only for requests that have not been
     /// executed and never will be.
@@ -79,7 +76,7 @@
             | Self::StaleConfig
             | Self::NoServer(_)
             | Self::Overloaded(_)
-            | Self::OriginUnknown
+            | Self::OriginUnknown(_)
             | Self::Expired
             | Self::Held(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Malformed | Self::NoUsage | Self::BrokenBody => StatusCode::BAD_REQUEST,
@@ -98,9 +95,8 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NotReady | Self::StaleConfig => Some(CONFIG_RETRY),
-            Self::OriginUnknown => Some(ORIGIN_RETRY),
             Self::Expired => Some(SERVER_RETRY),
-            Self::NoServer(wait) | Self::Held(wait) => Some(wait),
+            Self::NoServer(wait) | Self::Held(wait) | Self::OriginUnknown(wait) => Some(wait),
             Self::Overloaded(overloaded) => Some(overloaded.after),
             Self::NoQuota(back) => Some(back.unwrap_or(QUOTA_RETRY)),
             Self::StoreUnavailable(back) => Some(back.unwrap_or(STORE_RETRY)),
@@ -126,7 +122,7 @@
             Self::StoreUnavailable(_) => "store_away",
             Self::NoServer(_) => "no_server",
             Self::Overloaded(_) => "overloaded",
-            Self::OriginUnknown => "origin_unknown",
+            Self::OriginUnknown(_) => "origin_unknown",
             Self::Held(_) => "held",
             Self::Lost => "lost",
             Self::Timeout => "timeout",
--- a/crates/gateway/src/serve/resume.rs
+++ b/crates/gateway/src/serve/resume.rs
@@ -1,6 +1,7 @@
 //! Streams that their callers resume at any router.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use swiftlink_telemetry::event;
 use swiftlink_types::VersionName;
@@ -12,7 +13,24 @@
 use crate::dialect::RequestMeta;
 use crate::fleet::{Pool, SelectedServer};
 use crate::model::{Replay, Route, Workspace};
-use crate::origins::{Found, Origin, StreamKey, lifetime};
+use crate::origins::{Found, Origin, OriginError, StreamKey, lifetime};
+
+/// When another router may know the origin of a stream: links to a router that has started are open
+/// within this time, and a store that was away has been read again.
+const ORIGIN_RETRY: Duration = Duration::from_millis(500);
+/// When another router may be reached by a caller that came to one without a connection to others:
+/// at once, unless the caller shares its path.
+const ELSEWHERE_RETRY: Duration = Duration::from_millis(100);
+
+/// When a caller may come back whose stream isn't known.
+fn retry_after(error: &OriginError) -> Duration {
+    match error {
+        OriginError::Unconfirmed { is_alone: true, .. } => ELSEWHERE_RETRY,
+        OriginError::Unconfirmed { .. } | OriginError::Unknown { .. } | OriginError::Ambiguous => {
+            ORIGIN_RETRY
+        }
+    }
+}
 
 /// The key of the stream that the request `id` of a workspace began.
 fn key_of(workspace: Option<&Workspace>, id: &[u8]) -> StreamKey {
@@ -50,7 +68,7 @@
                     list_ms = self.list_millis(),
                     error = error,
                 );
-                return Err(Refusal::OriginUnknown);
+                return Err(Refusal::OriginUnknown(retry_after(&error)));
             }
         };
         let Found { origin, source } = found;
@@ -71,7 +89,7 @@
             .iter()
             .any(|target| target.pool == origin.pool);
         let pool = self.node.pools.get(&origin.pool).filter(|_| is_target);
-        let pool = pool.ok_or(Refusal::OriginUnknown)?;
+        let pool = pool.ok_or(Refusal::OriginUnknown(ORIGIN_RETRY))?;
         Ok(Some((pool, origin.version)))
     }
 
--- a/crates/gateway/src/watch/directory.rs
+++ b/crates/gateway/src/watch/directory.rs
@@ -446,9 +446,6 @@
         self.is_partial = update.is_from_upstream && update.as_of.is_none();
         if !self.is_partial {
             self.publish();
-            if let Some(as_of) = update.as_of {
-                self.node.list.confirm(as_of);
-            }
             self.node.has_servers.store(true, Relaxed);
         }
         published
--- a/crates/gateway/src/watch/follow.rs
+++ b/crates/gateway/src/watch/follow.rs
@@ -7,6 +7,7 @@
 use swiftlink_telemetry::event;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use super::confirmation::Confirmation;
 use super::earlier::EarlierRecords;
 use super::reader::{Answer, Change, FeedUpdate, MAX_LATENESS, Reader};
 use super::replicas::PeerFeeds;
@@ -64,6 +65,11 @@
 }
 
 impl Relay {
+    /// Reads of the list of servers on request, if `feed` is that list.
+    pub(super) fn list(&self, feed: Feed) -> Option<&Confirmation> {
+        (feed == Feed::Servers).then(|| &*self.node.list)
+    }
+
     /// Fetches newer records from another router.
     async fn fetch(&self, reader: &mut Reader) -> Option<FeedUpdate> {
         let asked = Instant::now();
@@ -123,6 +129,10 @@
 struct Polls {
     current: Option<Poll>,
     probe: Option<Poll>,
+    /// A poll without a wait, for those that need the state of this moment.
+    urgent: Option<Poll>,
+    /// Whether the current poll waits on after an urgent one that found nothing new.
+    is_waiting: bool,
 }
 
 impl Polls {
@@ -138,7 +148,8 @@
 
     /// Sends a poll, or a probe if the current poll is silent so far.
     fn ask(&mut self, reader: &Reader, wait: Duration) {
-        if self.is_receiving() {
+        let is_waiting = std::mem::take(&mut self.is_waiting) && self.current.is_some();
+        if is_waiting || self.is_receiving() {
             return;
         }
         // An answer that stalled may be on a connection that is silent for good. The probe, which
@@ -157,8 +168,13 @@
     }
 
     /// Returns the first answer that arrives within `time`. Fails earlier if an answer begins and
-    /// stalls.
-    async fn first_answer(&mut self, time: Duration) -> Result<Answer, StoreError> {
+    /// stalls. Sends an urgent poll when `list` is to be read.
+    async fn first_answer(
+        &mut self,
+        time: Duration,
+        reader: &Reader,
+        list: Option<&Confirmation>,
+    ) -> Result<Answer, StoreError> {
         let end = Instant::now() + time;
         loop {
             let now = Instant::now();
@@ -171,6 +187,14 @@
             tokio::select! {
                 answer = next_answer(&mut self.current) => return answer,
                 answer = next_answer(&mut self.probe) => return answer,
+                answer = next_answer(&mut self.urgent) => {
+                    self.is_waiting = answer.as_ref().is_ok_and(Answer::is_empty);
+                    return answer;
+                }
+                () = wanted(list), if self.urgent.is_none() => {
+                    let timeout = ResponseTimeout::watched(MAX_LATENESS);
+                    self.urgent = Some(Poll::ask(reader, Duration::ZERO, timeout));
+                }
                 () = sleep_until(wake_at) => {
                     if wake_at >= end || !self.is_receiving() {
                         return Err(StoreError::Unknown(format!("no answer within {time:?}")));
@@ -183,6 +207,14 @@
     }
 }
 
+/// Resolves when `list` is to be read; never if there is none.
+async fn wanted(list: Option<&Confirmation>) {
+    match list {
+        Some(list) => list.wanted().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Resolves when the answer to a poll begins; never if there is none.
 fn begun(poll: &Option<Poll>) -> impl Future<Output = ()> + use<> {
     let timeout = poll.as_ref().map(|poll| poll.timeout.clone());
@@ -252,17 +284,25 @@
         handler: &mut impl Follow,
         relay: Option<&Relay>,
     ) {
+        let list = relay.and_then(|relay| relay.list(reader.feed()));
+        let is_wanted = list.is_some_and(Confirmation::is_wanted);
         // After a loss the polls are short, to notice soon when the store is back.
         let wait = match self.lost_at {
-            Some(_) => Duration::ZERO,
-            None => poll_wait(reader.feed(), relay),
+            None if !is_wanted => poll_wait(reader.feed(), relay),
+            _ => Duration::ZERO,
         };
         self.polls.ask(reader, wait);
-        match self.polls.first_answer(wait + SILENCE_TIMEOUT).await {
+        let time = wait + SILENCE_TIMEOUT;
+        match self.polls.first_answer(time, reader, list).await {
             Ok(answer) => {
                 // The other poll would return nothing beyond what the next one does.
-                self.polls = Polls::default();
+                if !self.polls.is_waiting {
+                    self.polls = Polls::default();
+                }
                 self.note_recovery(&answer, reader, handler);
+                if let Some(list) = list {
+                    list.set_lost(false);
+                }
                 if reader.is_new_era(&answer) {
                     // Entries that the copy lacks are written again, like those that lapsed.
                     handler.store_recovered(None);
@@ -272,11 +312,17 @@
                 take(update, reader, handler, relay);
                 tick(reader, handler, relay);
                 if has_changes {
-                    sleep(POLL_PAUSE).await;
+                    tokio::select! {
+                        () = sleep(POLL_PAUSE) => {}
+                        () = wanted(list) => {}
+                    }
                 }
             }
             Err(_silent) if self.polls.is_receiving() => tick(reader, handler, relay),
             Err(error) => {
+                if let Some(list) = list {
+                    list.set_lost(true);
+                }
                 if self.lost_at.is_none() {
                     event!(warn, "store.lost", feed = reader.feed(), error = error);
                     self.lost_at = Some(Instant::now());
@@ -323,9 +369,14 @@
     handler: &mut impl Follow,
     relay: Option<&Relay>,
 ) {
+    let as_of = update.as_of;
     let published = handler.take(update);
-    if let Some(relay) = relay {
-        relay.node.replicas.apply(reader.feed(), &published);
+    let Some(relay) = relay else {
+        return;
+    };
+    relay.node.replicas.apply(reader.feed(), &published);
+    if let (Some(list), Some(as_of)) = (relay.list(reader.feed()), as_of) {
+        list.confirm(as_of);
     }
 }
 
--- a/crates/gateway/src/watch/reader.rs
+++ b/crates/gateway/src/watch/reader.rs
@@ -61,6 +61,11 @@
 }
 
 impl Answer {
+    /// Whether it has no records and isn't a page of the whole feed.
+    pub(super) fn is_empty(&self) -> bool {
+        self.page.records.is_empty() && !self.is_complete
+    }
+
     /// Time that has passed since the answer was due.
     #[must_use]
     pub fn lateness(&self) -> Duration {
@@ -300,7 +305,11 @@
             update.end = self.peer_position(update.end);
         }
         let age = update.page.age;
-        let as_of = age.and_then(|age| asked.checked_sub(age));
+        let as_of = if update.is_confirmed {
+            Some(asked)
+        } else {
+            age.and_then(|age| asked.checked_sub(age))
+        };
         self.as_of = self.as_of.max(as_of);
         let changes = self.newer(update.page.records);
         if update.end > 0 {
--- a/crates/gateway/src/watch/replicas.rs
+++ b/crates/gateway/src/watch/replicas.rs
@@ -22,6 +22,7 @@
 
 use super::reader::{Change, FeedUpdate};
 use super::upstream::max_age_for_followers;
+use crate::origins::ServerList;
 use crate::store::{Feed, Record, era_of, offset_of, position};
 
 /// Maximum size of the records in an answer to a router that lost the store: a hundredth of a
@@ -99,6 +100,8 @@
     pub end: u64,
     /// Whether these records, together with those of the answers before, are the complete feed.
     pub is_complete: bool,
+    /// Whether the sender read the feed after it was asked to.
+    pub is_confirmed: bool,
 }
 
 /// The newest record of a key.
@@ -330,14 +333,28 @@
     }
 
     /// Answers a query of another router; `process` is the ID of this process. A follower's query
-    /// waits while there is nothing new and the data is fresh. `apply` is the time within which a
-    /// change must be in force everywhere.
-    pub async fn answer(&self, query: &GetFeed, process: u64, apply: Duration) -> PeerUpdate {
+    /// waits while there is nothing new and the data is fresh, or until `list` has been read if it
+    /// is a confirming one. `apply` is the time within which a change must be in force everywhere.
+    pub async fn answer(
+        &self,
+        query: &GetFeed,
+        process: u64,
+        apply: Duration,
+        list: &dyn ServerList,
+    ) -> PeerUpdate {
         let Some(feed) = feed_of(query) else {
             return PeerUpdate::default();
         };
         let from = position(query.era, query.from);
         match &query.follow {
+            Some(cursor) if cursor.is_confirming && feed == Feed::Servers => {
+                let is_read = list.read_since(Instant::now()).await;
+                let (update, _) = self.pending_update(feed, from, cursor, process);
+                PeerUpdate {
+                    is_confirmed: is_read && update.page.age.is_some(),
+                    ..update
+                }
+            }
             Some(cursor) => {
                 let max_age = max_age_for_followers(feed, apply);
                 self.wait_for_update(feed, from, cursor, process, max_age)
@@ -435,6 +452,7 @@
         end: offset_of(update.end),
         is_all: update.is_complete,
         end_era: era_of(update.end),
+        is_confirmed: update.is_confirmed,
     }
 }
 
@@ -454,5 +472,6 @@
         revision: answer.revision,
         end: position(answer.end_era, answer.end),
         is_complete: answer.is_all,
+        is_confirmed: answer.is_confirmed,
     }
 }
--- a/crates/gateway/src/watch/upstream.rs
+++ b/crates/gateway/src/watch/upstream.rs
@@ -8,6 +8,7 @@
 use swiftlink_wire::link::{Following, GetFeed};
 use tokio::time::{Instant, sleep};
 
+use super::confirmation::READ_TIMEOUT;
 use super::follow::{Follow, Relay, STARTUP_POLL_WAIT, take};
 use super::reader::Reader;
 use super::replicas::{self, PeerUpdate, Upstreams};
@@ -35,8 +36,9 @@
 const MAX_TRIES: usize = 2;
 /// How long an upstream that failed isn't tried again.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
-/// Pause before the next request while the upstreams have no data themselves.
-const STARTUP_PAUSE: Duration = Duration::from_millis(50);
+/// Pause before the next request while the upstreams have no data themselves, or none that is new
+/// enough.
+const EMPTY_PAUSE: Duration = Duration::from_millis(50);
 /// How long a starting router waits for its upstreams before it reads the store. They may start at
 /// the same time, and hundreds of routers that read the whole store at once would delay each other.
 const STARTUP_WAIT: Duration = Duration::from_secs(2);
@@ -85,7 +87,7 @@
             if self.started.elapsed() >= MEMBERSHIP_WAIT.mul_f64(1.0 + self.jitter) {
                 return false;
             }
-            sleep(STARTUP_PAUSE).await;
+            sleep(EMPTY_PAUSE).await;
             return true;
         };
         if upstreams.vms.is_empty() {
@@ -105,13 +107,11 @@
             } else {
                 Duration::ZERO
             };
-            let query = self.query(reader, &vm, wait);
-            let Some(query) = query else {
+            let Some(query) = self.query(reader, &vm, wait) else {
                 return false;
             };
-            let asked = Instant::now();
-            let update = relay.peers.follow(&vm, query, wait + ANSWER_TIMEOUT);
-            let Some(update) = update.await else {
+            let (asked, update) = follow(relay, feed, &vm, query).await;
+            let Some(update) = update else {
                 self.mark_failed(&vm);
                 continue;
             };
@@ -123,6 +123,9 @@
             }
             if age.is_some_and(|age| age <= max_age) {
                 self.has_update = true;
+                if let Some(list) = relay.list(feed) {
+                    list.set_lost(false);
+                }
                 return true;
             }
             self.mark_failed(&vm);
@@ -143,7 +146,7 @@
             return false;
         }
         self.failures.clear();
-        sleep(STARTUP_PAUSE).await;
+        sleep(EMPTY_PAUSE).await;
         true
     }
 
@@ -212,6 +215,37 @@
     }
 }
 
+/// Asks an upstream for what is new, and returns when it was asked, too. If the list of servers is
+/// to be read meanwhile, the upstream is asked to read it instead of waiting for changes.
+async fn follow(
+    relay: &Relay,
+    feed: Feed,
+    vm: &VmName,
+    query: GetFeed,
+) -> (Instant, Option<PeerUpdate>) {
+    let wait = query.follow.as_ref().map_or(0, |cursor| cursor.wait_ms);
+    let time = Duration::from_millis(wait.into()) + ANSWER_TIMEOUT;
+    let asked = Instant::now();
+    let Some(list) = relay.list(feed) else {
+        return (asked, relay.peers.follow(vm, query, time).await);
+    };
+    let mut confirming = query;
+    if let Some(cursor) = &mut confirming.follow {
+        cursor.is_confirming = true;
+    }
+    tokio::select! {
+        update = relay.peers.follow(vm, query, time) => return (asked, update),
+        () = list.wanted() => {}
+    }
+    let asked = Instant::now();
+    let time = READ_TIMEOUT + ANSWER_TIMEOUT;
+    let update = relay.peers.follow(vm, confirming, time).await;
+    if !update.as_ref().is_some_and(|update| update.is_confirmed) {
+        sleep(EMPTY_PAUSE).await;
+    }
+    (asked, update)
+}
+
 /// Maximum wait for an answer.
 fn max_wait(feed: Feed, relay: &Relay) -> Duration {
     match feed {
--- a/crates/gateway/tests/testsuite/fallback.rs
+++ b/crates/gateway/tests/testsuite/fallback.rs
@@ -54,6 +54,7 @@
             revision: 2,
             end: 2,
             is_complete: true,
+            is_confirmed: false,
         })
     }
 }
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod large;
 mod leases;
 mod limits;
+mod list_reads;
 mod losses;
 mod net;
 mod origins;
--- a/crates/gateway/tests/testsuite/recorders.rs
+++ b/crates/gateway/tests/testsuite/recorders.rs
@@ -9,8 +9,8 @@
 use swiftlink_gateway::clock::{SystemClock, steady_millis};
 use swiftlink_gateway::fleet::{Pool, Pools};
 use swiftlink_gateway::origins::{
-    Found, Knowledge, Lookup, MIN_LIFETIME, OriginError, Origins, Recorders, ServerList, Source,
-    StreamKey, VersionRecords, copy_for, receive, reply_to, run, run_records,
+    Found, Knowledge, Lookup, MIN_LIFETIME, OriginError, Origins, Recorders, Source, StreamKey,
+    VersionRecords, answer, copy_for, receive, reply_to, run, run_records,
 };
 use swiftlink_gateway::peers::{record_ranking, writer_place};
 use swiftlink_gateway::store::{Feed, MemStore, Store, StoreFault};
@@ -20,6 +20,7 @@
 use swiftlink_wire::rights::PoolVersions;
 use tokio::task::JoinHandle;
 
+use crate::list_reads::TestList;
 use crate::origins::{domain, key, origin, version};
 use crate::pools;
 
@@ -29,6 +30,7 @@
     pub(crate) vm: VmName,
     pub(crate) origins: Arc<Origins>,
     pub(crate) pools: Arc<Pools>,
+    pub(crate) list: Arc<TestList>,
 }
 
 /// Routers that reach each other, but for those that have ended, and their store.
@@ -135,14 +137,19 @@
             .or_default() += 1;
         let members = network.members.lock().expect("a lock").clone();
         let member = members.iter().find(|member| member.vm == *vm);
-        let Member { origins, pools, .. } = &**member.ok_or(LinkError::Down)?;
+        let Member {
+            origins,
+            pools,
+            list,
+            ..
+        } = &**member.ok_or(LinkError::Down)?;
         Ok(match kind {
             request::Kind::StreamOrigins(message) => {
                 receive(origins, &message);
                 reply::Kind::Noted(Noted::default())
             }
             request::Kind::FindOrigin(ask) => {
-                reply::Kind::OriginReply(reply_to(origins, &ask, steady_millis()))
+                reply::Kind::OriginReply(answer(origins, &**list, &ask).await)
             }
             request::Kind::CopyOrigins(_) => reply::Kind::StreamOrigins(copy_for(origins, pools)),
             other => panic!("{other:?}"),
@@ -150,16 +157,6 @@
     }
 }
 
-/// A list of servers that has just been read.
-#[derive(Debug)]
-struct ReadList;
-
-impl ServerList for ReadList {
-    fn age(&self) -> Option<Duration> {
-        Some(Duration::ZERO)
-    }
-}
-
 /// A running router of the network.
 pub(crate) struct TestMember {
     pub(crate) member: Arc<Member>,
@@ -184,6 +181,7 @@
             vm: VmName::from(format!("vm-{number}")),
             origins: Arc::default(),
             pools: Arc::new(Pools::new()),
+            list: Arc::default(),
         });
         network
             .members
@@ -199,6 +197,7 @@
             vm: member.vm.clone(),
             origins: Arc::clone(&origins),
             pools: Arc::clone(&member.pools),
+            list: Arc::clone(&member.list),
         });
         network.members.lock().expect("a lock")[number] = Arc::clone(&member);
         let recorders: Arc<dyn Recorders> = Arc::new(Others {
@@ -217,14 +216,15 @@
             Arc::clone(&recorders),
             store,
         ));
+        let lookup = Lookup {
+            origins,
+            recorders,
+            records,
+            list: Arc::clone(&member.list) as _,
+        };
         let started = Self {
             member,
-            lookup: Lookup {
-                origins,
-                recorders,
-                records,
-                list: Arc::new(ReadList),
-            },
+            lookup,
             tasks: [sending, recording],
         };
         started.set_versions(versions);
@@ -266,7 +266,7 @@
     }
 }
 
-fn start(count: usize, versions: &[&str]) -> (Arc<Network>, Vec<TestMember>) {
+pub(crate) fn start(count: usize, versions: &[&str]) -> (Arc<Network>, Vec<TestMember>) {
     let network = Network::new(&Arc::new(MemStore::new()));
     let members = (0..count).map(|_| TestMember::start(&network, versions));
     let members = members.collect();
@@ -476,8 +476,9 @@
             key: None,
             pool: pool.to_string(),
             lifetime_ms,
+            is_confirming: false,
         };
-        let mut versions = reply_to(&origins, &ask, 300_000).versions;
+        let mut versions = reply_to(&origins, &ask, None, 300_000).versions;
         versions.sort_unstable();
         versions
     };
--- a/crates/gateway/tests/testsuite/relay.rs
+++ b/crates/gateway/tests/testsuite/relay.rs
@@ -30,17 +30,17 @@
 
 /// The store, the links and their faults.
 #[derive(Debug)]
-struct Network {
+pub(crate) struct Network {
     store: MemStore,
     members: Vec<Member>,
-    nodes: Vec<Arc<Node>>,
+    pub(crate) nodes: Vec<Arc<Node>>,
     /// Routers that get no answer from the store.
-    cut: Mutex<HashSet<VmName>>,
+    pub(crate) cut: Mutex<HashSet<VmName>>,
     /// Routers that answer no other router.
-    silent: Mutex<HashSet<VmName>>,
+    pub(crate) silent: Mutex<HashSet<VmName>>,
     /// Time in which a change must be in force.
     apply: Duration,
-    calls: AtomicUsize,
+    pub(crate) calls: AtomicUsize,
     /// Records that routers read from the store, and those received from each other.
     read: AtomicUsize,
     received: AtomicUsize,
@@ -128,7 +128,7 @@
         let node = &self.network.nodes[place];
         let update = node
             .replicas
-            .answer(&query, node.process, self.network.apply)
+            .answer(&query, node.process, self.network.apply, &*node.list)
             .await;
         sleep(ONE_WAY_DELAY).await;
         self.network
@@ -138,13 +138,13 @@
     }
 }
 
-struct Fleet {
-    network: Arc<Network>,
+pub(crate) struct Fleet {
+    pub(crate) network: Arc<Network>,
     _tasks: JoinSet<()>,
 }
 
 impl Fleet {
-    fn open(count: usize) -> Self {
+    pub(crate) fn open(count: usize) -> Self {
         Self::open_with(count, APPLY)
     }
 
@@ -190,7 +190,7 @@
         }
     }
 
-    fn put(&self, server: &str, entry: Option<&'static str>) {
+    pub(crate) fn put(&self, server: &str, entry: Option<&'static str>) {
         self.network
             .store
             .put(Feed::Servers, server, entry.map(Bytes::from));
@@ -202,7 +202,7 @@
     }
 
     /// Time until all routers but the `excluded` ones use these servers.
-    async fn convergence_time(
+    pub(crate) async fn convergence_time(
         &self,
         servers: &BTreeMap<String, (u64, u16)>,
         excluded: &[usize],
@@ -247,7 +247,7 @@
     }
 }
 
-fn servers(all: &[(&str, u64, u16)]) -> BTreeMap<String, (u64, u16)> {
+pub(crate) fn servers(all: &[(&str, u64, u16)]) -> BTreeMap<String, (u64, u16)> {
     let servers = all.iter();
     servers
         .map(|(name, started, port)| ((*name).to_owned(), (*started, *port)))
