origins: record versions that come and go between two looks at the list

What callers saw: a stream of a version that was listed for a moment went on at another version once all routers had been killed and came back.

Cause: the writer compared the versions that are listed with those that it had seen. If a version appears and leaves before the writer's task runs, or while it waits for the store, the two are equal and nothing is written, although the history keeps the version among those that were listed before.

Now the writer compares the earlier versions and the time of each, too.

version_records::a_version_that_came_and_went_at_once_is_recorded, before: assertion left == right failed: v2 left lately left: Some("v1") right: None After: passes, with the other tests of version_records.

--- a/crates/gateway/src/origins/version_store.rs
+++ b/crates/gateway/src/origins/version_store.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
 
-use super::{ListedVersions, Origins, Recorders, VersionRecord};
+use super::{ListedVersions, Origins, Recorders, VersionHistory, VersionRecord};
 use crate::clock::{Clock, steady_millis};
 use crate::store::{ANSWER_TIMEOUT, Feed, Record, Store, StoreError};
 
@@ -171,8 +171,8 @@
 /// The pools whose records may have to be written.
 #[derive(Debug, Default)]
 struct Writer {
-    /// The versions of each pool when it was last looked at.
-    seen: HashMap<PoolName, Vec<VersionName>>,
+    /// What was known of each pool when it was last looked at.
+    seen: HashMap<PoolName, VersionHistory>,
     /// When the versions of a pool changed.
     pending: HashMap<PoolName, Instant>,
 }
@@ -180,11 +180,12 @@
 impl Writer {
     fn note_changes(&mut self, listed: &ListedVersions) {
         for pool in listed.pools() {
-            let versions = listed.of(&pool).listed().to_vec();
-            if self.seen.get(&pool) != Some(&versions) {
-                self.seen.insert(pool.clone(), versions);
-                self.pending.insert(pool, Instant::now());
+            let history = listed.of(&pool);
+            if is_recent(self.seen.get(&pool), &history) {
+                continue;
             }
+            self.seen.insert(pool.clone(), history);
+            self.pending.insert(pool, Instant::now());
         }
     }
 
@@ -212,6 +213,16 @@
     }
 }
 
+/// Whether `seen` has all that `history` says. A version may come and go between two looks.
+fn is_recent(seen: Option<&VersionHistory>, history: &VersionHistory) -> bool {
+    let Some(seen) = seen else {
+        return false;
+    };
+    let mut earlier = history.earlier().iter();
+    seen.listed() == history.listed()
+        && earlier.all(|(version, last)| seen.earlier().get(version) == Some(last))
+}
+
 /// Writes the records of `pools` that don't say what this router has observed.
 async fn write(
     records: &VersionRecords,
--- a/crates/gateway/tests/testsuite/version_records.rs
+++ b/crates/gateway/tests/testsuite/version_records.rs
@@ -117,6 +117,22 @@
     assert_eq!(goes_on_at(&members[3]).await, None, "v1 left lately");
 }
 
+/// Guards against a version that comes and goes between two looks of the writer at the list, whose
+/// streams would be forgotten with the routers.
+#[tokio::test]
+async fn a_version_that_came_and_went_at_once_is_recorded() {
+    let store = Arc::new(MemStore::new());
+    let network = Network::new(&store);
+    let member = TestMember::start(&network, &["v1"]);
+    network.until_recorded(&["v1"]).await;
+    member.set_versions(&["v1", "v2"]);
+    member.set_versions(&["v1"]);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    drop(member);
+    let (_network, members) = restart(&store, 2, &["v1"]);
+    assert_eq!(goes_on_at(&members[0]).await, None, "v2 left lately");
+}
+
 /// Guards against the reply of one router that has started, or of a single one that was left, as
 /// evidence of what was before it.
 #[tokio::test]
