origins: read the records for callers beside the writer

What callers saw: streams were refused for up to 0.6 s longer after the store had answered again.

Cause: one task read the records for callers and wrote them. A read waited up to 600 ms for the store, twice as long as a caller does; an append had no time limit in the task. Each call that the store left unanswered held up the callers that came after it.

Now the reads of callers have a task of their own and end with the wait of their callers; an append ends after 600 ms, with an unknown outcome, and is tried again on what is read then.

--- a/crates/gateway/src/origins/version_store.rs
+++ b/crates/gateway/src/origins/version_store.rs
@@ -86,16 +86,10 @@
         Some(record.within(time, self.clock.read().wall))
     }
 
-    /// Reads the records.
-    async fn read(&self, store: &dyn Store) -> Result<Arc<Snapshot>, StoreError> {
+    /// Reads the records. Waits up to `time` for the store.
+    async fn read(&self, store: &dyn Store, time: Duration) -> Result<Arc<Snapshot>, StoreError> {
         let asked = steady_millis();
-        let page = timeout(
-            ANSWER_TIMEOUT,
-            store.newest(Feed::Versions, ANSWER_TIMEOUT.into()),
-        );
-        let page = page.await.map_err(|_elapsed| {
-            StoreError::Unknown(format!("no answer within {ANSWER_TIMEOUT:?}"))
-        })??;
+        let page = within(time, store.newest(Feed::Versions, time.into())).await?;
         let snapshot = Arc::new(Snapshot {
             asked,
             end: page.end,
@@ -106,6 +100,16 @@
     }
 }
 
+/// The outcome of a call of the store, which is unknown after `time`.
+async fn within<T>(
+    time: Duration,
+    call: impl Future<Output = Result<T, StoreError>>,
+) -> Result<T, StoreError> {
+    let outcome = timeout(time, call).await;
+    outcome
+        .unwrap_or_else(|_elapsed| Err(StoreError::Unknown(format!("no answer within {time:?}"))))
+}
+
 /// Decodes records. A pool whose record is unreadable counts as one without a record.
 fn decode(records: &[Record]) -> HashMap<PoolName, VersionRecord> {
     let mut pools = HashMap::new();
@@ -131,35 +135,49 @@
     pools
 }
 
-/// Reads and writes records until the task is aborted.
+/// Reads records for callers, and writes those of the pools whose versions change, until the task is
+/// aborted.
 pub async fn run(
     records: Arc<VersionRecords>,
     origins: Arc<Origins>,
     recorders: Arc<dyn Recorders>,
     store: Arc<dyn Store>,
 ) {
-    let listed = origins.versions();
+    let reads = async {
+        loop {
+            records.wanted.notified().await;
+            if let Err(error) = records.read(&*store, READ_TIMEOUT).await {
+                event!(warn, "versions.not_read", error = error);
+            }
+        }
+    };
+    tokio::join!(
+        reads,
+        run_writer(&records, origins.versions(), &*recorders, &*store)
+    );
+}
+
+async fn run_writer(
+    records: &VersionRecords,
+    listed: &ListedVersions,
+    recorders: &dyn Recorders,
+    store: &dyn Store,
+) {
     let mut era = store.era();
     let mut writer = Writer::default();
     loop {
         let has_pending = !writer.pending.is_empty();
         tokio::select! {
-            () = records.wanted.notified() => {
-                if let Err(error) = records.read(&*store).await {
-                    event!(warn, "versions.not_read", error = error);
-                }
-                continue;
-            }
             () = listed.changed() => writer.note_changes(listed),
             // A store that went back to a copy may lack records.
             Ok(()) = era.changed() => writer.note_all(listed),
             () = sleep(RETRY_INTERVAL), if has_pending => {}
         }
-        let due = writer.due(&*recorders);
+        let due = writer.due(recorders);
         if due.is_empty() {
             continue;
         }
-        match write(&records, listed, &*store, &due).await {
+        match write(records, listed, store, &due).await {
             Ok(()) => writer.pending.retain(|pool, _| !due.contains(pool)),
             // Another writer was first.
             Err(StoreError::Conflict { .. }) => {}
@@ -230,7 +248,7 @@
     store: &dyn Store,
     pools: &[PoolName],
 ) -> Result<(), StoreError> {
-    let snapshot = records.read(store).await?;
+    let snapshot = records.read(store, ANSWER_TIMEOUT).await?;
     let now = records.clock.read();
     let mut changed = Vec::new();
     for pool in pools {
@@ -247,9 +265,8 @@
         (pool.to_string(), value)
     };
     let values: Vec<_> = changed.iter().map(encode).collect();
-    store
-        .append_at(Feed::Versions, snapshot.end, &values)
-        .await?;
+    let append = store.append_at(Feed::Versions, snapshot.end, &values);
+    within(ANSWER_TIMEOUT, append).await?;
     for (pool, record) in changed {
         event!(info, "versions.recorded", pool = pool, versions = record);
     }
--- a/crates/gateway/tests/testsuite/version_records.rs
+++ b/crates/gateway/tests/testsuite/version_records.rs
@@ -291,6 +291,23 @@
     }
 }
 
+/// Guards against a call that the store left unanswered and that holds up later readers.
+#[tokio::test]
+async fn a_stream_goes_on_once_the_store_answers_again() {
+    let store = Arc::new(MemStore::new());
+    let network = Network::new(&store);
+    let first = TestMember::start(&network, &["v1"]);
+    network.until_recorded(&["v1"]).await;
+    drop(first);
+    store.set_fault(StoreFault::Silent);
+    let (_network, members) = restart(&store, 2, &["v1"]);
+    for _ in 0..2 {
+        assert_eq!(goes_on_at(&members[0]).await, None);
+    }
+    store.set_fault(StoreFault::None);
+    assert_eq!(goes_on_at(&members[0]).await, Some(version("v1")));
+}
+
 /// Guards against records that a store loses when it goes back to an older copy of itself.
 #[tokio::test]
 async fn records_are_written_again_when_the_store_went_back() {
