origins: write a pool's record in place of writers that have ended

What callers saw: after routers had been replaced, streams of a version that had left went on at another one, or every stream of before was refused, since the record of the pool was old or missing.

Cause: routers that have ended count as members for good. The first three of all members write the record of a pool; if none of them runs, nobody does, however long that lasts (not only right after a restart).

version_records::the_next_routers_write_a_record_in_place_of_those_that_have_ended, before (12 routers, the first 8 in the order have ended, 10 s): panicked at recorders.rs:67: the versions weren't recorded After: passes.

Now each router but the first asks one of the first few whether the record names what it sees as listed. One that doesn't reply no longer counts in the order, and who gets no confirmation until its turn reads the record and writes it. So a router that can't write because the store turns it away is replaced too. The reply to FindOrigin carries the recorded versions; routers of an older build leave them out, and a newer one then waits for its turn.

The test network counts these questions apart from the messages that origins_are_sent_once_a_pool_has_a_second_version bounds: they are sent for a change of versions, not for a stream.

--- a/crates/gateway/src/origins/exchange.rs
+++ b/crates/gateway/src/origins/exchange.rs
@@ -44,9 +44,9 @@
     /// order is the same at all routers with the same members.
     fn recorders(&self, key: &StreamKey) -> Vec<VmName>;
 
-    /// Place of this router in the order in which routers write the record of a pool's versions.
-    /// `None` until all routers are known.
-    fn writer_place(&self, pool: &PoolName) -> Option<usize>;
+    /// The routers that come before this one in the order in which routers write the record of a
+    /// pool's versions, the first one first. `None` until all routers are known.
+    fn writers_before(&self, pool: &PoolName) -> Option<Vec<VmName>>;
 
     /// Whether this router is a recorder of some streams.
     fn is_recorder(&self) -> bool;
--- a/crates/gateway/src/origins/lookup.rs
+++ b/crates/gateway/src/origins/lookup.rs
@@ -8,7 +8,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use swiftlink_types::{PoolName, VersionName, VmName};
-use swiftlink_wire::link::{FindOrigin, OriginReply, reply, request};
+use swiftlink_wire::link::{FindOrigin, OriginReply, RecordedVersions, reply, request};
 use tokio::time::timeout;
 
 use super::exchange::{decode, decode_key, encode, encode_key};
@@ -239,5 +239,8 @@
         is_ambiguous: known == Knowledge::Ambiguous,
         versions: versions.iter().map(VersionName::to_string).collect(),
         known_ms: history.known_for(now).as_millis() as u64,
+        recorded: history.recorded().map(|versions| RecordedVersions {
+            versions: versions.iter().map(VersionName::to_string).collect(),
+        }),
     }
 }
--- a/crates/gateway/src/origins/mod.rs
+++ b/crates/gateway/src/origins/mod.rs
@@ -16,6 +16,7 @@
 mod table;
 mod version_record;
 mod version_store;
+mod version_writer;
 mod versions;
 
 use std::collections::VecDeque;
@@ -32,7 +33,8 @@
 pub use lookup::{Found, Lookup, OriginError, Source, reply_to};
 pub use table::{Knowledge, Origin, OriginTable, StreamKey};
 pub use version_record::VersionRecord;
-pub use version_store::{VersionRecords, WRITERS, run as run_records};
+pub use version_store::{VersionRecords, run as run_records};
+pub use version_writer::WRITERS;
 pub use versions::{ListedVersions, VersionHistory};
 
 /// Minimum time for which origins are kept, and for which a version counts as one that may have
--- a/crates/gateway/src/origins/version_record.rs
+++ b/crates/gateway/src/origins/version_record.rs
@@ -64,6 +64,13 @@
         recent.map(|(version, _)| version.clone()).collect()
     }
 
+    /// The versions that count as listed, in ascending order.
+    pub(super) fn listed(&self) -> Vec<VersionName> {
+        let versions = self.versions.iter();
+        let listed = versions.filter(|(_, removed)| removed.is_none());
+        listed.map(|(version, _)| version.clone()).collect()
+    }
+
     pub(super) fn encode(&self) -> PoolVersions {
         let versions = self.versions.iter().map(|(version, removed)| PoolVersion {
             version: version.to_string(),
--- a/crates/gateway/src/origins/versions.rs
+++ b/crates/gateway/src/origins/versions.rs
@@ -19,6 +19,8 @@
     earlier: HashMap<VersionName, u64>,
     /// Since when the list has been observed without a gap.
     since: Option<u64>,
+    /// The versions that the store's record names as listed; `None` while that is unknown.
+    recorded: Option<Vec<VersionName>>,
 }
 
 impl VersionHistory {
@@ -31,6 +33,10 @@
             return false;
         }
         self.since.get_or_insert(now);
+        if let Some(recorded) = &mut self.recorded {
+            // The removal of a version that has come back may have been recorded.
+            recorded.retain(|version| self.listed.contains(version) || !listed.contains(version));
+        }
         for version in std::mem::take(&mut self.listed) {
             self.earlier.insert(version, now);
         }
@@ -49,6 +55,20 @@
         }
     }
 
+    /// Sets the versions that the store's record names as listed, in ascending order. Returns whether
+    /// they are those that are listed.
+    pub fn set_recorded(&mut self, versions: Vec<VersionName>) -> bool {
+        let is_current = versions == self.listed;
+        self.recorded = Some(versions);
+        is_current
+    }
+
+    /// The versions that the store's record names as listed; `None` while that is unknown.
+    #[must_use]
+    pub fn recorded(&self) -> Option<&[VersionName]> {
+        self.recorded.as_deref()
+    }
+
     /// The versions that are listed now.
     #[must_use]
     pub fn listed(&self) -> &[VersionName] {
@@ -127,6 +147,14 @@
         }
     }
 
+    /// Sets the versions of a pool that the store's record names as listed, in ascending order.
+    /// Returns whether they are those that are listed.
+    pub(super) fn set_recorded(&self, pool: &PoolName, versions: Vec<VersionName>) -> bool {
+        let mut pools = lock(&self.pools);
+        let history = pools.get_mut(pool);
+        history.is_some_and(|history| history.set_recorded(versions))
+    }
+
     /// What is known of a pool.
     #[must_use]
     pub fn of(&self, pool: &PoolName) -> VersionHistory {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -40,7 +40,7 @@
 use crate::watch::{PeerFeeds, PeerPage, PeerUpdate, Upstreams, replicas};
 
 pub(crate) use follower::Follower;
-pub use recorders::{MAX_KEEPERS, record_ranking, writer_place};
+pub use recorders::{MAX_KEEPERS, record_ranking, writers_before};
 pub(crate) use register::{member, register, start_times};
 
 /// Key of the links' secret; no VM name contains a slash.
--- a/crates/gateway/src/peers/recorders.rs
+++ b/crates/gateway/src/peers/recorders.rs
@@ -32,15 +32,21 @@
     first.into_iter().chain(rest).map(|(vm, _)| vm).collect()
 }
 
-/// Place of `own` in the order in which `members` write the record of a pool's versions, by rendezvous
-/// hashing.
+/// The `members` that come before `own` in the order in which they write the record of a pool's
+/// versions, by rendezvous hashing.
 #[must_use]
-pub fn writer_place(members: &[(VmName, DomainName)], own: &VmName, pool: &PoolName) -> usize {
+pub fn writers_before(
+    members: Vec<(VmName, DomainName)>,
+    own: &VmName,
+    pool: &PoolName,
+) -> Vec<VmName> {
     let seed = xxh3_64(pool.as_str().as_bytes());
     let weight = |vm: &VmName| xxh3_64_with_seed(vm.as_str().as_bytes(), seed);
     let limit = weight(own);
-    let members = members.iter();
-    members.filter(|(vm, _)| weight(vm) > limit).count()
+    let vms = members.into_iter().map(|(vm, _)| vm);
+    let mut before: Vec<VmName> = vms.filter(|vm| weight(vm) > limit).collect();
+    before.sort_by_cached_key(|vm| Reverse(weight(vm)));
+    before
 }
 
 /// Removes all but the routers that record streams.
@@ -77,12 +83,11 @@
         members.iter().any(|(vm, _)| *vm == self.vm)
     }
 
-    fn writer_place(&self, pool: &PoolName) -> Option<usize> {
+    fn writers_before(&self, pool: &PoolName) -> Option<Vec<VmName>> {
         if !self.has_all_members() {
             return None;
         }
-        let members = self.all_domains();
-        Some(writer_place(&members, &self.vm, pool))
+        Some(writers_before(self.all_domains(), &self.vm, pool))
     }
 
     async fn call(
--- a/crates/gateway/tests/testsuite/recorders.rs
+++ b/crates/gateway/tests/testsuite/recorders.rs
@@ -1,6 +1,7 @@
 //! Routers that record the origins of streams for each other, without sockets.
 
 use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
     Found, Knowledge, Lookup, MIN_LIFETIME, OriginError, Origins, Recorders, Source, StreamKey,
     VersionRecords, copy_for, receive, reply_to, run, run_records,
 };
-use swiftlink_gateway::peers::{record_ranking, writer_place};
+use swiftlink_gateway::peers::{record_ranking, writers_before};
 use swiftlink_gateway::store::{Feed, MemStore, Store, StoreFault};
 use swiftlink_link::LinkError;
 use swiftlink_types::{DomainName, PoolName, ServerInstance, ServerName, VmName};
@@ -37,6 +38,8 @@
     members: Mutex<Vec<Arc<Member>>>,
     ended: Mutex<HashSet<VmName>>,
     calls: Mutex<HashMap<VmName, usize>>,
+    /// Number of questions for what the record of a pool says.
+    pub(crate) questions: AtomicUsize,
     pub(crate) store: Arc<MemStore>,
 }
 
@@ -46,6 +49,7 @@
             members: Mutex::default(),
             ended: Mutex::default(),
             calls: Mutex::default(),
+            questions: AtomicUsize::new(0),
             store: Arc::clone(store),
         })
     }
@@ -109,8 +113,8 @@
         ranking
     }
 
-    fn writer_place(&self, pool: &PoolName) -> Option<usize> {
-        Some(writer_place(&self.network().all(), &self.own, pool))
+    fn writers_before(&self, pool: &PoolName) -> Option<Vec<VmName>> {
+        Some(writers_before(self.network().all(), &self.own, pool))
     }
 
     fn is_recorder(&self) -> bool {
@@ -127,12 +131,13 @@
         if network.ended.lock().expect("a lock").contains(vm) {
             return Err(LinkError::Down);
         }
-        *network
-            .calls
-            .lock()
-            .expect("a lock")
-            .entry(vm.clone())
-            .or_default() += 1;
+        if matches!(&kind, request::Kind::FindOrigin(ask) if ask.key.is_none() && ask.lifetime_ms == 0)
+        {
+            network.questions.fetch_add(1, SeqCst);
+        } else {
+            let mut calls = network.calls.lock().expect("a lock");
+            *calls.entry(vm.clone()).or_default() += 1;
+        }
         let members = network.members.lock().expect("a lock").clone();
         let member = members.iter().find(|member| member.vm == *vm);
         let Member { origins, pools, .. } = &**member.ok_or(LinkError::Down)?;
--- a/crates/gateway/tests/testsuite/version_records.rs
+++ b/crates/gateway/tests/testsuite/version_records.rs
@@ -380,6 +380,63 @@
     join_all([7, 75, 300, 985].map(write_records)).await;
 }
 
+/// Guards against routers that never learn that a version is recorded, and against questions that
+/// grow faster than the fleet.
+#[tokio::test]
+async fn each_router_learns_in_a_few_questions_that_a_version_is_recorded() {
+    for count in [7, 75, 300, 985] {
+        let (network, members) = restart(&Arc::new(MemStore::new()), count, &["v1"]);
+        until_known(&members, &["v1"]).await;
+        let before = network.questions.load(SeqCst);
+        for member in &members {
+            member.set_versions(&["v1", "v2"]);
+        }
+        until_known(&members, &["v1", "v2"]).await;
+        let questions = network.questions.load(SeqCst) - before;
+        println!("{count} routers: {questions} questions");
+        assert!(questions <= 3 * count, "{count} routers: {questions}");
+    }
+}
+
+/// Waits until all routers know that the versions are recorded as listed.
+async fn until_known(members: &[TestMember], versions: &[&str]) {
+    let expected: Vec<VersionName> = versions.iter().map(|name| version(name)).collect();
+    let knows = |member: &&TestMember| {
+        let history = member.member.origins.versions().of(&PoolName::from("pool"));
+        history.recorded() == Some(expected.as_slice())
+    };
+    let mut known = 0;
+    for _ in 0..500 {
+        known = members.iter().filter(knows).count();
+        if known == members.len() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{known} of {} routers", members.len());
+}
+
+/// Guards against a record that nobody writes: routers that have ended count as members for good, also
+/// after a restart of all.
+#[tokio::test]
+async fn the_next_routers_write_a_record_in_place_of_those_that_have_ended() {
+    let store = Arc::new(MemStore::new());
+    let (network, mut members) = restart(&store, 12, &["v1"]);
+    network.until_recorded(&["v1"]).await;
+    let pool = PoolName::from("pool");
+    members.sort_by_key(|member| {
+        let before = member.lookup.recorders.writers_before(&pool);
+        before.expect("the members").len()
+    });
+    for ended in members.drain(..8) {
+        network.end(&ended.member.vm);
+    }
+    for member in &members {
+        member.set_versions(&["v1", "v2"]);
+    }
+    network.until_recorded(&["v1", "v2"]).await;
+}
+
 async fn write_records(count: usize) {
     let inner = Arc::new(MemStore::new());
     let network = Network::new(&inner);
