--- a/crates/gateway/src/origins/lookup.rs
+++ b/crates/gateway/src/origins/lookup.rs
@@ -10,7 +10,7 @@
 use futures_util::future::{Either, select};
 use futures_util::stream::FuturesUnordered;
 use swiftlink_types::{PoolName, VersionName, VmName};
-use swiftlink_wire::link::{FindOrigin, OriginReply, reply, request};
+use swiftlink_wire::link::{FindOrigin, OriginReply, RecordedVersions, reply, request};
 use tokio::time::{Instant, timeout_at};
 
 use super::evidence::Evidence;
@@ -287,5 +287,8 @@
         versions: versions.iter().map(VersionName::to_string).collect(),
         known_ms: history.known_for(now).as_millis() as u64,
         list_age_ms: list_age.map(|age| age.as_millis() as u64),
+        recorded: history.recorded().map(|versions| RecordedVersions {
+            versions: versions.iter().map(VersionName::to_string).collect(),
+        }),
     }
 }
