gateway: count a suspension between question and answer in the configuration's age

Seen by callers: right after the VM was suspended, a key or route that was added meanwhile is refused as unknown, instead of as not known yet with a time to come back.

Cause: Freshness::confirm added all time that the VM had been suspended by now to the moment of the question, also what came after that moment. An Instant doesn't count a suspension, so an answer to a question of before it counted as of after it, and the knowledge as newer by the whole suspension. Class: the age of what one knows isn't measured from its last confirmation.

Suspensions records when each suspension was noticed. A moment before that counts as before the suspension: an age may be too long for one poll and is never too short. The path of a request takes no lock for it.

--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::clock::Clock;
+use crate::suspensions::Suspensions;
 
 /// Longest time between two polls, even if nothing answers: a poll of a second, the wait for a late
 /// answer, a request to another router and a pause add up to 2.2 s. A process for which more has
@@ -17,13 +18,10 @@
 /// Tracks when the store was last known to have no newer configuration than this router.
 #[derive(Debug)]
 pub struct Freshness {
-    clock: Arc<dyn Clock>,
-    started: Instant,
-    /// For how long the VM had been suspended at `started`.
-    suspended: Duration,
-    /// Milliseconds after `started`, plus one; 0 until the first confirmation.
+    suspensions: Suspensions,
+    /// Milliseconds after the start, plus one; 0 until the first confirmation.
     as_of: AtomicU64,
-    /// When the feed was last polled, in milliseconds after `started`.
+    /// When the feed was last polled, in milliseconds after the start.
     polled: AtomicU64,
     /// Notified at each poll.
     polls: Notify,
@@ -34,9 +32,7 @@
     #[must_use]
     pub fn new(clock: Arc<dyn Clock>) -> Self {
         Self {
-            started: Instant::now(),
-            suspended: clock.suspended(),
-            clock,
+            suspensions: Suspensions::new(clock),
             as_of: AtomicU64::new(0),
             polled: AtomicU64::new(0),
             polls: Notify::new(),
@@ -45,7 +41,8 @@
 
     /// Records an answer that includes all that the store had at `at`, or later.
     pub fn confirm(&self, at: Instant) {
-        let after = at.saturating_duration_since(self.started) + self.suspended_since_start();
+        let elapsed = self.suspensions.elapsed();
+        let after = elapsed.saturating_sub(self.suspensions.age(at));
         self.as_of.fetch_max(after.as_millis() as u64 + 1, Relaxed);
     }
 
@@ -61,22 +58,12 @@
     pub fn age(&self) -> Duration {
         let as_of = self.as_of.load(Relaxed).saturating_sub(1);
         let as_of = Duration::from_millis(as_of);
-        self.elapsed().saturating_sub(as_of)
-    }
-
-    /// Time since the start, including suspensions of the VM.
-    fn elapsed(&self) -> Duration {
-        self.started.elapsed() + self.suspended_since_start()
-    }
-
-    /// Time since the start for which the VM was suspended.
-    fn suspended_since_start(&self) -> Duration {
-        self.clock.suspended().saturating_sub(self.suspended)
+        self.suspensions.elapsed().saturating_sub(as_of)
     }
 
     /// Records that the feed was polled and its changes are in force.
     pub fn mark_polled(&self) {
-        let now = self.elapsed().as_millis() as u64;
+        let now = self.suspensions.elapsed().as_millis() as u64;
         self.polled.store(now, Relaxed);
         self.polls.notify_waiters();
     }
@@ -94,6 +81,6 @@
 
     fn has_stalled(&self) -> bool {
         let polled = Duration::from_millis(self.polled.load(Relaxed));
-        self.elapsed().saturating_sub(polled) > MAX_POLL_GAP
+        self.suspensions.elapsed().saturating_sub(polled) > MAX_POLL_GAP
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod sse;
 mod stop;
 pub mod store;
+pub mod suspensions;
 pub mod traffic;
 pub mod upstream;
 pub mod watch;
--- a/crates/gateway/tests/testsuite/freshness.rs
+++ b/crates/gateway/tests/testsuite/freshness.rs
@@ -56,6 +56,24 @@
     assert_eq!(resumed_at.elapsed(), Duration::ZERO);
 }
 
+/// Guards against knowledge that counts as newer than it is: the time for which the VM was suspended
+/// between a question and its answer was taken for time before the question.
+#[tokio::test(start_paused = true)]
+async fn knowledge_ages_while_the_vm_is_suspended_before_the_answer() {
+    let clock = TestClock::new();
+    let freshness = Freshness::new(Arc::clone(&clock) as _);
+    let asked = Instant::now();
+    for _ in 0..12 {
+        advance(Duration::from_millis(1)).await;
+        clock.suspend(Duration::from_secs(14));
+        freshness.mark_polled();
+    }
+    freshness.confirm(asked);
+    assert_eq!(freshness.age(), Duration::from_millis(12 * 14_001));
+    freshness.confirm(Instant::now());
+    assert_eq!(freshness.age(), Duration::ZERO);
+}
+
 /// The store holds a poll that finds nothing until its wait is over. A poll that finds something
 /// may have been answered at once.
 #[tokio::test(start_paused = true)]
