gateway: an answer across a suspension of the VM is as of its question

Cause: a poll that found nothing counts as answered at the end of its wait, by a clock that stands still while the VM is suspended. The store's wait ends meanwhile, and its answer may arrive some seconds after the VM resumes, as the store's retransmissions back off. Then the end of the wait by the VM's clock is after the suspension, and the answer is of long before.

The answer is as of its question where the VM was suspended in between. The reader has the VM's clock for it.

--- a/crates/gateway/src/watch/reader.rs
+++ b/crates/gateway/src/watch/reader.rs
@@ -10,9 +10,11 @@
 
 use super::history::History;
 use super::replicas::{PeerPage, PeerUpdate};
+use crate::clock::{Clock, SystemClock};
 use crate::store::{
     Feed, Page, Record, ResponseTimeout, Store, StoreError, era_of, offset_of, position,
 };
+use crate::suspensions::MIN_SUSPENSION;
 
 /// Maximum time for an answer beyond the wait that was asked for. A link saturated by callers
 /// delays packets by up to a second or two, and an answer with that delay still reports a change in
@@ -73,6 +75,7 @@
 pub struct Reader {
     feed: Feed,
     store: Arc<dyn Store>,
+    clock: Arc<dyn Clock>,
     next: Option<u64>,
     /// The offset after the newest record that another router sent.
     peer_end: u64,
@@ -94,6 +97,7 @@
         Self {
             feed,
             store,
+            clock: Arc::new(SystemClock::open()),
             next: None,
             peer_end: 0,
             seen: HashMap::new(),
@@ -103,6 +107,13 @@
         }
     }
 
+    /// Replaces the VM's clock.
+    #[must_use]
+    pub fn with_clock(mut self, clock: Arc<dyn Clock>) -> Self {
+        self.clock = clock;
+        self
+    }
+
     /// The feed that is read.
     #[must_use]
     pub fn feed(&self) -> Feed {
@@ -135,14 +146,21 @@
         let feed = self.feed;
         let store = Arc::clone(&self.store);
         let next = self.next;
+        let clock = Arc::clone(&self.clock);
         async move {
             let Some(from) = next else {
                 return newest(&*store, feed, timeout).await;
             };
             let asked = Instant::now();
+            let suspended = clock.suspended();
             match store.read(feed, from, wait, timeout.clone()).await {
                 Ok(page) => Ok(Answer {
-                    as_of: as_of(asked, wait, &page),
+                    as_of: if clock.suspended() < suspended + MIN_SUSPENSION {
+                        as_of(asked, wait, &page)
+                    } else {
+                        // The store may have answered at any time during the suspension.
+                        asked
+                    },
                     page,
                     is_complete: false,
                     due: asked + wait,
--- a/crates/gateway/tests/testsuite/freshness.rs
+++ b/crates/gateway/tests/testsuite/freshness.rs
@@ -74,6 +74,22 @@
     assert_eq!(freshness.age(), Duration::ZERO);
 }
 
+/// Guards against an answer that counts as of the end of its wait although the store answered while
+/// the VM was suspended.
+#[tokio::test(start_paused = true)]
+async fn an_answer_across_a_suspension_is_as_of_its_question() {
+    let store = Arc::new(MemStore::new());
+    let clock = TestClock::new();
+    let mut reader = Reader::new(Feed::Config, store).with_clock(Arc::clone(&clock) as _);
+    reader.poll(Duration::ZERO).await.expect("an update");
+    let asked = Instant::now();
+    let answer = tokio::spawn(reader.ask(Duration::from_secs(1), Duration::from_secs(3).into()));
+    sleep(Duration::from_millis(100)).await;
+    clock.suspend(Duration::from_secs(14));
+    let answer = answer.await.expect("a task").expect("an answer");
+    assert_eq!(reader.take(answer).as_of, Some(asked));
+}
+
 /// The store holds a poll that finds nothing until its wait is over. A poll that finds something
 /// may have been answered at once.
 #[tokio::test(start_paused = true)]
