gateway: a registration is settled by an answer of the store, not by its age

Seen by operators: a router that registered within a minute before an outage of the store isn't in the members' list afterwards, if the store came back from a copy of before the registration and the outage was long. Routers that start later don't know it: they don't record streams there, and compute another order of writers, holders and allocators of permits.

Cause: register() wrote the record again only if the registration was younger than a minute when the change of era was noticed. The copy is of the time before the outage, so the age at its beginning counts and not the age at its end. Class: an age is counted up to now though nothing confirmed it meanwhile; a router that stands still for a minute has the same fault.

A minute after the registration the store has to answer in the same era; only then no later copy can lack the record. That is one small read for each start of a router.

Weighed: always write again. That is an append and a read for each router of the fleet at each change of era, without need for almost all of them.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,6 +7,8 @@
 mod follower;
 mod recorders;
 mod register;
+#[cfg(test)]
+mod tests;
 mod tunnels;
 
 use std::collections::HashMap;
--- a/crates/gateway/src/peers/register.rs
+++ b/crates/gateway/src/peers/register.rs
@@ -9,7 +9,8 @@
 use swiftlink_telemetry::event;
 use swiftlink_types::VmName;
 use swiftlink_wire::rights::Member as MemberRecord;
-use tokio::time::{Instant, sleep};
+use tokio::sync::watch::Receiver;
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::{Peers, SECRET_KEY};
 use crate::settings::RouterSettings;
@@ -73,20 +74,20 @@
     };
     let mut era = registration.store.era();
     registration.append(1).await;
-    let registered = Instant::now();
+    let mut registered = Instant::now();
     peers.mark_registered();
     let secret = registration.secret(None).await;
     peers.set_secret(&secret);
     era.mark_unchanged();
     for sequence in 2.. {
-        // A store without eras never goes back.
-        if era.changed().await.is_err() || registered.elapsed() >= MAX_COPY_AGE {
+        if !registration.goes_back(&mut era, registered).await {
             return;
         }
         let routers = peers.all().len() as u32;
         let delay = (REWRITE_DELAY_PER_ROUTER * routers).max(MAX_DRAW_DELAY);
         sleep(delay.mul_f64(rand::random())).await;
         registration.append(sequence).await;
+        registered = Instant::now();
         registration.secret(Some(&secret)).await;
     }
 }
@@ -100,6 +101,24 @@
 }
 
 impl Registration {
+    /// Waits until the store goes back to a copy. Returns false if all its later copies have the record
+    /// that was written before `registered`: the store answers in the same era [`MAX_COPY_AGE`]
+    /// later. The age alone doesn't show that, as the store may be away for most of it.
+    async fn goes_back(&self, era: &mut Receiver<u64>, registered: Instant) -> bool {
+        let changed = timeout_at(registered + MAX_COPY_AGE, era.changed()).await;
+        if let Ok(changed) = changed {
+            // A store without eras never goes back.
+            return changed.is_ok();
+        }
+        while let Err(error) = read_secret(&*self.store).await {
+            event!(info, "peer.not_confirmed", error = error);
+            sleep(MAX_BACKOFF.mul_f64(rand::random())).await;
+        }
+        let has_changed = era.has_changed().unwrap_or(false);
+        era.mark_unchanged();
+        has_changed
+    }
+
     /// Appends the record of this router.
     async fn append(&self, sequence: u64) {
         let mut backoff = MIN_BACKOFF;
