gateway: a holder that stood still takes releases before it expires reservations

Seen by callers: budget that is left is refused. A holder that stood still for some seconds longer than its reservations last counted all of them as spent as it woke, though the requests had ended and their routers had released them.

Cause: the age of a reservation is counted from its grant up to now. Its expiry means "its router hasn't released it in time", which a holder that read nothing meanwhile can't say: the releases wait in its sockets, or are sent again by their routers within a few seconds.

The search for such reservations says how late it runs. After a standstill of five seconds or more it is put off to the next turn, five seconds later; the grace of ten seconds covers shorter ones. Tokens are held longer, never spent twice. A suspended VM isn't affected: its timers stand still too.

Tried before: extending each reservation by the time between two searches.

--- a/crates/gateway/src/quota/peer_reservations.rs
+++ b/crates/gateway/src/quota/peer_reservations.rs
@@ -11,9 +11,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use swiftlink_telemetry::event;
 use swiftlink_types::{Tokens, WorkspaceName};
 use swiftlink_wire::link::{Ended, LeaseSize, Refusal, Reserve, Reserved};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 use super::local::{LocalQuota, QuotaError};
 use super::reservation::Reservation;
@@ -24,6 +25,13 @@
 /// Time after the timeout of a request during which its router may still release the reservation.
 const RELEASE_GRACE: Duration = Duration::from_secs(10);
 
+/// Time between two searches for reservations that weren't released in time.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Maximum time for which the process may stand still before a search. After more, releases that
+/// arrived in time may wait in its sockets, or their routers send them again a few seconds later.
+const MAX_STALL: Duration = Duration::from_secs(5);
+
 /// Identifies a reservation: the process that asked, and its number for the request.
 type Key = (u64, u64);
 
@@ -216,6 +224,24 @@
         }
     }
 
+    /// Counts reservations as spent that weren't released in time, until the task is aborted. Time for
+    /// which the process stood still says nothing about what others released.
+    pub async fn expire_until_aborted(self: Arc<Self>) {
+        loop {
+            let due = Instant::now() + EXPIRE_INTERVAL;
+            sleep_until(due).await;
+            let late = due.elapsed();
+            if late >= MAX_STALL {
+                event!(info, "quota.expiry_deferred", late_ms = late.as_millis());
+                continue;
+            }
+            let tokens = self.expire();
+            if tokens > 0 {
+                event!(warn, "quota.expired", tokens = tokens);
+            }
+        }
+    }
+
     /// Counts reservations as spent that weren't released in time, and returns their tokens.
     pub fn expire(&self) -> Tokens {
         let now = Instant::now();
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -11,7 +11,6 @@
 use swiftlink_telemetry::event;
 use tokio::sync::watch as channel;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
 
 use crate::admission::{self, Aggregates};
 use crate::catalog::Catalog;
@@ -40,8 +39,6 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// One in so many of the connections that a router may have is a tunnel for other routers.
 const TUNNEL_SHARE: usize = 4;
-/// Time between two searches for reservations that should have been released.
-const EXPIRE_INTERVAL: Duration = Duration::from_secs(5);
 /// How long a caller may accept no data before its connection is closed.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -325,7 +322,7 @@
     );
     tasks.spawn(gossip);
     let reservations = Arc::new(PeerReservations::default());
-    tasks.spawn(expire_reservations(Arc::clone(&reservations)));
+    tasks.spawn(Arc::clone(&reservations).expire_until_aborted());
     let permits = spawn_limits(tasks, node, peers);
     let links = Arc::<DomainReports>::default();
     let aggregates = Arc::new(Aggregates::default());
@@ -370,17 +367,6 @@
     coordinator
 }
 
-/// Expires reservations that other routers have not released, until the task is aborted.
-async fn expire_reservations(reservations: Arc<PeerReservations>) {
-    loop {
-        sleep(EXPIRE_INTERVAL).await;
-        let tokens = reservations.expire();
-        if tokens > 0 {
-            event!(warn, "quota.expired", tokens = tokens);
-        }
-    }
-}
-
 fn limits(settings: &RouterSettings) -> Limits {
     Limits {
         workers: settings.workers,
--- a/crates/gateway/tests/testsuite/book.rs
+++ b/crates/gateway/tests/testsuite/book.rs
@@ -10,7 +10,7 @@
 use swiftlink_gateway::quota::{LocalQuota, PeerReservations, QuotaError, QuotaTable};
 use swiftlink_types::WorkspaceName;
 use swiftlink_wire::link::{Ended, Refusal, Reserve};
-use tokio::time::Instant;
+use tokio::time::{Instant, advance, sleep};
 
 use crate::clock::TestClock;
 use crate::net::{members, name};
@@ -206,6 +206,31 @@
     assert_eq!(quota.balance().charged, 600);
 }
 
+/// Guards against tokens that are lost as spent: a holder that stood still counted reservations as
+/// spent whose releases were waiting in its sockets.
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_stood_still_takes_releases_first() {
+    let (quotas, quota) = quota();
+    quota.grant.credit(1_000);
+    let reservations = Arc::new(PeerReservations::default());
+    let expiry = tokio::spawn(Arc::clone(&reservations).expire_until_aborted());
+    for number in [1, 2] {
+        let request = reserve_request(number, 300);
+        reservations.reserve(&quotas, &request).await;
+    }
+    sleep(Duration::from_secs(3)).await;
+    advance(Duration::from_secs(60)).await;
+    sleep(Duration::from_millis(500)).await;
+    reservations.release(9, &[ended(1, 100)]);
+    sleep(Duration::from_secs(20)).await;
+    expiry.abort();
+    assert_eq!(
+        quota.balance().charged,
+        100 + 300,
+        "spent, and not released"
+    );
+}
+
 #[test]
 fn workspace_without_a_limit_has_no_quota() {
     let quotas = quotas();
