gateway: forget start times of servers that nothing confirms

Cause: Directory::put kept the largest start time of each name in last_starts for good, and an entry with a lower one counts as outdated. The class: what one record says is kept for good against the later records of the same writer. It also hit a server whose own clock was ahead when an earlier instance started.

Change: a start time counts for two minutes after the last entry that has it, so that records of earlier instances that arrive late still count as outdated. One that is more than a minute ahead of the router's clock is never kept, and is refused where the server is listed or was lately, with a start time that is possible. With nothing to contradict it, it is used: a router whose clock is behind would list no server otherwise. The clock's latest time decides, so a step back refuses nothing.

Routers behind relays don't see the heartbeats that confirm a start time, so they apply what an upstream router applied, which passes on a refused entry as a removal, and an outdated one not at all. Before, an outdated entry replaced the newer one in what a relay sends a new follower.

Weighed: forgetting by time alone. The odd entry would be used for two minutes in place of the server.

--- a/crates/gateway/src/watch/directory.rs
+++ b/crates/gateway/src/watch/directory.rs
@@ -6,10 +6,11 @@
 use std::time::Duration;
 
 use swiftlink_telemetry::event;
-use swiftlink_types::{ServerInstance, ServerName, WallMs};
+use swiftlink_types::{ServerInstance, ServerName};
 use tokio::time::Instant;
 
 use super::follow::Follow;
+use super::last_starts::{LastStarts, StartOrder};
 use super::listed_versions::VersionObserver;
 use super::reader::{Change, FeedUpdate};
 use super::subset::Subset;
@@ -43,8 +44,8 @@
     Returned,
     /// None: the entry is of an instance that started before the newest one known.
     Outdated,
-    /// The server is not used: the entry lacks the start time that this server reports, so another
-    /// writer wrote it.
+    /// The server is not used: the entry lacks the start time that this server reports, or has one
+    /// in the future, so another writer wrote it.
     Foreign,
     /// The server is cold, or for longer than was known.
     Cold,
@@ -58,9 +59,8 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: HashMap<ServerName, ServerEntry>,
-    /// The last start time of every server that ever had an entry, if the entry reported it. The
-    /// record of an earlier instance may arrive late, even when the newer one is gone already.
-    last_starts: HashMap<ServerName, WallMs>,
+    /// The record of an earlier instance may arrive late, even when the newer one is gone already.
+    last_starts: LastStarts,
     /// Servers without an entry, and when they are removed.
     lapsed: HashMap<ServerName, Instant>,
     /// When the warm-up of the servers that reported to be cold ends.
@@ -77,6 +77,28 @@
 impl Directory {
     /// Applies an entry that a server wrote. Returns what that changes.
     pub fn put(&mut self, entry: ServerEntry) -> EntryChange {
+        let ServerInstance { name, started } = &entry.instance;
+        let listed = self.entries.get(name);
+        let listed = listed.map_or(0, |entry| entry.instance.started);
+        match self.last_starts.compare(name, *started, listed) {
+            StartOrder::Foreign => {
+                self.invalidate(&entry.instance.name);
+                EntryChange::Foreign
+            }
+            StartOrder::Earlier => EntryChange::Outdated,
+            StartOrder::First | StartOrder::Same => self.accept(entry, EntryChange::Changed),
+            StartOrder::Newer => self.accept(entry, EntryChange::Restarted),
+        }
+    }
+
+    /// Applies an entry that another router read from the store and applied. That router sees all
+    /// entries, and passes on those only that change something.
+    pub fn put_published(&mut self, entry: ServerEntry) -> EntryChange {
+        self.accept(entry, EntryChange::Changed)
+    }
+
+    /// Applies an entry that counts. Returns `change` if it differs from the known one.
+    fn accept(&mut self, entry: ServerEntry, change: EntryChange) -> EntryChange {
         let warmup = entry.warmup;
         // The end of the warm-up is kept separately, since the time left changes all the time.
         let entry = ServerEntry {
@@ -84,17 +106,7 @@
             ..entry
         };
         let ServerInstance { name, started } = entry.instance.clone();
-        let newest = self.last_starts.get(&name).copied().unwrap_or(0);
-        if started == 0 && newest > 0 {
-            self.invalidate(&name);
-            return EntryChange::Foreign;
-        }
-        if started < newest {
-            return EntryChange::Outdated;
-        }
-        if started > newest {
-            self.last_starts.insert(name.clone(), started);
-        }
+        self.last_starts.confirm(&name, started);
         let was_missing = self.lapsed.remove(&name).is_some();
         let is_colder = self.update_warmup(&name, warmup);
         if self.entries.get(&name) == Some(&entry) {
@@ -106,10 +118,7 @@
         }
         let before = self.entries.insert(name, entry.clone());
         self.pending_diffs.push((before, Some(entry)));
-        if newest > 0 && started > newest {
-            return EntryChange::Restarted;
-        }
-        EntryChange::Changed
+        change
     }
 
     /// Sets how much longer a server is cold. Returns whether that is longer than was known.
@@ -165,6 +174,7 @@
 
     /// Removes servers whose entries weren't written again in time. Returns their names.
     pub fn expire(&mut self, now: Instant) -> Vec<ServerName> {
+        self.last_starts.expire();
         let due = self.lapsed.iter().filter(|(_, until)| **until <= now);
         let due: Vec<ServerName> = due.map(|(name, _)| name.clone()).collect();
         for name in &due {
@@ -239,12 +249,19 @@
     is_partial: bool,
 }
 
-/// The effect of a record.
-struct Outcome {
-    /// Whether the server is cold, or for longer than was known.
-    is_cold: bool,
-    /// Whether nothing changed except what changes all the time.
-    is_unchanged: bool,
+/// The effect of a record, which decides what followers of this router get.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Effect {
+    /// They get the record.
+    Changed,
+    /// The same; the server is cold, or for longer than was known.
+    Cold,
+    /// None: nothing changed except what changes all the time.
+    Unchanged,
+    /// None: the record is of an earlier instance.
+    Outdated,
+    /// The record names no usable server, so the server is removed.
+    Refused,
 }
 
 impl Follower {
@@ -260,8 +277,8 @@
         }
     }
 
-    /// Applies a record; `is_definite` if another router already removed the server.
-    fn apply_change(&mut self, change: &Change, is_definite: bool, is_logged: bool) -> Outcome {
+    /// Applies a record; `is_definite` if another router already applied it.
+    fn apply_change(&mut self, change: &Change, is_definite: bool, is_logged: bool) -> Effect {
         let name = ServerName::from(change.key.as_str());
         let Some(value) = &change.value else {
             if is_logged {
@@ -274,21 +291,24 @@
             }
             let has_changed = self.drop_entry(&name, is_definite);
             // If the entry doesn't come back, its removal is published later.
-            let is_unchanged = !has_changed && self.directory.entries.contains_key(&name);
-            return Outcome {
-                is_cold: false,
-                is_unchanged,
-            };
+            if !has_changed && self.directory.entries.contains_key(&name) {
+                return Effect::Unchanged;
+            }
+            return Effect::Changed;
         };
         match self.catalog.server(&change.key, value) {
-            Ok(entry) => self.apply_entry(entry, change.offset, is_logged),
+            Ok(entry) => {
+                let applied = if is_definite {
+                    self.directory.put_published(entry.clone())
+                } else {
+                    self.directory.put(entry.clone())
+                };
+                self.report_entry(&entry, applied, change.offset, is_logged)
+            }
             Err(error) => {
                 self.report_unreadable(&error, change.offset);
                 self.directory.invalidate(&name);
-                Outcome {
-                    is_cold: false,
-                    is_unchanged: false,
-                }
+                Effect::Changed
             }
         }
     }
@@ -312,24 +332,19 @@
         );
     }
 
-    /// Applies an entry that could be read.
-    fn apply_entry(&mut self, entry: ServerEntry, offset: u64, is_logged: bool) -> Outcome {
-        let change = self.directory.put(entry.clone());
-        let ServerInstance { name, started } = entry.instance;
-        match change {
-            EntryChange::Unchanged => {
-                return Outcome {
-                    is_cold: false,
-                    is_unchanged: true,
-                };
-            }
+    /// Logs an entry that was applied. Returns its effect.
+    fn report_entry(
+        &self,
+        entry: &ServerEntry,
+        applied: EntryChange,
+        offset: u64,
+        is_logged: bool,
+    ) -> Effect {
+        let ServerInstance { name, started } = &entry.instance;
+        match applied {
+            EntryChange::Unchanged => return Effect::Unchanged,
             // Followers that removed the server meanwhile must get its entry again.
-            EntryChange::Returned => {
-                return Outcome {
-                    is_cold: false,
-                    is_unchanged: false,
-                };
-            }
+            EntryChange::Returned => return Effect::Changed,
             EntryChange::Outdated => {
                 event!(
                     info,
@@ -338,21 +353,15 @@
                     born = started,
                     offset = offset_of(offset),
                 );
-                return Outcome {
-                    is_cold: false,
-                    is_unchanged: true,
-                };
+                return Effect::Outdated;
             }
             EntryChange::Foreign => {
                 let error = CatalogError {
                     key: name.to_string(),
-                    reason: "no start time".to_owned(),
+                    reason: format!("start time {started} is absent or in the future"),
                 };
                 self.report_unreadable(&error, offset);
-                return Outcome {
-                    is_cold: false,
-                    is_unchanged: false,
-                };
+                return Effect::Refused;
             }
             EntryChange::Cold | EntryChange::Changed | EntryChange::Restarted => {}
         }
@@ -367,14 +376,14 @@
                 draining = entry.draining,
                 cold_ms = entry.warmup.as_millis(),
                 born = started,
-                started_again = change == EntryChange::Restarted,
+                started_again = applied == EntryChange::Restarted,
                 offset = offset_of(offset),
             );
         }
-        Outcome {
-            is_cold: change == EntryChange::Cold,
-            is_unchanged: false,
+        if applied == EntryChange::Cold {
+            return Effect::Cold;
         }
+        Effect::Changed
     }
 
     /// Publishes the servers to the pools if any of those that they need changed.
@@ -421,17 +430,20 @@
             event!(info, "servers.listed", records = update.changes.len());
         }
         for change in update.changes {
-            let outcome = self.apply_change(&change, update.is_from_upstream, is_logged);
-            self.has_unpublished |= outcome.is_cold;
-            // A change that an upstream router published must be published to the followers too.
-            match (
-                outcome.is_unchanged && !update.is_from_upstream,
-                &change.value,
-            ) {
-                (false, _) => published.changes.push(change),
-                (true, Some(_)) => published.unchanged.push(change),
-                // The entry may come back; if it doesn't, its removal is published later.
-                (true, None) => {}
+            let effect = self.apply_change(&change, update.is_from_upstream, is_logged);
+            self.has_unpublished |= effect == Effect::Cold;
+            match effect {
+                Effect::Changed | Effect::Cold => published.changes.push(change),
+                // A change that an upstream router published must be published to the followers too.
+                Effect::Unchanged if update.is_from_upstream => published.changes.push(change),
+                // A removed entry may come back; if it doesn't, its removal is published later.
+                Effect::Unchanged if change.value.is_none() => {}
+                Effect::Unchanged => published.unchanged.push(change),
+                Effect::Outdated => {}
+                Effect::Refused => published.changes.push(Change {
+                    value: None,
+                    ..change
+                }),
             }
         }
         if update.keys.is_some() {
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -13,6 +13,7 @@
 mod earlier;
 mod follow;
 mod history;
+mod last_starts;
 mod listed_versions;
 mod reader;
 pub(crate) mod replicas;
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod limits;
 mod losses;
 mod net;
+mod odd_entries;
 mod origins;
 mod parts;
 mod paths;
--- a/crates/gateway/tests/testsuite/relay.rs
+++ b/crates/gateway/tests/testsuite/relay.rs
@@ -138,13 +138,13 @@
     }
 }
 
-struct Fleet {
+pub(crate) struct Fleet {
     network: Arc<Network>,
     _tasks: JoinSet<()>,
 }
 
 impl Fleet {
-    fn open(count: usize) -> Self {
+    pub(crate) fn open(count: usize) -> Self {
         Self::open_with(count, APPLY)
     }
 
@@ -190,7 +190,7 @@
         }
     }
 
-    fn put(&self, server: &str, entry: Option<&'static str>) {
+    pub(crate) fn put(&self, server: &str, entry: Option<&'static str>) {
         self.network
             .store
             .put(Feed::Servers, server, entry.map(Bytes::from));
@@ -202,7 +202,7 @@
     }
 
     /// Time until all routers but the `excluded` ones use these servers.
-    async fn convergence_time(
+    pub(crate) async fn convergence_time(
         &self,
         servers: &BTreeMap<String, (u64, u16)>,
         excluded: &[usize],
@@ -247,7 +247,7 @@
     }
 }
 
-fn servers(all: &[(&str, u64, u16)]) -> BTreeMap<String, (u64, u16)> {
+pub(crate) fn servers(all: &[(&str, u64, u16)]) -> BTreeMap<String, (u64, u16)> {
     let servers = all.iter();
     servers
         .map(|(name, started, port)| ((*name).to_owned(), (*started, *port)))
