gateway: keep and pass on no server entry that names no usable server

What callers saw: with long entries of another writer in the list of servers, a router that had lost the store got none of the entries behind them from other routers, so it went on with servers that were gone and didn't know new ones. By reading: a page for a router that lost the store ends at the first record that is too long (replicas.rs, truncate_page).

Cause: Directory's follower passed on unreadable records as they were, so the replicas of all routers held them (262,144 bytes each), relays sent them, and each router that got them decoded and refused them again. The class: what one writer writes takes room and time at all routers.

Change: a refused record is passed on as a removal.

--- a/crates/gateway/src/watch/directory.rs
+++ b/crates/gateway/src/watch/directory.rs
@@ -13,24 +13,21 @@
 use super::last_starts::{LastStarts, StartOrder};
 use super::listed_versions::VersionObserver;
 use super::reader::{Change, FeedUpdate};
+use super::replicas::MAX_PAGE_BYTES;
+use super::returns::{RETURN_GRACE, return_by};
 use super::subset::Subset;
 use crate::catalog::{Catalog, CatalogError, ServerEntry};
 use crate::node::Node;
 use crate::store::{Feed, offset_of};
 
-/// Time within which the entry of a server that lapsed must be written again after the store
-/// recovers. Servers are required to do so within about two seconds, and a server that really left
-/// must get no work after two.
-const RETURN_GRACE: Duration = Duration::from_secs(2);
-/// Heartbeats that an outage must be longer than for an entry to lapse in it: the store removes an
-/// entry after three without one, and the last one came up to one before the outage.
-const MISSED_HEARTBEATS: u32 = 2;
-/// Time from the choice of a server until the request reaches it.
-const SEND_TIME: Duration = Duration::from_millis(500);
 /// Entries that lapsed while the store was unavailable are missing when it recovers or right after;
 /// an entry that is removed later was removed by its server.
 const LAPSE_WINDOW: Duration = Duration::from_millis(300);
 
+/// Maximum length of an entry. Servers' own have some hundred bytes; a longer one isn't sent to a
+/// router that lost the store.
+const MAX_ENTRY_BYTES: usize = MAX_PAGE_BYTES / 2;
+
 /// Maximum difference between two reported ends of the warm-up that counts as no change: entries
 /// are written every second or two and read a moment later.
 const COLD_JITTER: Duration = Duration::from_millis(500);
@@ -209,29 +206,6 @@
     }
 }
 
-/// Until when entries that are missing as the store answers again may be written again; `None` if
-/// none can have lapsed. `known` is the last moment at which the store had nothing newer than what
-/// this router knows: an entry that its server removed was removed after it, and the server must get
-/// no request later than `drain` after that.
-fn return_by(
-    now: Instant,
-    known: Option<Instant>,
-    heartbeat: Duration,
-    drain: Duration,
-) -> Option<Instant> {
-    let latest = now + RETURN_GRACE;
-    let Some(known) = known else {
-        return Some(latest);
-    };
-    if now.saturating_duration_since(known) < heartbeat * MISSED_HEARTBEATS {
-        return None;
-    }
-    if known + drain <= now {
-        return Some(latest);
-    }
-    Some((known + drain).checked_sub(SEND_TIME)?.min(latest))
-}
-
 /// Maximum number of records in an update for which each is logged. Of more, such as all servers of
 /// a fleet at the start, only the count is logged.
 const MAX_LOGGED_ENTRIES: usize = 32;
@@ -296,7 +270,7 @@
             }
             return Effect::Changed;
         };
-        match self.catalog.server(&change.key, value) {
+        match self.decode(&change.key, value) {
             Ok(entry) => {
                 let applied = if is_definite {
                     self.directory.put_published(entry.clone())
@@ -308,11 +282,21 @@
             Err(error) => {
                 self.report_unreadable(&error, change.offset);
                 self.directory.invalidate(&name);
-                Effect::Changed
+                Effect::Refused
             }
         }
     }
 
+    fn decode(&self, key: &str, value: &[u8]) -> Result<ServerEntry, CatalogError> {
+        if value.len() > MAX_ENTRY_BYTES {
+            return Err(CatalogError {
+                key: key.to_owned(),
+                reason: format!("{} bytes, more than {MAX_ENTRY_BYTES}", value.len()),
+            });
+        }
+        self.catalog.server(key, value)
+    }
+
     /// Handles an entry that was removed or may only have lapsed.
     fn drop_entry(&mut self, name: &ServerName, is_definite: bool) -> bool {
         if is_definite {
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -17,6 +17,7 @@
 mod listed_versions;
 mod reader;
 pub(crate) mod replicas;
+mod returns;
 mod rollout_orders;
 mod subset;
 mod tree;
--- a/crates/gateway/src/watch/replicas.rs
+++ b/crates/gateway/src/watch/replicas.rs
@@ -28,7 +28,7 @@
 /// second of the smallest links, since many routers ask at the same time then. The rest follows in
 /// the next answer. A longer record isn't served at all: large configurations sent between all
 /// routers of a fleet would fill the links that callers use.
-const MAX_PAGE_BYTES: usize = 16 * 1024;
+pub(super) const MAX_PAGE_BYTES: usize = 16 * 1024;
 /// Maximum size of the records in an answer to a follower, which gets all its records this way: a
 /// twentieth of a second of the smallest links. A longer record is sent alone.
 const MAX_UPDATE_BYTES: usize = 128 * 1024;
