gateway, platform: confirm a feed only by its last page

What callers saw: with a burst of records, such as large entries of another writer, a router went on with what it knew before, for up to a minute, and counted as up to date all that time: requests went to servers that had been removed, and neither the age of the configuration nor a gap in the observation of versions told of it.

Cause: the store sends up to 1 MB of records at once. The client took the end of the page for the end of the feed (page.rs, decode), so Reader::take noted that the store had nothing newer when the page was requested. And a router waits 250 ms after each page with records (follow.rs, POLL_PAUSE), also when the rest was there already: four large entries a poll, 16 a second. The class: a statement about all records is drawn from a part.

Change: a page says whether the feed has more. One that isn't the last confirms nothing, and the next one is requested at once.

--- a/crates/gateway/src/store/mem.rs
+++ b/crates/gateway/src/store/mem.rs
@@ -196,6 +196,7 @@
         Ok(Page {
             records: newer.map(|record| in_era(record, era)).collect(),
             end: position(era, records.end),
+            has_more: false,
         })
     }
 
@@ -217,6 +218,7 @@
     Page {
         records: Vec::new(),
         end: position(era, 0),
+        has_more: false,
     }
 }
 
@@ -339,6 +341,7 @@
         Ok(Page {
             records: newest.map(|record| in_era(record, era)).collect(),
             end: position(era, records.end),
+            has_more: false,
         })
     }
 
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -103,6 +103,8 @@
     pub records: Vec<Record>,
     /// Position that the next record gets.
     pub end: u64,
+    /// Whether there are more records, from `end` on.
+    pub has_more: bool,
 }
 
 /// An error of the store.
--- a/crates/gateway/src/watch/follow.rs
+++ b/crates/gateway/src/watch/follow.rs
@@ -267,11 +267,13 @@
                     // Entries that the copy lacks are written again, like those that lapsed.
                     handler.store_recovered(None);
                 }
+                let has_more = answer.has_more();
                 let update = reader.take(answer);
                 let has_changes = !update.changes.is_empty();
                 take(update, reader, handler, relay);
                 tick(reader, handler, relay);
-                if has_changes {
+                // What is behind a page is as late as that page already.
+                if has_changes && !has_more {
                     sleep(POLL_PAUSE).await;
                 }
             }
--- a/crates/gateway/src/watch/reader.rs
+++ b/crates/gateway/src/watch/reader.rs
@@ -54,8 +54,8 @@
     page: Page,
     /// Whether the page has the newest record of every key.
     is_complete: bool,
-    /// A moment at which the store had nothing newer.
-    as_of: Instant,
+    /// A moment at which the store had nothing newer; `None` if the page isn't the last.
+    as_of: Option<Instant>,
     /// When the answer was due at the latest, had there been nothing new.
     due: Instant,
 }
@@ -66,6 +66,12 @@
     pub fn lateness(&self) -> Duration {
         self.due.elapsed()
     }
+
+    /// Whether the store has more records that it hasn't sent.
+    #[must_use]
+    pub fn has_more(&self) -> bool {
+        self.page.has_more
+    }
 }
 
 /// Reads a feed and tracks the position in it.
@@ -173,7 +179,7 @@
     /// Applies an answer and returns the records that are newer than those seen. The store may
     /// answer with an older state.
     pub fn take(&mut self, answer: Answer) -> FeedUpdate {
-        self.as_of = self.as_of.max(Some(answer.as_of));
+        self.as_of = self.as_of.max(answer.as_of);
         if self.is_new_era(&answer) {
             return self.take_new_era(answer);
         }
@@ -194,7 +200,7 @@
             changes,
             keys,
             end,
-            as_of: Some(answer.as_of),
+            as_of: answer.as_of,
             ..FeedUpdate::default()
         }
     }
@@ -233,7 +239,7 @@
             changes,
             keys: Some(keys),
             end: page.end,
-            as_of: Some(answer.as_of),
+            as_of: answer.as_of,
             ..FeedUpdate::default()
         }
     }
@@ -359,16 +365,19 @@
     Ok(Answer {
         page,
         is_complete: true,
-        as_of: asked,
+        as_of: Some(asked),
         due: asked,
     })
 }
 
 /// When the store had nothing newer than `page`, its answer to a poll sent at `asked`. A poll that
-/// found nothing was answered at the end of its wait, not earlier.
-fn as_of(asked: Instant, wait: Duration, page: &Page) -> Instant {
+/// found nothing was answered at the end of its wait, not earlier. `None` if the page isn't the last.
+fn as_of(asked: Instant, wait: Duration, page: &Page) -> Option<Instant> {
+    if page.has_more {
+        return None;
+    }
     if page.records.is_empty() && asked.elapsed() >= wait {
-        return asked + wait;
+        return Some(asked + wait);
     }
-    asked
+    Some(asked)
 }
