gateway, platform: bound what entries of other writers take of memory

What callers saw: nothing but a router that is gone. With a thousand entries of 262,144 bytes on the servers' and the operators' topics, a router process took 265 MB more while it followed, and 697 MB more when it started; VMs of routers have 88 MB and more in all.

Cause: a listing keeps all values until its last page is read (store.rs, newest), and the replica of the operators' topic keeps all records for other routers, also those under keys that routers don't use (config.rs, take).

Change: a router keeps and passes on only the operators' records that it uses. One that can't be read doesn't replace the one before in what other routers get.

--- a/crates/gateway/src/watch/config.rs
+++ b/crates/gateway/src/watch/config.rs
@@ -1,5 +1,6 @@
 //! Applies new versions of the configuration, drained failure domains and rollout orders.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use swiftlink_telemetry::event;
@@ -50,8 +51,9 @@
         self.node.config.store(Some(Arc::new(config)));
     }
 
-    /// Applies only the newest version: each is the whole configuration.
-    fn apply_newest(&self, update: &FeedUpdate) {
+    /// Applies only the newest version: each is the whole configuration. Returns the offset of its
+    /// record.
+    fn apply_newest(&self, update: &FeedUpdate) -> Option<u64> {
         for change in update.changes.iter().rev() {
             let Some(value) = &change.value else {
                 continue;
@@ -59,12 +61,13 @@
             match self.catalog.config(&change.key, value) {
                 Ok(Some(config)) => {
                     self.apply(config);
-                    return;
+                    return Some(change.offset);
                 }
                 Ok(None) => {}
                 Err(error) => self.report_unreadable(&error, change.offset),
             }
         }
+        None
     }
 
     /// Reports a record that can't be used.
@@ -78,8 +81,8 @@
         );
     }
 
-    /// Applies the changes to drained failure domains.
-    fn apply_domains(&mut self, update: &FeedUpdate) {
+    /// Applies the changes to drained failure domains. Adds the offsets of their records to `used`.
+    fn apply_domains(&mut self, update: &FeedUpdate, used: &mut HashSet<u64>) {
         let mut changed = false;
         if let Some(keys) = &update.keys {
             for domain in self.drained.retain(keys) {
@@ -94,7 +97,11 @@
         }
         for change in &update.changes {
             match self.apply_domain(change) {
-                Ok(is_new) => changed |= is_new,
+                Ok(Some(is_new)) => {
+                    changed |= is_new;
+                    used.insert(change.offset);
+                }
+                Ok(None) => {}
                 Err(error) => self.report_unreadable(&error, change.offset),
             }
         }
@@ -103,15 +110,18 @@
         }
     }
 
-    /// Applies the changes to rollout orders.
-    fn apply_rollouts(&mut self, update: &FeedUpdate) {
+    /// Applies the changes to rollout orders. Adds the offsets of their records to `used`.
+    fn apply_rollouts(&mut self, update: &FeedUpdate, used: &mut HashSet<u64>) {
         let mut changed = false;
         if let Some(keys) = &update.keys {
             changed = self.orders.retain(keys);
         }
         for change in &update.changes {
             match self.catalog.rollout(&change.key, change.value.as_deref()) {
-                Ok(Some(order)) => changed |= self.orders.take(&change.key, &order, change.offset),
+                Ok(Some(order)) => {
+                    changed |= self.orders.take(&change.key, &order, change.offset);
+                    used.insert(change.offset);
+                }
                 Ok(None) => {}
                 Err(error) => self.report_unreadable(&error, change.offset),
             }
@@ -121,11 +131,11 @@
         }
     }
 
-    /// Applies one record. Returns whether it changes anything.
-    fn apply_domain(&mut self, change: &Change) -> Result<bool, CatalogError> {
+    /// Applies one record. Returns whether it changes anything; `None` if it is about something else.
+    fn apply_domain(&mut self, change: &Change) -> Result<Option<bool>, CatalogError> {
         let parsed = self.catalog.domain(&change.key, change.value.as_deref())?;
         let Some(parsed) = parsed else {
-            return Ok(false);
+            return Ok(None);
         };
         let known = &self.node.settings.regions;
         if !known.is_empty() && !known.contains_key(&parsed.domain) {
@@ -135,7 +145,7 @@
             });
         }
         if !self.drained.take(&change.key, &parsed) {
-            return Ok(false);
+            return Ok(Some(false));
         }
         let name = if parsed.is_drained {
             "domain.emptied"
@@ -149,20 +159,25 @@
             offset = offset_of(change.offset),
             age_ms = self.node.freshness.age().as_millis(),
         );
-        Ok(true)
+        Ok(Some(true))
     }
 }
 
 impl Follow for Follower {
-    fn take(&mut self, update: FeedUpdate) -> FeedUpdate {
-        self.apply_domains(&update);
-        self.apply_newest(&update);
-        self.apply_rollouts(&update);
+    /// Followers get the records that this router uses; the topic has records of other writers.
+    fn take(&mut self, mut update: FeedUpdate) -> FeedUpdate {
+        let mut used = HashSet::new();
+        self.apply_domains(&update, &mut used);
+        used.extend(self.apply_newest(&update));
+        self.apply_rollouts(&update, &mut used);
         if let Some(at) = update.as_of {
             self.node.pools.confirm_orders(at);
             self.node.freshness.confirm(at);
         }
         update
+            .changes
+            .retain(|change| used.contains(&change.offset));
+        update
     }
 
     fn store_recovered(&mut self, _known: Option<Instant>) {}
