gateway: mend times far ahead in the records of versions

What callers saw: nothing known so far; found by looking for the class of the odd entries. A router whose wall clock is far ahead writes when a version was removed. From then on the version counts as removed a moment ago, so that streams that no router knows are refused after each start of all routers, for good; and near the end of the range the addition of the margin ends the task that writes the records (with overflow checks) or wraps around (without).

Cause: VersionRecord::update replaces a time by a later one only, and is_within takes any time ahead for now.

Less isn't, since a router whose own clock is behind would make others forget a version whose streams may still be resumed.

Evidence: odd_entries::a_version_that_was_removed_in_the_far_future_... on the code before: "attempt to add with overflow", version_record.rs:38.

--- a/crates/gateway/src/origins/version_record.rs
+++ b/crates/gateway/src/origins/version_record.rs
@@ -17,6 +17,10 @@
 /// and they step by seconds.
 const CLOCK_MARGIN: Duration = Duration::from_secs(15);
 
+/// How far ahead a time may be that a router wrote. One further ahead is no time of a removal, and the
+/// version would count as removed a moment ago for good.
+const MAX_AHEAD: Duration = Duration::from_hours(24);
+
 /// The versions of a pool's servers, and when each was removed from the list, in milliseconds since
 /// 1970; `None` while it is listed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -28,6 +32,12 @@
     /// Applies what a router has observed. Returns whether the record says something else now.
     pub fn update(&mut self, history: &VersionHistory, now: &Reading) -> bool {
         let mut versions = self.versions.clone();
+        let latest = now.wall.saturating_add(MAX_AHEAD.as_millis() as u64);
+        for removed in versions.values_mut().flatten() {
+            if *removed > latest {
+                *removed = now.wall;
+            }
+        }
         for version in history.listed() {
             versions.insert(version.clone(), None);
         }
@@ -35,7 +45,7 @@
             let wall = now.wall.saturating_sub(now.steady.saturating_sub(*last));
             let removed = versions.entry(version.clone()).or_default();
             // Other routers noted a slightly different time of the same removal.
-            if removed.is_none_or(|at| at + CLOCK_MARGIN.as_millis() as u64 <= wall) {
+            if removed.is_none_or(|at| at.saturating_add(CLOCK_MARGIN.as_millis() as u64) <= wall) {
                 *removed = Some(wall);
             }
         }
--- a/crates/gateway/tests/testsuite/odd_entries.rs
+++ b/crates/gateway/tests/testsuite/odd_entries.rs
@@ -7,9 +7,11 @@
 use bytes::Bytes;
 use swiftlink_gateway::Node;
 use swiftlink_gateway::catalog::ServerEntry;
+use swiftlink_gateway::clock::Reading;
+use swiftlink_gateway::origins::{MIN_LIFETIME, VersionHistory, VersionRecord};
 use swiftlink_gateway::store::{Feed, MemStore};
 use swiftlink_gateway::watch::{Directory, EntryChange};
-use swiftlink_types::{ServerInstance, ServerName, WallMs, wall_ms};
+use swiftlink_types::{ServerInstance, ServerName, VersionName, WallMs, wall_ms};
 use tokio::time::sleep;
 
 use crate::relay::{Fleet, servers};
@@ -127,3 +129,22 @@
     let time = fleet.convergence_time(&own, &[]).await;
     assert!(time < limit, "after two minutes: {time:?}");
 }
+
+/// Guards against a record of versions with a time far ahead: it ended the task that writes the
+/// records, and the version counted as removed a moment ago for good.
+#[test]
+fn a_version_that_was_removed_in_the_far_future_counts_as_removed_now() {
+    let at = |secs: u64, wall: WallMs| Reading {
+        boot: Arc::from(""),
+        steady: secs * 1_000,
+        wall,
+    };
+    let mut history = VersionHistory::default();
+    history.set([VersionName::from("v1")], 0);
+    history.set([VersionName::from("v2")], 10_000);
+    let mut record = VersionRecord::default();
+    record.update(&history, &at(20, WallMs::MAX));
+    record.update(&history, &at(30, 1_000_000_000));
+    let later = 1_000_000_000 + 200_000;
+    assert_eq!(record.within(MIN_LIFETIME, later), ["v2".into()]);
+}
