--- a/crates/gateway/tests/testsuite/copies.rs
+++ b/crates/gateway/tests/testsuite/copies.rs
@@ -7,6 +7,8 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use swiftlink_gateway::catalog::{CatalogError, ServerEntry};
+use swiftlink_gateway::model::Config;
 use swiftlink_gateway::store::{Feed, MemStore, Page, Record, ResponseTimeout, Store, StoreError};
 use swiftlink_gateway::watch::{self, PeerFeeds, PeerPage, Reader};
 use swiftlink_gateway::{Catalog, Node};
@@ -88,6 +90,20 @@
     }
 }
 
+/// Decodes the entries of [`Entries`], and any configuration.
+#[derive(Debug)]
+struct WithConfig;
+
+impl Catalog for WithConfig {
+    fn config(&self, key: &str, _value: &[u8]) -> Result<Option<Config>, CatalogError> {
+        Ok((key == "config").then(crate::pools::config))
+    }
+
+    fn server(&self, key: &str, value: &[u8]) -> Result<ServerEntry, CatalogError> {
+        Entries.server(key, value)
+    }
+}
+
 /// Two routers that ask each other, each with its own path to one store.
 struct Pair {
     store: Arc<MemStore>,
@@ -113,7 +129,7 @@
         };
         let (paths, nodes) = ([path(), path()], [node(), node()]);
         let mut tasks = JoinSet::new();
-        let catalog: Arc<dyn Catalog> = Arc::new(Entries);
+        let catalog: Arc<dyn Catalog> = Arc::new(WithConfig);
         for (own, other) in [(0, 1), (1, 0)] {
             let others: Arc<dyn PeerFeeds> = Arc::new(OtherRouter(Arc::clone(&nodes[other])));
             let path = Arc::clone(&paths[own]) as Arc<dyn Store>;
@@ -248,7 +264,7 @@
 async fn a_long_replica_is_sent_in_pages() {
     let pair = Pair::open();
     sleep(PROPAGATION_TIME).await;
-    let long = Bytes::from(vec![b'x'; 6_000]);
+    let long = Bytes::from(format!("{:0>5998} 1", 1));
     for name in 0..7 {
         let value = Some(long.clone());
         pair.store.put(Feed::Servers, &format!("s{name}"), value);
@@ -279,3 +295,34 @@
     let page = pair.nodes[0].replicas.since(Feed::Config, 1);
     assert_eq!(page, PeerPage::default());
 }
+
+/// Guards against a router without the store that gets no servers from another: long entries of
+/// another writer came before theirs, and were kept in memory by all routers.
+#[tokio::test(start_paused = true)]
+async fn long_entries_of_other_writers_are_neither_kept_nor_sent() {
+    let pair = Pair::open();
+    pair.put("a", Some("1 1"));
+    sleep(PROPAGATION_TIME).await;
+    pair.cut(1, true).await;
+    let odd = [
+        vec![b'x'; 262_000],
+        format!("{}1 1", "0".repeat(262_000)).into(),
+    ];
+    for name in 0..100 {
+        let value = Bytes::from(odd[name % 2].clone());
+        let key = format!("odd{name}");
+        pair.store.put(Feed::Servers, &key, Some(value));
+    }
+    pair.put("b", Some("1 2"));
+    sleep(PROPAGATION_TIME).await;
+    let now = servers(&[("a", 1, 1), ("b", 1, 2)]);
+    assert_eq!(pair.used(0), now);
+    assert_eq!(pair.used(1), now);
+    let page = pair.nodes[0].replicas.since(Feed::Servers, 0);
+    let kept = page
+        .records
+        .iter()
+        .filter(|record| record.value.is_some())
+        .count();
+    assert_eq!((kept, page.age.is_some()), (2, true));
+}
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod list_reads;
 mod losses;
 mod net;
+mod odd_entries;
 mod origins;
 mod parts;
 mod paths;
