--- a/crates/gateway/src/watch/reader.rs
+++ b/crates/gateway/src/watch/reader.rs
@@ -170,7 +170,7 @@
                         as_of(asked, wait, &page)
                     } else {
                         // The store may have answered at any time during the suspension.
-                        Some(asked)
+                        as_of(asked, Duration::MAX, &page)
                     },
                     page,
                     is_complete: false,
