gateway: join no stream that a server begins anew

Seen by callers: the ids of a stream went back within one response, which looked complete.

Cause: when a stream is resumed at another server (relay::events), or by its caller, the router trusts the server to go on after `Last-Event-Id`. One that begins anew was relayed as it came. The class: what was asked for is taken for what was done.

The splitter knows the event that a server is to go on after, and the first id of that server has to exceed it; nothing of another run is delivered. The stream goes on elsewhere if it may, else it ends visibly broken. That is logged as end=misordered. It counts neither as a failure of the server nor as one of the request: it says nothing of a crash. Streams of routes that aren't resumable are relayed as before.

What it doesn't tell: a server that goes on too late leaves a gap, as the router doesn't know by how much ids increase; events without any id.

--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -42,6 +42,8 @@
     Hung,
     /// The request was quarantined, and the server's response was aborted.
     Quarantined,
+    /// The server was to go on after an event, and sent it or an earlier one.
+    Misordered,
 }
 
 impl StreamEnd {
@@ -50,6 +52,14 @@
         matches!(self, Self::Complete | Self::Closed)
     }
 
+    /// Whether another server may go on with the stream.
+    fn may_resume(self) -> bool {
+        match self {
+            Self::Broken | Self::Hung | Self::Closed | Self::Misordered => true,
+            Self::Complete | Self::Timeout | Self::Quarantined => false,
+        }
+    }
+
     /// Name in logs and metrics; some are older terms that operators' tools match.
     fn as_str(self) -> &'static str {
         match self {
@@ -59,6 +69,7 @@
             Self::Timeout => "timeout",
             Self::Hung => "hung",
             Self::Quarantined => "cut",
+            Self::Misordered => "misordered",
         }
     }
 }
@@ -200,7 +211,8 @@
             StreamEnd::Closed
             | StreamEnd::Timeout
             | StreamEnd::Hung
-            | StreamEnd::Quarantined => {}
+            | StreamEnd::Quarantined
+            | StreamEnd::Misordered => {}
         }
         let splitter = EventSplitter::new();
         finish(&exchange, &attempts, &splitter, &EventGaps::default(), response, end);
@@ -226,6 +238,7 @@
         let held = Arc::clone(&quarantine).until_held(Arc::clone(&exchange.identity));
         tokio::pin!(held);
         let may_resume = exchange.route.replay() != Replay::Never;
+        splitter.expect_after(exchange.meta.resume.filter(|_| may_resume));
         loop {
             // When the first event of this server arrived.
             let mut first_event: Option<Instant> = None;
@@ -256,6 +269,9 @@
                     watch.on_heard();
                 }
                 let Some(events) = splitter.push(&chunk) else {
+                    if splitter.has_gone_back() {
+                        break StreamEnd::Misordered;
+                    }
                     if splitter.partial_len() > MAX_EVENT_BYTES {
                         break StreamEnd::Broken;
                     }
@@ -291,10 +307,11 @@
                 | StreamEnd::Broken
                 | StreamEnd::Timeout
                 | StreamEnd::Hung
-                | StreamEnd::Quarantined => {}
+                | StreamEnd::Quarantined
+                | StreamEnd::Misordered => {}
             }
             // What may be complete or not goes on elsewhere too, from its last event.
-            if matches!(end, StreamEnd::Broken | StreamEnd::Hung | StreamEnd::Closed)
+            if end.may_resume()
                 && let Some(next) = resume(&mut exchange, &mut attempts, &splitter, &response).await
             {
                 let broken = std::mem::replace(&mut response, next);
@@ -302,6 +319,7 @@
                     broken.ticket.fail(ErrorKind::Broken);
                 }
                 splitter.reset();
+                splitter.expect_after(last_id(&exchange, &splitter));
                 gaps.switch_server();
                 continue;
             }
@@ -340,7 +358,7 @@
     if !exchange.may_retry(attempts, Outcome::Truncated) {
         return None;
     }
-    let last = splitter.last_id().or(exchange.meta.resume);
+    let last = last_id(exchange, splitter);
     event!(
         info,
         "request.resumed",
@@ -354,6 +372,11 @@
     (next.outcome == Outcome::Served).then_some(next)
 }
 
+/// Id of the last event that the caller has.
+fn last_id(exchange: &Exchange, splitter: &EventSplitter) -> Option<u64> {
+    splitter.last_id().or(exchange.meta.resume)
+}
+
 fn finish(
     exchange: &Exchange,
     attempts: &Attempts,
@@ -410,6 +433,6 @@
         StreamEnd::Closed => drop(ticket),
         StreamEnd::Broken => ticket.fail(ErrorKind::Broken),
         StreamEnd::Timeout => ticket.time_out(),
-        StreamEnd::Hung | StreamEnd::Quarantined => drop(ticket),
+        StreamEnd::Hung | StreamEnd::Quarantined | StreamEnd::Misordered => drop(ticket),
     }
 }
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -20,6 +20,9 @@
     event: PartialEvent,
     events: u64,
     last_id: Option<u64>,
+    /// Id that the next one has to exceed, as the server goes on after this event.
+    after: Option<u64>,
+    has_gone_back: bool,
 }
 
 /// The complete lines of an event whose empty line is still to come.
@@ -51,16 +54,31 @@
         Self::default()
     }
 
+    /// Expects a server that goes on after the event with the id `last`.
+    pub fn expect_after(&mut self, last: Option<u64>) {
+        self.after = last;
+    }
+
+    /// Whether the server didn't go on after the event that it was to go on after, but with an earlier
+    /// one or with that event itself. Nothing is returned from then on, until the next reset.
+    #[must_use]
+    pub fn has_gone_back(&self) -> bool {
+        self.has_gone_back
+    }
+
     /// Appends the next bytes and returns the events that are complete now, if any.
     pub fn push(&mut self, chunk: &[u8]) -> Option<Bytes> {
         self.partial.extend_from_slice(chunk);
         let mut complete = 0;
-        while self.scanned < self.partial.len() {
+        while self.scanned < self.partial.len() && !self.has_gone_back {
             if let Some(end) = self.scan_byte() {
                 self.end_event();
                 complete = end;
             }
         }
+        if self.has_gone_back {
+            return None;
+        }
         if complete == 0 {
             return None;
         }
@@ -142,6 +160,12 @@
 
     fn end_event(&mut self) {
         let event = std::mem::take(&mut self.event);
+        if let Some(id) = event.id
+            && self.after.take().is_some_and(|after| id <= after)
+        {
+            self.has_gone_back = true;
+            return;
+        }
         self.events += u64::from(event.has_data);
         self.last_id = event.id.or(self.last_id);
     }
