gateway: resume no stream after an event without an id

Seen by callers: an event came twice, in a stream that broke off after it and was resumed.

Cause: relay::resume asks the next server to go on after the last id that was seen. After an event without an id, or with one that isn't a number, that id names an earlier event, and what followed it is sent again. The class: the newest known position is taken for the current one.

Evidence, with the code before: outcomes::a_stream_is_not_resumed_after_an_event_without_an_id left: events 1, b, b, 2, 3, complete; right: events 1, b, broken off

The splitter knows whether an event without an id followed the last one that has one; then the stream isn't resumed and ends visibly broken (request.not_resumable). Comments don't count. Streams without any id were begun anew after their first events before, and end broken too.

The events of the streams that we know all have ids, so this isn't shown to have happened on a deployment.

--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -355,6 +355,16 @@
     splitter: &EventSplitter,
     broken: &ServerResponse,
 ) -> Option<ServerResponse> {
+    if splitter.has_passed_id() && exchange.route.replay() != Replay::Never {
+        event!(
+            info,
+            "request.not_resumable",
+            id = exchange.id(),
+            broken = broken.server.instance.name,
+            after = splitter.last_id().unwrap_or(0),
+        );
+        return None;
+    }
     if !exchange.may_retry(attempts, Outcome::Truncated) {
         return None;
     }
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -20,6 +20,8 @@
     event: PartialEvent,
     events: u64,
     last_id: Option<u64>,
+    /// Whether an event without an id followed the last one that has one.
+    has_passed_id: bool,
     /// Id that the next one has to exceed, as the server goes on after this event.
     after: Option<u64>,
     has_gone_back: bool,
@@ -99,6 +101,7 @@
         *self = Self {
             events: self.events,
             last_id: self.last_id,
+            has_passed_id: self.has_passed_id,
             ..Self::default()
         };
     }
@@ -127,6 +130,13 @@
         self.last_id
     }
 
+    /// Whether a server that goes on after the last id would send events again: those without an id that
+    /// followed it.
+    #[must_use]
+    pub fn has_passed_id(&self) -> bool {
+        self.has_passed_id
+    }
+
     /// Scans the next byte. Returns the offset of the end of an event, if one ends there.
     fn scan_byte(&mut self) -> Option<usize> {
         let at = self.scanned;
@@ -167,6 +177,9 @@
             return;
         }
         self.events += u64::from(event.has_data);
+        if event.has_data {
+            self.has_passed_id = event.id.is_none();
+        }
         self.last_id = event.id.or(self.last_id);
     }
 }
