link tests: cut a tunnel at any byte

Of a tunnel whose connection between the two processes ends or is reset, two places were tested. Now each byte of it is one at which it ends, in order or with a reset, the handshake included. No fault was found; with the check for the end note taken out of TargetDecoder::decode_eof the test fails.

--- a/crates/link/tests/tunnels.rs
+++ b/crates/link/tests/tunnels.rs
@@ -142,6 +142,84 @@
     assert!(tunnel.read_to_end(&mut rest).await.is_err(), "{rest:?}");
 }
 
+/// Passes a connection to `server` on, and `count` bytes back. Then it closes the connection, in order
+/// or with a reset.
+async fn cut_after(server: SocketAddr, count: u64, resets: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let (mut near, _) = listener.accept().await.expect("a connection");
+        let mut far = TcpStream::connect(server).await.expect("the server");
+        if resets {
+            let linger = SockRef::from(&near).set_linger(Some(Duration::ZERO));
+            linger.expect("an abortive close");
+        }
+        let (mut from_near, mut to_near) = near.split();
+        let (from_far, mut to_far) = far.split();
+        let mut part = from_far.take(count);
+        tokio::select! {
+            _closed = tokio::io::copy(&mut from_near, &mut to_far) => {}
+            _passed = tokio::io::copy(&mut part, &mut to_near) => {}
+        }
+    });
+    address
+}
+
+/// What arrives of a target's bytes through a tunnel that is cut after `count` bytes, and whether it
+/// ends like a whole one.
+async fn read_cut(count: u64, resets: bool) -> (Vec<u8>, bool) {
+    let setup = Setup::open().await;
+    let address = cut_after(setup.server.address(), count, resets).await;
+    let Setup { target, .. } = setup;
+    let responding = tokio::spawn(async move {
+        let (mut target, _) = target.accept().await.expect("a connection");
+        for part in WHOLE.chunks(4) {
+            if target.write_all(part).await.is_err() {
+                return;
+            }
+        }
+    });
+    let target = OpenTunnel {
+        server: "known".to_owned(),
+        ..OpenTunnel::default()
+    };
+    let mut bytes = Vec::new();
+    let opened = Tunnel::open(address, "router", &secret(), target).await;
+    let Ok(mut tunnel) = opened else {
+        responding.abort();
+        return (bytes, false);
+    };
+    let read = timeout(TIMEOUT, tunnel.read_to_end(&mut bytes)).await;
+    let has_ended = read.expect("the end or an error").is_ok();
+    (bytes, has_ended)
+}
+
+/// What a target sends.
+const WHOLE: &[u8] = b"id: 1\ndata: abc\n\n";
+
+/// Guards against a tunnel whose connection between the two processes ends or is reset at any byte, and
+/// that passes this on as the end of the target's bytes.
+#[tokio::test]
+async fn a_tunnel_that_is_cut_at_any_byte_breaks_off() {
+    let mut length = 0;
+    loop {
+        let (bytes, has_ended) = read_cut(length, false).await;
+        assert!(WHOLE.starts_with(&bytes), "{length}: {bytes:?}");
+        if has_ended {
+            assert_eq!(bytes, WHOLE, "{length}");
+            break;
+        }
+        length += 1;
+    }
+    for count in 0..length {
+        let (bytes, has_ended) = read_cut(count, true).await;
+        assert!(
+            WHOLE.starts_with(&bytes) && !has_ended,
+            "{count}: {bytes:?}"
+        );
+    }
+}
+
 /// Guards against a target that works on for a caller that has left.
 #[tokio::test]
 async fn a_closed_tunnel_closes_the_targets_connection() {
