gateway: take the end of a path for no end of a response

Seen by callers: a stream ended between two events, as a complete one, when the router's path to its server was closed; the server went on.

Cause: for a response without a length and without chunks, check_end_of connects to the server. If only this router can't, the response counted as complete, since a cut resets connections or leaves them silent. What carries a path may also close them in order, such as a proxy that ends.

Such an end is unknown now, unless the response came through a tunnel, which tells the end of the server's connection. A resumable stream goes on at another server after its last event; if it was complete, nothing follows. One that isn't resumable ends as before, as the bytes don't tell. response.end_unconfirmed says `cut`.

--- a/crates/gateway/src/serve/body_end.rs
+++ b/crates/gateway/src/serve/body_end.rs
@@ -11,7 +11,7 @@
 use super::attempt::ServerResponse;
 use super::exchange::{DEFAULT_KEEP_ALIVE, Exchange};
 use crate::fleet::SelectedServer;
-use crate::paths::ProbeError;
+use crate::paths::{PathWatch, ProbeError};
 use crate::upstream::{Framing, probe};
 
 /// Maximum time for opening the connection, and again for asking other routers: callers wait for the
@@ -32,11 +32,18 @@
 impl Exchange {
     /// Checks the end of a response's body.
     pub(super) async fn check_end(&self, response: &ServerResponse) -> BodyEnd {
-        self.check_end_of(response.framing, &response.server).await
+        let watch = response.watch.as_ref();
+        self.check_end_of(response.framing, &response.server, watch)
+            .await
     }
 
-    /// Checks the end of a body that came from `server`.
-    pub(super) async fn check_end_of(&self, framing: Framing, server: &SelectedServer) -> BodyEnd {
+    /// Checks the end of a body that came from `server` on the path of `watch`.
+    pub(super) async fn check_end_of(
+        &self,
+        framing: Framing,
+        server: &SelectedServer,
+        watch: Option<&PathWatch>,
+    ) -> BodyEnd {
         if framing != Framing::Close {
             return BodyEnd::Complete;
         }
@@ -48,12 +55,15 @@
             DEFAULT_KEEP_ALIVE,
         )
         .await;
+        let is_relayed = watch.is_some_and(|watch| watch.is_relayed);
         let end = match probed {
-            Ok(()) | Err(ProbeError::PathCut) => return BodyEnd::Complete,
-            Err(ProbeError::Unknown) => BodyEnd::Unknown,
+            Ok(()) => return BodyEnd::Complete,
+            // A tunnel tells the end of the server's connection from that of its own.
+            Err(ProbeError::PathCut) if is_relayed => return BodyEnd::Complete,
+            // What cut the path may have closed the connection.
+            Err(ProbeError::PathCut | ProbeError::Unknown) => BodyEnd::Unknown,
             // After its last response.
             Err(_) if self.pool.may_have_ended(server, drain) => BodyEnd::Unknown,
-            // A cut would have reset the connection or left it silent, and not closed it.
             Err(ProbeError::Refused | ProbeError::RefusedHere) => BodyEnd::Truncated,
         };
         event!(
@@ -62,6 +72,7 @@
             id = self.id(),
             server = server.instance.name,
             refused = probed != Err(ProbeError::Unknown),
+            cut = probed == Err(ProbeError::PathCut),
             truncated = end == BodyEnd::Truncated,
         );
         end
--- a/crates/gateway/src/serve/buffer.rs
+++ b/crates/gateway/src/serve/buffer.rs
@@ -14,6 +14,7 @@
 use super::refusal::Refusal;
 use crate::fleet::SelectedServer;
 use crate::outcome::Outcome;
+use crate::paths::PathWatch;
 use crate::upstream::{Framing, ResponseBody};
 
 /// Maximum length in bytes of a response that is buffered before it is relayed. One that breaks
@@ -74,7 +75,8 @@
             ticket.fail(ErrorKind::Status);
             return Err(NextStep::Retry);
         }
-        let read = timeout_at(self.deadline, self.read_body(body, framing, &server)).await;
+        let read = self.read_body(body, framing, &server, watch.as_ref());
+        let read = timeout_at(self.deadline, read).await;
         let (body, end) = match read {
             Ok(Ok(BufferedBody::Complete(body, end))) => {
                 self.node.traffic.received(body.len());
@@ -156,12 +158,13 @@
         mut body: ResponseBody,
         framing: Framing,
         server: &SelectedServer,
+        watch: Option<&PathWatch>,
     ) -> Result<BufferedBody, BodyError> {
         let start = buffer_body(&mut body).await?.freeze();
         if start.len() > MAX_BUFFERED_BYTES {
             return Ok(BufferedBody::Partial { start, rest: body });
         }
-        match self.check_end_of(framing, server).await {
+        match self.check_end_of(framing, server, watch).await {
             BodyEnd::Truncated => Err(BodyError::ServerEnded),
             end => Ok(BufferedBody::Complete(start, end)),
         }
