gateway: know what others have in force before the store's first records count

Seen by operators and callers: after the store went back to an older copy, a router that started had the configuration of that copy in force, and was ready, for 0.25 s, while the others had a newer one: the metric config_version went back at the restart of a router, and callers got 404 or 401 for what had been added, or were served by keys that had been removed.

Cause: follow::run applied the first records of the store, which made the router ready, paused, and asked another router for records of earlier eras after that. The class: what the store has is taken for the newest before others were asked.

Other routers are asked before an answer of the store takes effect, three of them at most before the first one, as one that was chosen may have ended. Each try is bounded (0.1 s to connect, 0.4 s for the answer), and nothing changes where the store has never gone back.

What remains: if none of those that are asked answers, or the one that does started a moment ago and has only read the copy, the router begins with what the store has, as before. Routers that all start at once have nothing else.

--- a/crates/gateway/src/watch/earlier.rs
+++ b/crates/gateway/src/watch/earlier.rs
@@ -14,6 +14,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Times that other routers are asked. A starting router knows none of them at first.
 const MAX_TRIES: u32 = 8;
+/// Those before the first records of the store are applied: a router that was chosen may have ended.
+const FIRST_TRIES: u32 = 3;
 /// Answers that are enough: a router that was asked may have started a moment ago itself.
 const MAX_ANSWERS: u32 = 3;
 
@@ -42,24 +44,28 @@
         reader: &Reader,
         handler: &mut impl Follow,
     ) {
-        if self.tries_left.min(self.answers_left) == 0 {
-            return;
-        }
         if reader.feed() != Feed::Config || era_of(reader.known_end()) == 0 {
             return;
         }
-        self.tries_left -= 1;
-        let Some(records) = fetch_all(relay, reader.feed()).await else {
-            return;
-        };
-        self.answers_left -= 1;
-        event!(
-            info,
-            "feed.earlier_fetched",
-            feed = reader.feed(),
-            records = records.len(),
-        );
-        handler.take_earlier(&records);
+        let is_first = self.tries_left == MAX_TRIES;
+        let tries = if is_first { FIRST_TRIES } else { 1 };
+        for _ in 0..tries {
+            if self.tries_left.min(self.answers_left) == 0 {
+                return;
+            }
+            self.tries_left -= 1;
+            let Some(records) = fetch_all(relay, reader.feed()).await else {
+                continue;
+            };
+            self.answers_left -= 1;
+            event!(
+                info,
+                "feed.earlier_fetched",
+                feed = reader.feed(),
+                records = records.len(),
+            );
+            return handler.take_earlier(&records);
+        }
     }
 }
 
--- a/crates/gateway/src/watch/follow.rs
+++ b/crates/gateway/src/watch/follow.rs
@@ -218,12 +218,9 @@
             continue;
         }
         store_poller
-            .poll(&mut reader, &mut handler, relay.as_ref())
+            .poll(&mut reader, &mut handler, relay.as_ref(), &mut earlier)
             .await;
         upstream.reset();
-        if let Some(relay) = &relay {
-            earlier.receive(relay, &reader, &mut handler).await;
-        }
     }
 }
 
@@ -251,6 +248,7 @@
         reader: &mut Reader,
         handler: &mut impl Follow,
         relay: Option<&Relay>,
+        earlier: &mut EarlierRecords,
     ) {
         // After a loss the polls are short, to notice soon when the store is back.
         let wait = match self.lost_at {
@@ -269,6 +267,10 @@
                 }
                 let update = reader.take(answer);
                 let has_changes = !update.changes.is_empty();
+                // The store may have an older version than others have in force.
+                if let Some(relay) = relay {
+                    earlier.receive(relay, reader, handler).await;
+                }
                 take(update, reader, handler, relay);
                 tick(reader, handler, relay);
                 if has_changes {
