--- a/crates/gateway/src/watch/follow.rs
+++ b/crates/gateway/src/watch/follow.rs
@@ -250,12 +250,9 @@
             continue;
         }
         store_poller
-            .poll(&mut reader, &mut handler, relay.as_ref())
+            .poll(&mut reader, &mut handler, relay.as_ref(), &mut earlier)
             .await;
         upstream.reset();
-        if let Some(relay) = &relay {
-            earlier.receive(relay, &reader, &mut handler).await;
-        }
     }
 }
 
@@ -283,6 +280,7 @@
         reader: &mut Reader,
         handler: &mut impl Follow,
         relay: Option<&Relay>,
+        earlier: &mut EarlierRecords,
     ) {
         let list = relay.and_then(|relay| relay.list(reader.feed()));
         let is_wanted = list.is_some_and(Confirmation::is_wanted);
@@ -310,6 +308,10 @@
                 let has_more = answer.has_more();
                 let update = reader.take(answer);
                 let has_changes = !update.changes.is_empty();
+                // The store may have an older version than others have in force.
+                if let Some(relay) = relay {
+                    earlier.receive(relay, reader, handler).await;
+                }
                 take(update, reader, handler, relay);
                 tick(reader, handler, relay);
                 // What is behind a page is as late as that page already.
