gateway: a retry after a standstill waits for what changed meanwhile

Seen by callers and operators: a router process that stood still for some seconds sends broken requests again to a failure domain that operators drained meanwhile.

Cause, by the log of a process that was stopped for 4 s while eight requests waited at one server and the domain of the other one was drained: 31.312 store.lost feed=config error="no answer within 4s" 31.312 request.send_failed server=i-0 outcome=lost 31.315 request.answered server=i-1 attempts=2 31.375 store.regained feed=config away_secs=0.063 31.375 domain.emptied domain=b age_ms=5189 Two faults of one class, a decision in the first moment after a standstill, before anything was read: - Only a new request waits for a poll after a standstill; a retry and a stream that is resumed within its answer don't. - The timeout of the poll that was in flight passes during the standstill, so it fails at once although its answer waits in the socket. That counted as a poll and let the waiting requests go on. The wait of 60 ms was also shorter than the pause of up to 150 ms before the next poll.

Each choice of a server waits after a standstill, for up to 250 ms. The first poll without an answer after a standstill doesn't count; the second one does, so that a router without access to the store serves as before. The check costs a read of two clocks and an atomic.

--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -23,6 +23,8 @@
     as_of: AtomicU64,
     /// When the feed was last polled, in milliseconds after the start.
     polled: AtomicU64,
+    /// When a poll last got no answer, in milliseconds after the start.
+    unanswered: AtomicU64,
     /// Notified at each poll.
     polls: Notify,
 }
@@ -35,6 +37,7 @@
             suspensions: Suspensions::new(clock),
             as_of: AtomicU64::new(0),
             polled: AtomicU64::new(0),
+            unanswered: AtomicU64::new(0),
             polls: Notify::new(),
         }
     }
@@ -68,6 +71,18 @@
         self.polls.notify_waiters();
     }
 
+    /// Records that the feed was polled without an answer. The first such poll after a stall doesn't
+    /// count: its timeout passed during the stall, and its answer may not have been read.
+    pub fn mark_unanswered(&self) {
+        let now = self.suspensions.elapsed().as_millis() as u64;
+        let before = self.unanswered.swap(now, Relaxed);
+        let is_first = now.saturating_sub(before) > MAX_POLL_GAP.as_millis() as u64;
+        if is_first && self.has_stalled() {
+            return;
+        }
+        self.mark_polled();
+    }
+
     /// Waits for the next poll, up to `max_wait`, if the process was stalled for so long that it
     /// missed polls. A request that is sent right after the stall would use outdated knowledge.
     pub async fn wait_after_stall(&self, max_wait: Duration) {
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -19,6 +19,7 @@
 use super::buffer::NextStep;
 use super::refusal::{Refusal, SERVER_RETRY};
 use super::relay;
+use super::service::STALL_WAIT;
 use crate::dialect::RequestMeta;
 use crate::fingerprint::RequestIdentity;
 use crate::fleet::{Pool, SelectedServer, ServerCriteria, Ticket};
@@ -210,6 +211,8 @@
                 return Err(quarantine_refusal(attempts, rest));
             }
             self.admit(attempts).await?;
+            // The process may have stood still since the request came.
+            self.node.freshness.wait_after_stall(STALL_WAIT).await;
             let Some((server, ticket)) = self.choose(attempts).await else {
                 return Err(self.unserved(attempts));
             };
--- a/crates/gateway/src/serve/service.rs
+++ b/crates/gateway/src/serve/service.rs
@@ -31,9 +31,10 @@
 /// Minimum of that wait, also for routes with a short target latency: a claim begins up to 50 ms
 /// after the previous one and takes 10 ms while the store responds.
 const MIN_QUOTA_WAIT: Duration = Duration::from_millis(60);
-/// Maximum wait for an update of the configuration in a process that was stalled: the store
-/// responds in a few milliseconds, other routers in ten.
-const STALL_WAIT: Duration = Duration::from_millis(60);
+/// Maximum wait for an update of the configuration in a process that was stalled. The poll that was in
+/// flight may have timed out; the next one follows up to 150 ms later, and the store responds in a few
+/// milliseconds.
+pub(super) const STALL_WAIT: Duration = Duration::from_millis(250);
 /// Jitter of retry times, over which callers that wait for the same event return.
 const RETRY_JITTER: Duration = Duration::from_millis(400);
 /// Timeout of a request whose caller specifies none, capped by that of its route.
--- a/crates/gateway/src/watch/config.rs
+++ b/crates/gateway/src/watch/config.rs
@@ -19,6 +19,8 @@
     catalog: Arc<dyn Catalog>,
     drained: DrainedDomains,
     orders: RolloutOrders,
+    /// Whether there was an update since the last poll.
+    has_update: bool,
 }
 
 impl Follower {
@@ -28,6 +30,7 @@
             catalog,
             drained: DrainedDomains::default(),
             orders: RolloutOrders::default(),
+            has_update: false,
         }
     }
 
@@ -155,6 +158,7 @@
 
 impl Follow for Follower {
     fn take(&mut self, update: FeedUpdate) -> FeedUpdate {
+        self.has_update = true;
         self.apply_domains(&update);
         self.apply_newest(&update);
         self.apply_rollouts(&update);
@@ -182,7 +186,10 @@
     }
 
     fn tick(&mut self) -> Vec<String> {
-        self.node.freshness.mark_polled();
+        match std::mem::take(&mut self.has_update) {
+            true => self.node.freshness.mark_polled(),
+            false => self.node.freshness.mark_unanswered(),
+        }
         Vec::new()
     }
 }
--- a/crates/gateway/tests/testsuite/emptied.rs
+++ b/crates/gateway/tests/testsuite/emptied.rs
@@ -366,6 +366,32 @@
     assert_eq!(before.elapsed(), limit, "waits no longer than the limit");
 }
 
+/// Guards against a poll that timed out while the process was suspended, and released the requests that
+/// wait for an update as it resumed. In an outage of the store later ones do.
+#[tokio::test(start_paused = true)]
+async fn requests_wait_for_an_update_beyond_the_poll_that_timed_out_in_a_suspension() {
+    let limit = Duration::from_millis(60);
+    let freshness = Arc::new(Freshness::new(TestClock::new()));
+    for expected in [20, 60, 20] {
+        freshness.mark_polled();
+        advance(Duration::from_secs(8)).await;
+        let poller = Arc::clone(&freshness);
+        let poll = tokio::spawn(async move {
+            sleep(Duration::from_millis(10)).await;
+            poller.mark_unanswered();
+            sleep(Duration::from_millis(10)).await;
+            match expected {
+                20 => poller.mark_unanswered(),
+                _ => sleep(limit).await,
+            }
+        });
+        let before = Instant::now();
+        freshness.wait_after_stall(limit).await;
+        assert_eq!(before.elapsed(), Duration::from_millis(expected));
+        poll.await.expect("the poll");
+    }
+}
+
 /// Servers listed later share the current state of their domain.
 #[test]
 fn domain_state_is_shared_by_all_senders() {
