--- a/crates/gateway/src/watch/config.rs
+++ b/crates/gateway/src/watch/config.rs
@@ -20,6 +20,8 @@
     catalog: Arc<dyn Catalog>,
     drained: DrainedDomains,
     orders: RolloutOrders,
+    /// Whether there was an update since the last poll.
+    has_update: bool,
 }
 
 impl Follower {
@@ -29,6 +31,7 @@
             catalog,
             drained: DrainedDomains::default(),
             orders: RolloutOrders::default(),
+            has_update: false,
         }
     }
 
@@ -166,6 +169,7 @@
 impl Follow for Follower {
     /// Followers get the records that this router uses; the topic has records of other writers.
     fn take(&mut self, mut update: FeedUpdate) -> FeedUpdate {
+        self.has_update = true;
         let mut used = HashSet::new();
         self.apply_domains(&update, &mut used);
         used.extend(self.apply_newest(&update));
@@ -197,7 +201,10 @@
     }
 
     fn tick(&mut self) -> Vec<String> {
-        self.node.freshness.mark_polled();
+        match std::mem::take(&mut self.has_update) {
+            true => self.node.freshness.mark_polled(),
+            false => self.node.freshness.mark_unanswered(),
+        }
         Vec::new()
     }
 }
