--- a/crates/gateway/src/watch/config.rs
+++ b/crates/gateway/src/watch/config.rs
@@ -36,6 +36,14 @@
         let known = self.node.config.load();
         let before = known.as_ref().map_or(0, |known| known.version);
         if known.is_some() && config.version <= before {
+            if config.version < before {
+                event!(
+                    info,
+                    "config.outdated",
+                    version = config.version,
+                    in_force = before
+                );
+            }
             return;
         }
         self.node.pools.set_config(&config, &self.node.settings);
