gateway: tell others the version in force, not the older one of the store

Seen by operators and callers: after the store went back to an older copy, and before operators wrote the lost version again, all routers were replaced one after the other, and the last ones had the version of the copy in force: what had been confirmed was reverted, without a line that says so.

Cause: a router that starts learns a lost version from another one (EarlierRecords), and puts it in force, but its replica, from which it tells others, had the record of the store. So only a router that had read the lost version itself could tell it. The class: what a router does and what it tells others come from two places.

Evidence, with the code before: restored::a_version_that_the_store_lost_stays_in_force_while_routers_are_replaced timeout before the router reached the state; config.in_force version=1 before=0 at the third router, which had asked three times

The replica gets the records of earlier eras that were put in force, and a version of the store that is older than the one in force isn't published.

What remains: routers that all end before the version is written again forget it, as the store has.

--- a/crates/gateway/src/watch/config.rs
+++ b/crates/gateway/src/watch/config.rs
@@ -1,5 +1,6 @@
 //! Applies new versions of the configuration, drained failure domains and rollout orders.
 
+use std::cmp::Ordering;
 use std::sync::Arc;
 
 use swiftlink_telemetry::event;
@@ -31,11 +32,12 @@
         }
     }
 
-    fn apply(&self, config: Config) {
+    /// Puts a version in force unless one that isn't older is. Returns the order of the two.
+    fn apply(&self, config: Config) -> Ordering {
         let known = self.node.config.load();
         let before = known.as_ref().map_or(0, |known| known.version);
         if known.is_some() && config.version <= before {
-            return;
+            return config.version.cmp(&before);
         }
         self.node.pools.set_config(&config, &self.node.settings);
         self.node.quotas.set_config(&config);
@@ -48,23 +50,26 @@
             workspaces = config.workspaces.len(),
         );
         self.node.config.store(Some(Arc::new(config)));
+        Ordering::Greater
     }
 
-    /// Applies only the newest version: each is the whole configuration.
-    fn apply_newest(&self, update: &FeedUpdate) {
+    /// Applies only the newest version: each is the whole configuration. Returns its key if it is older
+    /// than the one in force.
+    fn apply_newest(&self, update: &FeedUpdate) -> Option<String> {
         for change in update.changes.iter().rev() {
             let Some(value) = &change.value else {
                 continue;
             };
             match self.catalog.config(&change.key, value) {
                 Ok(Some(config)) => {
-                    self.apply(config);
-                    return;
+                    let is_older = self.apply(config) == Ordering::Less;
+                    return is_older.then(|| change.key.clone());
                 }
                 Ok(None) => {}
                 Err(error) => self.report_unreadable(&error, change.offset),
             }
         }
+        None
     }
 
     /// Reports a record that can't be used.
@@ -154,9 +159,12 @@
 }
 
 impl Follow for Follower {
-    fn take(&mut self, update: FeedUpdate) -> FeedUpdate {
+    fn take(&mut self, mut update: FeedUpdate) -> FeedUpdate {
         self.apply_domains(&update);
-        self.apply_newest(&update);
+        if let Some(outdated) = self.apply_newest(&update) {
+            // Others are told what is in force here.
+            update.changes.retain(|change| change.key != outdated);
+        }
         self.apply_rollouts(&update);
         if let Some(at) = update.as_of {
             self.node.pools.confirm_orders(at);
@@ -168,17 +176,30 @@
     fn store_recovered(&mut self, _known: Option<Instant>) {}
 
     /// A version is newer by its number.
-    fn take_earlier(&mut self, records: &[Record]) {
+    fn take_earlier(&mut self, records: &[Record]) -> Vec<Change> {
+        let mut applied = Vec::new();
         for record in records {
             let Some(value) = &record.value else {
                 continue;
             };
-            match self.catalog.config(&record.key, value) {
+            let order = match self.catalog.config(&record.key, value) {
                 Ok(Some(config)) => self.apply(config),
-                Ok(None) => {}
-                Err(error) => self.report_unreadable(&error, record.offset),
+                Ok(None) => continue,
+                Err(error) => {
+                    self.report_unreadable(&error, record.offset);
+                    continue;
+                }
+            };
+            if order != Ordering::Greater {
+                continue;
             }
+            applied.push(Change {
+                key: record.key.clone(),
+                value: record.value.clone(),
+                offset: record.offset,
+            });
         }
+        applied
     }
 
     fn tick(&mut self) -> Vec<String> {
--- a/crates/gateway/src/watch/earlier.rs
+++ b/crates/gateway/src/watch/earlier.rs
@@ -6,7 +6,7 @@
 use swiftlink_wire::link::Following;
 
 use super::follow::{Follow, Relay};
-use super::reader::Reader;
+use super::reader::{FeedUpdate, Reader};
 use super::replicas;
 use crate::store::{Feed, Record, era_of};
 
@@ -64,7 +64,11 @@
                 feed = reader.feed(),
                 records = records.len(),
             );
-            return handler.take_earlier(&records);
+            let update = FeedUpdate {
+                changes: handler.take_earlier(&records),
+                ..FeedUpdate::default()
+            };
+            return relay.node.replicas.apply(reader.feed(), &update);
         }
     }
 }
--- a/crates/gateway/src/watch/follow.rs
+++ b/crates/gateway/src/watch/follow.rs
@@ -49,8 +49,10 @@
     fn store_recovered(&mut self, known: Option<Instant>);
 
     /// Applies records of earlier eras that another router knows, where they are newer by what they
-    /// say themselves.
-    fn take_earlier(&mut self, _records: &[Record]) {}
+    /// say themselves, and returns those.
+    fn take_earlier(&mut self, _records: &[Record]) -> Vec<Change> {
+        Vec::new()
+    }
 
     /// Does what has become due and returns the keys that expired; called after each poll.
     fn tick(&mut self) -> Vec<String>;
