--- a/crates/gateway/src/watch/config.rs
+++ b/crates/gateway/src/watch/config.rs
@@ -1,5 +1,6 @@
 //! Applies new versions of the configuration, drained failure domains and rollout orders.
 
+use std::cmp::Ordering;
 use std::collections::HashSet;
 use std::sync::Arc;
 
@@ -35,7 +36,8 @@
         }
     }
 
-    fn apply(&self, config: Config) {
+    /// Puts a version in force unless one that isn't older is. Returns the order of the two.
+    fn apply(&self, config: Config) -> Ordering {
         let known = self.node.config.load();
         let before = known.as_ref().map_or(0, |known| known.version);
         if known.is_some() && config.version <= before {
@@ -47,7 +49,7 @@
                     in_force = before
                 );
             }
-            return;
+            return config.version.cmp(&before);
         }
         self.node.pools.set_config(&config, &self.node.settings);
         self.node.quotas.set_config(&config);
@@ -60,10 +62,11 @@
             workspaces = config.workspaces.len(),
         );
         self.node.config.store(Some(Arc::new(config)));
+        Ordering::Greater
     }
 
     /// Applies only the newest version: each is the whole configuration. Returns the offset of its
-    /// record.
+    /// record, unless it is older than the one in force: others are told what is in force here.
     fn apply_newest(&self, update: &FeedUpdate) -> Option<u64> {
         for change in update.changes.iter().rev() {
             let Some(value) = &change.value else {
@@ -71,8 +74,8 @@
             };
             match self.catalog.config(&change.key, value) {
                 Ok(Some(config)) => {
-                    self.apply(config);
-                    return Some(change.offset);
+                    let is_older = self.apply(config) == Ordering::Less;
+                    return (!is_older).then_some(change.offset);
                 }
                 Ok(None) => {}
                 Err(error) => self.report_unreadable(&error, change.offset),
@@ -195,17 +198,30 @@
     fn store_recovered(&mut self, _known: Option<Instant>) {}
 
     /// A version is newer by its number.
-    fn take_earlier(&mut self, records: &[Record]) {
+    fn take_earlier(&mut self, records: &[Record]) -> Vec<Change> {
+        let mut applied = Vec::new();
         for record in records {
             let Some(value) = &record.value else {
                 continue;
             };
-            match self.catalog.config(&record.key, value) {
+            let order = match self.catalog.config(&record.key, value) {
                 Ok(Some(config)) => self.apply(config),
-                Ok(None) => {}
-                Err(error) => self.report_unreadable(&error, record.offset),
+                Ok(None) => continue,
+                Err(error) => {
+                    self.report_unreadable(&error, record.offset);
+                    continue;
+                }
+            };
+            if order != Ordering::Greater {
+                continue;
             }
+            applied.push(Change {
+                key: record.key.clone(),
+                value: record.value.clone(),
+                offset: record.offset,
+            });
         }
+        applied
     }
 
     fn tick(&mut self) -> Vec<String> {
