fleet, routing: begin streams at versions that the store's record names

What callers saw: a stream that had begun at a new version went on at another one after all routers had been killed, when the new version had left.

Cause: streams begin at a version as soon as a server of it is listed, and its record is written when the store allows it. If all routers end before that, the record and the list name one and the same other version, so a stream that no router knows counts as that version's.

Now a request whose stream may be resumed goes to a version that this router knows as recorded, as long as a server of one can take it. Nothing waits: with one version, at a fleet's first start, and if the recorded versions' servers drain, are full or ejected, it begins at any version as before. The first event isn't delayed.

This remains: while no server of a recorded version can take a request and the store can't be written, a stream begins unrecorded.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -45,6 +45,7 @@
 use pools::Shared;
 use speeds::SpeedLog;
 pub use ticket::Ticket;
+use versions::send_to_any;
 
 /// Share of the fleet-wide retry budget that routers use. Each router counts for itself, and
 /// requests aren't spread evenly over routers.
@@ -136,6 +137,8 @@
     pub route: Option<&'a Arc<str>>,
     /// Version that the request must run on, since it began the response; `None` for any.
     pub version: Option<&'a VersionName>,
+    /// Whether the response is a stream that its caller may resume.
+    pub is_resumable: bool,
     /// Whether it may go to a canary server.
     pub may_canary: bool,
     /// Its priority; 0 is the most urgent.
@@ -236,9 +239,11 @@
         }
         let may_canary = criteria.may_canary && criteria.version.is_none();
         let is_canary = may_canary && self.rollout.is_canary(rand::random());
-        let mut pick = PickArgs {
+        let barred = self.barred_versions(criteria);
+        let pick = PickArgs {
             now,
             version: criteria.version,
+            barred: &barred,
             is_canary,
             prefix: criteria.prefix,
             prompt: criteria.prompt,
@@ -248,12 +253,7 @@
             may_probe: true,
         };
         let mut fleet = self.fleet();
-        let mut dispatch = fleet.send(&pick, &mut rand::rng());
-        if dispatch.is_none() && is_canary {
-            pick.is_canary = false;
-            dispatch = fleet.send(&pick, &mut rand::rng());
-        }
-        let dispatch = dispatch?;
+        let dispatch = send_to_any(&mut fleet, pick)?;
         let instance = fleet.get(dispatch.idx)?.instance().clone();
         let mut info = self.servers.load().get(&instance.name).cloned();
         if let Some(info) = info.as_mut().filter(|_| criteria.version.is_some()) {
--- a/crates/gateway/src/origins/versions.rs
+++ b/crates/gateway/src/origins/versions.rs
@@ -69,6 +69,18 @@
         self.recorded.as_deref()
     }
 
+    /// The listed versions that the store's record doesn't name, while it names another one of them.
+    #[must_use]
+    pub fn unrecorded(&self) -> Vec<VersionName> {
+        let recorded = self.recorded().unwrap_or_default();
+        let is_recorded = |version: &&VersionName| recorded.contains(version);
+        if !self.listed.iter().any(|version| is_recorded(&version)) {
+            return Vec::new();
+        }
+        let unrecorded = self.listed.iter().filter(|version| !is_recorded(version));
+        unrecorded.cloned().collect()
+    }
+
     /// The versions that are listed now.
     #[must_use]
     pub fn listed(&self) -> &[VersionName] {
@@ -155,6 +167,14 @@
         history.is_some_and(|history| history.set_recorded(versions))
     }
 
+    /// The versions of a pool that the store's record doesn't name, while it names another one.
+    #[must_use]
+    pub fn unrecorded(&self, pool: &PoolName) -> Vec<VersionName> {
+        let pools = lock(&self.pools);
+        let history = pools.get(pool);
+        history.map_or_else(Vec::new, VersionHistory::unrecorded)
+    }
+
     /// What is known of a pool.
     #[must_use]
     pub fn of(&self, pool: &PoolName) -> VersionHistory {
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -281,6 +281,7 @@
             exclude: &attempts.tried,
             route: Some(&self.route.name),
             version: self.begun_by.as_ref(),
+            is_resumable: self.route.replay() == Replay::Resume,
             may_canary: attempts.tried.is_empty(),
             priority: self.priority(),
         }
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -39,5 +39,6 @@
 mod table;
 mod traffic;
 mod tree;
+mod unrecorded;
 mod version_records;
 mod watch;
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -36,6 +36,8 @@
     pub domains: Option<&'a HashSet<DomainName>>,
     /// Version of the software that the request must run on, whatever a rollout says of it.
     pub version: Option<&'a VersionName>,
+    /// Versions that the request must not run on.
+    pub barred: &'a [VersionName],
     /// Whether it is a canary request, which goes to canary servers only.
     pub is_canary: bool,
     /// Whether the request may be the probe of an ejected server; false for one that may run at
@@ -185,10 +187,11 @@
     }
 
     /// Whether to try an ejected server again when no other is left: a refused connection costs no
-    /// time, and nothing is sent.
+    /// time, and nothing is sent. Servers of barred versions may be left.
     #[must_use]
     pub fn can_reconnect(&self, index: u32) -> bool {
-        self.server(index).health.is_refusing() && !self.is_excluded(index)
+        let is_last = self.args.barred.is_empty() && !self.is_excluded(index);
+        is_last && self.server(index).health.is_refusing()
     }
 
     /// Estimated requests per slot of a server.
@@ -220,7 +223,9 @@
             Some(version) => server.version.as_ref() != Some(version),
             None => server.is_canary != self.args.is_canary,
         };
-        if is_other_version {
+        let barred = self.args.barred;
+        let is_barred = |version| barred.contains(version);
+        if is_other_version || server.version.as_ref().is_some_and(is_barred) {
             return true;
         }
         let domain = server.domain();
