origins: ask whether a record is written before reading it, also when late

Seen in a run of 245 tests of the gateway beside other work (load 48): version_records::a_few_routers_of_any_fleet_write_a_record failed on its bound of 9 reads.

Cause: the turn of a router came by the time since the change alone. Routers that were held up for longer than that read the store without a question, and a whole fleet that is held up would do so at once.

Now a turn also takes as many questions as the routers before it, three at most, and each read of the store follows a question.

--- a/crates/gateway/src/origins/version_writer.rs
+++ b/crates/gateway/src/origins/version_writer.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use futures_util::future::join_all;
 use prost::Message;
+use rand::seq::IteratorRandom;
 use swiftlink_telemetry::event;
 use swiftlink_types::{PoolName, VersionName, VmName};
 use swiftlink_wire::link::{FindOrigin, RecordedVersions, reply, request};
@@ -47,11 +48,13 @@
 }
 
 /// What a router does next for a pool.
-#[derive(Debug, PartialEq, Eq)]
-enum Step {
-    Wait,
-    Ask(Vec<VmName>),
-    Write,
+#[derive(Debug)]
+struct Step {
+    /// Routers that are asked whether the record is written.
+    asked: Vec<VmName>,
+    /// Whether this router writes it if none of them confirms that. One that was held up asks as
+    /// often as the others: by the time alone, a whole fleet that was held up would read the store.
+    is_turn: bool,
 }
 
 /// A change that isn't known to be recorded.
@@ -60,6 +63,8 @@
     since: Instant,
     /// When the next step is due.
     next: Instant,
+    /// Number of times that others were asked.
+    questions: usize,
     /// Pause after the next question.
     pause: Duration,
     /// The routers that come before this one, but for those that didn't reply; `None` until all
@@ -74,39 +79,47 @@
         Self {
             since: now,
             next: now,
+            questions: 0,
             pause: MIN_ASK_PAUSE,
             before: None,
             has_lost: false,
         }
     }
 
-    fn step(&mut self, now: Instant) -> Step {
+    /// The next step; `None` if it isn't due yet.
+    fn step(&mut self, now: Instant) -> Option<Step> {
         let Some(before) = &self.before else {
             self.next = now + RETRY_INTERVAL;
-            return Step::Wait;
+            return None;
         };
         let place = before.len() as u32;
-        let turn = self.since + TURN_DELAY * place;
-        if now >= turn {
-            self.next = now + RETRY_INTERVAL * (place + 1);
-            return Step::Write;
-        }
         // Those that are asked by most routers ask first.
         let first_ask = self.since + ASK_DELAY * place.min(2);
         if now < first_ask {
             self.next = first_ask;
-            return Step::Wait;
+            return None;
         }
-        self.next = turn.min(now + self.pause);
-        self.pause = MAX_ASK_PAUSE.min(self.pause * 2);
-        if self.has_lost {
-            return Step::Ask(before.iter().take(WRITERS).cloned().collect());
+        let turn = self.since + TURN_DELAY * place;
+        let is_turn = now >= turn && self.questions >= before.len().min(WRITERS);
+        self.questions += 1;
+        if is_turn {
+            self.next = now + RETRY_INTERVAL * (place + 1);
+        } else {
+            let next = now + self.pause;
+            self.next = if now < turn { turn.min(next) } else { next };
+            self.pause = MAX_ASK_PAUSE.min(self.pause * 2);
         }
-        let drawn = match before.len() < WRITERS {
-            true => 0,
-            false => rand::random_range(0..WRITERS),
+        let asked = before.iter().take(WRITERS);
+        let asked: Vec<VmName> = match (self.has_lost, before.len() < WRITERS) {
+            (true, _) => asked.cloned().collect(),
+            (false, true) => asked.take(1).cloned().collect(),
+            (false, false) => asked
+                .choose(&mut rand::rng())
+                .cloned()
+                .into_iter()
+                .collect(),
         };
-        Step::Ask(vec![before[drawn].clone()])
+        Some(Step { asked, is_turn })
     }
 
     fn on_lost(&mut self, lost: &VmName) {
@@ -167,7 +180,7 @@
     async fn advance(&mut self) {
         let now = Instant::now();
         let mut asks = Vec::new();
-        let mut writes = Vec::new();
+        let mut turns = Vec::new();
         for (pool, pending) in &mut self.pending {
             if pending.next > now {
                 continue;
@@ -175,18 +188,21 @@
             if pending.before.is_none() {
                 pending.before = self.recorders.writers_before(pool);
             }
-            match pending.step(now) {
-                Step::Wait => {}
-                Step::Ask(vms) => asks.extend(vms.into_iter().map(|vm| (pool.clone(), vm))),
-                Step::Write => writes.push(pool.clone()),
+            let Some(step) = pending.step(now) else {
+                continue;
+            };
+            asks.extend(step.asked.into_iter().map(|vm| (pool.clone(), vm)));
+            if step.is_turn {
+                turns.push(pool.clone());
             }
         }
         self.ask(asks).await;
-        if writes.is_empty() {
+        turns.retain(|pool| self.pending.contains_key(pool));
+        if turns.is_empty() {
             return;
         }
-        match self.write(&writes).await {
-            Ok(()) => self.pending.retain(|pool, _| !writes.contains(pool)),
+        match self.write(&turns).await {
+            Ok(()) => self.pending.retain(|pool, _| !turns.contains(pool)),
             // Another writer was first.
             Err(StoreError::Conflict { .. }) => {}
             Err(error) => event!(warn, "versions.not_written", error = error),
