--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -19,6 +19,7 @@
 use super::buffer::NextStep;
 use super::refusal::{Refusal, SERVER_RETRY};
 use super::relay;
+use super::service::STALL_WAIT;
 use crate::dialect::RequestMeta;
 use crate::fingerprint::RequestIdentity;
 use crate::fleet::{Pool, SelectedServer, ServerCriteria, Ticket};
@@ -210,6 +211,8 @@
                 return Err(quarantine_refusal(attempts, rest));
             }
             self.admit(attempts).await?;
+            // The process may have stood still since the request came.
+            self.node.freshness.wait_after_stall(STALL_WAIT).await;
             let Some((server, ticket)) = self.choose(attempts).await else {
                 return Err(self.unserved(attempts));
             };
@@ -281,6 +284,7 @@
             exclude: &attempts.tried,
             route: Some(&self.route.name),
             version: self.begun_by.as_ref(),
+            is_resumable: self.route.replay() == Replay::Resume,
             may_canary: attempts.tried.is_empty(),
             priority: self.priority(),
         }
