gateway: a writer records versions as removed by a list that it has read since

Before a removal is written, the list is read up to a moment after the record was. Where it can't be, the change stays pending.

list_reads::a_router_that_cannot_read_the_list_records_no_version_as_removed; the four seconds are more than the turn of the writer that is left.

--- a/crates/gateway/src/origins/version_store.rs
+++ b/crates/gateway/src/origins/version_store.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use super::version_writer::Writer;
-use super::{Origins, Recorders, VersionRecord};
+use super::{Origins, Recorders, ServerList, VersionRecord};
 use crate::clock::{Clock, steady_millis};
 use crate::store::{Feed, Record, Store, StoreError};
 
@@ -142,6 +142,7 @@
     origins: Arc<Origins>,
     recorders: Arc<dyn Recorders>,
     store: Arc<dyn Store>,
+    list: Arc<dyn ServerList>,
 ) {
     let reads = async {
         loop {
@@ -151,6 +152,6 @@
             }
         }
     };
-    let writer = Writer::new(&records, origins.versions(), &*recorders, &*store);
+    let writer = Writer::new(&records, origins.versions(), &*recorders, &*store, &*list);
     tokio::join!(reads, writer.run());
 }
--- a/crates/gateway/src/origins/version_writer.rs
+++ b/crates/gateway/src/origins/version_writer.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::version_store::{VersionRecords, within};
-use super::{ListedVersions, Recorders, VersionHistory, VersionRecord};
+use super::{ListedVersions, Recorders, ServerList, VersionHistory, VersionRecord};
 use crate::store::{ANSWER_TIMEOUT, Feed, Store, StoreError};
 
 /// Number of routers that the others ask whether a record is written: the later ones in place of
@@ -41,6 +41,7 @@
     listed: &'a ListedVersions,
     recorders: &'a dyn Recorders,
     store: &'a dyn Store,
+    list: &'a dyn ServerList,
     /// What was known of each pool when it was last looked at.
     seen: HashMap<PoolName, VersionHistory>,
     /// The pools whose records may have to be written.
@@ -136,12 +137,14 @@
         listed: &'a ListedVersions,
         recorders: &'a dyn Recorders,
         store: &'a dyn Store,
+        list: &'a dyn ServerList,
     ) -> Self {
         Self {
             records,
             listed,
             recorders,
             store,
+            list,
             seen: HashMap::new(),
             pending: HashMap::new(),
         }
@@ -245,6 +248,17 @@
     /// Writes the records of `pools` that don't say what this router has observed.
     async fn write(&self, pools: &[PoolName]) -> Result<(), StoreError> {
         let snapshot = self.records.read(self.store, ANSWER_TIMEOUT).await?;
+        let is_removal = pools.iter().any(|pool| {
+            let history = self.listed.of(pool);
+            let recorded = snapshot.pools.get(pool).map(VersionRecord::listed);
+            let mut recorded = recorded.into_iter().flatten();
+            recorded.any(|version| !history.listed().contains(&version))
+        });
+        // A list that is older than the record may lack a version that has appeared since.
+        if is_removal && !self.list.read_since(Instant::now()).await {
+            let reason = "the list of servers can't be read".to_owned();
+            return Err(StoreError::Unknown(reason));
+        }
         let now = self.records.clock.read();
         let mut changed = Vec::new();
         for pool in pools {
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -162,6 +162,7 @@
             Arc::clone(&origins),
             Arc::clone(&recorders),
             Arc::clone(&store),
+            Arc::clone(&node.list) as _,
         ));
         let service = Arc::new(CallerService {
             node: Arc::clone(&node),
--- a/crates/gateway/tests/testsuite/list_reads.rs
+++ b/crates/gateway/tests/testsuite/list_reads.rs
@@ -83,6 +83,24 @@
     );
 }
 
+/// Guards against a writer whose list is older than the record: it recorded versions as removed that it
+/// didn't know yet.
+#[tokio::test]
+async fn a_router_that_cannot_read_the_list_records_no_version_as_removed() {
+    let (network, members) = start(2, &["v1", "v2"]);
+    network.until_recorded(&["v1", "v2"]).await;
+    let late = TestMember::start(&network, &[]);
+    lose_list(&late);
+    for member in &members {
+        network.end(&member.member.vm);
+    }
+    late.set_versions(&["v1"]);
+    sleep(Duration::from_secs(4)).await;
+    network.until_recorded(&["v1", "v2"]).await;
+    late.member.list.is_lost.store(false, SeqCst);
+    network.until_recorded(&["v1"]).await;
+}
+
 /// Streams of the only version that are refused while no router can read the list: those whose
 /// first router isn't among the ones that are asked.
 #[tokio::test]
--- a/crates/gateway/tests/testsuite/recorders.rs
+++ b/crates/gateway/tests/testsuite/recorders.rs
@@ -220,6 +220,7 @@
             Arc::clone(&origins),
             Arc::clone(&recorders),
             store,
+            Arc::clone(&member.list) as _,
         ));
         let lookup = Lookup {
             origins,
