gateway: evidence on a stream covers the time that its caller waits; ages count suspensions

The window of versions that may have begun a stream ended at the decision and not when its caller came: a router that stood still in between forgot a version that had just left. The age of the list was counted by a clock that stands still while the VM is suspended, beside an observation time that isn't. And the confirming question to a relay kept the wait for changes, which a relay of an older build obeys.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -79,7 +79,7 @@
             )),
             freshness: Freshness::new(Arc::clone(&clock) as _),
             quotas: Arc::new(
-                QuotaTable::new(placement, settings.partitions, clock)
+                QuotaTable::new(placement, settings.partitions, Arc::clone(&clock) as _)
                     .with_members(settings.member_partitions())
                     .with_copy_lag(settings.copy_lag),
             ),
@@ -95,7 +95,7 @@
             metrics: Metrics::new(),
             traffic: Traffic::default(),
             decision: CallerDecision::new(),
-            list: Arc::default(),
+            list: Arc::new(Confirmation::new(clock)),
             has_servers: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
--- a/crates/gateway/src/origins/evidence.rs
+++ b/crates/gateway/src/origins/evidence.rs
@@ -81,9 +81,15 @@
         is_observed && !self.is_mixed(replies) && replies.len() >= 2
     }
 
+    /// Time until now in which the stream can have begun, or gone on until its caller came.
+    pub(super) fn window(&self) -> Duration {
+        let waited = steady_millis().saturating_sub(self.asked);
+        self.lifetime + Duration::from_millis(waited)
+    }
+
     /// The versions that were listed in the lifetime of the stream.
     fn versions(&self) -> BTreeSet<VersionName> {
-        let own = self.pool.versions_within(self.lifetime);
+        let own = self.pool.versions_within(self.window());
         let recorded = self.recorded.iter().flatten().cloned();
         let all = own.into_iter().chain(recorded);
         all.chain(names(&self.replies)).collect()
@@ -97,7 +103,7 @@
 
     /// Whether a router has observed the list since before the stream can have begun.
     fn spans(&self, reply: &OriginReply) -> bool {
-        u128::from(reply.known_ms) >= self.lifetime.as_millis()
+        u128::from(reply.known_ms) >= self.window().as_millis()
     }
 
     /// Whether a reply shows all versions that may have begun the stream, together with what this
--- a/crates/gateway/src/origins/lookup.rs
+++ b/crates/gateway/src/origins/lookup.rs
@@ -139,7 +139,6 @@
         let question = Question {
             key,
             pool: &pool.name,
-            lifetime,
         };
         let mut evidence = Evidence::new(pool, lifetime);
         // Where the list can't be read here, other routers may read it.
@@ -158,7 +157,10 @@
         }
         if evidence.needs_record() {
             let since = pool.observed_since().unwrap_or_else(steady_millis);
-            let recorded = self.records.within(&pool.name, since, lifetime).await;
+            let recorded = self
+                .records
+                .within(&pool.name, since, evidence.window())
+                .await;
             evidence.set_recorded(recorded);
         }
         evidence.only_version(self.list.age())
@@ -198,9 +200,15 @@
             true => (MAX_KEEPERS, CONFIRM_TIMEOUT),
             false => (ASKED, ASK_TIMEOUT),
         };
+        let message = FindOrigin {
+            key: question.key.as_ref().map(encode_key),
+            pool: question.pool.to_string(),
+            lifetime_ms: evidence.window().as_millis() as u64,
+            is_confirming,
+        };
         let asked = routers.iter().take(count);
         let mut asked: FuturesUnordered<_> = asked
-            .map(|vm| self.ask(vm, question, is_confirming, time))
+            .map(|vm| self.ask(vm, message.clone(), time))
             .collect();
         let end = Instant::now() + time;
         let mut replies = Vec::new();
@@ -227,16 +235,10 @@
     async fn ask<'a>(
         &self,
         vm: &'a VmName,
-        question: &Question<'_>,
-        is_confirming: bool,
+        message: FindOrigin,
         time: Duration,
     ) -> (&'a VmName, Option<OriginReply>) {
-        let kind = request::Kind::FindOrigin(FindOrigin {
-            key: question.key.as_ref().map(encode_key),
-            pool: question.pool.to_string(),
-            lifetime_ms: question.lifetime.as_millis() as u64,
-            is_confirming,
-        });
+        let kind = request::Kind::FindOrigin(message);
         match self.recorders.call(vm, kind, time).await {
             Ok(reply::Kind::OriginReply(reply)) => (vm, Some(reply)),
             Ok(_) | Err(_) => (vm, None),
@@ -249,8 +251,6 @@
     /// `None` if the caller doesn't say which request began the stream.
     key: Option<StreamKey>,
     pool: &'a PoolName,
-    /// Time for which the stream may be resumed.
-    lifetime: Duration,
 }
 
 /// Replies to a router that asks for an origin, after a read of `list` if it asks for that.
--- a/crates/gateway/src/watch/confirmation.rs
+++ b/crates/gateway/src/watch/confirmation.rs
@@ -4,13 +4,16 @@
 //! wait is over. Whoever needs the state of this moment has the list read without a wait; all that
 //! need it at the same time share one read.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
 
+use crate::clock::Clock;
 use crate::origins::ServerList;
+use crate::suspensions::Suspensions;
 
 /// Maximum time for a read. The store answers in 4 ms; on slow days it takes 60 times as long.
 pub(super) const READ_TIMEOUT: Duration = Duration::from_millis(300);
@@ -21,6 +24,7 @@
 #[derive(Debug)]
 pub struct Confirmation {
     state: watch::Sender<State>,
+    suspensions: Suspensions,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -46,9 +50,10 @@
 impl Confirmation {
     /// The state of a router that has read nothing yet.
     #[must_use]
-    pub fn new() -> Self {
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
         Self {
             state: watch::Sender::new(State::default()),
+            suspensions: Suspensions::new(clock),
         }
     }
 
@@ -94,17 +99,11 @@
     }
 }
 
-impl Default for Confirmation {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 #[async_trait]
 impl ServerList for Confirmation {
     fn age(&self) -> Option<Duration> {
         let as_of = self.state.borrow().as_of;
-        as_of.map(|as_of| as_of.elapsed())
+        as_of.map(|as_of| self.suspensions.age(as_of))
     }
 
     fn is_lost(&self) -> bool {
--- a/crates/gateway/src/watch/upstream.rs
+++ b/crates/gateway/src/watch/upstream.rs
@@ -232,6 +232,7 @@
     let mut confirming = query;
     if let Some(cursor) = &mut confirming.follow {
         cursor.is_confirming = true;
+        cursor.wait_ms = 0;
     }
     tokio::select! {
         update = relay.peers.follow(vm, query, time) => return (asked, update),
