--- a/crates/gateway/src/origins/version_store.rs
+++ b/crates/gateway/src/origins/version_store.rs
@@ -63,8 +63,13 @@
         time: Duration,
     ) -> Option<Vec<VersionName>> {
         let mut latest = self.latest.subscribe();
+        let now = steady_millis();
+        // A record may have been written since it was missing.
         let is_recent = |known: &Option<Arc<Snapshot>>| {
-            known.as_ref().is_some_and(|known| known.asked >= since)
+            known.as_ref().is_some_and(|known| {
+                let has_pool = known.pools.contains_key(pool);
+                known.asked >= if has_pool { since } else { now }
+            })
         };
         let is_known = is_recent(&latest.borrow());
         if !is_known {
--- a/crates/gateway/tests/testsuite/list_reads.rs
+++ b/crates/gateway/tests/testsuite/list_reads.rs
@@ -101,6 +101,24 @@
     network.until_recorded(&["v1"]).await;
 }
 
+/// Guards against records that count as missing for as long as nobody reads them again.
+#[tokio::test]
+async fn a_record_that_is_written_after_a_read_is_found() {
+    let (network, members) = start(2, &[]);
+    members
+        .iter()
+        .for_each(|member| member.set_versions(&["v1"]));
+    for member in &members {
+        let _refused_or_not = member.find(key("w", 1)).await;
+    }
+    network.until_recorded(&["v1"]).await;
+    sleep(Duration::from_millis(20)).await;
+    for member in &members {
+        let found = member.find(key("w", 1)).await.expect("the only version");
+        assert_eq!(found.source, Source::OnlyVersion);
+    }
+}
+
 /// Streams of the only version that are refused while no router can read the list: those whose
 /// first router isn't among the ones that are asked.
 #[tokio::test]
