--- a/crates/gateway/src/origins/version_store.rs
+++ b/crates/gateway/src/origins/version_store.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use super::version_writer::Writer;
-use super::{Origins, Recorders, VersionRecord};
+use super::{Origins, Recorders, ServerList, VersionRecord};
 use crate::clock::{Clock, steady_millis};
 use crate::store::{Feed, Record, Store, StoreError};
 
@@ -63,8 +63,13 @@
         time: Duration,
     ) -> Option<Vec<VersionName>> {
         let mut latest = self.latest.subscribe();
+        let now = steady_millis();
+        // A record may have been written since it was missing.
         let is_recent = |known: &Option<Arc<Snapshot>>| {
-            known.as_ref().is_some_and(|known| known.asked >= since)
+            known.as_ref().is_some_and(|known| {
+                let has_pool = known.pools.contains_key(pool);
+                known.asked >= if has_pool { since } else { now }
+            })
         };
         let is_known = is_recent(&latest.borrow());
         if !is_known {
@@ -142,6 +147,7 @@
     origins: Arc<Origins>,
     recorders: Arc<dyn Recorders>,
     store: Arc<dyn Store>,
+    list: Arc<dyn ServerList>,
 ) {
     let reads = async {
         loop {
@@ -151,6 +157,6 @@
             }
         }
     };
-    let writer = Writer::new(&records, origins.versions(), &*recorders, &*store);
+    let writer = Writer::new(&records, origins.versions(), &*recorders, &*store, &*list);
     tokio::join!(reads, writer.run());
 }
