--- a/crates/gateway/src/fleet/versions.rs
+++ b/crates/gateway/src/fleet/versions.rs
@@ -24,7 +24,8 @@
         self.versions_within(MIN_LIFETIME).len() > 1
     }
 
-    /// Time for which the list of the pool's servers has been observed without a gap.
+    /// Time since the observation of the list of the pool's servers began, without a gap up to its last
+    /// read.
     #[must_use]
     pub fn known_for(&self) -> Duration {
         let history = self.origins.versions().of(&self.name);
--- a/crates/gateway/src/origins/versions.rs
+++ b/crates/gateway/src/origins/versions.rs
@@ -108,7 +108,8 @@
         self.since
     }
 
-    /// Time for which the list has been observed without a gap.
+    /// Time since the observation of the list began, without a gap up to its last read. When that was
+    /// is not known here.
     #[must_use]
     pub fn known_for(&self, now: u64) -> Duration {
         let since = self.since.unwrap_or(now);
