platform tests: crowds of callers that don't behave, on small VMs

What callers saw: a router that runs out of memory, or refuses everybody, while a crowd of clients sends large bodies that stop just short of their end or holds connections in the middle of a request.

The tests start the router as a process on a VM of 64 MB and 600 file descriptors, with a largest body of 1 MiB; 80 clients send bodies, 200 hold connections, each opening another one when it is closed. They check that the process lives, that memory (with the bytes that were received and not read) and descriptors stay under the VM's, that the router is ready and serves one ordinary request meanwhile, and a large one afterwards. One runs at a time, in a test binary of its own. The crowd of pipelined requests has 400 clients and 1,400 descriptors, since the kernel bounds what it holds for each. A daemon of the README is held to the 256 MB of its VM.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod caller;
 pub mod checker;
+pub mod crowd;
 pub mod fleet;
 pub mod http;
 pub mod port;
@@ -17,4 +18,5 @@
 pub mod spare;
 pub mod traffic;
 pub mod until;
+pub mod usage;
 pub mod versions;
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -54,6 +54,12 @@
         &self.name
     }
 
+    /// Id of the process.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// The process's output so far.
     #[must_use]
     pub fn printed(&self) -> String {
