shell, gateway: bound the memory of all request bodies together

What callers saw: a crowd that sends large bodies, complete or just short of their end, takes the memory of the router's VM until the process ends.

Cause: each body had a limit, and all together had none; the buffer doubled as it grew, and bytes live until the request ends, since retries need them.

Change, below the router, the operator and the ledger alike: a server has a limit on the memory of all bodies. A body holds its declared length, or the capacity of its buffer, from its arrival until the last copy of its bytes is dropped (the bytes own the lease). What doesn't fit is refused before it is read: 503 with a time to come back, not run. When the memory is full, the bodies of clients that are over two seconds behind 1,000 bytes a second make room, the furthest behind first (408, not run); while there is room nothing is cut. A quarter of the memory is for bodies of up to 64 KiB, so these never wait behind large ones. A body that is alone is taken even if it is larger, since no router could serve it otherwise. Line callers.bodies, metrics body_memory_bytes and body_memory_limit_bytes, refusals no_memory and stalled_body.

Suspected, not mended: crates/router parses a body as a JSON tree, which for a moment takes several times the body, per worker thread.

--- a/crates/gateway/src/ingress/connections.rs
+++ b/crates/gateway/src/ingress/connections.rs
@@ -1,9 +1,10 @@
-//! Counts new connections of callers and their bytes, and logs the connections that weren't taken.
+//! Counts new connections of callers and their bytes, and logs the connections and bodies that weren't
+//! taken.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use swiftlink_shell::web::MeteredBytes;
+use swiftlink_shell::web::{BodyCounts, MeteredBytes};
 use swiftlink_telemetry::event;
 use tokio::time::{Instant, interval_at};
 
@@ -21,10 +22,16 @@
     let mut ticks = interval_at(Instant::now() + INTERVAL, INTERVAL);
     loop {
         ticks.tick().await;
-        let Reading { counts, bytes } = port.advance(&mut reading);
+        let Reading {
+            counts,
+            bytes,
+            bodies,
+        } = port.advance(&mut reading);
         node.metrics.port.connected(&counts);
         node.metrics.port.carried(&bytes);
+        node.metrics.port.set_bodies(&port.memory);
         log_bytes(&node, &bytes);
+        log_bodies(&port, &bodies);
         if counts.rejected() == 0 && port.intake.is_listening() {
             continue;
         }
@@ -42,6 +49,21 @@
     }
 }
 
+/// Logs the bodies of an interval that weren't taken.
+fn log_bodies(port: &Port, bodies: &BodyCounts) {
+    if *bodies == BodyCounts::default() {
+        return;
+    }
+    event!(
+        warn,
+        "callers.bodies",
+        refused = bodies.refused,
+        stalled = bodies.stalled,
+        held = port.memory.held(),
+        limit = port.memory.limit(),
+    );
+}
+
 /// Logs the bytes of an interval in which callers used much of the link.
 fn log_bytes(node: &Node, bytes: &MeteredBytes) {
     let Some(rate) = node.settings.link else {
--- a/crates/gateway/src/ingress/counters.rs
+++ b/crates/gateway/src/ingress/counters.rs
@@ -3,8 +3,9 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
-use swiftlink_shell::web::{IntakeCounts, MeteredBytes};
+use swiftlink_shell::web::{BodyMemory, IntakeCounts, MeteredBytes};
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ConnectionLabels {
@@ -21,6 +22,8 @@
 pub(crate) struct PortCounters {
     connections: Family<ConnectionLabels, Counter>,
     bytes: Family<ByteLabels, Counter>,
+    body_bytes: Gauge,
+    body_limit: Gauge,
 }
 
 impl PortCounters {
@@ -30,6 +33,16 @@
         registry.register("connections", connections, self.connections.clone());
         let bytes = "Bytes of callers' requests and of responses, refused requests included";
         registry.register("callers_bytes", bytes, self.bytes.clone());
+        let held = "Memory that the bodies of callers' requests take";
+        registry.register("body_memory_bytes", held, self.body_bytes.clone());
+        let limit = "Largest memory that the bodies of callers' requests may take";
+        registry.register("body_memory_limit_bytes", limit, self.body_limit.clone());
+    }
+
+    /// Sets the memory of callers' bodies.
+    pub(crate) fn set_bodies(&self, memory: &BodyMemory) {
+        self.body_bytes.set(memory.held().cast_signed() as i64);
+        self.body_limit.set(memory.limit().cast_signed() as i64);
     }
 
     /// Counts new connections.
--- a/crates/gateway/src/ingress/port.rs
+++ b/crates/gateway/src/ingress/port.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use swiftlink_shell::web::{Gate, Intake, IntakeCounts, Meter, MeteredBytes};
+use swiftlink_shell::web::{
+    BodyCounts, BodyMemory, Gate, Intake, IntakeCounts, Meter, MeteredBytes,
+};
 
 /// The callers' port.
 #[derive(Clone, Debug)]
@@ -10,13 +12,15 @@
     pub(crate) gate: Arc<Gate>,
     pub(crate) intake: Arc<Intake>,
     pub(crate) meter: Arc<Meter>,
+    pub(crate) memory: Arc<BodyMemory>,
 }
 
-/// New connections and bytes, since the start or since an earlier reading.
+/// New connections, bytes and bodies that weren't read, since the start or since an earlier reading.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Reading {
     pub(super) counts: IntakeCounts,
     pub(super) bytes: MeteredBytes,
+    pub(super) bodies: BodyCounts,
 }
 
 impl Port {
@@ -25,10 +29,12 @@
         let now = Reading {
             counts: self.intake.counts(),
             bytes: self.meter.total(),
+            bodies: self.memory.counts(),
         };
         let recent = Reading {
             counts: now.counts.since(&before.counts),
             bytes: now.bytes.since(&before.bytes),
+            bodies: now.bodies.since(&before.bodies),
         };
         *before = now;
         recent
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -180,6 +180,7 @@
             gate: callers.gate(),
             intake: callers.intake(),
             meter: callers.meter(),
+            memory: callers.memory(),
         };
         tasks.spawn(ingress::count_connections(Arc::clone(&node), port.clone()));
         spawn_ingress(&mut tasks, &node, &ingress, port, peers, links);
@@ -376,6 +377,7 @@
         idle: IDLE_TIMEOUT,
         head: HEAD_TIMEOUT,
         stall: STALL_TIMEOUT,
+        body_memory: settings.body_memory,
         ..Limits::default()
     }
 }
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -29,6 +29,10 @@
     TooLarge,
     /// The caller sent its body too slowly.
     SlowBody,
+    /// The caller was far behind in sending its body while others waited for its place.
+    StalledBody,
+    /// The bodies of other requests take the memory of the VM.
+    NoMemory,
     /// The deadline has passed, and no server has executed the request.
     Expired,
     /// The body ended early, in most cases since the caller disconnected.
@@ -67,6 +71,10 @@
 /// the store a few times within this time. Other routers may be up to date already.
 const CONFIG_RETRY: Duration = Duration::from_millis(500);
 
+/// When there may be memory for a body again: clients that are behind make room after two seconds, and
+/// other routers may have some already.
+const MEMORY_RETRY: Duration = Duration::from_secs(1);
+
 impl Refusal {
     /// Status of the response. 408, 429 and 503 are used only for requests that have not been
     /// executed and never will be.
@@ -78,12 +86,13 @@
             | Self::Overloaded(_)
             | Self::OriginUnknown(_)
             | Self::Expired
+            | Self::NoMemory
             | Self::Held(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Malformed | Self::NoUsage | Self::BrokenBody => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
+            Self::SlowBody | Self::StalledBody => StatusCode::REQUEST_TIMEOUT,
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
             Self::NoQuota(_) | Self::StoreUnavailable(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Lost => StatusCode::BAD_GATEWAY,
@@ -96,6 +105,7 @@
         match self {
             Self::NotReady | Self::StaleConfig => Some(CONFIG_RETRY),
             Self::Expired => Some(SERVER_RETRY),
+            Self::NoMemory | Self::StalledBody => Some(MEMORY_RETRY),
             Self::NoServer(wait) | Self::Held(wait) | Self::OriginUnknown(wait) => Some(wait),
             Self::Overloaded(overloaded) => Some(overloaded.after),
             Self::NoQuota(back) => Some(back.unwrap_or(QUOTA_RETRY)),
@@ -115,6 +125,8 @@
             Self::NoKey => "no_key",
             Self::TooLarge => "too_large",
             Self::SlowBody => "slow_body",
+            Self::StalledBody => "stalled_body",
+            Self::NoMemory => "no_memory",
             Self::Expired => "expired",
             Self::BrokenBody => "broken_body",
             Self::BudgetSpent => "budget_spent",
--- a/crates/gateway/src/serve/service.rs
+++ b/crates/gateway/src/serve/service.rs
@@ -361,6 +361,8 @@
     match error {
         BodyError::TooLarge => Refusal::TooLarge,
         BodyError::Timeout => Refusal::SlowBody,
+        BodyError::Stalled => Refusal::StalledBody,
+        BodyError::NoMemory => Refusal::NoMemory,
         BodyError::Broken => Refusal::BrokenBody,
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -35,6 +35,8 @@
     pub workers: usize,
     /// Maximum number of open caller connections.
     pub connections: usize,
+    /// Memory in bytes for the bodies of callers' requests.
+    pub body_memory: usize,
     /// Time within which a confirmed change of the configuration must be in force.
     pub config_apply: Duration,
     /// Time after a server's announcement that it leaves, or the removal of its entry, in which it
--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -134,7 +134,12 @@
             let detail = format!("the body is longer than {limit} bytes");
             Refusal::not_run(RefusalKind::TooLarge, detail)
         }
-        BodyError::Timeout => Refusal::not_run(RefusalKind::SlowBody, error.to_string()),
+        BodyError::Timeout | BodyError::Stalled => {
+            Refusal::not_run(RefusalKind::SlowBody, error.to_string())
+        }
+        BodyError::NoMemory => {
+            Refusal::not_run(RefusalKind::Overloaded, error.to_string()).with_retry(BUSY_RETRY)
+        }
         BodyError::Broken => malformed("body", error.to_string()),
     })
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -85,7 +85,8 @@
         let service = CallerService {
             node: Arc::clone(&node),
         };
-        let web = WebServer::bind(listener, limits(), Arc::new(service))
+        let limits = limits(node.settings.body_memory);
+        let web = WebServer::bind(listener, limits, Arc::new(service))
             .context("starting the callers' listener")?;
         Ok(Self {
             node,
@@ -103,10 +104,11 @@
     }
 }
 
-fn limits() -> Limits {
+fn limits(body_memory: usize) -> Limits {
     let cores = std::thread::available_parallelism().map_or(MIN_WORKERS, usize::from);
     Limits {
         workers: cores.clamp(MIN_WORKERS, MAX_WORKERS),
+        body_memory,
         ..Limits::default()
     }
 }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -25,6 +25,9 @@
     /// Largest request body (bytes).
     #[serde(default = "defaults::body_limit")]
     pub body_limit: usize,
+    /// Memory for the bodies of all requests (bytes).
+    #[serde(default = "defaults::body_memory")]
+    pub body_memory: usize,
     /// Time limit of a request whose caller sets no deadline.
     #[serde(default = "defaults::deadline_ms")]
     pub deadline_ms: u64,
@@ -115,6 +118,9 @@
     pub(super) fn body_limit() -> usize {
         1 << 20
     }
+    pub(super) fn body_memory() -> usize {
+        64 << 20
+    }
     pub(super) fn deadline_ms() -> u64 {
         120_000
     }
@@ -215,6 +221,9 @@
         if self.body_limit == 0 {
             return Err(CheckError::new("body_limit", "must be more than 0"));
         }
+        if self.body_memory == 0 {
+            return Err(CheckError::new("body_memory", "must be more than 0"));
+        }
         if self.key_memory == 0 {
             return Err(CheckError::new("key_memory", "must be more than 0"));
         }
--- a/crates/shell/src/web/connection.rs
+++ b/crates/shell/src/web/connection.rs
@@ -24,6 +24,7 @@
 use super::connections::{Connections, Registration};
 use super::gate::Gate;
 use super::intake::Intake;
+use super::memory::BodyMemory;
 use super::meter::Meter;
 
 const BUSY_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
@@ -63,6 +64,8 @@
     pub(super) abort: CancellationToken,
     /// See [`Limits::stall`](super::Limits::stall).
     pub(super) stall: Duration,
+    /// Memory of the bodies of requests.
+    pub(super) memory: Arc<BodyMemory>,
     /// Bytes of requests and responses.
     pub(super) meter: Arc<Meter>,
 }
@@ -82,7 +85,7 @@
 /// xitca's dispatcher reads and writes it.
 pub(super) struct Connection {
     socket: TcpStream,
-    registration: Registration,
+    pub(super) registration: Registration,
     busy: Cell<bool>,
     /// Cancelled when the first request has begun.
     begun: CancellationToken,
@@ -92,6 +95,8 @@
     deadline_set: Notify,
     closing: Cell<bool>,
     shut: Cell<bool>,
+    /// Memory of the bodies of all connections.
+    pub(super) memory: Arc<BodyMemory>,
     /// Bytes of requests and responses of all connections.
     pub(super) meter: Arc<Meter>,
 }
@@ -117,6 +122,7 @@
             deadline_set: Notify::new(),
             closing: Cell::new(false),
             shut: Cell::new(false),
+            memory: Arc::clone(&shared.memory),
             meter: Arc::clone(&shared.meter),
         })
     }
--- a/crates/shell/src/web/connections.rs
+++ b/crates/shell/src/web/connections.rs
@@ -1,7 +1,8 @@
 //! The open connections of a server, up to its limit.
 //!
 //! At the limit, connections on which a client has been served and sends nothing make room for new
-//! ones, the longest idle first.
+//! ones, the longest idle first, and then those whose clients are behind with a request, the furthest
+//! behind first. The latter also make room for other bodies when these fill the memory.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
@@ -11,6 +12,8 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 
+use super::progress::Progress;
+
 /// Fraction of the limit that is closed at once, so that not every new connection has to look for
 /// an idle one.
 const CLOSED_AT_ONCE: usize = 64;
@@ -33,12 +36,19 @@
 }
 
 /// What all workers know of an open connection.
+#[derive(Debug)]
 pub(super) struct OpenConnection {
     /// Milliseconds from the start of the server to the end of the last response; [`NOT_IDLE`] before
     /// the first response and while a request is in flight.
     idle_since: AtomicU64,
-    /// Cancelled when the connection should close.
+    /// How far the client is behind with the request that it sends.
+    progress: Progress,
+    /// Bytes of memory that the body which the client sends holds.
+    body_bytes: AtomicUsize,
+    /// Cancelled when the connection should close once it is idle.
     pub(super) closing: CancellationToken,
+    /// Cancelled when the connection should close since its client is behind.
+    pub(super) evicted: CancellationToken,
 }
 
 /// An entry in the list of open connections, which is removed on drop.
@@ -49,6 +59,9 @@
     _permit: OwnedSemaphorePermit,
 }
 
+/// A connection on which the body of a request is received.
+pub(super) struct Receiving<'a>(&'a Registration);
+
 impl Connections {
     pub(super) fn new(limit: usize) -> Self {
         Self {
@@ -65,7 +78,10 @@
         let permit = self.permit().await?;
         let connection = Arc::new(OpenConnection {
             idle_since: AtomicU64::new(NOT_IDLE),
+            progress: Progress::begun(self.now()),
+            body_bytes: AtomicUsize::new(0),
             closing: CancellationToken::new(),
+            evicted: CancellationToken::new(),
         });
         let id = self.next_id.fetch_add(1, Relaxed);
         self.lock().insert(id, Arc::clone(&connection));
@@ -127,6 +143,27 @@
         self.permits.available_permits() > 0 || self.lock().values().any(|other| other.is_idle())
     }
 
+    /// Ends the bodies of clients that are behind, the furthest first, until they release `bytes` of
+    /// memory. Returns whether any such body is ending.
+    pub(super) fn evict_bodies(&self, bytes: usize, is_candidate: impl Fn(usize) -> bool) -> bool {
+        let now = self.now();
+        let open = self.lock();
+        let mut stalled: Vec<_> = open
+            .values()
+            .filter(|other| is_candidate(other.body_bytes()) && other.progress.is_stalled(now))
+            .collect();
+        stalled.sort_unstable_by_key(|other| other.progress.order());
+        let mut released = 0;
+        for connection in &stalled {
+            if released >= bytes {
+                break;
+            }
+            released += connection.body_bytes();
+            connection.evicted.cancel();
+        }
+        !stalled.is_empty()
+    }
+
     /// Completes when no connection is open.
     pub(super) async fn all_closed(&self) {
         let all = u32::try_from(self.limit).unwrap_or(u32::MAX);
@@ -134,6 +171,7 @@
         let _result = self.permits.acquire_many(all).await;
     }
 
+    /// Milliseconds since the start of the server.
     fn now(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
     }
@@ -148,12 +186,28 @@
     fn is_idle(&self) -> bool {
         self.idle_since.load(Relaxed) != NOT_IDLE
     }
+
+    fn body_bytes(&self) -> usize {
+        self.body_bytes.load(Relaxed)
+    }
 }
 
 impl Registration {
     /// Marks the connection as busy with a request.
     pub(super) fn begin(&self) {
         self.connection.idle_since.store(NOT_IDLE, Relaxed);
+        self.connection.progress.end();
+    }
+
+    /// Whether others get the place of this client.
+    pub(super) fn is_evicted(&self) -> bool {
+        self.connection.evicted.is_cancelled()
+    }
+
+    /// Marks the connection as receiving the body of its request, until the result is dropped.
+    pub(super) fn receive(&self) -> Receiving<'_> {
+        self.connection.progress.begin(self.connections.now());
+        Receiving(self)
     }
 
     /// Marks the connection as idle from now on.
@@ -163,6 +217,36 @@
     }
 }
 
+impl Receiving<'_> {
+    /// The client has sent `bytes` more.
+    pub(super) fn advance(&self, bytes: usize) {
+        let now = self.0.connections.now();
+        self.0.connection.progress.advance(now, bytes);
+    }
+
+    /// The body holds `bytes` of memory.
+    pub(super) fn hold(&self, bytes: usize) {
+        self.0.connection.body_bytes.store(bytes, Relaxed);
+    }
+
+    /// Ends the bodies of other clients that are behind; see [`Connections::evict_bodies`].
+    pub(super) fn evict_others(&self, bytes: usize, is_candidate: impl Fn(usize) -> bool) -> bool {
+        self.0.connections.evict_bodies(bytes, is_candidate)
+    }
+
+    /// Completes when others get the place of this client.
+    pub(super) async fn evicted(&self) {
+        self.0.connection.evicted.cancelled().await;
+    }
+}
+
+impl Drop for Receiving<'_> {
+    fn drop(&mut self) {
+        self.hold(0);
+        self.0.connection.progress.end();
+    }
+}
+
 impl Drop for Registration {
     fn drop(&mut self) {
         self.connections.lock().remove(&self.id);
--- a/crates/shell/src/web/incoming.rs
+++ b/crates/shell/src/web/incoming.rs
@@ -1,28 +1,36 @@
 //! The request type that services receive.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, EXPECT};
 use http::{HeaderMap, Method, StatusCode, Uri, request};
 use tokio::time::{Instant, timeout_at};
 use xitca_web::body::{Body as _, Frame, RequestBody};
 
 use super::connection::Connection;
+use super::connections::Receiving;
+use super::memory::Content;
 
 /// Largest part of a refused body that is read and discarded, so that the client reads
 /// the response instead of a connection reset.
 const DISCARD_BYTES: usize = 4 * 1024 * 1024;
-/// Longest time that the client may take to send that part.
+/// Largest part of an unread request body that is discarded after other responses.
+const MAX_DRAIN_BYTES: usize = 256 * 1024;
+/// Longest time that the client may take to send the part of a refused body.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a body waits until those of clients that are behind have made room.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A request with its head, and a body that is read on demand.
 pub struct Incoming {
     head: request::Parts,
@@ -43,6 +51,12 @@
     /// Ended early or was malformed.
     #[error("the request body is broken")]
     Broken,
+    /// Others needed the memory or the connection while the client was far behind in sending it.
+    #[error("the request body came too slowly while others waited")]
+    Stalled,
+    /// The bodies of other requests take the memory.
+    #[error("there is no memory for the request body now")]
+    NoMemory,
 }
 
 impl BodyError {
@@ -51,8 +65,9 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Timeout => StatusCode::REQUEST_TIMEOUT,
+            Self::Timeout | Self::Stalled => StatusCode::REQUEST_TIMEOUT,
             Self::Broken => StatusCode::BAD_REQUEST,
+            Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -105,7 +120,8 @@
     /// Reads the whole body. A second call returns no more bytes.
     ///
     /// # Errors
-    /// When the body is longer than `limit` bytes, takes too long, or ends early.
+    /// When the body is longer than `limit` bytes, takes too long, or ends early, or when the bodies of
+    /// all requests fill the memory.
     pub async fn body(&mut self, limit: usize) -> Result<Bytes, BodyError> {
         self.body_until(limit, Instant::now() + self.body_timeout)
             .await
@@ -114,7 +130,8 @@
     /// Like [`Self::body`], but takes no longer than until `deadline`.
     ///
     /// # Errors
-    /// When the body is longer than `limit` bytes, takes too long, or ends early.
+    /// When the body is longer than `limit` bytes, takes too long, or ends early, or when the bodies of
+    /// all requests fill the memory.
     pub async fn body_until(
         &mut self,
         limit: usize,
@@ -128,24 +145,55 @@
             let end = end.min(Instant::now() + DISCARD_TIMEOUT);
             let _rest = timeout_at(end, self.discard_too_large(limit)).await;
         }
+        self.on_read(&read, limit);
         read
     }
 
+    fn on_read(&self, read: &Result<Bytes, BodyError>, limit: usize) {
+        let memory = &self.body.connection.memory;
+        match read {
+            Err(BodyError::NoMemory) => {
+                memory.count_refused();
+                self.body.set_drain(limit);
+            }
+            Err(BodyError::Stalled) => memory.count_stalled(),
+            Ok(_) | Err(BodyError::TooLarge | BodyError::Timeout | BodyError::Broken) => {}
+        }
+    }
+
     async fn read(&mut self, limit: usize) -> Result<Bytes, BodyError> {
         let declared_len = self.declared_len();
         if declared_len.is_some_and(|length| length > limit as u64) {
             return Err(BodyError::TooLarge);
         }
-        let mut content = BytesMut::new();
-        while let Some(piece) = self.body.next().await {
+        let connection = Rc::clone(&self.body.connection);
+        let receiving = connection.registration.receive();
+        let mut content = Content::empty(&connection.memory);
+        if let Some(length) = declared_len {
+            make_room(&mut content, &receiving, length as usize).await?;
+        }
+        loop {
+            let piece = tokio::select! {
+                biased;
+                piece = self.body.next() => piece,
+                () = receiving.evicted() => return Err(BodyError::Stalled),
+            };
+            let Some(piece) = piece else {
+                break;
+            };
             let piece = piece?;
-            if content.len() + piece.len() > limit {
+            let length = content.len() + piece.len();
+            if length > limit {
                 return Err(BodyError::TooLarge);
             }
-            content.extend_from_slice(&piece);
+            if length > content.lease().bytes() {
+                let capacity = length.next_power_of_two().clamp(length, limit);
+                make_room(&mut content, &receiving, capacity).await?;
+            }
+            content.push(&piece);
+            receiving.advance(piece.len());
         }
-        if declared_len.is_some_and(|length| length != content.len() as u64) && !content.is_empty()
-        {
+        if declared_len.is_some_and(|length| length != content.len() as u64) && content.len() > 0 {
             return Err(BodyError::Broken);
         }
         Ok(content.freeze())
@@ -166,6 +214,32 @@
     }
 }
 
+/// Makes room for `capacity` bytes of a body. If the memory is full, the bodies of clients that are
+/// behind make room.
+async fn make_room(
+    content: &mut Content,
+    receiving: &Receiving<'_>,
+    capacity: usize,
+) -> Result<(), BodyError> {
+    let end = Instant::now() + ROOM_TIMEOUT;
+    let memory = Arc::clone(content.lease().memory());
+    loop {
+        let released = memory.released.notified();
+        tokio::pin!(released);
+        // Registers for what is released from now on.
+        released.as_mut().enable();
+        if content.reserve(capacity) {
+            receiving.hold(capacity);
+            return Ok(());
+        }
+        if !receiving.evict_others(capacity, |bytes| memory.is_same_part(bytes, capacity)) {
+            return Err(BodyError::NoMemory);
+        }
+        let released = timeout_at(end, released).await;
+        released.map_err(|_elapsed| BodyError::NoMemory)?;
+    }
+}
+
 impl fmt::Debug for Incoming {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         // Headers hold credentials, so they are left out.
@@ -182,6 +256,8 @@
 #[derive(Clone)]
 pub(super) struct BodyReader {
     body: Rc<RefCell<Option<RequestBody>>>,
+    /// Largest number of bytes that are discarded after the response.
+    drain: Rc<Cell<usize>>,
     connection: Rc<Connection>,
 }
 
@@ -189,10 +265,22 @@
     pub(super) fn new(body: Option<RequestBody>, connection: Rc<Connection>) -> Self {
         Self {
             body: Rc::new(RefCell::new(body)),
+            drain: Rc::new(Cell::new(MAX_DRAIN_BYTES)),
             connection,
         }
     }
 
+    /// Lets a body of up to `bytes` be discarded after the response, so that a client which sends it
+    /// whole first reads the response instead of a connection reset.
+    fn set_drain(&self, bytes: usize) {
+        self.drain.set(bytes.max(MAX_DRAIN_BYTES));
+    }
+
+    /// Largest number of bytes that are discarded after the response.
+    pub(super) fn max_drain(&self) -> usize {
+        self.drain.get()
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.body.borrow().is_none()
     }
--- a/crates/shell/src/web/limits.rs
+++ b/crates/shell/src/web/limits.rs
@@ -23,6 +23,9 @@
     pub head: Duration,
     /// How long the body of a request may take once the service asks for it.
     pub body: Duration,
+    /// Memory in bytes for the bodies of all requests, from their arrival until they are dropped. A
+    /// body that doesn't fit gets 503, unless it is the only one.
+    pub body_memory: usize,
     /// How long a client may accept no data, or not answer keep-alive probes, before its
     /// connection is closed.
     pub stall: Duration,
@@ -36,6 +39,7 @@
             idle: Duration::from_secs(60),
             head: Duration::from_secs(5),
             body: Duration::from_secs(30),
+            body_memory: 64 * 1024 * 1024,
             stall: Duration::from_secs(30),
         }
     }
--- a/crates/shell/src/web/output.rs
+++ b/crates/shell/src/web/output.rs
@@ -14,9 +14,8 @@
 use super::connection::Connection;
 use super::incoming::BodyReader;
 
-/// Largest part of an unread request body that is discarded after the response.
-const MAX_DRAIN_BYTES: usize = 256 * 1024;
-/// Longest time that the client may take to send that part.
+/// Longest time that the client may take to send the unread part of a request body that is discarded
+/// after the response.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A response body. Dropping it marks the connection as idle.
@@ -59,8 +58,8 @@
             return false;
         }
         self.drain = Some(Drain {
+            left: rest.max_drain(),
             rest,
-            left: MAX_DRAIN_BYTES,
             end: Box::pin(sleep(time.min(DRAIN_TIMEOUT))),
         });
         true
--- a/crates/shell/src/web/request.rs
+++ b/crates/shell/src/web/request.rs
@@ -81,7 +81,9 @@
             // A client that sends its body too slowly may never send the rest. Reading would send
             // `100 Continue` to a client that waits for it.
             last |= parts.status == StatusCode::REQUEST_TIMEOUT;
-            last |= expect || !output.drain(source, self.body_timeout);
+            // The place of a client that is behind is for others.
+            let is_evicted = connection.registration.is_evicted();
+            last |= expect || is_evicted || !output.drain(source, self.body_timeout);
         }
         set_framing(&mut parts, &mut output, head_only, last);
         connection.meter.on_sent(head_bytes(&parts.headers));
--- a/crates/shell/src/web/server.rs
+++ b/crates/shell/src/web/server.rs
@@ -21,6 +21,7 @@
 use super::gate::Gate;
 use super::intake::Intake;
 use super::limits::{HEADER_BYTES, HEADER_FIELDS, Limits};
+use super::memory::BodyMemory;
 use super::meter::Meter;
 use super::request::Factory;
 use super::service::Service;
@@ -62,6 +63,7 @@
             arriving: AtomicUsize::new(0),
             abort: CancellationToken::new(),
             stall: limits.stall,
+            memory: Arc::new(BodyMemory::new(limits.body_memory)),
             meter: Arc::default(),
         });
         let mut server = build(listener, &limits, service, &shared).build();
@@ -99,6 +101,12 @@
         Arc::clone(&self.shared.intake)
     }
 
+    /// Memory of the bodies of requests.
+    #[must_use]
+    pub fn memory(&self) -> Arc<BodyMemory> {
+        Arc::clone(&self.shared.memory)
+    }
+
     /// Bytes of requests and responses.
     #[must_use]
     pub fn meter(&self) -> Arc<Meter> {
