shell: connections of clients that are behind make room for others

What callers saw: while a crowd held all connections in the middle of a request (a body that lacks a byte, a head that doesn't end, nothing at all), others got 503 or a closed connection for as long as it stayed, and the router wasn't ready. Strangers who held the 16 connections for probes kept it out of the balancer's rotation.

Cause: at the limit only idle connections made room; one that waits for its first request, or for the rest of one, counted as busy.

Change: how far the client of each connection is behind is known (its request, at 1,000 bytes a second). At the limit, after the idle ones, those that are two seconds behind make room, the furthest first; a body gets 408 (not run), the others are closed unread. A crowd that comes back at once gets each place for two seconds on average, so that the places don't all open and close together. At the addresses for probes and metrics, where a request comes in one piece, the grace time is zero. The number of new connections that wait for others to close is bounded. While there is room, nothing is closed. IntakeCounts::stalled, in callers.not_taken and as an outcome of swiftlink_connections.

Trials that didn't do: evicting as many as wait at once (served, but all places turned over together every two seconds, so that the router took no connection for two seconds and said so: not ready); a grace time of two seconds for probes (eight places a second among 200 strangers).

--- a/crates/gateway/src/ingress/connections.rs
+++ b/crates/gateway/src/ingress/connections.rs
@@ -32,7 +32,7 @@
         node.metrics.port.set_bodies(&port.memory);
         log_bytes(&node, &bytes);
         log_bodies(&port, &bodies);
-        if counts.rejected() == 0 && port.intake.is_listening() {
+        if counts.rejected() + counts.stalled == 0 && port.intake.is_listening() {
             continue;
         }
         event!(
@@ -44,6 +44,7 @@
             refused = counts.refused,
             closed = counts.closed,
             failed = counts.failed,
+            stalled = counts.stalled,
             in_flight = node.in_flight(),
         );
     }
--- a/crates/gateway/src/ingress/counters.rs
+++ b/crates/gateway/src/ingress/counters.rs
@@ -29,7 +29,7 @@
 impl PortCounters {
     pub(crate) fn register(&self, registry: &mut Registry) {
         let connections =
-            "New connections of callers: taken, refused or closed at the limit, failed";
+            "Connections of callers: taken, refused or closed at the limit, failed, stalled";
         registry.register("connections", connections, self.connections.clone());
         let bytes = "Bytes of callers' requests and of responses, refused requests included";
         registry.register("callers_bytes", bytes, self.bytes.clone());
@@ -52,6 +52,7 @@
             ("refused", counts.refused),
             ("closed", counts.closed),
             ("failed", counts.failed),
+            ("stalled", counts.stalled),
         ];
         for (outcome, count) in outcomes {
             let labels = ConnectionLabels { outcome };
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -184,11 +184,7 @@
         };
         tasks.spawn(ingress::count_connections(Arc::clone(&node), port.clone()));
         spawn_ingress(&mut tasks, &node, &ingress, port, peers, links);
-        let limits = Limits {
-            workers: 1,
-            connections: 16,
-            ..Limits::default()
-        };
+        let limits = probe_limits();
         let ready = Arc::new(Readiness(Arc::clone(&node)));
         let readiness =
             WebServer::bind(readiness, limits, ready).context("starting the readiness listener")?;
@@ -267,11 +263,7 @@
     };
     let listener = TcpListener::bind(address)
         .with_context(|| format!("binding the metrics address {address}"))?;
-    let limits = Limits {
-        workers: 1,
-        connections: 16,
-        ..Limits::default()
-    };
+    let limits = probe_limits();
     let service = Arc::new(MetricsService(Arc::clone(node)));
     WebServer::bind(listener, limits, service)
         .context("starting the metrics listener")
@@ -370,6 +362,17 @@
     coordinator
 }
 
+/// Limits of the listeners for probes. These come in one piece, so that a client that has sent none has
+/// to make room for the next one at once.
+fn probe_limits() -> Limits {
+    Limits {
+        workers: 1,
+        connections: 16,
+        grace: Duration::ZERO,
+        ..Limits::default()
+    }
+}
+
 fn limits(settings: &RouterSettings) -> Limits {
     Limits {
         workers: settings.workers,
--- a/crates/shell/src/web/acceptor.rs
+++ b/crates/shell/src/web/acceptor.rs
@@ -164,7 +164,7 @@
     }
 
     /// Waits for the cause of the error to end, such as a lack of file descriptors: the accept loop
-    /// must go on. Idle connections make room for those that can't be accepted.
+    /// must go on. Other connections make room for those that can't be accepted.
     async fn on_failed_accept(&self, error: &io::Error) {
         if is_client_error(error) {
             return;
@@ -176,7 +176,7 @@
             address = self.address,
             error = error
         );
-        self.shared.connections.close_idle();
+        self.shared.connections.close_some();
         sleep(RETRY_DELAY).await;
     }
 
--- a/crates/shell/src/web/connection.rs
+++ b/crates/shell/src/web/connection.rs
@@ -216,9 +216,18 @@
         }
     }
 
-    /// Closes the connection once it should make room for another one; never resolves.
+    /// Closes the connection once it should make room for another one. Resolves if there is no request
+    /// in flight that needs a response.
     async fn make_room(&self) {
-        self.registration.connection.closing.cancelled().await;
+        let open = &self.registration.connection;
+        tokio::select! {
+            () = open.evicted.cancelled() => {
+                if !self.busy.get() {
+                    return;
+                }
+            }
+            () = open.closing.cancelled() => {}
+        }
         self.close_when_idle();
         pending().await
     }
--- a/crates/shell/src/web/connections.rs
+++ b/crates/shell/src/web/connections.rs
@@ -12,12 +12,17 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 
+use super::limits::Limits;
 use super::progress::Progress;
 
 /// Fraction of the limit that is closed at once, so that not every new connection has to look for
-/// an idle one.
+/// another one.
 const CLOSED_AT_ONCE: usize = 64;
-/// How long a new connection waits until idle ones have closed.
+/// Fraction of the limit that may wait at once until others have closed.
+const WAITING_SHARE: usize = 8;
+/// Number of connections that may wait at any limit.
+const MIN_WAITING: usize = 16;
+/// How long a new connection waits until others have closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval at which it closes further ones meanwhile.
 const CLOSE_INTERVAL: Duration = Duration::from_millis(50);
@@ -28,8 +33,16 @@
 pub(super) struct Connections {
     /// Largest number of open connections.
     limit: usize,
+    /// See [`Limits::grace`], in milliseconds.
+    grace: u64,
     /// One permit for each connection that may be open.
     permits: Arc<Semaphore>,
+    /// One permit for each new connection that may wait for others to close.
+    waiting: Semaphore,
+    /// Connections that were closed since their clients were behind.
+    stalled: AtomicU64,
+    /// When the last of these was closed, in milliseconds since the start; changed under the lock.
+    last_turn: AtomicU64,
     open: Mutex<HashMap<usize, Arc<OpenConnection>>>,
     next_id: AtomicUsize,
     start: Instant,
@@ -63,17 +76,23 @@
 pub(super) struct Receiving<'a>(&'a Registration);
 
 impl Connections {
-    pub(super) fn new(limit: usize) -> Self {
+    pub(super) fn new(limits: &Limits) -> Self {
+        let limit = limits.connections.min(Semaphore::MAX_PERMITS);
         Self {
             limit,
+            grace: limits.grace.as_millis() as u64,
             permits: Arc::new(Semaphore::new(limit)),
+            waiting: Semaphore::new(max_waiting(limit)),
+            stalled: AtomicU64::new(0),
+            last_turn: AtomicU64::new(0),
             open: Mutex::default(),
             next_id: AtomicUsize::new(0),
             start: Instant::now(),
         }
     }
 
-    /// Adds a connection. At the limit idle connections are closed for it; `None` if there are none.
+    /// Adds a connection. At the limit others that are idle or behind are closed for it; `None` if there
+    /// are none.
     pub(super) async fn register(self: &Arc<Self>) -> Option<Registration> {
         let permit = self.permit().await?;
         let connection = Arc::new(OpenConnection {
@@ -97,17 +116,18 @@
         if let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() {
             return Some(permit);
         }
-        tokio::time::timeout(CLOSE_TIMEOUT, self.permit_of_idle())
+        let _waiting = self.waiting.try_acquire().ok()?;
+        tokio::time::timeout(CLOSE_TIMEOUT, self.permit_of_another())
             .await
             .ok()?
     }
 
-    /// Closes idle connections until one of them has made room; `None` if there are none.
-    async fn permit_of_idle(&self) -> Option<OwnedSemaphorePermit> {
+    /// Closes other connections until one of them has made room; `None` if there are none.
+    async fn permit_of_another(&self) -> Option<OwnedSemaphorePermit> {
         let permit = Arc::clone(&self.permits).acquire_owned();
         tokio::pin!(permit);
         // Others may wait for the connections that are closing.
-        while self.close_idle() {
+        while self.close_some() {
             if let Ok(permit) = tokio::time::timeout(CLOSE_INTERVAL, &mut permit).await {
                 return permit.ok();
             }
@@ -119,28 +139,65 @@
             .ok()
     }
 
-    /// Closes the connections that have been idle longest, unless some are closing already. Returns
-    /// whether there are such connections.
-    pub(super) fn close_idle(&self) -> bool {
+    /// Closes the connections that have been idle longest, or without such those whose clients are
+    /// furthest behind, unless some are closing already. Returns whether there are such connections.
+    pub(super) fn close_some(&self) -> bool {
+        let now = self.now();
         let open = self.lock();
-        let (closing, mut idle): (Vec<_>, Vec<_>) = open
-            .values()
-            .filter(|other| other.is_idle())
-            .partition(|other| other.closing.is_cancelled());
-        if !closing.is_empty() {
+        if open.values().any(|other| other.is_closing()) {
             return true;
         }
+        let mut idle: Vec<_> = open.values().filter(|other| other.is_idle()).collect();
         idle.sort_unstable_by_key(|other| other.idle_since.load(Relaxed));
-        let count = self.limit.div_ceil(CLOSED_AT_ONCE);
-        for connection in idle.iter().take(count) {
+        for connection in idle.iter().take(self.closed_at_once()) {
             connection.closing.cancel();
         }
-        !idle.is_empty()
+        if !idle.is_empty() {
+            return true;
+        }
+        let is_stalled = |other: &&Arc<OpenConnection>| other.progress.is_behind(now, self.grace);
+        let mut stalled: Vec<_> = open.values().filter(is_stalled).collect();
+        stalled.sort_unstable_by_key(|other| other.progress.order());
+        for connection in stalled.iter().take(self.take_turns(now)) {
+            self.stalled.fetch_add(1, Relaxed);
+            connection.evicted.cancel();
+        }
+        !stalled.is_empty()
     }
 
-    /// Whether another connection may be opened, in place of an idle one if need be.
+    /// Number of clients that are behind whose places others may have now. A crowd that comes back at
+    /// once gets each place for the grace time on average, so that some place is always about to be
+    /// free.
+    fn take_turns(&self, now: u64) -> usize {
+        if self.grace == 0 {
+            return self.closed_at_once();
+        }
+        let last = self.last_turn.swap(now, Relaxed);
+        let turns = ((now - last) * self.limit as u64 / self.grace) as usize;
+        if turns == 0 {
+            self.last_turn.store(last, Relaxed);
+        }
+        turns.min(self.closed_at_once())
+    }
+
+    /// As many as wait, and a fraction of the limit at least.
+    fn closed_at_once(&self) -> usize {
+        let waiting = max_waiting(self.limit) - self.waiting.available_permits();
+        self.limit.div_ceil(CLOSED_AT_ONCE).max(waiting)
+    }
+
+    /// Connections that were closed since their clients were behind.
+    pub(super) fn stalled(&self) -> u64 {
+        self.stalled.load(Relaxed)
+    }
+
+    /// Whether another connection may be opened, in place of one that is idle or behind if need be.
     pub(super) fn has_room(&self) -> bool {
-        self.permits.available_permits() > 0 || self.lock().values().any(|other| other.is_idle())
+        let now = self.now();
+        let may_close = |other: &Arc<OpenConnection>| {
+            other.is_idle() || other.is_closing() || other.progress.is_behind(now, self.grace)
+        };
+        self.permits.available_permits() > 0 || self.lock().values().any(may_close)
     }
 
     /// Ends the bodies of clients that are behind, the furthest first, until they release `bytes` of
@@ -150,7 +207,9 @@
         let open = self.lock();
         let mut stalled: Vec<_> = open
             .values()
-            .filter(|other| is_candidate(other.body_bytes()) && other.progress.is_stalled(now))
+            .filter(|other| {
+                is_candidate(other.body_bytes()) && other.progress.is_behind(now, self.grace)
+            })
             .collect();
         stalled.sort_unstable_by_key(|other| other.progress.order());
         let mut released = 0;
@@ -182,11 +241,22 @@
     }
 }
 
+/// Number of new connections that may wait until others have closed.
+fn max_waiting(limit: usize) -> usize {
+    limit.div_ceil(WAITING_SHARE).max(MIN_WAITING)
+}
+
 impl OpenConnection {
     fn is_idle(&self) -> bool {
         self.idle_since.load(Relaxed) != NOT_IDLE
     }
 
+    /// Whether it is making room. One that was to be closed may be busy with a request since.
+    fn is_closing(&self) -> bool {
+        let is_evicted = self.evicted.is_cancelled() && self.progress.is_waiting();
+        is_evicted || (self.is_idle() && self.closing.is_cancelled())
+    }
+
     fn body_bytes(&self) -> usize {
         self.body_bytes.load(Relaxed)
     }
--- a/crates/shell/src/web/intake.rs
+++ b/crates/shell/src/web/intake.rs
@@ -36,6 +36,8 @@
     pub closed: u64,
     /// Errors of `accept`, such as a lack of file descriptors. The connection waits in the queue.
     pub failed: u64,
+    /// Closed for others since their clients were behind with a request. They had been taken.
+    pub stalled: u64,
 }
 
 impl IntakeCounts {
@@ -47,6 +49,7 @@
             refused: self.refused - earlier.refused,
             closed: self.closed - earlier.closed,
             failed: self.failed - earlier.failed,
+            stalled: self.stalled - earlier.stalled,
         }
     }
 
@@ -79,6 +82,7 @@
             refused: self.refused.load(Relaxed),
             closed: self.closed.load(Relaxed),
             failed: self.failed.load(Relaxed),
+            stalled: self.connections.stalled(),
         }
     }
 
@@ -95,7 +99,7 @@
         self.is_listening() && self.start.elapsed().saturating_sub(last) < MAX_SILENCE
     }
 
-    /// Whether another connection may be opened, in place of an idle one if need be.
+    /// Whether another connection may be opened, in place of one that is idle or behind if need be.
     #[must_use]
     pub fn has_room(&self) -> bool {
         self.connections.has_room()
--- a/crates/shell/src/web/progress.rs
+++ b/crates/shell/src/web/progress.rs
@@ -1,12 +1,9 @@
 //! How far a client is behind in sending what the server waits for.
 
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
-use std::time::Duration;
 
 /// Least rate, in bytes per millisecond, of a client that isn't behind.
 const LEAST_RATE: u64 = 1;
-/// How far a client may be behind before its connection or its memory may be given to others.
-pub(super) const GRACE: Duration = Duration::from_secs(2);
 /// Value of [`Progress::since`] while the server waits for nothing.
 const NOT_WAITING: u64 = u64::MAX;
 
@@ -49,10 +46,15 @@
         self.since.store(NOT_WAITING, Relaxed);
     }
 
-    /// Whether the client is so far behind that others may have its place.
-    pub(super) fn is_stalled(&self, now: u64) -> bool {
+    /// Whether the server waits for the client.
+    pub(super) fn is_waiting(&self) -> bool {
+        self.since.load(Relaxed) != NOT_WAITING
+    }
+
+    /// Whether the client is behind by `grace` milliseconds or more.
+    pub(super) fn is_behind(&self, now: u64, grace: u64) -> bool {
         let since = self.since.load(Relaxed);
-        since != NOT_WAITING && now.saturating_sub(since) >= GRACE.as_millis() as u64
+        since != NOT_WAITING && now.saturating_sub(since) >= grace
     }
 
     /// Sort key that puts the client that is furthest behind first.
--- a/crates/shell/src/web/server.rs
+++ b/crates/shell/src/web/server.rs
@@ -51,8 +51,7 @@
         service: Arc<dyn Service>,
     ) -> anyhow::Result<Self> {
         let address = listener.local_addr().context("address of the listener")?;
-        let connections = limits.connections.min(Semaphore::MAX_PERMITS);
-        let connections = Arc::new(Connections::new(connections));
+        let connections = Arc::new(Connections::new(&limits));
         let shared = Arc::new(Shared {
             intake: Arc::new(Intake::listening(Arc::clone(&connections))),
             connections,
