shell, gateway: bound what the kernel holds of bytes that aren't read

What callers saw: requests that are sent behind one in flight aren't read, and took 123 KB of each connection's receive buffer; a buffer that had grown under a large body may hold megabytes. Unread bytes count as memory of the VM.

Cause: the size of the receive buffers was left to the kernel, and the number of connections knew the VM's descriptors and not its memory.

Change: the listener sets the receive buffer of its connections (Limits::receive_buffer, 64 KiB). A caller sends as much per round trip as the buffer holds.

--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -380,6 +380,7 @@
         idle: IDLE_TIMEOUT,
         head: HEAD_TIMEOUT,
         stall: STALL_TIMEOUT,
+        receive_buffer: settings.receive_buffer,
         body_memory: settings.body_memory,
         ..Limits::default()
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -35,6 +35,8 @@
     pub workers: usize,
     /// Maximum number of open caller connections.
     pub connections: usize,
+    /// Bytes that a caller may have sent and the router hasn't read.
+    pub receive_buffer: usize,
     /// Memory in bytes for the bodies of callers' requests.
     pub body_memory: usize,
     /// Time within which a confirmed change of the configuration must be in force.
--- a/crates/gateway/tests/testsuite/pools.rs
+++ b/crates/gateway/tests/testsuite/pools.rs
@@ -30,6 +30,7 @@
         bootstrap: false,
         workers: 1,
         connections: 10,
+        receive_buffer: 64 << 10,
         body_memory: 64 << 20,
         config_apply: Duration::from_secs(2),
         drain: Duration::from_secs(2),
--- a/crates/shell/src/web/acceptor.rs
+++ b/crates/shell/src/web/acceptor.rs
@@ -60,11 +60,14 @@
 }
 
 impl SharedListener {
-    fn new(socket: StdListener) -> Self {
-        Self {
+    /// `receive_buffer` is that of the connections; see [`Limits::receive_buffer`](super::Limits::receive_buffer).
+    fn open(socket: StdListener, receive_buffer: usize) -> io::Result<Self> {
+        socket.set_nonblocking(true)?;
+        SockRef::from(&socket).set_recv_buffer_size(receive_buffer)?;
+        Ok(Self {
             socket: Arc::new(socket),
             workers: HashMap::new(),
-        }
+        })
     }
 
     /// The duplicate of the current thread.
@@ -89,11 +92,11 @@
     type Listener = Acceptor;
 
     fn into_listener(self) -> io::Result<Acceptor> {
-        self.listener.set_nonblocking(true)?;
         let address = self.listener.local_addr()?;
+        let listener = SharedListener::open(self.listener, self.shared.receive_buffer)?;
         Ok(Acceptor {
             address,
-            listener: Mutex::new(Some(SharedListener::new(self.listener))),
+            listener: Mutex::new(Some(listener)),
             shared: self.shared,
         })
     }
@@ -208,8 +211,7 @@
             return Ok(());
         }
         let listener = StdListener::bind(self.address)?;
-        listener.set_nonblocking(true)?;
-        *current = Some(SharedListener::new(listener));
+        *current = Some(SharedListener::open(listener, self.shared.receive_buffer)?);
         self.shared.intake.set_listening(true);
         Ok(())
     }
--- a/crates/shell/src/web/connection.rs
+++ b/crates/shell/src/web/connection.rs
@@ -64,6 +64,8 @@
     pub(super) abort: CancellationToken,
     /// See [`Limits::stall`](super::Limits::stall).
     pub(super) stall: Duration,
+    /// See [`Limits::receive_buffer`](super::Limits::receive_buffer).
+    pub(super) receive_buffer: usize,
     /// Memory of the bodies of requests.
     pub(super) memory: Arc<BodyMemory>,
     /// Bytes of requests and responses.
--- a/crates/shell/src/web/limits.rs
+++ b/crates/shell/src/web/limits.rs
@@ -26,6 +26,9 @@
     /// Memory in bytes for the bodies of all requests, from their arrival until they are dropped. A
     /// body that doesn't fit gets 503, unless it is the only one.
     pub body_memory: usize,
+    /// Bytes that each client may have sent and the server hasn't read, which the kernel holds. It bounds
+    /// what a client sends per round trip.
+    pub receive_buffer: usize,
     /// How far a client may be behind in sending a request, at a least rate of 1,000 bytes a second, before
     /// others that wait may have its connection or its memory.
     pub grace: Duration,
@@ -42,6 +45,7 @@
             idle: Duration::from_secs(60),
             head: Duration::from_secs(5),
             body: Duration::from_secs(30),
+            receive_buffer: 64 * 1024,
             grace: Duration::from_secs(2),
             body_memory: 64 * 1024 * 1024,
             stall: Duration::from_secs(30),
--- a/crates/shell/src/web/server.rs
+++ b/crates/shell/src/web/server.rs
@@ -62,6 +62,7 @@
             arriving: AtomicUsize::new(0),
             abort: CancellationToken::new(),
             stall: limits.stall,
+            receive_buffer: limits.receive_buffer,
             memory: Arc::new(BodyMemory::new(limits.body_memory)),
             meter: Arc::default(),
         });
