shell: end connections whose bytes make neither heads nor content

Cause: the HTTP library parses extensions, zeros before a chunk's size, trailers and empty lines without a limit and doesn't hand them over, so nothing above it could count them.

Change: the stream below the library counts what is read, in the place of a TLS acceptor. The head of a request resets the count, a byte of content takes 16 off it; over 128 KiB the connection ends. So it holds whatever the library parses.

--- a/crates/shell/src/web/connection.rs
+++ b/crates/shell/src/web/connection.rs
@@ -5,7 +5,7 @@
 use std::future::pending;
 use std::io::{self, Write};
 use std::mem::MaybeUninit;
-use std::net::{Shutdown, TcpStream as StdStream};
+use std::net::{Shutdown, SocketAddr, TcpStream as StdStream};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -17,10 +17,11 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
-use xitca_io::net::Stream;
+use xitca_io::net::{Stream, TcpStream as HttpStream};
 use xitca_web::service::Service;
 use xitca_web::service::ready::ReadyService;
 
+use super::bounded_stream::Surplus;
 use super::connections::{Connections, Registration};
 use super::gate::Gate;
 use super::intake::Intake;
@@ -97,6 +98,8 @@
     deadline_set: Notify,
     closing: Cell<bool>,
     shut: Cell<bool>,
+    /// Bytes that the client has sent in vain.
+    pub(super) surplus: Surplus,
     /// Memory of the bodies of all connections.
     pub(super) memory: Arc<BodyMemory>,
     /// Bytes of requests and responses of all connections.
@@ -124,6 +127,7 @@
             deadline_set: Notify::new(),
             closing: Cell::new(false),
             shut: Cell::new(false),
+            surplus: Surplus::default(),
             memory: Arc::clone(&shared.memory),
             meter: Arc::clone(&shared.meter),
         })
@@ -132,6 +136,7 @@
     /// Marks the connection as busy with a request.
     pub(super) fn begin(&self) {
         self.busy.set(true);
+        self.surplus.on_head();
         self.registration.begin();
         self.begun.cancel();
     }
@@ -277,7 +282,7 @@
     }
 }
 
-impl<S: Service<Stream>> Service<Stream> for ConnectionHandler<S> {
+impl<S: Service<(HttpStream, SocketAddr)>> Service<Stream> for ConnectionHandler<S> {
     type Response = ();
     type Error = Infallible;
 
@@ -296,7 +301,10 @@
             return Ok(());
         };
         let connection = Rc::new(connection);
-        let work = self.http.call(Stream::Tcp(socket, peer));
+        let Ok(stream) = HttpStream::from_std(socket) else {
+            return Ok(());
+        };
+        let work = self.http.call((stream, peer));
         tokio::select! {
             biased;
             _result = CURRENT.scope(Rc::clone(&connection), work) => {}
--- a/crates/shell/src/web/incoming.rs
+++ b/crates/shell/src/web/incoming.rs
@@ -309,6 +309,7 @@
             match ready!(Pin::new(inner).poll_frame(cx)) {
                 Some(Ok(Frame::Data(piece))) => {
                     self.connection.meter.on_received(piece.len());
+                    self.connection.surplus.on_content(piece.len());
                     return Poll::Ready(Some(Ok(piece)));
                 }
                 Some(Ok(Frame::Trailers(_))) => {}
--- a/crates/shell/src/web/mod.rs
+++ b/crates/shell/src/web/mod.rs
@@ -11,6 +11,7 @@
 
 mod acceptor;
 mod body;
+mod bounded_stream;
 mod connection;
 mod connections;
 mod gate;
--- a/crates/shell/src/web/server.rs
+++ b/crates/shell/src/web/server.rs
@@ -16,6 +16,7 @@
 use xitca_web::service::ServiceExt;
 
 use super::acceptor::BoundListener;
+use super::bounded_stream::BoundedStreams;
 use super::connection::{ConnectionLayer, MAX_REFUSALS, Shared};
 use super::connections::Connections;
 use super::gate::Gate;
@@ -169,7 +170,11 @@
         body_timeout: limits.body,
     };
     let stack = factory
-        .enclosed(HttpServiceBuilder::with_config(config))
+        .enclosed(
+            HttpServiceBuilder::h1()
+                .config(config)
+                .with_tls(BoundedStreams),
+        )
         .enclosed(ConnectionLayer(Arc::clone(shared)));
     let bound = BoundListener {
         listener,
--- a/crates/shell/tests/common/mod.rs
+++ b/crates/shell/tests/common/mod.rs
@@ -65,6 +65,11 @@
         self.socket.write_all(data.as_ref()).await.unwrap();
     }
 
+    /// Sends data. Returns whether the connection is still open.
+    pub async fn try_send(&mut self, data: impl AsRef<[u8]>) -> bool {
+        self.socket.write_all(data.as_ref()).await.is_ok()
+    }
+
     /// Sends a request without body.
     pub async fn get(&mut self, path: &str) {
         self.send(format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n"))
