gateway: reserve quota once the body has arrived

What callers saw: clients with the key of a workspace that name much usage and stop just short of the end of their bodies lock its budget for up to 30 s each; other callers of the workspace get 429 for as long as they come back.

Cause: quota was reserved before the body was read.

Change: the body is read first. What has been reserved belongs to requests that are complete.

--- a/crates/gateway/src/serve/service.rs
+++ b/crates/gateway/src/serve/service.rs
@@ -138,7 +138,8 @@
         })
     }
 
-    /// Chooses the pool, reserves quota and reads the body.
+    /// Chooses the pool, reads the body and reserves quota. The quota comes last, so that a caller whose
+    /// body doesn't arrive locks none.
     async fn prepare(
         &self,
         identified: Identified,
@@ -147,10 +148,13 @@
         let (pool, begun_by) = self.find_pool(&identified).await?;
         let parts = PromptParts::new(pool.name.clone(), identified.meta.parts.clone());
         self.check_parts(&identified.meta, &parts)?;
-        let quota = self.reserve(&identified, &pool).await?;
         let max_body = identified.config.limits.max_body;
         let body = request.body_until(max_body, identified.deadline).await;
         let body = body.map_err(body_refusal)?;
+        let content = content(identified.workspace.as_deref(), request, &body);
+        let identity = Arc::new(RequestIdentity::new(content, parts));
+        self.check_identity(&identified.meta, &identity)?;
+        let quota = self.reserve(&identified, &pool).await?;
         let Identified {
             config,
             route,
@@ -160,9 +164,6 @@
             deadline,
         } = identified;
         let node = &self.node;
-        let content = content(workspace.as_deref(), request, &body);
-        let identity = Arc::new(RequestIdentity::new(content, parts));
-        self.check_identity(&meta, &identity)?;
         pool.on_request();
         let workspace_regions = workspace
             .as_ref()
--- a/crates/testkit/src/crowd.rs
+++ b/crates/testkit/src/crowd.rs
@@ -23,6 +23,8 @@
     pub piece: String,
     /// How often `piece` is sent.
     pub pieces: usize,
+    /// Whether a client that gets a response begins anew on another connection.
+    pub retries: bool,
 }
 
 impl Script {
@@ -38,6 +40,7 @@
             ),
             piece: "x".repeat(piece),
             pieces: sent / piece,
+            retries: false,
         }
     }
 
@@ -52,6 +55,7 @@
             start: format!("{head}transfer-encoding: chunked\r\n\r\n"),
             piece: piece.repeat(joined),
             pieces: sent / chunk / joined,
+            retries: false,
         }
     }
 }
@@ -131,7 +135,7 @@
                 self.arrived.fetch_add(1, SeqCst);
             }
             if let Ok(stream) = sent {
-                self.wait(stream);
+                self.wait(stream, script.retries);
             }
             sleep(RECONNECT_DELAY);
         }
@@ -159,12 +163,13 @@
         Ok(())
     }
 
-    /// Reads until the server closes the connection.
-    fn wait(&self, mut stream: TcpStream) {
+    /// Reads until the server closes the connection, or responds if the client `retries`.
+    fn wait(&self, mut stream: TcpStream, retries: bool) {
         let mut buffer = [0; 4_096];
         while !self.has_ended.load(SeqCst) {
             match stream.read(&mut buffer) {
                 Ok(0) => return,
+                Ok(_) if retries => return,
                 Ok(_) => {}
                 Err(error) if is_timeout(&error) => {}
                 Err(_) => return,
