gateway: hold quota for a second while a body arrives

Change: quota is reserved first again; if the body hasn't arrived within a second it is released, and reserved anew once the body is there. A complete request pays nothing.

--- a/crates/gateway/src/serve/service.rs
+++ b/crates/gateway/src/serve/service.rs
@@ -11,7 +11,7 @@
 use swiftlink_shell::web::{BodyError, Incoming, Response, Service};
 use swiftlink_telemetry::event;
 use swiftlink_types::VersionName;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::exchange::{Exchange, ForwardedRequest};
 use super::refusal::{Refusal, SERVER_RETRY};
@@ -31,6 +31,8 @@
 /// Minimum of that wait, also for routes with a short target latency: a claim begins up to 50 ms
 /// after the previous one and takes 10 ms while the store responds.
 const MIN_QUOTA_WAIT: Duration = Duration::from_millis(60);
+/// Maximum time for which a request whose body hasn't arrived holds quota.
+const QUOTA_HOLD: Duration = Duration::from_secs(1);
 /// Maximum wait for an update of the configuration in a process that was stalled. The poll that was in
 /// flight may have timed out; the next one follows up to 150 ms later, and the store responds in a few
 /// milliseconds.
@@ -138,8 +140,7 @@
         })
     }
 
-    /// Chooses the pool, reads the body and reserves quota. The quota comes last, so that a caller whose
-    /// body doesn't arrive locks none.
+    /// Chooses the pool, reserves quota and reads the body.
     async fn prepare(
         &self,
         identified: Identified,
@@ -148,13 +149,10 @@
         let (pool, begun_by) = self.find_pool(&identified).await?;
         let parts = PromptParts::new(pool.name.clone(), identified.meta.parts.clone());
         self.check_parts(&identified.meta, &parts)?;
-        let max_body = identified.config.limits.max_body;
-        let body = request.body_until(max_body, identified.deadline).await;
-        let body = body.map_err(body_refusal)?;
+        let (quota, body) = self.reserve_and_read(&identified, &pool, request).await?;
         let content = content(identified.workspace.as_deref(), request, &body);
         let identity = Arc::new(RequestIdentity::new(content, parts));
         self.check_identity(&identified.meta, &identity)?;
-        let quota = self.reserve(&identified, &pool).await?;
         let Identified {
             config,
             route,
@@ -196,6 +194,27 @@
         })
     }
 
+    /// Reserves quota and reads the body. A caller whose body doesn't arrive in time locks no quota: it is
+    /// reserved again once the body is there.
+    async fn reserve_and_read(
+        &self,
+        identified: &Identified,
+        pool: &Pool,
+        request: &mut Incoming,
+    ) -> Result<(RequestQuota, Bytes), Refusal> {
+        let quota = self.reserve(identified, pool).await?;
+        let max_body = identified.config.limits.max_body;
+        let body = request.body_until(max_body, identified.deadline);
+        tokio::pin!(body);
+        if let Ok(body) = timeout(QUOTA_HOLD, &mut body).await {
+            return Ok((quota, body.map_err(body_refusal)?));
+        }
+        drop(quota);
+        let body = body.await.map_err(body_refusal)?;
+        let quota = self.reserve(identified, pool).await?;
+        Ok((quota, body))
+    }
+
     /// Chooses a pool of the route, or the one at which a stream goes on that its caller resumes, with
     /// the version that began it.
     async fn find_pool(
