stream: keep the text of a request's fields instead of a tree

What callers saw: complete bodies of legal size with a crowd of small values end a router of the README by memory, however many bodies it admits at once.

Cause: a body was parsed as a tree of JSON values, of 32 bytes and more each, copied once more for the engine, per worker thread. Two bytes of "1," became 64.

Change: a request keeps the text of its fields (RawValue); what a router reads of it is parsed by itself, messages and their parts one after the other. Up to 256 fields and 128 levels, as far as the parser went before. The size of the body without white space, which bounds the prompt, is counted on the text; strings count as they are sent, so an escape that needn't be one counts more than before.

--- a/crates/stream/src/openai.rs
+++ b/crates/stream/src/openai.rs
@@ -1,12 +1,13 @@
-//! OpenAI-style bodies: requests, stream events, usage, and an upper bound of the cost.
+//! OpenAI-style bodies: stream events, usage, and an upper bound of the cost.
 //!
-//! Only the fields that a router reads or writes are typed. All other fields of a request are
-//! forwarded to the engine unchanged.
+//! Only the fields that a router reads or writes are typed.
 
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 use swiftlink_types::Tokens;
 
+use crate::request::{Prompt, RequestBody};
+
 /// Data of the last event of a stream.
 pub const DONE: &str = "[DONE]";
 /// Tokens that an engine may add for each chat message, such as role markers.
@@ -25,7 +26,7 @@
 }
 
 impl BodyError {
-    fn new(field: &str, detail: impl Into<String>) -> Self {
+    pub(crate) fn new(field: &str, detail: impl Into<String>) -> Self {
         let detail = detail.into();
         Self {
             field: field.to_owned(),
@@ -44,174 +45,6 @@
     pub content: String,
 }
 
-/// Input of the model.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Prompt {
-    /// Input of a chat completion.
-    Chat {
-        /// The `messages` array as compact JSON.
-        text: String,
-        /// Number of messages.
-        count: usize,
-    },
-    /// Input of a text completion.
-    Plain(String),
-}
-
-/// A validated request with all fields that the caller sent.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RequestBody {
-    /// Name of the model, which is the name of the pool.
-    pub model: String,
-    /// Whether the caller asked for a streamed answer.
-    pub stream: bool,
-    /// Largest answer in tokens, if the caller set a limit.
-    pub max_tokens: Option<Tokens>,
-    /// Input of the model.
-    pub prompt: Prompt,
-    /// Size of the whole body as compact JSON, in bytes. It bounds the prompt, since fields such
-    /// as `tools` are part of the prompt too.
-    pub bytes: usize,
-    fields: Map<String, Value>,
-}
-
-impl RequestBody {
-    /// Returns the body for the engine: the caller's, with streaming enabled and the answer limited
-    /// to `max_tokens`.
-    #[must_use]
-    pub fn for_engine(&self, max_tokens: Tokens) -> Vec<u8> {
-        let mut fields = self.fields.clone();
-        fields.remove("max_completion_tokens");
-        fields.insert("stream".to_owned(), Value::Bool(true));
-        fields.insert("max_tokens".to_owned(), Value::from(max_tokens));
-        Value::Object(fields).to_string().into_bytes()
-    }
-
-    /// Returns up to `bytes` bytes from the start of the prompt. Their hash selects a runner whose
-    /// prefix cache is likely to hold them.
-    #[must_use]
-    pub fn prefix(&self, bytes: usize) -> &[u8] {
-        let text = match &self.prompt {
-            Prompt::Chat { text, .. } => text,
-            Prompt::Plain(text) => text,
-        };
-        &text.as_bytes()[..text.len().min(bytes)]
-    }
-}
-
-/// Parses a request body: of a chat completion if `chat`, else of a text completion.
-///
-/// # Errors
-/// When the body is not a JSON object, or a field is missing or invalid.
-pub fn parse_request(body: &[u8], chat: bool) -> Result<RequestBody, BodyError> {
-    let value: Value =
-        serde_json::from_slice(body).map_err(|error| BodyError::new("body", error.to_string()))?;
-    let Value::Object(fields) = value else {
-        return Err(BodyError::new("body", "must be a JSON object"));
-    };
-    let model = read_model(&fields)?;
-    let stream = read_flag(&fields, "stream")?;
-    let max_tokens = read_max(&fields)?;
-    check_single_answer(&fields)?;
-    let prompt = if chat {
-        read_messages(&fields)?
-    } else {
-        read_prompt(&fields)?
-    };
-    let bytes = serde_json::to_vec(&fields).map_or(body.len(), |text| text.len());
-    Ok(RequestBody {
-        bytes,
-        model,
-        stream,
-        max_tokens,
-        prompt,
-        fields,
-    })
-}
-
-fn read_model(fields: &Map<String, Value>) -> Result<String, BodyError> {
-    match fields.get("model") {
-        Some(Value::String(model)) if !model.is_empty() => Ok(model.clone()),
-        Some(_) => Err(BodyError::new("model", "must be a non-empty string")),
-        None => Err(BodyError::new("model", "is missing")),
-    }
-}
-
-fn read_flag(fields: &Map<String, Value>, name: &str) -> Result<bool, BodyError> {
-    match fields.get(name) {
-        None | Some(Value::Null) => Ok(false),
-        Some(Value::Bool(flag)) => Ok(*flag),
-        Some(_) => Err(BodyError::new(name, "must be true or false")),
-    }
-}
-
-fn read_max(fields: &Map<String, Value>) -> Result<Option<Tokens>, BodyError> {
-    for name in ["max_completion_tokens", "max_tokens"] {
-        let value = match fields.get(name) {
-            None | Some(Value::Null) => continue,
-            Some(value) => value,
-        };
-        let Some(max) = value.as_u64().filter(|max| *max > 0) else {
-            return Err(BodyError::new(name, "must be a whole number above 0"));
-        };
-        return Ok(Some(max));
-    }
-    Ok(None)
-}
-
-/// Rejects requests for several answers, which would run more tokens than are reserved.
-fn check_single_answer(fields: &Map<String, Value>) -> Result<(), BodyError> {
-    for name in ["n", "best_of"] {
-        match fields.get(name) {
-            None | Some(Value::Null) => {}
-            Some(value) if value.as_u64() == Some(1) => {}
-            Some(_) => return Err(BodyError::new(name, "must be 1")),
-        }
-    }
-    Ok(())
-}
-
-fn read_messages(fields: &Map<String, Value>) -> Result<Prompt, BodyError> {
-    let messages = match fields.get("messages") {
-        Some(Value::Array(messages)) if !messages.is_empty() => messages,
-        Some(_) => return Err(BodyError::new("messages", "must be a non-empty array")),
-        None => return Err(BodyError::new("messages", "is missing")),
-    };
-    for (index, message) in messages.iter().enumerate() {
-        if !message.get("role").is_some_and(Value::is_string) {
-            let field = format!("messages[{index}].role");
-            return Err(BodyError::new(&field, "must be a string"));
-        }
-        if !message.get("content").is_none_or(is_text) {
-            let field = format!("messages[{index}].content");
-            return Err(BodyError::new(
-                &field,
-                "must be text: nothing else can be bounded",
-            ));
-        }
-    }
-    let text = Value::Array(messages.clone()).to_string();
-    let count = messages.len();
-    Ok(Prompt::Chat { text, count })
-}
-
-/// Whether the content of a message is text only.
-fn is_text(content: &Value) -> bool {
-    match content {
-        Value::Null | Value::String(_) => true,
-        Value::Array(parts) => parts.iter().all(|part| part["type"] == "text"),
-        _ => false,
-    }
-}
-
-fn read_prompt(fields: &Map<String, Value>) -> Result<Prompt, BodyError> {
-    match fields.get("prompt") {
-        Some(Value::String(prompt)) => Ok(Prompt::Plain(prompt.clone())),
-        Some(_) => Err(BodyError::new("prompt", "must be a string")),
-        None => Err(BodyError::new("prompt", "is missing")),
-    }
-}
-
 /// Upper bound of the tokens that a request can run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TokenBound {
--- a/crates/stream/tests/openai.rs
+++ b/crates/stream/tests/openai.rs
@@ -82,6 +82,48 @@
     assert_eq!(sent, expected);
 }
 
+/// White space between values isn't part of the prompt, and strings are as they are.
+#[test]
+fn bound_counts_no_white_space_between_values() {
+    let wide = "{ \"model\" : \"m\",\n \"prompt\" : \"a \\\" b\" }";
+    let narrow = "{\"model\":\"m\",\"prompt\":\"a \\\" b\"}";
+    let request = parse_request(wide.as_bytes(), false).expect("a valid body");
+    assert_eq!(request.bytes, narrow.len());
+}
+
+/// Guards against bodies that take many times their size, or exhaust the stack of an engine.
+#[test]
+fn bodies_of_many_fields_or_levels_are_rejected() {
+    let fields: Vec<String> = (0..300).map(|number| format!("\"{number}\":1")).collect();
+    let body = format!("{{\"model\":\"m\",\"prompt\":\"a\",{}}}", fields.join(","));
+    assert_eq!(invalid_field(&body, false), "body");
+    let nested = format!("{}{}", "[".repeat(200), "]".repeat(200));
+    let body = format!("{{\"model\":\"m\",\"prompt\":\"a\",\"tools\":{nested}}}");
+    assert_eq!(invalid_field(&body, false), "body");
+}
+
+#[test]
+fn messages_of_any_form_are_checked() {
+    let chat = |messages: &str| format!(r#"{{"model":"m","messages":{messages}}}"#);
+    for (messages, field) in [
+        ("7", "messages"),
+        ("[7]", "messages[0].role"),
+        (r#"[{"role":"user"},{"role":null}]"#, "messages[1].role"),
+        (r#"[{"role":"user","content":{}}]"#, "messages[0].content"),
+        (r#"[{"role":"user","content":[7]}]"#, "messages[0].content"),
+        (r#"[{"role":"user","content":[{}]}]"#, "messages[0].content"),
+    ] {
+        assert_eq!(invalid_field(&chat(messages), true), field, "{messages}");
+    }
+    for messages in [
+        r#"[{"role":"user","content":null}]"#,
+        r#"[ {"role":"user"} , {"content":"a","role":"b","more":[1]} ]"#,
+        r#"[{"role":"user","content":[ {"text":"a","type":"text"} ]}]"#,
+    ] {
+        assert!(parse_request(chat(messages).as_bytes(), true).is_ok());
+    }
+}
+
 #[test]
 fn parts_build_the_complete_answer() {
     let events = [
--- a/tests/misbehaving/completions.rs
+++ b/tests/misbehaving/completions.rs
@@ -7,6 +7,7 @@
 use swiftlink_testkit::until::until;
 use swiftlink_testkit::usage::Sampler;
 use swiftlink_types::{RequestKey, wall_ms};
+use tokio::sync::Mutex;
 
 /// Memory of a daemon's VM, in bytes.
 const MEMORY: usize = 256_000_000;
@@ -17,6 +18,9 @@
 /// Bytes that a client sends at once.
 const PIECE: usize = 64 * 1024;
 
+/// Only one test runs at a time.
+static TURN: Mutex<()> = Mutex::const_new(());
+
 async fn until_served(fleet: &Fleet) -> anyhow::Result<()> {
     until("an answer", async || {
         let key = RequestKey::generate(wall_ms()).to_string();
@@ -27,10 +31,8 @@
     .await
 }
 
-/// Guards against a process that runs out of memory since the bytes of all bodies together have no
-/// limit.
-#[tokio::test(flavor = "multi_thread")]
-async fn bodies_of_completions_that_lack_a_byte_are_bounded() {
+/// Checks what holds whatever callers send: the router lives within its VM and serves others.
+async fn check(script: impl Fn(&str) -> Script) {
     let plan = Plan::new(dir_of(env!("CARGO_BIN_EXE_swiftlink-router")));
     let plan = plan.vms(1, 1).router(json!({ "body_limit": MAX_BODY }));
     let fleet = plan.start().await.expect("a fleet");
@@ -40,8 +42,7 @@
         "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\n",
         fleet.tenant(0).secret
     );
-    let script = Script::body(&head, MAX_BODY, MAX_BODY - 1, PIECE);
-    let crowd = Crowd::open(fleet.router(0), SENDERS, &script);
+    let crowd = Crowd::open(fleet.router(0), SENDERS, &script(&head));
     tokio::task::block_in_place(|| crowd.settle());
     until_served(&fleet)
         .await
@@ -53,3 +54,25 @@
     assert!(sampler.is_alive(), "the router has ended");
     assert!(peak.memory <= MEMORY, "{peak:?}");
 }
+
+/// Guards against a process that runs out of memory since the bytes of all bodies together have no
+/// limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_of_completions_that_lack_a_byte_are_bounded() {
+    let _turn = TURN.lock().await;
+    check(|head| Script::body(head, MAX_BODY, MAX_BODY - 1, PIECE)).await;
+}
+
+/// Guards against bodies that take many times their size once they are parsed.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_of_many_small_values_are_bounded() {
+    let _turn = TURN.lock().await;
+    let start = r#"{"x":["#;
+    let rest = MAX_BODY - start.len() - "1]}".len();
+    let body = format!("{start}{}1]}}", "1,".repeat(rest / 2));
+    check(|head| Script {
+        start: format!("{head}content-length: {}\r\n\r\n{body}", body.len()),
+        ..Script::default()
+    })
+    .await;
+}
