shell: read the time of a turn under the lock; one step for the next piece

Two threads could take turns in another order than they had read the time, and a debug build would panic on the difference. Found by reading; on the users' platform there is one thread. The rest is a function that is split.

--- a/crates/shell/src/web/connections.rs
+++ b/crates/shell/src/web/connections.rs
@@ -142,8 +142,9 @@
     /// Closes the connections that have been idle longest, or without such those whose clients are
     /// furthest behind, unless some are closing already. Returns whether there are such connections.
     pub(super) fn close_some(&self) -> bool {
-        let now = self.now();
         let open = self.lock();
+        // Read under the lock, so that it isn't before the last turn.
+        let now = self.now();
         if open.values().any(|other| other.is_closing()) {
             return true;
         }
@@ -173,7 +174,7 @@
             return self.closed_at_once();
         }
         let last = self.last_turn.swap(now, Relaxed);
-        let turns = ((now - last) * self.limit as u64 / self.grace) as usize;
+        let turns = (now.saturating_sub(last) * self.limit as u64 / self.grace) as usize;
         if turns == 0 {
             self.last_turn.store(last, Relaxed);
         }
--- a/crates/shell/src/web/incoming.rs
+++ b/crates/shell/src/web/incoming.rs
@@ -149,6 +149,7 @@
         read
     }
 
+    /// Counts a body that wasn't read to its end.
     fn on_read(&self, read: &Result<Bytes, BodyError>, limit: usize) {
         let memory = &self.body.connection.memory;
         match read {
@@ -172,16 +173,7 @@
         if let Some(length) = declared_len {
             make_room(&mut content, &receiving, length as usize).await?;
         }
-        loop {
-            let piece = tokio::select! {
-                biased;
-                piece = self.body.next() => piece,
-                () = receiving.evicted() => return Err(BodyError::Stalled),
-            };
-            let Some(piece) = piece else {
-                break;
-            };
-            let piece = piece?;
+        while let Some(piece) = self.next_piece(&receiving).await? {
             let length = content.len() + piece.len();
             if length > limit {
                 return Err(BodyError::TooLarge);
@@ -199,6 +191,15 @@
         Ok(content.freeze())
     }
 
+    /// The next piece of the body; `None` after the last.
+    async fn next_piece(&self, receiving: &Receiving<'_>) -> Result<Option<Bytes>, BodyError> {
+        tokio::select! {
+            biased;
+            piece = self.body.next() => piece.transpose(),
+            () = receiving.evicted() => Err(BodyError::Stalled),
+        }
+    }
+
     /// Discards the rest of a body that is too large, unless the client waits for `100 Continue` or
     /// the declared length exceeds the limit by more than [`DISCARD_BYTES`].
     async fn discard_too_large(&mut self, limit: usize) {
