--- a/crates/shell/src/web/acceptor.rs
+++ b/crates/shell/src/web/acceptor.rs
@@ -60,7 +60,8 @@
 }
 
 impl SharedListener {
-    /// `receive_buffer` is that of the connections; see [`Limits::receive_buffer`](super::Limits::receive_buffer).
+    /// `receive_buffer` is that of the connections; see
+    /// [`Limits::receive_buffer`](super::Limits::receive_buffer).
     fn open(socket: StdListener, receive_buffer: usize) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
         SockRef::from(&socket).set_recv_buffer_size(receive_buffer)?;
--- a/crates/shell/src/web/connection.rs
+++ b/crates/shell/src/web/connection.rs
@@ -98,7 +98,7 @@
     deadline_set: Notify,
     closing: Cell<bool>,
     shut: Cell<bool>,
-    /// Bytes that the client has sent in vain.
+    /// Bytes of the client that neither a head nor content account for.
     pub(super) surplus: Surplus,
     /// Memory of the bodies of all connections.
     pub(super) memory: Arc<BodyMemory>,
--- a/crates/shell/src/web/connections.rs
+++ b/crates/shell/src/web/connections.rs
@@ -42,7 +42,7 @@
     /// Connections that were closed since their clients were behind.
     stalled: AtomicU64,
     /// When the last of these was closed, in milliseconds since the start; changed under the lock.
-    last_turn: AtomicU64,
+    last_eviction: AtomicU64,
     open: Mutex<HashMap<usize, Arc<OpenConnection>>>,
     next_id: AtomicUsize,
     start: Instant,
@@ -84,7 +84,7 @@
             permits: Arc::new(Semaphore::new(limit)),
             waiting: Semaphore::new(max_waiting(limit)),
             stalled: AtomicU64::new(0),
-            last_turn: AtomicU64::new(0),
+            last_eviction: AtomicU64::new(0),
             open: Mutex::default(),
             next_id: AtomicUsize::new(0),
             start: Instant::now(),
@@ -143,7 +143,7 @@
     /// furthest behind, unless some are closing already. Returns whether there are such connections.
     pub(super) fn close_some(&self) -> bool {
         let open = self.lock();
-        // Read under the lock, so that it isn't before the last turn.
+        // Read under the lock, so that it isn't before the last eviction.
         let now = self.now();
         if open.values().any(|other| other.is_closing()) {
             return true;
@@ -156,10 +156,10 @@
         if !idle.is_empty() {
             return true;
         }
-        let is_stalled = |other: &&Arc<OpenConnection>| other.progress.is_behind(now, self.grace);
-        let mut stalled: Vec<_> = open.values().filter(is_stalled).collect();
+        let is_behind = |other: &&Arc<OpenConnection>| other.progress.is_behind(now, self.grace);
+        let mut stalled: Vec<_> = open.values().filter(is_behind).collect();
         stalled.sort_unstable_by_key(|other| other.progress.order());
-        for connection in stalled.iter().take(self.take_turns(now)) {
+        for connection in stalled.iter().take(self.evictions_due(now)) {
             self.stalled.fetch_add(1, Relaxed);
             connection.evicted.cancel();
         }
@@ -169,16 +169,16 @@
     /// Number of clients that are behind whose places others may have now. A crowd that comes back at
     /// once gets each place for the grace time on average, so that some place is always about to be
     /// free.
-    fn take_turns(&self, now: u64) -> usize {
+    fn evictions_due(&self, now: u64) -> usize {
         if self.grace == 0 {
             return self.closed_at_once();
         }
-        let last = self.last_turn.swap(now, Relaxed);
-        let turns = (now.saturating_sub(last) * self.limit as u64 / self.grace) as usize;
-        if turns == 0 {
-            self.last_turn.store(last, Relaxed);
+        let last = self.last_eviction.swap(now, Relaxed);
+        let due = (now.saturating_sub(last) * self.limit as u64 / self.grace) as usize;
+        if due == 0 {
+            self.last_eviction.store(last, Relaxed);
         }
-        turns.min(self.closed_at_once())
+        due.min(self.closed_at_once())
     }
 
     /// As many as wait, and a fraction of the limit at least.
--- a/crates/shell/src/web/progress.rs
+++ b/crates/shell/src/web/progress.rs
@@ -12,8 +12,8 @@
 /// One thread changes it, and others read it.
 #[derive(Debug)]
 pub(super) struct Progress {
-    /// Until when a client at the least rate would have needed for what was received;
-    /// [`NOT_WAITING`] while the server waits for nothing.
+    /// When a client at the least rate would have sent what was received; [`NOT_WAITING`] while the
+    /// server waits for nothing.
     since: AtomicU64,
 }
 
--- a/crates/stream/src/request.rs
+++ b/crates/stream/src/request.rs
@@ -83,8 +83,8 @@
 /// Parses a request body: of a chat completion if `chat`, else of a text completion.
 ///
 /// # Errors
-/// When the body is not a JSON object of up to 256 fields, is nested over 128 deep, or a field is missing or
-/// invalid.
+/// When the body is not a JSON object of up to 256 fields, is nested over 128 deep, or a field is
+/// missing or invalid.
 pub fn parse_request(body: &[u8], chat: bool) -> Result<RequestBody, BodyError> {
     let fields: Fields =
         serde_json::from_slice(body).map_err(|error| BodyError::new("body", error.to_string()))?;
--- a/crates/testkit/src/crowd.rs
+++ b/crates/testkit/src/crowd.rs
@@ -49,7 +49,7 @@
     #[must_use]
     pub fn chunks(head: &str, sent: usize, chunk: usize) -> Self {
         let piece = format!("{chunk:x}\r\n{}\r\n", "x".repeat(chunk));
-        // A write of many small chunks takes no longer than one of a large chunk.
+        // Joined, as each write is a system call.
         let joined = (65_536 / chunk).clamp(1, sent / chunk);
         Self {
             start: format!("{head}transfer-encoding: chunked\r\n\r\n"),
--- a/tests/misbehaving/completions.rs
+++ b/tests/misbehaving/completions.rs
@@ -18,8 +18,8 @@
 /// Bytes that a client sends at once.
 const PIECE: usize = 64 * 1024;
 
-/// Only one test runs at a time.
-static TURN: Mutex<()> = Mutex::const_new(());
+/// Held by the test that runs: one at a time.
+static SERIAL: Mutex<()> = Mutex::const_new(());
 
 async fn until_served(fleet: &Fleet) -> anyhow::Result<()> {
     until("an answer", async || {
@@ -59,14 +59,14 @@
 /// limit.
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_of_completions_that_lack_a_byte_are_bounded() {
-    let _turn = TURN.lock().await;
+    let _guard = SERIAL.lock().await;
     check(|head| Script::body(head, MAX_BODY, MAX_BODY - 1, PIECE)).await;
 }
 
 /// Guards against bodies that take many times their size once they are parsed.
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_of_many_small_values_are_bounded() {
-    let _turn = TURN.lock().await;
+    let _guard = SERIAL.lock().await;
     let start = r#"{"x":["#;
     let rest = MAX_BODY - start.len() - "1]}".len();
     let body = format!("{start}{}1]}}", "1,".repeat(rest / 2));
